--- a/objects/build.c
+++ b/objects/build.c
@@ -470,7 +470,7 @@
 	for (const struct field_spec *s = specs; s->name; s++) {
 		const struct tree_node *n = tree_find(table, s->name);
 
-		if (n && s->type != FIELD_NESTED)
+		if (n && object && s->type != FIELD_NESTED)
 			read_field(b, n, s, (char *)object + s->offset);
 		else if (!n && s->is_required)
 			add_fault(b, table->line, ERR_OBJ_MISSING, s->name,
