nutmegpickd: finish every accepted request at a stop

New requests that arrived during a stop were refused, and idle keep-alive connections held up the end for stop_timeout.

After SIGTERM, /readyz turns negative, later replies carry "Connection: close" and listening goes on for drain_delay. Then the connections that the kernel has accepted are taken, the port is closed and requests in flight end. Idle connections have their receiving side shut down, so that a request that has arrived is still answered. Requests that outlast stop_timeout are refused with E1313, unknown.

--- a/include/net/http_server.h
+++ b/include/net/http_server.h
@@ -32,9 +32,20 @@
 /** Returns the port that the server listens on. */
 uint16_t http_server_port(const struct http_server *s);
 
+/** Marks every later reply with "Connection: close"; listening goes on. */
+void http_server_drain(struct http_server *s);
+
+/**
+ * Ends listening and waits until requests in flight, and those already sent on
+ * open connections, are answered and every connection is closed. Connections
+ * that stay idle are closed. Returns the number of connections left after
+ * timeout_us.
+ */
+unsigned int http_server_stop(struct http_server *s, int64_t timeout_us);
+
 /**
- * Stops the server. Every exchange must have been answered; replies under way
- * are given up to timeout_us to be sent.
+ * Stops and frees the server. Every exchange must have been answered; replies
+ * under way are given up to timeout_us to be sent.
  */
 void http_server_destroy(struct http_server *s, int64_t timeout_us);
 
--- a/include/nutmegpickd/host.h
+++ b/include/nutmegpickd/host.h
@@ -68,6 +68,9 @@
 /** Sends an event to the engine thread. Returns 0 or -ERR_FULL. */
 int host_send(struct host *h, struct host_event event);
 
+/** Frees events that came after the engine thread's end. */
+void host_drop_events(struct host *h);
+
 /** Runs the engine thread until it gets HOST_EXIT. */
 void *host_run_engine(void *host);
 
@@ -80,6 +83,9 @@
 /** Cancels queries whose callers have closed their connections. */
 void query_check_gone(struct host *h);
 
+/** Refuses every query in flight: the time to stop has run out. */
+void query_stop_all(struct host *h);
+
 /** Callbacks of the engine. */
 extern const struct engine_ops query_engine_ops;
 
@@ -90,6 +96,9 @@
 void answer_refuse(struct http_exchange *x, const char *request_id, int code,
 		   int64_t retry_after_us);
 
+/** Ends a query whose calls may have run. */
+void answer_abandon(struct http_exchange *x, const char *request_id, int code);
+
 /** Answers /healthz, /readyz, /statusz and /metrics. */
 void page_send(struct host *h, struct http_exchange *x);
 
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -1,12 +1,15 @@
 #include "net/http_server.h"
 
 #include <arpa/inet.h>
+#include <fcntl.h>
+#include <linux/filter.h>
 #include <microhttpd.h>
 #include <poll.h>
+#include <pthread.h>
 #include <stdbool.h>
 #include <stdlib.h>
 #include <string.h>
-#include <time.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <glib.h>
@@ -16,18 +19,42 @@
 
 #define DEFAULT_MAX_BODY (1024 * 1024)
 #define DEFAULT_MAX_CONNECTIONS 4096
+#define STOP_POLL_US 5000
+/*
+ * A caller's request can be on its way when listening ends, so a connection is
+ * closed only after it has been idle for this long.
+ */
+#define STOP_IDLE_US 1000000
+
+/* Connection of a caller, from its acceptance to its end. */
+struct http_connection {
+	int fd;
+	bool is_busy;
+	/* Set once the receiving side was shut down by http_server_stop(). */
+	bool is_shut;
+	int64_t idle_since_us;
+};
 
 struct http_server {
 	struct MHD_Daemon *daemon;
 	struct http_server_options options;
 	size_t max_body;
 	uint16_t port;
+	bool is_draining;
+	/* Set once no request may wait for a reply any more. */
+	bool is_closed;
+	/* Requests handed out and not yet answered. */
+	unsigned int waiting;
+	/* Guards the connections, which the stopping thread reads. */
+	pthread_mutex_t lock;
+	GHashTable *connections;
 };
 
 struct http_exchange {
 	int refs;
 	struct http_server *server;
 	struct MHD_Connection *connection;
+	struct http_connection *caller;
 	char *method;
 	char *path;
 	GString *body;
@@ -38,7 +65,6 @@
 	struct MHD_Response *response;
 	GPtrArray *reply_headers;
 	unsigned int status;
-	int fd;
 };
 
 static void exchange_unref(struct http_exchange *x)
@@ -66,14 +92,54 @@
 	return MHD_YES;
 }
 
+static struct http_connection *find_caller(struct MHD_Connection *connection)
+{
+	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+		connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+
+	return info ? info->socket_context : NULL;
+}
+
+static void set_busy(struct http_server *s, struct http_connection *c,
+		     bool is_busy)
+{
+	if (!c)
+		return;
+	pthread_mutex_lock(&s->lock);
+	c->is_busy = is_busy;
+	c->idle_since_us = g_get_monotonic_time();
+	pthread_mutex_unlock(&s->lock);
+}
+
+static void handle_connection(void *ctx, struct MHD_Connection *connection,
+			      void **state,
+			      enum MHD_ConnectionNotificationCode code)
+{
+	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+		connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+	struct http_server *s = ctx;
+	struct http_connection *c = *state;
+
+	pthread_mutex_lock(&s->lock);
+	if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+		c = g_new0(struct http_connection, 1);
+		c->fd = info ? info->connect_fd : -1;
+		c->idle_since_us = g_get_monotonic_time();
+		g_hash_table_add(s->connections, c);
+		*state = c;
+	} else if (c) {
+		g_hash_table_remove(s->connections, c);
+		*state = NULL;
+	}
+	pthread_mutex_unlock(&s->lock);
+}
+
 static struct http_exchange *exchange_create(struct http_server *s,
 					     struct MHD_Connection *connection,
 					     const char *method,
 					     const char *path)
 {
 	struct http_exchange *x = g_new0(struct http_exchange, 1);
-	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
-		connection, MHD_CONNECTION_INFO_CONNECTION_FD);
 
 	x->refs = 1;
 	x->server = s;
@@ -81,7 +147,8 @@
 	x->method = g_strdup(method);
 	x->path = g_strdup(path);
 	x->body = g_string_new(NULL);
-	x->fd = info ? info->connect_fd : -1;
+	x->caller = find_caller(connection);
+	set_busy(s, x->caller, true);
 	x->headers =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	x->reply_headers = g_ptr_array_new_with_free_func(g_free);
@@ -90,21 +157,47 @@
 	return x;
 }
 
-static enum MHD_Result queue_too_large(struct MHD_Connection *connection)
+static void add_close_header(const struct http_server *s,
+			     struct MHD_Response *r)
+{
+	if (__atomic_load_n(&s->is_draining, __ATOMIC_ACQUIRE))
+		MHD_add_response_header(r, "Connection", "close");
+}
+
+static enum MHD_Result queue_refusal(const struct http_server *s,
+				     struct MHD_Connection *connection,
+				     unsigned int status, int code)
 {
-	static char body[] = "{\"error\":\"E1508\",\"message\":\"request body "
-			     "exceeds the limit\",\"run\":\"not_run\"}";
+	char *body = g_strdup_printf("{\"error\":\"E%d\",\"message\":\"%s\","
+				     "\"run\":\"not_run\"}",
+				     code, error_text(code));
 	struct MHD_Response *r = MHD_create_response_from_buffer(
-		sizeof(body) - 1, body, MHD_RESPMEM_PERSISTENT);
+		strlen(body), body, MHD_RESPMEM_MUST_COPY);
 	enum MHD_Result ret;
 
 	MHD_add_response_header(r, "Content-Type", "application/json");
-	ret = MHD_queue_response(connection, 413, r);
+	add_close_header(s, r);
+	ret = MHD_queue_response(connection, status, r);
 	MHD_destroy_response(r);
-	event_log(EV_HTTP_REFUSE, "code=E%d", ERR_NET_BODY_SIZE);
+	g_free(body);
+	event_log(EV_HTTP_REFUSE, "code=E%d", code);
 	return ret;
 }
 
+static enum MHD_Result submit(struct http_server *s, struct http_exchange *x)
+{
+	__atomic_add_fetch(&s->waiting, 1, __ATOMIC_SEQ_CST);
+	if (__atomic_load_n(&s->is_closed, __ATOMIC_SEQ_CST)) {
+		__atomic_sub_fetch(&s->waiting, 1, __ATOMIC_SEQ_CST);
+		return queue_refusal(s, x->connection, 503, ERR_STOPPING);
+	}
+	x->is_submitted = true;
+	x->refs++;
+	MHD_suspend_connection(x->connection);
+	s->options.handle_request(s->options.ctx, x);
+	return MHD_YES;
+}
+
 static enum MHD_Result handle_access(void *ctx,
 				     struct MHD_Connection *connection,
 				     const char *url, const char *method,
@@ -127,14 +220,10 @@
 		return MHD_YES;
 	}
 	if (x->is_too_large)
-		return queue_too_large(connection);
+		return queue_refusal(s, connection, 413, ERR_NET_BODY_SIZE);
 	if (x->is_submitted)
 		return MHD_queue_response(connection, x->status, x->response);
-	x->is_submitted = true;
-	x->refs++;
-	MHD_suspend_connection(connection);
-	s->options.handle_request(s->options.ctx, x);
-	return MHD_YES;
+	return submit(s, x);
 }
 
 static void handle_completed(void *ctx, struct MHD_Connection *connection,
@@ -143,8 +232,10 @@
 	struct http_exchange *x = *state;
 
 	*state = NULL;
-	if (x)
-		exchange_unref(x);
+	if (!x)
+		return;
+	set_busy(ctx, x->caller, false);
+	exchange_unref(x);
 }
 
 static int parse_address(const char *text, struct sockaddr_in *out)
@@ -182,15 +273,19 @@
 	s = g_new0(struct http_server, 1);
 	s->options = *options;
 	s->max_body = options->max_body ? options->max_body : DEFAULT_MAX_BODY;
+	pthread_mutex_init(&s->lock, NULL);
+	s->connections = g_hash_table_new_full(NULL, NULL, g_free, NULL);
 	s->daemon = MHD_start_daemon(
 		flags, 0, NULL, NULL, handle_access, s, MHD_OPTION_SOCK_ADDR,
 		&addr, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u,
 		MHD_OPTION_NOTIFY_COMPLETED, handle_completed, s,
+		MHD_OPTION_NOTIFY_CONNECTION, handle_connection, s,
 		MHD_OPTION_CONNECTION_LIMIT,
 		options->max_connections ? options->max_connections
 					 : DEFAULT_MAX_CONNECTIONS,
 		MHD_OPTION_END);
 	if (!s->daemon) {
+		g_hash_table_destroy(s->connections);
 		g_free(s);
 		return -ERR_NET_LISTEN;
 	}
@@ -213,18 +308,83 @@
 	return info ? info->num_connections : 0;
 }
 
-void http_server_destroy(struct http_server *s, int64_t timeout_us)
+void http_server_drain(struct http_server *s)
+{
+	__atomic_store_n(&s->is_draining, true, __ATOMIC_RELEASE);
+}
+
+/* Takes the connections that the kernel has accepted, then closes the port. */
+static void stop_listening(struct http_server *s)
 {
-	const struct timespec pause = {.tv_nsec = 10 * 1000 * 1000};
+	struct sock_filter drop = BPF_STMT(BPF_RET | BPF_K, 0);
+	struct sock_fprog program = {.len = 1, .filter = &drop};
 	MHD_socket fd = MHD_quiesce_daemon(s->daemon);
+	struct sockaddr_in addr;
+	socklen_t len = sizeof(addr);
+	int c;
+
+	if (fd == MHD_INVALID_SOCKET)
+		return;
+	/*
+	 * A handshake that ends after the last accept() would be reset by
+	 * close(); dropped packets make the caller's kernel try again and find
+	 * the port closed.
+	 */
+	setsockopt(fd, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof(program));
+	fcntl(fd, F_SETFL, fcntl(fd, F_GETFL) | O_NONBLOCK);
+	while ((c = accept4(fd, (struct sockaddr *)&addr, &len,
+			    SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0) {
+		MHD_add_connection(s->daemon, c, (struct sockaddr *)&addr, len);
+		len = sizeof(addr);
+	}
+	close(fd);
+}
+
+/*
+ * The receiving side alone is shut down: a request that has arrived is still
+ * read and answered, then the server finds the end of the stream.
+ */
+static void shut_idle_connections(struct http_server *s)
+{
+	int64_t now = g_get_monotonic_time();
+	struct http_connection *c;
+	GHashTableIter iter;
+
+	pthread_mutex_lock(&s->lock);
+	g_hash_table_iter_init(&iter, s->connections);
+	while (g_hash_table_iter_next(&iter, (gpointer *)&c, NULL)) {
+		if (c->is_busy || c->is_shut ||
+		    now - c->idle_since_us < STOP_IDLE_US)
+			continue;
+		c->is_shut = true;
+		shutdown(c->fd, SHUT_RD);
+	}
+	pthread_mutex_unlock(&s->lock);
+}
 
-	while (http_server_connection_count(s) && timeout_us > 0) {
-		nanosleep(&pause, NULL);
-		timeout_us -= pause.tv_nsec / 1000;
+unsigned int http_server_stop(struct http_server *s, int64_t timeout_us)
+{
+	int64_t end = g_get_monotonic_time() + timeout_us;
+
+	http_server_drain(s);
+	stop_listening(s);
+	while (http_server_connection_count(s) &&
+	       g_get_monotonic_time() < end) {
+		shut_idle_connections(s);
+		g_usleep(STOP_POLL_US);
 	}
+	return http_server_connection_count(s);
+}
+
+void http_server_destroy(struct http_server *s, int64_t timeout_us)
+{
+	http_server_stop(s, timeout_us);
+	__atomic_store_n(&s->is_closed, true, __ATOMIC_SEQ_CST);
+	while (__atomic_load_n(&s->waiting, __ATOMIC_SEQ_CST))
+		g_usleep(STOP_POLL_US);
 	MHD_stop_daemon(s->daemon);
-	if (fd != MHD_INVALID_SOCKET)
-		close(fd);
+	g_hash_table_destroy(s->connections);
+	pthread_mutex_destroy(&s->lock);
 	g_free(s);
 }
 
@@ -256,8 +416,12 @@
 
 int http_exchange_is_gone(const struct http_exchange *x)
 {
-	struct pollfd p = {.fd = x->fd, .events = POLLRDHUP};
+	struct pollfd p = {.fd = x->caller ? x->caller->fd : -1};
 
+	/* After a shutdown of our own, POLLRDHUP says nothing of the caller. */
+	if (x->caller &&
+	    !__atomic_load_n(&x->caller->is_shut, __ATOMIC_RELAXED))
+		p.events = POLLRDHUP;
 	return poll(&p, 1, 0) > 0 &&
 	       (p.revents & (POLLRDHUP | POLLHUP | POLLERR));
 }
@@ -276,9 +440,11 @@
 	x->response = MHD_create_response_from_buffer(len, (void *)body,
 						      MHD_RESPMEM_MUST_COPY);
 	MHD_add_response_header(x->response, "Content-Type", content_type);
+	add_close_header(x->server, x->response);
 	for (guint i = 0; i < x->reply_headers->len; i += 2)
 		MHD_add_response_header(x->response, x->reply_headers->pdata[i],
 					x->reply_headers->pdata[i + 1]);
 	MHD_resume_connection(x->connection);
+	__atomic_sub_fetch(&x->server->waiting, 1, __ATOMIC_SEQ_CST);
 	exchange_unref(x);
 }
--- a/nutmegpickd/answer.c
+++ b/nutmegpickd/answer.c
@@ -141,3 +141,9 @@
 	send_json(x, http_status(code),
 		  encode_refusal(request_id, code, RUN_NOT_RUN));
 }
+
+void answer_abandon(struct http_exchange *x, const char *request_id, int code)
+{
+	send_json(x, http_status(code),
+		  encode_refusal(request_id, code, RUN_UNKNOWN));
+}
--- a/nutmegpickd/engine_thread.c
+++ b/nutmegpickd/engine_thread.c
@@ -19,6 +19,19 @@
 	return ret;
 }
 
+void host_drop_events(struct host *h)
+{
+	struct host_event *e;
+
+	while ((e = ring_pop(h->events))) {
+		if (e->reply)
+			upstream_reply_free(e->reply);
+		if (e->set)
+			object_set_unref(e->set);
+		g_free(e);
+	}
+}
+
 static void apply_set(struct host *h, struct object_set *set)
 {
 	if (engine_apply_set(h->engine, set)) {
@@ -54,6 +67,7 @@
 	case HOST_STOP:
 		h->is_stopping = true;
 		engine_stop_admission(h->engine);
+		query_stop_all(h);
 		break;
 	case HOST_EXIT:
 		h->is_exiting = true;
--- a/nutmegpickd/main.c
+++ b/nutmegpickd/main.c
@@ -151,20 +151,36 @@
 	return ret;
 }
 
+static void send_surely(struct host *h, enum host_event_type type)
+{
+	while (host_send(h, (struct host_event){.type = type}))
+		g_usleep(1000);
+}
+
 static void stop_host(struct host *h)
 {
+	unsigned int left;
+
 	event_log(EV_DRAIN, "host=%s", h->settings.host_id);
-	host_send(h, (struct host_event){.type = HOST_DRAIN});
+	send_surely(h, HOST_DRAIN);
+	http_server_drain(h->server);
 	g_usleep((gulong)h->settings.drain_delay_us);
-	while (host_send(h, (struct host_event){.type = HOST_STOP}))
-		g_usleep(1000);
-	http_server_destroy(h->server, h->settings.stop_timeout_us);
-	while (host_send(h, (struct host_event){.type = HOST_EXIT}))
-		g_usleep(1000);
+	left = http_server_stop(h->server, h->settings.stop_timeout_us);
+	if (left)
+		event_log(EV_STOP_TIMEOUT, "host=%s connections=%u",
+			  h->settings.host_id, left);
+	/* Requests that outlast stop_timeout are refused before the exit. */
+	send_surely(h, HOST_STOP);
+	http_server_destroy(h->server, US_PER_S);
+	send_surely(h, HOST_EXIT);
 	pthread_join(h->engine_thread, NULL);
 	upstream_destroy(h->upstream);
+	host_drop_events(h);
 	engine_unref(h->engine);
 	object_set_unref(h->set);
+	g_hash_table_destroy(h->queries);
+	g_hash_table_destroy(h->calls);
+	ring_destroy(h->events);
 	event_log(EV_STOP, "host=%s", h->settings.host_id);
 }
 
--- a/nutmegpickd/query.c
+++ b/nutmegpickd/query.c
@@ -221,6 +221,13 @@
 	}
 }
 
+static void abandon(struct host_query *q, int code)
+{
+	engine_cancel(q->host->engine, q->id);
+	answer_abandon(q->exchange, q->request_id, code);
+	query_free(q);
+}
+
 void query_check_gone(struct host *h)
 {
 	int64_t now = clock_now(&h->clock);
@@ -237,14 +244,20 @@
 		if (http_exchange_is_gone(q->exchange))
 			g_ptr_array_add(gone, q);
 	}
-	for (guint i = 0; i < gone->len; i++) {
-		q = gone->pdata[i];
-		engine_cancel(h->engine, q->id);
-		refuse(q, -ERR_CANCELLED, 0);
-	}
+	for (guint i = 0; i < gone->len; i++)
+		abandon(gone->pdata[i], -ERR_CANCELLED);
 	g_ptr_array_free(gone, TRUE);
 }
 
+void query_stop_all(struct host *h)
+{
+	GList *queries = g_hash_table_get_values(h->queries);
+
+	for (GList *l = queries; l; l = l->next)
+		abandon(l->data, -ERR_STOPPING);
+	g_list_free(queries);
+}
+
 static void handle_start_call(void *ctx, const struct engine_call *call)
 {
 	struct host *h = ctx;
--- /dev/null
+++ b/test/standin/client.c
@@ -0,0 +1,200 @@
+#include <argp.h>
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/in.h>
+#include <pthread.h>
+#include <stdbool.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/*
+ * Sends one request after the other over keep-alive connections. A refused
+ * connection ends a sender; a connection that breaks after it was accepted is
+ * a failed request.
+ */
+
+#define REPLY_MAX 65536
+
+struct client {
+	const char *path;
+	const char *body;
+	long connections;
+	/* Requests per sender; 0 goes on until the connection is refused. */
+	long requests;
+	bool is_idle;
+	struct sockaddr_in address;
+	unsigned long ok;
+	unsigned long failed;
+};
+
+static const struct argp_option options[] = {
+	{"path", 'p', "PATH", 0, "Path of the request", 0},
+	{"body", 'b', "TEXT", 0, "Body of the request", 0},
+	{"connections", 'c', "N", 0, "Number of senders (default 1)", 0},
+	{"requests", 'n', "N", 0, "Requests per sender (default: no end)", 0},
+	{"idle", 'i', NULL, 0, "Connect, send nothing, wait for the end", 0},
+	{0},
+};
+
+static bool parse_address(const char *text, struct sockaddr_in *out)
+{
+	char ip[64];
+	unsigned int port;
+
+	if (sscanf(text, "%63[0-9.]:%u", ip, &port) != 2)
+		return false;
+	out->sin_family = AF_INET;
+	out->sin_port = htons((uint16_t)port);
+	return inet_pton(AF_INET, ip, &out->sin_addr) == 1;
+}
+
+static error_t handle_option(int key, char *arg, struct argp_state *state)
+{
+	struct client *c = state->input;
+
+	switch (key) {
+	case 'p':
+		c->path = arg;
+		return 0;
+	case 'b':
+		c->body = arg;
+		return 0;
+	case 'c':
+		c->connections = strtol(arg, NULL, 10);
+		return 0;
+	case 'n':
+		c->requests = strtol(arg, NULL, 10);
+		return 0;
+	case 'i':
+		c->is_idle = true;
+		return 0;
+	case ARGP_KEY_ARG:
+		if (!parse_address(arg, &c->address))
+			argp_error(state, "malformed address");
+		return 0;
+	case ARGP_KEY_NO_ARGS:
+		argp_usage(state);
+		return 0;
+	default:
+		return ARGP_ERR_UNKNOWN;
+	}
+}
+
+static const struct argp argp = {
+	options, handle_option, "IP:PORT", "Load for tests.", NULL, NULL, NULL,
+};
+
+static int open_connection(const struct client *c)
+{
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	if (!connect(fd, (const struct sockaddr *)&c->address,
+		     sizeof(c->address)))
+		return fd;
+	close(fd);
+	return -1;
+}
+
+static bool send_request(const struct client *c, int fd)
+{
+	char text[4096];
+	int len = snprintf(text, sizeof(text),
+			   "POST %s HTTP/1.1\r\nHost: test\r\n"
+			   "Content-Type: application/json\r\n"
+			   "Content-Length: %zu\r\n\r\n%s",
+			   c->path, strlen(c->body), c->body);
+
+	return send(fd, text, (size_t)len, MSG_NOSIGNAL) == len;
+}
+
+/* Returns the status of a whole reply, or 0. */
+static int read_reply(int fd, bool *is_closing)
+{
+	char text[REPLY_MAX + 1];
+	size_t len = 0;
+
+	for (;;) {
+		ssize_t n = recv(fd, text + len, REPLY_MAX - len, 0);
+		const char *length;
+		const char *end;
+
+		if (n <= 0)
+			return 0;
+		len += (size_t)n;
+		text[len] = '\0';
+		end = strstr(text, "\r\n\r\n");
+		length = strcasestr(text, "Content-Length:");
+		if (!end || !length)
+			continue;
+		if (len <
+		    (size_t)(end + 4 - text) + strtoul(length + 15, NULL, 10))
+			continue;
+		*is_closing = strcasestr(text, "Connection: close");
+		return (int)strtol(text + 9, NULL, 10);
+	}
+}
+
+static void *run_sender(void *ctx)
+{
+	struct client *c = ctx;
+	bool is_closing = false;
+	int fd = -1;
+
+	for (long i = 0; !c->requests || i < c->requests; i++) {
+		if (fd < 0)
+			fd = open_connection(c);
+		if (fd < 0)
+			return NULL;
+		if (send_request(c, fd) && read_reply(fd, &is_closing) == 200) {
+			__atomic_add_fetch(&c->ok, 1, __ATOMIC_RELAXED);
+		} else {
+			__atomic_add_fetch(&c->failed, 1, __ATOMIC_RELAXED);
+			is_closing = true;
+		}
+		if (is_closing) {
+			close(fd);
+			fd = -1;
+		}
+		is_closing = false;
+	}
+	if (fd >= 0)
+		close(fd);
+	return NULL;
+}
+
+static int wait_idle(const struct client *c)
+{
+	int fd = open_connection(c);
+	char byte;
+
+	if (fd < 0)
+		return EXIT_FAILURE;
+	printf("connected\n");
+	fflush(stdout);
+	while (recv(fd, &byte, 1, 0) > 0)
+		;
+	close(fd);
+	return EXIT_SUCCESS;
+}
+
+int main(int argc, char **argv)
+{
+	struct client c = {.path = "/", .body = "{}", .connections = 1};
+	pthread_t *threads;
+
+	argp_parse(&argp, argc, argv, 0, NULL, &c);
+	if (c.is_idle)
+		return wait_idle(&c);
+	threads = calloc((size_t)c.connections, sizeof(*threads));
+	for (long i = 0; i < c.connections; i++)
+		pthread_create(&threads[i], NULL, run_sender, &c);
+	for (long i = 0; i < c.connections; i++)
+		pthread_join(threads[i], NULL);
+	free(threads);
+	printf("ok %lu failed %lu\n", c.ok, c.failed);
+	return c.failed || !c.ok ? EXIT_FAILURE : EXIT_SUCCESS;
+}
