net: bound connections to a leaf and never resend a request

libcurl sends a request again when a reused connection turns out to be closed; non-idempotent calls therefore opened a connection each. The limit on connections was one figure for all leaves, and nothing bounded how fast they were opened.

A pool per leaf now counts connections as libcurl opens and closes them. A call runs on an idle connection, or on a new one while the group's limit and token buckets for the host (500/s) and the leaf (20/s) permit, and waits otherwise. A second send of a request whose bytes were sent is stopped, so all calls use warm connections. A cancelled call closes its connection only when its request was begun and no reply has come.

--- a/include/net/upstream.h
+++ b/include/net/upstream.h
@@ -21,8 +21,6 @@
 	const char *shard;
 	uint64_t snapshot;
 	int64_t remaining_us;
-	/** A call that must not be sent twice, even by the HTTP library. */
-	bool is_non_idempotent;
 	const char *body;
 	size_t body_len;
 };
@@ -46,8 +44,13 @@
 	struct np_clock clock;
 	/** Most calls queued between threads; 0 selects 65536. */
 	size_t queue_size;
-	/** Most connections to one leaf; 0 selects 32. */
+	/** Most connections to a leaf without a limit of its own; 0: 32. */
 	long max_connections_per_leaf;
+	/** Connections opened per second, and at once; 0 selects a default. */
+	double host_opens_per_second;
+	double host_open_burst;
+	double leaf_opens_per_second;
+	double leaf_open_burst;
 	/** Called on the upstream thread; the callee owns the reply. */
 	void (*handle_reply)(void *ctx, struct upstream_reply *reply);
 	void *ctx;
@@ -60,12 +63,25 @@
 /** Cancels all calls without replies and joins the thread. */
 void upstream_destroy(struct upstream *u);
 
-/** Queues a call. Returns 0 or -ERR_FULL: nothing was sent then. */
+/**
+ * Queues a call. A call waits while its leaf's connections are all in use, and
+ * is sent at most once. Returns 0 or -ERR_FULL: nothing was sent then.
+ */
 int upstream_start(struct upstream *u, const struct upstream_call *call);
 
-/** Cancels a call: its connection is closed and it gets no reply. */
+/**
+ * Cancels a call, which gets no reply. Its connection is closed if the request
+ * was begun and no reply has come yet.
+ */
 void upstream_cancel(struct upstream *u, uint64_t call_id);
 
+/**
+ * Sets the most connections to the leaf at an address. Open connections above
+ * a lowered limit close as their calls end. Returns 0 or -ERR_FULL.
+ */
+int upstream_set_limit(struct upstream *u, const char *address,
+		       uint32_t connections);
+
 /** Asks a leaf for its report. Returns 0 or -ERR_FULL. */
 int upstream_fetch_report(struct upstream *u, const char *address,
 			  int64_t timeout_us);
--- a/include/net/upstream_reply.h
+++ b/include/net/upstream_reply.h
@@ -7,6 +7,8 @@
 struct upstream_transfer {
 	const char *request_id;
 	const char *shard;
+	/** Snapshot that was asked for; 0 if the leaf was to choose. */
+	uint64_t snapshot;
 	bool is_connected;
 	bool is_timed_out;
 	bool is_failed;
@@ -21,8 +23,8 @@
 };
 
 /**
- * Judges a transfer. Only a whole reply that names the attempt, request and
- * shard that were asked yields CALL_OK with its hits.
+ * Judges a transfer. Only a whole reply that names the attempt, request,
+ * shard and snapshot that were asked yields CALL_OK with its hits.
  */
 void upstream_judge(const struct upstream_transfer *t,
 		    struct upstream_reply *reply);
--- a/net/upstream.c
+++ b/net/upstream.c
@@ -9,23 +9,61 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
+#include "common/counter.h"
 #include "common/errors.h"
 #include "common/ring.h"
+#include "net/leaf_pool.h"
 #include "net/upstream_reply.h"
 
 #define DEFAULT_QUEUE_SIZE 65536
 #define DEFAULT_MAX_CONNECTIONS 32
 #define MAX_REPLY_SIZE (4 * 1024 * 1024)
 #define POLL_MS 1000
+/* Poll interval while calls wait for a connection or for their deadline. */
+#define WAITING_POLL_MS 2
+/*
+ * Opening rates. A host with 100 leaves warms up within a second, and a leaf
+ * that restarts meets at most its burst from each host at once.
+ */
+#define HOST_OPENS_PER_SECOND 500.0
+#define HOST_OPEN_BURST 200.0
+#define LEAF_OPENS_PER_SECOND 20.0
+#define LEAF_OPEN_BURST 8.0
+/* Idle connections are kept for longer than the longest pause of a service. */
+#define IDLE_MAX_S 3600L
+#define MAX_IDLE_HANDLES 1024
 
 enum command_type {
 	COMMAND_CALL,
 	COMMAND_CANCEL,
 	COMMAND_REPORT,
+	COMMAND_LIMIT,
 	COMMAND_STOP,
 };
 
+static struct counter opened_total = {
+	.name = "nutmegpick_upstream_connections_opened_total",
+	.help = "Connections opened to leaves.",
+};
+static struct counter postponed_total = {
+	.name = "nutmegpick_upstream_calls_postponed_total",
+	.help = "Calls that waited for a connection within the limits.",
+};
+static struct counter closed_by_cancel_total = {
+	.name = "nutmegpick_upstream_cancels_closed_total",
+	.help = "Cancelled calls that closed their connection.",
+};
+
+__attribute__((constructor)) static void register_counters(void)
+{
+	counter_register(&opened_total);
+	counter_register(&postponed_total);
+	counter_register(&closed_by_cancel_total);
+}
+
 /* Queued command; a call or report lives on as its transfer. */
 struct transfer {
 	enum command_type type;
@@ -36,9 +74,12 @@
 	uint64_t snapshot;
 	int64_t deadline_us;
 	int64_t start_us;
-	bool is_non_idempotent;
+	/* Connections permitted by COMMAND_LIMIT. */
+	uint32_t limit;
 	char *body;
 	size_t body_len;
+	struct upstream *upstream;
+	struct leaf_pool *leaf;
 	CURL *easy;
 	struct curl_slist *headers;
 	GString *reply;
@@ -46,23 +87,39 @@
 	char *state;
 	char *load;
 	bool is_too_large;
+	/* May open a connection and has not done so yet. */
+	bool is_granted;
+	/* A connection was refused by the limits; the call goes back to wait. */
+	bool is_postponed;
+	bool is_running;
+	/* The request was begun on a connection. */
+	bool is_begun;
+	/* The reply's first header has come. */
+	bool is_replying;
+	/* Cancelled while the reply came; it ends without being passed on. */
+	bool is_abandoned;
 };
 
 struct upstream {
 	struct upstream_options options;
 	struct ring *commands;
 	CURLM *multi;
-	/* Transfers by call id. */
+	struct rate_limit host_rate;
+	/* Pools by address. */
+	GHashTable *leaves;
+	/* Pools with waiting calls. */
+	GHashTable *blocked;
+	/* Transfers by call id, waiting or running. */
 	GHashTable *calls;
-	/* Every running transfer, reports included. */
-	GHashTable *running;
+	/* Every transfer, reports included. */
+	GHashTable *transfers;
+	/* Handles without a transfer. */
+	GPtrArray *idle_handles;
 	pthread_t thread;
 };
 
 static void transfer_free(struct transfer *t)
 {
-	if (t->easy)
-		curl_easy_cleanup(t->easy);
 	curl_slist_free_all(t->headers);
 	if (t->reply)
 		g_string_free(t->reply, TRUE);
@@ -104,6 +161,7 @@
 {
 	struct transfer *t = ctx;
 
+	t->is_replying = true;
 	keep_header(&t->run, data, size * count, "Nutmegpick-Run:");
 	keep_header(&t->state, data, size * count, "Nutmegpick-State:");
 	keep_header(&t->load, data, size * count, "Nutmegpick-Load:");
@@ -130,15 +188,6 @@
 	curl_easy_setopt(t->easy, CURLOPT_POSTFIELDS, t->body);
 	curl_easy_setopt(t->easy, CURLOPT_POSTFIELDSIZE_LARGE,
 			 (curl_off_t)t->body_len);
-	/*
-	 * libcurl resends a request when a reused connection turns out to be
-	 * closed, although the leaf may have run it. A new connection is never
-	 * resent on.
-	 */
-	if (t->is_non_idempotent) {
-		curl_easy_setopt(t->easy, CURLOPT_FRESH_CONNECT, 1L);
-		curl_easy_setopt(t->easy, CURLOPT_FORBID_REUSE, 1L);
-	}
 	add_header(t, "Content-Type: application/json");
 	add_header(t, "Expect:");
 	add_header(t, "Nutmegpick-Request: %s", t->request_id);
@@ -150,6 +199,84 @@
 		   (long long)(remaining_us / US_PER_MS));
 }
 
+static curl_socket_t handle_open(void *ctx, curlsocktype purpose,
+				 struct curl_sockaddr *addr)
+{
+	struct transfer *t = ctx;
+	int64_t now = clock_now(&t->upstream->options.clock);
+	bool is_granted = t->is_granted;
+	curl_socket_t fd;
+
+	t->is_granted = false;
+	if (!leaf_pool_open(t->leaf, is_granted, now)) {
+		t->is_postponed = true;
+		return CURL_SOCKET_BAD;
+	}
+	counter_add(&opened_total, 1);
+	fd = socket(addr->family, addr->socktype | SOCK_CLOEXEC,
+		    addr->protocol);
+	if (fd < 0)
+		leaf_pool_close(t->leaf);
+	return fd;
+}
+
+static int handle_close(void *ctx, curl_socket_t fd)
+{
+	leaf_pool_close(ctx);
+	return close(fd);
+}
+
+/*
+ * libcurl sends a request again when a reused connection turns out to be
+ * closed, although the leaf may have run it. Once a byte was sent, only the
+ * engine may decide on another call.
+ */
+static int handle_request_begin(void *ctx, char *ip, char *local_ip, int port,
+				int local_port)
+{
+	struct transfer *t = ctx;
+	long sent = 0;
+
+	curl_easy_getinfo(t->easy, CURLINFO_REQUEST_SIZE, &sent);
+	if (t->is_begun && sent > 0)
+		return CURL_PREREQFUNC_ABORT;
+	t->is_begun = true;
+	return CURL_PREREQFUNC_OK;
+}
+
+static CURL *take_handle(struct upstream *u)
+{
+	if (u->idle_handles->len)
+		return g_ptr_array_steal_index_fast(u->idle_handles,
+						    u->idle_handles->len - 1);
+	return curl_easy_init();
+}
+
+static void release_handle(struct upstream *u, CURL *easy)
+{
+	if (u->idle_handles->len >= MAX_IDLE_HANDLES) {
+		curl_easy_cleanup(easy);
+		return;
+	}
+	curl_easy_reset(easy);
+	g_ptr_array_add(u->idle_handles, easy);
+}
+
+static void set_connection_options(struct transfer *t)
+{
+	curl_easy_setopt(t->easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(t->easy, CURLOPT_PROXY, "");
+	curl_easy_setopt(t->easy, CURLOPT_HTTP_VERSION,
+			 (long)CURL_HTTP_VERSION_1_1);
+	curl_easy_setopt(t->easy, CURLOPT_MAXAGE_CONN, IDLE_MAX_S);
+	curl_easy_setopt(t->easy, CURLOPT_OPENSOCKETFUNCTION, handle_open);
+	curl_easy_setopt(t->easy, CURLOPT_OPENSOCKETDATA, t);
+	curl_easy_setopt(t->easy, CURLOPT_CLOSESOCKETFUNCTION, handle_close);
+	curl_easy_setopt(t->easy, CURLOPT_CLOSESOCKETDATA, t->leaf);
+	curl_easy_setopt(t->easy, CURLOPT_PREREQFUNCTION, handle_request_begin);
+	curl_easy_setopt(t->easy, CURLOPT_PREREQDATA, t);
+}
+
 static void start_transfer(struct upstream *u, struct transfer *t)
 {
 	int64_t remaining = t->deadline_us - clock_now(&u->options.clock);
@@ -159,12 +286,11 @@
 	if (remaining < US_PER_MS)
 		remaining = US_PER_MS;
 	snprintf(url, sizeof(url), "http://%s/%s", t->address, path);
-	t->easy = curl_easy_init();
+	t->easy = take_handle(u);
 	t->reply = g_string_new(NULL);
+	set_connection_options(t);
 	curl_easy_setopt(t->easy, CURLOPT_URL, url);
 	curl_easy_setopt(t->easy, CURLOPT_PRIVATE, t);
-	curl_easy_setopt(t->easy, CURLOPT_NOSIGNAL, 1L);
-	curl_easy_setopt(t->easy, CURLOPT_PROXY, "");
 	curl_easy_setopt(t->easy, CURLOPT_WRITEFUNCTION, handle_write);
 	curl_easy_setopt(t->easy, CURLOPT_WRITEDATA, t);
 	curl_easy_setopt(t->easy, CURLOPT_HEADERFUNCTION, handle_header);
@@ -174,21 +300,50 @@
 	if (t->type == COMMAND_CALL)
 		set_call_options(t, remaining);
 	curl_easy_setopt(t->easy, CURLOPT_HTTPHEADER, t->headers);
-	g_hash_table_add(u->running, t);
-	if (t->type == COMMAND_CALL)
-		g_hash_table_insert(u->calls, &t->call_id, t);
+	t->is_running = true;
 	curl_multi_add_handle(u->multi, t->easy);
 }
 
-static void remove_transfer(struct upstream *u, struct transfer *t)
+/* Ends the running part of a transfer; it may start again afterwards. */
+static void halt_transfer(struct upstream *u, struct transfer *t)
 {
 	curl_multi_remove_handle(u->multi, t->easy);
-	if (t->type == COMMAND_CALL)
+	release_handle(u, t->easy);
+	t->easy = NULL;
+	curl_slist_free_all(t->headers);
+	t->headers = NULL;
+	g_string_free(t->reply, TRUE);
+	t->reply = NULL;
+	t->is_running = false;
+	leaf_pool_end(t->leaf, t->is_granted);
+	t->is_granted = false;
+}
+
+static void forget_transfer(struct upstream *u, struct transfer *t)
+{
+	if (t->type == COMMAND_CALL && !t->is_abandoned)
 		g_hash_table_remove(u->calls, &t->call_id);
-	g_hash_table_remove(u->running, t);
+	g_hash_table_remove(u->transfers, t);
 	transfer_free(t);
 }
 
+static struct leaf_pool *find_leaf(struct upstream *u, const char *address)
+{
+	struct leaf_pool *p = g_hash_table_lookup(u->leaves, address);
+	const struct upstream_options *o = &u->options;
+
+	if (p)
+		return p;
+	p = leaf_pool_create(
+		address, (uint32_t)o->max_connections_per_leaf,
+		o->leaf_opens_per_second > 0 ? o->leaf_opens_per_second
+					     : LEAF_OPENS_PER_SECOND,
+		o->leaf_open_burst > 0 ? o->leaf_open_burst : LEAF_OPEN_BURST,
+		&u->host_rate, clock_now(&o->clock));
+	g_hash_table_insert(u->leaves, p->address, p);
+	return p;
+}
+
 static void fill_report(struct transfer *t, const struct upstream_transfer *w,
 			struct upstream_reply *reply)
 {
@@ -200,27 +355,35 @@
 	reply->result.status = reply->body ? CALL_OK : CALL_BAD_REPLY;
 }
 
-static void finish_transfer(struct upstream *u, struct transfer *t,
-			    CURLcode code)
+static void fill_transfer(const struct transfer *t, CURLcode code,
+			  struct upstream_transfer *w)
 {
-	struct upstream_reply *reply = calloc(1, sizeof(*reply));
-	struct upstream_transfer w = {
-		.request_id = t->request_id,
-		.shard = t->shard,
-		.is_failed = code != CURLE_OK,
-		.is_timed_out = code == CURLE_OPERATION_TIMEDOUT,
-		.run = t->run,
-		.state = t->state,
-		.load = t->load,
-		.body = t->reply->str,
-		.body_len = t->reply->len,
-	};
 	curl_off_t connect_us = 0;
 
-	curl_easy_getinfo(t->easy, CURLINFO_REQUEST_SIZE, &w.bytes_sent);
-	curl_easy_getinfo(t->easy, CURLINFO_RESPONSE_CODE, &w.status);
+	w->request_id = t->request_id;
+	w->shard = t->shard;
+	w->snapshot = t->snapshot;
+	w->is_failed = code != CURLE_OK;
+	w->is_timed_out = code == CURLE_OPERATION_TIMEDOUT;
+	if (!t->easy)
+		return;
+	w->run = t->run;
+	w->state = t->state;
+	w->load = t->load;
+	w->body = t->reply->str;
+	w->body_len = t->reply->len;
+	curl_easy_getinfo(t->easy, CURLINFO_REQUEST_SIZE, &w->bytes_sent);
+	curl_easy_getinfo(t->easy, CURLINFO_RESPONSE_CODE, &w->status);
 	curl_easy_getinfo(t->easy, CURLINFO_PRETRANSFER_TIME_T, &connect_us);
-	w.is_connected = connect_us > 0 || w.bytes_sent > 0;
+	w->is_connected = connect_us > 0 || w->bytes_sent > 0;
+}
+
+static void send_reply(struct upstream *u, struct transfer *t, CURLcode code)
+{
+	struct upstream_reply *reply = calloc(1, sizeof(*reply));
+	struct upstream_transfer w = {0};
+
+	fill_transfer(t, code, &w);
 	reply->elapsed_us = clock_now(&u->options.clock) - t->start_us;
 	if (t->type == COMMAND_CALL) {
 		reply->call_id = t->call_id;
@@ -232,10 +395,89 @@
 	}
 	reply->shard = t->shard;
 	t->shard = NULL;
-	remove_transfer(u, t);
 	u->options.handle_reply(u->options.ctx, reply);
 }
 
+/* Starts waiting calls as far as the leaf's connections permit. */
+static void pump_leaf(struct upstream *u, struct leaf_pool *p)
+{
+	while (!g_queue_is_empty(&p->waiting)) {
+		enum pool_grant grant =
+			leaf_pool_begin(p, clock_now(&u->options.clock));
+		struct transfer *t;
+
+		if (grant == POOL_WAIT) {
+			g_hash_table_add(u->blocked, p);
+			return;
+		}
+		t = g_queue_pop_head(&p->waiting);
+		t->is_granted = grant == POOL_OPEN;
+		start_transfer(u, t);
+	}
+	g_hash_table_remove(u->blocked, p);
+}
+
+static void finish_transfer(struct upstream *u, struct transfer *t,
+			    CURLcode code)
+{
+	struct leaf_pool *p = t->leaf;
+	bool is_postponed = t->is_postponed;
+
+	t->is_postponed = false;
+	if (is_postponed && !t->is_abandoned && !t->is_begun) {
+		halt_transfer(u, t);
+		counter_add(&postponed_total, 1);
+		g_queue_push_head(&p->waiting, t);
+		g_hash_table_add(u->blocked, p);
+		return;
+	}
+	if (!t->is_abandoned)
+		send_reply(u, t, code);
+	halt_transfer(u, t);
+	forget_transfer(u, t);
+	pump_leaf(u, p);
+}
+
+/* Fails the calls whose deadline passed while they waited. */
+static void expire_waiting(struct upstream *u, struct leaf_pool *p)
+{
+	int64_t now = clock_now(&u->options.clock);
+	GList *next;
+
+	for (GList *l = p->waiting.head; l; l = next) {
+		struct transfer *t = l->data;
+
+		next = l->next;
+		if (t->deadline_us > now)
+			continue;
+		g_queue_delete_link(&p->waiting, l);
+		send_reply(u, t, CURLE_OPERATION_TIMEDOUT);
+		forget_transfer(u, t);
+	}
+}
+
+static void pump_blocked(struct upstream *u)
+{
+	GList *pools = g_hash_table_get_keys(u->blocked);
+
+	for (GList *l = pools; l; l = l->next) {
+		expire_waiting(u, l->data);
+		pump_leaf(u, l->data);
+	}
+	g_list_free(pools);
+}
+
+static void queue_transfer(struct upstream *u, struct transfer *t)
+{
+	t->upstream = u;
+	t->leaf = find_leaf(u, t->address);
+	g_hash_table_add(u->transfers, t);
+	if (t->type == COMMAND_CALL)
+		g_hash_table_insert(u->calls, &t->call_id, t);
+	g_queue_push_tail(&t->leaf->waiting, t);
+	pump_leaf(u, t->leaf);
+}
+
 static void finish_transfers(struct upstream *u)
 {
 	CURLMsg *message;
@@ -256,9 +498,33 @@
 static void cancel_call(struct upstream *u, uint64_t call_id)
 {
 	struct transfer *t = g_hash_table_lookup(u->calls, &call_id);
+	struct leaf_pool *p;
+
+	if (!t)
+		return;
+	p = t->leaf;
+	if (t->is_replying) {
+		/* The work is done; closing would only lose a connection. */
+		g_hash_table_remove(u->calls, &t->call_id);
+		t->is_abandoned = true;
+		return;
+	}
+	if (t->is_running) {
+		counter_add(&closed_by_cancel_total, t->is_begun);
+		halt_transfer(u, t);
+	} else {
+		g_queue_remove(&p->waiting, t);
+	}
+	forget_transfer(u, t);
+	pump_leaf(u, p);
+}
+
+static void set_limit(struct upstream *u, const struct transfer *t)
+{
+	struct leaf_pool *p = find_leaf(u, t->address);
 
-	if (t)
-		remove_transfer(u, t);
+	p->limit = MAX(t->limit, 1);
+	pump_leaf(u, p);
 }
 
 /* Returns false once the thread has to stop. */
@@ -271,7 +537,11 @@
 		switch (t->type) {
 		case COMMAND_CALL:
 		case COMMAND_REPORT:
-			start_transfer(u, t);
+			queue_transfer(u, t);
+			break;
+		case COMMAND_LIMIT:
+			set_limit(u, t);
+			transfer_free(t);
 			break;
 		case COMMAND_CANCEL:
 			cancel_call(u, t->call_id);
@@ -285,6 +555,11 @@
 	return true;
 }
 
+static int poll_ms(const struct upstream *u)
+{
+	return g_hash_table_size(u->blocked) ? WAITING_POLL_MS : POLL_MS;
+}
+
 static void *run_thread(void *ctx)
 {
 	struct upstream *u = ctx;
@@ -297,36 +572,57 @@
 	while (run_commands(u)) {
 		curl_multi_perform(u->multi, &running);
 		finish_transfers(u);
+		pump_blocked(u);
 		wait.revents = 0;
-		curl_multi_poll(u->multi, &wait, 1, POLL_MS, NULL);
+		curl_multi_poll(u->multi, &wait, 1, poll_ms(u), NULL);
 	}
 	return NULL;
 }
 
+static void free_pool(gpointer p)
+{
+	leaf_pool_destroy(p);
+}
+
+static void set_defaults(struct upstream *u)
+{
+	struct upstream_options *o = &u->options;
+
+	if (o->max_connections_per_leaf <= 0)
+		o->max_connections_per_leaf = DEFAULT_MAX_CONNECTIONS;
+	if (!o->queue_size)
+		o->queue_size = DEFAULT_QUEUE_SIZE;
+	rate_limit_init(&u->host_rate,
+			o->host_opens_per_second > 0 ? o->host_opens_per_second
+						     : HOST_OPENS_PER_SECOND,
+			o->host_open_burst > 0 ? o->host_open_burst
+					       : HOST_OPEN_BURST,
+			clock_now(&o->clock));
+}
+
 int upstream_create(struct upstream **out,
 		    const struct upstream_options *options)
 {
 	struct upstream *u = calloc(1, sizeof(*u));
-	long connections = options->max_connections_per_leaf
-				   ? options->max_connections_per_leaf
-				   : DEFAULT_MAX_CONNECTIONS;
 
 	if (!u)
 		return -ERR_NOMEM;
 	u->options = *options;
-	if (ring_create(&u->commands, options->queue_size
-					      ? options->queue_size
-					      : DEFAULT_QUEUE_SIZE)) {
+	set_defaults(u);
+	if (ring_create(&u->commands, u->options.queue_size)) {
 		free(u);
 		return -ERR_NOMEM;
 	}
 	curl_global_init(CURL_GLOBAL_DEFAULT);
 	u->multi = curl_multi_init();
-	curl_multi_setopt(u->multi, CURLMOPT_MAX_HOST_CONNECTIONS, connections);
-	curl_multi_setopt(u->multi, CURLMOPT_MAXCONNECTS, 4096L);
+	curl_multi_setopt(u->multi, CURLMOPT_MAXCONNECTS, 65536L);
 	curl_multi_setopt(u->multi, CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
+	u->leaves =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_pool);
+	u->blocked = g_hash_table_new(NULL, NULL);
 	u->calls = g_hash_table_new(g_int64_hash, g_int64_equal);
-	u->running = g_hash_table_new(NULL, NULL);
+	u->transfers = g_hash_table_new(NULL, NULL);
+	u->idle_handles = g_ptr_array_new_with_free_func(curl_easy_cleanup);
 	pthread_create(&u->thread, NULL, run_thread, u);
 	*out = u;
 	return 0;
@@ -360,14 +656,19 @@
 	pthread_join(u->thread, NULL);
 	while ((t = ring_pop(u->commands)))
 		transfer_free(t);
-	g_hash_table_iter_init(&iter, u->running);
+	g_hash_table_iter_init(&iter, u->transfers);
 	while (g_hash_table_iter_next(&iter, (gpointer *)&t, NULL)) {
-		curl_multi_remove_handle(u->multi, t->easy);
+		if (t->is_running)
+			halt_transfer(u, t);
 		transfer_free(t);
 	}
-	g_hash_table_destroy(u->running);
+	g_hash_table_destroy(u->transfers);
 	g_hash_table_destroy(u->calls);
+	g_ptr_array_free(u->idle_handles, TRUE);
 	curl_multi_cleanup(u->multi);
+	/* Connections report their end to the pools until here. */
+	g_hash_table_destroy(u->blocked);
+	g_hash_table_destroy(u->leaves);
 	ring_destroy(u->commands);
 	free(u);
 }
@@ -382,7 +683,6 @@
 	t->request_id = strdup(call->request_id);
 	t->shard = strdup(call->shard);
 	t->snapshot = call->snapshot;
-	t->is_non_idempotent = call->is_non_idempotent;
 	t->body = g_memdup2(call->body, call->body_len);
 	t->body_len = call->body_len;
 	return push(u, t);
@@ -406,3 +706,13 @@
 	t->address = strdup(address);
 	return push(u, t);
 }
+
+int upstream_set_limit(struct upstream *u, const char *address,
+		       uint32_t connections)
+{
+	struct transfer *t = create_command(COMMAND_LIMIT, 0);
+
+	t->address = strdup(address);
+	t->limit = connections;
+	return push(u, t);
+}
--- a/net/upstream_reply.c
+++ b/net/upstream_reply.c
@@ -18,6 +18,15 @@
 	return json_is_integer(v) && (uint64_t)json_integer_value(v) == id;
 }
 
+static bool has_snapshot(const json_t *document, uint64_t asked)
+{
+	const json_t *v = json_object_get(document, "snapshot");
+
+	if (!json_is_integer(v) || json_integer_value(v) < 0)
+		return false;
+	return !asked || (uint64_t)json_integer_value(v) == asked;
+}
+
 static bool are_hits_valid(const json_t *hits)
 {
 	json_t *hit;
@@ -37,7 +46,8 @@
 static enum call_status judge_answer(const struct upstream_transfer *t,
 				     struct upstream_reply *reply)
 {
-	json_t *document = json_loadb(t->body, t->body_len, 0, NULL);
+	json_t *document =
+		json_loadb(t->body, t->body_len, JSON_REJECT_DUPLICATES, NULL);
 	json_t *hits = json_object_get(document, "hits");
 	json_t *snapshot = json_object_get(document, "snapshot");
 	enum call_status status = CALL_BAD_REPLY;
@@ -45,7 +55,7 @@
 	if (has_id(document, reply->call_id) &&
 	    has_text(document, "request", t->request_id) &&
 	    has_text(document, "shard", t->shard) &&
-	    json_is_integer(snapshot) && are_hits_valid(hits)) {
+	    has_snapshot(document, t->snapshot) && are_hits_valid(hits)) {
 		reply->result.snapshot = (uint64_t)json_integer_value(snapshot);
 		reply->body = json_incref(hits);
 		status = CALL_OK;
--- a/nutmegpickd/engine_thread.c
+++ b/nutmegpickd/engine_thread.c
@@ -32,6 +32,17 @@
 	}
 }
 
+static void apply_limits(struct host *h, const struct object_set *set)
+{
+	for (uint32_t i = 0; i < set->leaf_count; i++) {
+		const struct shard_object *shard =
+			&set->shards[set->leaves[i].shard];
+
+		upstream_set_limit(h->upstream, set->leaves[i].address,
+				   set->groups[shard->group].connections);
+	}
+}
+
 static void apply_set(struct host *h, struct object_set *set)
 {
 	if (engine_apply_set(h->engine, set)) {
@@ -42,6 +53,7 @@
 	}
 	object_set_unref(h->set);
 	h->set = set;
+	apply_limits(h, set);
 	h->next_report_us = 0;
 }
 
--- a/nutmegpickd/query.c
+++ b/nutmegpickd/query.c
@@ -269,7 +269,6 @@
 		.shard = call->shard_name,
 		.snapshot = call->snapshot,
 		.remaining_us = call->remaining_us,
-		.is_non_idempotent = call->is_non_idempotent,
 		.body = q->leaf_body,
 		.body_len = q->leaf_body_len,
 	};
