net: carry frames between hosts over TCP

Hosts need links for gossip, leases and forwarded queries. A link is opened by the first frame to an address, starts with a hello of both sides, and is closed after 60 s without use, so the number of links follows the traffic and not the size of the fleet. Queues, frames and links are bounded.

Tests induce a refused hello, an unreachable host and broken length headers.

--- /dev/null
+++ b/include/net/peer.h
@@ -0,0 +1,81 @@
+#ifndef NET_PEER_H
+#define NET_PEER_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include "common/clock.h"
+
+/**
+ * Links between hosts: length-prefixed frames over TCP, on one thread. Each
+ * side of a link sends a hello frame first. A link is opened by the first frame
+ * to an address and closed when it has been idle.
+ */
+struct peer;
+
+/** Identifies a link; 0 is no link. Numbers are not used again. */
+typedef uint64_t peer_link;
+
+/** Longest address text with the final NUL. */
+#define PEER_ADDRESS_MAX 32
+
+struct peer_options {
+	/** IP number and port to listen on. */
+	const char *address;
+	struct np_clock clock;
+	/** Hello frame of this host; copied. */
+	const void *hello;
+	size_t hello_len;
+	/** Largest frame in bytes; 0 selects 2 MB. */
+	size_t max_frame;
+	/** Most bytes waiting to be sent on a link; 0 selects 8 MB. */
+	size_t max_queue;
+	/** Most links; the one idle longest is closed. 0 selects 512. */
+	unsigned int max_links;
+	/** Idle time after which a link is closed; 0 selects 60 s. */
+	int64_t idle_us;
+	/**
+	 * Judges a hello frame and writes the peer's listening address. The
+	 * link is closed if the result is negative.
+	 */
+	int (*handle_hello)(void *ctx, const void *data, size_t len,
+			    char address[PEER_ADDRESS_MAX]);
+	/** Takes a frame. The data is valid during the call. */
+	void (*handle_frame)(void *ctx, peer_link link, const char *address,
+			     const void *data, size_t len);
+	/** Tells that a link is closed; frames queued on it may be lost. */
+	void (*handle_closed)(void *ctx, peer_link link, const char *address);
+	void *ctx;
+};
+
+/** Starts the thread. Returns 0, -ERR_INVAL, -ERR_NOMEM or -ERR_NET_LISTEN. */
+int peer_create(struct peer **out, const struct peer_options *options);
+
+/** Closes all links and joins the thread. */
+void peer_destroy(struct peer *p);
+
+/** Returns the port that is listened on. */
+uint16_t peer_port(const struct peer *p);
+
+/**
+ * Queues a frame to the host at an address. Returns 0 or -ERR_FULL. A frame
+ * that cannot be sent is dropped, and handle_closed() tells of the link.
+ */
+int peer_send(struct peer *p, const char *address, const void *data,
+	      size_t len);
+
+/** Queues a frame on a link. Returns 0 or -ERR_FULL. */
+int peer_reply(struct peer *p, peer_link link, const void *data, size_t len);
+
+/** Counts of frames and bytes since the start. */
+struct peer_counts {
+	uint64_t frames_in;
+	uint64_t frames_out;
+	uint64_t bytes_in;
+	uint64_t bytes_out;
+	uint64_t frames_dropped;
+};
+
+struct peer_counts peer_get_counts(const struct peer *p);
+
+#endif
--- /dev/null
+++ b/net/peer.c
@@ -0,0 +1,565 @@
+#include "net/peer.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/tcp.h>
+#include <pthread.h>
+#include <stdbool.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <glib.h>
+
+#include "common/errors.h"
+#include "common/events.h"
+#include "common/ring.h"
+
+#define DEFAULT_MAX_FRAME (2 * 1024 * 1024)
+#define DEFAULT_MAX_QUEUE (8 * 1024 * 1024)
+#define DEFAULT_MAX_LINKS 512
+#define DEFAULT_IDLE_US (60 * US_PER_S)
+#define COMMAND_RING_SIZE 65536
+#define CONNECT_TIMEOUT_US (2 * US_PER_S)
+#define HEADER_SIZE 4
+#define READ_SIZE 65536
+#define SWEEP_MS 500
+
+struct command {
+	peer_link link;
+	char address[PEER_ADDRESS_MAX];
+	bool is_stop;
+	size_t len;
+	uint8_t data[];
+};
+
+struct link {
+	peer_link id;
+	int fd;
+	/** Listening address of the peer; empty until its hello. */
+	char address[PEER_ADDRESS_MAX];
+	bool is_connecting;
+	bool has_hello;
+	bool wants_write;
+	int64_t last_use_us;
+	GByteArray *in;
+	GByteArray *out;
+	/** Bytes of out that are already sent. */
+	size_t out_sent;
+};
+
+struct peer {
+	struct peer_options options;
+	struct ring *commands;
+	void *hello;
+	int listen_fd;
+	int epoll_fd;
+	uint16_t port;
+	peer_link last_link;
+	/** Links by id; owns them. */
+	GHashTable *links;
+	/** Links by address, for frames to a host. */
+	GHashTable *by_address;
+	struct peer_counts counts;
+	pthread_t thread;
+};
+
+static int parse_address(const char *text, struct sockaddr_in *out)
+{
+	const char *colon = strrchr(text, ':');
+	char ip[PEER_ADDRESS_MAX];
+	guint64 port;
+
+	if (!colon || (size_t)(colon - text) >= sizeof(ip))
+		return -ERR_INVAL;
+	g_strlcpy(ip, text, (gsize)(colon - text) + 1);
+	memset(out, 0, sizeof(*out));
+	out->sin_family = AF_INET;
+	if (!g_ascii_string_to_unsigned(colon + 1, 10, 0, 65535, &port, NULL) ||
+	    inet_pton(AF_INET, ip, &out->sin_addr) != 1)
+		return -ERR_INVAL;
+	out->sin_port = htons((uint16_t)port);
+	return 0;
+}
+
+static void add_count(uint64_t *count, uint64_t n)
+{
+	__atomic_fetch_add(count, n, __ATOMIC_RELAXED);
+}
+
+static void watch_link(struct peer *p, struct link *l, int operation)
+{
+	struct epoll_event e = {
+		.events = EPOLLIN | (l->wants_write ? EPOLLOUT : 0),
+		.data.u64 = l->id,
+	};
+
+	epoll_ctl(p->epoll_fd, operation, l->fd, &e);
+}
+
+static void append_frame(struct peer *p, struct link *l, const void *data,
+			 size_t len)
+{
+	uint32_t header = htonl((uint32_t)len);
+
+	g_byte_array_append(l->out, (const guint8 *)&header, HEADER_SIZE);
+	g_byte_array_append(l->out, data, (guint)len);
+	add_count(&p->counts.frames_out, 1);
+}
+
+static struct link *add_link(struct peer *p, int fd, const char *address)
+{
+	struct link *l = g_new0(struct link, 1);
+	int one = 1;
+
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+	l->id = ++p->last_link;
+	l->fd = fd;
+	l->in = g_byte_array_new();
+	l->out = g_byte_array_new();
+	l->last_use_us = clock_now(&p->options.clock);
+	g_hash_table_insert(p->links, &l->id, l);
+	if (address) {
+		g_strlcpy(l->address, address, sizeof(l->address));
+		g_hash_table_insert(p->by_address, l->address, l);
+	}
+	append_frame(p, l, p->hello, p->options.hello_len);
+	l->wants_write = true;
+	watch_link(p, l, EPOLL_CTL_ADD);
+	return l;
+}
+
+static void close_link(struct peer *p, struct link *l)
+{
+	peer_link id = l->id;
+	char address[PEER_ADDRESS_MAX];
+
+	g_strlcpy(address, l->address, sizeof(address));
+	if (g_hash_table_lookup(p->by_address, l->address) == l)
+		g_hash_table_remove(p->by_address, l->address);
+	g_hash_table_remove(p->links, &l->id);
+	close(l->fd);
+	g_byte_array_free(l->in, TRUE);
+	g_byte_array_free(l->out, TRUE);
+	g_free(l);
+	p->options.handle_closed(p->options.ctx, id, address);
+}
+
+static struct link *dial(struct peer *p, const char *address)
+{
+	struct sockaddr_in addr;
+	struct link *l;
+	int fd;
+
+	if (parse_address(address, &addr))
+		return NULL;
+	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (fd < 0)
+		return NULL;
+	if (connect(fd, (struct sockaddr *)&addr, sizeof(addr)) &&
+	    errno != EINPROGRESS) {
+		close(fd);
+		return NULL;
+	}
+	l = add_link(p, fd, address);
+	l->is_connecting = true;
+	return l;
+}
+
+/* Returns false if the link has failed. */
+static bool write_link(struct peer *p, struct link *l)
+{
+	while (l->out_sent < l->out->len) {
+		ssize_t n = send(l->fd, l->out->data + l->out_sent,
+				 l->out->len - l->out_sent, MSG_NOSIGNAL);
+
+		if (n < 0 && (errno == EAGAIN || errno == EINTR))
+			break;
+		if (n < 0)
+			return false;
+		l->out_sent += (size_t)n;
+		add_count(&p->counts.bytes_out, (uint64_t)n);
+	}
+	if (l->out_sent == l->out->len) {
+		g_byte_array_set_size(l->out, 0);
+		l->out_sent = 0;
+	}
+	if (l->wants_write != (l->out->len > 0)) {
+		l->wants_write = l->out->len > 0;
+		watch_link(p, l, EPOLL_CTL_MOD);
+	}
+	return true;
+}
+
+static bool accept_hello(struct peer *p, struct link *l, const uint8_t *data,
+			 size_t len)
+{
+	char address[PEER_ADDRESS_MAX] = "";
+	int ret = p->options.handle_hello(p->options.ctx, data, len, address);
+
+	if (ret < 0) {
+		event_log(EV_LINK_REFUSE, "code=E%d address=%s", -ret,
+			  l->address);
+		return false;
+	}
+	l->has_hello = true;
+	if (*l->address)
+		return true;
+	g_strlcpy(l->address, address, sizeof(l->address));
+	if (!g_hash_table_lookup(p->by_address, l->address))
+		g_hash_table_insert(p->by_address, l->address, l);
+	return true;
+}
+
+static bool take_frame(struct peer *p, struct link *l, const uint8_t *data,
+		       size_t len)
+{
+	add_count(&p->counts.frames_in, 1);
+	if (!l->has_hello)
+		return accept_hello(p, l, data, len);
+	p->options.handle_frame(p->options.ctx, l->id, l->address, data, len);
+	return true;
+}
+
+/* Returns false if the peer broke the protocol. */
+static bool take_frames(struct peer *p, struct link *l)
+{
+	size_t done = 0;
+
+	while (l->in->len - done >= HEADER_SIZE) {
+		const uint8_t *start = l->in->data + done;
+		uint32_t len;
+
+		memcpy(&len, start, HEADER_SIZE);
+		len = ntohl(len);
+		if (!len || len > p->options.max_frame) {
+			event_log(EV_LINK_REFUSE, "code=E%d address=%s",
+				  ERR_FRAME_SIZE, l->address);
+			return false;
+		}
+		if (l->in->len - done < HEADER_SIZE + len)
+			break;
+		if (!take_frame(p, l, start + HEADER_SIZE, len))
+			return false;
+		done += HEADER_SIZE + len;
+	}
+	if (done)
+		g_byte_array_remove_range(l->in, 0, (guint)done);
+	return true;
+}
+
+/* Returns false if the link has ended. */
+static bool read_link(struct peer *p, struct link *l)
+{
+	guint old = l->in->len;
+	ssize_t n;
+
+	g_byte_array_set_size(l->in, old + READ_SIZE);
+	n = recv(l->fd, l->in->data + old, READ_SIZE, 0);
+	g_byte_array_set_size(l->in, old + (guint)(n > 0 ? n : 0));
+	if (n < 0 && (errno == EAGAIN || errno == EINTR))
+		return true;
+	if (n <= 0)
+		return false;
+	add_count(&p->counts.bytes_in, (uint64_t)n);
+	l->last_use_us = clock_now(&p->options.clock);
+	return take_frames(p, l);
+}
+
+static bool finish_connect(struct link *l)
+{
+	int error = 0;
+	socklen_t size = sizeof(error);
+
+	if (!l->is_connecting)
+		return true;
+	l->is_connecting = false;
+	return !getsockopt(l->fd, SOL_SOCKET, SO_ERROR, &error, &size) &&
+	       !error;
+}
+
+static void handle_link_event(struct peer *p, peer_link id, uint32_t events)
+{
+	struct link *l = g_hash_table_lookup(p->links, &id);
+	bool is_open = true;
+
+	if (!l)
+		return;
+	if (events & (EPOLLOUT | EPOLLERR | EPOLLHUP))
+		is_open = finish_connect(l);
+	if (is_open && (events & EPOLLOUT))
+		is_open = write_link(p, l);
+	if (is_open && (events & (EPOLLIN | EPOLLHUP | EPOLLERR)))
+		is_open = read_link(p, l);
+	if (!is_open)
+		close_link(p, l);
+}
+
+static void accept_links(struct peer *p)
+{
+	int fd;
+
+	while ((fd = accept4(p->listen_fd, NULL, NULL,
+			     SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0)
+		add_link(p, fd, NULL);
+}
+
+static void queue_frame(struct peer *p, struct link *l, const struct command *c)
+{
+	if (!l || l->out->len - l->out_sent + c->len > p->options.max_queue) {
+		add_count(&p->counts.frames_dropped, 1);
+		return;
+	}
+	l->last_use_us = clock_now(&p->options.clock);
+	append_frame(p, l, c->data, c->len);
+	if (l->is_connecting)
+		return;
+	/* EPOLLOUT sends what other frames of this batch add as well. */
+	if (!l->wants_write) {
+		l->wants_write = true;
+		watch_link(p, l, EPOLL_CTL_MOD);
+	}
+}
+
+static void run_command(struct peer *p, const struct command *c)
+{
+	struct link *l;
+
+	if (c->link) {
+		queue_frame(p, g_hash_table_lookup(p->links, &c->link), c);
+		return;
+	}
+	l = g_hash_table_lookup(p->by_address, c->address);
+	if (!l)
+		l = dial(p, c->address);
+	if (!l) {
+		add_count(&p->counts.frames_dropped, 1);
+		p->options.handle_closed(p->options.ctx, 0, c->address);
+		return;
+	}
+	queue_frame(p, l, c);
+}
+
+/* Returns false once the thread has to stop. */
+static bool run_commands(struct peer *p)
+{
+	struct command *c;
+
+	ring_clear_wakeup(p->commands);
+	while ((c = ring_pop(p->commands))) {
+		bool is_stop = c->is_stop;
+
+		if (!is_stop)
+			run_command(p, c);
+		free(c);
+		if (is_stop)
+			return false;
+	}
+	return true;
+}
+
+static bool is_expired(const struct peer *p, const struct link *l, int64_t now)
+{
+	int64_t idle = now - l->last_use_us;
+
+	if (l->is_connecting || !l->has_hello)
+		return idle > CONNECT_TIMEOUT_US;
+	return idle > p->options.idle_us;
+}
+
+/* Closes idle links, and the one idle longest while there are too many. */
+static void sweep_links(struct peer *p)
+{
+	int64_t now = clock_now(&p->options.clock);
+	GPtrArray *expired = g_ptr_array_new();
+	struct link *oldest = NULL;
+	GHashTableIter iter;
+	struct link *l;
+
+	g_hash_table_iter_init(&iter, p->links);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&l)) {
+		if (is_expired(p, l, now))
+			g_ptr_array_add(expired, l);
+		else if (!oldest || l->last_use_us < oldest->last_use_us)
+			oldest = l;
+	}
+	if (oldest &&
+	    g_hash_table_size(p->links) - expired->len > p->options.max_links)
+		g_ptr_array_add(expired, oldest);
+	for (guint i = 0; i < expired->len; i++)
+		close_link(p, expired->pdata[i]);
+	g_ptr_array_free(expired, TRUE);
+}
+
+static void *run_thread(void *ctx)
+{
+	struct peer *p = ctx;
+	struct epoll_event events[64];
+	int64_t next_sweep = 0;
+
+	while (run_commands(p)) {
+		int n = epoll_wait(p->epoll_fd, events, 64, SWEEP_MS);
+
+		for (int i = 0; i < n; i++) {
+			uint64_t id = events[i].data.u64;
+
+			if (!id)
+				accept_links(p);
+			else if (id != UINT64_MAX)
+				handle_link_event(p, id, events[i].events);
+		}
+		if (clock_now(&p->options.clock) >= next_sweep) {
+			sweep_links(p);
+			next_sweep = clock_now(&p->options.clock) +
+				     SWEEP_MS * US_PER_MS;
+		}
+	}
+	return NULL;
+}
+
+static int listen_on(struct peer *p)
+{
+	struct epoll_event accept_event = {.events = EPOLLIN};
+	struct epoll_event wakeup_event = {.events = EPOLLIN,
+					   .data.u64 = UINT64_MAX};
+	struct sockaddr_in addr;
+	socklen_t size = sizeof(addr);
+	int one = 1;
+
+	if (parse_address(p->options.address, &addr))
+		return -ERR_INVAL;
+	p->listen_fd =
+		socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	setsockopt(p->listen_fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+	if (bind(p->listen_fd, (struct sockaddr *)&addr, sizeof(addr)) ||
+	    listen(p->listen_fd, 512) ||
+	    getsockname(p->listen_fd, (struct sockaddr *)&addr, &size))
+		return -ERR_NET_LISTEN;
+	p->port = ntohs(addr.sin_port);
+	p->epoll_fd = epoll_create1(EPOLL_CLOEXEC);
+	epoll_ctl(p->epoll_fd, EPOLL_CTL_ADD, p->listen_fd, &accept_event);
+	epoll_ctl(p->epoll_fd, EPOLL_CTL_ADD, ring_fd(p->commands),
+		  &wakeup_event);
+	return 0;
+}
+
+static void free_peer(struct peer *p)
+{
+	if (p->listen_fd >= 0)
+		close(p->listen_fd);
+	if (p->epoll_fd >= 0)
+		close(p->epoll_fd);
+	g_hash_table_destroy(p->by_address);
+	g_hash_table_destroy(p->links);
+	ring_destroy(p->commands);
+	free(p->hello);
+	g_free(p);
+}
+
+int peer_create(struct peer **out, const struct peer_options *options)
+{
+	struct peer *p = g_new0(struct peer, 1);
+	int ret;
+
+	p->options = *options;
+	if (!p->options.max_frame)
+		p->options.max_frame = DEFAULT_MAX_FRAME;
+	if (!p->options.max_queue)
+		p->options.max_queue = DEFAULT_MAX_QUEUE;
+	if (!p->options.max_links)
+		p->options.max_links = DEFAULT_MAX_LINKS;
+	if (!p->options.idle_us)
+		p->options.idle_us = DEFAULT_IDLE_US;
+	p->hello = g_memdup2(options->hello, options->hello_len);
+	p->listen_fd = -1;
+	p->epoll_fd = -1;
+	p->links = g_hash_table_new(g_int64_hash, g_int64_equal);
+	p->by_address = g_hash_table_new(g_str_hash, g_str_equal);
+	ret = ring_create(&p->commands, COMMAND_RING_SIZE);
+	if (!ret)
+		ret = listen_on(p);
+	if (ret) {
+		free_peer(p);
+		return ret;
+	}
+	pthread_create(&p->thread, NULL, run_thread, p);
+	*out = p;
+	return 0;
+}
+
+static int push(struct peer *p, peer_link link, const char *address,
+		const void *data, size_t len, bool is_stop)
+{
+	struct command *c = malloc(sizeof(*c) + len);
+
+	if (!c)
+		return -ERR_NOMEM;
+	c->link = link;
+	c->is_stop = is_stop;
+	c->len = len;
+	g_strlcpy(c->address, address, sizeof(c->address));
+	if (len)
+		memcpy(c->data, data, len);
+	if (ring_push(p->commands, c)) {
+		free(c);
+		return -ERR_FULL;
+	}
+	return 0;
+}
+
+void peer_destroy(struct peer *p)
+{
+	GHashTableIter iter;
+	struct command *c;
+	struct link *l;
+
+	while (push(p, 0, "", NULL, 0, true))
+		g_usleep(1000);
+	pthread_join(p->thread, NULL);
+	while ((c = ring_pop(p->commands)))
+		free(c);
+	g_hash_table_iter_init(&iter, p->links);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&l)) {
+		close(l->fd);
+		g_byte_array_free(l->in, TRUE);
+		g_byte_array_free(l->out, TRUE);
+		g_hash_table_iter_steal(&iter);
+		g_free(l);
+	}
+	free_peer(p);
+}
+
+uint16_t peer_port(const struct peer *p)
+{
+	return p->port;
+}
+
+int peer_send(struct peer *p, const char *address, const void *data, size_t len)
+{
+	return push(p, 0, address, data, len, false);
+}
+
+int peer_reply(struct peer *p, peer_link link, const void *data, size_t len)
+{
+	return push(p, link, "", data, len, false);
+}
+
+struct peer_counts peer_get_counts(const struct peer *p)
+{
+	struct peer_counts c = {
+		.frames_in =
+			__atomic_load_n(&p->counts.frames_in, __ATOMIC_RELAXED),
+		.frames_out = __atomic_load_n(&p->counts.frames_out,
+					      __ATOMIC_RELAXED),
+		.bytes_in =
+			__atomic_load_n(&p->counts.bytes_in, __ATOMIC_RELAXED),
+		.bytes_out =
+			__atomic_load_n(&p->counts.bytes_out, __ATOMIC_RELAXED),
+		.frames_dropped = __atomic_load_n(&p->counts.frames_dropped,
+						  __ATOMIC_RELAXED),
+	};
+
+	return c;
+}
--- /dev/null
+++ b/test/unit/test_peer.c
@@ -0,0 +1,193 @@
+#include "suites.h"
+
+#include <pthread.h>
+#include <stdbool.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <arpa/inet.h>
+#include <glib.h>
+
+#include "common/errors.h"
+#include "net/peer.h"
+
+/* Records what one side of a link sees. */
+struct side {
+	struct peer *peer;
+	char address[PEER_ADDRESS_MAX];
+	pthread_mutex_t lock;
+	pthread_cond_t change;
+	GString *frames;
+	unsigned int closed;
+	bool is_refusing;
+};
+
+static int handle_hello(void *ctx, const void *data, size_t len,
+			char address[PEER_ADDRESS_MAX])
+{
+	struct side *s = ctx;
+
+	if (s->is_refusing || len >= PEER_ADDRESS_MAX)
+		return -ERR_FRAME_VERSION;
+	memcpy(address, data, len);
+	address[len] = '\0';
+	return 0;
+}
+
+static void handle_frame(void *ctx, peer_link link, const char *address,
+			 const void *data, size_t len)
+{
+	struct side *s = ctx;
+
+	pthread_mutex_lock(&s->lock);
+	g_string_append_len(s->frames, data, (gssize)MIN(len, 8));
+	pthread_cond_broadcast(&s->change);
+	pthread_mutex_unlock(&s->lock);
+	if (len > 1 && *(const char *)data == '?')
+		peer_reply(s->peer, link, "!", 1);
+}
+
+static void handle_closed(void *ctx, peer_link link, const char *address)
+{
+	struct side *s = ctx;
+
+	pthread_mutex_lock(&s->lock);
+	s->closed++;
+	pthread_cond_broadcast(&s->change);
+	pthread_mutex_unlock(&s->lock);
+}
+
+static void start_side(struct side *s, const char *hello)
+{
+	struct peer_options options = {
+		.address = "127.0.0.1:0",
+		.clock = clock_system(),
+		.hello = hello,
+		.hello_len = strlen(hello),
+		.max_frame = 1024,
+		.handle_hello = handle_hello,
+		.handle_frame = handle_frame,
+		.handle_closed = handle_closed,
+		.ctx = s,
+	};
+
+	pthread_mutex_init(&s->lock, NULL);
+	pthread_cond_init(&s->change, NULL);
+	s->frames = g_string_new(NULL);
+	CU_ASSERT_EQUAL_FATAL(peer_create(&s->peer, &options), 0);
+	snprintf(s->address, sizeof(s->address), "127.0.0.1:%u",
+		 peer_port(s->peer));
+}
+
+static void stop_side(struct side *s)
+{
+	peer_destroy(s->peer);
+	g_string_free(s->frames, TRUE);
+}
+
+static void wait_frames(struct side *s, const char *expected)
+{
+	pthread_mutex_lock(&s->lock);
+	while (s->frames->len < strlen(expected))
+		pthread_cond_wait(&s->change, &s->lock);
+	CU_ASSERT_STRING_EQUAL(s->frames->str, expected);
+	pthread_mutex_unlock(&s->lock);
+}
+
+static void wait_closed(struct side *s, unsigned int count)
+{
+	pthread_mutex_lock(&s->lock);
+	while (s->closed < count)
+		pthread_cond_wait(&s->change, &s->lock);
+	pthread_mutex_unlock(&s->lock);
+}
+
+/* Guards against frames lost, split or reordered on a link. */
+static void test_frames_in_order(void)
+{
+	struct side a = {0};
+	struct side b = {0};
+
+	start_side(&b, "b");
+	start_side(&a, "a");
+	for (int i = 0; i < 3; i++)
+		peer_send(a.peer, b.address, "xyz", 3);
+	peer_send(a.peer, b.address, "?!", 2);
+	wait_frames(&b, "xyzxyzxyz?!");
+	wait_frames(&a, "!");
+	stop_side(&a);
+	stop_side(&b);
+}
+
+/* Guards against a host with no common version being sent work. */
+static void test_refused_hello(void)
+{
+	struct side a = {0};
+	struct side b = {.is_refusing = true};
+
+	start_side(&b, "b");
+	start_side(&a, "a");
+	peer_send(a.peer, b.address, "x", 1);
+	wait_closed(&a, 1);
+	CU_ASSERT_EQUAL(b.frames->len, 0);
+	stop_side(&a);
+	stop_side(&b);
+}
+
+/* Guards against a sender waiting for ever on a host that is not there. */
+static void test_unreachable(void)
+{
+	struct side a = {0};
+
+	start_side(&a, "a");
+	peer_send(a.peer, "127.0.0.1:1", "x", 1);
+	peer_send(a.peer, "not an address", "x", 1);
+	wait_closed(&a, 2);
+	stop_side(&a);
+}
+
+static int connect_raw(const struct side *s)
+{
+	struct sockaddr_in addr = {
+		.sin_family = AF_INET,
+		.sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+		.sin_port = htons(peer_port(s->peer)),
+	};
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	CU_ASSERT_EQUAL_FATAL(
+		connect(fd, (struct sockaddr *)&addr, sizeof(addr)), 0);
+	return fd;
+}
+
+/* Guards against memory being reserved for a length that is too large. */
+static void test_broken_lengths(void)
+{
+	static const unsigned char broken[][8] = {
+		{0, 0, 0, 0},	      {0xff, 0xff, 0xff, 0xff},	  {0, 0, 4, 1},
+		{'G', 'E', 'T', ' '}, {0, 0, 0, 1, 'h', 0, 0, 0},
+	};
+	struct side b = {0};
+
+	start_side(&b, "b");
+	for (unsigned int i = 0; i < G_N_ELEMENTS(broken); i++) {
+		int fd = connect_raw(&b);
+
+		CU_ASSERT_EQUAL(write(fd, broken[i], 8), 8);
+		if (i + 1 == G_N_ELEMENTS(broken))
+			shutdown(fd, SHUT_WR);
+		wait_closed(&b, i + 1);
+		close(fd);
+	}
+	CU_ASSERT_EQUAL(b.frames->len, 0);
+	stop_side(&b);
+}
+
+CU_TestInfo peer_tests[] = {
+	{"frames in order", test_frames_in_order},
+	{"refused hello", test_refused_hello},
+	{"unreachable", test_unreachable},
+	{"broken lengths", test_broken_lengths},
+	CU_TEST_INFO_NULL,
+};
