--- a/test/unit/main.c
+++ b/test/unit/main.c
@@ -4,6 +4,7 @@
 
 static CU_SuiteInfo suites[] = {
 	{"common", NULL, NULL, NULL, NULL, common_tests},
+	{"forward", NULL, NULL, NULL, NULL, forward_tests},
 	{"merge", NULL, NULL, NULL, NULL, merge_tests},
 	{"peer", NULL, NULL, NULL, NULL, peer_tests},
 	CU_SUITE_INFO_NULL,
