--- a/common/events.c
+++ b/common/events.c
@@ -41,6 +41,50 @@
 	return &entries[0];
 }
 
+static const char *level_name(GLogLevelFlags level)
+{
+	if (level & (G_LOG_LEVEL_ERROR | G_LOG_LEVEL_CRITICAL))
+		return "ERROR";
+	if (level & G_LOG_LEVEL_WARNING)
+		return "WARNING";
+	if (level & G_LOG_LEVEL_DEBUG)
+		return "DEBUG";
+	return "INFO";
+}
+
+static const char *find_message(const GLogField *fields, gsize count)
+{
+	for (gsize i = 0; i < count; i++) {
+		if (!g_strcmp0(fields[i].key, "MESSAGE"))
+			return fields[i].value;
+	}
+	return "";
+}
+
+static GLogWriterOutput handle_log_line(GLogLevelFlags level,
+					const GLogField *fields, gsize count,
+					gpointer ctx)
+{
+	GDateTime *now = g_date_time_new_now_utc();
+	char *time = g_date_time_format(now, "%Y-%m-%dT%H:%M:%S");
+	char *message = g_strdup(find_message(fields, count));
+
+	g_strdelimit(message, "\r\n", ' ');
+	/* One call per line keeps lines of several threads apart. */
+	fprintf(stderr, "%s.%03dZ %s %s\n", time,
+		g_date_time_get_microsecond(now) / 1000, level_name(level),
+		message);
+	g_free(message);
+	g_free(time);
+	g_date_time_unref(now);
+	return G_LOG_WRITER_HANDLED;
+}
+
+void event_use_line_writer(void)
+{
+	g_log_set_writer_func(handle_log_line, NULL, NULL);
+}
+
 const char *event_text(enum event_id id)
 {
 	return find_entry(id)->text;
--- a/include/common/events.h
+++ b/include/common/events.h
@@ -44,6 +44,12 @@
 /** Returns whether a line of this event would be written. */
 int event_is_enabled(enum event_id id);
 
+/**
+ * Makes GLib's log write each message to stderr as one line: UTC time, level
+ * and text. Line breaks inside a message become spaces.
+ */
+void event_use_line_writer(void);
+
 /** Routes lines to a callback in place of GLib's log, for tests. */
 void event_set_sink(void (*sink)(void *ctx, enum event_id id,
 				 const char *fields),
--- a/nutmegpickd/main.c
+++ b/nutmegpickd/main.c
@@ -63,13 +63,6 @@
 	}
 }
 
-static GLogWriterOutput handle_log(GLogLevelFlags level,
-				   const GLogField *fields, gsize count,
-				   gpointer ctx)
-{
-	return g_log_writer_standard_streams(level, fields, count, ctx);
-}
-
 static int load_objects(struct host *h)
 {
 	struct fault_list faults = {0};
@@ -199,8 +192,7 @@
 		settings_clear(&h.settings);
 		return EXIT_SUCCESS;
 	}
-	g_log_set_writer_func(handle_log, NULL, NULL);
-	g_setenv("G_MESSAGES_DEBUG", "nutmegpick", TRUE);
+	event_use_line_writer();
 	event_set_level(h.settings.log_level);
 	sigemptyset(&signals);
 	sigaddset(&signals, SIGTERM);
