--- a/test/unit/main.c
+++ b/test/unit/main.c
@@ -4,8 +4,11 @@
 
 static CU_SuiteInfo suites[] = {
 	{"common", NULL, NULL, NULL, NULL, common_tests},
+	{"forward", NULL, NULL, NULL, NULL, forward_tests},
+	{"fleet placement", NULL, NULL, NULL, NULL, fleet_placement_tests},
 	{"merge", NULL, NULL, NULL, NULL, merge_tests},
 	{"upstream", NULL, NULL, NULL, NULL, upstream_tests},
+	{"peer", NULL, NULL, NULL, NULL, peer_tests},
 	CU_SUITE_INFO_NULL,
 };
 
