--- a/test/unit/suites.h
+++ b/test/unit/suites.h
@@ -8,6 +8,7 @@
 extern CU_TestInfo forward_tests[];
 extern CU_TestInfo fleet_placement_tests[];
 extern CU_TestInfo merge_tests[];
+extern CU_TestInfo upstream_tests[];
 extern CU_TestInfo peer_tests[];
 
 #endif
