--- a/test/unit/main.c
+++ b/test/unit/main.c
@@ -5,6 +5,8 @@
 static CU_SuiteInfo suites[] = {
 	{"common", NULL, NULL, NULL, NULL, common_tests},
 	{"merge", NULL, NULL, NULL, NULL, merge_tests},
+	{"store etcd", NULL, NULL, NULL, NULL, store_etcd_tests},
+	{"store gateway", NULL, NULL, NULL, NULL, store_gateway_tests},
 	CU_SUITE_INFO_NULL,
 };
 
--- a/test/unit/suites.h
+++ b/test/unit/suites.h
@@ -6,5 +6,7 @@
 /** Suites, one per test file; each is a NULL-terminated list of tests. */
 extern CU_TestInfo common_tests[];
 extern CU_TestInfo merge_tests[];
+extern CU_TestInfo store_etcd_tests[];
+extern CU_TestInfo store_gateway_tests[];
 
 #endif
--- /dev/null
+++ b/test/unit/test_store_etcd.c
@@ -0,0 +1,265 @@
+#include "suites.h"
+
+#include <arpa/inet.h>
+#include <pthread.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <glib.h>
+
+#include "common/errors.h"
+#include "common/events.h"
+#include "store/etcd.h"
+
+#define OK_HEAD "HTTP/1.1 200 OK\r\nContent-Length: "
+#define GET_BODY "{\"header\":{\"revision\":\"3\"}}"
+#define TXN_BODY "{\"header\":{\"revision\":\"3\"},\"succeeded\":true}"
+
+/** Server that sends the same bytes to each request and closes. */
+struct canned_server {
+	int fd;
+	char address[32];
+	const char *reply;
+	int requests;
+	pthread_t thread;
+};
+
+static void read_request(int fd)
+{
+	GString *text = g_string_new(NULL);
+	const char *body;
+	char buf[4096];
+	ssize_t n;
+
+	while ((n = read(fd, buf, sizeof(buf))) > 0) {
+		const char *len;
+
+		g_string_append_len(text, buf, n);
+		body = strstr(text->str, "\r\n\r\n");
+		len = strstr(text->str, "Content-Length: ");
+		if (body && len &&
+		    strlen(body + 4) >= g_ascii_strtoull(len + 16, NULL, 10))
+			break;
+	}
+	g_string_free(text, TRUE);
+}
+
+static void *run_server(void *ctx)
+{
+	struct canned_server *s = ctx;
+	int fd;
+
+	while ((fd = accept(s->fd, NULL, NULL)) >= 0) {
+		ssize_t n;
+
+		read_request(fd);
+		__atomic_fetch_add(&s->requests, 1, __ATOMIC_RELAXED);
+		n = write(fd, s->reply, strlen(s->reply));
+		(void)n;
+		close(fd);
+	}
+	return NULL;
+}
+
+static void server_start(struct canned_server *s, const char *reply)
+{
+	struct sockaddr_in addr = {.sin_family = AF_INET};
+	socklen_t len = sizeof(addr);
+
+	memset(s, 0, sizeof(*s));
+	s->reply = reply;
+	addr.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	s->fd = socket(AF_INET, SOCK_STREAM, 0);
+	CU_ASSERT_EQUAL_FATAL(bind(s->fd, (void *)&addr, len), 0);
+	CU_ASSERT_EQUAL_FATAL(listen(s->fd, 16), 0);
+	getsockname(s->fd, (void *)&addr, &len);
+	g_snprintf(s->address, sizeof(s->address), "127.0.0.1:%u",
+		   ntohs(addr.sin_port));
+	pthread_create(&s->thread, NULL, run_server, s);
+}
+
+static void server_stop(struct canned_server *s)
+{
+	shutdown(s->fd, SHUT_RDWR);
+	pthread_join(s->thread, NULL);
+	close(s->fd);
+}
+
+static struct etcd *create_adapter(const char *const *endpoints, size_t count)
+{
+	struct etcd_options options = {
+		.clock = clock_system(),
+		.seed = 1,
+		.endpoints = endpoints,
+		.endpoint_count = count,
+		.backoff_us = 1,
+	};
+	struct etcd *e;
+
+	/* Each induced failure logs a line. */
+	event_set_level(EVENT_ERROR);
+	CU_ASSERT_EQUAL_FATAL(etcd_create(&e, &options), 0);
+	return e;
+}
+
+static int call_txn(struct store *s, struct store_reply *reply)
+{
+	struct store_compare compare = {.key = "np/current"};
+	struct store_txn txn = {.compares = &compare, .compare_count = 1};
+
+	return store_txn_wait(s, &txn, reply);
+}
+
+/*
+ * Guards against a write being sent again after its outcome became unknown,
+ * and against a cut or broken reply being taken as an answer.
+ */
+static void test_replies(void)
+{
+	static const struct {
+		const char *reply;
+		int get_code;
+		int txn_code;
+		int txn_cause;
+	} cases[] = {
+		{"", ERR_STORE_DOWN, ERR_STORE_UNKNOWN, ERR_STORE_DOWN},
+		{"HTTP/1.1 200 OK\r\n", ERR_STORE_REPLY_JSON, ERR_STORE_UNKNOWN,
+		 ERR_STORE_REPLY_JSON},
+		{OK_HEAD "90\r\n\r\n" GET_BODY, ERR_STORE_REPLY_TRUNCATED,
+		 ERR_STORE_UNKNOWN, ERR_STORE_REPLY_TRUNCATED},
+		{OK_HEAD "3\r\n\r\n{}}", ERR_STORE_REPLY_JSON,
+		 ERR_STORE_UNKNOWN, ERR_STORE_REPLY_JSON},
+		{OK_HEAD "99999999\r\n\r\n", ERR_STORE_REPLY_TRUNCATED,
+		 ERR_STORE_UNKNOWN, ERR_STORE_REPLY_TRUNCATED},
+		{"HTTP/1.1 503 Busy\r\nContent-Length: 11\r\n\r\n{\"code\":14}",
+		 ERR_STORE_DOWN, ERR_STORE_UNKNOWN, ERR_STORE_DOWN},
+		{"HTTP/1.1 400 Bad\r\nContent-Length: 10\r\n\r\n{\"code\":3}",
+		 ERR_STORE_REFUSED, ERR_STORE_REFUSED, 0},
+		{"nonsense\r\n\r\n", ERR_STORE_PROTOCOL, ERR_STORE_UNKNOWN,
+		 ERR_STORE_PROTOCOL},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct store_get get = {.key = "np/current"};
+		struct store_reply reply = {0};
+		struct canned_server server;
+		const char *endpoint;
+		struct etcd *e;
+		struct store s;
+
+		server_start(&server, cases[i].reply);
+		endpoint = server.address;
+		e = create_adapter(&endpoint, 1);
+		s = etcd_store(e);
+		CU_ASSERT_EQUAL(call_txn(&s, &reply), -cases[i].txn_code);
+		CU_ASSERT_EQUAL(reply.cause, -cases[i].txn_cause);
+		CU_ASSERT_EQUAL(server.requests, 1);
+		store_reply_clear(&reply);
+		CU_ASSERT_EQUAL(store_get_wait(&s, &get, &reply),
+				-cases[i].get_code);
+		store_reply_clear(&reply);
+		etcd_destroy(e);
+		server_stop(&server);
+	}
+}
+
+/* Guards against one lost endpoint making the store unreachable. */
+static void test_failover(void)
+{
+	static const char reply[] = OK_HEAD "44\r\n\r\n" TXN_BODY;
+	const char *endpoints[2];
+	struct store_reply out = {0};
+	struct canned_server lost;
+	struct canned_server good;
+	uint64_t before = store_call_count(STORE_TXN);
+	struct etcd *e;
+	struct store s;
+
+	server_start(&lost, "");
+	server_start(&good, reply);
+	server_stop(&lost);
+	endpoints[0] = lost.address;
+	endpoints[1] = good.address;
+	e = create_adapter(endpoints, 2);
+	s = etcd_store(e);
+	/* Nothing was sent to the lost endpoint, so the write may go on. */
+	CU_ASSERT_EQUAL(call_txn(&s, &out), 0);
+	CU_ASSERT(out.is_applied);
+	CU_ASSERT_EQUAL(store_call_count(STORE_TXN), before + 1);
+	store_reply_clear(&out);
+	server_stop(&good);
+	/* With no endpoint left the write fails and is known not to be done. */
+	CU_ASSERT_EQUAL(call_txn(&s, &out), -ERR_STORE_DOWN);
+	store_reply_clear(&out);
+	etcd_destroy(e);
+}
+
+struct watch_log {
+	int events;
+	int end;
+	char last[16];
+};
+
+static void handle_watch(void *ctx, struct store_reply *reply)
+{
+	struct watch_log *log = ctx;
+
+	log->end = reply->code;
+	log->events += (int)reply->count;
+	if (reply->count)
+		g_strlcpy(log->last, reply->entries[0].value,
+			  sizeof(log->last));
+}
+
+/* Guards against a cut message of a watch being lost in silence. */
+static void test_watch(void)
+{
+	static const char event[] =
+		"{\"result\":{\"header\":{\"revision\":\"9\"},\"events\":"
+		"[{\"kv\":{\"key\":\"bnAvY3VycmVudA==\",\"value\":\"dg==\","
+		"\"mod_revision\":\"9\"}}]}}\n";
+	static const struct {
+		const char *tail;
+		int code;
+	} cases[] = {
+		{"", ERR_STORE_WATCH_END},
+		{"{\"result\":{", ERR_STORE_REPLY_TRUNCATED},
+		{"{}\n", ERR_STORE_REPLY_FIELD},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct store_watch watch = {.key = "np/current"};
+		struct watch_log log = {0};
+		struct canned_server server;
+		const char *endpoint;
+		struct etcd *e;
+		struct store s;
+		char *reply = g_strdup_printf(
+			"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
+			"{\"result\":{\"header\":{\"revision\":\"8\"},"
+			"\"created\":true}}\n%s%s",
+			event, cases[i].tail);
+
+		server_start(&server, reply);
+		endpoint = server.address;
+		e = create_adapter(&endpoint, 1);
+		s = etcd_store(e);
+		store_watch(&s, &watch,
+			    (struct store_done){handle_watch, &log});
+		while (!log.end)
+			store_run(&s, 1000000);
+		CU_ASSERT_EQUAL(log.end, -cases[i].code);
+		CU_ASSERT_EQUAL(log.events, 1);
+		CU_ASSERT_STRING_EQUAL(log.last, "v");
+		etcd_destroy(e);
+		server_stop(&server);
+		g_free(reply);
+	}
+}
+
+CU_TestInfo store_etcd_tests[] = {
+	{"replies", test_replies},
+	{"failover", test_failover},
+	{"watch", test_watch},
+	CU_TEST_INFO_NULL,
+};
