store: publish object sets by compare-and-swap

The publish id names the version it was meant for, so a lost reply is settled with one history key. Settling an id that is not found writes a fence that the pointer's transaction compares, so a delayed write cannot take effect after the answer. The base is read in a transaction: a stale get would report a rollback as already in force.

--- /dev/null
+++ b/include/store/record.h
@@ -0,0 +1,22 @@
+#ifndef STORE_RECORD_H
+#define STORE_RECORD_H
+
+#include "store/publish.h"
+
+/** Returns the text of a record; free with free(). */
+char *publish_record_encode(const struct publish_record *r);
+
+/**
+ * Reads the record under key from a reply. Returns 0, -ERR_STORE_NOT_FOUND or
+ * -ERR_PUBLISH_RECORD.
+ */
+int publish_record_find(const struct store_reply *reply, const char *key,
+			struct publish_record *out);
+
+/** Returns the history key of a version; free with g_free(). */
+char *publish_history_key(uint64_t version);
+
+/** Returns the content hash that names a part; free with g_free(). */
+char *publish_hash(const char *data, size_t len);
+
+#endif
--- a/include/store/store.h
+++ b/include/store/store.h
@@ -168,9 +168,6 @@
 void store_finish(enum store_call call, struct store_done done,
 		  struct store_reply *reply);
 
-/** Returns whether a call may change the store. */
-bool store_call_is_write(enum store_call call);
-
 /** Returns the number of calls of a kind since the start. */
 uint64_t store_call_count(enum store_call call);
 
--- a/store/etcd.c
+++ b/store/etcd.c
@@ -22,6 +22,8 @@
 	struct etcd *etcd;
 	uint64_t id;
 	struct gateway_call gateway;
+	/** Whether the call may change the store. */
+	bool is_write;
 	struct store_done done;
 	char *body;
 	/** Reply so far; of a watch, the part of a message so far. */
@@ -124,7 +126,7 @@
 	 * libcurl repeats a request by itself if a kept connection turns out
 	 * to be closed, so a write gets a connection of its own.
 	 */
-	if (store_call_is_write(c->gateway.call))
+	if (c->is_write)
 		curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
 	curl_multi_add_handle(e->multi, easy);
 	g_free(url);
@@ -181,7 +183,7 @@
 {
 	if (is_definite(code) || c->attempts >= MAX_ATTEMPTS)
 		return false;
-	return !is_sent || !store_call_is_write(c->gateway.call);
+	return !is_sent || !c->is_write;
 }
 
 static void fail_call(struct etcd_call *c, int code, bool is_sent)
@@ -202,8 +204,7 @@
 			  e->endpoints[c->endpoint]);
 		return;
 	}
-	if (is_sent && !is_definite(code) &&
-	    store_call_is_write(c->gateway.call)) {
+	if (is_sent && !is_definite(code) && c->is_write) {
 		reply.code = -ERR_STORE_UNKNOWN;
 		reply.cause = code;
 	}
@@ -284,6 +285,7 @@
 	struct etcd_call *c =
 		call_create(ctx, STORE_TXN, "", gateway_encode_txn(txn), done);
 
+	c->is_write = txn->put_count > 0;
 	c->gateway.put_count = txn->put_count;
 	c->gateway.reads = g_new0(char *, txn->read_count + 1);
 	for (size_t i = 0; i < txn->read_count; i++)
@@ -317,8 +319,11 @@
 
 static void handle_lease_grant(void *ctx, int64_t ttl_s, struct store_done done)
 {
-	start_attempt(call_create(ctx, STORE_LEASE_GRANT, "",
-				  gateway_encode_grant(ttl_s), done));
+	struct etcd_call *c = call_create(ctx, STORE_LEASE_GRANT, "",
+					  gateway_encode_grant(ttl_s), done);
+
+	c->is_write = true;
+	start_attempt(c);
 }
 
 static void handle_lease_keepalive(void *ctx, int64_t lease_id,
--- /dev/null
+++ b/store/publish.c
@@ -0,0 +1,420 @@
+#include "store/publish.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "common/errors.h"
+#include "common/events.h"
+#include "store/record.h"
+
+/*
+ * Attempts of one write whose outcome is unknown. Repeats are safe here: a
+ * part is named by its content, and the pointer's write compares a revision
+ * that its first success changes.
+ */
+#define WRITE_ATTEMPTS 3
+
+#define TOKEN_CHARS \
+	"abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789._"
+#define TOKEN_MAX 64
+
+/** One publish under way. */
+struct publish_job {
+	struct store *store;
+	const struct publish_options *options;
+	/** Record to be written. */
+	struct publish_record record;
+	/** Revision of the pointer that the write compares; 0: no pointer. */
+	int64_t pointer_revision;
+	char *history_key;
+	char *fence_key;
+	struct publish_result *out;
+};
+
+static void set_outcome(struct publish_result *out, enum publish_state state,
+			int code)
+{
+	out->state = state;
+	out->code = code;
+}
+
+/* Moves a record into the result. */
+static void accept(struct publish_result *out, struct publish_record *record)
+{
+	set_outcome(out, PUBLISH_ACCEPTED, 0);
+	publish_record_clear(&out->record);
+	out->record = *record;
+	memset(record, 0, sizeof(*record));
+}
+
+static void refuse(struct publish_result *out, struct publish_record *winner)
+{
+	accept(out, winner);
+	set_outcome(out, PUBLISH_REFUSED, -ERR_STORE_CONFLICT);
+}
+
+/* A part that exists already keeps its value, which is the same. */
+static int write_part_once(struct store *s, const char *key, const char *data,
+			   size_t len)
+{
+	struct store_compare compare = {.key = key};
+	struct store_put put = {.key = key, .value = data, .len = len};
+	struct store_txn txn = {
+		.compares = &compare,
+		.compare_count = 1,
+		.puts = &put,
+		.put_count = 1,
+	};
+	struct store_reply reply = {0};
+	int ret = store_txn_wait(s, &txn, &reply);
+
+	store_reply_clear(&reply);
+	return ret;
+}
+
+static int write_part(struct store *s, const char *hash, const char *data,
+		      size_t len)
+{
+	char *key = g_strconcat(PUBLISH_KEY_PART, hash, NULL);
+	int ret = -ERR_STORE_UNKNOWN;
+
+	for (int i = 0; i < WRITE_ATTEMPTS && ret == -ERR_STORE_UNKNOWN; i++)
+		ret = write_part_once(s, key, data, len);
+	event_log(EV_PUBLISH_STEP, "step=part key=%s code=E%d", key, -ret);
+	g_free(key);
+	return ret;
+}
+
+static size_t part_length(const char *text, size_t offset)
+{
+	return MIN(strlen(text + offset), PUBLISH_PART_MAX);
+}
+
+static int write_parts(struct store *s, const struct publish_record *r,
+		       const char *text)
+{
+	size_t offset = 0;
+	int ret = 0;
+
+	for (size_t i = 0; !ret && r->parts[i]; i++) {
+		size_t len = part_length(text, offset);
+
+		ret = write_part(s, r->parts[i], text + offset, len);
+		offset += len;
+	}
+	return ret;
+}
+
+static int name_parts(struct publish_record *r, const char *text)
+{
+	size_t count;
+
+	r->bytes = strlen(text);
+	count = (r->bytes + PUBLISH_PART_MAX - 1) / PUBLISH_PART_MAX;
+	if (count > PUBLISH_PARTS_MAX)
+		return -ERR_STORE_TOO_LARGE;
+	r->parts = g_new0(char *, count + 1);
+	for (size_t i = 0; i < count; i++) {
+		size_t offset = i * PUBLISH_PART_MAX;
+
+		r->parts[i] =
+			publish_hash(text + offset, part_length(text, offset));
+	}
+	return 0;
+}
+
+static bool is_id(const struct publish_record *r, const char *publish_id)
+{
+	return r->publish_id && !strcmp(r->publish_id, publish_id);
+}
+
+/* Writes the pointer and the history in one step. */
+static int write_pointer(struct publish_job *job, struct store_reply *reply)
+{
+	char *text = publish_record_encode(&job->record);
+	const struct store_compare compares[] = {
+		{PUBLISH_KEY_POINTER, job->pointer_revision},
+		{job->fence_key, 0},
+	};
+	const struct store_put puts[] = {
+		{PUBLISH_KEY_POINTER, text, strlen(text), 0},
+		{job->history_key, text, strlen(text), 0},
+	};
+	const char *const reads[] = {
+		PUBLISH_KEY_POINTER,
+		job->history_key,
+		job->fence_key,
+	};
+	const struct store_txn txn = {
+		.compares = compares,
+		.compare_count = G_N_ELEMENTS(compares),
+		.puts = puts,
+		.put_count = G_N_ELEMENTS(puts),
+		.reads = reads,
+		.read_count = G_N_ELEMENTS(reads),
+	};
+	int ret = store_txn_wait(job->store, &txn, reply);
+
+	event_log(EV_PUBLISH_STEP, "step=pointer id=%s code=E%d",
+		  job->record.publish_id, -ret);
+	free(text);
+	return ret;
+}
+
+/*
+ * Judges a reply with the pointer and the history entry of the version, read
+ * in the step that decided.
+ */
+static void judge_reads(const struct store_reply *reply, const char *publish_id,
+			const char *history_key, struct publish_result *out)
+{
+	struct publish_record entry = {0};
+	struct publish_record pointer = {0};
+	int ret = publish_record_find(reply, history_key, &entry);
+
+	if (!ret && is_id(&entry, publish_id)) {
+		accept(out, &entry);
+		return;
+	}
+	publish_record_clear(&entry);
+	ret = publish_record_find(reply, PUBLISH_KEY_POINTER, &pointer);
+	refuse(out, &pointer);
+	if (ret == -ERR_PUBLISH_RECORD)
+		out->code = ret;
+}
+
+static bool is_fenced(const struct publish_job *job,
+		      const struct store_reply *reply)
+{
+	return store_reply_find(reply, job->fence_key) != NULL;
+}
+
+/* Whether the history says that this publish took effect. */
+static bool read_back(struct publish_job *job)
+{
+	struct publish_record entry;
+	int ret = publish_read_record(job->store, job->record.version, &entry);
+
+	event_log(EV_PUBLISH_STEP, "step=read-back id=%s code=E%d",
+		  job->record.publish_id, -ret);
+	if (!ret && is_id(&entry, job->record.publish_id)) {
+		accept(job->out, &entry);
+		return true;
+	}
+	publish_record_clear(&entry);
+	return false;
+}
+
+static void move_pointer(struct publish_job *job)
+{
+	bool is_unknown = false;
+	int ret = 0;
+
+	for (int i = 0; i < WRITE_ATTEMPTS; i++) {
+		struct store_reply reply = {0};
+
+		ret = write_pointer(job, &reply);
+		if (!ret) {
+			judge_reads(&reply, job->record.publish_id,
+				    job->history_key, job->out);
+			if (job->out->state == PUBLISH_REFUSED &&
+			    is_fenced(job, &reply))
+				job->out->code = -ERR_PUBLISH_FENCED;
+		}
+		store_reply_clear(&reply);
+		if (!ret)
+			return;
+		if (ret == -ERR_STORE_UNKNOWN)
+			is_unknown = true;
+		if (!is_unknown)
+			break;
+		if (read_back(job))
+			return;
+	}
+	set_outcome(job->out, is_unknown ? PUBLISH_UNKNOWN : PUBLISH_REFUSED,
+		    ret);
+}
+
+static bool is_same_content(const struct publish_record *a,
+			    const struct publish_record *b)
+{
+	return a->bytes == b->bytes &&
+	       g_strv_equal((const gchar *const *)a->parts,
+			    (const gchar *const *)b->parts);
+}
+
+/*
+ * Reads the version in force and sets the version to write. Returns whether
+ * the publish goes on.
+ */
+static bool read_base(struct publish_job *job)
+{
+	const struct publish_options *o = job->options;
+	struct publish_record pointer;
+	int ret = publish_read_pointer(job->store, &pointer);
+
+	if (ret && ret != -ERR_STORE_NOT_FOUND) {
+		set_outcome(job->out, PUBLISH_REFUSED, ret);
+		return false;
+	}
+	if (!ret && is_same_content(&pointer, &job->record)) {
+		job->out->is_unchanged = true;
+		accept(job->out, &pointer);
+		return false;
+	}
+	if (o->base_version >= 0 &&
+	    pointer.version != (uint64_t)o->base_version) {
+		refuse(job->out, &pointer);
+		return false;
+	}
+	job->pointer_revision = pointer.mod_revision;
+	job->record.version = pointer.version + 1;
+	publish_record_clear(&pointer);
+	return true;
+}
+
+static void set_names(struct publish_job *job)
+{
+	struct publish_record *r = &job->record;
+
+	r->publish_id = g_strdup_printf("%" G_GUINT64_FORMAT "-%s", r->version,
+					job->options->token);
+	r->author = g_strdup(job->options->author);
+	r->time_ms = job->options->time_ms;
+	job->out->publish_id = g_strdup(r->publish_id);
+	job->history_key = publish_history_key(r->version);
+	job->fence_key = g_strconcat(PUBLISH_KEY_FENCE, r->publish_id, NULL);
+}
+
+static void run_job(struct publish_job *job, const char *text)
+{
+	int ret = name_parts(&job->record, text);
+
+	if (ret) {
+		set_outcome(job->out, PUBLISH_REFUSED, ret);
+		return;
+	}
+	if (!read_base(job))
+		return;
+	set_names(job);
+	ret = write_parts(job->store, &job->record, text);
+	if (ret) {
+		/* Parts without a pointer have no effect. */
+		set_outcome(job->out, PUBLISH_REFUSED, ret);
+		return;
+	}
+	move_pointer(job);
+}
+
+static bool is_token(const char *text)
+{
+	size_t len = strlen(text);
+
+	return len && len <= TOKEN_MAX && strspn(text, TOKEN_CHARS) == len;
+}
+
+void publish_set(struct store *s, const struct object_set *set,
+		 const struct publish_options *options,
+		 struct publish_result *out)
+{
+	struct publish_job job = {
+		.store = s,
+		.options = options,
+		.out = out,
+	};
+	char *text;
+
+	memset(out, 0, sizeof(*out));
+	if (!is_token(options->token)) {
+		set_outcome(out, PUBLISH_REFUSED, -ERR_PUBLISH_ID);
+		return;
+	}
+	text = object_set_encode(set);
+	run_job(&job, text);
+	free(text);
+	publish_record_clear(&job.record);
+	g_free(job.history_key);
+	g_free(job.fence_key);
+}
+
+static bool parse_id(const char *publish_id, uint64_t *version)
+{
+	char *end;
+
+	if (!g_ascii_isdigit(*publish_id))
+		return false;
+	*version = g_ascii_strtoull(publish_id, &end, 10);
+	return *version && *version < INT64_MAX && *end == '-' &&
+	       is_token(end + 1);
+}
+
+static int fence(struct store *s, const char *publish_id,
+		 const char *history_key, struct store_reply *reply)
+{
+	char *key = g_strconcat(PUBLISH_KEY_FENCE, publish_id, NULL);
+	struct store_compare compare = {.key = key};
+	struct store_put put = {.key = key, .value = "", .len = 0};
+	const char *const reads[] = {PUBLISH_KEY_POINTER, history_key};
+	const struct store_txn txn = {
+		.compares = &compare,
+		.compare_count = 1,
+		.puts = &put,
+		.put_count = 1,
+		.reads = reads,
+		.read_count = G_N_ELEMENTS(reads),
+	};
+	int ret = -ERR_STORE_UNKNOWN;
+
+	for (int i = 0; i < WRITE_ATTEMPTS && ret == -ERR_STORE_UNKNOWN; i++) {
+		store_reply_clear(reply);
+		ret = store_txn_wait(s, &txn, reply);
+	}
+	g_free(key);
+	return ret;
+}
+
+static void settle(struct store *s, const char *publish_id, uint64_t version,
+		   struct publish_result *out)
+{
+	char *history_key = publish_history_key(version);
+	struct store_reply reply = {0};
+	int ret = fence(s, publish_id, history_key, &reply);
+
+	if (ret)
+		set_outcome(out, PUBLISH_UNKNOWN, ret);
+	else
+		judge_reads(&reply, publish_id, history_key, out);
+	store_reply_clear(&reply);
+	g_free(history_key);
+}
+
+void publish_settle(struct store *s, const char *publish_id,
+		    struct publish_result *out)
+{
+	struct publish_record entry = {0};
+	uint64_t version;
+	int ret;
+
+	memset(out, 0, sizeof(*out));
+	if (!parse_id(publish_id, &version)) {
+		set_outcome(out, PUBLISH_REFUSED, -ERR_PUBLISH_ID);
+		return;
+	}
+	out->publish_id = g_strdup(publish_id);
+	ret = publish_read_record(s, version, &entry);
+	if (!ret && is_id(&entry, publish_id)) {
+		accept(out, &entry);
+		return;
+	}
+	publish_record_clear(&entry);
+	settle(s, publish_id, version, out);
+}
+
+void publish_result_clear(struct publish_result *result)
+{
+	g_free(result->publish_id);
+	publish_record_clear(&result->record);
+	memset(result, 0, sizeof(*result));
+}
--- /dev/null
+++ b/store/read.c
@@ -0,0 +1,90 @@
+#include "store/publish.h"
+
+#include <string.h>
+
+#include <glib.h>
+
+#include "common/errors.h"
+#include "store/record.h"
+
+int publish_read_pointer(struct store *s, struct publish_record *out)
+{
+	const char *const reads[] = {PUBLISH_KEY_POINTER};
+	struct store_txn txn = {.reads = reads, .read_count = 1};
+	struct store_reply reply = {0};
+	int ret = store_txn_wait(s, &txn, &reply);
+
+	memset(out, 0, sizeof(*out));
+	if (!ret)
+		ret = publish_record_find(&reply, PUBLISH_KEY_POINTER, out);
+	store_reply_clear(&reply);
+	return ret;
+}
+
+int publish_read_record(struct store *s, uint64_t version,
+			struct publish_record *out)
+{
+	char *key = version ? publish_history_key(version)
+			    : g_strdup(PUBLISH_KEY_POINTER);
+	struct store_get get = {.key = key};
+	struct store_reply reply = {0};
+	int ret = store_get_wait(s, &get, &reply);
+
+	memset(out, 0, sizeof(*out));
+	if (!ret)
+		ret = publish_record_find(&reply, key, out);
+	if (!ret && version && out->version != version) {
+		publish_record_clear(out);
+		ret = -ERR_PUBLISH_RECORD;
+	}
+	store_reply_clear(&reply);
+	g_free(key);
+	return ret;
+}
+
+static int check_part(const struct store_entry *e, const char *hash)
+{
+	char *found = publish_hash(e->value, e->len);
+	bool is_equal = !strcmp(found, hash);
+
+	g_free(found);
+	return is_equal ? 0 : -ERR_PUBLISH_HASH;
+}
+
+static int read_part(struct store *s, const char *hash, GString *text)
+{
+	char *key = g_strconcat(PUBLISH_KEY_PART, hash, NULL);
+	struct store_get get = {.key = key};
+	struct store_reply reply = {0};
+	const struct store_entry *e;
+	int ret = store_get_wait(s, &get, &reply);
+
+	e = store_reply_find(&reply, key);
+	if (!ret && !e)
+		ret = -ERR_PUBLISH_PART;
+	if (!ret)
+		ret = check_part(e, hash);
+	if (!ret)
+		g_string_append_len(text, e->value, (gssize)e->len);
+	store_reply_clear(&reply);
+	g_free(key);
+	return ret;
+}
+
+int publish_read_set(struct store *s, const struct publish_record *record,
+		     struct object_set **out, struct fault_list *faults)
+{
+	GString *text = g_string_new(NULL);
+	int ret = 0;
+
+	for (size_t i = 0; !ret && record->parts[i]; i++)
+		ret = read_part(s, record->parts[i], text);
+	if (!ret && text->len != record->bytes)
+		ret = -ERR_PUBLISH_HASH;
+	if (!ret)
+		ret = object_set_decode(text->str, text->len, out, faults);
+	if (!ret)
+		(*out)->version = record->version;
+	g_string_free(text, TRUE);
+	return ret;
+}
--- a/store/store.c
+++ b/store/store.c
@@ -202,11 +202,6 @@
 	store_reply_clear(reply);
 }
 
-bool store_call_is_write(enum store_call call)
-{
-	return call == STORE_TXN || call == STORE_LEASE_GRANT;
-}
-
 uint64_t store_call_count(enum store_call call)
 {
 	return counter_get(&calls[call]);
--- /dev/null
+++ b/test/unit/fake_store.c
@@ -0,0 +1,205 @@
+#include "fake_store.h"
+
+#include <string.h>
+
+#include "common/errors.h"
+
+struct change {
+	int64_t revision;
+	char *key;
+	char *value;
+	size_t len;
+};
+
+static void change_free(void *p)
+{
+	struct change *c = p;
+
+	g_free(c->key);
+	g_free(c->value);
+	g_free(c);
+}
+
+static const struct change *find(const struct fake_store *f, const char *key,
+				 int64_t revision)
+{
+	const struct change *found = NULL;
+
+	for (guint i = 0; i < f->changes->len; i++) {
+		const struct change *c = f->changes->pdata[i];
+
+		if (c->revision <= revision && !strcmp(c->key, key))
+			found = c;
+	}
+	return found && found->value ? found : NULL;
+}
+
+static void add_entry(struct store_reply *reply, const struct change *c)
+{
+	if (c)
+		store_reply_add(reply, c->key, c->value, c->len)->mod_revision =
+			c->revision;
+}
+
+static void notify(struct fake_store *f)
+{
+	struct store_reply reply = {.revision = f->revision};
+
+	for (guint i = 0; i < f->changes->len; i++) {
+		const struct change *c = f->changes->pdata[i];
+
+		if (c->revision == f->revision && !strcmp(c->key, "np/current"))
+			add_entry(&reply, c);
+	}
+	if (f->is_watched && reply.count)
+		store_finish(STORE_WATCH, f->watcher, &reply);
+	store_reply_clear(&reply);
+}
+
+static void change_key(struct fake_store *f, const struct store_put *put)
+{
+	struct change *c = g_new0(struct change, 1);
+
+	c->revision = f->revision;
+	c->key = g_strdup(put->key);
+	c->value = put->value ? g_memdup2(put->value, put->len + 1) : NULL;
+	c->len = put->len;
+	g_ptr_array_add(f->changes, c);
+}
+
+static void handle_get(void *ctx, const struct store_get *get,
+		       struct store_done done)
+{
+	struct fake_store *f = ctx;
+	struct store_reply reply = {.revision = f->revision};
+
+	f->gets++;
+	if (f->is_down)
+		reply.code = -ERR_STORE_DOWN;
+	else
+		add_entry(&reply, find(f, get->key,
+				       f->stale_revision ? f->stale_revision
+							 : f->revision));
+	store_finish(STORE_GET, done, &reply);
+}
+
+static bool compares_hold(struct fake_store *f, const struct store_txn *txn)
+{
+	for (size_t i = 0; i < txn->compare_count; i++) {
+		const struct change *c =
+			find(f, txn->compares[i].key, f->revision);
+
+		if ((c ? c->revision : 0) != txn->compares[i].mod_revision)
+			return false;
+	}
+	return true;
+}
+
+static void apply_txn(struct fake_store *f, const struct store_txn *txn,
+		      struct store_reply *reply)
+{
+	reply->is_applied = compares_hold(f, txn);
+	if (reply->is_applied && txn->put_count) {
+		f->revision++;
+		for (size_t i = 0; i < txn->put_count; i++)
+			change_key(f, &txn->puts[i]);
+	}
+	for (size_t i = 0; i < txn->read_count; i++)
+		add_entry(reply, find(f, txn->reads[i], f->revision));
+	reply->revision = f->revision;
+}
+
+static void lose(struct store_reply *reply)
+{
+	store_reply_clear(reply);
+	reply->code = -ERR_STORE_UNKNOWN;
+	reply->cause = -ERR_STORE_TIMEOUT;
+}
+
+static void handle_txn(void *ctx, const struct store_txn *txn,
+		       struct store_done done)
+{
+	struct fake_store *f = ctx;
+	struct store_reply reply = {0};
+	int number = txn->put_count ? f->writes++ : -1;
+
+	if (number >= 0 && f->hook && number == f->hook_at)
+		f->hook(f->hook_ctx);
+	if (number >= 0 && f->down_after >= 0 && number >= f->down_after)
+		f->is_down = true;
+	if (f->is_down) {
+		reply.code = -ERR_STORE_DOWN;
+	} else if (number >= 0 && (f->lost_writes >> number & 1)) {
+		lose(&reply);
+	} else {
+		apply_txn(f, txn, &reply);
+		if (number >= 0 && (f->lost_replies >> number & 1))
+			lose(&reply);
+	}
+	store_finish(STORE_TXN, done, &reply);
+	if (number >= 0)
+		notify(f);
+}
+
+static uint64_t handle_watch(void *ctx, const struct store_watch *watch,
+			     struct store_done done)
+{
+	struct fake_store *f = ctx;
+
+	f->watcher = done;
+	f->is_watched = true;
+	f->watches++;
+	if (f->is_down)
+		fake_store_end_watch(f, -ERR_STORE_DOWN);
+	return 1;
+}
+
+static void handle_watch_cancel(void *ctx, uint64_t watch_id)
+{
+	((struct fake_store *)ctx)->is_watched = false;
+}
+
+static void handle_run(void *ctx, int64_t timeout_us)
+{
+}
+
+static const struct store_ops fake_ops = {
+	.get = handle_get,
+	.txn = handle_txn,
+	.watch = handle_watch,
+	.watch_cancel = handle_watch_cancel,
+	.run = handle_run,
+};
+
+void fake_store_init(struct fake_store *f)
+{
+	memset(f, 0, sizeof(*f));
+	f->store.ops = &fake_ops;
+	f->store.ctx = f;
+	f->changes = g_ptr_array_new_with_free_func(change_free);
+	f->down_after = -1;
+	f->hook_at = -1;
+}
+
+void fake_store_clear(struct fake_store *f)
+{
+	g_ptr_array_free(f->changes, TRUE);
+}
+
+void fake_store_put(struct fake_store *f, const char *key, const char *value)
+{
+	struct store_put put = {.key = key, .value = value};
+
+	put.len = value ? strlen(value) : 0;
+	f->revision++;
+	change_key(f, &put);
+	notify(f);
+}
+
+void fake_store_end_watch(struct fake_store *f, int code)
+{
+	struct store_reply reply = {.code = code};
+
+	f->is_watched = false;
+	store_finish(STORE_WATCH, f->watcher, &reply);
+}
--- a/test/unit/main.c
+++ b/test/unit/main.c
@@ -7,6 +7,7 @@
 	{"merge", NULL, NULL, NULL, NULL, merge_tests},
 	{"store etcd", NULL, NULL, NULL, NULL, store_etcd_tests},
 	{"store gateway", NULL, NULL, NULL, NULL, store_gateway_tests},
+	{"store publish", NULL, NULL, NULL, NULL, store_publish_tests},
 	CU_SUITE_INFO_NULL,
 };
 
--- a/test/unit/suites.h
+++ b/test/unit/suites.h
@@ -8,5 +8,6 @@
 extern CU_TestInfo merge_tests[];
 extern CU_TestInfo store_etcd_tests[];
 extern CU_TestInfo store_gateway_tests[];
+extern CU_TestInfo store_publish_tests[];
 
 #endif
--- a/test/unit/test_store_etcd.c
+++ b/test/unit/test_store_etcd.c
@@ -13,7 +13,9 @@
 
 #define OK_HEAD "HTTP/1.1 200 OK\r\nContent-Length: "
 #define GET_BODY "{\"header\":{\"revision\":\"3\"}}"
-#define TXN_BODY "{\"header\":{\"revision\":\"3\"},\"succeeded\":true}"
+#define TXN_BODY                                                             \
+	"{\"header\":{\"revision\":\"3\"},\"succeeded\":true,\"responses\":" \
+	"[{\"response_put\":{}}]}"
 
 /** Server that sends the same bytes to each request and closes. */
 struct canned_server {
@@ -105,7 +107,13 @@
 static int call_txn(struct store *s, struct store_reply *reply)
 {
 	struct store_compare compare = {.key = "np/current"};
-	struct store_txn txn = {.compares = &compare, .compare_count = 1};
+	struct store_put put = {.key = "np/current", .value = "v", .len = 1};
+	struct store_txn txn = {
+		.compares = &compare,
+		.compare_count = 1,
+		.puts = &put,
+		.put_count = 1,
+	};
 
 	return store_txn_wait(s, &txn, reply);
 }
@@ -166,7 +174,7 @@
 /* Guards against one lost endpoint making the store unreachable. */
 static void test_failover(void)
 {
-	static const char reply[] = OK_HEAD "44\r\n\r\n" TXN_BODY;
+	static const char reply[] = OK_HEAD "78\r\n\r\n" TXN_BODY;
 	const char *endpoints[2];
 	struct store_reply out = {0};
 	struct canned_server lost;
--- /dev/null
+++ b/test/unit/test_store_publish.c
@@ -0,0 +1,303 @@
+#include "suites.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "common/errors.h"
+#include "common/events.h"
+#include "fake_store.h"
+#include "store/publish.h"
+
+/* A set whose name makes its content unique; padding adds services. */
+static struct object_set *make_set(const char *name, int services)
+{
+	GString *text = g_string_new(NULL);
+	struct fault_list faults = {0};
+	struct object_set *set = NULL;
+
+	g_string_printf(text,
+			"[fleet.main]\ndomains=[{name=\"%s\",region=\"r\","
+			"seats=1}]\n[deadline.d]\ndefault=\"1s\"\nmax=\"2s\"\n"
+			"[class.c]\nkind=\"k\"\nworth=1\n[group.g]\nslots=1\n"
+			"connections=1\nconnect_cost=\"1ms\"\n"
+			"[[group.g.shards]]\nname=\"s\"\nweight=1\nleaves=[{"
+			"address=\"127.0.0.1:1\",domain=\"%s\"}]\n",
+			name, name);
+	for (int i = 0; i < services; i++)
+		g_string_append_printf(text,
+				       "[service.%0200d]\ngroups=[\"g\"]\n"
+				       "deadline=\"d\"\nclass=\"c\"\n",
+				       i);
+	object_set_parse(text->str, "t", &set, &faults);
+	for (size_t i = 0; i < faults.count; i++)
+		fprintf(stderr, "%s\n", faults.items[i].message);
+	fault_list_clear(&faults);
+	g_string_free(text, TRUE);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(set);
+	return set;
+}
+
+static void publish(struct fake_store *f, const char *name, const char *token,
+		    struct publish_result *out)
+{
+	struct object_set *set = make_set(name, 1);
+	struct publish_options options = {
+		.token = token,
+		.author = token,
+		.base_version = -1,
+	};
+
+	publish_set(&f->store, set, &options, out);
+	object_set_unref(set);
+}
+
+static void check_in_force(struct fake_store *f, uint64_t version,
+			   const char *domain)
+{
+	struct fault_list faults = {0};
+	struct publish_record record;
+	struct object_set *set = NULL;
+
+	CU_ASSERT_EQUAL_FATAL(publish_read_pointer(&f->store, &record), 0);
+	CU_ASSERT_EQUAL(record.version, version);
+	CU_ASSERT_EQUAL_FATAL(
+		publish_read_set(&f->store, &record, &set, &faults), 0);
+	CU_ASSERT_EQUAL(set->version, version);
+	CU_ASSERT_STRING_EQUAL(set->domains[0].name, domain);
+	object_set_unref(set);
+	publish_record_clear(&record);
+}
+
+/* Guards against a large set that is split and put together wrongly. */
+static void test_parts(void)
+{
+	struct object_set *set = make_set("big", 1700);
+	struct publish_options options = {
+		.token = "a", .author = "ann", .base_version = -1};
+	struct publish_result r;
+	struct fake_store f;
+
+	fake_store_init(&f);
+	publish_set(&f.store, set, &options, &r);
+	CU_ASSERT_EQUAL(r.state, PUBLISH_ACCEPTED);
+	CU_ASSERT(g_strv_length(r.record.parts) > 1);
+	publish_result_clear(&r);
+	check_in_force(&f, 1, "big");
+	publish_set(&f.store, set, &options, &r);
+	CU_ASSERT_EQUAL(r.state, PUBLISH_ACCEPTED);
+	CU_ASSERT(r.is_unchanged);
+	CU_ASSERT_EQUAL(r.record.version, 1);
+	publish_result_clear(&r);
+	object_set_unref(set);
+	fake_store_clear(&f);
+}
+
+/*
+ * Guards against a lost reply being reported as a refusal or published twice:
+ * every pattern of up to 5 lost writes and lost replies.
+ */
+static void test_lost_replies(void)
+{
+	for (uint64_t pattern = 0; pattern < 243; pattern++) {
+		struct publish_result r;
+		struct fake_store f;
+		uint64_t rest = pattern;
+
+		fake_store_init(&f);
+		for (int i = 0; i < 5; i++, rest /= 3) {
+			f.lost_replies |= (uint64_t)(rest % 3 == 1) << i;
+			f.lost_writes |= (uint64_t)(rest % 3 == 2) << i;
+		}
+		publish(&f, "one", "ann", &r);
+		if (r.state == PUBLISH_UNKNOWN) {
+			char *id = g_strdup(r.publish_id);
+
+			publish_result_clear(&r);
+			f.lost_replies = 0;
+			f.lost_writes = 0;
+			publish_settle(&f.store, id, &r);
+			g_free(id);
+		}
+		if (r.state == PUBLISH_ACCEPTED)
+			check_in_force(&f, 1, "one");
+		else
+			CU_ASSERT(publish_read_pointer(&f.store, &r.record) ==
+				  -ERR_STORE_NOT_FOUND);
+		CU_ASSERT_NOT_EQUAL(r.state, PUBLISH_UNKNOWN);
+		publish_result_clear(&r);
+		fake_store_clear(&f);
+	}
+}
+
+/* Guards against an outage at any step reporting a wrong outcome. */
+static void test_outages(void)
+{
+	for (int step = 0; step < 3; step++) {
+		for (int lost = 0; lost < 2; lost++) {
+			struct publish_result r;
+			struct fake_store f;
+			char *id;
+
+			fake_store_init(&f);
+			f.lost_replies = lost ? 1 << 1 : 0;
+			f.down_after = step;
+			publish(&f, "one", "ann", &r);
+			f.is_down = false;
+			f.down_after = -1;
+			/* Write 0 is the part, write 1 the pointer. */
+			if (step < 2) {
+				CU_ASSERT_EQUAL(r.state, PUBLISH_REFUSED);
+				CU_ASSERT_EQUAL(r.code, -ERR_STORE_DOWN);
+			} else {
+				CU_ASSERT_EQUAL(r.state, PUBLISH_ACCEPTED);
+			}
+			id = g_strdup(r.publish_id);
+			publish_result_clear(&r);
+			publish_settle(&f.store, id, &r);
+			CU_ASSERT_EQUAL(r.state, step < 2 ? PUBLISH_REFUSED
+							  : PUBLISH_ACCEPTED);
+			publish_result_clear(&r);
+			publish(&f, "one", "ann2", &r);
+			CU_ASSERT_EQUAL(r.state, PUBLISH_ACCEPTED);
+			CU_ASSERT_EQUAL(r.record.version, 1);
+			publish_result_clear(&r);
+			g_free(id);
+			fake_store_clear(&f);
+		}
+	}
+}
+
+/* Guards against a write that is delayed past its settling. */
+static void test_fence(void)
+{
+	struct publish_result r;
+	struct fake_store f;
+
+	fake_store_init(&f);
+	publish_settle(&f.store, "1-ann", &r);
+	CU_ASSERT_EQUAL(r.state, PUBLISH_REFUSED);
+	publish_result_clear(&r);
+	publish(&f, "one", "ann", &r);
+	CU_ASSERT_EQUAL(r.state, PUBLISH_REFUSED);
+	CU_ASSERT_EQUAL(r.code, -ERR_PUBLISH_FENCED);
+	publish_result_clear(&r);
+	publish(&f, "one", "bob", &r);
+	CU_ASSERT_EQUAL(r.state, PUBLISH_ACCEPTED);
+	publish_result_clear(&r);
+	f.is_down = true;
+	publish_settle(&f.store, "1-ann", &r);
+	CU_ASSERT_EQUAL(r.state, PUBLISH_UNKNOWN);
+	publish_result_clear(&r);
+	publish_settle(&f.store, "one", &r);
+	CU_ASSERT_EQUAL(r.code, -ERR_PUBLISH_ID);
+	publish_result_clear(&r);
+	fake_store_clear(&f);
+}
+
+static void publish_rival(void *ctx)
+{
+	struct fake_store *f = ctx;
+	struct publish_result r;
+
+	f->hook = NULL;
+	publish(f, "rival", "bob", &r);
+	CU_ASSERT_EQUAL(r.state, PUBLISH_ACCEPTED);
+	publish_result_clear(&r);
+}
+
+/* Guards against a race that overwrites the winner or hides its author. */
+static void test_race(void)
+{
+	for (int lost = 0; lost < 2; lost++) {
+		for (int step = 0; step < 2; step++) {
+			struct publish_result r;
+			struct fake_store f;
+
+			fake_store_init(&f);
+			f.hook = publish_rival;
+			f.hook_ctx = &f;
+			f.hook_at = step;
+			/* Writes of the rival come between. */
+			f.lost_replies = lost ? 1 << 3 : 0;
+			publish(&f, "one", "ann", &r);
+			CU_ASSERT_EQUAL(r.state, PUBLISH_REFUSED);
+			CU_ASSERT_EQUAL(r.code, -ERR_STORE_CONFLICT);
+			CU_ASSERT_EQUAL(r.record.version, 1);
+			CU_ASSERT_STRING_EQUAL(r.record.author, "bob");
+			check_in_force(&f, 1, "rival");
+			publish_result_clear(&r);
+			fake_store_clear(&f);
+		}
+	}
+}
+
+/* Guards against stale reads that hide the version in force. */
+static void test_stale_reads(void)
+{
+	struct publish_result r;
+	struct fake_store f;
+	int64_t old;
+
+	fake_store_init(&f);
+	publish(&f, "one", "ann", &r);
+	old = f.revision;
+	publish_result_clear(&r);
+	publish(&f, "two", "bob", &r);
+	publish_result_clear(&r);
+	f.stale_revision = old;
+	/* Back to the first set, which the stale read shows as in force. */
+	publish(&f, "one", "eve", &r);
+	CU_ASSERT_EQUAL(r.state, PUBLISH_ACCEPTED);
+	CU_ASSERT(!r.is_unchanged);
+	CU_ASSERT_EQUAL(r.record.version, 3);
+	publish_result_clear(&r);
+	publish_settle(&f.store, "3-eve", &r);
+	CU_ASSERT_EQUAL(r.state, PUBLISH_ACCEPTED);
+	publish_result_clear(&r);
+	fake_store_clear(&f);
+}
+
+/* Guards against a damaged or incomplete set being taken into force. */
+static void test_damage(void)
+{
+	static const char *const pointers[] = {
+		"",
+		"{}",
+		"{\"version\":1}",
+		"{\"version\":0,\"publish_id\":\"1-a\",\"author\":\"a\","
+		"\"time_ms\":1,\"bytes\":1,\"parts\":[]}",
+		"{\"version\":1,\"publish_id\":\"1-a\",\"author\":\"a\","
+		"\"time_ms\":1,\"bytes\":1,\"parts\":[\"../x\"]}",
+	};
+	struct fault_list faults = {0};
+	struct publish_record record;
+	struct publish_result r;
+	struct object_set *set;
+	struct fake_store f;
+	char *key;
+
+	fake_store_init(&f);
+	publish(&f, "one", "ann", &r);
+	key = g_strconcat(PUBLISH_KEY_PART, r.record.parts[0], NULL);
+	fake_store_put(&f, key, "{}");
+	CU_ASSERT_EQUAL(publish_read_set(&f.store, &r.record, &set, &faults),
+			-ERR_PUBLISH_HASH);
+	fake_store_put(&f, key, NULL);
+	CU_ASSERT_EQUAL(publish_read_set(&f.store, &r.record, &set, &faults),
+			-ERR_PUBLISH_PART);
+	for (size_t i = 0; i < G_N_ELEMENTS(pointers); i++) {
+		fake_store_put(&f, PUBLISH_KEY_POINTER, pointers[i]);
+		CU_ASSERT_EQUAL(publish_read_pointer(&f.store, &record),
+				-ERR_PUBLISH_RECORD);
+	}
+	g_free(key);
+	publish_result_clear(&r);
+	fake_store_clear(&f);
+}
+
+CU_TestInfo store_publish_tests[] = {
+	{"parts", test_parts},	   {"lost replies", test_lost_replies},
+	{"outages", test_outages}, {"fence", test_fence},
+	{"race", test_race},	   {"stale reads", test_stale_reads},
+	{"damage", test_damage},   CU_TEST_INFO_NULL,
+};
