--- a/test/unit/main.c
+++ b/test/unit/main.c
@@ -4,7 +4,9 @@
 
 static CU_SuiteInfo suites[] = {
 	{"common", NULL, NULL, NULL, NULL, common_tests},
+	{"forward", NULL, NULL, NULL, NULL, forward_tests},
 	{"merge", NULL, NULL, NULL, NULL, merge_tests},
+	{"peer", NULL, NULL, NULL, NULL, peer_tests},
 	{"store etcd", NULL, NULL, NULL, NULL, store_etcd_tests},
 	{"store gateway", NULL, NULL, NULL, NULL, store_gateway_tests},
 	{"store publish", NULL, NULL, NULL, NULL, store_publish_tests},
