test: add stand-ins for the store and the host list

Sessions against the commands and the daemon need a store that fails on demand: outage, delay, a reply lost after its write, stale reads and lapsed leases. A watch is a reply that is held until a change arrives, which the adapter treats like the end of a stream. http_exchange_drop() closes a connection without a reply; no other way to lose one was there.

--- a/include/net/http_server.h
+++ b/include/net/http_server.h
@@ -58,6 +58,9 @@
 void http_exchange_add_header(struct http_exchange *x, const char *name,
 			      const char *value);
 
+/** Closes the connection without a reply and ends the caller's reference. */
+void http_exchange_drop(struct http_exchange *x);
+
 /**
  * Sends the reply and ends the caller's reference. The body is copied.
  */
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -282,3 +282,9 @@
 	MHD_resume_connection(x->connection);
 	exchange_unref(x);
 }
+
+void http_exchange_drop(struct http_exchange *x)
+{
+	shutdown(x->fd, SHUT_RDWR);
+	http_exchange_reply(x, 503, "text/plain", "", 0);
+}
--- a/test/standin/leaf.c
+++ b/test/standin/leaf.c
@@ -10,6 +10,7 @@
 
 #include "common/hash.h"
 #include "net/http_server.h"
+#include "reply.h"
 
 #define MAX_SLOTS 64
 #define HITS_PER_REPLY 5
@@ -31,16 +32,6 @@
 	return json_is_integer(v) ? json_integer_value(v) : fallback;
 }
 
-static void reply_json(struct http_exchange *x, unsigned int status,
-		       json_t *document)
-{
-	char *text = json_dumps(document, JSON_COMPACT);
-
-	json_decref(document);
-	http_exchange_reply(x, status, "application/json", text, strlen(text));
-	free(text);
-}
-
 static void refuse(struct http_exchange *x, unsigned int status)
 {
 	http_exchange_add_header(x, "Nutmegpick-Run", "not_run");
--- a/test/unit/test_store_etcd.c
+++ b/test/unit/test_store_etcd.c
@@ -9,6 +9,7 @@
 
 #include "common/errors.h"
 #include "common/events.h"
+#include "../standin/store.h"
 #include "store/etcd.h"
 
 #define OK_HEAD "HTTP/1.1 200 OK\r\nContent-Length: "
@@ -215,7 +216,7 @@
 	log->end = reply->code;
 	log->events += (int)reply->count;
 	if (reply->count)
-		g_strlcpy(log->last, reply->entries[0].value,
+		g_strlcpy(log->last, reply->entries[reply->count - 1].value,
 			  sizeof(log->last));
 }
 
@@ -265,9 +266,156 @@
 	}
 }
 
+/** Adapter and stand-in. */
+struct session {
+	struct store_standin *standin;
+	struct etcd *etcd;
+	struct store store;
+	struct store_reply reply;
+};
+
+static void session_start(struct session *s)
+{
+	char address[32];
+	const char *endpoint = address;
+
+	memset(s, 0, sizeof(*s));
+	s->standin = store_standin_create("127.0.0.1:0");
+	CU_ASSERT_PTR_NOT_NULL_FATAL(s->standin);
+	g_snprintf(address, sizeof(address), "127.0.0.1:%u",
+		   store_standin_port(s->standin));
+	s->etcd = create_adapter(&endpoint, 1);
+	s->store = etcd_store(s->etcd);
+}
+
+static void session_stop(struct session *s)
+{
+	etcd_destroy(s->etcd);
+	store_reply_clear(&s->reply);
+}
+
+static void control(struct session *s, const char *field, int value)
+{
+	json_t *changes = json_pack("{s:i}", field, value);
+
+	store_standin_control(s->standin, changes);
+	json_decref(changes);
+}
+
+/* Keeps a copy of the last reply in the session. */
+static void handle_any(void *ctx, struct store_reply *reply)
+{
+	struct session *s = ctx;
+
+	store_reply_clear(&s->reply);
+	s->reply = *reply;
+	s->reply.cause = 1;
+	memset(reply, 0, sizeof(*reply));
+}
+
+static int wait_reply(struct session *s)
+{
+	while (!s->reply.cause)
+		store_run(&s->store, 1000000);
+	s->reply.cause = 0;
+	return s->reply.code;
+}
+
+static int put_key(struct session *s, const char *key, const char *value,
+		   int64_t lease_id)
+{
+	struct store_put put = {key, value, strlen(value), lease_id};
+	struct store_txn txn = {.puts = &put, .put_count = 1};
+
+	store_txn(&s->store, &txn, (struct store_done){handle_any, s});
+	return wait_reply(s);
+}
+
+static size_t count_keys(struct session *s, const char *prefix)
+{
+	struct store_get get = {.key = prefix, .is_prefix = true};
+
+	store_get(&s->store, &get, (struct store_done){handle_any, s});
+	CU_ASSERT_EQUAL(wait_reply(s), 0);
+	return s->reply.count;
+}
+
+/* Guards against a key or a lease that outlives the lease's end. */
+static void test_lease(void)
+{
+	struct store_done done = {handle_any, NULL};
+	struct session s;
+	int64_t lease;
+
+	session_start(&s);
+	done.ctx = &s;
+	store_lease_grant(&s.store, 60, done);
+	CU_ASSERT_EQUAL(wait_reply(&s), 0);
+	lease = s.reply.lease_id;
+	CU_ASSERT_EQUAL(s.reply.ttl_s, 60);
+	CU_ASSERT_EQUAL(put_key(&s, "seat/a", "1", lease), 0);
+	CU_ASSERT_EQUAL(put_key(&s, "seat/b", "2", 0), 0);
+	CU_ASSERT_EQUAL(count_keys(&s, "seat/"), 2);
+	store_lease_keepalive(&s.store, lease, done);
+	CU_ASSERT_EQUAL(wait_reply(&s), 0);
+	control(&s, "lapse_lease", (int)lease);
+	CU_ASSERT_EQUAL(count_keys(&s, "seat/"), 1);
+	store_lease_keepalive(&s.store, lease, done);
+	CU_ASSERT_EQUAL(wait_reply(&s), -ERR_STORE_LEASE_GONE);
+	store_lease_revoke(&s.store, lease, done);
+	CU_ASSERT_EQUAL(wait_reply(&s), -ERR_STORE_LEASE_GONE);
+	session_stop(&s);
+}
+
+/* Guards against a change being lost between two watches. */
+static void test_watch_revision(void)
+{
+	struct store_watch watch = {.key = "k"};
+	struct watch_log log = {0};
+	struct session s;
+
+	session_start(&s);
+	CU_ASSERT_EQUAL(put_key(&s, "k", "1", 0), 0);
+	watch.from_revision = s.reply.revision + 1;
+	CU_ASSERT_EQUAL(put_key(&s, "k", "2", 0), 0);
+	CU_ASSERT_EQUAL(put_key(&s, "k", "3", 0), 0);
+	store_watch(&s.store, &watch, (struct store_done){handle_watch, &log});
+	while (!log.end)
+		store_run(&s.store, 1000000);
+	CU_ASSERT_EQUAL(log.end, -ERR_STORE_WATCH_END);
+	CU_ASSERT_EQUAL(log.events, 2);
+	CU_ASSERT_STRING_EQUAL(log.last, "3");
+	session_stop(&s);
+}
+
+/* Guards against faults of the stand-in that tests rely on not working. */
+static void test_standin_faults(void)
+{
+	struct store_get get = {.key = "k"};
+	struct session s;
+
+	session_start(&s);
+	CU_ASSERT_EQUAL(put_key(&s, "k", "1", 0), 0);
+	control(&s, "lose_reply_of_write", 1);
+	CU_ASSERT_EQUAL(put_key(&s, "k", "2", 0), -ERR_STORE_UNKNOWN);
+	CU_ASSERT_EQUAL(store_get_wait(&s.store, &get, &s.reply), 0);
+	CU_ASSERT_STRING_EQUAL(s.reply.entries[0].value, "2");
+	store_reply_clear(&s.reply);
+	control(&s, "stale_by", 1);
+	CU_ASSERT_EQUAL(store_get_wait(&s.store, &get, &s.reply), 0);
+	CU_ASSERT_STRING_EQUAL(s.reply.entries[0].value, "1");
+	control(&s, "outage_after_writes", 1);
+	CU_ASSERT_EQUAL(put_key(&s, "k", "3", 0), 0);
+	CU_ASSERT_EQUAL(put_key(&s, "k", "4", 0), -ERR_STORE_UNKNOWN);
+	session_stop(&s);
+}
+
 CU_TestInfo store_etcd_tests[] = {
 	{"replies", test_replies},
 	{"failover", test_failover},
 	{"watch", test_watch},
+	{"lease", test_lease},
+	{"watch revision", test_watch_revision},
+	{"stand-in faults", test_standin_faults},
 	CU_TEST_INFO_NULL,
 };
