--- /dev/null
+++ b/include/fleet/frame.h
@@ -0,0 +1,197 @@
+#ifndef FLEET_FRAME_H
+#define FLEET_FRAME_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/** Length prefix and limit of a frame on a peer link, in bytes. */
+#define FRAME_PREFIX 4
+#define FRAME_MAX 2097152
+
+/** Protocol versions that this release speaks. */
+#define FRAME_VERSION_LOW 1
+#define FRAME_VERSION_HIGH 1
+
+/** Sizes of text fields, with the final NUL. */
+#define HOST_ID_MAX 40
+#define HOST_ADDRESS_MAX 48
+#define DOMAIN_NAME_MAX 32
+#define PART_NAME_MAX 72
+
+#define NO_SEAT (-1)
+#define MAX_SEATS 65536
+
+/**
+ * Frame types of section 4.3 of the design. Queries (FORWARD to CANCEL) and
+ * EXPLAIN frames are encoded by other libraries.
+ */
+enum frame_type {
+	FRAME_HELLO = 1,
+	FRAME_PING = 2,
+	FRAME_PING_REQ = 3,
+	FRAME_ACK = 4,
+	FRAME_GOSSIP = 5,
+	FRAME_PULL = 6,
+	FRAME_SET = 7,
+	FRAME_FORWARD = 8,
+	FRAME_RESULT = 9,
+	FRAME_CANCEL = 10,
+	FRAME_LEASE = 11,
+	FRAME_LEASE_ACK = 12,
+	FRAME_EXPLAIN = 13,
+	FRAME_EXPLAIN_RESULT = 14,
+};
+
+enum member_state {
+	MEMBER_ALIVE,
+	MEMBER_SUSPECT,
+	MEMBER_DEAD,
+	MEMBER_LEFT,
+};
+
+/** What one host says of another one, or of itself. */
+struct frame_update {
+	char host[HOST_ID_MAX];
+	char address[HOST_ADDRESS_MAX];
+	char domain[DOMAIN_NAME_MAX];
+	uint64_t incarnation;
+	enum member_state state;
+	/** Seat number in the host's domain, or NO_SEAT. */
+	int32_t seat;
+};
+
+/** Owner of the request keys of a seat, when it is not the seat's host. */
+struct frame_key_owner {
+	char domain[DOMAIN_NAME_MAX];
+	uint16_t seat;
+	uint64_t epoch;
+	char host[HOST_ID_MAX];
+};
+
+/** State that travels on most frames. */
+struct frame_gossip {
+	/** Version of the object set in force at the sender. */
+	uint64_t version;
+	/** Digest of the sender's table of live members. */
+	uint64_t digest;
+	struct frame_update sender;
+	const struct frame_update *updates;
+	uint32_t update_count;
+	const struct frame_key_owner *owners;
+	uint32_t owner_count;
+};
+
+struct frame_hello {
+	uint32_t version_low;
+	uint32_t version_high;
+	bool is_reply;
+	struct frame_update sender;
+};
+
+struct frame_ping {
+	uint64_t seq;
+};
+
+struct frame_ping_req {
+	uint64_t seq;
+	char target[HOST_ID_MAX];
+	char address[HOST_ADDRESS_MAX];
+};
+
+struct frame_ack {
+	uint64_t seq;
+	/** Host that answered; differs from the sender for indirect probes. */
+	char subject[HOST_ID_MAX];
+};
+
+struct frame_pull {
+	/** Asks for the whole member table. */
+	bool is_full;
+	/** Asks for this part of the set; empty asks for state only. */
+	char part[PART_NAME_MAX];
+	uint64_t version;
+};
+
+struct frame_set {
+	uint64_t version;
+	char part[PART_NAME_MAX];
+	const void *data;
+	uint32_t size;
+};
+
+enum lease_answer {
+	/** The successor does not take the keys over for LEASE. */
+	LEASE_PROMISED,
+	/** The sender does not promise anything. */
+	LEASE_REFUSED,
+	/** The store names the receiver as the new owner. */
+	LEASE_HANDED,
+};
+
+/** Heartbeat of a key owner, or the answer to one. */
+struct frame_lease {
+	char domain[DOMAIN_NAME_MAX];
+	uint16_t seat;
+	uint64_t epoch;
+	uint64_t seq;
+	char host[HOST_ID_MAX];
+	uint64_t incarnation;
+	/** Only in LEASE_ACK. */
+	enum lease_answer answer;
+};
+
+/** One frame; gossip is set for PING, PING_REQ, ACK, GOSSIP and PULL. */
+struct frame {
+	enum frame_type type;
+	struct frame_gossip gossip;
+	union {
+		struct frame_hello hello;
+		struct frame_ping ping;
+		struct frame_ping_req ping_req;
+		struct frame_ack ack;
+		struct frame_pull pull;
+		struct frame_set set;
+		struct frame_lease lease;
+	};
+};
+
+/** Encodes and decodes frames; keeps its buffers between calls. */
+struct frame_codec;
+
+/** Creates a codec. Returns 0 or -ERR_NOMEM. */
+int frame_codec_create(struct frame_codec **out);
+void frame_codec_destroy(struct frame_codec *c);
+
+/**
+ * Encodes a frame with its length prefix. The bytes are valid until the next
+ * call. Returns 0, -ERR_FRAME_TYPE, -ERR_FRAME_SIZE or -ERR_NOMEM.
+ */
+int frame_encode(struct frame_codec *c, const struct frame *f,
+		 const void **data, size_t *len);
+
+/**
+ * Decodes one whole frame with its prefix. Pointers in the frame are valid
+ * until the next call, and data of SET as long as the input.
+ * Returns 0, -ERR_FRAME (malformed), -ERR_FRAME_TRUNCATED, -ERR_FRAME_SIZE,
+ * -ERR_FRAME_TYPE or -ERR_NOMEM; the link is closed on any error.
+ */
+int frame_decode(struct frame_codec *c, const void *data, size_t len,
+		 struct frame *out);
+
+/**
+ * Reads a length prefix of FRAME_PREFIX bytes. Returns the size of the payload
+ * or -ERR_FRAME_SIZE.
+ */
+int frame_payload_size(const void *prefix);
+
+/**
+ * Returns the type of a frame without decoding the rest, so that a link can
+ * pass on frames of other libraries, or a negative result code.
+ */
+int frame_peek_type(const void *data, size_t len);
+
+/** Returns the highest common version, or -ERR_FRAME_VERSION. */
+int frame_select_version(const struct frame_hello *hello);
+
+#endif
