--- a/test/unit/suites.h
+++ b/test/unit/suites.h
@@ -6,6 +6,7 @@
 /** Suites, one per test file; each is a NULL-terminated list of tests. */
 extern CU_TestInfo common_tests[];
 extern CU_TestInfo forward_tests[];
+extern CU_TestInfo fleet_frame_tests[];
 extern CU_TestInfo fleet_placement_tests[];
 extern CU_TestInfo merge_tests[];
 extern CU_TestInfo upstream_tests[];
