engine: run non-idempotent requests at most once

The engine ignored request keys: each repeat ran again, and a failed query reported its run state from the number of calls, not from what the leaves may have received.

Split the engine into small files, with ids, timers and state by name in tables in place of scans. The daemon keeps the hits of keyed runs for repeats.

event_level() looks up the level by a switch, since each decision asks it.

--- a/common/events.c
+++ b/common/events.c
@@ -46,9 +46,22 @@
 	return find_entry(id)->text;
 }
 
+/* A switch, since each decision asks whether its event is enabled. */
 enum event_level event_level(enum event_id id)
 {
-	return find_entry(id)->level;
+	switch (id) {
+#define EVENT(name, number, level, text) \
+	case EV_##name:                  \
+		return level;
+#include "common/events.def"
+#include "objects/events.def"
+#include "store/events.def"
+#include "engine/events.def"
+#include "fleet/events.def"
+#include "net/events.def"
+#undef EVENT
+	}
+	return EVENT_DEBUG;
 }
 
 void event_set_level(enum event_level level)
@@ -58,7 +71,6 @@
 
 int event_is_enabled(enum event_id id)
 {
-	/* The lookup is skipped on the common path: debug lines dropped. */
 	if (log_sink || min_level == EVENT_DEBUG)
 		return 1;
 	return event_level(id) >= min_level;
--- /dev/null
+++ b/engine/call.c
@@ -0,0 +1,104 @@
+#include <inttypes.h>
+
+#include "common/errors.h"
+#include "engine/internal.h"
+
+static struct call *add_call(struct engine *e, struct query_shard *s,
+			     obj_handle leaf, enum call_kind kind)
+{
+	struct call *c = id_table_take(&e->calls);
+
+	c->shard = s;
+	c->leaf_handle = leaf;
+	c->leaf = s->query->view->leaves[leaf];
+	c->leaf->outstanding++;
+	c->start_us = engine_now(e);
+	c->is_hedge = kind == CALL_HEDGE;
+	c->is_retry = kind == CALL_RETRY;
+	s->calls[s->call_count++] = c;
+	s->tried[s->tried_count++ % SHARD_TRIED_MAX] = c->leaf;
+	s->attempts++;
+	s->query->calls++;
+	return c;
+}
+
+static void send_call(struct engine *e, const struct call *c)
+{
+	const struct query *q = c->shard->query;
+	const struct object_set *set = q->view->set;
+	struct engine_call out = {
+		.query_id = q->id,
+		.call_id = c->id,
+		.leaf = c->leaf_handle,
+		.shard = c->shard->shard,
+		.address = set->leaves[c->leaf_handle].address,
+		.shard_name = set->shards[c->shard->shard].name,
+		.request_id = q->request_id,
+		.snapshot = q->snapshot,
+		.remaining_us = q->deadline_us - c->start_us,
+		.is_hedge = c->is_hedge,
+		.is_retry = c->is_retry,
+		.is_non_idempotent = q->is_non_idempotent,
+		.user = q->user,
+	};
+
+	LOG(CALL_ROUTE, "request=%s shard=%s leaf=%s attempt=%" PRIu64,
+	    q->request_id, out.shard_name, out.address, c->id);
+	e->options.ops->start_call(e->options.ctx, &out);
+}
+
+void call_start(struct engine *e, struct query_shard *s, enum call_kind kind)
+{
+	obj_handle leaf;
+
+	if (!replica_choose(e, s, &leaf)) {
+		query_miss_shard(e, s, ERR_UPSTREAM);
+		return;
+	}
+	/* The last step before the hand-over, as section 2.2 requires. */
+	if (s->query->key && !request_key_has_lease(e, s->query)) {
+		query_miss_shard(e, s, ERR_LEASE_LAPSED);
+		return;
+	}
+	send_call(e, add_call(e, s, leaf, kind));
+}
+
+void call_release(struct engine *e, struct call *c)
+{
+	struct query_shard *s = c->shard;
+
+	for (uint32_t i = 0; i < s->call_count; i++) {
+		if (s->calls[i] == c)
+			s->calls[i--] = s->calls[--s->call_count];
+	}
+	c->leaf->outstanding--;
+	id_table_release(&e->calls, c);
+}
+
+void call_cancel(struct engine *e, struct call *c)
+{
+	uint64_t id = c->id;
+
+	/* The leaf may have received the call before the cancellation. */
+	c->shard->query->may_have_run = true;
+	call_release(e, c);
+	e->options.ops->cancel_call(e->options.ctx, id);
+}
+
+bool call_may_have_run(const struct engine_result *result)
+{
+	switch (result->status) {
+	case CALL_SHED:
+	case CALL_DRAINING:
+	case CALL_SNAPSHOT_GONE:
+	case CALL_REPARTITIONED:
+	case CALL_EXPIRED:
+		return false;
+	case CALL_CONNECT_FAILED:
+	case CALL_RESET:
+	case CALL_TIMEOUT:
+		return result->bytes_sent;
+	default:
+		return true;
+	}
+}
--- /dev/null
+++ b/engine/query.c
@@ -0,0 +1,171 @@
+#include <string.h>
+
+#include "common/errors.h"
+#include "common/hash.h"
+#include "engine/internal.h"
+
+/* Used where the set does not name the service of a known request key. */
+#define FALLBACK_DEADLINE_US US_PER_S
+
+static int64_t choose_deadline(const struct query *q, int64_t asked_us)
+{
+	const struct deadline_object *d;
+
+	if (q->service == OBJ_NONE)
+		return asked_us > 0 ? asked_us : FALLBACK_DEADLINE_US;
+	d = &q->view->set->deadlines[query_service(q)->deadline];
+	return MIN(asked_us > 0 ? asked_us : d->default_us, d->max_us);
+}
+
+struct query *query_create(struct engine *e, const struct engine_request *r,
+			   struct set_view *view)
+{
+	struct query *q = id_table_take(&e->queries);
+	uint64_t id = q->id;
+
+	memset(q, 0, sizeof(*q));
+	q->id = id;
+	q->view = view ? view_ref(view) : NULL;
+	q->service = view ? object_set_find_service(view->set, r->service)
+			  : OBJ_NONE;
+	q->user = r->user;
+	q->start_us = engine_now(e);
+	q->deadline_us = q->start_us + choose_deadline(q, r->deadline_us);
+	g_strlcpy(q->request_id, r->id, sizeof(q->request_id));
+	return q;
+}
+
+static void add_shard(struct query *q, obj_handle shard)
+{
+	struct query_shard *s = &q->shards[q->shard_count++];
+
+	s->query = q;
+	s->shard = shard;
+	q->total_weight += q->view->set->shards[shard].weight;
+}
+
+static void add_all_shards(struct query *q)
+{
+	const struct service_object *service = query_service(q);
+
+	for (uint32_t i = 0; i < service->group_count; i++) {
+		const struct group_object *g =
+			&q->view->set->groups[service->groups[i]];
+
+		for (uint32_t j = 0; j < g->shard_count; j++)
+			add_shard(q, g->first_shard + j);
+	}
+}
+
+static obj_handle choose_shard(const struct query *q, const char *key)
+{
+	const struct service_object *service = query_service(q);
+	uint64_t key_hash = hash_string(key, 0);
+	obj_handle best = OBJ_NONE;
+	uint64_t best_hash = 0;
+
+	for (uint32_t i = 0; i < service->group_count; i++) {
+		const struct group_object *g =
+			&q->view->set->groups[service->groups[i]];
+
+		for (uint32_t j = 0; j < g->shard_count; j++) {
+			obj_handle h = g->first_shard + j;
+			uint64_t hash =
+				hash_pair(key_hash, q->view->shards[h]->hash);
+
+			if (best != OBJ_NONE && hash <= best_hash)
+				continue;
+			best = h;
+			best_hash = hash;
+		}
+	}
+	return best;
+}
+
+static uint32_t count_shards(const struct query *q)
+{
+	const struct service_object *service = query_service(q);
+	uint32_t count = 0;
+
+	if (service->fan_out == FAN_OUT_KEY)
+		return 1;
+	for (uint32_t i = 0; i < service->group_count; i++)
+		count += q->view->set->groups[service->groups[i]].shard_count;
+	return count;
+}
+
+void query_add_shards(struct query *q, const char *key)
+{
+	q->shards = g_new0(struct query_shard, count_shards(q));
+	if (query_service(q)->fan_out == FAN_OUT_KEY)
+		add_shard(q, choose_shard(q, key));
+	else
+		add_all_shards(q);
+}
+
+static void handle_deadline(struct engine *e, struct timer *t)
+{
+	struct query *q = HEAP_OWNER(t, struct query, timer);
+
+	query_cancel_calls(e, q);
+	for (uint32_t i = 0; i < q->shard_count; i++) {
+		if (q->shards[i].phase == SHARD_PENDING)
+			query_miss_shard(e, &q->shards[i], ERR_DEADLINE);
+	}
+}
+
+void query_run(struct engine *e, struct query *q)
+{
+	q->phase = QUERY_RUNNING;
+	q->pending = q->shard_count;
+	timer_arm(e, &q->timer, q->deadline_us, handle_deadline);
+	for (uint32_t i = 0; i < q->shard_count; i++) {
+		if (q->shards[i].phase == SHARD_PENDING)
+			call_start(e, &q->shards[i], CALL_FIRST);
+	}
+}
+
+void query_end(struct engine *e, struct query *q, int code)
+{
+	if (q->phase == QUERY_ENDED)
+		return;
+	timer_disarm(e, &q->timer);
+	q->phase = QUERY_ENDED;
+	q->code = code;
+	heap_push(&e->ended, &q->ended, 0);
+}
+
+void query_release(struct engine *e, struct query *q)
+{
+	timer_disarm(e, &q->timer);
+	heap_remove(&e->ended, &q->ended);
+	g_free(q->shards);
+	q->shards = NULL;
+	view_unref(q->view);
+	q->view = NULL;
+	q->phase = QUERY_FREE;
+	id_table_release(&e->queries, q);
+}
+
+void query_miss_shard(struct engine *e, struct query_shard *s, int reason)
+{
+	struct query *q = s->query;
+
+	s->phase = SHARD_MISSING;
+	s->reason = reason;
+	LOG(SHARD_GAP, "request=%s shard=%s reason=E%d", q->request_id,
+	    query_shard_object(s)->name, reason);
+	if (!--q->pending)
+		query_end(e, q, 0);
+}
+
+void query_cancel_calls(struct engine *e, struct query *q)
+{
+	for (uint32_t i = 0; i < q->shard_count; i++) {
+		struct query_shard *s = &q->shards[i];
+
+		timer_disarm(e, &s->timer);
+		while (s->call_count)
+			call_cancel(e, s->calls[0]);
+	}
+}
--- /dev/null
+++ b/engine/request_key.c
@@ -0,0 +1,130 @@
+#include <inttypes.h>
+
+#include "common/errors.h"
+#include "engine/internal.h"
+
+bool request_is_non_idempotent(const struct engine *e,
+			       const struct engine_request *r)
+{
+	obj_handle h = object_set_find_service(e->view->set, r->service);
+
+	return r->is_non_idempotent || !e->view->set->services[h].idempotent;
+}
+
+static void handle_wait_expired(struct engine *e, struct timer *t)
+{
+	struct query *q = HEAP_OWNER(t, struct query, timer);
+
+	request_key_leave(q);
+	q->may_have_run = true;
+	query_end(e, q, -ERR_DEADLINE);
+}
+
+bool request_key_join(struct engine *e, const struct engine_request *r,
+		      uint64_t *query_id)
+{
+	struct key_entry *entry;
+	struct query *q;
+
+	if (!r->key[0])
+		return false;
+	entry = key_table_find(&e->keys, r->service, r->key);
+	if (!entry)
+		return false;
+	q = query_create(e, r, e->view);
+	*query_id = q->id;
+	q->key = entry;
+	q->duplicate_of = entry->query_id;
+	LOG(KEY_REPEAT, "request=%s key=%s state=%d run=%" PRIu64, r->id,
+	    r->key, entry->state, entry->query_id);
+	if (entry->state != KEY_RUNNING) {
+		query_end(e, q, 0);
+		return true;
+	}
+	q->phase = QUERY_WAITS_KEY;
+	q->next_waiter = entry->waiters;
+	entry->waiters = q;
+	timer_arm(e, &q->timer, q->deadline_us, handle_wait_expired);
+	return true;
+}
+
+static int64_t tenure_start(const struct query *q)
+{
+	const struct service_object *service = query_service(q);
+	int64_t start = INT64_MIN;
+
+	for (uint32_t i = 0; i < service->group_count; i++)
+		start = MAX(
+			start,
+			q->view->groups[service->groups[i]]->tenure_start_us);
+	return start;
+}
+
+bool request_key_has_lease(const struct engine *e, const struct query *q)
+{
+	const struct service_object *service = query_service(q);
+	int64_t now = engine_now(e);
+
+	for (uint32_t i = 0; i < service->group_count; i++) {
+		if (q->view->groups[service->groups[i]]->lease_until_us <= now)
+			return false;
+	}
+	return true;
+}
+
+int request_key_check(struct engine *e, const struct engine_request *r,
+		      const struct query *q)
+{
+	int ret;
+
+	if (!r->key[0] || r->key_created_us <= 0)
+		return -ERR_KEY_REQUIRED;
+	ret = key_table_check_created(&e->keys, r->key_created_us,
+				      tenure_start(q));
+	if (ret)
+		return ret;
+	return request_key_has_lease(e, q) ? 0 : -ERR_LEASE_LAPSED;
+}
+
+static void answer_waiters(struct engine *e, struct query *waiters,
+			   const struct engine_outcome *outcome)
+{
+	while (waiters) {
+		struct query *q = waiters;
+		struct engine_outcome out = *outcome;
+
+		waiters = q->next_waiter;
+		out.request_id = q->request_id;
+		out.user = q->user;
+		out.duplicate_of = q->duplicate_of;
+		out.is_kept = false;
+		out.needed_calls = 0;
+		out.extra_calls = 0;
+		out.total_us = engine_now(e) - q->start_us;
+		e->options.ops->finish_query(e->options.ctx, q->id, &out);
+		query_release(e, q);
+	}
+}
+
+void request_key_settle(struct engine *e, struct query *q,
+			const struct engine_outcome *outcome)
+{
+	struct key_entry *entry = q->key;
+	struct query *waiters = entry->waiters;
+
+	entry->waiters = NULL;
+	if (outcome->run == RUN_NOT_RUN)
+		key_table_remove(&e->keys, entry);
+	else
+		key_table_keep(&e->keys, entry, outcome);
+	answer_waiters(e, waiters, outcome);
+}
+
+void request_key_leave(struct query *q)
+{
+	struct query **link = &q->key->waiters;
+
+	while (*link != q)
+		link = &(*link)->next_waiter;
+	*link = q->next_waiter;
+}
--- /dev/null
+++ b/engine/snapshot.c
@@ -0,0 +1,109 @@
+#include "engine/internal.h"
+
+/* Distinct snapshots compared in one choice; the oldest give way to others. */
+#define CANDIDATES_MAX 16
+
+struct candidate {
+	uint64_t snapshot;
+	uint64_t weight;
+	/** Shard that was counted last, so that replicas count once. */
+	obj_handle last_shard;
+};
+
+struct candidate_list {
+	struct candidate items[CANDIDATES_MAX];
+	uint32_t count;
+};
+
+static struct candidate *oldest(struct candidate_list *list)
+{
+	struct candidate *found = &list->items[0];
+
+	for (uint32_t i = 1; i < list->count; i++) {
+		if (list->items[i].snapshot < found->snapshot)
+			found = &list->items[i];
+	}
+	return found;
+}
+
+static struct candidate *find(struct candidate_list *list, uint64_t snapshot)
+{
+	struct candidate *c;
+
+	for (uint32_t i = 0; i < list->count; i++) {
+		if (list->items[i].snapshot == snapshot)
+			return &list->items[i];
+	}
+	if (list->count < CANDIDATES_MAX) {
+		c = &list->items[list->count++];
+	} else {
+		c = oldest(list);
+		if (c->snapshot > snapshot)
+			return NULL;
+	}
+	c->snapshot = snapshot;
+	c->weight = 0;
+	c->last_shard = OBJ_NONE;
+	return c;
+}
+
+static void count_leaf(struct candidate_list *list, const struct leaf *leaf,
+		       obj_handle shard, uint64_t weight, uint64_t newer_than)
+{
+	for (uint32_t i = 0; i < leaf->snapshot_count; i++) {
+		struct candidate *c;
+
+		if (leaf->snapshots[i] <= newer_than)
+			continue;
+		c = find(list, leaf->snapshots[i]);
+		if (!c || c->last_shard == shard)
+			continue;
+		c->last_shard = shard;
+		c->weight += weight;
+	}
+}
+
+static void count_shard(struct candidate_list *list, const struct query *q,
+			obj_handle shard, uint64_t newer_than)
+{
+	const struct shard_object *s = &q->view->set->shards[shard];
+
+	for (uint32_t i = 0; i < s->leaf_count; i++) {
+		const struct leaf *leaf = q->view->leaves[s->first_leaf + i];
+
+		if (!leaf->is_draining)
+			count_leaf(list, leaf, shard, s->weight, newer_than);
+	}
+}
+
+static uint64_t choose(const struct query *q, uint64_t newer_than)
+{
+	struct candidate_list list = {.count = 0};
+	const struct candidate *best = NULL;
+
+	for (uint32_t i = 0; i < q->shard_count; i++)
+		count_shard(&list, q, q->shards[i].shard, newer_than);
+	for (uint32_t i = 0; i < list.count; i++) {
+		const struct candidate *c = &list.items[i];
+
+		if (!best || c->weight > best->weight ||
+		    (c->weight == best->weight && c->snapshot > best->snapshot))
+			best = c;
+	}
+	return best ? best->snapshot : 0;
+}
+
+uint64_t snapshot_choose(struct engine *e, const struct query *q,
+			 uint64_t newer_than)
+{
+	struct service_state *service = q->view->services[q->service];
+
+	if (newer_than || query_service(q)->fan_out == FAN_OUT_KEY)
+		return choose(q, newer_than);
+	/* The choice depends only on leaf state while the epoch stands. */
+	if (service->pin_epoch != e->snapshot_epoch) {
+		service->pinned = choose(q, 0);
+		service->pin_epoch = e->snapshot_epoch;
+	}
+	return service->pinned;
+}
--- /dev/null
+++ b/engine/view.c
@@ -0,0 +1,159 @@
+#include "engine/view.h"
+
+#include <string.h>
+
+#include "common/hash.h"
+
+/* Every state struct begins with its name, which it owns. */
+static void free_name(gpointer state)
+{
+	g_free(*(char **)state);
+}
+
+static void release_state(gpointer state)
+{
+	g_rc_box_release_full(state, free_name);
+}
+
+static GHashTable *new_table(void)
+{
+	return g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+				     release_state);
+}
+
+/*
+ * Returns the state of that name, taken from the previous set or new, and adds
+ * it to the table. The table owns the reference. Consumes the name.
+ */
+static gpointer take_state(GHashTable *table, GHashTable *previous, char *name,
+			   size_t size)
+{
+	gpointer state = previous ? g_hash_table_lookup(previous, name) : NULL;
+
+	if (state) {
+		g_rc_box_acquire(state);
+		g_free(name);
+	} else {
+		state = g_rc_box_alloc0(size);
+		*(char **)state = name;
+	}
+	g_hash_table_replace(table, *(char **)state, state);
+	return state;
+}
+
+static void take_groups(struct set_view *v, GHashTable *previous,
+			int64_t tenure_start_us)
+{
+	v->groups = g_new0(struct group_state *, v->set->group_count);
+	for (uint32_t i = 0; i < v->set->group_count; i++) {
+		struct group_state *g = take_state(
+			v->group_names, previous,
+			g_strdup(v->set->groups[i].name), sizeof(*g));
+
+		v->groups[i] = g;
+		if (g->lease_until_us)
+			continue;
+		g->tenure_start_us = tenure_start_us;
+		g->lease_until_us = INT64_MAX;
+	}
+}
+
+static char *shard_name(const struct set_view *v, obj_handle shard)
+{
+	const struct shard_object *s = &v->set->shards[shard];
+
+	return g_strconcat(v->set->groups[s->group].name, "/", s->name, NULL);
+}
+
+static void take_shards(struct set_view *v, GHashTable *previous)
+{
+	v->shards = g_new0(struct shard_slot *, v->set->shard_count);
+	for (uint32_t i = 0; i < v->set->shard_count; i++) {
+		v->shards[i] = take_state(v->shard_names, previous,
+					  shard_name(v, i),
+					  sizeof(struct shard_slot));
+		v->shards[i]->hash = hash_string(v->shards[i]->name, 0);
+	}
+}
+
+static void take_leaves(struct set_view *v, GHashTable *previous)
+{
+	v->leaves = g_new0(struct leaf *, v->set->leaf_count);
+	for (uint32_t i = 0; i < v->set->leaf_count; i++) {
+		const struct leaf_object *l = &v->set->leaves[i];
+		char *name = g_strconcat(v->shards[l->shard]->name, "/",
+					 l->address, NULL);
+
+		v->leaves[i] = take_state(v->leaf_names, previous, name,
+					  sizeof(struct leaf));
+	}
+}
+
+static void take_services(struct set_view *v, GHashTable *previous)
+{
+	v->services = g_new0(struct service_state *, v->set->service_count);
+	for (uint32_t i = 0; i < v->set->service_count; i++) {
+		v->services[i] = take_state(v->service_names, previous,
+					    g_strdup(v->set->services[i].name),
+					    sizeof(struct service_state));
+		v->services[i]->pin_epoch = 0;
+	}
+}
+
+struct set_view *view_create(struct object_set *set,
+			     const struct set_view *previous,
+			     int64_t tenure_start_us)
+{
+	struct set_view *v = g_rc_box_new0(struct set_view);
+	static const struct set_view none;
+
+	if (!previous)
+		previous = &none;
+	v->set = object_set_ref(set);
+	v->leaf_names = new_table();
+	v->shard_names = new_table();
+	v->group_names = new_table();
+	v->service_names = new_table();
+	take_groups(v, previous->group_names, tenure_start_us);
+	take_shards(v, previous->shard_names);
+	take_leaves(v, previous->leaf_names);
+	take_services(v, previous->service_names);
+	return v;
+}
+
+struct set_view *view_ref(struct set_view *v)
+{
+	return g_rc_box_acquire(v);
+}
+
+static void handle_clear(gpointer data)
+{
+	struct set_view *v = data;
+
+	g_hash_table_unref(v->leaf_names);
+	g_hash_table_unref(v->shard_names);
+	g_hash_table_unref(v->group_names);
+	g_hash_table_unref(v->service_names);
+	g_free(v->leaves);
+	g_free(v->shards);
+	g_free(v->groups);
+	g_free(v->services);
+	object_set_unref(v->set);
+}
+
+void view_unref(struct set_view *v)
+{
+	if (v)
+		g_rc_box_release_full(v, handle_clear);
+}
+
+struct leaf_share view_share(const struct set_view *v, obj_handle group)
+{
+	const struct group_object *g = &v->set->groups[group];
+	struct leaf_share whole = {
+		.connections = g->connections,
+		.slots = g->slots,
+	};
+
+	return v->groups[group]->has_share ? v->groups[group]->share : whole;
+}
--- a/include/engine/engine.h
+++ b/include/engine/engine.h
@@ -129,10 +129,13 @@
 	uint32_t needed_calls;
 	uint32_t extra_calls;
 	/**
-	 * Call id of an earlier run of the same request key whose result
-	 * answers this request; 0 if the query ran by itself.
+	 * Query id of the earlier run of the same request key whose outcome
+	 * this is; 0 if the query ran by itself. With code 0 the hits are those
+	 * of that run, which the adapter keeps until forget_result().
 	 */
 	uint64_t duplicate_of;
+	/** Repeats of the request key may name this query in duplicate_of. */
+	bool is_kept;
 	void *user;
 };
 
@@ -147,6 +150,11 @@
 	/** Ends the query; no further callback names it. */
 	void (*finish_query)(void *ctx, uint64_t query_id,
 			     const struct engine_outcome *outcome);
+	/**
+	 * The window of a request key has passed: no later outcome names the
+	 * query in duplicate_of. NULL if the adapter keeps no hits.
+	 */
+	void (*forget_result)(void *ctx, uint64_t query_id);
 };
 
 /** Share of a leaf's connections and slots that this host may use. */
@@ -216,7 +224,10 @@
  * Admits a request. Returns 0 and the query id: the end of the query comes
  * through finish_query(), possibly before this function returns.
  * Returns a negative result code if the request is refused at once; it was then
- * not run, and retry_after_us tells when to try again (0: no advice).
+ * not run, and retry_after_us tells when to try again (0: no advice). A repeat
+ * of a known request key is never refused here: it waits for the run, and gets
+ * its outcome through finish_query(). The same holds for a key that may have
+ * run elsewhere (-ERR_KEY_UNKNOWN).
  */
 int engine_submit(struct engine *e, const struct engine_request *request,
 		  uint64_t *query_id, int64_t *retry_after_us);
@@ -231,8 +242,12 @@
 /** Takes a leaf's report. */
 void engine_report(struct engine *e, const struct leaf_report *report);
 
-/** Ends the query without an answer: the caller has left. */
-void engine_cancel(struct engine *e, uint64_t query_id);
+/**
+ * Ends the query without an answer: the caller has left. Returns false if the
+ * query runs for a request key: it goes on, because a repeat may ask for its
+ * result, and its end comes through finish_query().
+ */
+bool engine_cancel(struct engine *e, uint64_t query_id);
 
 /** Returns the monotonic time of the next timer, or INT64_MAX. */
 int64_t engine_next_timer(const struct engine *e);
--- /dev/null
+++ b/include/engine/internal.h
@@ -0,0 +1,143 @@
+#ifndef ENGINE_INTERNAL_H
+#define ENGINE_INTERNAL_H
+
+#include <glib.h>
+
+#include "common/events.h"
+#include "engine/engine.h"
+#include "engine/heap.h"
+#include "engine/key_table.h"
+#include "engine/query.h"
+#include "engine/view.h"
+
+/* Arguments are not evaluated when the event is disabled. */
+#define LOG(id, ...)                                     \
+	do {                                             \
+		if (event_is_enabled(EV_##id))           \
+			event_log(EV_##id, __VA_ARGS__); \
+	} while (0)
+
+struct engine {
+	int refs;
+	struct engine_options options;
+	struct set_view *view;
+	struct id_table queries;
+	struct id_table calls;
+	struct heap timers;
+	/** Queries whose outcome is to be delivered. */
+	struct heap ended;
+	struct key_table keys;
+	/** Advances when a leaf gains or loses a snapshot or starts to drain. */
+	uint64_t snapshot_epoch;
+	int64_t start_wall_us;
+	GRand *random;
+	bool is_stopping;
+};
+
+static inline int64_t engine_now(const struct engine *e)
+{
+	return clock_now(&e->options.clock);
+}
+
+static inline const struct service_object *query_service(const struct query *q)
+{
+	return &q->view->set->services[q->service];
+}
+
+static inline const struct shard_object *
+query_shard_object(const struct query_shard *s)
+{
+	return &s->query->view->set->shards[s->shard];
+}
+
+/* timer.c */
+
+/** Arms or moves a timer. */
+void timer_arm(struct engine *e, struct timer *t, int64_t at_us,
+	       void (*fire)(struct engine *e, struct timer *t));
+void timer_disarm(struct engine *e, struct timer *t);
+/** Fires the timers that are due. */
+void timer_run(struct engine *e);
+
+/* query.c */
+
+/** Takes a query slot for a request; the view may be NULL. */
+struct query *query_create(struct engine *e, const struct engine_request *r,
+			   struct set_view *view);
+/** Fills in the shards that the query goes to. */
+void query_add_shards(struct query *q, const char *key);
+/** Starts the calls of an admitted query. */
+void query_run(struct engine *e, struct query *q);
+/** Ends a query; its outcome follows at the next engine_advance(). */
+void query_end(struct engine *e, struct query *q, int code);
+/** Releases the slot of a query whose outcome was delivered. */
+void query_release(struct engine *e, struct query *q);
+/** Records that a shard is missing from the answer, and why. */
+void query_miss_shard(struct engine *e, struct query_shard *s, int reason);
+/** Cancels all calls and timers of the query. */
+void query_cancel_calls(struct engine *e, struct query *q);
+
+/* snapshot.c */
+
+/**
+ * Returns the newest snapshot with the highest reachable weight over the
+ * query's shards, or 0. Only snapshots newer than the given one count.
+ */
+uint64_t snapshot_choose(struct engine *e, const struct query *q,
+			 uint64_t newer_than);
+
+/* replica.c */
+
+/** Chooses a replica for a call; returns false if there is none. */
+bool replica_choose(struct engine *e, const struct query_shard *s,
+		    obj_handle *leaf);
+/** Takes a drain notice. */
+void replica_drain(struct engine *e, struct leaf *leaf, const char *source);
+
+/* call.c */
+
+enum call_kind {
+	CALL_FIRST,
+	CALL_HEDGE,
+	CALL_RETRY,
+};
+
+/** Starts a call to a replica of the shard, or records the shard as missing. */
+void call_start(struct engine *e, struct query_shard *s, enum call_kind kind);
+/** Takes a call out of the table and off its leaf. */
+void call_release(struct engine *e, struct call *c);
+void call_cancel(struct engine *e, struct call *c);
+/** Returns whether the leaf may have run the request. */
+bool call_may_have_run(const struct engine_result *result);
+
+/* retry.c */
+
+/** Retries a shard whose call failed, or records the shard as missing. */
+void retry_shard(struct engine *e, struct query_shard *s,
+		 const struct engine_result *result);
+
+/* request_key.c */
+
+/** Returns whether the request may run at most once. */
+bool request_is_non_idempotent(const struct engine *e,
+			       const struct engine_request *r);
+/** Answers a request whose key is known; returns false if it is not known. */
+bool request_key_join(struct engine *e, const struct engine_request *r,
+		      uint64_t *query_id);
+/** Returns 0 if the key may run, or the negative result code of a refusal. */
+int request_key_check(struct engine *e, const struct engine_request *r,
+		      const struct query *q);
+/** Returns whether the key leases of the query's groups are valid now. */
+bool request_key_has_lease(const struct engine *e, const struct query *q);
+/** Settles the key of a run and answers the requests that wait for it. */
+void request_key_settle(struct engine *e, struct query *q,
+			const struct engine_outcome *outcome);
+/** Takes a waiting query off its key. */
+void request_key_leave(struct query *q);
+
+/* outcome.c */
+
+/** Delivers the outcome of an ended query and releases it. */
+void outcome_deliver(struct engine *e, struct query *q);
+
+#endif
--- /dev/null
+++ b/include/engine/view.h
@@ -0,0 +1,66 @@
+#ifndef ENGINE_VIEW_H
+#define ENGINE_VIEW_H
+
+#include <glib.h>
+
+#include "engine/engine.h"
+#include "engine/heap.h"
+#include "engine/leaf.h"
+
+/** State of a shard that is the same under every set. */
+struct shard_slot {
+	char *name;
+	/** Hash for the choice of a shard by request key. */
+	uint64_t hash;
+};
+
+/** State of a shard group. */
+struct group_state {
+	char *name;
+	bool has_share;
+	struct leaf_share share;
+	/** Wall time at which the key tenure began. */
+	int64_t tenure_start_us;
+	int64_t lease_until_us;
+};
+
+/** State of a service. */
+struct service_state {
+	char *name;
+	/** Pin of the last query and the epoch in which it was made. */
+	uint64_t pinned;
+	uint64_t pin_epoch;
+};
+
+/**
+ * An object set with the state behind its handles. State with the same name is
+ * shared between sets; queries hold a reference to the view they began with.
+ */
+struct set_view {
+	struct object_set *set;
+	struct leaf **leaves;
+	struct shard_slot **shards;
+	struct group_state **groups;
+	struct service_state **services;
+	/** The same state by name. */
+	GHashTable *leaf_names;
+	GHashTable *shard_names;
+	GHashTable *group_names;
+	GHashTable *service_names;
+};
+
+/**
+ * Creates the view of a set, with one reference. State is taken over from the
+ * previous view, which may be NULL. Groups without a tenure get one that starts
+ * at wall time tenure_start_us.
+ */
+struct set_view *view_create(struct object_set *set,
+			     const struct set_view *previous,
+			     int64_t tenure_start_us);
+struct set_view *view_ref(struct set_view *v);
+void view_unref(struct set_view *v);
+
+/** Returns this host's share of a leaf of the group. */
+struct leaf_share view_share(const struct set_view *v, obj_handle group);
+
+#endif
--- a/include/nutmegpickd/host.h
+++ b/include/nutmegpickd/host.h
@@ -57,6 +57,8 @@
 	GHashTable *queries;
 	/** Queries of leaf calls in flight, by call id. */
 	GHashTable *calls;
+	/** JSON hits of runs for request keys, by query id. */
+	GHashTable *kept_hits;
 	int64_t next_report_us;
 	int64_t next_gone_check_us;
 	bool is_draining;
--- a/nutmegpickd/answer.c
+++ b/nutmegpickd/answer.c
@@ -80,6 +80,24 @@
 	return array;
 }
 
+/* Hits of the run that the outcome names, or of this one. */
+static json_t *take_hits(struct host_query *q, const struct engine_outcome *o)
+{
+	struct host *h = q->host;
+	json_t *hits;
+
+	if (o->duplicate_of) {
+		hits = g_hash_table_lookup(h->kept_hits, &o->duplicate_of);
+		return hits ? json_incref(hits) : json_array();
+	}
+	hits = encode_hits(q->merge);
+	if (o->is_kept)
+		g_hash_table_insert(h->kept_hits,
+				    g_memdup2(&q->id, sizeof(q->id)),
+				    json_incref(hits));
+	return hits;
+}
+
 static void send_json(struct http_exchange *x, unsigned int status,
 		      json_t *document)
 {
@@ -127,7 +145,7 @@
 			     "request", o->request_id, "service", q->service,
 			     "snapshot", (json_int_t)o->snapshot, "version",
 			     (json_int_t)o->config_version, "coverage",
-			     encode_coverage(o), "hits", encode_hits(q->merge),
+			     encode_coverage(o), "hits", take_hits(q, o),
 			     "timing", "total_us", (json_int_t)o->total_us,
 			     "needed_calls", (json_int_t)o->needed_calls,
 			     "extra_calls", (json_int_t)o->extra_calls);
--- a/nutmegpickd/main.c
+++ b/nutmegpickd/main.c
@@ -7,6 +7,8 @@
 #include <string.h>
 #include <time.h>
 
+#include <jansson.h>
+
 #include "common/errors.h"
 #include "common/events.h"
 
@@ -110,6 +112,11 @@
 		g_usleep(100);
 }
 
+static void handle_free_hits(gpointer hits)
+{
+	json_decref(hits);
+}
+
 static int start_host(struct host *h)
 {
 	struct engine_options engine_options = {
@@ -134,6 +141,8 @@
 	h->queries = g_hash_table_new(g_int64_hash, g_int64_equal);
 	h->calls = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
 					 NULL);
+	h->kept_hits = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+					     g_free, handle_free_hits);
 	ret = ring_create(&h->events, EVENT_RING_SIZE);
 	if (!ret)
 		ret = engine_create(&h->engine, &engine_options);
--- a/nutmegpickd/query.c
+++ b/nutmegpickd/query.c
@@ -239,8 +239,8 @@
 	}
 	for (guint i = 0; i < gone->len; i++) {
 		q = gone->pdata[i];
-		engine_cancel(h->engine, q->id);
-		refuse(q, -ERR_CANCELLED, 0);
+		if (engine_cancel(h->engine, q->id))
+			refuse(q, -ERR_CANCELLED, 0);
 	}
 	g_ptr_array_free(gone, TRUE);
 }
@@ -300,9 +300,17 @@
 	query_free(q);
 }
 
+static void handle_forget_result(void *ctx, uint64_t query_id)
+{
+	struct host *h = ctx;
+
+	g_hash_table_remove(h->kept_hits, &query_id);
+}
+
 const struct engine_ops query_engine_ops = {
 	.start_call = handle_start_call,
 	.cancel_call = handle_cancel_call,
 	.reset_results = handle_reset_results,
 	.finish_query = handle_finish_query,
+	.forget_result = handle_forget_result,
 };
--- a/test/unit/main.c
+++ b/test/unit/main.c
@@ -4,6 +4,7 @@
 
 static CU_SuiteInfo suites[] = {
 	{"common", NULL, NULL, NULL, NULL, common_tests},
+	{"engine keys", NULL, NULL, NULL, NULL, engine_keys_tests},
 	{"merge", NULL, NULL, NULL, NULL, merge_tests},
 	CU_SUITE_INFO_NULL,
 };
