--- a/include/nutmegpickd/host.h
+++ b/include/nutmegpickd/host.h
@@ -35,6 +35,7 @@
 struct host_query {
 	struct host *host;
 	uint64_t id;
+	/** NULL once the caller has left or was refused at a stop. */
 	struct http_exchange *exchange;
 	char request_id[ENGINE_ID_MAX];
 	char *service;
@@ -70,6 +71,9 @@
 /** Sends an event to the engine thread. Returns 0 or -ERR_FULL. */
 int host_send(struct host *h, struct host_event event);
 
+/** Frees events that came after the engine thread's end. */
+void host_drop_events(struct host *h);
+
 /** Runs the engine thread until it gets HOST_EXIT. */
 void *host_run_engine(void *host);
 
@@ -82,6 +86,9 @@
 /** Cancels queries whose callers have closed their connections. */
 void query_check_gone(struct host *h);
 
+/** Refuses every query in flight: the time to stop has run out. */
+void query_stop_all(struct host *h);
+
 /** Callbacks of the engine. */
 extern const struct engine_ops query_engine_ops;
 
@@ -92,6 +99,9 @@
 void answer_refuse(struct http_exchange *x, const char *request_id, int code,
 		   int64_t retry_after_us);
 
+/** Ends a query whose calls may have run. */
+void answer_abandon(struct http_exchange *x, const char *request_id, int code);
+
 /** Answers /healthz, /readyz, /statusz and /metrics. */
 void page_send(struct host *h, struct http_exchange *x);
 
--- a/nutmegpickd/answer.c
+++ b/nutmegpickd/answer.c
@@ -134,6 +134,11 @@
 {
 	json_t *document;
 
+	if (!q->exchange) {
+		if (!o->code)
+			json_decref(take_hits(q, o));
+		return;
+	}
 	if (o->code) {
 		document = encode_refusal(o->request_id, o->code, o->run);
 		json_object_set_new(document, "coverage", encode_coverage(o));
@@ -159,3 +164,9 @@
 	send_json(x, http_status(code),
 		  encode_refusal(request_id, code, RUN_NOT_RUN));
 }
+
+void answer_abandon(struct http_exchange *x, const char *request_id, int code)
+{
+	send_json(x, http_status(code),
+		  encode_refusal(request_id, code, RUN_UNKNOWN));
+}
--- a/test/unit/main.c
+++ b/test/unit/main.c
@@ -5,7 +5,10 @@
 static CU_SuiteInfo suites[] = {
 	{"common", NULL, NULL, NULL, NULL, common_tests},
 	{"engine keys", NULL, NULL, NULL, NULL, engine_keys_tests},
+	{"forward", NULL, NULL, NULL, NULL, forward_tests},
+	{"fleet placement", NULL, NULL, NULL, NULL, fleet_placement_tests},
 	{"merge", NULL, NULL, NULL, NULL, merge_tests},
+	{"peer", NULL, NULL, NULL, NULL, peer_tests},
 	CU_SUITE_INFO_NULL,
 };
 
