engine: admit queries by class with an adaptive limit

Every query was started at once, so an overload filled the leaves with work that ended late.

Services that share groups form a pool with a limit of queries in flight, adapted by the ratio of the median duration to the lowest recent one. The rest waits by worth, with floors per class, only as long as its run still fits, and is refused at once with advice otherwise. Whether a key may have run is checked before any other refusal, which would say that it did not.

--- a/engine/engine.c
+++ b/engine/engine.c
@@ -2,6 +2,7 @@
 
 #include <inttypes.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include "common/errors.h"
 #include "engine/internal.h"
@@ -57,6 +58,7 @@
 	key_table_clear(&e->keys);
 	heap_clear(&e->timers);
 	heap_clear(&e->ended);
+	heap_clear(&e->ready_pools);
 	view_unref(e->view);
 	g_rand_free(e->random);
 	free(e);
@@ -102,42 +104,54 @@
 
 static int check_ready(const struct engine *e, const struct engine_request *r)
 {
-	if (e->is_stopping)
-		return -ERR_STOPPING;
 	if (!e->view)
 		return -ERR_NO_CONFIG;
 	if (object_set_find_service(e->view->set, r->service) == OBJ_NONE)
 		return -ERR_NO_SERVICE;
-	if (e->queries.count >= e->options.max_queries)
-		return -ERR_OVERLOAD;
 	return 0;
 }
 
 static int take_key(struct engine *e, struct query *q,
 		    const struct engine_request *r)
 {
-	int ret = request_key_check(e, r, q);
-
-	if (ret)
-		return ret;
-	ret = key_table_add(&e->keys, r->service, r->key, r->key_created_us,
-			    &q->key);
+	int ret = key_table_add(&e->keys, r->service, r->key, r->key_created_us,
+				&q->key);
 	if (ret)
 		return ret;
 	q->key->query_id = q->id;
 	return 0;
 }
 
+/* A class that the set does not name yields the service's own. */
+static obj_handle choose_class(const struct query *q, const char *name)
+{
+	const struct object_set *set = q->view->set;
+
+	for (uint32_t i = 0; name && i < set->class_count; i++) {
+		if (!strcmp(set->classes[i].name, name))
+			return i;
+	}
+	return query_service(q)->class;
+}
+
 static int prepare(struct engine *e, struct query *q,
 		   const struct engine_request *r)
 {
+	int ret = 0;
+
 	q->is_non_idempotent = request_is_non_idempotent(e, r);
+	/* First, since every later refusal says that the key did not run. */
+	if (q->is_non_idempotent)
+		ret = request_key_check(e, r, q);
+	if (ret)
+		return ret;
+	if (e->is_stopping)
+		return -ERR_STOPPING;
 	query_add_shards(q, r->key[0] ? r->key : r->id);
-	q->snapshot = snapshot_choose(e, q, 0);
-	if (!q->snapshot)
+	q->pool = q->view->pools[q->service];
+	q->class_handle = choose_class(q, r->class);
+	if (!snapshot_choose(e, q, 0))
 		return -ERR_NO_SNAPSHOT;
-	LOG(QUERY_PIN, "request=%s snapshot=%" PRIu64 " version=%" PRIu64,
-	    q->request_id, q->snapshot, q->view->set->version);
 	return q->is_non_idempotent ? take_key(e, q, r) : 0;
 }
 
@@ -156,21 +170,22 @@
 		return refuse(request, ret);
 	q = query_create(e, request, e->view);
 	ret = prepare(e, q, request);
-	if (ret && ret != -ERR_KEY_UNKNOWN) {
-		query_release(e, q);
-		return refuse(request, ret);
-	}
+	if (!ret)
+		ret = admission_submit(e, q, retry_after_us);
 	*query_id = q->id;
-	if (ret) {
+	if (!ret)
+		return 0;
+	refuse(request, ret);
+	if (ret == -ERR_KEY_UNKNOWN) {
 		/* The outcome must say `unknown`, as a return code cannot. */
-		refuse(request, ret);
 		q->may_have_run = true;
 		query_end(e, q, ret);
 		return 0;
 	}
-	LOG(QUERY_ADMIT, "request=%s", q->request_id);
-	query_run(e, q);
-	return 0;
+	if (q->key)
+		key_table_remove(&e->keys, q->key);
+	query_release(e, q);
+	return ret;
 }
 
 static bool accept_reply(struct engine *e, struct query_shard *s)
@@ -272,7 +287,7 @@
 {
 	const struct heap_node *top = heap_top(&e->timers);
 
-	if (heap_top(&e->ended))
+	if (heap_top(&e->ended) || heap_top(&e->ready_pools))
 		return 0;
 	return top ? top->key : INT64_MAX;
 }
@@ -288,13 +303,20 @@
 	}
 }
 
-void engine_advance(struct engine *e)
+static void deliver_ended(struct engine *e)
 {
 	struct heap_node *top;
 
-	timer_run(e);
 	while ((top = heap_top(&e->ended)))
 		outcome_deliver(e, HEAP_OWNER(top, struct query, ended));
+}
+
+void engine_advance(struct engine *e)
+{
+	timer_run(e);
+	do {
+		deliver_ended(e);
+	} while (admission_run_next(e));
 	expire_keys(e);
 }
 
--- a/engine/outcome.c
+++ b/engine/outcome.c
@@ -57,6 +57,7 @@
 	out->weight = q->weight;
 	out->total_weight = q->total_weight;
 	out->config_version = q->view ? q->view->set->version : 0;
+	out->retry_after_us = q->retry_after_us;
 	out->needed_calls = q->shard_count;
 	if (q->calls > q->shard_count)
 		out->extra_calls = q->calls - q->shard_count;
--- a/engine/query.c
+++ b/engine/query.c
@@ -1,3 +1,4 @@
+#include <inttypes.h>
 #include <string.h>
 
 #include "common/errors.h"
@@ -118,6 +119,13 @@
 {
 	q->phase = QUERY_RUNNING;
 	q->pending = q->shard_count;
+	q->snapshot = snapshot_choose(e, q, 0);
+	if (!q->snapshot) {
+		query_end(e, q, -ERR_NO_SNAPSHOT);
+		return;
+	}
+	LOG(QUERY_PIN, "request=%s snapshot=%" PRIu64 " version=%" PRIu64,
+	    q->request_id, q->snapshot, q->view->set->version);
 	timer_arm(e, &q->timer, q->deadline_us, handle_deadline);
 	for (uint32_t i = 0; i < q->shard_count; i++) {
 		if (q->shards[i].phase == SHARD_PENDING)
@@ -129,6 +137,8 @@
 {
 	if (q->phase == QUERY_ENDED)
 		return;
+	if (q->class)
+		admission_leave(e, q);
 	timer_disarm(e, &q->timer);
 	q->phase = QUERY_ENDED;
 	q->code = code;
@@ -137,6 +147,8 @@
 
 void query_release(struct engine *e, struct query *q)
 {
+	if (q->class && q->phase != QUERY_ENDED)
+		admission_leave(e, q);
 	timer_disarm(e, &q->timer);
 	heap_remove(&e->ended, &q->ended);
 	g_free(q->shards);
--- a/engine/view.c
+++ b/engine/view.c
@@ -5,20 +5,45 @@
 #include "common/hash.h"
 
 /* Every state struct begins with its name, which it owns. */
-static void free_name(gpointer state)
+static void handle_clear_state(gpointer state)
 {
 	g_free(*(char **)state);
 }
 
-static void release_state(gpointer state)
+static void handle_clear_service(gpointer state)
 {
-	g_rc_box_release_full(state, free_name);
+	struct service_state *s = state;
+
+	latency_clear(&s->latency);
+	g_free(s->name);
+}
+
+static void handle_clear_pool(gpointer state)
+{
+	struct admission_pool *p = state;
+
+	admission_pool_clear(p);
+	g_free(p->name);
+}
+
+static void handle_release(gpointer state)
+{
+	g_rc_box_release_full(state, handle_clear_state);
 }
 
-static GHashTable *new_table(void)
+static void handle_release_service(gpointer state)
 {
-	return g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
-				     release_state);
+	g_rc_box_release_full(state, handle_clear_service);
+}
+
+static void handle_release_pool(gpointer state)
+{
+	g_rc_box_release_full(state, handle_clear_pool);
+}
+
+static GHashTable *new_table(GDestroyNotify release)
+{
+	return g_hash_table_new_full(g_str_hash, g_str_equal, NULL, release);
 }
 
 /*
@@ -100,6 +125,63 @@
 	}
 }
 
+/* Returns the first service of the pool, and shortens the way to it. */
+static uint32_t find_root(uint32_t *roots, uint32_t i)
+{
+	while (roots[i] != i) {
+		roots[i] = roots[roots[i]];
+		i = roots[i];
+	}
+	return i;
+}
+
+/* Joins the services that share a group; the first one stands for the pool. */
+static uint32_t *join_services(const struct object_set *set)
+{
+	uint32_t *roots = g_new(uint32_t, set->service_count);
+	uint32_t *owners = g_new(uint32_t, set->group_count);
+
+	memset(owners, 0xff, set->group_count * sizeof(*owners));
+	for (uint32_t i = 0; i < set->service_count; i++) {
+		const struct service_object *s = &set->services[i];
+
+		roots[i] = i;
+		for (uint32_t j = 0; j < s->group_count; j++) {
+			uint32_t *owner = &owners[s->groups[j]];
+			uint32_t a = find_root(roots, i);
+			uint32_t b = *owner == OBJ_NONE
+					     ? a
+					     : find_root(roots, *owner);
+
+			roots[MAX(a, b)] = MIN(a, b);
+			*owner = i;
+		}
+	}
+	g_free(owners);
+	return roots;
+}
+
+static void take_pools(struct set_view *v, GHashTable *previous)
+{
+	uint32_t *roots = join_services(v->set);
+
+	v->pools = g_new0(struct admission_pool *, v->set->service_count);
+	for (uint32_t i = 0; i < v->set->service_count; i++) {
+		uint32_t root = find_root(roots, i);
+
+		if (root != i) {
+			v->pools[i] = v->pools[root];
+			continue;
+		}
+		v->pools[i] = take_state(v->pool_names, previous,
+					 g_strdup(v->set->services[i].name),
+					 sizeof(struct admission_pool));
+		if (!v->pools[i]->classes)
+			admission_pool_init(v->pools[i]);
+	}
+	g_free(roots);
+}
+
 struct set_view *view_create(struct object_set *set,
 			     const struct set_view *previous,
 			     int64_t tenure_start_us)
@@ -110,14 +192,16 @@
 	if (!previous)
 		previous = &none;
 	v->set = object_set_ref(set);
-	v->leaf_names = new_table();
-	v->shard_names = new_table();
-	v->group_names = new_table();
-	v->service_names = new_table();
+	v->leaf_names = new_table(handle_release);
+	v->shard_names = new_table(handle_release);
+	v->group_names = new_table(handle_release);
+	v->service_names = new_table(handle_release_service);
+	v->pool_names = new_table(handle_release_pool);
 	take_groups(v, previous->group_names, tenure_start_us);
 	take_shards(v, previous->shard_names);
 	take_leaves(v, previous->leaf_names);
 	take_services(v, previous->service_names);
+	take_pools(v, previous->pool_names);
 	return v;
 }
 
@@ -134,10 +218,12 @@
 	g_hash_table_unref(v->shard_names);
 	g_hash_table_unref(v->group_names);
 	g_hash_table_unref(v->service_names);
+	g_hash_table_unref(v->pool_names);
 	g_free(v->leaves);
 	g_free(v->shards);
 	g_free(v->groups);
 	g_free(v->services);
+	g_free(v->pools);
 	object_set_unref(v->set);
 }
 
--- a/include/engine/internal.h
+++ b/include/engine/internal.h
@@ -26,6 +26,8 @@
 	struct heap timers;
 	/** Queries whose outcome is to be delivered. */
 	struct heap ended;
+	/** Admission pools with room for queued queries. */
+	struct heap ready_pools;
 	struct key_table keys;
 	/** Advances when a leaf gains or loses a snapshot or starts to drain. */
 	uint64_t snapshot_epoch;
@@ -50,6 +52,12 @@
 	return &s->query->view->set->shards[s->shard];
 }
 
+/** The baseline policies run without limits, hedges and budgets. */
+static inline bool query_has_limits(const struct query *q)
+{
+	return query_service(q)->policy == POLICY_NUTMEGPICK;
+}
+
 /* timer.c */
 
 /** Arms or moves a timer. */
--- a/include/engine/query.h
+++ b/include/engine/query.h
@@ -44,6 +44,8 @@
 	QUERY_FREE,
 	/** Waits for the run of its request key by another query. */
 	QUERY_WAITS_KEY,
+	/** Waits for admission. */
+	QUERY_QUEUED,
 	QUERY_RUNNING,
 	/** Its outcome is delivered at the next engine_advance(). */
 	QUERY_ENDED,
@@ -55,8 +57,15 @@
 	struct set_view *view;
 	obj_handle service;
 	char request_id[ENGINE_ID_MAX];
+	obj_handle class_handle;
+	struct admission_pool *pool;
+	struct admission_class *class;
+	struct heap_node queued;
 	int64_t start_us;
+	/** Time at which the query left the admission queue. */
+	int64_t admitted_us;
 	int64_t deadline_us;
+	int64_t retry_after_us;
 	uint64_t snapshot;
 	struct query_shard *shards;
 	uint32_t shard_count;
--- a/include/engine/view.h
+++ b/include/engine/view.h
@@ -3,10 +3,15 @@
 
 #include <glib.h>
 
+#include "engine/admission.h"
 #include "engine/engine.h"
 #include "engine/heap.h"
+#include "engine/latency.h"
 #include "engine/leaf.h"
 
+/** Durations from which the admission limit is adapted once. */
+#define SERVICE_WINDOW_MAX 64
+
 /** State of a shard that is the same under every set. */
 struct shard_slot {
 	char *name;
@@ -30,6 +35,13 @@
 	/** Pin of the last query and the epoch in which it was made. */
 	uint64_t pinned;
 	uint64_t pin_epoch;
+	/** Durations of whole queries, without the wait for admission. */
+	struct latency latency;
+	int64_t window[SERVICE_WINDOW_MAX];
+	uint32_t window_count;
+	int64_t window_start_us;
+	/** Lowest recent median duration. */
+	double base_us;
 };
 
 /**
@@ -42,11 +54,14 @@
 	struct shard_slot **shards;
 	struct group_state **groups;
 	struct service_state **services;
+	/** Admission pools by service. */
+	struct admission_pool **pools;
 	/** The same state by name. */
 	GHashTable *leaf_names;
 	GHashTable *shard_names;
 	GHashTable *group_names;
 	GHashTable *service_names;
+	GHashTable *pool_names;
 };
 
 /**
--- a/test/unit/fake_upstream.c
+++ b/test/unit/fake_upstream.c
@@ -2,7 +2,10 @@
 
 #include <CUnit/CUnit.h>
 #include <glib.h>
+#include <math.h>
 #include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
 
 #include "common/events.h"
 
@@ -23,22 +26,52 @@
 	"fan_out = \"key\"\n"
 	"[group.g]\nslots = 4\nconnections = 8\n";
 
+static void serve(struct fake *f, struct fake_call *c)
+{
+	struct fake_leaf *leaf = &f->leaves[c->call.leaf];
+	int64_t *slot = &leaf->free_at_us[0];
+	double us = (double)f->service_us * leaf->slowness *
+		    g_rand_double_range(f->random, 0.5, 1.5);
+
+	leaf->calls++;
+	leaf->outstanding++;
+	leaf->max_outstanding = MAX(leaf->max_outstanding, leaf->outstanding);
+	if (leaf->slowness < 0)
+		return;
+	for (int i = 1; i < FAKE_SLOTS; i++)
+		slot = leaf->free_at_us[i] < *slot ? &leaf->free_at_us[i]
+						   : slot;
+	if (leaf->status != CALL_OK)
+		us = 0;
+	*slot = MAX(*slot, f->clock.now_us + f->network_us) + (int64_t)us;
+	heap_push(&f->done, &c->done, *slot + f->network_us);
+}
+
 static void handle_start(void *ctx, const struct engine_call *call)
 {
 	struct fake *f = ctx;
-
-	CU_ASSERT_FATAL(f->call_count < FAKE_CALLS_MAX);
-	f->calls[f->call_count++].call = *call;
+	uint32_t index = f->call_count++ % FAKE_CALLS_MAX;
+	struct fake_call *c = &f->calls[index];
+
+	heap_remove(&f->done, &c->done);
+	*c = (struct fake_call){.call = *call};
+	f->index_by_slot[(uint32_t)call->call_id % FAKE_CALLS_MAX] = index;
+	if (f->is_serving)
+		serve(f, c);
 }
 
 static void handle_cancel(void *ctx, uint64_t call_id)
 {
 	struct fake *f = ctx;
 
-	for (uint32_t i = 0; i < f->call_count; i++) {
-		if (f->calls[i].call.call_id == call_id)
-			f->calls[i].is_cancelled = true;
-	}
+	uint32_t index = f->index_by_slot[(uint32_t)call_id % FAKE_CALLS_MAX];
+	struct fake_call *c = &f->calls[index];
+
+	CU_ASSERT(c->call.call_id == call_id && !c->is_answered);
+	c->is_cancelled = true;
+	heap_remove(&f->done, &c->done);
+	if (f->is_serving)
+		f->leaves[c->call.leaf].outstanding--;
 }
 
 static void handle_reset(void *ctx, uint64_t query_id, void *user)
@@ -53,10 +86,21 @@
 {
 	struct fake *f = ctx;
 	struct fake_end *end = &f->ends[f->end_count++ % FAKE_ENDS_MAX];
+	struct fake_load *load = outcome->user;
 
 	end->query_id = query_id;
 	end->outcome = *outcome;
 	end->first_gap = outcome->gap_count ? outcome->gaps[0].reason : 0;
+	if (!load)
+		return;
+	load->needed += outcome->needed_calls;
+	load->extra += outcome->extra_calls;
+	load->failed += outcome->code || outcome->total_us > load->deadline_us;
+	if (outcome->code)
+		return;
+	load->complete += outcome->weight == outcome->total_weight;
+	load->in_time += outcome->total_us <= load->deadline_us;
+	load->durations[load->answered++ % FAKE_CALLS_MAX] = outcome->total_us;
 }
 
 static void handle_forget(void *ctx, uint64_t query_id)
@@ -111,6 +155,10 @@
 	};
 
 	event_set_level(EVENT_ERROR);
+	f->random = g_rand_new_with_seed(11);
+	f->service_us = 10 * US_PER_MS;
+	for (uint32_t i = 0; i < FAKE_LEAVES_MAX; i++)
+		f->leaves[i].slowness = 1;
 	f->clock.now_us = US_PER_S;
 	f->clock.wall_offset_us = WALL_US;
 	options.clock = clock_virtual(&f->clock);
@@ -129,6 +177,8 @@
 {
 	engine_unref(f->engine);
 	object_set_unref(f->set);
+	heap_clear(&f->done);
+	g_rand_free(f->random);
 	g_free(f);
 }
 
@@ -206,6 +256,98 @@
 	engine_report(f->engine, &report);
 }
 
+static void arrive(struct fake *f, struct fake_load *load)
+{
+	struct engine_request request = {
+		.id = "l",
+		.service = load->service,
+		.deadline_us = load->deadline_us,
+		.key_created_us = f->clock.now_us + f->clock.wall_offset_us,
+		.user = load,
+	};
+
+	snprintf(request.key, sizeof(request.key), "%s%u", load->service,
+		 load->sent++);
+	load->failed += !submit(f, &request);
+	load->next_us += (int64_t)(-log(1 - g_rand_double(f->random)) *
+				   US_PER_S / load->per_second);
+}
+
+static void finish_call(struct fake *f, struct fake_call *c)
+{
+	struct fake_leaf *leaf = &f->leaves[c->call.leaf];
+	struct engine_result result = {
+		.call_id = c->call.call_id,
+		.status = leaf->status,
+		.bytes_sent = leaf->status != CALL_CONNECT_FAILED,
+		.snapshot = c->call.snapshot,
+		.load = (int)leaf->outstanding,
+		.is_draining = leaf->is_draining,
+	};
+
+	heap_remove(&f->done, &c->done);
+	c->is_answered = true;
+	leaf->outstanding--;
+	engine_call_result(f->engine, &result);
+}
+
+/* Runs the earliest event; returns false if it lies after the end. */
+static bool step(struct fake *f, struct fake_load *loads, int count,
+		 int64_t end_us)
+{
+	struct heap_node *done = heap_top(&f->done);
+	struct fake_load *load = &loads[0];
+	int64_t next = done ? done->key : INT64_MAX;
+
+	for (int i = 1; i < count; i++)
+		load = loads[i].next_us < load->next_us ? &loads[i] : load;
+	next = MIN(next, load->next_us);
+	next = MIN(next, engine_next_timer(f->engine));
+	if (next > end_us)
+		return false;
+	f->clock.now_us = MAX(f->clock.now_us, next);
+	if (done && done->key <= next)
+		finish_call(f, HEAP_OWNER(done, struct fake_call, done));
+	else if (load->next_us <= next)
+		arrive(f, load);
+	engine_advance(f->engine);
+	return true;
+}
+
+static int compare_durations(const void *a, const void *b)
+{
+	int64_t x = *(const int64_t *)a;
+	int64_t y = *(const int64_t *)b;
+
+	return x < y ? -1 : x > y;
+}
+
+void fake_run(struct fake *f, struct fake_load *loads, int count,
+	      int64_t duration_us)
+{
+	int64_t end = f->clock.now_us + duration_us;
+
+	f->is_serving = true;
+	for (int i = 0; i < count; i++) {
+		loads[i].answered = 0;
+		loads[i].next_us = f->clock.now_us;
+	}
+	while (step(f, loads, count, end))
+		continue;
+	f->clock.now_us = end;
+	for (int i = 0; i < count; i++)
+		qsort(loads[i].durations,
+		      MIN(loads[i].answered, FAKE_CALLS_MAX), sizeof(int64_t),
+		      compare_durations);
+}
+
+int64_t fake_quantile(const struct fake_load *load, double quantile)
+{
+	uint32_t count = MIN(load->answered, FAKE_CALLS_MAX);
+
+	return count ? load->durations[(uint32_t)(quantile * (count - 1))] : 0;
+}
+
 const struct fake_end *fake_last(const struct fake *f)
 {
 	static const struct fake_end none;
--- a/test/unit/fake_upstream.h
+++ b/test/unit/fake_upstream.h
@@ -1,16 +1,53 @@
 #ifndef TEST_UNIT_FAKE_UPSTREAM_H
 #define TEST_UNIT_FAKE_UPSTREAM_H
 
+#include <glib.h>
+
 #include "engine/engine.h"
+#include "engine/heap.h"
 
 #define FAKE_CALLS_MAX 65536
 #define FAKE_ENDS_MAX 8192
+#define FAKE_LEAVES_MAX 96
+#define FAKE_SLOTS 4
 
 /** A call that the engine started. */
 struct fake_call {
 	struct engine_call call;
 	bool is_cancelled;
 	bool is_answered;
+	struct heap_node done;
+};
+
+/** Poisson stream of requests and what became of them. */
+struct fake_load {
+	const char *service;
+	double per_second;
+	int64_t deadline_us;
+	uint32_t sent;
+	uint32_t in_time;
+	/** Refused, failed or late. */
+	uint32_t failed;
+	/** Complete answers, and the durations of all answers. */
+	uint32_t complete;
+	uint32_t answered;
+	uint32_t needed;
+	uint32_t extra;
+	int64_t durations[FAKE_CALLS_MAX];
+	int64_t next_us;
+};
+
+/** Leaf with FAKE_SLOTS servers. */
+struct fake_leaf {
+	int64_t free_at_us[FAKE_SLOTS];
+	/** Factor on the service time; negative: never answers. */
+	double slowness;
+	/** Status of its replies; CALL_OK at start. */
+	enum call_status status;
+	bool is_draining;
+	uint32_t outstanding;
+	uint32_t max_outstanding;
+	uint32_t calls;
 };
 
 /** An outcome that the engine delivered. */
@@ -34,6 +71,14 @@
 	/** Result code and advice of the last submit. */
 	int code;
 	int64_t retry_after_us;
+	/** Leaves answer by themselves during fake_run(). */
+	struct fake_leaf leaves[FAKE_LEAVES_MAX];
+	int64_t service_us;
+	int64_t network_us;
+	struct heap done;
+	uint32_t index_by_slot[FAKE_CALLS_MAX];
+	GRand *random;
+	bool is_serving;
 };
 
 /**
@@ -60,6 +105,16 @@
 void fake_report(struct fake *f, obj_handle leaf, enum leaf_state state,
 		 uint64_t snapshot);
 
+/**
+ * Runs loads against the leaves for a time. Counters are added to; durations
+ * hold the answers of the last run, sorted.
+ */
+void fake_run(struct fake *f, struct fake_load *loads, int count,
+	      int64_t duration_us);
+
+/** Returns a quantile of a load's last durations. */
+int64_t fake_quantile(const struct fake_load *load, double quantile);
+
 /** Returns the last outcome delivered. */
 const struct fake_end *fake_last(const struct fake *f);
 
--- a/test/unit/main.c
+++ b/test/unit/main.c
@@ -4,6 +4,7 @@
 
 static CU_SuiteInfo suites[] = {
 	{"common", NULL, NULL, NULL, NULL, common_tests},
+	{"engine admission", NULL, NULL, NULL, NULL, engine_admission_tests},
 	{"engine keys", NULL, NULL, NULL, NULL, engine_keys_tests},
 	{"forward", NULL, NULL, NULL, NULL, forward_tests},
 	{"fleet placement", NULL, NULL, NULL, NULL, fleet_placement_tests},
--- a/test/unit/suites.h
+++ b/test/unit/suites.h
@@ -5,6 +5,7 @@
 
 /** Suites, one per test file; each is a NULL-terminated list of tests. */
 extern CU_TestInfo common_tests[];
+extern CU_TestInfo engine_admission_tests[];
 extern CU_TestInfo engine_keys_tests[];
 extern CU_TestInfo forward_tests[];
 extern CU_TestInfo fleet_placement_tests[];
--- a/test/unit/test_engine_keys.c
+++ b/test/unit/test_engine_keys.c
@@ -151,6 +151,8 @@
 	for (int i = 0; i < 10; i++) {
 		key[1] = (char)('0' + i);
 		fake_book(f, key, 0);
+		fake_reply(f, i, CALL_OK);
+		fake_advance(f, 0);
 		seen |= 1u << f->calls[i].call.shard;
 	}
 	CU_ASSERT_EQUAL(f->call_count, 10);
