--- a/include/nutmegpickd/host.h
+++ b/include/nutmegpickd/host.h
@@ -35,6 +35,7 @@
 struct host_query {
 	struct host *host;
 	uint64_t id;
+	/** NULL once the caller has left or was refused at a stop. */
 	struct http_exchange *exchange;
 	char request_id[ENGINE_ID_MAX];
 	char *service;
@@ -57,6 +58,8 @@
 	GHashTable *queries;
 	/** Queries of leaf calls in flight, by call id. */
 	GHashTable *calls;
+	/** JSON hits of runs for request keys, by query id. */
+	GHashTable *kept_hits;
 	int64_t next_report_us;
 	int64_t next_gone_check_us;
 	bool is_draining;
--- a/nutmegpickd/query.c
+++ b/nutmegpickd/query.c
@@ -223,9 +223,13 @@
 
 static void abandon(struct host_query *q, int code)
 {
-	engine_cancel(q->host->engine, q->id);
+	if (!q->exchange)
+		return;
 	answer_abandon(q->exchange, q->request_id, code);
-	query_free(q);
+	q->exchange = NULL;
+	/* A run for a request key goes on; it ends in finish_query. */
+	if (engine_cancel(q->host->engine, q->id))
+		query_free(q);
 }
 
 void query_check_gone(struct host *h)
@@ -241,7 +245,7 @@
 	gone = g_ptr_array_new();
 	g_hash_table_iter_init(&iter, h->queries);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&q)) {
-		if (http_exchange_is_gone(q->exchange))
+		if (q->exchange && http_exchange_is_gone(q->exchange))
 			g_ptr_array_add(gone, q);
 	}
 	for (guint i = 0; i < gone->len; i++)
@@ -312,9 +316,17 @@
 	query_free(q);
 }
 
+static void handle_forget_result(void *ctx, uint64_t query_id)
+{
+	struct host *h = ctx;
+
+	g_hash_table_remove(h->kept_hits, &query_id);
+}
+
 const struct engine_ops query_engine_ops = {
 	.start_call = handle_start_call,
 	.cancel_call = handle_cancel_call,
 	.reset_results = handle_reset_results,
 	.finish_query = handle_finish_query,
+	.forget_result = handle_forget_result,
 };
