--- a/include/net/http_server.h
+++ b/include/net/http_server.h
@@ -65,6 +65,12 @@
 /** Returns whether the caller has closed its connection. */
 int http_exchange_is_gone(const struct http_exchange *x);
 
+/** Returns whether this is the first request on its connection. */
+int http_exchange_is_first(const struct http_exchange *x);
+
+/** Returns the connection's socket, or -1; for stand-ins that break replies. */
+int http_exchange_fd(const struct http_exchange *x);
+
 /** Adds a header to the reply. */
 void http_exchange_add_header(struct http_exchange *x, const char *name,
 			      const char *value);
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -30,6 +30,7 @@
 struct http_connection {
 	int fd;
 	bool is_busy;
+	bool is_used;
 	/* Set once the receiving side was shut down by http_server_stop(). */
 	bool is_shut;
 	int64_t idle_since_us;
@@ -61,6 +62,7 @@
 	GHashTable *headers;
 	bool is_too_large;
 	bool is_submitted;
+	bool is_first;
 	/* Set by the answering thread, read after the resume. */
 	struct MHD_Response *response;
 	GPtrArray *reply_headers;
@@ -149,6 +151,9 @@
 	x->body = g_string_new(NULL);
 	x->caller = find_caller(connection);
 	set_busy(s, x->caller, true);
+	x->is_first = x->caller && !x->caller->is_used;
+	if (x->caller)
+		x->caller->is_used = true;
 	x->headers =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	x->reply_headers = g_ptr_array_new_with_free_func(g_free);
@@ -426,6 +431,16 @@
 	       (p.revents & (POLLRDHUP | POLLHUP | POLLERR));
 }
 
+int http_exchange_is_first(const struct http_exchange *x)
+{
+	return x->is_first;
+}
+
+int http_exchange_fd(const struct http_exchange *x)
+{
+	return x->caller ? x->caller->fd : -1;
+}
+
 void http_exchange_add_header(struct http_exchange *x, const char *name,
 			      const char *value)
 {
--- a/test/standin/leaf.c
+++ b/test/standin/leaf.c
@@ -5,31 +5,45 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include <glib.h>
 
+#include "behaviour.h"
+#include "common/clock.h"
 #include "common/hash.h"
 #include "net/http_server.h"
 
-#define MAX_SLOTS 64
 #define HITS_PER_REPLY 5
+/* A request in service notices its caller's leaving after this time. */
+#define SLICE_US 2000
 
 struct leaf {
 	struct http_server *server;
+	char *shard;
 	pthread_mutex_t lock;
 	pthread_cond_t wake;
-	/** Behaviour; replaced as a whole by POST /control. */
-	json_t *description;
+	/** The fields below are guarded by the lock. */
+	struct behaviour behaviour;
+	GRand *random;
+	int64_t cold_since_us;
+	/** Waiting requests. */
 	GQueue *queue;
-	int in_service;
+	int64_t in_service;
+	int64_t threads;
+	/** Arrays of attempts, by request id. */
+	json_t *executions;
+	int64_t executed;
+	int64_t refused;
+	int64_t cancelled;
+	int64_t most_connections;
 };
 
-static int64_t get_integer(const json_t *d, const char *field, int64_t fallback)
-{
-	const json_t *v = json_object_get(d, field);
-
-	return json_is_integer(v) ? json_integer_value(v) : fallback;
-}
+/** Request that waits for a slot. */
+struct job {
+	struct http_exchange *exchange;
+	int64_t deadline_us;
+};
 
 static void reply_json(struct http_exchange *x, unsigned int status,
 		       json_t *document)
@@ -47,17 +61,11 @@
 	reply_json(x, status, json_pack("{s:s}", "run", "not_run"));
 }
 
-static bool holds_snapshot(const json_t *description, int64_t id)
+static int64_t get_number(struct http_exchange *x, const char *header)
 {
-	json_t *item;
-	size_t i;
+	const char *text = http_exchange_header(x, header);
 
-	json_array_foreach(json_object_get(description, "snapshots"), i, item)
-	{
-		if (json_integer_value(item) == id)
-			return true;
-	}
-	return false;
+	return text ? strtoll(text, NULL, 10) : 0;
 }
 
 static json_t *build_hits(const char *shard, const char *query)
@@ -77,97 +85,253 @@
 	return hits;
 }
 
-static void answer_search(struct http_exchange *x, const json_t *description)
+static json_t *build_answer(const struct leaf *leaf, struct http_exchange *x,
+			    int64_t snapshot, enum leaf_fault fault)
 {
-	const char *attempt = http_exchange_header(x, "Nutmegpick-Attempt");
 	const char *request = http_exchange_header(x, "Nutmegpick-Request");
-	const char *snapshot = http_exchange_header(x, "Nutmegpick-Snapshot");
-	const char *shard =
-		json_string_value(json_object_get(description, "shard"));
-	int64_t id = snapshot ? strtoll(snapshot, NULL, 10) : 0;
+	int64_t attempt = get_number(x, "Nutmegpick-Attempt");
 	size_t len;
 
-	if (id && !holds_snapshot(description, id)) {
+	if (fault == FAULT_CROSS) {
+		request = "another-request";
+		attempt++;
+	}
+	return json_pack("{s:s,s:I,s:s,s:I,s:o}", "request",
+			 request ? request : "", "attempt", (json_int_t)attempt,
+			 "shard", leaf->shard, "snapshot", (json_int_t)snapshot,
+			 "hits",
+			 build_hits(leaf->shard, http_exchange_body(x, &len)));
+}
+
+/* Writes a part of the reply, or all of it, past the HTTP server. */
+static void write_raw(struct http_exchange *x, const char *body, bool is_whole)
+{
+	char *text =
+		g_strdup_printf("HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n"
+				"Content-Type: application/json\r\n\r\n%s",
+				strlen(body), body);
+	size_t len = strlen(text) - (is_whole ? 0 : strlen(body) / 2);
+
+	if (send(http_exchange_fd(x), text, len, MSG_NOSIGNAL) < 0)
+		perror("standin: send");
+	g_free(text);
+}
+
+static void send_answer(struct leaf *leaf, struct http_exchange *x,
+			int64_t snapshot, enum leaf_fault fault)
+{
+	json_t *document = build_answer(leaf, x, snapshot, fault);
+	char *text = json_dumps(document, JSON_COMPACT);
+
+	if (fault == FAULT_DUPLICATE || fault == FAULT_TRUNCATE)
+		write_raw(x, text, fault == FAULT_DUPLICATE);
+	if (fault == FAULT_TRUNCATE || fault == FAULT_DROP_AFTER ||
+	    fault == FAULT_DROP_BEFORE)
+		shutdown(http_exchange_fd(x), SHUT_RDWR);
+	json_decref(document);
+	http_exchange_reply(x, 200, "application/json", text, strlen(text));
+	free(text);
+}
+
+/* Takes one of the faulty requests; called with the lock held. */
+static enum leaf_fault take_fault(struct leaf *leaf)
+{
+	struct behaviour *b = &leaf->behaviour;
+
+	if (b->fault == FAULT_NONE || !b->fault_count)
+		return FAULT_NONE;
+	if (b->fault_count > 0)
+		b->fault_count--;
+	return b->fault;
+}
+
+static void log_execution(struct leaf *leaf, struct http_exchange *x)
+{
+	const char *request = http_exchange_header(x, "Nutmegpick-Request");
+	json_t *attempts;
+
+	leaf->executed++;
+	if (!request || !leaf->behaviour.service_us)
+		return;
+	attempts = json_object_get(leaf->executions, request);
+	if (!attempts) {
+		attempts = json_array();
+		json_object_set_new(leaf->executions, request, attempts);
+	}
+	json_array_append_new(
+		attempts, json_integer(get_number(x, "Nutmegpick-Attempt")));
+}
+
+/* Serves for some time; called and returns with the lock held. */
+static void serve(struct leaf *leaf, struct http_exchange *x, int64_t us)
+{
+	int64_t end = g_get_monotonic_time() + us;
+	int64_t left = us;
+
+	leaf->in_service++;
+	while (left > 0) {
+		pthread_mutex_unlock(&leaf->lock);
+		g_usleep((gulong)MIN(left, SLICE_US));
+		pthread_mutex_lock(&leaf->lock);
+		left = end - g_get_monotonic_time();
+		if (http_exchange_is_gone(x))
+			break;
+	}
+	leaf->in_service--;
+}
+
+/* Keeps a request back; called and returns with the lock held. */
+static void hold(struct leaf *leaf, struct http_exchange *x)
+{
+	leaf->in_service++;
+	while (leaf->behaviour.is_holding && !http_exchange_is_gone(x)) {
+		pthread_mutex_unlock(&leaf->lock);
+		g_usleep(SLICE_US);
+		pthread_mutex_lock(&leaf->lock);
+	}
+	leaf->in_service--;
+}
+
+static int64_t service_time(struct leaf *leaf, const struct http_exchange *x)
+{
+	const struct behaviour *b = &leaf->behaviour;
+	int64_t age = g_get_monotonic_time() - leaf->cold_since_us;
+	int64_t us = behaviour_service_us(b, leaf->random, age);
+
+	return us + (http_exchange_is_first(x) ? b->connect_us : 0);
+}
+
+/* Runs a request; called and returns with the lock held. */
+static void run_request(struct leaf *leaf, struct http_exchange *x)
+{
+	int64_t snapshot = get_number(x, "Nutmegpick-Snapshot");
+	enum leaf_fault fault;
+
+	if (snapshot && !behaviour_has_snapshot(&leaf->behaviour, snapshot)) {
+		leaf->refused++;
 		refuse(x, 410);
 		return;
 	}
-	reply_json(x, 200,
-		   json_pack("{s:s,s:I,s:s,s:I,s:o}", "request",
-			     request ? request : "", "attempt",
-			     attempt ? (json_int_t)strtoll(attempt, NULL, 10)
-				     : 0,
-			     "shard", shard, "snapshot", (json_int_t)id, "hits",
-			     build_hits(shard, http_exchange_body(x, &len))));
+	if (!snapshot)
+		snapshot = behaviour_newest(&leaf->behaviour);
+	fault = take_fault(leaf);
+	if (fault != FAULT_DROP_BEFORE) {
+		log_execution(leaf, x);
+		serve(leaf, x, service_time(leaf, x));
+	}
+	pthread_mutex_unlock(&leaf->lock);
+	send_answer(leaf, x, snapshot, fault);
+	pthread_mutex_lock(&leaf->lock);
+}
+
+static void run_job(struct leaf *leaf, struct job *job)
+{
+	hold(leaf, job->exchange);
+	if (http_exchange_is_gone(job->exchange)) {
+		leaf->cancelled++;
+		refuse(job->exchange, 503);
+	} else if (job->deadline_us &&
+		   g_get_monotonic_time() > job->deadline_us) {
+		leaf->refused++;
+		refuse(job->exchange, 504);
+	} else {
+		run_request(leaf, job->exchange);
+	}
+	g_free(job);
 }
 
 static void *run_slot(void *ctx)
 {
 	struct leaf *leaf = ctx;
 
+	pthread_mutex_lock(&leaf->lock);
 	for (;;) {
-		struct http_exchange *x;
-		json_t *description;
-
-		pthread_mutex_lock(&leaf->lock);
 		while (g_queue_is_empty(leaf->queue) ||
-		       leaf->in_service >=
-			       get_integer(leaf->description, "slots", 1))
+		       leaf->in_service >= leaf->behaviour.slots)
 			pthread_cond_wait(&leaf->wake, &leaf->lock);
-		x = g_queue_pop_head(leaf->queue);
-		leaf->in_service++;
-		description = json_deep_copy(leaf->description);
-		pthread_mutex_unlock(&leaf->lock);
+		run_job(leaf, g_queue_pop_head(leaf->queue));
+	}
+	return NULL;
+}
 
-		g_usleep((gulong)get_integer(description, "service_us", 1000));
-		answer_search(x, description);
-		json_decref(description);
+static void start_slots(struct leaf *leaf)
+{
+	pthread_t thread;
 
-		pthread_mutex_lock(&leaf->lock);
-		leaf->in_service--;
-		pthread_cond_broadcast(&leaf->wake);
-		pthread_mutex_unlock(&leaf->lock);
+	while (leaf->threads < leaf->behaviour.slots) {
+		pthread_create(&thread, NULL, run_slot, leaf);
+		pthread_detach(thread);
+		leaf->threads++;
 	}
-	return NULL;
+}
+
+static int64_t claimed_load(const struct leaf *leaf)
+{
+	return behaviour_load(&leaf->behaviour,
+			      (int64_t)leaf->queue->length + leaf->in_service);
+}
+
+static void queue_job(struct leaf *leaf, struct http_exchange *x)
+{
+	int64_t ms = get_number(x, "Nutmegpick-Deadline-Ms");
+	struct job *job = g_new0(struct job, 1);
+
+	job->exchange = x;
+	if (ms > 0)
+		job->deadline_us = g_get_monotonic_time() + ms * US_PER_MS;
+	g_queue_push_tail(leaf->queue, job);
+	pthread_cond_signal(&leaf->wake);
 }
 
 static void handle_search(struct leaf *leaf, struct http_exchange *x)
 {
-	const char *state =
-		json_string_value(json_object_get(leaf->description, "state"));
-	int64_t limit = get_integer(leaf->description, "queue", 100);
-	char load[16];
+	const struct behaviour *b = &leaf->behaviour;
+	char load[24];
 
-	snprintf(load, sizeof(load), "%u",
-		 leaf->queue->length + (unsigned int)leaf->in_service);
+	snprintf(load, sizeof(load), "%lld", (long long)claimed_load(leaf));
 	http_exchange_add_header(x, "Nutmegpick-Load", load);
-	if (state && !strcmp(state, "draining")) {
+	if (b->is_draining)
 		http_exchange_add_header(x, "Nutmegpick-State", "draining");
+	if (b->is_draining || b->is_shedding ||
+	    leaf->queue->length >= b->queue) {
+		leaf->refused++;
 		refuse(x, 503);
-	} else if (leaf->queue->length >= limit) {
-		refuse(x, 503);
+	} else if (b->is_repartitioned) {
+		leaf->refused++;
+		refuse(x, 409);
+	} else if (!b->service_us && !b->fault && !b->is_holding) {
+		run_request(leaf, x);
 	} else {
-		g_queue_push_tail(leaf->queue, x);
-		pthread_cond_broadcast(&leaf->wake);
+		queue_job(leaf, x);
 	}
 }
 
+static const char *state_name(const struct leaf *leaf)
+{
+	const struct behaviour *b = &leaf->behaviour;
+
+	if (b->is_draining)
+		return "draining";
+	if (g_get_monotonic_time() - leaf->cold_since_us < b->cold_us)
+		return "cold";
+	return "serving";
+}
+
 static void handle_report(struct leaf *leaf, struct http_exchange *x)
 {
+	const struct behaviour *b = &leaf->behaviour;
 	json_t *snapshots = json_array();
-	const json_t *state = json_object_get(leaf->description, "state");
-	json_t *item;
-	size_t i;
-
-	json_array_foreach(json_object_get(leaf->description, "snapshots"), i,
-			   item)
-		json_array_append_new(snapshots, json_pack("{s:O,s:i}", "id",
-							   item, "layout", 1));
+
+	for (int i = 0; i < b->snapshot_count; i++)
+		json_array_append_new(snapshots,
+				      json_pack("{s:I,s:i}", "id",
+						(json_int_t)b->snapshots[i],
+						"layout", 1));
 	reply_json(x, 200,
-		   json_pack("{s:O,s:o,s:i,s:s}", "shard",
-			     json_object_get(leaf->description, "shard"),
+		   json_pack("{s:s,s:o,s:I,s:s}", "shard", leaf->shard,
 			     "snapshots", snapshots, "load",
-			     leaf->queue->length + leaf->in_service, "state",
-			     state ? json_string_value(state) : "serving"));
+			     (json_int_t)claimed_load(leaf), "state",
+			     state_name(leaf)));
 }
 
 static void handle_control(struct leaf *leaf, struct http_exchange *x)
@@ -176,55 +340,82 @@
 	const char *text = http_exchange_body(x, &len);
 	json_t *changes = json_loadb(text, len, 0, NULL);
 
-	if (!json_is_object(changes)) {
+	if (!json_is_object(changes) ||
+	    !behaviour_update(&leaf->behaviour, changes)) {
 		json_decref(changes);
-		reply_json(x, 400,
-			   json_pack("{s:s}", "error", "not an object"));
+		reply_json(x, 400, json_pack("{s:s}", "error", "bad control"));
 		return;
 	}
-	json_object_update(leaf->description, changes);
+	if (json_object_get(changes, "cold_us"))
+		leaf->cold_since_us = g_get_monotonic_time();
 	json_decref(changes);
+	start_slots(leaf);
 	pthread_cond_broadcast(&leaf->wake);
 	reply_json(x, 200, json_object());
 }
 
+static void handle_counts(const struct leaf *leaf, struct http_exchange *x)
+{
+	reply_json(x, 200,
+		   json_pack("{s:I,s:I,s:I,s:I}", "executed",
+			     (json_int_t)leaf->executed, "refused",
+			     (json_int_t)leaf->refused, "cancelled",
+			     (json_int_t)leaf->cancelled, "most_connections",
+			     (json_int_t)leaf->most_connections));
+}
+
 static void handle_request(void *ctx, struct http_exchange *x)
 {
 	struct leaf *leaf = ctx;
 	const char *path = http_exchange_path(x);
 
 	pthread_mutex_lock(&leaf->lock);
+	leaf->most_connections =
+		MAX(leaf->most_connections,
+		    http_server_connection_count(leaf->server));
 	if (!strcmp(path, "/search"))
 		handle_search(leaf, x);
 	else if (!strcmp(path, "/report"))
 		handle_report(leaf, x);
 	else if (!strcmp(path, "/control"))
 		handle_control(leaf, x);
+	else if (!strcmp(path, "/executions"))
+		reply_json(x, 200, json_deep_copy(leaf->executions));
+	else if (!strcmp(path, "/counts"))
+		handle_counts(leaf, x);
 	else
 		reply_json(x, 404, json_object());
 	pthread_mutex_unlock(&leaf->lock);
 }
 
-struct leaf *leaf_create(const json_t *description)
+struct leaf *leaf_create(const struct leaf_options *options)
 {
 	struct leaf *leaf = g_new0(struct leaf, 1);
-	struct http_server_options options = {
-		.address = json_string_value(
-			json_object_get(description, "address")),
-		.max_connections = (unsigned int)get_integer(
-			description, "connections", 1000),
+	struct http_server_options server_options = {
+		.address = options->address,
+		.max_connections = options->connections,
 		.handle_request = handle_request,
 		.ctx = leaf,
 	};
-	pthread_t thread;
 
 	pthread_mutex_init(&leaf->lock, NULL);
 	pthread_cond_init(&leaf->wake, NULL);
+	leaf->shard = g_strdup(options->shard);
 	leaf->queue = g_queue_new();
-	leaf->description = json_deep_copy(description);
-	if (!options.address || http_server_create(&leaf->server, &options))
+	leaf->executions = json_object();
+	leaf->random =
+		g_rand_new_with_seed((guint32)hash_string(options->address, 0));
+	leaf->cold_since_us = g_get_monotonic_time();
+	behaviour_init(&leaf->behaviour);
+	leaf->behaviour.slots = options->slots;
+	leaf->behaviour.service_us = options->service_us;
+	leaf->behaviour.snapshots[0] = 1;
+	leaf->behaviour.snapshot_count = 1;
+	/* The server may call back before http_server_create() returns. */
+	pthread_mutex_lock(&leaf->lock);
+	if (http_server_create(&leaf->server, &server_options))
 		return NULL;
-	for (int64_t i = 0; i < get_integer(description, "slots", 1); i++)
-		pthread_create(&thread, NULL, run_slot, leaf);
+	start_slots(leaf);
+	pthread_mutex_unlock(&leaf->lock);
 	return leaf;
 }
--- a/test/standin/leaf.h
+++ b/test/standin/leaf.h
@@ -1,18 +1,22 @@
 #ifndef TEST_STANDIN_LEAF_H
 #define TEST_STANDIN_LEAF_H
 
-#include <jansson.h>
+#include <stdint.h>
 
-/**
- * Stand-in for a leaf: serves /search and /report on its own port, and takes
- * changes of its behaviour on POST /control.
- */
+/** Stand-in for a leaf with its own port; see test/standin/README.md. */
 struct leaf;
 
-/**
- * Starts a leaf from its description: address, shard, snapshots (array of
- * integers), slots, queue, service_us, state. Returns NULL if it cannot listen.
- */
-struct leaf *leaf_create(const json_t *description);
+struct leaf_options {
+	/** IP number and port. */
+	const char *address;
+	const char *shard;
+	int64_t slots;
+	/** Most connections; further ones wait unaccepted. */
+	unsigned int connections;
+	int64_t service_us;
+};
+
+/** Starts a leaf. Returns NULL if it cannot listen. */
+struct leaf *leaf_create(const struct leaf_options *options);
 
 #endif
--- a/test/standin/main.c
+++ b/test/standin/main.c
@@ -3,8 +3,6 @@
 #include <stdio.h>
 #include <stdlib.h>
 
-#include <jansson.h>
-
 #include "leaf.h"
 #include "objects/objects.h"
 
@@ -58,19 +56,19 @@
 		const struct leaf_object *leaf = &set->leaves[i];
 		const struct shard_object *shard = &set->shards[leaf->shard];
 		const struct group_object *group = &set->groups[shard->group];
-		json_t *description = json_pack(
-			"{s:s,s:s,s:[i],s:I,s:I,s:I}", "address", leaf->address,
-			"shard", shard->name, "snapshots", 1, "slots",
-			(json_int_t)group->slots, "connections",
-			(json_int_t)group->connections, "service_us",
-			(json_int_t)service_us);
+		struct leaf_options options = {
+			.address = leaf->address,
+			.shard = shard->name,
+			.slots = group->slots,
+			.connections = group->connections,
+			.service_us = service_us,
+		};
 
-		if (!leaf_create(description)) {
+		if (!leaf_create(&options)) {
 			fprintf(stderr, "leaf %s cannot listen\n",
 				leaf->address);
 			return -1;
 		}
-		json_decref(description);
 	}
 	return 0;
 }
