--- a/include/nutmegpick/commands.h
+++ b/include/nutmegpick/commands.h
@@ -1,6 +1,20 @@
 #ifndef NUTMEGPICK_COMMANDS_H
 #define NUTMEGPICK_COMMANDS_H
 
+/** Exit statuses of the commands that use the store. */
+enum command_status {
+	/** Accepted, shown, or no difference. */
+	STATUS_OK = 0,
+	/** Publish refused, differences found, or nothing published. */
+	STATUS_REFUSED = 1,
+	/** Outcome of a publish unknown. */
+	STATUS_UNKNOWN = 2,
+	/** Store cannot be asked, or it holds a damaged set. */
+	STATUS_STORE = 3,
+	/** The set at PATH has faults. */
+	STATUS_FAULTS = 4,
+};
+
 /** Subcommand; returns the process's exit status. */
 struct command {
 	const char *name;
@@ -14,4 +28,19 @@
 /** nutmegpick query SERVICE JSON: sends a query and prints the answer. */
 int command_query(int argc, char **argv);
 
+/** nutmegpick publish PATH: publishes an object set. */
+int command_publish(int argc, char **argv);
+
+/** nutmegpick diff PATH: compares a set with the version in force. */
+int command_diff(int argc, char **argv);
+
+/** nutmegpick show: prints a published set. */
+int command_show(int argc, char **argv);
+
+/** nutmegpick history: lists published versions, newest first. */
+int command_history(int argc, char **argv);
+
+/** nutmegpick status: prints what is in force. */
+int command_status(int argc, char **argv);
+
 #endif
--- a/include/store/publish.h
+++ b/include/store/publish.h
@@ -55,8 +55,8 @@
 	/** Set if accepted: the set was already in force, nothing changed. */
 	bool is_unchanged;
 	/**
-	 * Accepted: the record of the set. Refused with -ERR_STORE_CONFLICT:
-	 * the record in the way; its version is 0 where there is none.
+	 * Accepted: the record of the set. Refused with -ERR_STORE_CONFLICT or
+	 * -ERR_PUBLISH_FENCED: the record in force; version 0 where none is.
 	 */
 	struct publish_record record;
 };
@@ -77,16 +77,12 @@
 		    struct publish_result *out);
 
 /**
- * Reads the pointer in a transaction, so that it is never stale. Same results
- * as publish_read_record().
+ * Reads the pointer; the answer is not stale. Returns 0, -ERR_PUBLISH_NONE,
+ * -ERR_PUBLISH_RECORD or a store failure.
  */
 int publish_read_pointer(struct store *s, struct publish_record *out);
 
-/**
- * Reads the record of a version, or the pointer for version 0. The answer can
- * be stale. Returns 0,
- * -ERR_STORE_NOT_FOUND, -ERR_PUBLISH_RECORD or a store failure.
- */
+/** Reads the history entry of a version; same as publish_read_pointer(). */
 int publish_read_record(struct store *s, uint64_t version,
 			struct publish_record *out);
 
--- a/include/store/record.h
+++ b/include/store/record.h
@@ -7,7 +7,7 @@
 char *publish_record_encode(const struct publish_record *r);
 
 /**
- * Reads the record under key from a reply. Returns 0, -ERR_STORE_NOT_FOUND or
+ * Reads the record under key from a reply. Returns 0, -ERR_PUBLISH_NONE or
  * -ERR_PUBLISH_RECORD.
  */
 int publish_record_find(const struct store_reply *reply, const char *key,
--- a/store/publish.c
+++ b/store/publish.c
@@ -84,7 +84,8 @@
 		ret = write_part_once(s, key, data, len);
 	event_log(EV_PUBLISH_STEP, "step=part key=%s code=E%d", key, -ret);
 	g_free(key);
-	return ret;
+	/* Whether the part is there does not matter without a pointer. */
+	return ret == -ERR_STORE_UNKNOWN ? -ERR_STORE_DOWN : ret;
 }
 
 static size_t part_length(const char *text, size_t offset)
@@ -255,7 +256,7 @@
 	struct publish_record pointer;
 	int ret = publish_read_pointer(job->store, &pointer);
 
-	if (ret && ret != -ERR_STORE_NOT_FOUND) {
+	if (ret && ret != -ERR_PUBLISH_NONE) {
 		set_outcome(job->out, PUBLISH_REFUSED, ret);
 		return false;
 	}
@@ -386,6 +387,8 @@
 		set_outcome(out, PUBLISH_UNKNOWN, ret);
 	else
 		judge_reads(&reply, publish_id, history_key, out);
+	if (out->code == -ERR_STORE_CONFLICT)
+		out->code = -ERR_PUBLISH_FENCED;
 	store_reply_clear(&reply);
 	g_free(history_key);
 }
--- a/store/read.c
+++ b/store/read.c
@@ -7,38 +7,44 @@
 #include "common/errors.h"
 #include "store/record.h"
 
-int publish_read_pointer(struct store *s, struct publish_record *out)
+/* A transaction's reads are never stale. */
+static int read_fresh(struct store *s, const char *key,
+		      struct store_reply *reply)
+{
+	struct store_txn txn = {.reads = &key, .read_count = 1};
+
+	return store_txn_wait(s, &txn, reply);
+}
+
+static int read_record(struct store *s, const char *key,
+		       struct publish_record *out)
 {
-	const char *const reads[] = {PUBLISH_KEY_POINTER};
-	struct store_txn txn = {.reads = reads, .read_count = 1};
 	struct store_reply reply = {0};
-	int ret = store_txn_wait(s, &txn, &reply);
+	int ret = read_fresh(s, key, &reply);
 
 	memset(out, 0, sizeof(*out));
 	if (!ret)
-		ret = publish_record_find(&reply, PUBLISH_KEY_POINTER, out);
+		ret = publish_record_find(&reply, key, out);
 	store_reply_clear(&reply);
 	return ret;
 }
 
+int publish_read_pointer(struct store *s, struct publish_record *out)
+{
+	return read_record(s, PUBLISH_KEY_POINTER, out);
+}
+
 int publish_read_record(struct store *s, uint64_t version,
 			struct publish_record *out)
 {
-	char *key = version ? publish_history_key(version)
-			    : g_strdup(PUBLISH_KEY_POINTER);
-	struct store_get get = {.key = key};
-	struct store_reply reply = {0};
-	int ret = store_get_wait(s, &get, &reply);
+	char *key = publish_history_key(version);
+	int ret = read_record(s, key, out);
 
-	memset(out, 0, sizeof(*out));
-	if (!ret)
-		ret = publish_record_find(&reply, key, out);
-	if (!ret && version && out->version != version) {
+	g_free(key);
+	if (!ret && out->version != version) {
 		publish_record_clear(out);
-		ret = -ERR_PUBLISH_RECORD;
+		return -ERR_PUBLISH_RECORD;
 	}
-	store_reply_clear(&reply);
-	g_free(key);
 	return ret;
 }
 
@@ -59,6 +65,11 @@
 	const struct store_entry *e;
 	int ret = store_get_wait(s, &get, &reply);
 
+	/* A stale read can miss a part that was just written. */
+	if (!ret && !store_reply_find(&reply, key)) {
+		store_reply_clear(&reply);
+		ret = read_fresh(s, key, &reply);
+	}
 	e = store_reply_find(&reply, key);
 	if (!ret && !e)
 		ret = -ERR_PUBLISH_PART;
--- a/store/record.c
+++ b/store/record.c
@@ -104,7 +104,7 @@
 
 	memset(out, 0, sizeof(*out));
 	if (!e)
-		return -ERR_STORE_NOT_FOUND;
+		return -ERR_PUBLISH_NONE;
 	ret = publish_record_decode(e->value, e->len, out);
 	if (!ret)
 		out->mod_revision = e->mod_revision;
--- a/test/unit/test_store_publish.c
+++ b/test/unit/test_store_publish.c
@@ -122,7 +122,7 @@
 			check_in_force(&f, 1, "one");
 		else
 			CU_ASSERT(publish_read_pointer(&f.store, &r.record) ==
-				  -ERR_STORE_NOT_FOUND);
+				  -ERR_PUBLISH_NONE);
 		CU_ASSERT_NOT_EQUAL(r.state, PUBLISH_UNKNOWN);
 		publish_result_clear(&r);
 		fake_store_clear(&f);
