--- a/test/unit/main.c
+++ b/test/unit/main.c
@@ -4,9 +4,13 @@
 
 static CU_SuiteInfo suites[] = {
 	{"common", NULL, NULL, NULL, NULL, common_tests},
+	{"engine admission", NULL, NULL, NULL, NULL, engine_admission_tests},
+	{"engine keys", NULL, NULL, NULL, NULL, engine_keys_tests},
 	{"forward", NULL, NULL, NULL, NULL, forward_tests},
+	{"fleet frame", NULL, NULL, NULL, NULL, fleet_frame_tests},
 	{"fleet placement", NULL, NULL, NULL, NULL, fleet_placement_tests},
 	{"merge", NULL, NULL, NULL, NULL, merge_tests},
+	{"upstream", NULL, NULL, NULL, NULL, upstream_tests},
 	{"peer", NULL, NULL, NULL, NULL, peer_tests},
 	{"store etcd", NULL, NULL, NULL, NULL, store_etcd_tests},
 	{"store gateway", NULL, NULL, NULL, NULL, store_gateway_tests},
