--- /dev/null
+++ b/bench/leaf.c
@@ -0,0 +1,236 @@
+#include <math.h>
+#include <string.h>
+
+#include "bench/world.h"
+
+/* Linux's shortest retransmission timeout. */
+#define RETRANSMIT_US (200 * US_PER_MS)
+#define LOCAL_DELAY_US 250
+#define DOMAIN_DELAY_US 3500
+#define LATE_US (300 * US_PER_MS)
+#define DUPLICATE_US (5 * US_PER_MS)
+#define NOTICE_LIMIT_US (3 * US_PER_S)
+/* A leaf sheds what finds this many requests per slot. */
+#define QUEUE_FACTOR 5
+#define COLD_SLOWNESS 2
+
+static bool draw(struct world *w, enum fault_kind kind)
+{
+	return w->settings[kind] > 0 &&
+	       g_rand_double(w->random) < w->settings[kind];
+}
+
+int64_t world_base_delay(const struct world *w, obj_handle a, obj_handle b)
+{
+	const struct domain_object *domains = w->set->domains;
+
+	if (a == b)
+		return LOCAL_DELAY_US;
+	return strcmp(domains[a].region, domains[b].region)
+		       ? w->trace->region_delay_us
+		       : DOMAIN_DELAY_US;
+}
+
+int64_t world_delay(struct world *w, obj_handle a, obj_handle b)
+{
+	double delay = (double)world_base_delay(w, a, b);
+	double timeout = RETRANSMIT_US;
+
+	delay += g_rand_double(w->random) * delay / 10;
+	if (a != b)
+		delay += g_rand_double(w->random) * w->settings[FAULT_JITTER];
+	for (; a != b && draw(w, FAULT_LOSS); timeout *= 2)
+		delay += timeout;
+	return (int64_t)delay;
+}
+
+void call_close(struct call *c)
+{
+	if (c->is_connected && c->leaf_epoch == c->leaf->epoch)
+		c->leaf->open--;
+	c->is_connected = false;
+}
+
+int leaf_reported_load(const struct world *w, const struct leaf *l)
+{
+	uint32_t age = (uint32_t)w->settings[FAULT_STALE];
+	uint32_t most = QUEUE_FACTOR * l->group->slots;
+	uint32_t load = l->calls.length;
+
+	if (age)
+		load = l->loads[(w->now_us / US_PER_S - age) % LOAD_HISTORY];
+	return (int)(w->settings[FAULT_INVERTED] > 0 ? most - load : load);
+}
+
+static void reply(struct world *w, struct call *c, enum call_status status)
+{
+	int64_t delay = world_delay(w, c->leaf->domain, c->host->domain);
+
+	/* Without contact, the host's own timer ends the call. */
+	if (w->domain_down[c->leaf->domain]) {
+		status = CALL_TIMEOUT;
+		delay = MAX(c->deadline_us - w->now_us, 0);
+	}
+	if (status == CALL_OK && draw(w, FAULT_CROSSED))
+		status = CALL_BAD_REPLY;
+	if (status == CALL_OK && draw(w, FAULT_LATE))
+		delay += LATE_US;
+	c->place = CALL_LEFT;
+	c->result.status = status;
+	c->result.snapshot = c->snapshot;
+	c->result.load = leaf_reported_load(w, c->leaf);
+	c->result.is_draining = c->leaf->draining_us > 0;
+	world_after(w, delay, host_take_result, c);
+	if (draw(w, FAULT_DUPLICATE))
+		world_after(w, delay + DUPLICATE_US, host_take_result, c);
+}
+
+static void leave(struct world *w, struct call *c);
+
+static void handle_finish(struct world *w, void *ctx)
+{
+	struct call *c = ctx;
+
+	if (c->place != CALL_IN_SERVICE)
+		return;
+	leave(w, c);
+	reply(w, c, c->result.status);
+}
+
+static void begin_service(struct world *w, struct call *c)
+{
+	struct replay_request *r = c->attempt->request;
+	double u = (double)(c->draw >> 11) * 0x1p-53;
+	double us = w->trace->service_us * (5 - 3 * log(1 - u)) / 8;
+
+	c->place = CALL_IN_SERVICE;
+	c->leaf->in_service++;
+	r->runs++;
+	w->counts->run_twice += r->key[0] && r->runs == 2;
+	c->attempt->runs++;
+	w->counts->false_not_run += c->attempt->is_answered &&
+				    c->attempt->run == RUN_NOT_RUN;
+	us *= c->leaf->slowness;
+	if (c->leaf->cold_until_us > w->now_us)
+		us *= COLD_SLOWNESS;
+	world_after(w, (int64_t)us, handle_finish, c);
+}
+
+static void begin_next(struct world *w, struct leaf *l)
+{
+	GList *next;
+
+	for (GList *i = l->calls.head; i; i = next) {
+		struct call *c = i->data;
+
+		next = i->next;
+		if (l->in_service >= l->group->slots)
+			return;
+		if (c->place == CALL_QUEUED && c->deadline_us > w->now_us) {
+			begin_service(w, c);
+		} else if (c->place == CALL_QUEUED) {
+			g_queue_delete_link(&l->calls, i);
+			reply(w, c, CALL_EXPIRED);
+		}
+	}
+}
+
+static void leave(struct world *w, struct call *c)
+{
+	g_queue_remove(&c->leaf->calls, c);
+	c->leaf->in_service -= c->place == CALL_IN_SERVICE;
+	c->place = CALL_LEFT;
+	begin_next(w, c->leaf);
+}
+
+static void handle_arrival(struct world *w, void *ctx)
+{
+	struct call *c = ctx;
+	struct leaf *l = c->leaf;
+	struct replay_counts *counts = w->counts;
+	bool is_reset = draw(w, FAULT_RESET);
+	bool is_unread = is_reset && g_rand_boolean(w->random);
+	uint32_t slots = l->group->slots;
+
+	if (c->is_cancelled)
+		return;
+	c->result.bytes_sent = !is_unread;
+	if (l->is_down || c->leaf_epoch != l->epoch || is_unread) {
+		reply(w, c, CALL_RESET);
+	} else if (l->draining_us &&
+		   w->now_us > l->draining_us + NOTICE_LIMIT_US) {
+		reply(w, c, CALL_DRAINING);
+	} else if (c->snapshot && c->snapshot != l->snapshot &&
+		   c->snapshot + 1 != l->snapshot) {
+		reply(w, c, CALL_SNAPSHOT_GONE);
+	} else if (l->calls.length >= QUEUE_FACTOR * slots) {
+		counts->sheds++;
+		reply(w, c, CALL_SHED);
+	} else {
+		c->result.status = is_reset ? CALL_RESET : CALL_OK;
+		c->place = CALL_QUEUED;
+		g_queue_push_tail(&l->calls, c);
+		counts->slot_peak =
+			MAX(counts->slot_peak, (double)l->calls.length / slots);
+		begin_next(w, l);
+	}
+}
+
+void leaf_send(struct world *w, struct call *c)
+{
+	struct leaf *l = c->leaf;
+	uint32_t *idle = &l->idle[c->host->index];
+	double limit = l->group->connections;
+	int64_t delay = world_delay(w, c->host->domain, l->domain);
+
+	if (l->draining_us && w->now_us > l->draining_us + NOTICE_LIMIT_US)
+		w->counts->late_work++;
+	c->leaf_epoch = l->epoch;
+	if (!*idle && (l->is_down || l->open >= limit)) {
+		w->counts->connection_refusals += !l->is_down;
+		reply(w, c, CALL_CONNECT_FAILED);
+		return;
+	}
+	c->is_connected = true;
+	if (*idle) {
+		--*idle;
+	} else {
+		l->open++;
+		delay = 3 * delay + l->group->connect_cost_us;
+	}
+	w->counts->connection_peak =
+		MAX(w->counts->connection_peak, l->open / limit);
+	world_after(w, delay, handle_arrival, c);
+}
+
+static void handle_cancel(struct world *w, void *ctx)
+{
+	struct call *c = ctx;
+
+	call_close(c);
+	if (c->place == CALL_QUEUED || c->place == CALL_IN_SERVICE)
+		leave(w, c);
+}
+
+void leaf_cancel(struct world *w, struct call *c)
+{
+	c->is_cancelled = true;
+	world_after(w, world_delay(w, c->host->domain, c->leaf->domain),
+		    handle_cancel, c);
+}
+
+void leaf_stop(struct world *w, void *ctx)
+{
+	struct leaf *l = ctx;
+	struct call *c;
+
+	while ((c = g_queue_pop_head(&l->calls))) {
+		w->counts->interrupted += !c->is_cancelled;
+		reply(w, c, CALL_RESET);
+	}
+	memset(l->idle, 0, w->host_count * sizeof(*l->idle));
+	l->epoch++;
+	l->in_service = l->open = 0;
+	l->draining_us = 0;
+	l->is_down = true;
+}
--- a/include/nutmegpick/commands.h
+++ b/include/nutmegpick/commands.h
@@ -14,4 +14,7 @@
 /** nutmegpick query SERVICE JSON: sends a query and prints the answer. */
 int command_query(int argc, char **argv);
 
+/** nutmegpick replay TRACE: checks the outcomes that a trace states. */
+int command_replay(int argc, char **argv);
+
 #endif
--- a/nutmegpick/main.c
+++ b/nutmegpick/main.c
@@ -7,6 +7,7 @@
 static const struct command commands[] = {
 	{"check", "check an object set", command_check},
 	{"query", "send a query", command_query},
+	{"replay", "check a trace of requests", command_replay},
 };
 
 static void print_usage(FILE *out)
