--- /dev/null
+++ b/test/unit/fleet_sim.c
@@ -0,0 +1,275 @@
+#include "fleet_sim.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/events.h"
+
+#define LOCAL_US 250
+#define DOMAIN_US 3500
+#define REGION_US 12000
+
+static bool is_before(const struct sim_event *a, const struct sim_event *b)
+{
+	return a->at_us != b->at_us ? a->at_us < b->at_us : a->order < b->order;
+}
+
+static void push_event(struct sim *s, struct sim_event e)
+{
+	uint32_t at = s->event_count++;
+	uint32_t parent;
+
+	if (at == s->event_capacity) {
+		s->event_capacity = s->event_capacity ? 2 * at : 1024;
+		s->events =
+			g_renew(struct sim_event, s->events, s->event_capacity);
+	}
+	e.order = s->next_order++;
+	for (; at; at = parent) {
+		parent = (at - 1) / 2;
+		if (!is_before(&e, &s->events[parent]))
+			break;
+		s->events[at] = s->events[parent];
+	}
+	s->events[at] = e;
+}
+
+static struct sim_event pop_event(struct sim *s)
+{
+	struct sim_event first = s->events[0];
+	struct sim_event last = s->events[--s->event_count];
+	uint32_t at = 0;
+	uint32_t child;
+
+	for (; (child = 2 * at + 1) < s->event_count; at = child) {
+		if (child + 1 < s->event_count &&
+		    is_before(&s->events[child + 1], &s->events[child]))
+			child++;
+		if (!is_before(&s->events[child], &last))
+			break;
+		s->events[at] = s->events[child];
+	}
+	s->events[at] = last;
+	return first;
+}
+
+static void release_event(struct sim_event *e)
+{
+	if (e->frame)
+		g_bytes_unref(e->frame);
+}
+
+static uint32_t region_of(const struct sim_host *h)
+{
+	return h->domain % SIM_REGIONS;
+}
+
+static bool is_cut(const struct sim *s, const struct sim_host *a,
+		   const struct sim_host *b)
+{
+	return region_of(a) != region_of(b) &&
+	       ((int)region_of(a) == s->cut_region ||
+		(int)region_of(b) == s->cut_region);
+}
+
+static int64_t draw_delay(struct sim *s, const struct sim_host *a,
+			  const struct sim_host *b)
+{
+	int64_t delay = LOCAL_US;
+
+	if (a->domain != b->domain)
+		delay = region_of(a) == region_of(b) ? DOMAIN_US : REGION_US;
+	if (s->jitter_us && a->domain != b->domain)
+		delay += g_rand_int_range(s->rand, 0, (int)s->jitter_us);
+	return delay;
+}
+
+static void handle_send(void *ctx, const char *address, const void *data,
+			size_t len)
+{
+	struct sim_host *from = ctx;
+	struct sim *s = from->sim;
+	struct sim_host *to = &s->hosts[atoi(address + 1)];
+
+	from->sent++;
+	from->sent_bytes += len;
+	if (is_cut(s, from, to) || (s->loss > 0 && from->domain != to->domain &&
+				    g_rand_double(s->rand) < s->loss))
+		return;
+	push_event(s, (struct sim_event){.at_us = s->clock.now_us +
+						  draw_delay(s, from, to),
+					 .host = to->index,
+
+					 .frame = g_bytes_new(data, len)});
+}
+
+static const struct fleet_ops fleet_ops = {.send = handle_send};
+
+void sim_create(struct sim *s, uint32_t hosts, uint32_t domains, uint32_t seed)
+{
+	event_set_level(EVENT_ERROR);
+	memset(s, 0, sizeof(*s));
+	s->clock.now_us = US_PER_S;
+	s->clock.wall_offset_us = 1700000000 * US_PER_S;
+	s->rand = g_rand_new_with_seed(seed);
+	s->hosts = g_new0(struct sim_host, hosts);
+	s->host_count = hosts;
+	s->domain_count = domains;
+	s->cut_region = -1;
+	for (uint32_t i = 0; i < hosts; i++) {
+		struct sim_host *h = &s->hosts[i];
+
+		h->sim = s;
+		h->index = i;
+		h->domain = i % domains;
+		sprintf(h->id, "host-%u", i);
+		sprintf(h->address, "h%u", i);
+	}
+	for (uint32_t i = 0; i < G_N_ELEMENTS(s->seeds); i++)
+		s->seeds[i] = s->hosts[i % hosts].address;
+}
+
+static void stop_host(struct sim_host *h)
+{
+	fleet_destroy(h->fleet);
+	h->fleet = NULL;
+	h->is_up = false;
+}
+
+void sim_destroy(struct sim *s)
+{
+	for (uint32_t i = 0; i < s->host_count; i++)
+		stop_host(&s->hosts[i]);
+	for (uint32_t i = 0; i < s->event_count; i++)
+		release_event(&s->events[i]);
+	g_free(s->events);
+	g_free(s->hosts);
+	g_rand_free(s->rand);
+}
+
+static void arm_timer(struct sim *s, struct sim_host *h)
+{
+	int64_t at = MAX(fleet_next_timer(h->fleet), s->clock.now_us);
+
+	if (h->timer_us <= at && h->timer_us > s->clock.now_us)
+		return;
+	h->timer_us = at;
+	push_event(s, (struct sim_event){.at_us = at, .host = h->index});
+}
+
+void sim_start(struct sim *s, uint32_t host)
+{
+	struct sim_host *h = &s->hosts[host];
+	char domain[8];
+	struct fleet_options o = {
+		.clock = clock_virtual(&s->clock),
+		.seed = g_rand_int(s->rand),
+		.ops = &fleet_ops,
+		.ctx = h,
+		.host = h->id,
+		.address = h->address,
+		.domain = domain,
+		.incarnation = (uint64_t)s->clock.now_us,
+		.seeds = s->seeds,
+		.seed_count = G_N_ELEMENTS(s->seeds),
+	};
+
+	sprintf(domain, "d%u", h->domain);
+	stop_host(h);
+	if (fleet_create(&h->fleet, &o))
+		abort();
+	h->is_up = true;
+	h->is_paused = false;
+	h->timer_us = 0;
+	arm_timer(s, h);
+}
+
+void sim_kill(struct sim *s, uint32_t host)
+{
+	stop_host(&s->hosts[host]);
+}
+
+/* Returns whether the event is done with; a paused host keeps its events. */
+static bool run_event(struct sim *s, struct sim_event *e)
+{
+	struct sim_host *h = &s->hosts[e->host];
+
+	if (!h->is_up || (!e->frame && e->at_us != h->timer_us))
+		return true;
+	if (h->is_paused) {
+		/* Comes back after the pause, frames before timers. */
+		e->at_us = s->clock.now_us + 50 * US_PER_MS;
+		if (!e->frame)
+			h->timer_us = e->at_us;
+		push_event(s, *e);
+		return false;
+	}
+	if (e->frame)
+		fleet_receive(h->fleet, g_bytes_get_data(e->frame, NULL),
+			      g_bytes_get_size(e->frame));
+	else
+		fleet_advance(h->fleet);
+	arm_timer(s, h);
+	return true;
+}
+
+void sim_run(struct sim *s, int64_t us)
+{
+	int64_t end = s->clock.now_us + us;
+	struct sim_event e;
+
+	while (s->event_count && s->events[0].at_us <= end) {
+		e = pop_event(s);
+		s->clock.now_us = e.at_us;
+		if (run_event(s, &e))
+			release_event(&e);
+	}
+	s->clock.now_us = end;
+}
+
+void sim_pause(struct sim *s, uint32_t host, bool is_paused)
+{
+	s->hosts[host].is_paused = is_paused;
+}
+
+static bool is_complete(const struct sim *s)
+{
+	for (uint32_t i = 0; i < s->host_count; i++) {
+		const struct sim_host *h = &s->hosts[i];
+
+		if (h->is_up &&
+		    membership_size(fleet_members(h->fleet)) != s->host_count)
+			return false;
+	}
+	return true;
+}
+
+void sim_start_all(struct sim *s)
+{
+	for (uint32_t i = 0; i < s->host_count; i++)
+		sim_start(s, i);
+	for (int i = 0; i < 1200 && !is_complete(s); i++)
+		sim_run(s, US_PER_S / 10);
+	if (!is_complete(s))
+		fprintf(stderr, "fleet did not join up\n");
+}
+
+uint32_t sim_count_state(struct sim *s, uint32_t host, unsigned int states)
+{
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < s->host_count; i++) {
+		const struct sim_host *h = &s->hosts[i];
+		const struct member *m;
+		unsigned int bit = SIM_UNKNOWN;
+
+		if (!h->is_up || i == host)
+			continue;
+		m = membership_find(fleet_members(h->fleet), s->hosts[host].id);
+		if (m)
+			bit = SIM_STATE(m->info.state);
+		count += (states & bit) != 0;
+	}
+	return count;
+}
