--- a/test/unit/main.c
+++ b/test/unit/main.c
@@ -8,6 +8,7 @@
 	{"engine keys", NULL, NULL, NULL, NULL, engine_keys_tests},
 	{"forward", NULL, NULL, NULL, NULL, forward_tests},
 	{"fleet frame", NULL, NULL, NULL, NULL, fleet_frame_tests},
+	{"fleet membership", NULL, NULL, NULL, NULL, fleet_membership_tests},
 	{"fleet placement", NULL, NULL, NULL, NULL, fleet_placement_tests},
 	{"merge", NULL, NULL, NULL, NULL, merge_tests},
 	{"upstream", NULL, NULL, NULL, NULL, upstream_tests},
--- a/test/unit/suites.h
+++ b/test/unit/suites.h
@@ -9,6 +9,7 @@
 extern CU_TestInfo engine_keys_tests[];
 extern CU_TestInfo forward_tests[];
 extern CU_TestInfo fleet_frame_tests[];
+extern CU_TestInfo fleet_membership_tests[];
 extern CU_TestInfo fleet_placement_tests[];
 extern CU_TestInfo merge_tests[];
 extern CU_TestInfo upstream_tests[];
