nutmegpickd: follow the published set in the store

A host learned its set from a local file only. The store thread reads the pointer, watches it from the revision that was read, fetches and checks the parts and sends newer sets to the engine thread. Lower versions are ignored; a set that fails its check and an outage leave the last good set in force. The decisions are in store/follow.c, without sockets or threads; waits have jitter between half and one and a half of their mean.

Under a virtual clock an outage of 600 s costs between 200 and 610 reads, and a new version is in force within 4 s of the store's return.

--- a/include/nutmegpickd/host.h
+++ b/include/nutmegpickd/host.h
@@ -53,6 +53,8 @@
 	struct engine *engine;
 	struct http_server *server;
 	struct upstream *upstream;
+	/** NULL where no store is used. */
+	struct store_thread *store_thread;
 	struct object_set *set;
 	/** Queries in flight, by query id. */
 	GHashTable *queries;
--- a/include/nutmegpickd/settings.h
+++ b/include/nutmegpickd/settings.h
@@ -13,6 +13,8 @@
 	char *listen_http;
 	/** Path of a local object set; NULL where a store is used. */
 	char *objects_path;
+	/** Addresses of the store; NULL-terminated, NULL where none is used. */
+	char **store_endpoints;
 	enum event_level log_level;
 	/** Time between the negative health check and the end of listening. */
 	int64_t drain_delay_us;
--- a/include/store/record.h
+++ b/include/store/record.h
@@ -19,4 +19,7 @@
 /** Returns the content hash that names a part; free with g_free(). */
 char *publish_hash(const char *data, size_t len);
 
+/** Returns 0, or -ERR_PUBLISH_HASH if the value does not match its hash. */
+int publish_check_part(const struct store_entry *e, const char *hash);
+
 #endif
--- a/nutmegpickd/engine_thread.c
+++ b/nutmegpickd/engine_thread.c
@@ -51,6 +51,7 @@
 		object_set_unref(set);
 		return;
 	}
+	event_log(EV_SET_IN_FORCE, "version=%" G_GUINT64_FORMAT, set->version);
 	object_set_unref(h->set);
 	h->set = set;
 	apply_limits(h, set);
--- a/nutmegpickd/main.c
+++ b/nutmegpickd/main.c
@@ -11,6 +11,7 @@
 
 #include "common/errors.h"
 #include "common/events.h"
+#include "nutmegpickd/store_thread.h"
 
 #define EVENT_RING_SIZE 65536
 
@@ -145,6 +146,10 @@
 		ret = load_objects(h);
 	if (ret)
 		return ret;
+	if (h->settings.store_endpoints)
+		ret = store_thread_start(&h->store_thread, h);
+	if (ret)
+		return ret;
 	pthread_create(&h->engine_thread, NULL, host_run_engine, h);
 	ret = http_server_create(&h->server, &server_options);
 	if (!ret)
@@ -174,6 +179,8 @@
 	/* Requests that outlast stop_timeout are refused before the exit. */
 	send_surely(h, HOST_STOP);
 	http_server_destroy(h->server, US_PER_S);
+	if (h->store_thread)
+		store_thread_stop(h->store_thread);
 	send_surely(h, HOST_EXIT);
 	pthread_join(h->engine_thread, NULL);
 	upstream_destroy(h->upstream);
@@ -210,6 +217,8 @@
 	ret = settings_load(arguments.settings_path, &h.settings, &faults);
 	if (ret) {
 		print_faults(&faults);
+		fault_list_clear(&faults);
+		settings_clear(&h.settings);
 		return EXIT_FAILURE;
 	}
 	if (arguments.is_check_only) {
--- a/nutmegpickd/settings.c
+++ b/nutmegpickd/settings.c
@@ -16,6 +16,7 @@
 enum setting_type {
 	SETTING_STRING,
 	SETTING_ADDRESS,
+	SETTING_ADDRESSES,
 	SETTING_DURATION,
 	SETTING_LEVEL,
 };
@@ -39,6 +40,8 @@
 	 offsetof(struct settings, listen_http), NULL, true},
 	{"objects", "path", SETTING_STRING,
 	 offsetof(struct settings, objects_path), NULL, false},
+	{"store", "endpoints", SETTING_ADDRESSES,
+	 offsetof(struct settings, store_endpoints), NULL, false},
 	{"log", "level", SETTING_LEVEL, offsetof(struct settings, log_level),
 	 "info", false},
 	{"lifecycle", "drain_delay", SETTING_DURATION,
@@ -105,6 +108,8 @@
 			return "must be an IP number and a port";
 		*(char **)out = strdup(text);
 		return NULL;
+	case SETTING_ADDRESSES:
+		return NULL;
 	case SETTING_STRING:
 		if (!*text || strlen(text) > 255)
 			return "must have 1 to 255 bytes";
@@ -122,6 +127,25 @@
 	return NULL;
 }
 
+static void read_addresses(struct reader *r, const struct tree_node *n,
+			   const struct setting_spec *s, char ***out)
+{
+	GPtrArray *list = g_ptr_array_new();
+
+	for (const struct tree_node *i = n->first_child; i; i = i->next) {
+		if (i->type != TREE_STRING || !is_address(i->text))
+			add_fault(r, i->line, s->section, s->name,
+				  "must be IP numbers and ports");
+		else
+			g_ptr_array_add(list, g_strdup(i->text));
+	}
+	if (n->type != TREE_ARRAY || !n->first_child)
+		add_fault(r, n->line, s->section, s->name,
+			  "must be an array of addresses");
+	g_ptr_array_add(list, NULL);
+	*out = (char **)g_ptr_array_free(list, FALSE);
+}
+
 static void read_setting(struct reader *r, const struct tree_node *root,
 			 const struct setting_spec *s, struct settings *out)
 {
@@ -132,6 +156,12 @@
 
 	if (table && table->type == TREE_TABLE)
 		n = tree_find(table, s->name);
+	if (s->type == SETTING_ADDRESSES) {
+		if (n)
+			read_addresses(r, n, s,
+				       (char ***)((char *)out + s->offset));
+		return;
+	}
 	if (n && n->type != TREE_STRING) {
 		add_fault(r, n->line, s->section, s->name, "must be a string");
 		return;
@@ -205,10 +235,21 @@
 	check_unknown(&r, root);
 	for (size_t i = 0; i < G_N_ELEMENTS(specs); i++)
 		read_setting(&r, root, &specs[i], out);
+	if (out->objects_path && out->store_endpoints)
+		add_fault(&r, 0, "objects", "path",
+			  "contradicts store.endpoints");
 	tree_destroy(root);
 	return faults->count ? -ERR_SETTINGS : 0;
 }
 
+static void print_addresses(char *const *addresses)
+{
+	printf("[");
+	for (size_t i = 0; addresses && addresses[i]; i++)
+		printf("%s\"%s\"", i ? ", " : "", addresses[i]);
+	printf("]\n");
+}
+
 void settings_print(const struct settings *s)
 {
 	for (size_t i = 0; i < G_N_ELEMENTS(specs); i++) {
@@ -222,6 +263,9 @@
 			text = *(char *const *)field;
 			printf("\"%s\"\n", text ? text : "");
 			break;
+		case SETTING_ADDRESSES:
+			print_addresses(*(char **const *)field);
+			break;
 		case SETTING_DURATION:
 			printf("\"%" PRId64 "us\"\n", *(const int64_t *)field);
 			break;
@@ -239,5 +283,6 @@
 	free(s->domain);
 	free(s->listen_http);
 	free(s->objects_path);
+	g_strfreev(s->store_endpoints);
 	memset(s, 0, sizeof(*s));
 }
--- a/store/read.c
+++ b/store/read.c
@@ -48,15 +48,6 @@
 	return ret;
 }
 
-static int check_part(const struct store_entry *e, const char *hash)
-{
-	char *found = publish_hash(e->value, e->len);
-	bool is_equal = !strcmp(found, hash);
-
-	g_free(found);
-	return is_equal ? 0 : -ERR_PUBLISH_HASH;
-}
-
 static int read_part(struct store *s, const char *hash, GString *text)
 {
 	char *key = g_strconcat(PUBLISH_KEY_PART, hash, NULL);
@@ -74,7 +65,7 @@
 	if (!ret && !e)
 		ret = -ERR_PUBLISH_PART;
 	if (!ret)
-		ret = check_part(e, hash);
+		ret = publish_check_part(e, hash);
 	if (!ret)
 		g_string_append_len(text, e->value, (gssize)e->len);
 	store_reply_clear(&reply);
--- a/store/record.c
+++ b/store/record.c
@@ -122,3 +122,12 @@
 	return g_compute_checksum_for_data(G_CHECKSUM_SHA256,
 					   (const guchar *)data, len);
 }
+
+int publish_check_part(const struct store_entry *e, const char *hash)
+{
+	char *found = publish_hash(e->value, e->len);
+	bool is_equal = !strcmp(found, hash);
+
+	g_free(found);
+	return is_equal ? 0 : -ERR_PUBLISH_HASH;
+}
--- a/test/unit/fake_store.c
+++ b/test/unit/fake_store.c
@@ -73,7 +73,7 @@
 	struct fake_store *f = ctx;
 	struct store_reply reply = {.revision = f->revision};
 
-	f->gets++;
+	f->reads++;
 	if (f->is_down)
 		reply.code = -ERR_STORE_DOWN;
 	else
@@ -123,6 +123,7 @@
 	struct store_reply reply = {0};
 	int number = txn->put_count ? f->writes++ : -1;
 
+	f->reads += number < 0;
 	if (number >= 0 && f->hook && number == f->hook_at)
 		f->hook(f->hook_ctx);
 	if (number >= 0 && f->down_after >= 0 && number >= f->down_after)
@@ -148,7 +149,6 @@
 
 	f->watcher = done;
 	f->is_watched = true;
-	f->watches++;
 	if (f->is_down)
 		fake_store_end_watch(f, -ERR_STORE_DOWN);
 	return 1;
--- a/test/unit/fake_store.h
+++ b/test/unit/fake_store.h
@@ -32,8 +32,8 @@
 	/** The one watch, if is_watched. */
 	struct store_done watcher;
 	bool is_watched;
-	int gets;
-	int watches;
+	/** Calls that change nothing. */
+	int reads;
 };
 
 void fake_store_init(struct fake_store *f);
--- a/test/unit/main.c
+++ b/test/unit/main.c
@@ -13,6 +13,7 @@
 	{"upstream", NULL, NULL, NULL, NULL, upstream_tests},
 	{"peer", NULL, NULL, NULL, NULL, peer_tests},
 	{"store etcd", NULL, NULL, NULL, NULL, store_etcd_tests},
+	{"store follow", NULL, NULL, NULL, NULL, store_follow_tests},
 	{"store gateway", NULL, NULL, NULL, NULL, store_gateway_tests},
 	{"store publish", NULL, NULL, NULL, NULL, store_publish_tests},
 	CU_SUITE_INFO_NULL,
--- a/test/unit/suites.h
+++ b/test/unit/suites.h
@@ -14,6 +14,7 @@
 extern CU_TestInfo upstream_tests[];
 extern CU_TestInfo peer_tests[];
 extern CU_TestInfo store_etcd_tests[];
+extern CU_TestInfo store_follow_tests[];
 extern CU_TestInfo store_gateway_tests[];
 extern CU_TestInfo store_publish_tests[];
 
--- /dev/null
+++ b/test/unit/test_store_follow.c
@@ -0,0 +1,226 @@
+#include "suites.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "common/errors.h"
+#include "common/events.h"
+#include "fake_store.h"
+#include "store/follow.h"
+#include "store/publish.h"
+
+/** Follower of a fake store under a virtual clock. */
+struct follow_test {
+	struct fake_store fake;
+	struct virtual_clock clock;
+	struct follower *follower;
+	int sets;
+	char domain[32];
+};
+
+static struct object_set *make_set(const char *name)
+{
+	struct fault_list faults = {0};
+	struct object_set *set = NULL;
+	char text[512];
+
+	g_snprintf(
+		text, sizeof(text),
+		"[fleet.main]\ndomains=[{name=\"%s\",region=\"r\",seats=1}]\n"
+		"[deadline.d]\ndefault=\"1s\"\nmax=\"2s\"\n"
+		"[class.c]\nkind=\"k\"\nworth=1\n[group.g]\nslots=1\n"
+		"connections=1\nconnect_cost=\"1ms\"\n[[group.g.shards]]\n"
+		"name=\"s\"\nweight=1\nleaves=[{address=\"127.0.0.1:1\","
+		"domain=\"%s\"}]\n[service.x]\ngroups=[\"g\"]\n"
+		"deadline=\"d\"\nclass=\"c\"\n",
+		name, name);
+	object_set_parse(text, "t", &set, &faults);
+	fault_list_clear(&faults);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(set);
+	return set;
+}
+
+static void publish(struct follow_test *t, const char *name)
+{
+	struct publish_options o = {
+		.token = name, .author = "ann", .base_version = -1};
+	struct object_set *set = make_set(name);
+	struct publish_result r;
+
+	publish_set(&t->fake.store, set, &o, &r);
+	CU_ASSERT_EQUAL(r.state, PUBLISH_ACCEPTED);
+	publish_result_clear(&r);
+	object_set_unref(set);
+}
+
+static void handle_set(void *ctx, struct object_set *set)
+{
+	struct follow_test *t = ctx;
+
+	t->sets++;
+	g_strlcpy(t->domain, set->domains[0].name, sizeof(t->domain));
+	object_set_unref(set);
+}
+
+static void start(struct follow_test *t)
+{
+	struct follower_options o = {
+		.store = &t->fake.store,
+		.clock = clock_virtual(&t->clock),
+		.seed = 7,
+		.handle_set = handle_set,
+		.ctx = t,
+	};
+
+	memset(t, 0, sizeof(*t));
+	event_set_level(EVENT_ERROR + 1);
+	fake_store_init(&t->fake);
+	t->follower = follower_create(&o);
+}
+
+static void stop(struct follow_test *t)
+{
+	follower_destroy(t->follower);
+	fake_store_clear(&t->fake);
+	event_set_level(EVENT_INFO);
+}
+
+/* Lets the virtual time pass. */
+static void advance(struct follow_test *t, int64_t us)
+{
+	int64_t end = t->clock.now_us + us;
+
+	while (t->clock.now_us < end) {
+		follower_step(t->follower);
+		t->clock.now_us += MAX(follower_wait_us(t->follower), 1);
+	}
+	follower_step(t->follower);
+}
+
+static void check(struct follow_test *t, uint64_t version, const char *domain)
+{
+	CU_ASSERT_EQUAL(follower_version(t->follower), version);
+	CU_ASSERT_STRING_EQUAL(t->domain, domain);
+}
+
+/* Guards against a version that is not taken at the start or from a watch. */
+static void test_versions(void)
+{
+	struct follow_test t;
+
+	start(&t);
+	advance(&t, US_PER_S);
+	check(&t, 0, "");
+	publish(&t, "one");
+	advance(&t, US_PER_S);
+	check(&t, 1, "one");
+	publish(&t, "two");
+	publish(&t, "three");
+	advance(&t, US_PER_S);
+	check(&t, 3, "three");
+	fake_store_end_watch(&t.fake, -ERR_STORE_WATCH_END);
+	publish(&t, "four");
+	advance(&t, US_PER_S);
+	check(&t, 4, "four");
+	CU_ASSERT(t.fake.is_watched);
+	stop(&t);
+}
+
+/* Guards against an older version replacing a newer one. */
+static void test_lower_version(void)
+{
+	struct publish_record r;
+	struct store_reply reply = {0};
+	struct store_get get = {.key = PUBLISH_KEY_POINTER};
+	struct follow_test t;
+
+	start(&t);
+	publish(&t, "one");
+	CU_ASSERT_EQUAL(store_get_wait(&t.fake.store, &get, &reply), 0);
+	publish(&t, "two");
+	advance(&t, US_PER_S);
+	check(&t, 2, "two");
+	fake_store_put(&t.fake, PUBLISH_KEY_POINTER, reply.entries[0].value);
+	advance(&t, US_PER_S);
+	fake_store_end_watch(&t.fake, -ERR_STORE_WATCH_END);
+	advance(&t, US_PER_S);
+	check(&t, 2, "two");
+	CU_ASSERT_EQUAL(publish_read_pointer(&t.fake.store, &r), 0);
+	CU_ASSERT_EQUAL(r.version, 1);
+	publish_record_clear(&r);
+	store_reply_clear(&reply);
+	stop(&t);
+}
+
+/* Guards against an outage that drops the set or is not recovered from. */
+static void test_outage(void)
+{
+	struct follow_test t;
+	int before;
+
+	start(&t);
+	publish(&t, "one");
+	advance(&t, US_PER_S);
+	t.fake.is_down = true;
+	fake_store_end_watch(&t.fake, -ERR_STORE_DOWN);
+	before = t.fake.reads;
+	advance(&t, 600 * US_PER_S);
+	check(&t, 1, "one");
+	/* With waits of 1 s to 3 s, and shorter ones at first. */
+	CU_ASSERT(t.fake.reads - before >= 200);
+	CU_ASSERT(t.fake.reads - before <= 610);
+	t.fake.is_down = false;
+	publish(&t, "two");
+	advance(&t, 4 * US_PER_S);
+	check(&t, 2, "two");
+	CU_ASSERT_EQUAL(t.sets, 2);
+	stop(&t);
+}
+
+/* Guards against a damaged set replacing the last good one. */
+static void test_damage(void)
+{
+	struct publish_record r;
+	struct follow_test t;
+	char *key;
+	char *text;
+
+	start(&t);
+	publish(&t, "one");
+	advance(&t, US_PER_S);
+	fake_store_put(&t.fake, PUBLISH_KEY_POINTER, "{\"version\":9}");
+	advance(&t, US_PER_S);
+	check(&t, 1, "one");
+	/* Parts that hold what no check accepts, under their right hash. */
+	key = g_compute_checksum_for_string(G_CHECKSUM_SHA256, "{}", 2);
+	text = g_strdup_printf("{\"version\":2,\"publish_id\":\"2-x\","
+			       "\"author\":\"x\",\"time_ms\":1,\"bytes\":2,"
+			       "\"parts\":[\"%s\"]}",
+			       key);
+	fake_store_put(&t.fake, PUBLISH_KEY_POINTER, text);
+	advance(&t, 10 * US_PER_S);
+	check(&t, 1, "one");
+	g_free(text);
+	text = g_strconcat(PUBLISH_KEY_PART, key, NULL);
+	fake_store_put(&t.fake, text, "{} ");
+	advance(&t, 10 * US_PER_S);
+	check(&t, 1, "one");
+	fake_store_put(&t.fake, text, "{}");
+	advance(&t, 10 * US_PER_S);
+	check(&t, 1, "one");
+	publish(&t, "two");
+	CU_ASSERT_EQUAL(publish_read_pointer(&t.fake.store, &r), 0);
+	CU_ASSERT_EQUAL(r.version, 3);
+	advance(&t, 4 * US_PER_S);
+	check(&t, 3, "two");
+	publish_record_clear(&r);
+	g_free(text);
+	g_free(key);
+	stop(&t);
+}
+
+CU_TestInfo store_follow_tests[] = {
+	{"versions", test_versions}, {"lower version", test_lower_version},
+	{"outage", test_outage},     {"damage", test_damage},
+	CU_TEST_INFO_NULL,
+};
