--- a/bench/cases.jq
+++ b/bench/cases.jq
@@ -72,7 +72,7 @@
     v("extra"; "healthy"; [2000, 20000]; search($set; 0.6; 20000)),
     v("extra"; "faults"; [2000, 20000]; search($set; 0.6; 20000),
       leaf_faults($seed; 2000; 20000)),
-    ((0.6, 0.8, 1, 1.2) as $load | v("overload"; "load \($load)";
+    ((0.6, 0.8, 1, 1.2, 1.5) as $load | v("overload"; "load \($load)";
       [2000, 20000]; mixed($set; $load; 20000))),
     ((2, 5) as $load | v("overload"; "load \($load)";
       [0, 60000]; mixed($set; $load; 60000))),
