--- a/test/unit/suites.h
+++ b/test/unit/suites.h
@@ -8,8 +8,13 @@
 extern CU_TestInfo engine_admission_tests[];
 extern CU_TestInfo engine_keys_tests[];
 extern CU_TestInfo forward_tests[];
+extern CU_TestInfo fleet_frame_tests[];
 extern CU_TestInfo fleet_placement_tests[];
 extern CU_TestInfo merge_tests[];
+extern CU_TestInfo upstream_tests[];
 extern CU_TestInfo peer_tests[];
+extern CU_TestInfo store_etcd_tests[];
+extern CU_TestInfo store_gateway_tests[];
+extern CU_TestInfo store_publish_tests[];
 
 #endif
