nutmegpickd: forward queries to holders of their shard groups

A leaf with few slots cannot be called by every host, and repeats of a request key have to meet at one host. Each host now computes the holders of every placement unit from the seats, runs a query itself if it holds the unit, and forwards it over one hop otherwise. A holder that does not accept a request answers 421; the entry host then tries another one if time allows and the request is idempotent. A frame that was queued on a link that never came up was not run; on a link that broke the outcome is unknown. Reports are asked only from the leaves of held groups.

Seats come from the settings until hosts claim them in the store.

--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -118,6 +118,11 @@
 	}
 }
 
+void fleet_set_seat(struct fleet *f, int32_t seat)
+{
+	membership_set_seat(f->membership, seat);
+}
+
 void fleet_advance(struct fleet *f)
 {
 	membership_advance(f->membership);
--- a/include/fleet/fleet.h
+++ b/include/fleet/fleet.h
@@ -52,6 +52,11 @@
  */
 int fleet_receive(struct fleet *f, const void *data, size_t len);
 
+/**
+ * Announces that this host occupies a seat of its failure domain, or NO_SEAT.
+ */
+void fleet_set_seat(struct fleet *f, int32_t seat);
+
 /** Runs what is due. */
 void fleet_advance(struct fleet *f);
 
--- a/include/net/peer.h
+++ b/include/net/peer.h
@@ -1,6 +1,7 @@
 #ifndef NET_PEER_H
 #define NET_PEER_H
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -43,8 +44,13 @@
 	/** Takes a frame. The data is valid during the call. */
 	void (*handle_frame)(void *ctx, peer_link link, const char *address,
 			     const void *data, size_t len);
-	/** Tells that a link is closed; frames queued on it may be lost. */
-	void (*handle_closed)(void *ctx, peer_link link, const char *address);
+	/**
+	 * Tells that a link is closed; frames queued on it may be lost. If
+	 * is_undelivered is set, the link never came up and no frame on it has
+	 * reached the peer.
+	 */
+	void (*handle_closed)(void *ctx, peer_link link, const char *address,
+			      bool is_undelivered);
 	void *ctx;
 };
 
--- a/include/nutmegpickd/host.h
+++ b/include/nutmegpickd/host.h
@@ -10,7 +10,10 @@
 #include "common/ring.h"
 #include "engine/engine.h"
 #include "engine/merge.h"
+#include "fleet/fleet.h"
+#include "net/forward.h"
 #include "net/http_server.h"
+#include "net/peer.h"
 #include "net/upstream.h"
 #include "nutmegpickd/settings.h"
 
@@ -18,6 +21,10 @@
 	HOST_REQUEST,
 	HOST_REPLY,
 	HOST_SET,
+	/** A frame of a peer. */
+	HOST_FRAME,
+	/** A link to a peer has closed. */
+	HOST_LINK_CLOSED,
 	HOST_DRAIN,
 	HOST_STOP,
 	HOST_EXIT,
@@ -29,14 +36,30 @@
 	struct http_exchange *exchange;
 	struct upstream_reply *reply;
 	struct object_set *set;
+	peer_link link;
+	char address[PEER_ADDRESS_MAX];
+	/** Frame; freed with the event. */
+	void *data;
+	size_t len;
+	/** Frames on the closed link cannot have reached the peer. */
+	bool is_undelivered;
+};
+
+/** Where an answer goes: to a caller, or to the host that forwarded. */
+struct origin {
+	/** NULL if the query was forwarded. */
+	struct http_exchange *exchange;
+	/** 0 if the query came from a caller. */
+	peer_link link;
+	uint64_t forward_id;
 };
 
 /** Query of a caller, from its arrival to its answer. */
 struct host_query {
 	struct host *host;
 	uint64_t id;
-	/** NULL once the caller has left or was refused at a stop. */
-	struct http_exchange *exchange;
+	/** Empty once the caller has left or was refused at a stop. */
+	struct origin origin;
 	char request_id[ENGINE_ID_MAX];
 	char *service;
 	/** Body sent to every leaf. */
@@ -56,6 +79,16 @@
 	/** NULL where no store is used. */
 	struct store_thread *store_thread;
 	struct object_set *set;
+	/** NULL where the host has no peers. */
+	struct peer *peer;
+	struct peers *peers;
+	struct fleet *fleet;
+	/** Seat of this host in its failure domain, or NO_SEAT. */
+	int32_t seat;
+	struct route_table *routes;
+	/** Queries that wait for another host's result, by forward id. */
+	GHashTable *forwards;
+	uint64_t last_forward_id;
 	/** Queries in flight, by query id. */
 	GHashTable *queries;
 	/** Queries of leaf calls in flight, by call id. */
@@ -94,15 +127,57 @@
 /** Callbacks of the engine. */
 extern const struct engine_ops query_engine_ops;
 
-/** Writes an answer or a refusal to the caller and frees the query. */
+/** Takes a query that another host forwarded. */
+void query_start_forwarded(struct host *h, peer_link link,
+			   const struct forward_query *f);
+
+/** Cancels a query that another host forwarded on a link. */
+void query_cancel_forwarded(struct host *h, peer_link link,
+			    uint64_t forward_id);
+
+/** Returns whether an answer can still be sent. */
+bool origin_is_open(const struct origin *o);
+
+/** Sends a reply and empties the origin. */
+void origin_reply(struct host *h, struct origin *o, unsigned int status,
+		  uint32_t retry_after_s, const char *body, size_t len);
+
+/** Sends an answer or a refusal. */
 void answer_send(struct host_query *q, const struct engine_outcome *outcome);
 
-/** Refuses a request that never became a query. */
-void answer_refuse(struct http_exchange *x, const char *request_id, int code,
-		   int64_t retry_after_us);
+/** Ends a request with a refusal; run tells whether it can have run. */
+void answer_refuse(struct host *h, struct origin *o, const char *request_id,
+		   int code, enum run_state run, int64_t retry_after_us);
+
+/**
+ * Forwards a request to a holder if this host is none of its holders. Returns
+ * 1 if it was forwarded, 0 if this host has to run it, or a negative result
+ * code; it was not run then.
+ */
+int forward_start(struct host *h, struct http_exchange *x,
+		  const struct engine_request *request);
+
+/** Takes a frame that carries a query or its result. */
+void forward_handle_frame(struct host *h, const struct host_event *e,
+			  const void *data, size_t len);
+
+/** Ends the queries forwarded over a link that has closed. */
+void forward_handle_closed(struct host *h, const struct host_event *e);
+
+/** Ends forwarded queries past their deadline or without a caller. */
+void forward_check(struct host *h);
+
+/** Starts the links to peers. Returns 0 or a negative result code. */
+int peers_start(struct host *h);
+
+/** Stops the links; the engine thread has ended. */
+void peers_stop(struct host *h);
+
+/** Takes a frame of another host. */
+void peers_handle_frame(struct host *h, const struct host_event *e);
 
-/** Ends a query whose calls may have run. */
-void answer_abandon(struct http_exchange *x, const char *request_id, int code);
+/** Runs what is due between hosts. */
+void peers_advance(struct host *h);
 
 /** Answers /healthz, /readyz, /statusz and /metrics. */
 void page_send(struct host *h, struct http_exchange *x);
--- a/include/nutmegpickd/settings.h
+++ b/include/nutmegpickd/settings.h
@@ -10,7 +10,13 @@
 struct settings {
 	char *host_id;
 	char *domain;
+	/** Fixed seat in the failure domain, or NO_SEAT. */
+	int32_t seat;
 	char *listen_http;
+	/** Address for other hosts; NULL where the host works alone. */
+	char *listen_peer;
+	/** Addresses of other hosts to join through; may be NULL. */
+	char **peer_seeds;
 	/** Path of a local object set; NULL where a store is used. */
 	char *objects_path;
 	/** Addresses of the store; NULL-terminated, NULL where none is used. */
--- a/net/peer.c
+++ b/net/peer.c
@@ -41,6 +41,7 @@
 	/** Listening address of the peer; empty until its hello. */
 	char address[PEER_ADDRESS_MAX];
 	bool is_connecting;
+	bool was_connected;
 	bool has_hello;
 	bool wants_write;
 	int64_t last_use_us;
@@ -117,6 +118,7 @@
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
 	l->id = ++p->last_link;
 	l->fd = fd;
+	l->was_connected = true;
 	l->in = g_byte_array_new();
 	l->out = g_byte_array_new();
 	l->last_use_us = clock_now(&p->options.clock);
@@ -134,6 +136,7 @@
 static void close_link(struct peer *p, struct link *l)
 {
 	peer_link id = l->id;
+	bool is_undelivered = !l->was_connected;
 	char address[PEER_ADDRESS_MAX];
 
 	g_strlcpy(address, l->address, sizeof(address));
@@ -144,7 +147,7 @@
 	g_byte_array_free(l->in, TRUE);
 	g_byte_array_free(l->out, TRUE);
 	g_free(l);
-	p->options.handle_closed(p->options.ctx, id, address);
+	p->options.handle_closed(p->options.ctx, id, address, is_undelivered);
 }
 
 static struct link *dial(struct peer *p, const char *address)
@@ -165,6 +168,7 @@
 	}
 	l = add_link(p, fd, address);
 	l->is_connecting = true;
+	l->was_connected = false;
 	return l;
 }
 
@@ -276,8 +280,10 @@
 	if (!l->is_connecting)
 		return true;
 	l->is_connecting = false;
-	return !getsockopt(l->fd, SOL_SOCKET, SO_ERROR, &error, &size) &&
-	       !error;
+	l->was_connected =
+		!getsockopt(l->fd, SOL_SOCKET, SO_ERROR, &error, &size) &&
+		!error;
+	return l->was_connected;
 }
 
 static void handle_link_event(struct peer *p, peer_link id, uint32_t events)
@@ -336,7 +342,7 @@
 		l = dial(p, c->address);
 	if (!l) {
 		add_count(&p->counts.frames_dropped, 1);
-		p->options.handle_closed(p->options.ctx, 0, c->address);
+		p->options.handle_closed(p->options.ctx, 0, c->address, true);
 		return;
 	}
 	queue_frame(p, l, c);
--- a/nutmegpickd/answer.c
+++ b/nutmegpickd/answer.c
@@ -27,6 +27,10 @@
 		return 405;
 	case ERR_KEY_UNKNOWN:
 		return 409;
+	case ERR_NET_BODY_SIZE:
+		return 413;
+	case ERR_NOT_OWNER:
+		return 421;
 	case ERR_OVERLOAD:
 		return 429;
 	case ERR_DEADLINE:
@@ -98,13 +102,15 @@
 	return hits;
 }
 
-static void send_json(struct http_exchange *x, unsigned int status,
-		      json_t *document)
+static void send_json(struct host *h, struct origin *o, unsigned int status,
+		      int64_t retry_after_us, json_t *document)
 {
 	char *text = json_dumps(document, JSON_COMPACT);
+	uint32_t seconds =
+		(uint32_t)((MAX(retry_after_us, 0) + US_PER_S - 1) / US_PER_S);
 
 	json_decref(document);
-	http_exchange_reply(x, status, "application/json", text, strlen(text));
+	origin_reply(h, o, status, seconds, text, strlen(text));
 	free(text);
 }
 
@@ -119,22 +125,11 @@
 			 run_names[run]);
 }
 
-static void add_retry_after(struct http_exchange *x, int64_t us)
-{
-	char seconds[32];
-
-	if (us <= 0)
-		return;
-	snprintf(seconds, sizeof(seconds), "%lld",
-		 (long long)((us + US_PER_S - 1) / US_PER_S));
-	http_exchange_add_header(x, "Retry-After", seconds);
-}
-
 void answer_send(struct host_query *q, const struct engine_outcome *o)
 {
 	json_t *document;
 
-	if (!q->exchange) {
+	if (!origin_is_open(&q->origin)) {
 		if (!o->code)
 			json_decref(take_hits(q, o));
 		return;
@@ -142,8 +137,8 @@
 	if (o->code) {
 		document = encode_refusal(o->request_id, o->code, o->run);
 		json_object_set_new(document, "coverage", encode_coverage(o));
-		add_retry_after(q->exchange, o->retry_after_us);
-		send_json(q->exchange, http_status(o->code), document);
+		send_json(q->host, &q->origin, http_status(o->code),
+			  o->retry_after_us, document);
 		return;
 	}
 	document = json_pack("{s:s,s:s,s:I,s:I,s:o,s:o,s:{s:I,s:I,s:I}}",
@@ -154,19 +149,12 @@
 			     "timing", "total_us", (json_int_t)o->total_us,
 			     "needed_calls", (json_int_t)o->needed_calls,
 			     "extra_calls", (json_int_t)o->extra_calls);
-	send_json(q->exchange, 200, document);
-}
-
-void answer_refuse(struct http_exchange *x, const char *request_id, int code,
-		   int64_t retry_after_us)
-{
-	add_retry_after(x, retry_after_us);
-	send_json(x, http_status(code),
-		  encode_refusal(request_id, code, RUN_NOT_RUN));
+	send_json(q->host, &q->origin, 200, 0, document);
 }
 
-void answer_abandon(struct http_exchange *x, const char *request_id, int code)
+void answer_refuse(struct host *h, struct origin *o, const char *request_id,
+		   int code, enum run_state run, int64_t retry_after_us)
 {
-	send_json(x, http_status(code),
-		  encode_refusal(request_id, code, RUN_UNKNOWN));
+	send_json(h, o, http_status(code), retry_after_us,
+		  encode_refusal(request_id, code, run));
 }
--- a/nutmegpickd/engine_thread.c
+++ b/nutmegpickd/engine_thread.c
@@ -5,6 +5,7 @@
 
 #include "common/errors.h"
 #include "common/events.h"
+#include "nutmegpickd/route.h"
 
 /* Longest sleep, so that a caller's disconnect is noticed in time. */
 #define MAX_SLEEP_US (20 * US_PER_MS)
@@ -28,6 +29,7 @@
 			upstream_reply_free(e->reply);
 		if (e->set)
 			object_set_unref(e->set);
+		free(e->data);
 		g_free(e);
 	}
 }
@@ -54,10 +56,21 @@
 	event_log(EV_SET_IN_FORCE, "version=%" G_GUINT64_FORMAT, set->version);
 	object_set_unref(h->set);
 	h->set = set;
-	apply_limits(h, set);
+	if (h->fleet)
+		route_rebuild(h);
+	else
+		apply_limits(h, set);
 	h->next_report_us = 0;
 }
 
+static void start_drain(struct host *h)
+{
+	h->is_draining = true;
+	/* Other hosts then choose other holders. */
+	if (h->fleet)
+		fleet_set_seat(h->fleet, NO_SEAT);
+}
+
 static void handle_event(struct host *h, struct host_event *e)
 {
 	switch (e->type) {
@@ -74,8 +87,15 @@
 	case HOST_SET:
 		apply_set(h, e->set);
 		break;
+	case HOST_FRAME:
+		peers_handle_frame(h, e);
+		free(e->data);
+		break;
+	case HOST_LINK_CLOSED:
+		forward_handle_closed(h, e);
+		break;
 	case HOST_DRAIN:
-		h->is_draining = true;
+		start_drain(h);
 		break;
 	case HOST_STOP:
 		h->is_stopping = true;
@@ -94,6 +114,9 @@
 	int64_t now = clock_now(&h->clock);
 	int64_t wait = MIN(engine_next_timer(h->engine) - now, MAX_SLEEP_US);
 
+	if (h->fleet)
+		wait = MIN(wait, fleet_next_timer(h->fleet) - now);
+
 	if (wait <= 0)
 		return 0;
 	return (int)((wait + US_PER_MS - 1) / US_PER_MS);
@@ -112,6 +135,7 @@
 		while ((e = ring_pop(h->events)))
 			handle_event(h, e);
 		engine_advance(h->engine);
+		peers_advance(h);
 		report_poll(h);
 		query_check_gone(h);
 	}
--- /dev/null
+++ b/nutmegpickd/forward.c
@@ -0,0 +1,251 @@
+#include "nutmegpickd/host.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/errors.h"
+#include "common/events.h"
+#include "nutmegpickd/route.h"
+
+/* Least time left for which a second holder is tried. */
+#define MIN_RETRY_US (5 * US_PER_MS)
+
+/* Time beyond the deadline in which the holder's own refusal may arrive. */
+#define RESULT_GRACE_US (20 * US_PER_MS)
+
+/* Status of a holder that does not accept the request; it was not run. */
+#define STATUS_MISDIRECTED 421
+
+struct forward {
+	uint64_t id;
+	struct origin origin;
+	struct engine_request request;
+	char *service;
+	char *class;
+	int64_t deadline_us;
+	struct route route;
+	bool is_retried;
+};
+
+static struct counter forwards_total = {
+	.name = "nutmegpick_forwards_total",
+	.help = "Queries forwarded to a holder.",
+};
+
+__attribute__((constructor)) static void register_counters(void)
+{
+	counter_register(&forwards_total);
+}
+
+static int64_t service_deadline(const struct host *h,
+				const struct engine_request *r)
+{
+	const struct deadline_object *d;
+	obj_handle s = object_set_find_service(h->set, r->service);
+
+	if (s == OBJ_NONE)
+		return r->deadline_us;
+	d = &h->set->deadlines[h->set->services[s].deadline];
+	if (r->deadline_us <= 0)
+		return d->default_us;
+	return MIN(r->deadline_us, d->max_us);
+}
+
+static bool is_keyed(const struct host *h, const struct engine_request *r)
+{
+	obj_handle s = object_set_find_service(h->set, r->service);
+
+	return r->is_non_idempotent ||
+	       (s != OBJ_NONE && !h->set->services[s].idempotent);
+}
+
+static int send_query(struct host *h, struct forward *f)
+{
+	struct forward_query q = {
+		.id = f->id,
+		.service = f->service,
+		.class = f->class,
+		.key_created_us = f->request.key_created_us,
+		.remaining_us = f->deadline_us - clock_now(&h->clock),
+		.is_non_idempotent = f->request.is_non_idempotent,
+	};
+	struct forward_buffer b;
+	int ret;
+
+	g_strlcpy(q.request_id, f->request.id, sizeof(q.request_id));
+	g_strlcpy(q.key, f->request.key, sizeof(q.key));
+	q.body = http_exchange_body(f->origin.exchange, &q.body_len);
+	b = forward_encode_query(&q);
+	ret = peer_send(h->peer, f->route.address, b.data, b.len);
+	free(b.data);
+	if (ret)
+		return ret;
+	route_begin(h, &f->route);
+	counter_add(&forwards_total, 1);
+	event_log(EV_FORWARD, "request=%s service=%s to=%s retry=%d",
+		  f->request.id, f->service, f->route.address, f->is_retried);
+	return 0;
+}
+
+static void free_forward(struct forward *f)
+{
+	free(f->service);
+	free(f->class);
+	g_free(f);
+}
+
+static void end_forward(struct host *h, struct forward *f, bool is_answered)
+{
+	route_end(h, &f->route, is_answered);
+	g_hash_table_remove(h->forwards, &f->id);
+	free_forward(f);
+}
+
+static void refuse(struct host *h, struct forward *f, int code,
+		   enum run_state run)
+{
+	event_log(EV_QUERY_REFUSE, "request=%s code=E%d to=%s", f->request.id,
+		  -code, f->route.address);
+	if (origin_is_open(&f->origin))
+		answer_refuse(h, &f->origin, f->request.id, code, run, 0);
+	end_forward(h, f, false);
+}
+
+int forward_start(struct host *h, struct http_exchange *x,
+		  const struct engine_request *request)
+{
+	struct forward *f;
+	struct route route;
+	int ret;
+
+	if (!h->peer || !h->set)
+		return 0;
+	ret = route_choose(h, request, NULL, &route);
+	if (ret)
+		return ret;
+	if (route.is_local)
+		return 0;
+	f = g_new0(struct forward, 1);
+	f->id = ++h->last_forward_id;
+	f->origin.exchange = x;
+	f->request = *request;
+	f->service = strdup(request->service);
+	f->class = request->class ? strdup(request->class) : NULL;
+	f->deadline_us = clock_now(&h->clock) + service_deadline(h, request);
+	f->request.service = f->service;
+	f->request.class = f->class;
+	f->route = route;
+	ret = send_query(h, f);
+	if (ret) {
+		free_forward(f);
+		return -ERR_OVERLOAD;
+	}
+	g_hash_table_insert(h->forwards, &f->id, f);
+	return 1;
+}
+
+/* Returns true if another holder was tried. */
+static bool retry(struct host *h, struct forward *f)
+{
+	struct route next;
+	int64_t left = f->deadline_us - clock_now(&h->clock);
+
+	if (f->is_retried || left < MIN_RETRY_US ||
+	    !origin_is_open(&f->origin) || is_keyed(h, &f->request))
+		return false;
+	if (route_choose(h, &f->request, f->route.address, &next) ||
+	    next.is_local)
+		return false;
+	route_end(h, &f->route, false);
+	f->route = next;
+	f->is_retried = true;
+	return !send_query(h, f);
+}
+
+static void handle_result(struct host *h, const char *address,
+			  const struct forward_result *r)
+{
+	struct forward *f = g_hash_table_lookup(h->forwards, &r->id);
+
+	/* A result of the holder that was given up, or of a stranger. */
+	if (!f || strcmp(f->route.address, address)) {
+		event_log(EV_CALL_DROP, "forward=%" PRIu64 " from=%s", r->id,
+			  address);
+		return;
+	}
+	if (r->status == STATUS_MISDIRECTED && retry(h, f))
+		return;
+	if (origin_is_open(&f->origin))
+		origin_reply(h, &f->origin, r->status, r->retry_after_s,
+			     r->body, r->body_len);
+	end_forward(h, f, true);
+}
+
+void forward_handle_frame(struct host *h, const struct host_event *e,
+			  const void *data, size_t len)
+{
+	struct forward_frame frame;
+
+	if (forward_decode(data, len, &frame)) {
+		event_log(EV_LINK_REFUSE, "code=E%d address=%s", ERR_FRAME,
+			  e->address);
+		return;
+	}
+	switch (frame.type) {
+	case FORWARD_QUERY:
+		query_start_forwarded(h, e->link, &frame.query);
+		break;
+	case FORWARD_RESULT:
+		handle_result(h, e->address, &frame.result);
+		break;
+	case FORWARD_CANCEL:
+		query_cancel_forwarded(h, e->link, frame.id);
+		break;
+	default:
+		break;
+	}
+	forward_free(&frame);
+}
+
+void forward_handle_closed(struct host *h, const struct host_event *e)
+{
+	GList *all = g_hash_table_get_values(h->forwards);
+
+	for (GList *l = all; l; l = l->next) {
+		struct forward *f = l->data;
+
+		if (strcmp(f->route.address, e->address) || retry(h, f))
+			continue;
+		refuse(h, f, -ERR_NO_HOLDER,
+		       e->is_undelivered ? RUN_NOT_RUN : RUN_UNKNOWN);
+	}
+	g_list_free(all);
+}
+
+static void cancel(struct host *h, struct forward *f)
+{
+	struct forward_buffer b = forward_encode_cancel(f->id);
+
+	peer_send(h->peer, f->route.address, b.data, b.len);
+	free(b.data);
+}
+
+void forward_check(struct host *h)
+{
+	GList *all = g_hash_table_get_values(h->forwards);
+	int64_t now = clock_now(&h->clock);
+
+	for (GList *l = all; l; l = l->next) {
+		struct forward *f = l->data;
+		bool is_gone = f->origin.exchange &&
+			       http_exchange_is_gone(f->origin.exchange);
+
+		if (!is_gone && now < f->deadline_us + RESULT_GRACE_US)
+			continue;
+		cancel(h, f);
+		refuse(h, f, is_gone ? -ERR_CANCELLED : -ERR_DEADLINE,
+		       RUN_UNKNOWN);
+	}
+	g_list_free(all);
+}
--- a/nutmegpickd/main.c
+++ b/nutmegpickd/main.c
@@ -91,9 +91,10 @@
 {
 	struct host *h = ctx;
 	struct host_event e = {.type = HOST_REQUEST, .exchange = x};
+	struct origin o = {.exchange = x};
 
 	if (host_send(h, e))
-		answer_refuse(x, "", -ERR_OVERLOAD, US_PER_S);
+		answer_refuse(h, &o, "", -ERR_OVERLOAD, RUN_NOT_RUN, US_PER_S);
 }
 
 static void handle_reply(void *ctx, struct upstream_reply *reply)
@@ -146,7 +147,8 @@
 		ret = load_objects(h);
 	if (ret)
 		return ret;
-	if (h->settings.store_endpoints)
+	ret = peers_start(h);
+	if (!ret && h->settings.store_endpoints)
 		ret = store_thread_start(&h->store_thread, h);
 	if (ret)
 		return ret;
@@ -184,6 +186,7 @@
 	send_surely(h, HOST_EXIT);
 	pthread_join(h->engine_thread, NULL);
 	upstream_destroy(h->upstream);
+	peers_stop(h);
 	host_drop_events(h);
 	engine_unref(h->engine);
 	object_set_unref(h->set);
--- a/nutmegpickd/page.c
+++ b/nutmegpickd/page.c
@@ -37,6 +37,13 @@
 	g_free(text);
 }
 
+static void send_not_found(struct host *h, struct http_exchange *x)
+{
+	struct origin o = {.exchange = x};
+
+	answer_refuse(h, &o, "", -ERR_NET_NOT_FOUND, RUN_NOT_RUN, 0);
+}
+
 void page_send(struct host *h, struct http_exchange *x)
 {
 	const char *path = http_exchange_path(x);
@@ -53,5 +60,5 @@
 	else if (!strcmp(path, "/metrics"))
 		send_metrics(x);
 	else
-		answer_refuse(x, "", -ERR_NET_NOT_FOUND, 0);
+		send_not_found(h, x);
 }
--- /dev/null
+++ b/nutmegpickd/peers.c
@@ -0,0 +1,208 @@
+#include "nutmegpickd/host.h"
+
+#include <arpa/inet.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/errors.h"
+#include "common/events.h"
+#include "fleet/frame.h"
+#include "nutmegpickd/route.h"
+
+struct peers {
+	struct host *host;
+	/** Decodes hello frames on the thread of the links. */
+	struct frame_codec *codec;
+};
+
+/* The link adds and removes the length prefix that frames carry. */
+static void *add_prefix(const void *data, size_t len)
+{
+	uint32_t prefix = htonl((uint32_t)len);
+	uint8_t *frame = malloc(FRAME_PREFIX + len);
+
+	if (!frame)
+		return NULL;
+	memcpy(frame, &prefix, FRAME_PREFIX);
+	memcpy(frame + FRAME_PREFIX, data, len);
+	return frame;
+}
+
+static void handle_send(void *ctx, const char *address, const void *data,
+			size_t len)
+{
+	struct host *h = ctx;
+
+	peer_send(h->peer, address, (const uint8_t *)data + FRAME_PREFIX,
+		  len - FRAME_PREFIX);
+}
+
+static const struct fleet_ops fleet_ops = {
+	.send = handle_send,
+};
+
+static int handle_hello(void *ctx, const void *data, size_t len,
+			char address[PEER_ADDRESS_MAX])
+{
+	struct peers *p = ctx;
+	void *whole = add_prefix(data, len);
+	struct frame frame;
+	int ret = frame_decode(p->codec, whole, len + FRAME_PREFIX, &frame);
+
+	if (!ret && frame.type != FRAME_HELLO)
+		ret = -ERR_FRAME_TYPE;
+	if (!ret)
+		ret = frame_select_version(&frame.hello);
+	if (ret >= 0)
+		g_strlcpy(address, frame.hello.sender.address,
+			  PEER_ADDRESS_MAX);
+	free(whole);
+	return MIN(ret, 0);
+}
+
+static void send_event(struct peers *p, struct host_event e,
+		       const char *address)
+{
+	g_strlcpy(e.address, address, sizeof(e.address));
+	if (host_send(p->host, e))
+		free(e.data);
+}
+
+static void handle_frame(void *ctx, peer_link link, const char *address,
+			 const void *data, size_t len)
+{
+	struct host_event e = {
+		.type = HOST_FRAME,
+		.link = link,
+		.data = add_prefix(data, len),
+		.len = len + FRAME_PREFIX,
+	};
+
+	/* A full ring drops the frame: back-pressure on the peers' queries. */
+	if (e.data)
+		send_event(ctx, e, address);
+}
+
+static void handle_closed(void *ctx, peer_link link, const char *address,
+			  bool is_undelivered)
+{
+	struct host_event e = {
+		.type = HOST_LINK_CLOSED,
+		.link = link,
+		.is_undelivered = is_undelivered,
+	};
+
+	send_event(ctx, e, address);
+}
+
+static int encode_hello(struct host *h, struct frame_codec *codec,
+			const void **data, size_t *len)
+{
+	struct frame frame = {.type = FRAME_HELLO};
+
+	frame.hello.version_low = FRAME_VERSION_LOW;
+	frame.hello.version_high = FRAME_VERSION_HIGH;
+	frame.hello.sender = *membership_self(fleet_members(h->fleet));
+	return frame_encode(codec, &frame, data, len);
+}
+
+static int start_links(struct host *h, struct peers *p)
+{
+	struct peer_options options = {
+		.address = h->settings.listen_peer,
+		.clock = h->clock,
+		.handle_hello = handle_hello,
+		.handle_frame = handle_frame,
+		.handle_closed = handle_closed,
+		.ctx = p,
+	};
+	const void *hello;
+	size_t len;
+	int ret = encode_hello(h, p->codec, &hello, &len);
+
+	if (ret)
+		return ret;
+	options.hello = (const uint8_t *)hello + FRAME_PREFIX;
+	options.hello_len = len - FRAME_PREFIX;
+	return peer_create(&h->peer, &options);
+}
+
+static int start_fleet(struct host *h)
+{
+	struct fleet_options options = {
+		.clock = h->clock,
+		.seed = (uint64_t)clock_wall(&h->clock),
+		.ops = &fleet_ops,
+		.ctx = h,
+		.host = h->settings.host_id,
+		.address = h->settings.listen_peer,
+		.domain = h->settings.domain,
+		.incarnation = (uint64_t)clock_wall(&h->clock),
+		.seeds = (const char *const *)h->settings.peer_seeds,
+	};
+
+	for (char **s = h->settings.peer_seeds; s && *s; s++)
+		options.seed_count++;
+	return fleet_create(&h->fleet, &options);
+}
+
+int peers_start(struct host *h)
+{
+	struct peers *p;
+	int ret;
+
+	h->seat = NO_SEAT;
+	h->forwards = g_hash_table_new(g_int64_hash, g_int64_equal);
+	if (!h->settings.listen_peer)
+		return 0;
+	p = g_new0(struct peers, 1);
+	p->host = h;
+	h->peers = p;
+	ret = frame_codec_create(&p->codec);
+	if (!ret)
+		ret = start_fleet(h);
+	if (!ret)
+		ret = start_links(h, p);
+	if (ret)
+		return ret;
+	h->seat = h->settings.seat;
+	fleet_set_seat(h->fleet, h->seat);
+	event_log(EV_LISTEN, "address=%s port=%u", h->settings.listen_peer,
+		  peer_port(h->peer));
+	return 0;
+}
+
+void peers_stop(struct host *h)
+{
+	if (h->peer)
+		peer_destroy(h->peer);
+	fleet_destroy(h->fleet);
+	route_clear(h);
+	if (h->peers)
+		frame_codec_destroy(h->peers->codec);
+	g_free(h->peers);
+	g_hash_table_destroy(h->forwards);
+}
+
+void peers_handle_frame(struct host *h, const struct host_event *e)
+{
+	const uint8_t *frame = (const uint8_t *)e->data + FRAME_PREFIX;
+	int ret;
+
+	if (forward_is_frame(frame, e->len - FRAME_PREFIX)) {
+		forward_handle_frame(h, e, frame, e->len - FRAME_PREFIX);
+		return;
+	}
+	ret = fleet_receive(h->fleet, e->data, e->len);
+	if (ret)
+		event_log(EV_LINK_REFUSE, "code=E%d address=%s", -ret,
+			  e->address);
+}
+
+void peers_advance(struct host *h)
+{
+	if (!h->fleet)
+		return;
+	fleet_advance(h->fleet);
+	forward_check(h);
+}
--- a/nutmegpickd/query.c
+++ b/nutmegpickd/query.c
@@ -10,6 +10,7 @@
 #include "common/errors.h"
 #include "common/events.h"
 #include "common/hash.h"
+#include "nutmegpickd/route.h"
 
 #define PATH_PREFIX "/v1/services/"
 #define PATH_SUFFIX "/query"
@@ -129,10 +130,8 @@
 	return s == OBJ_NONE ? 1 : h->set->services[s].top_k;
 }
 
-static int parse_body(struct host_query *q)
+static int parse_body(struct host_query *q, const char *text, size_t len)
 {
-	size_t len;
-	const char *text = http_exchange_body(q->exchange, &len);
 	json_t *body = json_loadb(text, len, JSON_REJECT_DUPLICATES, NULL);
 	json_t *top_k = json_object_get(body, "top_k");
 	json_t *leaf;
@@ -160,16 +159,46 @@
 
 static void refuse(struct host_query *q, int code, int64_t retry_after_us)
 {
-	answer_refuse(q->exchange, q->request_id, code, retry_after_us);
+	answer_refuse(q->host, &q->origin, q->request_id, code, RUN_NOT_RUN,
+		      retry_after_us);
 	query_free(q);
 }
 
+static void submit(struct host_query *q, struct engine_request *request)
+{
+	struct host *h = q->host;
+	int64_t retry_after = 0;
+	int ret;
+
+	request->service = q->service;
+	request->user = q;
+	ret = engine_submit(h->engine, request, &q->id, &retry_after);
+	if (ret) {
+		q->id = 0;
+		refuse(q, ret, retry_after);
+		return;
+	}
+	g_hash_table_insert(h->queries, &q->id, q);
+}
+
+static struct host_query *create_query(struct host *h, struct origin origin,
+				       char *service)
+{
+	struct host_query *q = g_new0(struct host_query, 1);
+
+	q->host = h;
+	q->origin = origin;
+	q->service = service;
+	return q;
+}
+
 void query_start(struct host *h, struct http_exchange *x)
 {
 	struct engine_request request = {0};
 	struct host_query *q;
-	int64_t retry_after = 0;
 	char *service = parse_service(http_exchange_path(x));
+	const char *body;
+	size_t len;
 	int ret;
 
 	if (!service) {
@@ -177,29 +206,49 @@
 		return;
 	}
 	counter_add(&queries_total, 1);
-	q = g_new0(struct host_query, 1);
-	q->host = h;
-	q->exchange = x;
-	q->service = service;
+	q = create_query(h, (struct origin){.exchange = x}, service);
 	ret = parse_headers(x, &request);
+	request.service = service;
 	g_strlcpy(q->request_id, request.id, sizeof(q->request_id));
 	if (!ret && strcmp(http_exchange_method(x), "POST"))
 		ret = -ERR_NET_METHOD;
+	body = http_exchange_body(x, &len);
 	if (!ret)
-		ret = parse_body(q);
-	if (ret) {
+		ret = parse_body(q, body, len);
+	if (!ret)
+		ret = forward_start(h, x, &request);
+	if (ret < 0)
 		refuse(q, ret, 0);
-		return;
-	}
-	request.service = service;
-	request.user = q;
-	ret = engine_submit(h->engine, &request, &q->id, &retry_after);
-	if (ret) {
-		q->id = 0;
-		refuse(q, ret, retry_after);
-		return;
-	}
-	g_hash_table_insert(h->queries, &q->id, q);
+	else if (ret > 0)
+		query_free(q);
+	else
+		submit(q, &request);
+}
+
+void query_start_forwarded(struct host *h, peer_link link,
+			   const struct forward_query *f)
+{
+	struct engine_request request = {
+		.class = f->class,
+		.deadline_us = f->remaining_us,
+		.key_created_us = f->key_created_us,
+		.is_non_idempotent = f->is_non_idempotent,
+	};
+	struct origin origin = {.link = link, .forward_id = f->id};
+	struct host_query *q = create_query(h, origin, strdup(f->service));
+	int ret;
+
+	g_strlcpy(request.id, f->request_id, sizeof(request.id));
+	g_strlcpy(request.key, f->key, sizeof(request.key));
+	g_strlcpy(q->request_id, request.id, sizeof(q->request_id));
+	request.service = q->service;
+	ret = parse_body(q, f->body, f->body_len);
+	if (!ret)
+		ret = route_check_holder(h, &request);
+	if (ret)
+		refuse(q, ret, 0);
+	else
+		submit(q, &request);
 }
 
 void query_handle_reply(struct host *h, struct upstream_reply *reply)
@@ -223,10 +272,9 @@
 
 static void abandon(struct host_query *q, int code)
 {
-	if (!q->exchange)
+	if (!origin_is_open(&q->origin))
 		return;
-	answer_abandon(q->exchange, q->request_id, code);
-	q->exchange = NULL;
+	answer_refuse(q->host, &q->origin, q->request_id, code, RUN_UNKNOWN, 0);
 	/* A run for a request key goes on; it ends in finish_query. */
 	if (engine_cancel(q->host->engine, q->id))
 		query_free(q);
@@ -245,7 +293,8 @@
 	gone = g_ptr_array_new();
 	g_hash_table_iter_init(&iter, h->queries);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&q)) {
-		if (q->exchange && http_exchange_is_gone(q->exchange))
+		if (q->origin.exchange &&
+		    http_exchange_is_gone(q->origin.exchange))
 			g_ptr_array_add(gone, q);
 	}
 	for (guint i = 0; i < gone->len; i++)
@@ -253,6 +302,21 @@
 	g_ptr_array_free(gone, TRUE);
 }
 
+void query_cancel_forwarded(struct host *h, peer_link link, uint64_t forward_id)
+{
+	GHashTableIter iter;
+	struct host_query *q;
+
+	g_hash_table_iter_init(&iter, h->queries);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&q)) {
+		if (q->origin.link != link ||
+		    q->origin.forward_id != forward_id)
+			continue;
+		abandon(q, -ERR_CANCELLED);
+		return;
+	}
+}
+
 void query_stop_all(struct host *h)
 {
 	GList *queries = g_hash_table_get_values(h->queries);
--- a/nutmegpickd/report.c
+++ b/nutmegpickd/report.c
@@ -5,6 +5,7 @@
 #include <jansson.h>
 
 #include "common/errors.h"
+#include "nutmegpickd/route.h"
 
 #define MAX_SNAPSHOTS 8
 
@@ -15,9 +16,13 @@
 	if (!h->set || now < h->next_report_us)
 		return;
 	h->next_report_us = now + h->settings.report_interval_us;
-	for (uint32_t i = 0; i < h->set->leaf_count; i++)
-		upstream_fetch_report(h->upstream, h->set->leaves[i].address,
-				      h->settings.report_interval_us);
+	for (uint32_t i = 0; i < h->set->leaf_count; i++) {
+		const struct leaf_object *leaf = &h->set->leaves[i];
+
+		if (route_is_holder(h, h->set->shards[leaf->shard].group))
+			upstream_fetch_report(h->upstream, leaf->address,
+					      h->settings.report_interval_us);
+	}
 }
 
 static enum leaf_state parse_state(const json_t *document)
--- /dev/null
+++ b/nutmegpickd/route.c
@@ -0,0 +1,341 @@
+#include "nutmegpickd/route.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/errors.h"
+#include "common/events.h"
+#include "common/hash.h"
+#include "fleet/fleet.h"
+#include "fleet/placement.h"
+#include "objects/unit.h"
+
+/* Weight of a new latency in the smoothed one. */
+#define LATENCY_WEIGHT 0.1
+#define INITIAL_LATENCY_US 1000.0
+
+/* Factor on the smoothed latency of a holder that did not answer. */
+#define FAILURE_PENALTY 2.0
+#define MAX_LATENCY_US (10.0 * US_PER_S)
+
+/** What this host knows of one holder of a unit. */
+struct holder {
+	struct seat_ref seat;
+	uint32_t outstanding;
+	double latency_us;
+};
+
+struct unit {
+	struct placement_unit limits;
+	struct holder *holders;
+	uint32_t holder_count;
+};
+
+struct route_table {
+	/** Set that names and handles refer to. */
+	struct object_set *set;
+	struct placement_domain *domains;
+	struct placement_layout layout;
+	uint32_t *unit_of;
+	struct unit *units;
+	uint32_t unit_count;
+	GRand *random;
+};
+
+static void free_table(struct route_table *t)
+{
+	if (!t)
+		return;
+	for (uint32_t i = 0; i < t->unit_count; i++)
+		free(t->units[i].holders);
+	g_rand_free(t->random);
+	free(t->units);
+	free(t->unit_of);
+	free(t->domains);
+	object_set_unref(t->set);
+	free(t);
+}
+
+static void place_unit(const struct route_table *t, struct unit *u)
+{
+	struct placement_group group = {
+		.name = u->limits.name,
+		.slots = u->limits.slots,
+		.connections = u->limits.connections,
+		.holders = u->limits.holders,
+	};
+	struct seat_ref seats[PLACEMENT_MAX_HOLDERS];
+	int n = placement_holders(&t->layout, &group, seats);
+
+	u->holder_count = n > 0 ? (uint32_t)n : 0;
+	u->holders = calloc(u->holder_count + 1, sizeof(*u->holders));
+	for (uint32_t i = 0; i < u->holder_count; i++) {
+		u->holders[i].seat = seats[i];
+		u->holders[i].latency_us = INITIAL_LATENCY_US;
+	}
+}
+
+static struct route_table *create_table(struct host *h)
+{
+	struct route_table *t = calloc(1, sizeof(*t));
+	const struct object_set *set = h->set;
+	struct placement_unit *limits =
+		calloc(set->group_count + 1, sizeof(*limits));
+
+	t->set = object_set_ref(h->set);
+	t->random = g_rand_new();
+	t->domains = calloc(set->domain_count + 1, sizeof(*t->domains));
+	for (uint32_t i = 0; i < set->domain_count; i++) {
+		t->domains[i].name = set->domains[i].name;
+		t->domains[i].seats = (uint16_t)set->domains[i].seats;
+	}
+	t->layout.domains = t->domains;
+	t->layout.domain_count = set->domain_count;
+	t->unit_of = calloc(set->group_count + 1, sizeof(*t->unit_of));
+	t->unit_count = object_set_units(set, t->unit_of, limits);
+	t->units = calloc(t->unit_count + 1, sizeof(*t->units));
+	for (uint32_t i = 0; i < t->unit_count; i++) {
+		t->units[i].limits = limits[i];
+		place_unit(t, &t->units[i]);
+	}
+	free(limits);
+	return t;
+}
+
+void route_clear(struct host *h)
+{
+	free_table(h->routes);
+	h->routes = NULL;
+}
+
+static bool is_self(const struct host *h, const char *domain, uint16_t seat)
+{
+	return h->seat == seat && !strcmp(h->settings.domain, domain);
+}
+
+/* Returns the address of the host on a holder's seat, or NULL. */
+static const char *find_address(const struct host *h,
+				const struct holder *holder)
+{
+	const char *domain = h->routes->domains[holder->seat.domain].name;
+	const struct member *m = membership_find_seat(
+		fleet_members(h->fleet), domain, holder->seat.number);
+
+	return m && m->info.state == MEMBER_ALIVE ? m->info.address : NULL;
+}
+
+static int find_self(const struct host *h, const struct unit *u)
+{
+	for (uint32_t i = 0; i < u->holder_count; i++) {
+		const struct seat_ref *seat = &u->holders[i].seat;
+
+		if (is_self(h, h->routes->domains[seat->domain].name,
+			    seat->number))
+			return (int)i;
+	}
+	return -1;
+}
+
+bool route_is_holder(const struct host *h, obj_handle group)
+{
+	const struct route_table *t = h->routes;
+
+	return !t || find_self(h, &t->units[t->unit_of[group]]) >= 0;
+}
+
+static void limit_connections(struct host *h, obj_handle group, uint32_t limit)
+{
+	const struct group_object *g = &h->set->groups[group];
+
+	for (uint32_t s = 0; s < g->shard_count; s++) {
+		const struct shard_object *shard =
+			&h->set->shards[g->first_shard + s];
+
+		for (uint32_t l = 0; l < shard->leaf_count; l++)
+			upstream_set_limit(
+				h->upstream,
+				h->set->leaves[shard->first_leaf + l].address,
+				limit);
+	}
+}
+
+static void apply_shares(struct host *h)
+{
+	for (uint32_t g = 0; g < h->set->group_count; g++) {
+		const struct unit *u = &h->routes->units[h->routes->unit_of[g]];
+		struct leaf_share share = {0, 0};
+
+		if (find_self(h, u) >= 0 && u->holder_count) {
+			share.connections =
+				h->set->groups[g].connections / u->holder_count;
+			share.slots = MAX(
+				h->set->groups[g].slots / u->holder_count, 1);
+		}
+		engine_set_share(h->engine, g, share);
+		limit_connections(h, g, share.connections);
+	}
+}
+
+void route_rebuild(struct host *h)
+{
+	if (!h->fleet || !h->set)
+		return;
+	if (!h->routes || h->routes->set != h->set) {
+		route_clear(h);
+		h->routes = create_table(h);
+	}
+	apply_shares(h);
+}
+
+static double holder_score(const struct holder *holder)
+{
+	return (holder->outstanding + 1) * holder->latency_us;
+}
+
+/* Of two random holders that can be reached, the one with the lower score. */
+static int pick_holder(struct host *h, const struct unit *u, const char *avoid)
+{
+	uint32_t start = 0;
+	int best = -1;
+	int seen = 0;
+
+	if (u->holder_count)
+		start = g_rand_int_range(h->routes->random, 0,
+					 (gint32)u->holder_count);
+	for (uint32_t i = 0; i < u->holder_count && seen < 2; i++) {
+		uint32_t at = (start + i) % u->holder_count;
+		const char *address = find_address(h, &u->holders[at]);
+
+		if (!address || (avoid && !strcmp(address, avoid)))
+			continue;
+		seen++;
+		if (best < 0 || holder_score(&u->holders[at]) <
+					holder_score(&u->holders[best]))
+			best = (int)at;
+	}
+	return best;
+}
+
+static uint32_t key_owner(const struct host *h, const struct unit *u,
+			  const char *key)
+{
+	struct seat_ref seats[PLACEMENT_MAX_HOLDERS];
+
+	for (uint32_t i = 0; i < u->holder_count; i++)
+		seats[i] = u->holders[i].seat;
+	return placement_key_owner(&h->routes->layout, seats, u->holder_count,
+				   key);
+}
+
+static int set_remote(struct host *h, uint32_t unit, uint32_t holder,
+		      struct route *out)
+{
+	const char *address =
+		find_address(h, &h->routes->units[unit].holders[holder]);
+
+	if (!address)
+		return -ERR_NO_HOLDER;
+	out->unit = unit;
+	out->holder = holder;
+	g_strlcpy(out->address, address, sizeof(out->address));
+	return 0;
+}
+
+static bool find_unit(const struct host *h,
+		      const struct engine_request *request, uint32_t *unit)
+{
+	obj_handle s = object_set_find_service(h->set, request->service);
+
+	if (s == OBJ_NONE || !h->routes)
+		return false;
+	*unit = h->routes->unit_of[h->set->services[s].groups[0]];
+	return true;
+}
+
+static int choose_owner(struct host *h, uint32_t unit, const char *key,
+			struct route *out)
+{
+	const struct unit *u = &h->routes->units[unit];
+	uint32_t owner;
+
+	if (!u->holder_count)
+		return -ERR_NO_HOLDER;
+	owner = key_owner(h, u, key);
+	if (find_self(h, u) == (int)owner) {
+		out->is_local = true;
+		return 0;
+	}
+	return set_remote(h, unit, owner, out);
+}
+
+int route_choose(struct host *h, const struct engine_request *request,
+		 const char *avoid, struct route *out)
+{
+	const struct unit *u;
+	uint32_t unit;
+	int at;
+
+	memset(out, 0, sizeof(*out));
+	if (!find_unit(h, request, &unit)) {
+		out->is_local = true;
+		return 0;
+	}
+	u = &h->routes->units[unit];
+	if (*request->key)
+		return choose_owner(h, unit, request->key, out);
+	if (find_self(h, u) >= 0 && !avoid) {
+		out->is_local = true;
+		return 0;
+	}
+	at = pick_holder(h, u, avoid);
+	return at < 0 ? -ERR_NO_HOLDER : set_remote(h, unit, (uint32_t)at, out);
+}
+
+int route_check_holder(struct host *h, const struct engine_request *request)
+{
+	const struct unit *u;
+	uint32_t unit;
+	int self;
+
+	if (!h->fleet || !h->set || !find_unit(h, request, &unit))
+		return 0;
+	u = &h->routes->units[unit];
+	self = find_self(h, u);
+	if (self < 0)
+		return -ERR_NOT_OWNER;
+	if (*request->key && key_owner(h, u, request->key) != (uint32_t)self)
+		return -ERR_NOT_OWNER;
+	return 0;
+}
+
+static struct holder *find_holder(struct host *h, const struct route *r)
+{
+	if (!h->routes || r->unit >= h->routes->unit_count ||
+	    r->holder >= h->routes->units[r->unit].holder_count)
+		return NULL;
+	return &h->routes->units[r->unit].holders[r->holder];
+}
+
+void route_begin(struct host *h, struct route *r)
+{
+	struct holder *holder = find_holder(h, r);
+
+	r->start_us = clock_now(&h->clock);
+	if (holder)
+		holder->outstanding++;
+}
+
+void route_end(struct host *h, const struct route *r, bool is_answered)
+{
+	struct holder *holder = find_holder(h, r);
+	double us = (double)(clock_now(&h->clock) - r->start_us);
+
+	if (!holder)
+		return;
+	/* A rebuilt table starts its counts again. */
+	if (holder->outstanding)
+		holder->outstanding--;
+	if (!is_answered)
+		us = MIN(holder->latency_us * FAILURE_PENALTY, MAX_LATENCY_US);
+	holder->latency_us += (us - holder->latency_us) * LATENCY_WEIGHT;
+}
--- a/nutmegpickd/settings.c
+++ b/nutmegpickd/settings.c
@@ -10,6 +10,7 @@
 
 #include "common/duration.h"
 #include "common/errors.h"
+#include "fleet/frame.h"
 #include "objects/fault.h"
 #include "objects/tree.h"
 
@@ -19,6 +20,7 @@
 	SETTING_ADDRESSES,
 	SETTING_DURATION,
 	SETTING_LEVEL,
+	SETTING_SEAT,
 };
 
 struct setting_spec {
@@ -36,8 +38,14 @@
 	 true},
 	{"host", "domain", SETTING_STRING, offsetof(struct settings, domain),
 	 NULL, true},
+	{"host", "seat", SETTING_SEAT, offsetof(struct settings, seat), "none",
+	 false},
 	{"listen", "http", SETTING_ADDRESS,
 	 offsetof(struct settings, listen_http), NULL, true},
+	{"listen", "peer", SETTING_ADDRESS,
+	 offsetof(struct settings, listen_peer), NULL, false},
+	{"peers", "seeds", SETTING_ADDRESSES,
+	 offsetof(struct settings, peer_seeds), NULL, false},
 	{"objects", "path", SETTING_STRING,
 	 offsetof(struct settings, objects_path), NULL, false},
 	{"store", "endpoints", SETTING_ADDRESSES,
@@ -99,6 +107,20 @@
 	return false;
 }
 
+static bool parse_seat(const char *text, int32_t *out)
+{
+	guint64 number;
+
+	*out = NO_SEAT;
+	if (!strcmp(text, "none"))
+		return true;
+	if (!g_ascii_string_to_unsigned(text, 10, 0, MAX_SEATS - 1, &number,
+					NULL))
+		return false;
+	*out = (int32_t)number;
+	return true;
+}
+
 static const char *store_value(const struct setting_spec *s, const char *text,
 			       void *out)
 {
@@ -123,6 +145,10 @@
 		if (!parse_level(text, out))
 			return "must be debug, info, warning or error";
 		return NULL;
+	case SETTING_SEAT:
+		if (!parse_seat(text, out))
+			return "must be \"none\" or a number below 65536";
+		return NULL;
 	}
 	return NULL;
 }
@@ -235,6 +261,8 @@
 	check_unknown(&r, root);
 	for (size_t i = 0; i < G_N_ELEMENTS(specs); i++)
 		read_setting(&r, root, &specs[i], out);
+	if (out->peer_seeds && !out->listen_peer)
+		add_fault(&r, 0, "peers", "seeds", "needs listen.peer");
 	if (out->objects_path && out->store_endpoints)
 		add_fault(&r, 0, "objects", "path",
 			  "contradicts store.endpoints");
@@ -269,6 +297,9 @@
 		case SETTING_DURATION:
 			printf("\"%" PRId64 "us\"\n", *(const int64_t *)field);
 			break;
+		case SETTING_SEAT:
+			printf("\"%" PRId32 "\"\n", *(const int32_t *)field);
+			break;
 		case SETTING_LEVEL:
 			printf("\"%s\"\n",
 			       level_names[*(const enum event_level *)field]);
@@ -283,6 +314,8 @@
 	free(s->domain);
 	free(s->listen_http);
 	free(s->objects_path);
+	free(s->listen_peer);
+	g_strfreev(s->peer_seeds);
 	g_strfreev(s->store_endpoints);
 	memset(s, 0, sizeof(*s));
 }
--- a/test/unit/test_peer.c
+++ b/test/unit/test_peer.c
@@ -20,6 +20,7 @@
 	pthread_cond_t change;
 	GString *frames;
 	unsigned int closed;
+	unsigned int undelivered;
 	bool is_refusing;
 };
 
@@ -48,12 +49,14 @@
 		peer_reply(s->peer, link, "!", 1);
 }
 
-static void handle_closed(void *ctx, peer_link link, const char *address)
+static void handle_closed(void *ctx, peer_link link, const char *address,
+			  bool is_undelivered)
 {
 	struct side *s = ctx;
 
 	pthread_mutex_lock(&s->lock);
 	s->closed++;
+	s->undelivered += is_undelivered;
 	pthread_cond_broadcast(&s->change);
 	pthread_mutex_unlock(&s->lock);
 }
@@ -144,6 +147,7 @@
 	peer_send(a.peer, "127.0.0.1:1", "x", 1);
 	peer_send(a.peer, "not an address", "x", 1);
 	wait_closed(&a, 2);
+	CU_ASSERT_EQUAL(a.undelivered, 2);
 	stop_side(&a);
 }
 
