bench: name the leaves of faults by address

An object set orders its groups by name, so the numbers in the cases and in a test trace named other leaves than meant: drains of the test trace hit leaves without work.

--- a/bench/cases.jq
+++ b/bench/cases.jq
@@ -8,23 +8,21 @@
 def service_ms: 20;
 def small($n; $l; $s): {service: $n, leaves: $l, slots: $s, shards: 1};
 def sets: {
-  hraunlitir: {set: "examples/hraunlitir", region_delay_ms: 12,
+  hraunlitir: {set: "examples/hraunlitir", port: 21000, region_delay_ms: 12,
     caller_delay_ms: 1, top: "booking", low: "invoicing",
     search: [small("design-browser"; 3; 5), small("painter-directory"; 2; 2),
              small("invoicing"; 3; 5)],
     keyed: [{service: "booking", leaves: 2, slots: 2, shards: 20}]},
-  guild: {set: "examples/guild", region_delay_ms: 8,
+  guild: {set: "examples/guild", port: 22000, region_delay_ms: 8,
     caller_delay_ms: 3, top: "order", low: "newsletter",
     search: [small("storefront"; 3; 3), small("newsletter"; 3; 3)],
     keyed: [{service: "order-desk", leaves: 2, slots: 3, shards: 10},
             {service: "fair-booking", leaves: 2, slots: 3, shards: 5}]},
-  "large-hraunlitir": {set: "out/large-hraunlitir.toml", region_delay_ms: 12,
+  "large-hraunlitir": {set: "out/large-hraunlitir.toml", port: 20000, region_delay_ms: 12,
     caller_delay_ms: 1, search: [small("large"; 3; 2)]},
-  "large-guild": {set: "out/large-guild.toml", region_delay_ms: 8,
+  "large-guild": {set: "out/large-guild.toml", port: 20000, region_delay_ms: 8,
     caller_delay_ms: 3, search: [small("large"; 3; 3)]}
 };
-def both: ["hraunlitir", "guild"];
-def large: ["large-hraunlitir", "large-guild"];
 
 def rate($set; $load): $load * 1000 * .leaves * .slots * .shards /
   (service_ms + 2 * $set.region_delay_ms * 2 / 3);
@@ -46,11 +44,16 @@
   {fault: {kind: $kind, target: $target, value: $value,
            start_ms: $from, end_ms: $to}};
 def fault($kind; $value; $from; $to): fault($kind; 0; $value; $from; $to);
-# Stopping at once stands for the loss of the process.
-def leaf_lost($target; $from; $to): fault("leaf_drain"; $target; 0; $from; $to);
-def leaf_faults($seed; $from; $to):
-  fault("leaf_slow"; $seed * 7 + 3; 10; $from; $to),
-  leaf_lost($seed * 11 + 20; $from; $to),
+# Leaves by their order in the files of the set.
+def leaf($set; $kind; $i; $value; $from; $to):
+  {fault: {kind: $kind, leaf: "127.0.0.1:\($set.port + $i)", value: $value,
+           start_ms: $from, end_ms: $to}};
+# Draining for 0 ms stands for the loss of the process. One leaf of each kind of
+# service is slow, and one is lost.
+def leaf_faults($set; $seed; $from; $to):
+  ((0, 30, 75, 95) as $first |
+   leaf($set; "leaf_slow"; $first + $seed % 10; 10; $from; $to),
+   leaf($set; "leaf_drain"; $first + ($seed + 4) % 10; 0; $from; $to)),
   fault("loss"; 0.01; $from; $to),
   fault("reset"; 0.005; $from; $to);
 def reply_faults($from; $to):
@@ -58,11 +61,11 @@
   fault("duplicate"; 0.01; $from; $to), fault("loss"; 0.01; $from; $to);
 # Each leaf drains for 4 s and is gone for 2 s; the replicas of a shard are
 # replaced one after the other.
-def rolling($first; $count; $replicas; $step):
+def rolling($set; $first; $count; $replicas; $step):
   range($count) | (. % $replicas * ($count / $replicas) +
                    (. / $replicas | floor)) as $place |
-  fault("leaf_drain"; . + $first; 4000; 4000 + $place * $step;
-        10000 + $place * $step);
+  leaf($set; "leaf_drain"; . + $first; 4000; 4000 + $place * $step;
+       10000 + $place * $step);
 
 # Each variant's lines are made for one set and seed.
 def variants($set; $seed):
@@ -71,7 +74,7 @@
   if $set.top then
     v("extra"; "healthy"; [2000, 20000]; search($set; 0.6; 20000)),
     v("extra"; "faults"; [2000, 20000]; search($set; 0.6; 20000),
-      leaf_faults($seed; 2000; 20000)),
+      leaf_faults($set; $seed; 2000; 20000)),
     ((0.6, 0.8, 1, 1.2, 1.5) as $load | v("overload"; "load \($load)";
       [2000, 20000]; mixed($set; $load; 20000))),
     ((2, 5) as $load | v("overload"; "load \($load)";
@@ -84,10 +87,10 @@
     v("reports"; "inverted"; [2000, 20000]; search($set; 0.6; 20000),
       fault("inverted"; 1; 0; 20000)),
     v("rolling"; "leaves"; [2000, 45000]; search($set; 0.3; 45000),
-      rolling(0; 75; 3; 400), rolling(75; 20; 2; 1500)),
+      rolling($set; 0; 75; 3; 400), rolling($set; 75; 20; 2; 1500)),
     v("keys"; "leaves"; [4000, 50000];
       requests($set; $set.keyed; 0.3; 4000; 50000),
-      (5000, 28000) as $t | leaf_faults($seed; $t; $t + 15000)),
+      (5000, 28000) as $t | leaf_faults($set; $seed; $t; $t + 15000)),
     v("keys"; "hosts"; [4000, 50000];
       requests($set; $set.keyed; 0.3; 4000; 50000),
       fault("host_down"; $seed; 1; 8000; 18000),
@@ -96,7 +99,7 @@
       fault("host_pause"; $seed + 5; 1; 36000; 39000)),
     v("keys"; "all"; [4000, 50000];
       requests($set; $set.keyed; 0.3; 4000; 50000),
-      ((5000, 28000) as $t | leaf_faults($seed; $t; $t + 15000)),
+      ((5000, 28000) as $t | leaf_faults($set; $seed; $t; $t + 15000)),
       fault("late"; 0.01; 5000; 45000), fault("duplicate"; 0.01; 5000; 45000),
       fault("host_down"; $seed; 1; 8000; 18000),
       fault("host_pause"; $seed + 2; 1; 12000; 20000),
@@ -107,13 +110,13 @@
       fault("snapshot"; 0; 11000; 14000)),
     v("recovery"; "none"; [30000, 45000]; search($set; 0.5; 45000)),
     v("recovery"; "faults"; [30000, 45000]; search($set; 0.5; 45000),
-      leaf_faults($seed; 8000; 20000), reply_faults(8000; 20000),
+      leaf_faults($set; $seed; 8000; 20000), reply_faults(8000; 20000),
       fault("domain_down"; $seed; 1; 10000; 20000))
   else
     v("straggler"; "none"; [2000, 14000]; search($set; 0.6; 14000)),
     v("straggler"; "slow"; [2000, 14000]; search($set; 0.6; 14000),
-      ((0, 1) as $i | fault("leaf_slow"; $seed * 13 + 5 + $i * 101; 10;
-                            0; 14000)))
+      ((0, 1) as $i | leaf($set; "leaf_slow";
+        $seed * 13 + 5 + $i * 101; 10; 0; 14000)))
   end;
 
 sets | to_entries[] | .key as $name | .value as $set |
--- a/bench/host.c
+++ b/bench/host.c
@@ -103,8 +103,8 @@
 	}
 	a->shards[c->shard] = a->round;
 	a->weight += w->set->shards[c->shard].weight;
-	a->is_mixed |= a->snapshot && a->snapshot != c->snapshot;
-	a->snapshot = c->snapshot;
+	a->is_mixed |= a->snapshot && a->snapshot != c->result.snapshot;
+	a->snapshot = c->result.snapshot;
 }
 
 /* A connection can be used again unless the call broke it. */
--- a/bench/leaf.c
+++ b/bench/leaf.c
@@ -77,7 +77,8 @@
 		delay += LATE_US;
 	c->place = CALL_LEFT;
 	c->result.status = status;
-	c->result.snapshot = c->snapshot;
+	c->result.snapshot = draw(w, FAULT_CROSSED) ? c->leaf->snapshot
+						    : c->snapshot;
 	c->result.load = leaf_reported_load(w, c->leaf);
 	c->result.is_draining = c->leaf->draining_us > 0;
 	world_after(w, delay, host_take_result, c);
--- a/bench/replay.c
+++ b/bench/replay.c
@@ -1,5 +1,3 @@
-#include "bench/replay.h"
-
 #include "bench/world.h"
 
 /* Time that a run goes on after the last deadline. */
--- a/include/bench/replay.h
+++ b/include/bench/replay.h
@@ -27,6 +27,7 @@
 
 struct replay_fault {
 	enum fault_kind kind;
+	/** Leaf, domain or host. */
 	uint32_t target;
 	double value;
 	int64_t start_us, end_us;
--- a/nutmegpick/trace.c
+++ b/nutmegpick/trace.c
@@ -100,23 +100,39 @@
 	return 0;
 }
 
+static int find_leaf(const struct object_set *set, const char *address,
+		     uint32_t *out)
+{
+	for (uint32_t i = 0; i < set->leaf_count; i++) {
+		if (strcmp(set->leaves[i].address, address))
+			continue;
+		*out = i;
+		return 0;
+	}
+	return -ERR_BAD_REQUEST;
+}
+
 static int add_fault(struct replay_trace *t, json_t *o)
 {
 	struct replay_fault f = {0};
 	json_int_t target = 0;
+	const char *leaf = NULL;
 	const char *kind;
 	double start_ms;
 	double end_ms;
 	size_t index;
 
-	if (json_unpack(o, "{s:s, s?I, s?F, s:F, s:F !}", "kind", &kind,
-			"target", &target, "value", &f.value, "start_ms",
-			&start_ms, "end_ms", &end_ms))
+	if (json_unpack(o, "{s:s, s?s, s?I, s?F, s:F, s:F !}", "kind", &kind,
+			"leaf", &leaf, "target", &target, "value", &f.value,
+			"start_ms", &start_ms, "end_ms", &end_ms))
 		return -ERR_BAD_REQUEST;
 	if (!find_name(fault_names, G_N_ELEMENTS(fault_names), kind, &index))
 		return -ERR_BAD_REQUEST;
 	f.kind = (enum fault_kind)index;
 	f.target = (uint32_t)target;
+	if (f.kind <= FAULT_LEAF_DRAIN &&
+	    (!leaf || find_leaf(t->set, leaf, &f.target)))
+		return -ERR_BAD_REQUEST;
 	f.start_us = to_us(start_ms);
 	f.end_us = to_us(end_ms);
 	g_array_append_val(t->faults, f);
