fleet: spread set versions

Two hosts per failure domain watch the store; the others learn versions from frames and fetch them from the host that told them. Versions only grow.

--- /dev/null
+++ b/fleet/config.c
@@ -0,0 +1,279 @@
+#include "fleet/config.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/errors.h"
+#include "common/events.h"
+#include "common/hash.h"
+
+#define WATCHERS_PER_DOMAIN 2
+#define PUSH_PEERS 4
+#define FETCH_TIMEOUT_US (2 * US_PER_S)
+#define FETCH_RETRY_US (200 * US_PER_MS)
+/* Members change in bursts; the choice of watchers follows at this rate. */
+#define WATCH_PERIOD_US (500 * US_PER_MS)
+#define MAX_SOURCES 8
+
+struct source {
+	uint64_t version;
+	/** Empty stands for the store. */
+	char address[HOST_ADDRESS_MAX];
+};
+
+struct config {
+	struct config_options options;
+	GRand *rand;
+	uint64_t version;
+	uint64_t refused;
+	/** Version that is being fetched, or 0. */
+	uint64_t fetching;
+	int64_t fetch_until_us;
+	/** Latest announcements of versions above the one in force. */
+	struct source sources[MAX_SOURCES];
+	uint32_t source_count;
+	bool is_watching;
+	int64_t watch_us;
+};
+
+static int64_t now_us(const struct config *c)
+{
+	return clock_now(&c->options.clock);
+}
+
+static int64_t draw_delay(struct config *c, int64_t max)
+{
+	return g_rand_int_range(c->rand, (int)(max / 2), (int)max);
+}
+
+static bool is_wanted(const struct config *c, uint64_t version)
+{
+	return version > c->version && version > c->refused;
+}
+
+static void drop_source(struct config *c, uint32_t at)
+{
+	c->sources[at] = c->sources[--c->source_count];
+}
+
+static void drop_old_sources(struct config *c)
+{
+	for (uint32_t i = c->source_count; i > 0; i--) {
+		if (!is_wanted(c, c->sources[i - 1].version))
+			drop_source(c, i - 1);
+	}
+}
+
+/* One entry per address; when full, a random one makes room. */
+static void add_source(struct config *c, uint64_t version, const char *address)
+{
+	struct source *s = NULL;
+
+	for (uint32_t i = 0; i < c->source_count && !s; i++) {
+		if (!strcmp(c->sources[i].address, address))
+			s = &c->sources[i];
+	}
+	if (!s && c->source_count < MAX_SOURCES)
+		s = &c->sources[c->source_count++];
+	if (!s)
+		s = &c->sources[g_rand_int_range(c->rand, 0, MAX_SOURCES)];
+	s->version = version;
+	g_strlcpy(s->address, address, sizeof(s->address));
+}
+
+static void start_fetch(struct config *c)
+{
+	struct source *best = NULL;
+	const char *address;
+
+	for (uint32_t i = 0; i < c->source_count; i++) {
+		if (!best || c->sources[i].version > best->version)
+			best = &c->sources[i];
+	}
+	if (!best)
+		return;
+	c->fetching = best->version;
+	c->fetch_until_us = now_us(c) + FETCH_TIMEOUT_US;
+	address = best->address[0] ? best->address : NULL;
+	event_log(EV_VERSION_FETCH, "host=%s version=%" PRIu64 " from=%s",
+		  c->options.host, best->version, address ? address : "store");
+	c->options.ops->fetch(c->options.ctx, address, best->version);
+}
+
+void config_seen(struct config *c, uint64_t version, const char *address)
+{
+	if (version < c->version && !address)
+		event_log(EV_VERSION_STALE,
+			  "host=%s version=%" PRIu64 " in_force=%" PRIu64,
+			  c->options.host, version, c->version);
+	if (!is_wanted(c, version))
+		return;
+	add_source(c, version, address ? address : "");
+	if (version > c->fetching)
+		start_fetch(c);
+}
+
+/* Peers fetch from this host, so they hear of it when the version is here. */
+static void push_version(struct config *c)
+{
+	const struct member *peers[PUSH_PEERS];
+	uint32_t count =
+		membership_pick(c->options.membership, PUSH_PEERS, peers);
+
+	for (uint32_t i = 0; i < count; i++) {
+		struct frame f = {.type = FRAME_GOSSIP};
+
+		membership_send(c->options.membership, peers[i]->info.address,
+				&f);
+	}
+}
+
+static void resume_fetch(struct config *c)
+{
+	drop_old_sources(c);
+	if (c->fetching && is_wanted(c, c->fetching))
+		return;
+	c->fetching = 0;
+	start_fetch(c);
+}
+
+void config_in_force(struct config *c, uint64_t version)
+{
+	if (version <= c->version)
+		return;
+	event_log(EV_VERSION_IN_FORCE,
+		  "host=%s version=%" PRIu64 " before=%" PRIu64,
+		  c->options.host, version, c->version);
+	c->version = version;
+	push_version(c);
+	resume_fetch(c);
+}
+
+void config_refused(struct config *c, uint64_t version)
+{
+	if (!is_wanted(c, version))
+		return;
+	event_log(EV_VERSION_REFUSED,
+		  "host=%s version=%" PRIu64 " in_force=%" PRIu64,
+		  c->options.host, version, c->version);
+	c->refused = version;
+	resume_fetch(c);
+}
+
+/* A source that failed is dropped until it announces the version again. */
+static void drop_failed_source(struct config *c)
+{
+	for (uint32_t i = 0; i < c->source_count; i++) {
+		if (c->sources[i].version != c->fetching)
+			continue;
+		drop_source(c, i);
+		return;
+	}
+}
+
+void config_fetch_failed(struct config *c, uint64_t version)
+{
+	if (!c->fetching || version != c->fetching)
+		return;
+	event_log(EV_VERSION_FETCH_FAILED, "host=%s version=%" PRIu64,
+		  c->options.host, version);
+	drop_failed_source(c);
+	c->fetch_until_us = now_us(c) + draw_delay(c, FETCH_RETRY_US);
+}
+
+/*
+ * Hosts with a seat come first, by seat number, then the others by hash: a new
+ * fleet has no seats before it knows its first set.
+ */
+static uint64_t watch_rank(const struct frame_update *u)
+{
+	if (u->seat != NO_SEAT)
+		return (uint64_t)u->seat;
+	return MAX_SEATS + hash_string(u->host, 0) / 2;
+}
+
+static bool choose_watching(const struct config *c)
+{
+	const struct frame_update *self =
+		membership_self(c->options.membership);
+	uint64_t rank = watch_rank(self);
+	const struct member *const *list;
+	uint32_t lower = 0;
+	uint32_t count;
+
+	list = membership_list(c->options.membership, &count);
+	for (uint32_t i = 0; i < count; i++) {
+		if (list[i]->info.state != MEMBER_ALIVE ||
+		    strcmp(list[i]->info.domain, self->domain) != 0)
+			continue;
+		lower += watch_rank(&list[i]->info) < rank;
+	}
+	return lower < WATCHERS_PER_DOMAIN;
+}
+
+static void update_watching(struct config *c)
+{
+	bool is_watching = choose_watching(c);
+
+	if (is_watching == c->is_watching)
+		return;
+	c->is_watching = is_watching;
+	event_log(EV_STORE_WATCH, "host=%s watch=%d", c->options.host,
+		  is_watching);
+	c->options.ops->watch(c->options.ctx, is_watching);
+}
+
+void config_advance(struct config *c)
+{
+	int64_t now = now_us(c);
+
+	if (now >= c->watch_us) {
+		c->watch_us = now + draw_delay(c, WATCH_PERIOD_US);
+		update_watching(c);
+	}
+	if (!c->fetching || now < c->fetch_until_us)
+		return;
+	drop_failed_source(c);
+	c->fetching = 0;
+	start_fetch(c);
+}
+
+int64_t config_next_timer(const struct config *c)
+{
+	if (!c->fetching)
+		return c->watch_us;
+	return MIN(c->watch_us, c->fetch_until_us);
+}
+
+uint64_t config_version(const struct config *c)
+{
+	return c->version;
+}
+
+bool config_is_watching(const struct config *c)
+{
+	return c->is_watching;
+}
+
+int config_create(struct config **out, const struct config_options *options)
+{
+	struct config *c = calloc(1, sizeof(*c));
+
+	if (!c)
+		return -ERR_NOMEM;
+	c->options = *options;
+	c->rand = g_rand_new_with_seed((guint32)options->seed);
+	/* A host that has just started does not know its domain yet. */
+	c->watch_us = now_us(c) + US_PER_S + draw_delay(c, US_PER_S);
+	*out = c;
+	return 0;
+}
+
+void config_destroy(struct config *c)
+{
+	if (!c)
+		return;
+	g_rand_free(c->rand);
+	free(c);
+}
--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -3,10 +3,12 @@
 #include <stdlib.h>
 
 #include "common/errors.h"
+#include "fleet/config.h"
 
 struct fleet {
 	struct fleet_options options;
 	struct membership *membership;
+	struct config *config;
 	struct frame_codec *encoder;
 	struct frame_codec *decoder;
 };
@@ -25,6 +27,9 @@
 {
 	struct fleet *f = ctx;
 
+	/* Frames go out before the other parts exist, from the first HELLO. */
+	if (f->config)
+		frame->gossip.version = config_version(f->config);
 	send_frame(f, address, frame);
 }
 
@@ -56,6 +61,39 @@
 	return membership_create(&f->membership, &o);
 }
 
+static void handle_fetch(void *ctx, const char *address, uint64_t version)
+{
+	struct fleet *f = ctx;
+
+	f->options.ops->fetch_set(f->options.ctx, address, version);
+}
+
+static void handle_watch(void *ctx, bool is_wanted)
+{
+	struct fleet *f = ctx;
+
+	f->options.ops->watch(f->options.ctx, is_wanted);
+}
+
+static const struct config_ops config_ops = {
+	.fetch = handle_fetch,
+	.watch = handle_watch,
+};
+
+static int create_config(struct fleet *f)
+{
+	struct config_options o = {
+		.clock = f->options.clock,
+		.seed = f->options.seed + 1,
+		.ops = &config_ops,
+		.ctx = f,
+		.host = f->options.host,
+		.membership = f->membership,
+	};
+
+	return config_create(&f->config, &o);
+}
+
 static int create_parts(struct fleet *f)
 {
 	int r = frame_codec_create(&f->encoder);
@@ -64,6 +102,8 @@
 		r = frame_codec_create(&f->decoder);
 	if (!r)
 		r = create_membership(f);
+	if (!r)
+		r = create_config(f);
 	return r;
 }
 
@@ -88,12 +128,28 @@
 {
 	if (!f)
 		return;
+	config_destroy(f->config);
 	membership_destroy(f->membership);
 	frame_codec_destroy(f->encoder);
 	frame_codec_destroy(f->decoder);
 	free(f);
 }
 
+static void receive_gossip(struct fleet *f, const struct frame *frame)
+{
+	membership_receive(f->membership, frame);
+	config_seen(f->config, frame->gossip.version,
+		    frame->gossip.sender.address);
+}
+
+static void receive_pull(struct fleet *f, const struct frame *frame)
+{
+	if (frame->pull.part[0])
+		f->options.ops->part(f->options.ctx, frame);
+	else
+		receive_gossip(f, frame);
+}
+
 int fleet_receive(struct fleet *f, const void *data, size_t len)
 {
 	struct frame frame;
@@ -110,22 +166,54 @@
 	case FRAME_PING_REQ:
 	case FRAME_ACK:
 	case FRAME_GOSSIP:
+		receive_gossip(f, &frame);
+		return 0;
 	case FRAME_PULL:
-		membership_receive(f->membership, &frame);
+		receive_pull(f, &frame);
+		return 0;
+	case FRAME_SET:
+		f->options.ops->part(f->options.ctx, &frame);
 		return 0;
 	default:
 		return 0;
 	}
 }
 
+void fleet_store_version(struct fleet *f, uint64_t version)
+{
+	config_seen(f->config, version, NULL);
+}
+
+void fleet_set_in_force(struct fleet *f, uint64_t version)
+{
+	config_in_force(f->config, version);
+}
+
+void fleet_set_refused(struct fleet *f, uint64_t version)
+{
+	config_refused(f->config, version);
+}
+
+void fleet_fetch_failed(struct fleet *f, uint64_t version)
+{
+	config_fetch_failed(f->config, version);
+}
+
+uint64_t fleet_version(const struct fleet *f)
+{
+	return config_version(f->config);
+}
+
 void fleet_advance(struct fleet *f)
 {
 	membership_advance(f->membership);
+	config_advance(f->config);
 }
 
 int64_t fleet_next_timer(const struct fleet *f)
 {
-	return membership_next_timer(f->membership);
+	return MIN(membership_next_timer(f->membership),
+		   config_next_timer(f->config));
 }
 
 const struct membership *fleet_members(const struct fleet *f)
--- a/include/fleet/fleet.h
+++ b/include/fleet/fleet.h
@@ -24,6 +24,15 @@
 	 */
 	void (*send)(void *ctx, const char *address, const void *data,
 		     size_t len);
+	/** Fetches a version from a peer, or from the store if address is NULL.
+	 */
+	void (*fetch_set)(void *ctx, const char *address, uint64_t version);
+	/** Starts or stops watching the pointer in the store. */
+	void (*watch)(void *ctx, bool is_wanted);
+	/**
+	 * Hands over a PULL that names a part, or a SET; valid during the call.
+	 */
+	void (*part)(void *ctx, const struct frame *frame);
 };
 
 struct fleet_options {
@@ -52,6 +61,21 @@
  */
 int fleet_receive(struct fleet *f, const void *data, size_t len);
 
+/** Takes the version that a watch or a read of the store returned. */
+void fleet_store_version(struct fleet *f, uint64_t version);
+
+/** A fetched version passed its check and is in force on this host. */
+void fleet_set_in_force(struct fleet *f, uint64_t version);
+
+/** A fetched version failed its check; the last good one stays. */
+void fleet_set_refused(struct fleet *f, uint64_t version);
+
+/** A fetch failed. */
+void fleet_fetch_failed(struct fleet *f, uint64_t version);
+
+/** Returns the version in force, or 0: the host is not ready. */
+uint64_t fleet_version(const struct fleet *f);
+
 /** Runs what is due. */
 void fleet_advance(struct fleet *f);
 
--- a/test/unit/fleet_sim.c
+++ b/test/unit/fleet_sim.c
@@ -9,6 +9,7 @@
 #define LOCAL_US 250
 #define DOMAIN_US 3500
 #define REGION_US 12000
+#define STORE_US 5000
 
 static bool is_before(const struct sim_event *a, const struct sim_event *b)
 {
@@ -101,14 +102,93 @@
 						  draw_delay(s, from, to),
 					 .host = to->index,
 
+					 .kind = SIM_FRAME,
 					 .frame = g_bytes_new(data, len)});
 }
 
-static const struct fleet_ops fleet_ops = {.send = handle_send};
+/* A request or reply that takes a network delay; lost ones do not arrive. */
+static void push_message(struct sim *s, const struct sim_host *from,
+			 struct sim_event e)
+{
+	if (is_cut(s, from, &s->hosts[e.host]) ||
+	    g_rand_double(s->rand) < s->loss)
+		return;
+	e.from = from->index;
+	e.at_us = s->clock.now_us + draw_delay(s, from, &s->hosts[e.host]);
+	push_event(s, e);
+}
+
+static void push_store_version(struct sim *s, uint32_t host)
+{
+	uint64_t version = s->stale_version ? s->stale_version : s->version;
+
+	if (s->is_store_down || !version)
+		return;
+	push_event(s, (struct sim_event){.at_us = s->clock.now_us + STORE_US,
+					 .host = host,
+					 .kind = SIM_VERSION,
+					 .version = version});
+}
+
+static void handle_fetch(void *ctx, const char *address, uint64_t version)
+{
+	struct sim_host *h = ctx;
+	struct sim_event e = {
+		.host = h->index, .kind = SIM_FETCHED, .version = version};
+
+	h->fetches++;
+	if (address) {
+		e.host = (uint32_t)atoi(address + 1);
+		e.kind = SIM_FETCH;
+		push_message(h->sim, h, e);
+	} else if (!h->sim->is_store_down) {
+		e.at_us = h->sim->clock.now_us + STORE_US;
+		push_event(h->sim, e);
+	}
+}
+
+static void handle_watch(void *ctx, bool is_wanted)
+{
+	struct sim_host *h = ctx;
+
+	h->is_watching = is_wanted;
+	if (is_wanted)
+		push_store_version(h->sim, h->index);
+}
+
+void sim_publish(struct sim *s, uint64_t version)
+{
+	s->version = version;
+	for (uint32_t i = 0; i < s->host_count; i++) {
+		if (s->hosts[i].is_up && s->hosts[i].is_watching)
+			push_store_version(s, i);
+	}
+}
+
+bool sim_is_in_force(struct sim *s, uint64_t version)
+{
+	for (uint32_t i = 0; i < s->host_count; i++) {
+		if (s->hosts[i].is_up &&
+		    fleet_version(s->hosts[i].fleet) != version)
+			return false;
+	}
+	return true;
+}
+
+static const struct fleet_ops fleet_ops = {
+	.send = handle_send,
+	.fetch_set = handle_fetch,
+	.watch = handle_watch,
+};
+
+/* Keeps the log of simulated hosts out of the output of the tests. */
+static void handle_event(void *ctx, enum event_id id, const char *fields)
+{
+}
 
 void sim_create(struct sim *s, uint32_t hosts, uint32_t domains, uint32_t seed)
 {
-	event_set_level(EVENT_ERROR);
+	event_set_sink(handle_event, NULL);
 	memset(s, 0, sizeof(*s));
 	s->clock.now_us = US_PER_S;
 	s->clock.wall_offset_us = 1700000000 * US_PER_S;
@@ -135,10 +215,12 @@
 	fleet_destroy(h->fleet);
 	h->fleet = NULL;
 	h->is_up = false;
+	h->is_watching = false;
 }
 
 void sim_destroy(struct sim *s)
 {
+	event_set_sink(NULL, NULL);
 	for (uint32_t i = 0; i < s->host_count; i++)
 		stop_host(&s->hosts[i]);
 	for (uint32_t i = 0; i < s->event_count; i++)
@@ -190,26 +272,51 @@
 	stop_host(&s->hosts[host]);
 }
 
+static void give_event(struct sim *s, struct sim_host *h, struct sim_event *e)
+{
+	switch (e->kind) {
+	case SIM_TIMER:
+		fleet_advance(h->fleet);
+		return;
+	case SIM_FRAME:
+		fleet_receive(h->fleet, g_bytes_get_data(e->frame, NULL),
+			      g_bytes_get_size(e->frame));
+		return;
+	case SIM_VERSION:
+		fleet_store_version(h->fleet, e->version);
+		return;
+	case SIM_FETCH:
+		if (fleet_version(h->fleet) < e->version)
+			return;
+		push_message(s, h,
+			     (struct sim_event){.host = e->from,
+						.kind = SIM_FETCHED,
+						.version = e->version});
+		return;
+	case SIM_FETCHED:
+		fleet_set_in_force(h->fleet, e->version);
+		return;
+	}
+}
+
 /* Returns whether the event is done with; a paused host keeps its events. */
 static bool run_event(struct sim *s, struct sim_event *e)
 {
 	struct sim_host *h = &s->hosts[e->host];
 
-	if (!h->is_up || (!e->frame && e->at_us != h->timer_us))
+	if (!h->is_up || (e->kind == SIM_TIMER && e->at_us != h->timer_us))
 		return true;
 	if (h->is_paused) {
 		/* Comes back after the pause, frames before timers. */
 		e->at_us = s->clock.now_us + 50 * US_PER_MS;
-		if (!e->frame)
+		if (e->kind == SIM_TIMER)
 			h->timer_us = e->at_us;
 		push_event(s, *e);
 		return false;
 	}
-	if (e->frame)
-		fleet_receive(h->fleet, g_bytes_get_data(e->frame, NULL),
-			      g_bytes_get_size(e->frame));
-	else
-		fleet_advance(h->fleet);
+	give_event(s, h, e);
+	if (s->check)
+		s->check(s, h);
 	arm_timer(s, h);
 	return true;
 }
--- a/test/unit/fleet_sim.h
+++ b/test/unit/fleet_sim.h
@@ -23,18 +23,35 @@
 	uint32_t domain;
 	bool is_up;
 	bool is_paused;
+	bool is_watching;
+	uint64_t fetches;
 	/** Time of the timer event in the queue; later ones are ignored. */
 	int64_t timer_us;
 	uint64_t sent;
 	uint64_t sent_bytes;
 };
 
+enum sim_kind {
+	SIM_TIMER,
+	SIM_FRAME,
+	/** Answer of the store to a watch. */
+	SIM_VERSION,
+	/** Request for a set at the host that announced it. */
+	SIM_FETCH,
+	/** Its reply. */
+	SIM_FETCHED,
+};
+
 struct sim_event {
 	int64_t at_us;
 	uint64_t order;
 	uint32_t host;
-	/** Frame, or NULL for a timer. */
+	enum sim_kind kind;
+	/** Frame, for SIM_FRAME. */
 	GBytes *frame;
+	/** Version, for SIM_VERSION and SIM_FETCH; host that fetches. */
+	uint64_t version;
+	uint32_t from;
 };
 
 struct sim {
@@ -51,6 +68,13 @@
 	int64_t jitter_us;
 	/** Region without contact to the others, or -1. */
 	int cut_region;
+	/** Version in the store. */
+	uint64_t version;
+	bool is_store_down;
+	/** Version that a stale read returns, or 0. */
+	uint64_t stale_version;
+	/** Called after each event, if set. */
+	void (*check)(struct sim *s, struct sim_host *h);
 	const char *seeds[8];
 };
 
@@ -69,6 +93,11 @@
 /** Runs events up to a time from now. */
 void sim_run(struct sim *s, int64_t us);
 
+/** Puts a version in the store; watchers are told. */
+void sim_publish(struct sim *s, uint64_t version);
+/** Returns whether the version is in force on all running hosts. */
+bool sim_is_in_force(struct sim *s, uint64_t version);
+
 /** Returns how many running hosts have the host in one of the states. */
 uint32_t sim_count_state(struct sim *s, uint32_t host, unsigned int states);
 
--- a/test/unit/main.c
+++ b/test/unit/main.c
@@ -6,6 +6,7 @@
 	{"common", NULL, NULL, NULL, NULL, common_tests},
 	{"fleet frame", NULL, NULL, NULL, NULL, fleet_frame_tests},
 	{"fleet membership", NULL, NULL, NULL, NULL, fleet_membership_tests},
+	{"fleet config", NULL, NULL, NULL, NULL, fleet_config_tests},
 	{"fleet placement", NULL, NULL, NULL, NULL, fleet_placement_tests},
 	{"merge", NULL, NULL, NULL, NULL, merge_tests},
 	CU_SUITE_INFO_NULL,
