--- a/test/unit/main.c
+++ b/test/unit/main.c
@@ -9,6 +9,7 @@
 	{"forward", NULL, NULL, NULL, NULL, forward_tests},
 	{"fleet frame", NULL, NULL, NULL, NULL, fleet_frame_tests},
 	{"fleet membership", NULL, NULL, NULL, NULL, fleet_membership_tests},
+	{"fleet config", NULL, NULL, NULL, NULL, fleet_config_tests},
 	{"fleet placement", NULL, NULL, NULL, NULL, fleet_placement_tests},
 	{"merge", NULL, NULL, NULL, NULL, merge_tests},
 	{"upstream", NULL, NULL, NULL, NULL, upstream_tests},
--- a/test/unit/suites.h
+++ b/test/unit/suites.h
@@ -8,6 +8,7 @@
 extern CU_TestInfo engine_admission_tests[];
 extern CU_TestInfo engine_keys_tests[];
 extern CU_TestInfo forward_tests[];
+extern CU_TestInfo fleet_config_tests[];
 extern CU_TestInfo fleet_frame_tests[];
 extern CU_TestInfo fleet_membership_tests[];
 extern CU_TestInfo fleet_placement_tests[];
