--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -179,11 +179,11 @@
 	}
 }
 
-<<<<<<< HEAD
 void fleet_set_seat(struct fleet *f, int32_t seat)
 {
 	membership_set_seat(f->membership, seat);
-=======
+}
+
 void fleet_store_version(struct fleet *f, uint64_t version)
 {
 	config_seen(f->config, version, NULL);
@@ -207,7 +207,6 @@
 uint64_t fleet_version(const struct fleet *f)
 {
 	return config_version(f->config);
->>>>>>> fleet
 }
 
 void fleet_advance(struct fleet *f)
--- a/include/fleet/fleet.h
+++ b/include/fleet/fleet.h
@@ -61,12 +61,11 @@
  */
 int fleet_receive(struct fleet *f, const void *data, size_t len);
 
-<<<<<<< HEAD
 /**
  * Announces that this host occupies a seat of its failure domain, or NO_SEAT.
  */
 void fleet_set_seat(struct fleet *f, int32_t seat);
-=======
+
 /** Takes the version that a watch or a read of the store returned. */
 void fleet_store_version(struct fleet *f, uint64_t version);
 
@@ -81,7 +80,6 @@
 
 /** Returns the version in force, or 0: the host is not ready. */
 uint64_t fleet_version(const struct fleet *f);
->>>>>>> fleet
 
 /** Runs what is due. */
 void fleet_advance(struct fleet *f);
--- a/include/nutmegpickd/host.h
+++ b/include/nutmegpickd/host.h
@@ -82,6 +82,7 @@
 	/** NULL where the host has no peers. */
 	struct peer *peer;
 	struct peers *peers;
+	struct set_transfer *transfer;
 	struct fleet *fleet;
 	/** Seat of this host in its failure domain, or NO_SEAT. */
 	int32_t seat;
@@ -106,6 +107,9 @@
 /** Sends an event to the engine thread. Returns 0 or -ERR_FULL. */
 int host_send(struct host *h, struct host_event event);
 
+/** Puts a set in force unless a later one is; takes over the reference. */
+void host_apply_set(struct host *h, struct object_set *set);
+
 /** Frees events that came after the engine thread's end. */
 void host_drop_events(struct host *h);
 
@@ -176,6 +180,9 @@
 /** Takes a frame of another host. */
 void peers_handle_frame(struct host *h, const struct host_event *e);
 
+/** Tells peers of the set in force. */
+void peers_set_in_force(struct host *h);
+
 /** Runs what is due between hosts. */
 void peers_advance(struct host *h);
 
--- a/include/store/follow.h
+++ b/include/store/follow.h
@@ -1,6 +1,8 @@
 #ifndef STORE_FOLLOW_H
 #define STORE_FOLLOW_H
 
+#include <stdbool.h>
+
 #include "common/clock.h"
 #include "objects/objects.h"
 #include "store/store.h"
@@ -26,6 +28,12 @@
 /** Ends the follower's watch; no call of it may wait for a reply. */
 void follower_destroy(struct follower *f);
 
+/**
+ * Pauses or resumes the follower; a new one is active. A paused one ends its
+ * watch and makes no further calls.
+ */
+void follower_set_active(struct follower *f, bool is_active);
+
 /** Starts the next call if one is due; call after each store_run(). */
 void follower_step(struct follower *f);
 
--- a/nutmegpickd/engine_thread.c
+++ b/nutmegpickd/engine_thread.c
@@ -45,11 +45,27 @@
 	}
 }
 
-static void apply_set(struct host *h, struct object_set *set)
+static bool is_stale(const struct host *h, const struct object_set *set)
 {
+	/* Sets from a local path have no version. */
+	return h->set && set->version && set->version <= h->set->version;
+}
+
+void host_apply_set(struct host *h, struct object_set *set)
+{
+	if (is_stale(h, set)) {
+		event_log(EV_SET_STALE,
+			  "version=%" G_GUINT64_FORMAT
+			  " in_force=%" G_GUINT64_FORMAT,
+			  set->version, h->set->version);
+		object_set_unref(set);
+		return;
+	}
 	if (engine_apply_set(h->engine, set)) {
 		event_log(EV_SET_REFUSED, "version=%" G_GUINT64_FORMAT,
 			  set->version);
+		if (h->fleet)
+			fleet_set_refused(h->fleet, set->version);
 		object_set_unref(set);
 		return;
 	}
@@ -57,7 +73,7 @@
 	object_set_unref(h->set);
 	h->set = set;
 	if (h->fleet)
-		route_rebuild(h);
+		peers_set_in_force(h);
 	else
 		apply_limits(h, set);
 	h->next_report_us = 0;
@@ -85,7 +101,7 @@
 		upstream_reply_free(e->reply);
 		break;
 	case HOST_SET:
-		apply_set(h, e->set);
+		host_apply_set(h, e->set);
 		break;
 	case HOST_FRAME:
 		peers_handle_frame(h, e);
--- a/nutmegpickd/peers.c
+++ b/nutmegpickd/peers.c
@@ -8,6 +8,8 @@
 #include "common/events.h"
 #include "fleet/frame.h"
 #include "nutmegpickd/route.h"
+#include "nutmegpickd/set_transfer.h"
+#include "nutmegpickd/store_thread.h"
 
 struct peers {
 	struct host *host;
@@ -37,8 +39,35 @@
 		  len - FRAME_PREFIX);
 }
 
+static void handle_fetch_set(void *ctx, const char *address, uint64_t version)
+{
+	struct host *h = ctx;
+
+	/* The store thread reads the store by itself while it watches. */
+	if (address)
+		set_transfer_fetch(h->transfer, address, version);
+}
+
+static void handle_watch(void *ctx, bool is_wanted)
+{
+	struct host *h = ctx;
+
+	if (h->store_thread)
+		store_thread_set_active(h->store_thread, is_wanted);
+}
+
+static void handle_part(void *ctx, const struct frame *frame)
+{
+	struct host *h = ctx;
+
+	set_transfer_handle(h->transfer, frame);
+}
+
 static const struct fleet_ops fleet_ops = {
 	.send = handle_send,
+	.fetch_set = handle_fetch_set,
+	.watch = handle_watch,
+	.part = handle_part,
 };
 
 static int handle_hello(void *ctx, const void *data, size_t len,
@@ -158,6 +187,7 @@
 	p = g_new0(struct peers, 1);
 	p->host = h;
 	h->peers = p;
+	h->transfer = set_transfer_create(h);
 	ret = frame_codec_create(&p->codec);
 	if (!ret)
 		ret = start_fleet(h);
@@ -178,6 +208,7 @@
 		peer_destroy(h->peer);
 	fleet_destroy(h->fleet);
 	route_clear(h);
+	set_transfer_destroy(h->transfer);
 	if (h->peers)
 		frame_codec_destroy(h->peers->codec);
 	g_free(h->peers);
@@ -199,10 +230,19 @@
 			  e->address);
 }
 
+void peers_set_in_force(struct host *h)
+{
+	route_rebuild(h);
+	set_transfer_keep(h->transfer, h->set);
+	if (h->set->version)
+		fleet_set_in_force(h->fleet, h->set->version);
+}
+
 void peers_advance(struct host *h)
 {
 	if (!h->fleet)
 		return;
 	fleet_advance(h->fleet);
+	set_transfer_advance(h->transfer);
 	forward_check(h);
 }
--- a/nutmegpickd/store_thread.c
+++ b/nutmegpickd/store_thread.c
@@ -14,6 +14,7 @@
 	struct store store;
 	struct follower *follower;
 	bool is_stopping;
+	bool is_active;
 	pthread_t thread;
 };
 
@@ -36,6 +37,9 @@
 	struct store_thread *t = ctx;
 
 	while (!__atomic_load_n(&t->is_stopping, __ATOMIC_RELAXED)) {
+		follower_set_active(t->follower,
+				    __atomic_load_n(&t->is_active,
+						    __ATOMIC_RELAXED));
 		follower_step(t->follower);
 		store_run(&t->store, follower_wait_us(t->follower));
 	}
@@ -65,6 +69,8 @@
 		return ret;
 	}
 	t->host = h;
+	/* Between hosts, the fleet decides which of them watch. */
+	t->is_active = !h->fleet;
 	t->store = etcd_store(t->etcd);
 	t->follower = follower_create(&follower_options);
 	pthread_create(&t->thread, NULL, run_thread, t);
@@ -72,6 +78,12 @@
 	return 0;
 }
 
+void store_thread_set_active(struct store_thread *t, bool is_active)
+{
+	__atomic_store_n(&t->is_active, is_active, __ATOMIC_RELAXED);
+	store_wake(&t->store);
+}
+
 void store_thread_stop(struct store_thread *t)
 {
 	__atomic_store_n(&t->is_stopping, true, __ATOMIC_RELAXED);
--- a/store/follow.c
+++ b/store/follow.c
@@ -35,6 +35,7 @@
 	int64_t due_us;
 	int failures;
 	bool is_down;
+	bool is_paused;
 	/** Version handed out last. */
 	uint64_t version;
 	/** Publish id of a set that failed its check. */
@@ -225,7 +226,8 @@
 	start_next(f);
 	if (f->state == FOLLOW_IDLE)
 		f->failures = 0;
-	start_watch(f);
+	if (!f->is_paused)
+		start_watch(f);
 }
 
 /* A transaction's reads are never stale. */
@@ -311,8 +313,19 @@
 	g_free(key);
 }
 
+void follower_set_active(struct follower *f, bool is_active)
+{
+	f->is_paused = !is_active;
+	if (!f->is_paused || !f->is_watching)
+		return;
+	store_watch_cancel(f->options.store, f->watch_id);
+	f->is_watching = false;
+}
+
 void follower_step(struct follower *f)
 {
+	if (f->is_paused)
+		return;
 	while (f->state == FOLLOW_PART)
 		read_part(f);
 	if (f->state == FOLLOW_IDLE && !f->is_watching)
@@ -325,6 +338,8 @@
 
 int64_t follower_wait_us(const struct follower *f)
 {
+	if (f->is_paused)
+		return IDLE_US;
 	if (f->state == FOLLOW_PART)
 		return 0;
 	if (f->state != FOLLOW_WAIT)
