--- a/store/publish.c
+++ b/store/publish.c
@@ -55,11 +55,11 @@
 	set_outcome(out, PUBLISH_REFUSED, -ERR_STORE_CONFLICT);
 }
 
-/* A part that exists already keeps its value, which is the same. */
-static int write_part_once(struct store *s, const char *key, const char *data,
-			   size_t len)
+/* Puts a part whose last change is at the revision; 0: it does not exist. */
+static int put_part(struct store *s, const char *key, const char *data,
+		    size_t len, int64_t revision, bool *is_applied)
 {
-	struct store_compare compare = {.key = key};
+	struct store_compare compare = {key, revision};
 	struct store_put put = {.key = key, .value = data, .len = len};
 	struct store_txn txn = {
 		.compares = &compare,
@@ -70,10 +70,37 @@
 	struct store_reply reply = {0};
 	int ret = store_txn_wait(s, &txn, &reply);
 
+	*is_applied = reply.is_applied;
+	store_reply_clear(&reply);
+	return ret;
+}
+
+/* Replaces the value of a part that does not match its name. */
+static int repair_part(struct store *s, const char *key, const char *data,
+		       size_t len)
+{
+	struct store_txn txn = {.reads = &key, .read_count = 1};
+	struct store_reply reply = {0};
+	const struct store_entry *e;
+	bool is_applied;
+	int ret = store_txn_wait(s, &txn, &reply);
+
+	e = store_reply_find(&reply, key);
+	if (!ret && e && (e->len != len || memcmp(e->value, data, len) != 0))
+		ret = put_part(s, key, data, len, e->mod_revision, &is_applied);
 	store_reply_clear(&reply);
 	return ret;
 }
 
+static int write_part_once(struct store *s, const char *key, const char *data,
+			   size_t len)
+{
+	bool is_applied;
+	int ret = put_part(s, key, data, len, 0, &is_applied);
+
+	return ret || is_applied ? ret : repair_part(s, key, data, len);
+}
+
 static int write_part(struct store *s, const char *hash, const char *data,
 		      size_t len)
 {
@@ -289,6 +316,17 @@
 	job->fence_key = g_strconcat(PUBLISH_KEY_FENCE, r->publish_id, NULL);
 }
 
+/* Publishing the set in force again replaces parts that were damaged. */
+static void check_parts(struct publish_job *job, const char *text)
+{
+	int ret = write_parts(job->store, &job->record, text);
+
+	if (!ret)
+		return;
+	job->out->is_unchanged = false;
+	set_outcome(job->out, PUBLISH_REFUSED, ret);
+}
+
 static void run_job(struct publish_job *job, const char *text)
 {
 	int ret = name_parts(&job->record, text);
@@ -297,8 +335,11 @@
 		set_outcome(job->out, PUBLISH_REFUSED, ret);
 		return;
 	}
-	if (!read_base(job))
+	if (!read_base(job)) {
+		if (job->out->is_unchanged)
+			check_parts(job, text);
 		return;
+	}
 	set_names(job);
 	ret = write_parts(job->store, &job->record, text);
 	if (ret) {
--- a/test/unit/fake_store.c
+++ b/test/unit/fake_store.c
@@ -203,3 +203,29 @@
 	f->is_watched = false;
 	store_finish(STORE_WATCH, f->watcher, &reply);
 }
+
+struct object_set *fake_set(const char *name, int services)
+{
+	GString *text = g_string_new(NULL);
+	struct fault_list faults = {0};
+	struct object_set *set = NULL;
+
+	g_string_printf(text,
+			"[fleet.main]\ndomains=[{name=\"%s\",region=\"r\","
+			"seats=1}]\n[deadline.d]\ndefault=\"1s\"\nmax=\"2s\"\n"
+			"[class.c]\nkind=\"k\"\nworth=1\n[group.g]\nslots=1\n"
+			"connections=1\nconnect_cost=\"1ms\"\n"
+			"[[group.g.shards]]\nname=\"s\"\nweight=1\nleaves=[{"
+			"address=\"127.0.0.1:1\",domain=\"%s\"}]\n",
+			name, name);
+	for (int i = 0; i < services; i++)
+		g_string_append_printf(text,
+				       "[service.%0200d]\ngroups=[\"g\"]\n"
+				       "deadline=\"d\"\nclass=\"c\"\n",
+				       i);
+	object_set_parse(text->str, "t", &set, &faults);
+	fault_list_clear(&faults);
+	g_string_free(text, TRUE);
+	g_assert_nonnull(set);
+	return set;
+}
--- a/test/unit/fake_store.h
+++ b/test/unit/fake_store.h
@@ -3,6 +3,7 @@
 
 #include <glib.h>
 
+#include "objects/objects.h"
 #include "store/store.h"
 
 /** Key-value store in memory with failures on demand. */
@@ -45,4 +46,7 @@
 /** Ends the watch with a code. */
 void fake_store_end_watch(struct fake_store *f, int code);
 
+/** Returns a valid set whose one domain has this name. */
+struct object_set *fake_set(const char *domain, int services);
+
 #endif
--- a/test/unit/test_store_follow.c
+++ b/test/unit/test_store_follow.c
@@ -1,6 +1,5 @@
 #include "suites.h"
 
-#include <stdio.h>
 #include <string.h>
 
 #include "common/errors.h"
@@ -18,33 +17,11 @@
 	char domain[32];
 };
 
-static struct object_set *make_set(const char *name)
-{
-	struct fault_list faults = {0};
-	struct object_set *set = NULL;
-	char text[512];
-
-	g_snprintf(
-		text, sizeof(text),
-		"[fleet.main]\ndomains=[{name=\"%s\",region=\"r\",seats=1}]\n"
-		"[deadline.d]\ndefault=\"1s\"\nmax=\"2s\"\n"
-		"[class.c]\nkind=\"k\"\nworth=1\n[group.g]\nslots=1\n"
-		"connections=1\nconnect_cost=\"1ms\"\n[[group.g.shards]]\n"
-		"name=\"s\"\nweight=1\nleaves=[{address=\"127.0.0.1:1\","
-		"domain=\"%s\"}]\n[service.x]\ngroups=[\"g\"]\n"
-		"deadline=\"d\"\nclass=\"c\"\n",
-		name, name);
-	object_set_parse(text, "t", &set, &faults);
-	fault_list_clear(&faults);
-	CU_ASSERT_PTR_NOT_NULL_FATAL(set);
-	return set;
-}
-
 static void publish(struct follow_test *t, const char *name)
 {
 	struct publish_options o = {
 		.token = name, .author = "ann", .base_version = -1};
-	struct object_set *set = make_set(name);
+	struct object_set *set = fake_set(name, 1);
 	struct publish_result r;
 
 	publish_set(&t->fake.store, set, &o, &r);
--- a/test/unit/test_store_publish.c
+++ b/test/unit/test_store_publish.c
@@ -1,46 +1,13 @@
 #include "suites.h"
 
-#include <stdio.h>
-#include <string.h>
-
 #include "common/errors.h"
-#include "common/events.h"
 #include "fake_store.h"
 #include "store/publish.h"
 
-/* A set whose name makes its content unique; padding adds services. */
-static struct object_set *make_set(const char *name, int services)
-{
-	GString *text = g_string_new(NULL);
-	struct fault_list faults = {0};
-	struct object_set *set = NULL;
-
-	g_string_printf(text,
-			"[fleet.main]\ndomains=[{name=\"%s\",region=\"r\","
-			"seats=1}]\n[deadline.d]\ndefault=\"1s\"\nmax=\"2s\"\n"
-			"[class.c]\nkind=\"k\"\nworth=1\n[group.g]\nslots=1\n"
-			"connections=1\nconnect_cost=\"1ms\"\n"
-			"[[group.g.shards]]\nname=\"s\"\nweight=1\nleaves=[{"
-			"address=\"127.0.0.1:1\",domain=\"%s\"}]\n",
-			name, name);
-	for (int i = 0; i < services; i++)
-		g_string_append_printf(text,
-				       "[service.%0200d]\ngroups=[\"g\"]\n"
-				       "deadline=\"d\"\nclass=\"c\"\n",
-				       i);
-	object_set_parse(text->str, "t", &set, &faults);
-	for (size_t i = 0; i < faults.count; i++)
-		fprintf(stderr, "%s\n", faults.items[i].message);
-	fault_list_clear(&faults);
-	g_string_free(text, TRUE);
-	CU_ASSERT_PTR_NOT_NULL_FATAL(set);
-	return set;
-}
-
 static void publish(struct fake_store *f, const char *name, const char *token,
 		    struct publish_result *out)
 {
-	struct object_set *set = make_set(name, 1);
+	struct object_set *set = fake_set(name, 1);
 	struct publish_options options = {
 		.token = token,
 		.author = token,
@@ -71,7 +38,7 @@
 /* Guards against a large set that is split and put together wrongly. */
 static void test_parts(void)
 {
-	struct object_set *set = make_set("big", 1700);
+	struct object_set *set = fake_set("big", 1700);
 	struct publish_options options = {
 		.token = "a", .author = "ann", .base_version = -1};
 	struct publish_result r;
@@ -285,6 +252,14 @@
 	fake_store_put(&f, key, NULL);
 	CU_ASSERT_EQUAL(publish_read_set(&f.store, &r.record, &set, &faults),
 			-ERR_PUBLISH_PART);
+	publish_result_clear(&r);
+	publish(&f, "one", "bob", &r);
+	CU_ASSERT(r.is_unchanged);
+	check_in_force(&f, 1, "one");
+	fake_store_put(&f, key, "{}");
+	publish_result_clear(&r);
+	publish(&f, "one", "bob", &r);
+	check_in_force(&f, 1, "one");
 	for (size_t i = 0; i < G_N_ELEMENTS(pointers); i++) {
 		fake_store_put(&f, PUBLISH_KEY_POINTER, pointers[i]);
 		CU_ASSERT_EQUAL(publish_read_pointer(&f.store, &record),
