store: count repeated calls

The store's permitted call rate includes repeats, but only the first attempt of a call was counted. A repeat is counted if the attempt before it reached the store; the test compares the count with the requests that a server received.

--- a/include/store/store.h
+++ b/include/store/store.h
@@ -168,6 +168,9 @@
 void store_finish(enum store_call call, struct store_done done,
 		  struct store_reply *reply);
 
+/** Counts one more call of a kind; for adapters that repeat a call. */
+void store_count_call(enum store_call call);
+
 /** Returns the number of calls of a kind since the start. */
 uint64_t store_call_count(enum store_call call);
 
--- a/store/etcd.c
+++ b/store/etcd.c
@@ -199,6 +199,9 @@
 		e->endpoint = c->endpoint;
 	if (can_retry(c, code, is_sent) && now + wait < c->deadline_us) {
 		c->retry_us = now + wait;
+		/* The store's call rate includes repeats that reach it. */
+		if (is_sent)
+			store_count_call(c->gateway.call);
 		event_log(EV_STORE_RETRY, "call=%s cause=E%d endpoint=%s",
 			  store_call_name(c->gateway.call), -code,
 			  e->endpoints[c->endpoint]);
--- a/store/store.c
+++ b/store/store.c
@@ -48,7 +48,7 @@
 		counter_register(&failures[i]);
 }
 
-static void count_call(enum store_call call)
+void store_count_call(enum store_call call)
 {
 	pthread_once(&counters_once, register_counters);
 	counter_add(&calls[call], 1);
@@ -57,7 +57,7 @@
 void store_get(struct store *s, const struct store_get *get,
 	       struct store_done done)
 {
-	count_call(STORE_GET);
+	store_count_call(STORE_GET);
 	s->ops->get(s->ctx, get, done);
 }
 
@@ -66,7 +66,7 @@
 {
 	struct store_reply refused = {.code = -ERR_STORE_TOO_LARGE};
 
-	count_call(STORE_TXN);
+	store_count_call(STORE_TXN);
 	for (size_t i = 0; i < txn->put_count; i++) {
 		if (txn->puts[i].len <= STORE_VALUE_MAX)
 			continue;
@@ -79,7 +79,7 @@
 uint64_t store_watch(struct store *s, const struct store_watch *watch,
 		     struct store_done done)
 {
-	count_call(STORE_WATCH);
+	store_count_call(STORE_WATCH);
 	return s->ops->watch(s->ctx, watch, done);
 }
 
@@ -90,21 +90,21 @@
 
 void store_lease_grant(struct store *s, int64_t ttl_s, struct store_done done)
 {
-	count_call(STORE_LEASE_GRANT);
+	store_count_call(STORE_LEASE_GRANT);
 	s->ops->lease_grant(s->ctx, ttl_s, done);
 }
 
 void store_lease_keepalive(struct store *s, int64_t lease_id,
 			   struct store_done done)
 {
-	count_call(STORE_LEASE_KEEPALIVE);
+	store_count_call(STORE_LEASE_KEEPALIVE);
 	s->ops->lease_keepalive(s->ctx, lease_id, done);
 }
 
 void store_lease_revoke(struct store *s, int64_t lease_id,
 			struct store_done done)
 {
-	count_call(STORE_LEASE_REVOKE);
+	store_count_call(STORE_LEASE_REVOKE);
 	s->ops->lease_revoke(s->ctx, lease_id, done);
 }
 
--- a/test/unit/test_store_etcd.c
+++ b/test/unit/test_store_etcd.c
@@ -121,7 +121,8 @@
 
 /*
  * Guards against a write being sent again after its outcome became unknown,
- * and against a cut or broken reply being taken as an answer.
+ * against a cut or broken reply being taken as an answer, and against repeats
+ * that are not counted.
  */
 static void test_replies(void)
 {
@@ -153,6 +154,7 @@
 		struct store_reply reply = {0};
 		struct canned_server server;
 		const char *endpoint;
+		uint64_t before;
 		struct etcd *e;
 		struct store s;
 
@@ -164,8 +166,11 @@
 		CU_ASSERT_EQUAL(reply.cause, -cases[i].txn_cause);
 		CU_ASSERT_EQUAL(server.requests, 1);
 		store_reply_clear(&reply);
+		before = store_call_count(STORE_GET);
 		CU_ASSERT_EQUAL(store_get_wait(&s, &get, &reply),
 				-cases[i].get_code);
+		CU_ASSERT_EQUAL(store_call_count(STORE_GET) - before,
+				server.requests - 1);
 		store_reply_clear(&reply);
 		etcd_destroy(e);
 		server_stop(&server);
