--- a/include/nutmegpick/commands.h
+++ b/include/nutmegpick/commands.h
@@ -42,5 +42,7 @@
 
 /** nutmegpick status: prints what is in force. */
 int command_status(int argc, char **argv);
+/** nutmegpick replay TRACE: checks the outcomes that a trace states. */
+int command_replay(int argc, char **argv);
 
 #endif
