--- a/include/objects/build.h
+++ b/include/objects/build.h
@@ -18,10 +18,10 @@
 			     struct fault_list *faults);
 
 /**
- * Adds faults for fields that contradict each other. The set must have been
- * built without faults.
+ * Adds faults for fields that contradict each other, with their places. The
+ * set must have been built from the sources without faults.
  */
-void check_set(const struct object_set *set, const char *file,
-	       struct fault_list *faults);
+void check_set(const struct object_set *set, const struct set_source *sources,
+	       size_t count, struct fault_list *faults);
 
 #endif
--- a/nutmegpickd/settings.c
+++ b/nutmegpickd/settings.c
@@ -8,6 +8,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "common/clock.h"
 #include "common/duration.h"
 #include "common/errors.h"
 #include "objects/fault.h"
@@ -28,6 +29,9 @@
 	/** NULL where the setting is required or has no default. */
 	const char *fallback;
 	bool is_required;
+	/** Bounds of a duration. */
+	int64_t min_us;
+	int64_t max_us;
 };
 
 static const struct setting_spec specs[] = {
@@ -42,11 +46,14 @@
 	{"log", "level", SETTING_LEVEL, offsetof(struct settings, log_level),
 	 "info", false},
 	{"lifecycle", "drain_delay", SETTING_DURATION,
-	 offsetof(struct settings, drain_delay_us), "3s", false},
+	 offsetof(struct settings, drain_delay_us), "3s", false, 0,
+	 3600 * US_PER_S},
 	{"lifecycle", "stop_timeout", SETTING_DURATION,
-	 offsetof(struct settings, stop_timeout_us), "30s", false},
+	 offsetof(struct settings, stop_timeout_us), "30s", false, 0,
+	 3600 * US_PER_S},
 	{"reports", "interval", SETTING_DURATION,
-	 offsetof(struct settings, report_interval_us), "1s", false},
+	 offsetof(struct settings, report_interval_us), "1s", false,
+	 10 * US_PER_MS, 3600 * US_PER_S},
 };
 
 static const char *const level_names[] = {"debug", "info", "warning", "error"};
@@ -113,6 +120,8 @@
 	case SETTING_DURATION:
 		if (duration_parse(text, out))
 			return "must be a duration with a unit";
+		if (*(int64_t *)out < s->min_us || *(int64_t *)out > s->max_us)
+			return "is out of range (docs/operating.md)";
 		return NULL;
 	case SETTING_LEVEL:
 		if (!parse_level(text, out))
--- a/objects/build.c
+++ b/objects/build.c
@@ -319,6 +319,8 @@
 			  "must have 1 to 255 bytes");
 		return;
 	}
+	/* An object that is defined twice is read twice. */
+	free(*out);
 	*out = strdup(n->text);
 }
 
@@ -717,6 +719,18 @@
 	return k;
 }
 
+/* Names occur in URL paths, log lines and metric labels. */
+static bool is_name(const char *text)
+{
+	size_t len = strlen(text);
+
+	for (size_t i = 0; i < len; i++) {
+		if (!g_ascii_isalnum(text[i]) && !strchr("._-", text[i]))
+			return false;
+	}
+	return len > 0 && len < 64;
+}
+
 static void reserve_kind(struct build *b, const struct tree_node *table)
 {
 	enum kind kind = find_kind(table->key);
@@ -742,6 +756,10 @@
 	for (const struct tree_node *n = table->first_child; n; n = n->next) {
 		if (n->type != TREE_TABLE)
 			add_type_fault(b, n, n->key, "a table");
+		else if (!is_name(n->key))
+			add_fault(b, n->line, ERR_OBJ_RANGE, n->key,
+				  "a name has 1 to 63 letters, digits, '.', "
+				  "'_' or '-'");
 		else if (find_object(b->set, kind, n->key) != OBJ_NONE)
 			add_fault(b, n->line, ERR_OBJ_DUPLICATE, n->key,
 				  "object is defined twice");
@@ -760,39 +778,49 @@
 		return;
 	b->file = source->file;
 	for (const struct tree_node *n = table->first_child; n; n = n->next) {
+		obj_handle h = find_object(b->set, kind, n->key);
 		char *object;
 
-		if (n->type != TREE_TABLE)
+		/* An object that was refused by its name has no row. */
+		if (n->type != TREE_TABLE ||
+		    (kind != KIND_FLEET && h == OBJ_NONE))
 			continue;
 		object = g_strdup_printf("%s.%s", kind_names[kind], n->key);
 		b->object = object;
-		read_object(b, kind, find_object(b->set, kind, n->key), n);
+		read_object(b, kind, h, n);
 		g_free(object);
 	}
 }
 
+/* Counts the fleet objects and adds a fault for the second one. */
+static size_t count_fleets(struct build *b, const struct set_source *source,
+			   size_t count)
+{
+	const struct tree_node *fleet = tree_find(source->root, "fleet");
+
+	if (!fleet || fleet->type != TREE_TABLE)
+		return count;
+	b->file = source->file;
+	for (const struct tree_node *n = fleet->first_child; n; n = n->next) {
+		if (++count == 2)
+			add_fault(b, n->line, ERR_OBJ_DUPLICATE, "fleet",
+				  "a set has only one fleet object");
+	}
+	return count;
+}
+
 static void check_fleet_count(struct build *b, const struct set_source *sources,
 			      size_t count)
 {
 	size_t fleets = 0;
-	const struct tree_node *fleet;
 
-	for (size_t i = 0; i < count; i++) {
-		fleet = tree_find(sources[i].root, "fleet");
-		if (!fleet || fleet->type != TREE_TABLE)
-			continue;
-		for (const struct tree_node *n = fleet->first_child; n;
-		     n = n->next)
-			fleets++;
-	}
 	b->object = "set";
+	for (size_t i = 0; i < count; i++)
+		fleets = count_fleets(b, &sources[i], fleets);
 	b->file = sources[0].file;
 	if (!fleets)
 		add_fault(b, 0, ERR_OBJ_MISSING, "fleet",
 			  "a set needs one fleet object");
-	else if (fleets > 1)
-		add_fault(b, 0, ERR_OBJ_DUPLICATE, "fleet",
-			  "a set has only one fleet object");
 	if (!b->set->service_count)
 		add_fault(b, 0, ERR_OBJ_EMPTY, "service",
 			  "a set needs at least one service");
--- a/objects/load.c
+++ b/objects/load.c
@@ -14,7 +14,7 @@
 	struct object_set *set = build_set(sources, count, faults);
 
 	if (!faults->count)
-		check_set(set, sources[0].file, faults);
+		check_set(set, sources, count, faults);
 	for (size_t i = 0; i < count; i++)
 		tree_destroy(sources[i].root);
 	if (faults->count) {
@@ -65,6 +65,12 @@
 		fault_add(faults, "set", line, -ret, "set", "%s", message);
 		return ret;
 	}
+	if (source.root->type != TREE_TABLE) {
+		fault_add(faults, "set", 0, ERR_OBJ_TYPE, "set",
+			  "must be an object");
+		tree_destroy(source.root);
+		return -ERR_OBJ_TYPE;
+	}
 	return finish_load(&source, 1, out, faults);
 }
 
--- a/test/standin/client.c
+++ b/test/standin/client.c
@@ -14,7 +14,8 @@
 /*
  * Sends one request after the other over keep-alive connections. A refused
  * connection ends a sender; a connection that breaks after it was accepted is
- * a failed request.
+ * a failed request. With --raw, sends each line of a file as one request and
+ * prints the status and the error of the reply.
  */
 
 #define REPLY_MAX 65536
@@ -26,6 +27,7 @@
 	/* Requests per sender; 0 goes on until the connection is refused. */
 	long requests;
 	bool is_idle;
+	const char *raw_path;
 	struct sockaddr_in address;
 	unsigned long ok;
 	unsigned long failed;
@@ -37,6 +39,8 @@
 	{"connections", 'c', "N", 0, "Number of senders (default 1)", 0},
 	{"requests", 'n', "N", 0, "Requests per sender (default: no end)", 0},
 	{"idle", 'i', NULL, 0, "Connect, send nothing, wait for the end", 0},
+	{"raw", 'r', "FILE", 0, "Send each line, with \\r and \\n, by itself",
+	 0},
 	{0},
 };
 
@@ -72,6 +76,9 @@
 	case 'i':
 		c->is_idle = true;
 		return 0;
+	case 'r':
+		c->raw_path = arg;
+		return 0;
 	case ARGP_KEY_ARG:
 		if (!parse_address(arg, &c->address))
 			argp_error(state, "malformed address");
@@ -112,9 +119,8 @@
 }
 
 /* Returns the status of a whole reply, or 0. */
-static int read_reply(int fd, bool *is_closing)
+static int read_reply(int fd, char *text, bool *is_closing)
 {
-	char text[REPLY_MAX + 1];
 	size_t len = 0;
 
 	for (;;) {
@@ -141,6 +147,7 @@
 static void *run_sender(void *ctx)
 {
 	struct client *c = ctx;
+	char text[REPLY_MAX + 1];
 	bool is_closing = false;
 	int fd = -1;
 
@@ -149,7 +156,8 @@
 			fd = open_connection(c);
 		if (fd < 0)
 			return NULL;
-		if (send_request(c, fd) && read_reply(fd, &is_closing) == 200) {
+		if (send_request(c, fd) &&
+		    read_reply(fd, text, &is_closing) == 200) {
 			__atomic_add_fetch(&c->ok, 1, __ATOMIC_RELAXED);
 		} else {
 			__atomic_add_fetch(&c->failed, 1, __ATOMIC_RELAXED);
@@ -181,6 +189,55 @@
 	return EXIT_SUCCESS;
 }
 
+static size_t unescape(char *line)
+{
+	char *out = line;
+
+	for (const char *in = line; *in && *in != '\n'; in++) {
+		if (*in != '\\') {
+			*out++ = *in;
+			continue;
+		}
+		in++;
+		*out++ = *in == 'r' ? '\r' : *in == 'n' ? '\n' : *in;
+	}
+	*out = '\0';
+	return (size_t)(out - line);
+}
+
+static void send_raw(const struct client *c, char *line, int number)
+{
+	char text[REPLY_MAX + 1] = "";
+	size_t len = unescape(line);
+	const char *code;
+	bool is_closing;
+	int fd = open_connection(c);
+	int status = 0;
+
+	if (fd >= 0 && send(fd, line, len, MSG_NOSIGNAL) == (ssize_t)len)
+		status = read_reply(fd, text, &is_closing);
+	code = strstr(text, "\"error\":\"");
+	printf("%d: %d %.5s\n", number, status, code ? code + 9 : "-");
+	if (fd >= 0)
+		close(fd);
+}
+
+static int run_raw(const struct client *c)
+{
+	FILE *file = fopen(c->raw_path, "r");
+	char *line = NULL;
+	size_t size = 0;
+	int number = 0;
+
+	if (!file)
+		return EXIT_FAILURE;
+	while (getline(&line, &size, file) > 0)
+		send_raw(c, line, ++number);
+	free(line);
+	fclose(file);
+	return EXIT_SUCCESS;
+}
+
 int main(int argc, char **argv)
 {
 	struct client c = {.path = "/", .body = "{}", .connections = 1};
@@ -189,6 +246,8 @@
 	argp_parse(&argp, argc, argv, 0, NULL, &c);
 	if (c.is_idle)
 		return wait_idle(&c);
+	if (c.raw_path)
+		return run_raw(&c);
 	threads = calloc((size_t)c.connections, sizeof(*threads));
 	for (long i = 0; i < c.connections; i++)
 		pthread_create(&threads[i], NULL, run_sender, &c);
--- a/test/unit/main.c
+++ b/test/unit/main.c
@@ -3,6 +3,7 @@
 #include "suites.h"
 
 static CU_SuiteInfo suites[] = {
+	{"broken inputs", NULL, NULL, NULL, NULL, broken_tests},
 	{"common", NULL, NULL, NULL, NULL, common_tests},
 	{"forward", NULL, NULL, NULL, NULL, forward_tests},
 	{"fleet placement", NULL, NULL, NULL, NULL, fleet_placement_tests},
--- a/test/unit/suites.h
+++ b/test/unit/suites.h
@@ -4,6 +4,7 @@
 #include <CUnit/CUnit.h>
 
 /** Suites, one per test file; each is a NULL-terminated list of tests. */
+extern CU_TestInfo broken_tests[];
 extern CU_TestInfo common_tests[];
 extern CU_TestInfo forward_tests[];
 extern CU_TestInfo fleet_placement_tests[];
--- /dev/null
+++ b/test/unit/test_broken.c
@@ -0,0 +1,221 @@
+#include "suites.h"
+
+#include <glib.h>
+#include <glib/gstdio.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "common/errors.h"
+#include "net/upstream_reply.h"
+#include "nutmegpickd/settings.h"
+#include "objects/objects.h"
+
+/*
+ * Each line of test/broken/sets.tsv and settings.tsv names the expected code
+ * and line, then a text of the base file and what replaces it.
+ */
+struct broken_case {
+	int code;
+	/* Expected line; 0 for any. */
+	int line;
+	char *text;
+};
+
+static char *read_file(const char *name)
+{
+	char *path = g_build_filename("test", "broken", name, NULL);
+	char *text = NULL;
+
+	CU_ASSERT_FATAL(g_file_get_contents(path, &text, NULL, NULL));
+	g_free(path);
+	return text;
+}
+
+static char *replace(const char *base, const char *old, const char *new)
+{
+	const char *at = strstr(base, old);
+
+	CU_ASSERT_PTR_NOT_NULL_FATAL(at);
+	return g_strdup_printf("%.*s%s%s", (int)(at - base), base, new,
+			       at + strlen(old));
+}
+
+static void parse_case(const char *line, const char *base,
+		       struct broken_case *out)
+{
+	char **fields = g_strsplit(line, "\t", 4);
+	char *old = g_strcompress(fields[2]);
+	char *new = g_strcompress(fields[3]);
+
+	out->code = (int)strtol(fields[0] + 1, NULL, 10);
+	out->line = (int)strtol(fields[1], NULL, 10);
+	out->text = replace(base, old, new);
+	g_free(old);
+	g_free(new);
+	g_strfreev(fields);
+}
+
+static bool is_found(const struct broken_case *c,
+		     const struct fault_list *faults)
+{
+	for (size_t i = 0; i < faults->count; i++) {
+		const struct object_fault *f = &faults->items[i];
+
+		if (f->code == c->code && (!c->line || f->line == c->line))
+			return true;
+	}
+	return false;
+}
+
+static void check_faults(const char *name, int number,
+			 const struct broken_case *c, struct fault_list *faults)
+{
+	bool ok = is_found(c, faults);
+
+	for (size_t i = 0; i < faults->count; i++) {
+		const struct object_fault *f = &faults->items[i];
+
+		ok = ok && *f->field && *f->message;
+		/* Only what is missing as a whole has no line. */
+		ok = ok &&
+		     (f->line || f->code == ERR_OBJ_MISSING ||
+		      f->code == ERR_OBJ_EMPTY || f->code == ERR_SETTINGS);
+	}
+	if (!ok)
+		fprintf(stderr, "%s:%d: no E%d at line %d\n", name, number,
+			c->code, c->line);
+	CU_ASSERT(ok);
+	fault_list_clear(faults);
+}
+
+static int load_set(const char *text, struct fault_list *faults)
+{
+	struct object_set *set = NULL;
+	int ret = object_set_parse(text, "set.toml", &set, faults);
+
+	object_set_unref(set);
+	return ret;
+}
+
+static int load_settings(const char *text, struct fault_list *faults)
+{
+	struct settings settings;
+	char *path = g_strdup("/tmp/nutmegpick-settings-XXXXXX");
+	int fd = g_mkstemp(path);
+	int ret;
+
+	CU_ASSERT_FATAL(g_file_set_contents(path, text, -1, NULL));
+	ret = settings_load(path, &settings, faults);
+	settings_clear(&settings);
+	close(fd);
+	g_unlink(path);
+	g_free(path);
+	return ret;
+}
+
+static void run_cases(const char *name, const char *base_name,
+		      int (*load)(const char *text, struct fault_list *faults))
+{
+	char *base = read_file(base_name);
+	char *text = read_file(name);
+	char **lines = g_strsplit(g_strchomp(text), "\n", -1);
+	struct fault_list faults = {0};
+
+	CU_ASSERT_EQUAL(load(base, &faults), 0);
+	fault_list_clear(&faults);
+	for (int i = 0; lines[i]; i++) {
+		struct broken_case c;
+
+		parse_case(lines[i], base, &c);
+		CU_ASSERT(load(c.text, &faults) < 0);
+		check_faults(name, i + 1, &c, &faults);
+		g_free(c.text);
+	}
+	g_strfreev(lines);
+	g_free(text);
+	g_free(base);
+}
+
+/* Guards against a wrong set that is accepted, or refused without a place. */
+static void test_sets(void)
+{
+	run_cases("sets.tsv", "base-set.toml", load_set);
+}
+
+/* Guards against a wrong setting that is ignored. */
+static void test_settings(void)
+{
+	run_cases("settings.tsv", "base-settings.toml", load_settings);
+}
+
+/* Guards against a crash over a set from the store that is not an object. */
+static void test_documents(void)
+{
+	static const char *const documents[] = {
+		"",
+		"[]",
+		"[1]",
+		"1",
+		"null",
+		"{",
+		"{\"a\":{}}",
+		"{\"service\":[]}",
+		"{}",
+		"\"x\"",
+		"{\"service\":{\"s\":[]}}",
+		"{\"fleet\":{\"f\":{\"domains\":[[]]}}}",
+	};
+	struct fault_list faults = {0};
+	struct object_set *set;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(documents); i++) {
+		CU_ASSERT(object_set_decode(documents[i], strlen(documents[i]),
+					    &set, &faults) < 0);
+		CU_ASSERT(faults.count > 0);
+		fault_list_clear(&faults);
+	}
+}
+
+/* Guards against hits of a reply that does not fit its call. */
+static void test_replies(void)
+{
+	char *text = read_file("replies.tsv");
+	char **lines = g_strsplit(g_strchomp(text), "\n", -1);
+
+	for (int i = 0; lines[i]; i++) {
+		bool is_good = g_str_has_prefix(lines[i], "ok\t");
+		const char *body = strchr(lines[i], '\t') + 1;
+		struct upstream_reply *reply = calloc(1, sizeof(*reply));
+		struct upstream_transfer t = {
+			.request_id = "r1",
+			.shard = "s",
+			.snapshot = 3,
+			.is_connected = true,
+			.bytes_sent = 1,
+			.status = 200,
+			.body = body,
+			.body_len = strlen(body),
+		};
+
+		reply->call_id = 7;
+		upstream_judge(&t, reply);
+		if ((reply->result.status == CALL_OK) != is_good)
+			fprintf(stderr, "replies.tsv:%d: %.60s\n", i + 1, body);
+		CU_ASSERT_EQUAL(reply->result.status,
+				is_good ? CALL_OK : CALL_BAD_REPLY);
+		CU_ASSERT_EQUAL(reply->body != NULL, is_good);
+		upstream_reply_free(reply);
+	}
+	g_strfreev(lines);
+	g_free(text);
+}
+
+CU_TestInfo broken_tests[] = {
+	{"sets", test_sets},
+	{"settings", test_settings},
+	{"documents", test_documents},
+	{"replies", test_replies},
+	CU_TEST_INFO_NULL,
+};
