--- a/net/http_server.c
+++ b/net/http_server.c
@@ -463,3 +463,10 @@
 	__atomic_sub_fetch(&x->server->waiting, 1, __ATOMIC_SEQ_CST);
 	exchange_unref(x);
 }
+
+void http_exchange_drop(struct http_exchange *x)
+{
+	if (x->caller)
+		shutdown(x->caller->fd, SHUT_RDWR);
+	http_exchange_reply(x, 503, "text/plain", "", 0);
+}
--- a/nutmegpickd/main.c
+++ b/nutmegpickd/main.c
@@ -7,8 +7,11 @@
 #include <string.h>
 #include <time.h>
 
+#include <jansson.h>
+
 #include "common/errors.h"
 #include "common/events.h"
+#include "nutmegpickd/store_thread.h"
 
 #define EVENT_RING_SIZE 65536
 
@@ -88,9 +91,10 @@
 {
 	struct host *h = ctx;
 	struct host_event e = {.type = HOST_REQUEST, .exchange = x};
+	struct origin o = {.exchange = x};
 
 	if (host_send(h, e))
-		answer_refuse(x, "", -ERR_OVERLOAD, US_PER_S);
+		answer_refuse(h, &o, "", -ERR_OVERLOAD, RUN_NOT_RUN, US_PER_S);
 }
 
 static void handle_reply(void *ctx, struct upstream_reply *reply)
@@ -103,6 +107,11 @@
 		g_usleep(100);
 }
 
+static void handle_free_hits(gpointer hits)
+{
+	json_decref(hits);
+}
+
 static int start_host(struct host *h)
 {
 	struct engine_options engine_options = {
@@ -127,6 +136,8 @@
 	h->queries = g_hash_table_new(g_int64_hash, g_int64_equal);
 	h->calls = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
 					 NULL);
+	h->kept_hits = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+					     g_free, handle_free_hits);
 	ret = ring_create(&h->events, EVENT_RING_SIZE);
 	if (!ret)
 		ret = engine_create(&h->engine, &engine_options);
@@ -136,6 +147,11 @@
 		ret = load_objects(h);
 	if (ret)
 		return ret;
+	ret = peers_start(h);
+	if (!ret && h->settings.store_endpoints)
+		ret = store_thread_start(&h->store_thread, h);
+	if (ret)
+		return ret;
 	pthread_create(&h->engine_thread, NULL, host_run_engine, h);
 	ret = http_server_create(&h->server, &server_options);
 	if (!ret)
@@ -165,9 +181,12 @@
 	/* Requests that outlast stop_timeout are refused before the exit. */
 	send_surely(h, HOST_STOP);
 	http_server_destroy(h->server, US_PER_S);
+	if (h->store_thread)
+		store_thread_stop(h->store_thread);
 	send_surely(h, HOST_EXIT);
 	pthread_join(h->engine_thread, NULL);
 	upstream_destroy(h->upstream);
+	peers_stop(h);
 	host_drop_events(h);
 	engine_unref(h->engine);
 	object_set_unref(h->set);
@@ -201,6 +220,8 @@
 	ret = settings_load(arguments.settings_path, &h.settings, &faults);
 	if (ret) {
 		print_faults(&faults);
+		fault_list_clear(&faults);
+		settings_clear(&h.settings);
 		return EXIT_FAILURE;
 	}
 	if (arguments.is_check_only) {
--- a/nutmegpickd/settings.c
+++ b/nutmegpickd/settings.c
@@ -11,14 +11,17 @@
 #include "common/clock.h"
 #include "common/duration.h"
 #include "common/errors.h"
+#include "fleet/frame.h"
 #include "objects/fault.h"
 #include "objects/tree.h"
 
 enum setting_type {
 	SETTING_STRING,
 	SETTING_ADDRESS,
+	SETTING_ADDRESSES,
 	SETTING_DURATION,
 	SETTING_LEVEL,
+	SETTING_SEAT,
 };
 
 struct setting_spec {
@@ -39,10 +42,18 @@
 	 true},
 	{"host", "domain", SETTING_STRING, offsetof(struct settings, domain),
 	 NULL, true},
+	{"host", "seat", SETTING_SEAT, offsetof(struct settings, seat), "none",
+	 false},
 	{"listen", "http", SETTING_ADDRESS,
 	 offsetof(struct settings, listen_http), NULL, true},
+	{"listen", "peer", SETTING_ADDRESS,
+	 offsetof(struct settings, listen_peer), NULL, false},
+	{"peers", "seeds", SETTING_ADDRESSES,
+	 offsetof(struct settings, peer_seeds), NULL, false},
 	{"objects", "path", SETTING_STRING,
 	 offsetof(struct settings, objects_path), NULL, false},
+	{"store", "endpoints", SETTING_ADDRESSES,
+	 offsetof(struct settings, store_endpoints), NULL, false},
 	{"log", "level", SETTING_LEVEL, offsetof(struct settings, log_level),
 	 "info", false},
 	{"lifecycle", "drain_delay", SETTING_DURATION,
@@ -103,6 +114,20 @@
 	return false;
 }
 
+static bool parse_seat(const char *text, int32_t *out)
+{
+	guint64 number;
+
+	*out = NO_SEAT;
+	if (!strcmp(text, "none"))
+		return true;
+	if (!g_ascii_string_to_unsigned(text, 10, 0, MAX_SEATS - 1, &number,
+					NULL))
+		return false;
+	*out = (int32_t)number;
+	return true;
+}
+
 static const char *store_value(const struct setting_spec *s, const char *text,
 			       void *out)
 {
@@ -112,6 +137,8 @@
 			return "must be an IP number and a port";
 		*(char **)out = strdup(text);
 		return NULL;
+	case SETTING_ADDRESSES:
+		return NULL;
 	case SETTING_STRING:
 		if (!*text || strlen(text) > 255)
 			return "must have 1 to 255 bytes";
@@ -127,10 +154,33 @@
 		if (!parse_level(text, out))
 			return "must be debug, info, warning or error";
 		return NULL;
+	case SETTING_SEAT:
+		if (!parse_seat(text, out))
+			return "must be \"none\" or a number below 65536";
+		return NULL;
 	}
 	return NULL;
 }
 
+static void read_addresses(struct reader *r, const struct tree_node *n,
+			   const struct setting_spec *s, char ***out)
+{
+	GPtrArray *list = g_ptr_array_new();
+
+	for (const struct tree_node *i = n->first_child; i; i = i->next) {
+		if (i->type != TREE_STRING || !is_address(i->text))
+			add_fault(r, i->line, s->section, s->name,
+				  "must be IP numbers and ports");
+		else
+			g_ptr_array_add(list, g_strdup(i->text));
+	}
+	if (n->type != TREE_ARRAY || !n->first_child)
+		add_fault(r, n->line, s->section, s->name,
+			  "must be an array of addresses");
+	g_ptr_array_add(list, NULL);
+	*out = (char **)g_ptr_array_free(list, FALSE);
+}
+
 static void read_setting(struct reader *r, const struct tree_node *root,
 			 const struct setting_spec *s, struct settings *out)
 {
@@ -141,6 +191,12 @@
 
 	if (table && table->type == TREE_TABLE)
 		n = tree_find(table, s->name);
+	if (s->type == SETTING_ADDRESSES) {
+		if (n)
+			read_addresses(r, n, s,
+				       (char ***)((char *)out + s->offset));
+		return;
+	}
 	if (n && n->type != TREE_STRING) {
 		add_fault(r, n->line, s->section, s->name, "must be a string");
 		return;
@@ -214,10 +270,23 @@
 	check_unknown(&r, root);
 	for (size_t i = 0; i < G_N_ELEMENTS(specs); i++)
 		read_setting(&r, root, &specs[i], out);
+	if (out->peer_seeds && !out->listen_peer)
+		add_fault(&r, 0, "peers", "seeds", "needs listen.peer");
+	if (out->objects_path && out->store_endpoints)
+		add_fault(&r, 0, "objects", "path",
+			  "contradicts store.endpoints");
 	tree_destroy(root);
 	return faults->count ? -ERR_SETTINGS : 0;
 }
 
+static void print_addresses(char *const *addresses)
+{
+	printf("[");
+	for (size_t i = 0; addresses && addresses[i]; i++)
+		printf("%s\"%s\"", i ? ", " : "", addresses[i]);
+	printf("]\n");
+}
+
 void settings_print(const struct settings *s)
 {
 	for (size_t i = 0; i < G_N_ELEMENTS(specs); i++) {
@@ -231,9 +300,15 @@
 			text = *(char *const *)field;
 			printf("\"%s\"\n", text ? text : "");
 			break;
+		case SETTING_ADDRESSES:
+			print_addresses(*(char **const *)field);
+			break;
 		case SETTING_DURATION:
 			printf("\"%" PRId64 "us\"\n", *(const int64_t *)field);
 			break;
+		case SETTING_SEAT:
+			printf("\"%" PRId32 "\"\n", *(const int32_t *)field);
+			break;
 		case SETTING_LEVEL:
 			printf("\"%s\"\n",
 			       level_names[*(const enum event_level *)field]);
@@ -248,5 +323,8 @@
 	free(s->domain);
 	free(s->listen_http);
 	free(s->objects_path);
+	free(s->listen_peer);
+	g_strfreev(s->peer_seeds);
+	g_strfreev(s->store_endpoints);
 	memset(s, 0, sizeof(*s));
 }
--- a/test/standin/leaf.c
+++ b/test/standin/leaf.c
@@ -13,6 +13,7 @@
 #include "common/clock.h"
 #include "common/hash.h"
 #include "net/http_server.h"
+#include "reply.h"
 
 #define HITS_PER_REPLY 5
 /* A request in service notices its caller's leaving after this time. */
@@ -45,16 +46,6 @@
 	int64_t deadline_us;
 };
 
-static void reply_json(struct http_exchange *x, unsigned int status,
-		       json_t *document)
-{
-	char *text = json_dumps(document, JSON_COMPACT);
-
-	json_decref(document);
-	http_exchange_reply(x, status, "application/json", text, strlen(text));
-	free(text);
-}
-
 static void refuse(struct http_exchange *x, unsigned int status)
 {
 	http_exchange_add_header(x, "Nutmegpick-Run", "not_run");
