engine: hedge, retry and choose replicas within bounds

Calls went to the replica with the fewest own calls, without a limit, a second try or a second replica, so one slow or silent leaf held a query to its deadline.

Hedges go out at the learned quantile of the group, retries go to another replica, and both take tokens from one budget of 5% of needed calls, 10% under faults. Replicas are chosen by own outstanding calls, smoothed latency and a bounded part of the report. Calls wait in the engine for this host's share of a leaf. Services may answer early. The baselines have no limits.

--- a/engine/call.c
+++ b/engine/call.c
@@ -15,10 +15,14 @@
 	c->start_us = engine_now(e);
 	c->is_hedge = kind == CALL_HEDGE;
 	c->is_retry = kind == CALL_RETRY;
+	c->is_late = false;
 	s->calls[s->call_count++] = c;
 	s->tried[s->tried_count++ % SHARD_TRIED_MAX] = c->leaf;
 	s->attempts++;
-	s->query->calls++;
+	if (kind != CALL_FIRST)
+		s->query->extra_calls++;
+	else
+		budget_deposit(&e->budget, retry_budget_percent(s->query));
 	return c;
 }
 
@@ -47,12 +51,23 @@
 	e->options.ops->start_call(e->options.ctx, &out);
 }
 
-void call_start(struct engine *e, struct query_shard *s, enum call_kind kind)
+static void wait_for_share(struct engine *e, struct query_shard *s,
+			   enum call_kind kind)
 {
-	obj_handle leaf;
+	const struct query *q = s->query;
 
-	if (!replica_choose(e, s, &leaf)) {
-		query_miss_shard(e, s, ERR_UPSTREAM);
+	s->is_waiting_retry = kind == CALL_RETRY;
+	heap_push(&q->view->shards[s->shard]->waiting, &s->waiting,
+		  -(int64_t)q->class->worth);
+	LOG(CALL_WAIT, "request=%s shard=%s", q->request_id,
+	    query_shard_object(s)->name);
+}
+
+void call_start_on(struct engine *e, struct query_shard *s, enum call_kind kind,
+		   obj_handle leaf)
+{
+	if (!replica_can_answer(e, s->query, leaf)) {
+		query_miss_shard(e, s, ERR_DEADLINE);
 		return;
 	}
 	/* The last step before the hand-over, as section 2.2 requires. */
@@ -61,6 +76,47 @@
 		return;
 	}
 	send_call(e, add_call(e, s, leaf, kind));
+	if (kind != CALL_HEDGE)
+		hedge_arm(e, s);
+}
+
+void call_start(struct engine *e, struct query_shard *s, enum call_kind kind)
+{
+	obj_handle leaf;
+
+	switch (replica_choose(e, s, kind, &leaf)) {
+	case CHOICE_LEAF:
+		call_start_on(e, s, kind, leaf);
+		return;
+	case CHOICE_WAIT:
+		wait_for_share(e, s, kind);
+		return;
+	case CHOICE_NONE:
+		query_miss_shard(e, s, ERR_UPSTREAM);
+		return;
+	}
+}
+
+void call_serve_waiting(struct engine *e, struct shard_slot *slot)
+{
+	struct heap_node *top;
+
+	while ((top = heap_top(&slot->waiting))) {
+		struct query_shard *s =
+			HEAP_OWNER(top, struct query_shard, waiting);
+		enum call_kind kind = s->is_waiting_retry ? CALL_RETRY
+							  : CALL_FIRST;
+		obj_handle leaf;
+		enum choice choice = replica_choose(e, s, kind, &leaf);
+
+		if (choice == CHOICE_WAIT)
+			return;
+		heap_remove(&slot->waiting, top);
+		if (choice == CHOICE_LEAF)
+			call_start_on(e, s, kind, leaf);
+		else
+			query_miss_shard(e, s, ERR_UPSTREAM);
+	}
 }
 
 void call_release(struct engine *e, struct call *c)
@@ -73,16 +129,18 @@
 	}
 	c->leaf->outstanding--;
 	id_table_release(&e->calls, c);
+	call_serve_waiting(e, s->query->view->shards[s->shard]);
 }
 
 void call_cancel(struct engine *e, struct call *c)
 {
-	uint64_t id = c->id;
-
+	if (c->is_late)
+		replica_note_lost(e, c);
 	/* The leaf may have received the call before the cancellation. */
 	c->shard->query->may_have_run = true;
+	/* Before the release, which may give the share to a waiting call. */
+	e->options.ops->cancel_call(e->options.ctx, c->id);
 	call_release(e, c);
-	e->options.ops->cancel_call(e->options.ctx, id);
 }
 
 bool call_may_have_run(const struct engine_result *result)
--- a/engine/engine.c
+++ b/engine/engine.c
@@ -24,6 +24,7 @@
 		e->options.max_keys = DEFAULT_MAX_KEYS;
 	id_table_init(&e->queries, sizeof(struct query));
 	id_table_init(&e->calls, sizeof(struct call));
+	budget_init(&e->budget);
 	key_table_init(&e->keys, e->options.max_keys);
 	e->random = g_rand_new_with_seed((guint32)options->seed);
 	e->start_wall_us = clock_wall(&e->options.clock);
@@ -68,7 +69,7 @@
 {
 	struct set_view *previous = e->view;
 
-	e->view = view_create(set, previous, e->start_wall_us);
+	e->view = view_create(set, previous, engine_now(e), e->start_wall_us);
 	view_unref(previous);
 	e->snapshot_epoch++;
 	LOG(SET_IN_FORCE, "version=%" PRIu64 " services=%u leaves=%u",
@@ -197,21 +198,11 @@
 		call_cancel(e, s->calls[0]);
 	s->phase = SHARD_ANSWERED;
 	q->weight += query_shard_object(s)->weight;
-	if (!--q->pending)
-		query_end(e, q, 0);
+	q->pending--;
+	query_check_end(e, q);
 	return true;
 }
 
-static void note_leaf(struct engine *e, struct leaf *leaf,
-		      const struct engine_result *r, uint64_t snapshot)
-{
-	if (r->is_draining || r->status == CALL_DRAINING)
-		replica_drain(e, leaf, "reply");
-	if (r->status == CALL_SNAPSHOT_GONE &&
-	    leaf_drop_snapshot(leaf, snapshot))
-		e->snapshot_epoch++;
-}
-
 bool engine_call_result(struct engine *e, const struct engine_result *result)
 {
 	struct call *c = id_table_find(&e->calls, result->call_id);
@@ -225,9 +216,11 @@
 	}
 	s = c->shard;
 	q = s->query;
-	note_leaf(e, c->leaf, result, q->snapshot);
+	replica_note_result(e, c, result);
 	if (call_may_have_run(result))
 		q->may_have_run = true;
+	if (s->call_count == 1)
+		timer_disarm(e, &s->timer);
 	call_release(e, c);
 	if (result->status == CALL_OK && result->snapshot == q->snapshot)
 		return accept_reply(e, s);
@@ -239,31 +232,15 @@
 	return false;
 }
 
-static void note_serving(struct engine *e, struct leaf *leaf,
-			 const struct leaf_report *report)
-{
-	int64_t measured = engine_now(e) - report->age_us;
-
-	if (!leaf->is_draining || measured < leaf->drain_until_us)
-		return;
-	leaf->is_draining = false;
-	e->snapshot_epoch++;
-	LOG(LEAF_DRAIN, "leaf=%s draining=0 source=report", leaf->name);
-}
-
 void engine_report(struct engine *e, const struct leaf_report *report)
 {
-	struct leaf *leaf;
+	obj_handle shard;
 
 	if (!e->view || report->leaf >= e->view->set->leaf_count)
 		return;
-	leaf = e->view->leaves[report->leaf];
-	if (leaf_set_snapshots(leaf, report->snapshots, report->snapshot_count))
-		e->snapshot_epoch++;
-	if (report->state == LEAF_DRAINING)
-		replica_drain(e, leaf, "report");
-	else
-		note_serving(e, leaf, report);
+	replica_note_report(e, e->view->leaves[report->leaf], report);
+	shard = e->view->set->leaves[report->leaf].shard;
+	call_serve_waiting(e, e->view->shards[shard]);
 }
 
 bool engine_cancel(struct engine *e, uint64_t query_id)
--- a/engine/outcome.c
+++ b/engine/outcome.c
@@ -10,16 +10,6 @@
 	return q->may_have_run ? RUN_UNKNOWN : RUN_NOT_RUN;
 }
 
-static int coverage_code(const struct query *q)
-{
-	double needed = query_service(q)->min_coverage_percent *
-			(double)q->total_weight;
-
-	if (q->weight && 100.0 * (double)q->weight >= needed)
-		return 0;
-	return -ERR_COVERAGE;
-}
-
 /* Returns gaps for the outcome; free with g_free(). */
 static struct engine_gap *list_gaps(const struct query *q, uint32_t *count)
 {
@@ -51,7 +41,8 @@
 static void fill_run(struct query *q, struct engine_outcome *out,
 		     struct engine_gap **gaps)
 {
-	out->code = q->code ? q->code : coverage_code(q);
+	out->code = q->code ? q->code
+			    : (query_is_covered(q) ? 0 : -ERR_COVERAGE);
 	out->run = run_state(q, out->code);
 	out->snapshot = q->snapshot;
 	out->weight = q->weight;
@@ -59,8 +50,7 @@
 	out->config_version = q->view ? q->view->set->version : 0;
 	out->retry_after_us = q->retry_after_us;
 	out->needed_calls = q->shard_count;
-	if (q->calls > q->shard_count)
-		out->extra_calls = q->calls - q->shard_count;
+	out->extra_calls = q->extra_calls;
 	*gaps = list_gaps(q, &out->gap_count);
 	out->gaps = *gaps;
 }
--- a/engine/query.c
+++ b/engine/query.c
@@ -8,6 +8,11 @@
 /* Used where the set does not name the service of a known request key. */
 #define FALLBACK_DEADLINE_US US_PER_S
 
+/* Largest one-way latency to callers in both deployments. */
+#define DEFAULT_MARGIN_US (3 * US_PER_MS)
+/* The margin takes at most this fraction of a deadline. */
+#define MARGIN_SHARE_MAX 20
+
 static int64_t choose_deadline(const struct query *q, int64_t asked_us)
 {
 	const struct deadline_object *d;
@@ -18,11 +23,21 @@
 	return MIN(asked_us > 0 ? asked_us : d->default_us, d->max_us);
 }
 
+/* Time kept for the answer's way to the caller. */
+static int64_t answer_margin(const struct engine *e, int64_t deadline_us)
+{
+	int64_t margin = e->options.answer_margin_us;
+
+	return MIN(margin ? margin : DEFAULT_MARGIN_US,
+		   deadline_us / MARGIN_SHARE_MAX);
+}
+
 struct query *query_create(struct engine *e, const struct engine_request *r,
 			   struct set_view *view)
 {
 	struct query *q = id_table_take(&e->queries);
 	uint64_t id = q->id;
+	int64_t deadline;
 
 	memset(q, 0, sizeof(*q));
 	q->id = id;
@@ -31,7 +46,8 @@
 			  : OBJ_NONE;
 	q->user = r->user;
 	q->start_us = engine_now(e);
-	q->deadline_us = q->start_us + choose_deadline(q, r->deadline_us);
+	deadline = choose_deadline(q, r->deadline_us);
+	q->deadline_us = q->start_us + deadline - answer_margin(e, deadline);
 	g_strlcpy(q->request_id, r->id, sizeof(q->request_id));
 	return q;
 }
@@ -104,15 +120,63 @@
 		add_all_shards(q);
 }
 
-static void handle_deadline(struct engine *e, struct timer *t)
+static void miss_pending(struct engine *e, struct query *q, int reason)
 {
-	struct query *q = HEAP_OWNER(t, struct query, timer);
-
 	query_cancel_calls(e, q);
 	for (uint32_t i = 0; i < q->shard_count; i++) {
 		if (q->shards[i].phase == SHARD_PENDING)
-			query_miss_shard(e, &q->shards[i], ERR_DEADLINE);
+			query_miss_shard(e, &q->shards[i], reason);
+	}
+}
+
+static void handle_deadline(struct engine *e, struct timer *t)
+{
+	miss_pending(e, HEAP_OWNER(t, struct query, timer), ERR_DEADLINE);
+}
+
+bool query_is_covered(const struct query *q)
+{
+	double needed = query_service(q)->min_coverage_percent *
+			(double)q->total_weight;
+
+	return q->weight && 100.0 * (double)q->weight >= needed;
+}
+
+void query_check_end(struct engine *e, struct query *q)
+{
+	if (!q->pending) {
+		query_end(e, q, 0);
+		return;
+	}
+	if (engine_now(e) < q->early_us || !query_is_covered(q))
+		return;
+	LOG(QUERY_EARLY, "request=%s weight=%" PRIu64 " of=%" PRIu64,
+	    q->request_id, q->weight, q->total_weight);
+	miss_pending(e, q, ERR_LATE);
+}
+
+static void handle_early(struct engine *e, struct timer *t)
+{
+	struct query *q = HEAP_OWNER(t, struct query, timer);
+
+	timer_arm(e, t, q->deadline_us, handle_deadline);
+	query_check_end(e, q);
+}
+
+static void arm_query(struct engine *e, struct query *q)
+{
+	int64_t delay = 0;
+
+	q->early_us = INT64_MAX;
+	if (query_service(q)->early_answer && query_has_limits(q) &&
+	    !q->is_non_idempotent)
+		delay = hedge_early_delay(q);
+	if (!delay || engine_now(e) + delay >= q->deadline_us) {
+		timer_arm(e, &q->timer, q->deadline_us, handle_deadline);
+		return;
 	}
+	q->early_us = engine_now(e) + delay;
+	timer_arm(e, &q->timer, q->early_us, handle_early);
 }
 
 void query_run(struct engine *e, struct query *q)
@@ -126,7 +190,7 @@
 	}
 	LOG(QUERY_PIN, "request=%s snapshot=%" PRIu64 " version=%" PRIu64,
 	    q->request_id, q->snapshot, q->view->set->version);
-	timer_arm(e, &q->timer, q->deadline_us, handle_deadline);
+	arm_query(e, q);
 	for (uint32_t i = 0; i < q->shard_count; i++) {
 		if (q->shards[i].phase == SHARD_PENDING)
 			call_start(e, &q->shards[i], CALL_FIRST);
@@ -177,6 +241,7 @@
 		struct query_shard *s = &q->shards[i];
 
 		timer_disarm(e, &s->timer);
+		heap_remove(&q->view->shards[s->shard]->waiting, &s->waiting);
 		while (s->call_count)
 			call_cancel(e, s->calls[0]);
 	}
--- a/engine/replica.c
+++ b/engine/replica.c
@@ -1,41 +1,332 @@
+#include <inttypes.h>
+
 #include "engine/internal.h"
 
 /* Time for which reports cannot contradict a leaf's own drain notice. */
 #define DRAIN_HOLD_US (10 * US_PER_S)
 
+/* Latency that is assumed before anything was measured. */
+#define UNKNOWN_LATENCY_US 1000.0
+
+#define CANDIDATES_MAX 32
+
+/* Reasons against a replica, from small to large. */
+#define RELUCTANCE_AGAIN 1
+#define RELUCTANCE_OUT 2
+#define RELUCTANCE_MAX 4
+
+struct candidates {
+	obj_handle free[CANDIDATES_MAX];
+	uint32_t free_count;
+	/** Limits of those that are usable, but used up. */
+	uint32_t busy_limit;
+};
+
+static double typical_latency(const struct query_shard *s)
+{
+	struct group_state *g =
+		s->query->view->groups[query_shard_object(s)->group];
+	int64_t us = latency_quantile(&g->latency, 0.5);
+
+	return us ? (double)us : UNKNOWN_LATENCY_US;
+}
+
+static bool was_tried(const struct query_shard *s, const struct leaf *leaf)
+{
+	uint32_t count = MIN(s->tried_count, SHARD_TRIED_MAX);
+
+	for (uint32_t i = 0; i < count; i++) {
+		if (s->tried[i] == leaf)
+			return true;
+	}
+	return false;
+}
+
 static bool is_usable(const struct query_shard *s, const struct leaf *leaf)
 {
 	return !leaf->is_draining &&
 	       leaf_has_snapshot(leaf, s->query->snapshot);
 }
 
-bool replica_choose(struct engine *e, const struct query_shard *s,
-		    obj_handle *leaf)
+static int reluctance(const struct query_shard *s, const struct leaf *leaf,
+		      int64_t now)
+{
+	int r = 0;
+
+	if (was_tried(s, leaf) || now < leaf->shed_until_us)
+		r += RELUCTANCE_AGAIN;
+	if (leaf_is_out(leaf, now))
+		r += RELUCTANCE_OUT;
+	return r;
+}
+
+/* Least reluctance among usable replicas, whether they are free or not. */
+static int least_reluctance(const struct query_shard *s, int64_t now)
 {
 	const struct shard_object *shard = query_shard_object(s);
-	struct leaf **leaves = s->query->view->leaves;
-	uint32_t start = g_rand_int_range(e->random, 0, shard->leaf_count);
+	int least = RELUCTANCE_MAX;
 
-	*leaf = OBJ_NONE;
 	for (uint32_t i = 0; i < shard->leaf_count; i++) {
-		obj_handle h =
-			shard->first_leaf + (start + i) % shard->leaf_count;
+		const struct leaf *leaf =
+			s->query->view->leaves[shard->first_leaf + i];
 
-		if (!is_usable(s, leaves[h]))
+		if (is_usable(s, leaf))
+			least = MIN(least, reluctance(s, leaf, now));
+	}
+	return least;
+}
+
+static void collect(struct engine *e, const struct query_shard *s, int allowed,
+		    bool skip_cold, struct candidates *out)
+{
+	const struct shard_object *shard = query_shard_object(s);
+	struct leaf_share share = view_share(s->query->view, shard->group);
+	int64_t now = engine_now(e);
+
+	*out = (struct candidates){.free_count = 0};
+	if (!MIN(share.slots, share.connections))
+		return;
+	for (uint32_t i = 0; i < shard->leaf_count; i++) {
+		obj_handle h = shard->first_leaf + i;
+		const struct leaf *leaf = s->query->view->leaves[h];
+		double ramp = leaf_ramp(leaf, now);
+		uint32_t limit = leaf_limit(leaf, share);
+
+		if (!is_usable(s, leaf) || reluctance(s, leaf, now) != allowed)
+			continue;
+		if (leaf->outstanding >= limit) {
+			out->busy_limit += limit;
+			continue;
+		}
+		if (skip_cold && ramp < 1 && g_rand_double(e->random) > ramp)
 			continue;
-		if (*leaf == OBJ_NONE ||
-		    leaves[h]->outstanding < leaves[*leaf]->outstanding)
-			*leaf = h;
+		if (out->free_count < CANDIDATES_MAX)
+			out->free[out->free_count++] = h;
 	}
-	return *leaf != OBJ_NONE;
+}
+
+static obj_handle choose_of_two(struct engine *e, const struct query_shard *s,
+				const struct candidates *c)
+{
+	struct leaf **leaves = s->query->view->leaves;
+	double typical = typical_latency(s);
+	int64_t now = engine_now(e);
+	uint32_t a;
+	uint32_t b;
+
+	if (c->free_count == 1)
+		return c->free[0];
+	a = g_rand_int_range(e->random, 0, (gint32)c->free_count);
+	b = g_rand_int_range(e->random, 0, (gint32)c->free_count - 1);
+	b += b >= a;
+	if (leaf_score(leaves[c->free[b]], typical, now) <
+	    leaf_score(leaves[c->free[a]], typical, now))
+		a = b;
+	return c->free[a];
+}
+
+static enum choice choose_next(struct engine *e, const struct query_shard *s,
+			       obj_handle *leaf)
+{
+	const struct shard_object *shard = query_shard_object(s);
+	struct shard_slot *slot = s->query->view->shards[s->shard];
+
+	for (uint32_t i = 0; i < shard->leaf_count; i++) {
+		*leaf = shard->first_leaf + slot->next++ % shard->leaf_count;
+		if (is_usable(s, s->query->view->leaves[*leaf]))
+			return CHOICE_LEAF;
+	}
+	return CHOICE_NONE;
+}
+
+/*
+ * Returns whether the wait for a busy replica is shorter than the call to a
+ * free one that is slow.
+ */
+static bool is_wait_shorter(struct engine *e, const struct query_shard *s,
+			    const struct candidates *c, obj_handle leaf)
+{
+	const struct shard_slot *slot = s->query->view->shards[s->shard];
+	double typical = typical_latency(s);
+	double wait;
+
+	if (!c->busy_limit)
+		return false;
+	wait = (slot->waiting.count + 1) * typical / c->busy_limit;
+	return leaf_latency(s->query->view->leaves[leaf], typical,
+			    engine_now(e)) > typical + wait;
+}
+
+enum choice replica_choose(struct engine *e, const struct query_shard *s,
+			   enum call_kind kind, obj_handle *leaf)
+{
+	struct candidates c;
+	int allowed;
+
+	if (!query_has_limits(s->query))
+		return choose_next(e, s, leaf);
+	allowed = least_reluctance(s, engine_now(e));
+	if (allowed >= RELUCTANCE_MAX)
+		return CHOICE_NONE;
+	/* A hedge to the same replica, or to one that is out, cannot help. */
+	if (kind == CALL_HEDGE && allowed)
+		return CHOICE_NONE;
+	collect(e, s, allowed, true, &c);
+	if (!c.free_count)
+		collect(e, s, allowed, false, &c);
+	if (!c.free_count)
+		return c.busy_limit ? CHOICE_WAIT : CHOICE_NONE;
+	*leaf = choose_of_two(e, s, &c);
+	return is_wait_shorter(e, s, &c, *leaf) ? CHOICE_WAIT : CHOICE_LEAF;
+}
+
+bool replica_can_answer(struct engine *e, const struct query *q,
+			obj_handle leaf)
+{
+	double left = (double)(q->deadline_us - engine_now(e));
+
+	return left > 0 && left > q->view->leaves[leaf]->least_us;
 }
 
 void replica_drain(struct engine *e, struct leaf *leaf, const char *source)
 {
-	leaf->drain_until_us = engine_now(e) + DRAIN_HOLD_US;
+	leaf->drain_noticed_us = engine_now(e);
 	if (leaf->is_draining)
 		return;
 	leaf->is_draining = true;
 	e->snapshot_epoch++;
 	LOG(LEAF_DRAIN, "leaf=%s draining=1 source=%s", leaf->name, source);
 }
+
+/* At most a third of the replicas is out, and at least one stays. */
+static bool may_eject(const struct query_shard *s, const struct leaf *leaf,
+		      int64_t now)
+{
+	const struct shard_object *shard = query_shard_object(s);
+	uint32_t out = 0;
+
+	for (uint32_t i = 0; i < shard->leaf_count; i++) {
+		const struct leaf *other =
+			s->query->view->leaves[shard->first_leaf + i];
+
+		if (other != leaf && leaf_is_out(other, now))
+			out++;
+	}
+	return shard->leaf_count > 1 && out < MAX(shard->leaf_count / 3, 1);
+}
+
+static void note_failure(struct engine *e, const struct call *c)
+{
+	int64_t now = engine_now(e);
+	struct leaf *leaf = c->leaf;
+	bool was_out = leaf_is_out(leaf, now);
+
+	if (!leaf_note_failure(leaf, typical_latency(c->shard), now))
+		return;
+	if (was_out || !may_eject(c->shard, leaf, now))
+		return;
+	leaf_eject(leaf, now);
+	LOG(LEAF_EJECT, "leaf=%s failures=%u until_us=%" PRId64, leaf->name,
+	    leaf->failures, leaf->ejected_until_us);
+}
+
+void replica_note_late(struct engine *e, struct call *c)
+{
+	/* A leaf that has answered others in the meantime is only slow. */
+	if (c->leaf->last_reply_us < c->start_us)
+		note_failure(e, c);
+}
+
+void replica_note_lost(struct engine *e, const struct call *c)
+{
+	int64_t now = engine_now(e);
+
+	leaf_note_lost(c->leaf, now - c->start_us, typical_latency(c->shard),
+		       now);
+}
+
+static void note_answer(struct engine *e, const struct call *c)
+{
+	int64_t now = engine_now(e);
+	int64_t us = now - c->start_us;
+	obj_handle group = query_shard_object(c->shard)->group;
+
+	latency_add(&c->shard->query->view->groups[group]->latency, us);
+	leaf_note_answer(c->leaf, us, typical_latency(c->shard), now);
+	if (!c->leaf->is_ejected)
+		return;
+	c->leaf->is_ejected = false;
+	LOG(LEAF_RETURN, "leaf=%s", c->leaf->name);
+}
+
+static bool is_failure(const struct engine_result *result)
+{
+	switch (result->status) {
+	case CALL_CONNECT_FAILED:
+	case CALL_RESET:
+	case CALL_TIMEOUT:
+	case CALL_BAD_REPLY:
+	case CALL_ERROR:
+		return true;
+	default:
+		return false;
+	}
+}
+
+void replica_note_result(struct engine *e, const struct call *c,
+			 const struct engine_result *result)
+{
+	struct leaf *leaf = c->leaf;
+	bool has_failed = is_failure(result);
+
+	leaf_note_load(leaf, result->load, engine_now(e));
+	if (budget_note_result(&e->budget, has_failed))
+		LOG(BUDGET, "faults=%d rate=%.4f", e->budget.has_faults,
+		    e->budget.failure_rate);
+	if (has_failed)
+		note_failure(e, c);
+	if (result->status == CALL_OK)
+		note_answer(e, c);
+	if (result->status == CALL_SHED) {
+		leaf_note_shed(leaf, engine_now(e));
+		LOG(LEAF_SHED, "leaf=%s allowed=%.1f", leaf->name,
+		    leaf->allowed);
+	}
+	if (result->is_draining || result->status == CALL_DRAINING)
+		replica_drain(e, leaf, "reply");
+	if (result->status == CALL_SNAPSHOT_GONE &&
+	    leaf_drop_snapshot(leaf, c->shard->query->snapshot))
+		e->snapshot_epoch++;
+}
+
+static void note_serving(struct engine *e, struct leaf *leaf,
+			 const struct leaf_report *report)
+{
+	int64_t since = engine_now(e) - report->age_us - leaf->drain_noticed_us;
+
+	/* A leaf that is cold after its notice has been restarted. */
+	if (!leaf->is_draining ||
+	    since <= (report->state == LEAF_COLD ? 0 : DRAIN_HOLD_US))
+		return;
+	leaf->is_draining = false;
+	leaf->ramp_start_us = engine_now(e);
+	e->snapshot_epoch++;
+	LOG(LEAF_DRAIN, "leaf=%s draining=0 source=report", leaf->name);
+}
+
+void replica_note_report(struct engine *e, struct leaf *leaf,
+			 const struct leaf_report *report)
+{
+	int64_t now = engine_now(e);
+
+	leaf_note_load(leaf, report->load, now - report->age_us);
+	if (leaf_set_snapshots(leaf, report->snapshots, report->snapshot_count))
+		e->snapshot_epoch++;
+	if (report->state == LEAF_DRAINING) {
+		replica_drain(e, leaf, "report");
+		return;
+	}
+	note_serving(e, leaf, report);
+	if (report->state == LEAF_COLD)
+		leaf_note_cold(leaf, now);
+}
--- a/engine/view.c
+++ b/engine/view.c
@@ -10,6 +10,22 @@
 	g_free(*(char **)state);
 }
 
+static void handle_clear_shard(gpointer state)
+{
+	struct shard_slot *s = state;
+
+	heap_clear(&s->waiting);
+	g_free(s->name);
+}
+
+static void handle_clear_group(gpointer state)
+{
+	struct group_state *g = state;
+
+	latency_clear(&g->latency);
+	g_free(g->name);
+}
+
 static void handle_clear_service(gpointer state)
 {
 	struct service_state *s = state;
@@ -31,6 +47,16 @@
 	g_rc_box_release_full(state, handle_clear_state);
 }
 
+static void handle_release_shard(gpointer state)
+{
+	g_rc_box_release_full(state, handle_clear_shard);
+}
+
+static void handle_release_group(gpointer state)
+{
+	g_rc_box_release_full(state, handle_clear_group);
+}
+
 static void handle_release_service(gpointer state)
 {
 	g_rc_box_release_full(state, handle_clear_service);
@@ -101,16 +127,21 @@
 	}
 }
 
-static void take_leaves(struct set_view *v, GHashTable *previous)
+static void take_leaves(struct set_view *v, GHashTable *previous,
+			int64_t now_us)
 {
 	v->leaves = g_new0(struct leaf *, v->set->leaf_count);
 	for (uint32_t i = 0; i < v->set->leaf_count; i++) {
 		const struct leaf_object *l = &v->set->leaves[i];
 		char *name = g_strconcat(v->shards[l->shard]->name, "/",
 					 l->address, NULL);
+		bool is_new = previous &&
+			      !g_hash_table_contains(previous, name);
 
 		v->leaves[i] = take_state(v->leaf_names, previous, name,
 					  sizeof(struct leaf));
+		if (is_new)
+			v->leaves[i]->ramp_start_us = now_us;
 	}
 }
 
@@ -183,7 +214,7 @@
 }
 
 struct set_view *view_create(struct object_set *set,
-			     const struct set_view *previous,
+			     const struct set_view *previous, int64_t now_us,
 			     int64_t tenure_start_us)
 {
 	struct set_view *v = g_rc_box_new0(struct set_view);
@@ -193,13 +224,13 @@
 		previous = &none;
 	v->set = object_set_ref(set);
 	v->leaf_names = new_table(handle_release);
-	v->shard_names = new_table(handle_release);
-	v->group_names = new_table(handle_release);
+	v->shard_names = new_table(handle_release_shard);
+	v->group_names = new_table(handle_release_group);
 	v->service_names = new_table(handle_release_service);
 	v->pool_names = new_table(handle_release_pool);
 	take_groups(v, previous->group_names, tenure_start_us);
 	take_shards(v, previous->shard_names);
-	take_leaves(v, previous->leaf_names);
+	take_leaves(v, previous->leaf_names, now_us);
 	take_services(v, previous->service_names);
 	take_pools(v, previous->pool_names);
 	return v;
--- a/include/engine/engine.h
+++ b/include/engine/engine.h
@@ -172,6 +172,8 @@
 	uint32_t max_queries;
 	/** Most request keys remembered; 0 selects 65536. */
 	uint32_t max_keys;
+	/** Time kept for the answer's way to the caller; 0 selects 3 ms. */
+	int64_t answer_margin_us;
 	/** Failure domain of this host; NULL if not known. */
 	const char *domain;
 };
--- a/include/engine/internal.h
+++ b/include/engine/internal.h
@@ -4,6 +4,7 @@
 #include <glib.h>
 
 #include "common/events.h"
+#include "engine/budget.h"
 #include "engine/engine.h"
 #include "engine/heap.h"
 #include "engine/key_table.h"
@@ -29,6 +30,7 @@
 	/** Admission pools with room for queued queries. */
 	struct heap ready_pools;
 	struct key_table keys;
+	struct budget budget;
 	/** Advances when a leaf gains or loses a snapshot or starts to drain. */
 	uint64_t snapshot_epoch;
 	int64_t start_wall_us;
@@ -78,6 +80,10 @@
 void query_run(struct engine *e, struct query *q);
 /** Ends a query; its outcome follows at the next engine_advance(). */
 void query_end(struct engine *e, struct query *q, int code);
+/** Returns whether the answer has the coverage that the service asks for. */
+bool query_is_covered(const struct query *q);
+/** Ends the query if no shard is pending, or if an early answer is due. */
+void query_check_end(struct engine *e, struct query *q);
 /** Releases the slot of a query whose outcome was delivered. */
 void query_release(struct engine *e, struct query *q);
 /** Records that a shard is missing from the answer, and why. */
@@ -96,30 +102,68 @@
 
 /* replica.c */
 
-/** Chooses a replica for a call; returns false if there is none. */
-bool replica_choose(struct engine *e, const struct query_shard *s,
-		    obj_handle *leaf);
-/** Takes a drain notice. */
-void replica_drain(struct engine *e, struct leaf *leaf, const char *source);
-
-/* call.c */
-
 enum call_kind {
 	CALL_FIRST,
 	CALL_HEDGE,
 	CALL_RETRY,
 };
 
-/** Starts a call to a replica of the shard, or records the shard as missing. */
+enum choice {
+	CHOICE_LEAF,
+	/** All usable replicas are at the limit of their shares. */
+	CHOICE_WAIT,
+	CHOICE_NONE,
+};
+
+/** Chooses a replica for a call. */
+enum choice replica_choose(struct engine *e, const struct query_shard *s,
+			   enum call_kind kind, obj_handle *leaf);
+/** Returns whether the leaf's fastest answer would still be in time. */
+bool replica_can_answer(struct engine *e, const struct query *q,
+			obj_handle leaf);
+/** Takes a drain notice. */
+void replica_drain(struct engine *e, struct leaf *leaf, const char *source);
+/** Takes the end of a call that is still in the table. */
+void replica_note_result(struct engine *e, const struct call *c,
+			 const struct engine_result *result);
+/** Takes a late call that is cancelled. */
+void replica_note_lost(struct engine *e, const struct call *c);
+/** Takes a call that is open for longer than usual. */
+void replica_note_late(struct engine *e, struct call *c);
+void replica_note_report(struct engine *e, struct leaf *leaf,
+			 const struct leaf_report *report);
+
+/* call.c */
+
+/**
+ * Starts a call to a replica of the shard. Without a free share it waits for
+ * one; without a replica the shard is recorded as missing.
+ */
 void call_start(struct engine *e, struct query_shard *s, enum call_kind kind);
+/** Starts a call to the given replica, if it can still answer in time. */
+void call_start_on(struct engine *e, struct query_shard *s, enum call_kind kind,
+		   obj_handle leaf);
 /** Takes a call out of the table and off its leaf. */
 void call_release(struct engine *e, struct call *c);
 void call_cancel(struct engine *e, struct call *c);
+/** Starts calls that wait for a replica of the shard. */
+void call_serve_waiting(struct engine *e, struct shard_slot *slot);
 /** Returns whether the leaf may have run the request. */
 bool call_may_have_run(const struct engine_result *result);
 
+/* hedge.c */
+
+/** Returns the time after which a call to the group is late; 0: not known. */
+int64_t hedge_delay(const struct query *q, obj_handle group);
+/** Returns the time after which late shards may be left out; 0: not known. */
+int64_t hedge_early_delay(const struct query *q);
+/** Arms the timer that hedges the shard's call. */
+void hedge_arm(struct engine *e, struct query_shard *s);
+
 /* retry.c */
 
+/** Returns the service's extra calls in percent of needed calls. */
+double retry_budget_percent(const struct query *q);
 /** Retries a shard whose call failed, or records the shard as missing. */
 void retry_shard(struct engine *e, struct query_shard *s,
 		 const struct engine_result *result);
--- a/include/engine/query.h
+++ b/include/engine/query.h
@@ -36,8 +36,12 @@
 	uint32_t attempts;
 	const struct leaf *tried[SHARD_TRIED_MAX];
 	uint32_t tried_count;
-	/** Back-off before a retry. */
+	/** Hedge while a call is open, else back-off before a retry. */
 	struct timer timer;
+	int64_t token_wait_us;
+	/** Place among those that wait for a free share of a replica. */
+	struct heap_node waiting;
+	bool is_waiting_retry;
 };
 
 enum query_phase {
@@ -72,7 +76,10 @@
 	uint32_t pending;
 	uint64_t weight;
 	uint64_t total_weight;
-	uint32_t calls;
+	/** Hedges, retries and calls repeated by a restart. */
+	uint32_t extra_calls;
+	/** After this time the query ends as soon as coverage suffices. */
+	int64_t early_us;
 	/** Negative result code of a query that ended without its shards. */
 	int code;
 	bool is_non_idempotent;
@@ -98,6 +105,8 @@
 	int64_t start_us;
 	bool is_hedge;
 	bool is_retry;
+	/** The hedge timer has fired. */
+	bool is_late;
 };
 
 /** Table of queries, or of calls, by id. */
--- a/include/engine/view.h
+++ b/include/engine/view.h
@@ -17,6 +17,10 @@
 	char *name;
 	/** Hash for the choice of a shard by request key. */
 	uint64_t hash;
+	/** Shards of queries that wait for a free share of a replica. */
+	struct heap waiting;
+	/** Next replica of the baseline policies. */
+	uint32_t next;
 };
 
 /** State of a shard group. */
@@ -27,6 +31,8 @@
 	/** Wall time at which the key tenure began. */
 	int64_t tenure_start_us;
 	int64_t lease_until_us;
+	/** Durations of answered leaf calls. */
+	struct latency latency;
 };
 
 /** State of a service. */
@@ -66,11 +72,11 @@
 
 /**
  * Creates the view of a set, with one reference. State is taken over from the
- * previous view, which may be NULL. Groups without a tenure get one that starts
- * at wall time tenure_start_us.
+ * previous view, which may be NULL; leaves that it did not have start cold.
+ * Groups without a tenure get one that starts at wall time tenure_start_us.
  */
 struct set_view *view_create(struct object_set *set,
-			     const struct set_view *previous,
+			     const struct set_view *previous, int64_t now_us,
 			     int64_t tenure_start_us);
 struct set_view *view_ref(struct set_view *v);
 void view_unref(struct set_view *v);
--- a/test/unit/main.c
+++ b/test/unit/main.c
@@ -5,7 +5,10 @@
 static CU_SuiteInfo suites[] = {
 	{"common", NULL, NULL, NULL, NULL, common_tests},
 	{"engine admission", NULL, NULL, NULL, NULL, engine_admission_tests},
+	{"engine extra calls", NULL, NULL, NULL, NULL,
+	 engine_extra_calls_tests},
 	{"engine keys", NULL, NULL, NULL, NULL, engine_keys_tests},
+	{"engine replicas", NULL, NULL, NULL, NULL, engine_replicas_tests},
 	{"forward", NULL, NULL, NULL, NULL, forward_tests},
 	{"fleet placement", NULL, NULL, NULL, NULL, fleet_placement_tests},
 	{"merge", NULL, NULL, NULL, NULL, merge_tests},
--- a/test/unit/suites.h
+++ b/test/unit/suites.h
@@ -6,7 +6,9 @@
 /** Suites, one per test file; each is a NULL-terminated list of tests. */
 extern CU_TestInfo common_tests[];
 extern CU_TestInfo engine_admission_tests[];
+extern CU_TestInfo engine_extra_calls_tests[];
 extern CU_TestInfo engine_keys_tests[];
+extern CU_TestInfo engine_replicas_tests[];
 extern CU_TestInfo forward_tests[];
 extern CU_TestInfo fleet_placement_tests[];
 extern CU_TestInfo merge_tests[];
--- /dev/null
+++ b/test/unit/test_engine_extra_calls.c
@@ -0,0 +1,216 @@
+#include "suites.h"
+
+#include "common/errors.h"
+#include "fake_upstream.h"
+
+#define RULES "retry = \"r\"\nhedge = \"h\"\nmin_coverage = 50\n"
+
+/* 60% of the capacity of 3 leaves with 4 slots of 10 ms in each shard. */
+#define LOAD_PER_S 720.0
+
+static struct fake_load *new_load(void)
+{
+	struct fake_load *load = g_new0(struct fake_load, 1);
+
+	load->service = "search";
+	load->per_second = LOAD_PER_S;
+	load->deadline_us = 200 * US_PER_MS;
+	return load;
+}
+
+/* Forgets what was counted while the engine learned. */
+static void forget(struct fake_load *load)
+{
+	*load = (struct fake_load){
+		.service = load->service,
+		.per_second = load->per_second,
+		.deadline_us = load->deadline_us,
+	};
+}
+
+static void check_share(const struct fake_load *load, double percent)
+{
+	CU_ASSERT(load->needed > 0);
+	CU_ASSERT(100.0 * load->extra <= percent * load->needed);
+}
+
+/*
+ * Guards against a slow leaf setting the tail, and hedges beyond the budget.
+ * The load is 40% of the capacity, since at 60% the other two replicas of the
+ * shard run at 90%: then the p99 without the leaf is twice the healthy one.
+ */
+static void test_straggler(void)
+{
+	struct fake *f = fake_create(16, RULES);
+	struct fake_load *load = new_load();
+	int64_t healthy;
+
+	load->per_second = LOAD_PER_S * 40 / 60;
+	fake_run(f, load, 1, 3 * US_PER_S);
+	forget(load);
+	fake_run(f, load, 1, 5 * US_PER_S);
+	healthy = fake_quantile(load, 0.99);
+	check_share(load, 5);
+	f->leaves[4].slowness = 10;
+	forget(load);
+	fake_run(f, load, 1, 5 * US_PER_S);
+	CU_ASSERT(fake_quantile(load, 0.99) * 10 <= healthy * 13);
+	CU_ASSERT_EQUAL(load->complete, load->answered);
+	check_share(load, 5);
+	g_free(load);
+	fake_destroy(f);
+}
+
+/* Guards against retries without bound, and against giving up too early. */
+static void test_faults(void)
+{
+	static const enum call_status faults[] = {
+		CALL_RESET, CALL_CONNECT_FAILED, CALL_ERROR, CALL_SHED};
+
+	for (size_t i = 0; i < sizeof(faults) / sizeof(faults[0]); i++) {
+		struct fake *f = fake_create(4, RULES);
+		struct fake_load *load = new_load();
+
+		fake_run(f, load, 1, 3 * US_PER_S);
+		for (int leaf = 0; leaf < 12; leaf += 3)
+			f->leaves[leaf].status = faults[i];
+		forget(load);
+		fake_run(f, load, 1, 5 * US_PER_S);
+		CU_ASSERT_EQUAL(load->complete, load->answered);
+		check_share(load, 10);
+		g_free(load);
+		fake_destroy(f);
+	}
+}
+
+/* Guards against extra calls that go on after all faults are gone. */
+static void test_recovery(void)
+{
+	struct fake *f = fake_create(4, RULES);
+	struct fake_load *load = new_load();
+	int64_t healthy;
+
+	fake_run(f, load, 1, 5 * US_PER_S);
+	healthy = fake_quantile(load, 0.99);
+	for (int leaf = 0; leaf < 12; leaf++)
+		f->leaves[leaf].status = leaf % 3 ? CALL_ERROR : CALL_OK;
+	fake_run(f, load, 1, 10 * US_PER_S);
+	for (int leaf = 0; leaf < 12; leaf++)
+		f->leaves[leaf].status = CALL_OK;
+	fake_run(f, load, 1, 10 * US_PER_S);
+	forget(load);
+	fake_run(f, load, 1, 5 * US_PER_S);
+	CU_ASSERT_EQUAL(load->failed, 0);
+	CU_ASSERT(fake_quantile(load, 0.99) * 5 <= healthy * 6);
+	check_share(load, 5);
+	g_free(load);
+	fake_destroy(f);
+}
+
+/* Lets the engine learn a latency of 10 ms. */
+static struct fake *learn(uint32_t shards, const char *fields)
+{
+	struct fake *f = fake_create(shards, fields);
+
+	for (uint32_t i = 0; i < 200; i++) {
+		fake_submit(f, "search", 200 * US_PER_MS);
+		fake_advance(f, 10 * US_PER_MS);
+		for (uint32_t j = 0; j < shards; j++)
+			fake_reply(f, i * shards + j, CALL_OK);
+		fake_advance(f, 0);
+	}
+	f->call_count = 0;
+	return f;
+}
+
+/* Guards against hedges to the same leaf, and losers that are left running. */
+static void test_hedge(void)
+{
+	struct fake *f = learn(1, RULES);
+
+	fake_submit(f, "search", 200 * US_PER_MS);
+	fake_advance(f, 9 * US_PER_MS);
+	CU_ASSERT_EQUAL(f->call_count, 1);
+	fake_advance(f, 5 * US_PER_MS);
+	CU_ASSERT_EQUAL_FATAL(f->call_count, 2);
+	CU_ASSERT(f->calls[1].call.is_hedge);
+	CU_ASSERT_NOT_EQUAL(f->calls[0].call.leaf, f->calls[1].call.leaf);
+	CU_ASSERT_TRUE(fake_reply(f, 1, CALL_OK));
+	CU_ASSERT_TRUE(f->calls[0].is_cancelled);
+	CU_ASSERT_FALSE(fake_reply(f, 0, CALL_OK));
+	fake_advance(f, 0);
+	CU_ASSERT_EQUAL(fake_last(f)->outcome.extra_calls, 1);
+	fake_destroy(f);
+}
+
+/* Guards against calls that cannot end in time. */
+static void test_too_late(void)
+{
+	struct fake *f = learn(1, RULES);
+
+	/* After 11 ms of 15 ms no leaf, at 10 ms a call, can still answer. */
+	fake_submit(f, "search", 15 * US_PER_MS);
+	fake_advance(f, US_PER_S);
+	CU_ASSERT_EQUAL(f->call_count, 1);
+	CU_ASSERT_EQUAL(fake_last(f)->first_gap, ERR_DEADLINE);
+	fake_submit(f, "search", 5 * US_PER_MS);
+	fake_advance(f, US_PER_S);
+	CU_ASSERT_EQUAL(f->call_count, 1);
+	CU_ASSERT_EQUAL(fake_last(f)->outcome.run, RUN_NOT_RUN);
+	fake_destroy(f);
+}
+
+/* Guards against a baseline that profits from what it is compared with. */
+static void test_baselines(void)
+{
+	struct fake *f = fake_create(1, "policy = \"naive_retry\"\n");
+
+	fake_submit(f, "search", 200 * US_PER_MS);
+	for (uint32_t i = 0; i < f->call_count; i++)
+		fake_reply(f, i, CALL_RESET);
+	CU_ASSERT_EQUAL(f->call_count, 4);
+	fake_destroy(f);
+	f = fake_create(1, "policy = \"round_robin\"\n");
+	for (int i = 0; i < 100; i++)
+		fake_submit(f, "search", 200 * US_PER_MS);
+	for (uint32_t i = 0; i < f->call_count; i++) {
+		CU_ASSERT_EQUAL(f->calls[i].call.leaf, i % 3);
+		fake_reply(f, i, CALL_RESET);
+	}
+	CU_ASSERT_EQUAL(f->call_count, 100);
+	fake_destroy(f);
+}
+
+/* Sends one query with 3 of 4 shards answered; returns when it ended. */
+static int64_t end_of_partial(const char *fields)
+{
+	struct fake *f = learn(4, fields);
+	int64_t total;
+
+	fake_submit(f, "search", 200 * US_PER_MS);
+	for (uint32_t i = 1; i < 4; i++)
+		fake_reply(f, i, CALL_OK);
+	fake_advance(f, US_PER_S);
+	CU_ASSERT_EQUAL(fake_last(f)->outcome.weight, 300);
+	total = fake_last(f)->outcome.total_us;
+	fake_destroy(f);
+	return total;
+}
+
+/* Guards against an early answer without consent or coverage. */
+static void test_early_answer(void)
+{
+	CU_ASSERT(end_of_partial("hedge = \"h\"\nearly_answer = true\n"
+				 "min_coverage = 75\n") < 100 * US_PER_MS);
+	CU_ASSERT(end_of_partial("hedge = \"h\"\nmin_coverage = 75\n") >=
+		  190 * US_PER_MS);
+	CU_ASSERT(end_of_partial("hedge = \"h\"\nearly_answer = true\n"
+				 "min_coverage = 76\n") >= 190 * US_PER_MS);
+}
+
+CU_TestInfo engine_extra_calls_tests[] = {
+	{"straggler", test_straggler},	     {"faults", test_faults},
+	{"recovery", test_recovery},	     {"hedge", test_hedge},
+	{"too late", test_too_late},	     {"baselines", test_baselines},
+	{"early answer", test_early_answer}, CU_TEST_INFO_NULL,
+};
