--- a/engine/call.c
+++ b/engine/call.c
@@ -21,7 +21,7 @@
 	s->attempts++;
 	if (kind != CALL_FIRST)
 		s->query->extra_calls++;
-	else
+	else if (!s->query->restarts)
 		budget_deposit(&e->budget, retry_budget_percent(s->query));
 	return c;
 }
@@ -160,3 +160,9 @@
 		return true;
 	}
 }
+
+bool call_is_snapshot_refusal(const struct engine_result *result)
+{
+	return result->status == CALL_SNAPSHOT_GONE ||
+	       result->status == CALL_REPARTITIONED;
+}
--- a/engine/engine.c
+++ b/engine/engine.c
@@ -227,7 +227,11 @@
 	if (result->status == CALL_OK)
 		LOG(CALL_DROP, "attempt=%" PRIu64 " reason=snapshot",
 		    result->call_id);
-	if (!s->call_count)
+	if (s->call_count)
+		return false;
+	if (call_is_snapshot_refusal(result))
+		snapshot_handle_gone(e, s, result);
+	else
 		retry_shard(e, s, result);
 	return false;
 }
--- a/engine/leaf.c
+++ b/engine/leaf.c
@@ -66,6 +66,15 @@
 	return true;
 }
 
+bool leaf_add_snapshot(struct leaf *leaf, uint64_t snapshot)
+{
+	if (leaf_has_snapshot(leaf, snapshot) ||
+	    leaf->snapshot_count == LEAF_SNAPSHOTS_MAX)
+		return false;
+	leaf->snapshots[leaf->snapshot_count++] = snapshot;
+	return true;
+}
+
 bool leaf_drop_snapshot(struct leaf *leaf, uint64_t snapshot)
 {
 	for (uint32_t i = 0; i < leaf->snapshot_count; i++) {
--- a/engine/query.c
+++ b/engine/query.c
@@ -179,6 +179,14 @@
 	timer_arm(e, &q->timer, q->early_us, handle_early);
 }
 
+static void start_calls(struct engine *e, struct query *q)
+{
+	for (uint32_t i = 0; i < q->shard_count; i++) {
+		if (q->shards[i].phase == SHARD_PENDING)
+			call_start(e, &q->shards[i], CALL_FIRST);
+	}
+}
+
 void query_run(struct engine *e, struct query *q)
 {
 	q->phase = QUERY_RUNNING;
@@ -191,10 +199,28 @@
 	LOG(QUERY_PIN, "request=%s snapshot=%" PRIu64 " version=%" PRIu64,
 	    q->request_id, q->snapshot, q->view->set->version);
 	arm_query(e, q);
+	start_calls(e, q);
+}
+
+void query_restart(struct engine *e, struct query *q, uint64_t snapshot)
+{
+	LOG(QUERY_RESTART, "request=%s from=%" PRIu64 " to=%" PRIu64,
+	    q->request_id, q->snapshot, snapshot);
+	query_cancel_calls(e, q);
+	q->restarts++;
+	q->snapshot = snapshot;
+	q->weight = 0;
+	q->pending = q->shard_count;
+	q->extra_calls += q->shard_count;
+	budget_charge(&e->budget, q->shard_count);
 	for (uint32_t i = 0; i < q->shard_count; i++) {
-		if (q->shards[i].phase == SHARD_PENDING)
-			call_start(e, &q->shards[i], CALL_FIRST);
+		q->shards[i].phase = SHARD_PENDING;
+		q->shards[i].attempts = 0;
+		q->shards[i].tried_count = 0;
 	}
+	e->options.ops->reset_results(e->options.ctx, q->id, q->user);
+	arm_query(e, q);
+	start_calls(e, q);
 }
 
 void query_end(struct engine *e, struct query *q, int code)
--- a/engine/replica.c
+++ b/engine/replica.c
@@ -273,6 +273,19 @@
 	}
 }
 
+static void note_snapshot(struct engine *e, const struct call *c,
+			  const struct engine_result *result)
+{
+	uint64_t refused = c->shard->query->snapshot;
+
+	if (leaf_drop_snapshot(c->leaf, refused))
+		e->snapshot_epoch++;
+	/* A refusal that names the present snapshot is as good as a report. */
+	if (result->snapshot && result->snapshot != refused &&
+	    leaf_add_snapshot(c->leaf, result->snapshot))
+		e->snapshot_epoch++;
+}
+
 void replica_note_result(struct engine *e, const struct call *c,
 			 const struct engine_result *result)
 {
@@ -294,9 +307,8 @@
 	}
 	if (result->is_draining || result->status == CALL_DRAINING)
 		replica_drain(e, leaf, "reply");
-	if (result->status == CALL_SNAPSHOT_GONE &&
-	    leaf_drop_snapshot(leaf, c->shard->query->snapshot))
-		e->snapshot_epoch++;
+	if (call_is_snapshot_refusal(result))
+		note_snapshot(e, c, result);
 }
 
 static void note_serving(struct engine *e, struct leaf *leaf,
--- a/engine/snapshot.c
+++ b/engine/snapshot.c
@@ -1,8 +1,11 @@
+#include "common/errors.h"
 #include "engine/internal.h"
 
 /* Distinct snapshots compared in one choice; the oldest give way to others. */
 #define CANDIDATES_MAX 16
 
+#define RESTARTS_MAX 2
+
 struct candidate {
 	uint64_t snapshot;
 	uint64_t weight;
@@ -107,3 +110,33 @@
 	}
 	return service->pinned;
 }
+
+static bool may_restart(struct engine *e, const struct query *q)
+{
+	struct service_state *service = q->view->services[q->service];
+	int64_t median = latency_quantile(&service->latency, 0.5);
+
+	/* The other shards may have run the request. */
+	if (q->is_non_idempotent && q->shard_count > 1)
+		return false;
+	return q->restarts < RESTARTS_MAX &&
+	       engine_now(e) + median < q->deadline_us;
+}
+
+void snapshot_handle_gone(struct engine *e, struct query_shard *s,
+			  const struct engine_result *result)
+{
+	struct query *q = s->query;
+	uint64_t newer = may_restart(e, q) ? snapshot_choose(e, q, q->snapshot)
+					   : 0;
+	obj_handle leaf;
+
+	if (newer) {
+		query_restart(e, q, newer);
+		return;
+	}
+	if (replica_choose(e, s, CALL_RETRY, &leaf) == CHOICE_NONE)
+		query_miss_shard(e, s, ERR_SNAPSHOT_GONE);
+	else
+		retry_shard(e, s, result);
+}
--- a/include/engine/engine.h
+++ b/include/engine/engine.h
@@ -96,7 +96,10 @@
 	enum call_status status;
 	/** False only if no byte of the request was handed to the leaf. */
 	bool bytes_sent;
-	/** Snapshot that the reply was drawn from; 0 if not known. */
+	/**
+	 * Snapshot that the reply was drawn from, or that the leaf has in place
+	 * of the one it refused; 0 if not known.
+	 */
 	uint64_t snapshot;
 	/** Requests in service or queued at the leaf; negative if not known. */
 	int load;
--- a/include/engine/internal.h
+++ b/include/engine/internal.h
@@ -78,6 +78,8 @@
 void query_add_shards(struct query *q, const char *key);
 /** Starts the calls of an admitted query. */
 void query_run(struct engine *e, struct query *q);
+/** Starts all calls again on another snapshot. */
+void query_restart(struct engine *e, struct query *q, uint64_t snapshot);
 /** Ends a query; its outcome follows at the next engine_advance(). */
 void query_end(struct engine *e, struct query *q, int code);
 /** Returns whether the answer has the coverage that the service asks for. */
@@ -100,6 +102,10 @@
 uint64_t snapshot_choose(struct engine *e, const struct query *q,
 			 uint64_t newer_than);
 
+/** Takes a call that the leaf refused because its snapshot has changed. */
+void snapshot_handle_gone(struct engine *e, struct query_shard *s,
+			  const struct engine_result *result);
+
 /* replica.c */
 
 enum call_kind {
@@ -150,6 +156,8 @@
 void call_serve_waiting(struct engine *e, struct shard_slot *slot);
 /** Returns whether the leaf may have run the request. */
 bool call_may_have_run(const struct engine_result *result);
+/** Returns whether the leaf no longer serves the snapshot that was named. */
+bool call_is_snapshot_refusal(const struct engine_result *result);
 
 /* hedge.c */
 
--- a/include/engine/leaf.h
+++ b/include/engine/leaf.h
@@ -45,6 +45,9 @@
 bool leaf_set_snapshots(struct leaf *leaf, const uint64_t *snapshots,
 			uint32_t count);
 
+/** Adds one snapshot if there is room; returns whether it was new. */
+bool leaf_add_snapshot(struct leaf *leaf, uint64_t snapshot);
+
 /** Forgets one snapshot; returns whether the leaf held it. */
 bool leaf_drop_snapshot(struct leaf *leaf, uint64_t snapshot);
 
--- a/include/engine/query.h
+++ b/include/engine/query.h
@@ -71,6 +71,7 @@
 	int64_t deadline_us;
 	int64_t retry_after_us;
 	uint64_t snapshot;
+	uint32_t restarts;
 	struct query_shard *shards;
 	uint32_t shard_count;
 	uint32_t pending;
--- a/test/unit/main.c
+++ b/test/unit/main.c
@@ -9,6 +9,7 @@
 	 engine_extra_calls_tests},
 	{"engine keys", NULL, NULL, NULL, NULL, engine_keys_tests},
 	{"engine replicas", NULL, NULL, NULL, NULL, engine_replicas_tests},
+	{"engine snapshot", NULL, NULL, NULL, NULL, engine_snapshot_tests},
 	{"forward", NULL, NULL, NULL, NULL, forward_tests},
 	{"fleet placement", NULL, NULL, NULL, NULL, fleet_placement_tests},
 	{"merge", NULL, NULL, NULL, NULL, merge_tests},
--- a/test/unit/suites.h
+++ b/test/unit/suites.h
@@ -9,6 +9,7 @@
 extern CU_TestInfo engine_extra_calls_tests[];
 extern CU_TestInfo engine_keys_tests[];
 extern CU_TestInfo engine_replicas_tests[];
+extern CU_TestInfo engine_snapshot_tests[];
 extern CU_TestInfo forward_tests[];
 extern CU_TestInfo fleet_placement_tests[];
 extern CU_TestInfo merge_tests[];
