--- a/engine/query.c
+++ b/engine/query.c
@@ -235,8 +235,18 @@
 	heap_push(&e->ended, &q->ended, 0);
 }
 
+static void stop_shard(struct engine *e, struct query_shard *s)
+{
+	struct shard_slot *slot = s->query->view->shards[s->shard];
+
+	timer_disarm(e, &s->timer);
+	heap_remove(&slot->waiting, &s->waiting);
+}
+
 void query_release(struct engine *e, struct query *q)
 {
+	for (uint32_t i = 0; i < q->shard_count; i++)
+		stop_shard(e, &q->shards[i]);
 	if (q->class && q->phase != QUERY_ENDED)
 		admission_leave(e, q);
 	timer_disarm(e, &q->timer);
@@ -266,8 +276,7 @@
 	for (uint32_t i = 0; i < q->shard_count; i++) {
 		struct query_shard *s = &q->shards[i];
 
-		timer_disarm(e, &s->timer);
-		heap_remove(&q->view->shards[s->shard]->waiting, &s->waiting);
+		stop_shard(e, s);
 		while (s->call_count)
 			call_cancel(e, s->calls[0]);
 	}
