--- a/nutmegpickd/main.c
+++ b/nutmegpickd/main.c
@@ -11,6 +11,7 @@
 
 #include "common/errors.h"
 #include "common/events.h"
+#include "nutmegpickd/store_thread.h"
 
 #define EVENT_RING_SIZE 65536
 
@@ -90,9 +91,10 @@
 {
 	struct host *h = ctx;
 	struct host_event e = {.type = HOST_REQUEST, .exchange = x};
+	struct origin o = {.exchange = x};
 
 	if (host_send(h, e))
-		answer_refuse(x, "", -ERR_OVERLOAD, US_PER_S);
+		answer_refuse(h, &o, "", -ERR_OVERLOAD, RUN_NOT_RUN, US_PER_S);
 }
 
 static void handle_reply(void *ctx, struct upstream_reply *reply)
@@ -145,6 +147,11 @@
 		ret = load_objects(h);
 	if (ret)
 		return ret;
+	ret = peers_start(h);
+	if (!ret && h->settings.store_endpoints)
+		ret = store_thread_start(&h->store_thread, h);
+	if (ret)
+		return ret;
 	pthread_create(&h->engine_thread, NULL, host_run_engine, h);
 	ret = http_server_create(&h->server, &server_options);
 	if (!ret)
@@ -174,9 +181,12 @@
 	/* Requests that outlast stop_timeout are refused before the exit. */
 	send_surely(h, HOST_STOP);
 	http_server_destroy(h->server, US_PER_S);
+	if (h->store_thread)
+		store_thread_stop(h->store_thread);
 	send_surely(h, HOST_EXIT);
 	pthread_join(h->engine_thread, NULL);
 	upstream_destroy(h->upstream);
+	peers_stop(h);
 	host_drop_events(h);
 	engine_unref(h->engine);
 	object_set_unref(h->set);
@@ -210,6 +220,8 @@
 	ret = settings_load(arguments.settings_path, &h.settings, &faults);
 	if (ret) {
 		print_faults(&faults);
+		fault_list_clear(&faults);
+		settings_clear(&h.settings);
 		return EXIT_FAILURE;
 	}
 	if (arguments.is_check_only) {
--- a/test/unit/suites.h
+++ b/test/unit/suites.h
@@ -11,8 +11,16 @@
 extern CU_TestInfo engine_replicas_tests[];
 extern CU_TestInfo engine_snapshot_tests[];
 extern CU_TestInfo forward_tests[];
+extern CU_TestInfo fleet_config_tests[];
+extern CU_TestInfo fleet_frame_tests[];
+extern CU_TestInfo fleet_membership_tests[];
 extern CU_TestInfo fleet_placement_tests[];
 extern CU_TestInfo merge_tests[];
+extern CU_TestInfo upstream_tests[];
 extern CU_TestInfo peer_tests[];
+extern CU_TestInfo store_etcd_tests[];
+extern CU_TestInfo store_follow_tests[];
+extern CU_TestInfo store_gateway_tests[];
+extern CU_TestInfo store_publish_tests[];
 
 #endif
