--- a/test/unit/suites.h
+++ b/test/unit/suites.h
@@ -7,7 +7,10 @@
 extern CU_TestInfo broken_tests[];
 extern CU_TestInfo common_tests[];
 extern CU_TestInfo engine_admission_tests[];
+extern CU_TestInfo engine_extra_calls_tests[];
 extern CU_TestInfo engine_keys_tests[];
+extern CU_TestInfo engine_replicas_tests[];
+extern CU_TestInfo engine_snapshot_tests[];
 extern CU_TestInfo forward_tests[];
 extern CU_TestInfo fleet_config_tests[];
 extern CU_TestInfo fleet_frame_tests[];
