--- a/test/unit/fake_store.c
+++ b/test/unit/fake_store.c
@@ -229,3 +229,17 @@
 	g_assert_nonnull(set);
 	return set;
 }
+
+void fake_publish(struct fake_store *f, const char *name, const char *token,
+		  struct publish_result *out)
+{
+	struct object_set *set = fake_set(name, 1);
+	struct publish_options options = {
+		.token = token,
+		.author = token,
+		.base_version = -1,
+	};
+
+	publish_set(&f->store, set, &options, out);
+	object_set_unref(set);
+}
--- a/test/unit/fake_store.h
+++ b/test/unit/fake_store.h
@@ -4,6 +4,7 @@
 #include <glib.h>
 
 #include "objects/objects.h"
+#include "store/publish.h"
 #include "store/store.h"
 
 /** Key-value store in memory with failures on demand. */
@@ -49,4 +50,8 @@
 /** Returns a valid set whose one domain has this name. */
 struct object_set *fake_set(const char *domain, int services);
 
+/** Publishes such a set; the token is the author as well. */
+void fake_publish(struct fake_store *f, const char *domain, const char *token,
+		  struct publish_result *out);
+
 #endif
--- a/test/unit/test_store_follow.c
+++ b/test/unit/test_store_follow.c
@@ -19,15 +19,11 @@
 
 static void publish(struct follow_test *t, const char *name)
 {
-	struct publish_options o = {
-		.token = name, .author = "ann", .base_version = -1};
-	struct object_set *set = fake_set(name, 1);
 	struct publish_result r;
 
-	publish_set(&t->fake.store, set, &o, &r);
+	fake_publish(&t->fake, name, name, &r);
 	CU_ASSERT_EQUAL(r.state, PUBLISH_ACCEPTED);
 	publish_result_clear(&r);
-	object_set_unref(set);
 }
 
 static void handle_set(void *ctx, struct object_set *set)
--- a/test/unit/test_store_gateway.c
+++ b/test/unit/test_store_gateway.c
@@ -13,113 +13,100 @@
 #define VALUE "\"value\":\"dg==\""
 #define KV "{" KEY "," VALUE ",\"mod_revision\":\"7\"}"
 
+#define OPEN "{" HEADER
+#define KVS OPEN ",\"kvs\":["
+#define RESULT "{\"result\":{" HEADER
+
+/* Short names keep a reply on one line of the table. */
+enum {
+	GET = STORE_GET,
+	TXN = STORE_TXN,
+	WATCH = STORE_WATCH,
+	GRANT = STORE_LEASE_GRANT,
+	KEEPALIVE = STORE_LEASE_KEEPALIVE,
+	REVOKE = STORE_LEASE_REVOKE,
+	BAD_JSON = ERR_STORE_REPLY_JSON,
+	BAD_FIELD = ERR_STORE_REPLY_FIELD,
+	BAD_BASE64 = ERR_STORE_REPLY_BASE64,
+	BAD_KEY = ERR_STORE_REPLY_KEY,
+	BAD_REVISION = ERR_STORE_REPLY_REVISION,
+};
+
 struct broken_reply {
-	enum store_call call;
+	int call;
 	const char *body;
 	int code;
 };
 
 static const struct broken_reply broken_replies[] = {
 	/* Not JSON, or cut off. */
-	{STORE_GET, "", ERR_STORE_REPLY_JSON},
-	{STORE_GET, "{", ERR_STORE_REPLY_JSON},
-	{STORE_GET, "<html>", ERR_STORE_REPLY_JSON},
-	{STORE_GET, "{" HEADER ",\"kvs\":[" KV, ERR_STORE_REPLY_JSON},
-	{STORE_GET, "{" HEADER "} {}", ERR_STORE_REPLY_JSON},
-	{STORE_GET, "{" HEADER "," HEADER "}", ERR_STORE_REPLY_JSON},
-	{STORE_TXN, "{" HEADER ",\"succeeded\":tru", ERR_STORE_REPLY_JSON},
-	{STORE_WATCH, "{\"result\":{" HEADER, ERR_STORE_REPLY_JSON},
-	{STORE_LEASE_GRANT, "\xff\xfe", ERR_STORE_REPLY_JSON},
+	{GET, "", BAD_JSON},
+	{GET, "{", BAD_JSON},
+	{GET, "<html>", BAD_JSON},
+	{GET, KVS KV, BAD_JSON},
+	{GET, OPEN "} {}", BAD_JSON},
+	{GET, OPEN "," HEADER "}", BAD_JSON},
+	{TXN, OPEN ",\"succeeded\":tru", BAD_JSON},
+	{WATCH, RESULT, BAD_JSON},
+	{GRANT, "\xff\xfe", BAD_JSON},
 	/* Wrong shape. */
-	{STORE_GET, "[]", ERR_STORE_REPLY_FIELD},
-	{STORE_GET, "{}", ERR_STORE_REPLY_FIELD},
-	{STORE_GET, "{\"header\":3}", ERR_STORE_REPLY_FIELD},
-	{STORE_GET, "{\"header\":{\"revision\":\"x\"}}", ERR_STORE_REPLY_FIELD},
-	{STORE_GET, "{\"header\":{\"revision\":\"9 \"}}",
-	 ERR_STORE_REPLY_FIELD},
-	{STORE_GET, "{\"header\":{\"revision\":\"99999999999999999999\"}}",
-	 ERR_STORE_REPLY_FIELD},
-	{STORE_GET, "{" HEADER ",\"kvs\":{}}", ERR_STORE_REPLY_FIELD},
-	{STORE_GET, "{" HEADER ",\"kvs\":[3],\"count\":\"1\"}",
-	 ERR_STORE_REPLY_FIELD},
-	{STORE_GET, "{" HEADER ",\"kvs\":[" KV "]}", ERR_STORE_REPLY_FIELD},
-	{STORE_GET, "{" HEADER ",\"count\":\"1\"}", ERR_STORE_REPLY_FIELD},
-	{STORE_GET, "{" HEADER ",\"kvs\":[" KV "],\"count\":-1}",
-	 ERR_STORE_REPLY_FIELD},
-	{STORE_GET, "{" HEADER ",\"kvs\":[{\"key\":5}],\"count\":\"1\"}",
-	 ERR_STORE_REPLY_FIELD},
-	{STORE_GET, "{" HEADER ",\"kvs\":[{" KEY ",\"value\":{}}]}",
-	 ERR_STORE_REPLY_FIELD},
-	{STORE_GET,
-	 "{" HEADER ",\"kvs\":[{" KEY ",\"mod_revision\":true}],"
-	 "\"count\":\"1\"}",
-	 ERR_STORE_REPLY_FIELD},
-	{STORE_TXN, "{" HEADER ",\"succeeded\":\"yes\"}",
-	 ERR_STORE_REPLY_FIELD},
-	{STORE_TXN, "{" HEADER ",\"succeeded\":true}", ERR_STORE_REPLY_FIELD},
-	{STORE_TXN, "{" HEADER ",\"succeeded\":true,\"responses\":3}",
-	 ERR_STORE_REPLY_FIELD},
-	{STORE_TXN, "{" HEADER ",\"succeeded\":true,\"responses\":[{},{}]}",
-	 ERR_STORE_REPLY_FIELD},
-	{STORE_TXN,
-	 "{" HEADER ",\"succeeded\":true,\"responses\":"
-	 "[{\"response_put\":{}},{\"response_put\":{}}]}",
-	 ERR_STORE_REPLY_FIELD},
-	{STORE_TXN, "{" HEADER ",\"responses\":[]}", ERR_STORE_REPLY_FIELD},
-	{STORE_TXN, "{" HEADER ",\"responses\":[{\"response_range\":{}},{}]}",
-	 ERR_STORE_REPLY_FIELD},
-	{STORE_WATCH, "{" HEADER "}", ERR_STORE_REPLY_FIELD},
-	{STORE_WATCH, "{\"result\":{" HEADER ",\"events\":{}}}",
-	 ERR_STORE_REPLY_FIELD},
-	{STORE_WATCH, "{\"result\":{" HEADER ",\"events\":[{}]}}",
-	 ERR_STORE_REPLY_FIELD},
-	{STORE_WATCH,
-	 "{\"result\":{" HEADER ",\"events\":[{\"type\":\"MOVE\",\"kv\":" KV
-	 "}]}}",
-	 ERR_STORE_REPLY_FIELD},
-	{STORE_WATCH, "{\"result\":{" HEADER ",\"canceled\":1}}",
-	 ERR_STORE_REPLY_FIELD},
-	{STORE_WATCH, "{\"error\":{\"code\":\"x\"}}", ERR_STORE_REPLY_FIELD},
-	{STORE_LEASE_GRANT, "{" HEADER "}", ERR_STORE_REPLY_FIELD},
-	{STORE_LEASE_GRANT, "{" HEADER ",\"ID\":\"0\",\"TTL\":\"5\"}",
-	 ERR_STORE_REPLY_FIELD},
-	{STORE_LEASE_GRANT, "{" HEADER ",\"ID\":\"4\",\"TTL\":\"-5\"}",
-	 ERR_STORE_REPLY_FIELD},
-	{STORE_LEASE_REVOKE, "{}", ERR_STORE_REPLY_FIELD},
+	{GET, "[]", BAD_FIELD},
+	{GET, "{}", BAD_FIELD},
+	{GET, "{\"header\":3}", BAD_FIELD},
+	{GET, "{\"header\":{\"revision\":\"x\"}}", BAD_FIELD},
+	{GET, "{\"header\":{\"revision\":\"9 \"}}", BAD_FIELD},
+	{GET, "{\"header\":{\"revision\":\"99999999999999999999\"}}",
+	 BAD_FIELD},
+	{GET, OPEN ",\"kvs\":{}}", BAD_FIELD},
+	{GET, KVS "3],\"count\":\"1\"}", BAD_FIELD},
+	{GET, KVS KV "]}", BAD_FIELD},
+	{GET, OPEN ",\"count\":\"1\"}", BAD_FIELD},
+	{GET, KVS KV "],\"count\":-1}", BAD_FIELD},
+	{GET, KVS "{\"key\":5}],\"count\":\"1\"}", BAD_FIELD},
+	{GET, KVS "{" KEY ",\"value\":{}}]}", BAD_FIELD},
+	{GET, KVS "{" KEY ",\"mod_revision\":true}],\"count\":\"1\"}",
+	 BAD_FIELD},
+	{TXN, OPEN ",\"succeeded\":\"yes\"}", BAD_FIELD},
+	{TXN, OPEN ",\"succeeded\":true}", BAD_FIELD},
+	{TXN, OPEN ",\"succeeded\":true,\"responses\":3}", BAD_FIELD},
+	{TXN, OPEN ",\"succeeded\":true,\"responses\":[{},{}]}", BAD_FIELD},
+	{TXN,
+	 OPEN ",\"succeeded\":true,\"responses\":"
+	      "[{\"response_put\":{}},{\"response_put\":{}}]}",
+	 BAD_FIELD},
+	{TXN, OPEN ",\"responses\":[]}", BAD_FIELD},
+	{TXN, OPEN ",\"responses\":[{\"response_range\":{}},{}]}", BAD_FIELD},
+	{WATCH, OPEN "}", BAD_FIELD},
+	{WATCH, RESULT ",\"events\":{}}}", BAD_FIELD},
+	{WATCH, RESULT ",\"events\":[{}]}}", BAD_FIELD},
+	{WATCH, RESULT ",\"events\":[{\"type\":\"MOVE\",\"kv\":" KV "}]}}",
+	 BAD_FIELD},
+	{WATCH, RESULT ",\"canceled\":1}}", BAD_FIELD},
+	{WATCH, "{\"error\":{\"code\":\"x\"}}", BAD_FIELD},
+	{GRANT, OPEN "}", BAD_FIELD},
+	{GRANT, OPEN ",\"ID\":\"0\",\"TTL\":\"5\"}", BAD_FIELD},
+	{GRANT, OPEN ",\"ID\":\"4\",\"TTL\":\"-5\"}", BAD_FIELD},
+	{REVOKE, "{}", BAD_FIELD},
 	/* Not base64. */
-	{STORE_GET, "{" HEADER ",\"kvs\":[{\"key\":\"bnA\"}],\"count\":\"1\"}",
-	 ERR_STORE_REPLY_BASE64},
-	{STORE_GET, "{" HEADER ",\"kvs\":[{\"key\":\"b!==\"}]}",
-	 ERR_STORE_REPLY_BASE64},
-	{STORE_GET, "{" HEADER ",\"kvs\":[{" KEY ",\"value\":\"d=g=\"}]}",
-	 ERR_STORE_REPLY_BASE64},
+	{GET, KVS "{\"key\":\"bnA\"}],\"count\":\"1\"}", BAD_BASE64},
+	{GET, KVS "{\"key\":\"b!==\"}]}", BAD_BASE64},
+	{GET, KVS "{" KEY ",\"value\":\"d=g=\"}]}", BAD_BASE64},
 	/* Keys that were not asked for. */
-	{STORE_GET, "{" HEADER ",\"kvs\":[{\"key\":\"eA==\"}]}",
-	 ERR_STORE_REPLY_KEY},
-	{STORE_GET, "{" HEADER ",\"kvs\":[{" VALUE "}]}", ERR_STORE_REPLY_KEY},
-	{STORE_GET, "{" HEADER ",\"kvs\":[" KV "," KV "],\"count\":\"2\"}",
-	 ERR_STORE_REPLY_KEY},
-	{STORE_GET, "{" HEADER ",\"kvs\":[{\"key\":\"bnAvY3VycmVudAA=\"}]}",
-	 ERR_STORE_REPLY_KEY},
-	{STORE_LEASE_KEEPALIVE,
-	 "{\"result\":{" HEADER ",\"ID\":\"5\",\"TTL\":\"5\"}}",
-	 ERR_STORE_REPLY_KEY},
+	{GET, KVS "{\"key\":\"eA==\"}]}", BAD_KEY},
+	{GET, KVS "{" VALUE "}]}", BAD_KEY},
+	{GET, KVS KV "," KV "],\"count\":\"2\"}", BAD_KEY},
+	{GET, KVS "{\"key\":\"bnAvY3VycmVudAA=\"}]}", BAD_KEY},
+	{KEEPALIVE, RESULT ",\"ID\":\"5\",\"TTL\":\"5\"}}", BAD_KEY},
 	/* Revisions. */
-	{STORE_GET, "{\"header\":{}}", ERR_STORE_REPLY_REVISION},
-	{STORE_GET, "{" HEADER ",\"kvs\":[{" KEY ",\"mod_revision\":\"10\"}]}",
-	 ERR_STORE_REPLY_REVISION},
-	{STORE_GET, "{" HEADER ",\"kvs\":[{" KEY "}]}",
-	 ERR_STORE_REPLY_REVISION},
+	{GET, "{\"header\":{}}", BAD_REVISION},
+	{GET, KVS "{" KEY ",\"mod_revision\":\"10\"}]}", BAD_REVISION},
+	{GET, KVS "{" KEY "}]}", BAD_REVISION},
 	/* Well-formed replies that say that the call failed. */
-	{STORE_LEASE_KEEPALIVE, "{\"result\":{" HEADER ",\"ID\":\"4\"}}",
-	 ERR_STORE_LEASE_GONE},
-	{STORE_WATCH,
-	 "{\"result\":{" HEADER ",\"canceled\":true,"
-	 "\"compact_revision\":\"8\"}}",
+	{KEEPALIVE, RESULT ",\"ID\":\"4\"}}", ERR_STORE_LEASE_GONE},
+	{WATCH, RESULT ",\"canceled\":true,\"compact_revision\":\"8\"}}",
 	 ERR_STORE_COMPACTED},
-	{STORE_WATCH, "{\"result\":{" HEADER ",\"canceled\":true}}",
-	 ERR_STORE_WATCH_END},
-	{STORE_WATCH, "{\"error\":{\"grpc_code\":14}}", ERR_STORE_DOWN},
+	{WATCH, RESULT ",\"canceled\":true}}", ERR_STORE_WATCH_END},
+	{WATCH, "{\"error\":{\"grpc_code\":14}}", ERR_STORE_DOWN},
 };
 
 static char *const reads[] = {(char *)"np/current", NULL};
@@ -140,7 +127,7 @@
 {
 	for (size_t i = 0; i < G_N_ELEMENTS(broken_replies); i++) {
 		const struct broken_reply *b = &broken_replies[i];
-		struct gateway_call call = make_call(b->call);
+		struct gateway_call call = make_call((enum store_call)b->call);
 		struct store_reply reply;
 		int ret =
 			gateway_decode(&call, b->body, strlen(b->body), &reply);
--- a/test/unit/test_store_publish.c
+++ b/test/unit/test_store_publish.c
@@ -4,20 +4,6 @@
 #include "fake_store.h"
 #include "store/publish.h"
 
-static void publish(struct fake_store *f, const char *name, const char *token,
-		    struct publish_result *out)
-{
-	struct object_set *set = fake_set(name, 1);
-	struct publish_options options = {
-		.token = token,
-		.author = token,
-		.base_version = -1,
-	};
-
-	publish_set(&f->store, set, &options, out);
-	object_set_unref(set);
-}
-
 static void check_in_force(struct fake_store *f, uint64_t version,
 			   const char *domain)
 {
@@ -75,7 +61,7 @@
 			f.lost_replies |= (uint64_t)(rest % 3 == 1) << i;
 			f.lost_writes |= (uint64_t)(rest % 3 == 2) << i;
 		}
-		publish(&f, "one", "ann", &r);
+		fake_publish(&f, "one", "ann", &r);
 		if (r.state == PUBLISH_UNKNOWN) {
 			char *id = g_strdup(r.publish_id);
 
@@ -108,7 +94,7 @@
 			fake_store_init(&f);
 			f.lost_replies = lost ? 1 << 1 : 0;
 			f.down_after = step;
-			publish(&f, "one", "ann", &r);
+			fake_publish(&f, "one", "ann", &r);
 			f.is_down = false;
 			f.down_after = -1;
 			/* Write 0 is the part, write 1 the pointer. */
@@ -124,7 +110,7 @@
 			CU_ASSERT_EQUAL(r.state, step < 2 ? PUBLISH_REFUSED
 							  : PUBLISH_ACCEPTED);
 			publish_result_clear(&r);
-			publish(&f, "one", "ann2", &r);
+			fake_publish(&f, "one", "ann2", &r);
 			CU_ASSERT_EQUAL(r.state, PUBLISH_ACCEPTED);
 			CU_ASSERT_EQUAL(r.record.version, 1);
 			publish_result_clear(&r);
@@ -144,11 +130,11 @@
 	publish_settle(&f.store, "1-ann", &r);
 	CU_ASSERT_EQUAL(r.state, PUBLISH_REFUSED);
 	publish_result_clear(&r);
-	publish(&f, "one", "ann", &r);
+	fake_publish(&f, "one", "ann", &r);
 	CU_ASSERT_EQUAL(r.state, PUBLISH_REFUSED);
 	CU_ASSERT_EQUAL(r.code, -ERR_PUBLISH_FENCED);
 	publish_result_clear(&r);
-	publish(&f, "one", "bob", &r);
+	fake_publish(&f, "one", "bob", &r);
 	CU_ASSERT_EQUAL(r.state, PUBLISH_ACCEPTED);
 	publish_result_clear(&r);
 	f.is_down = true;
@@ -167,7 +153,7 @@
 	struct publish_result r;
 
 	f->hook = NULL;
-	publish(f, "rival", "bob", &r);
+	fake_publish(f, "rival", "bob", &r);
 	CU_ASSERT_EQUAL(r.state, PUBLISH_ACCEPTED);
 	publish_result_clear(&r);
 }
@@ -186,7 +172,7 @@
 			f.hook_at = step;
 			/* Writes of the rival come between. */
 			f.lost_replies = lost ? 1 << 3 : 0;
-			publish(&f, "one", "ann", &r);
+			fake_publish(&f, "one", "ann", &r);
 			CU_ASSERT_EQUAL(r.state, PUBLISH_REFUSED);
 			CU_ASSERT_EQUAL(r.code, -ERR_STORE_CONFLICT);
 			CU_ASSERT_EQUAL(r.record.version, 1);
@@ -206,14 +192,14 @@
 	int64_t old;
 
 	fake_store_init(&f);
-	publish(&f, "one", "ann", &r);
+	fake_publish(&f, "one", "ann", &r);
 	old = f.revision;
 	publish_result_clear(&r);
-	publish(&f, "two", "bob", &r);
+	fake_publish(&f, "two", "bob", &r);
 	publish_result_clear(&r);
 	f.stale_revision = old;
 	/* Back to the first set, which the stale read shows as in force. */
-	publish(&f, "one", "eve", &r);
+	fake_publish(&f, "one", "eve", &r);
 	CU_ASSERT_EQUAL(r.state, PUBLISH_ACCEPTED);
 	CU_ASSERT(!r.is_unchanged);
 	CU_ASSERT_EQUAL(r.record.version, 3);
@@ -244,7 +230,7 @@
 	char *key;
 
 	fake_store_init(&f);
-	publish(&f, "one", "ann", &r);
+	fake_publish(&f, "one", "ann", &r);
 	key = g_strconcat(PUBLISH_KEY_PART, r.record.parts[0], NULL);
 	fake_store_put(&f, key, "{}");
 	CU_ASSERT_EQUAL(publish_read_set(&f.store, &r.record, &set, &faults),
@@ -253,12 +239,12 @@
 	CU_ASSERT_EQUAL(publish_read_set(&f.store, &r.record, &set, &faults),
 			-ERR_PUBLISH_PART);
 	publish_result_clear(&r);
-	publish(&f, "one", "bob", &r);
+	fake_publish(&f, "one", "bob", &r);
 	CU_ASSERT(r.is_unchanged);
 	check_in_force(&f, 1, "one");
 	fake_store_put(&f, key, "{}");
 	publish_result_clear(&r);
-	publish(&f, "one", "bob", &r);
+	fake_publish(&f, "one", "bob", &r);
 	check_in_force(&f, 1, "one");
 	for (size_t i = 0; i < G_N_ELEMENTS(pointers); i++) {
 		fake_store_put(&f, PUBLISH_KEY_POINTER, pointers[i]);
