--- a/include/engine/engine.h
+++ b/include/engine/engine.h
@@ -96,7 +96,10 @@
 	enum call_status status;
 	/** False only if no byte of the request was handed to the leaf. */
 	bool bytes_sent;
-	/** Snapshot that the reply was drawn from; 0 if not known. */
+	/**
+	 * Snapshot that the reply was drawn from, or that the leaf has in place
+	 * of the one it refused; 0 if not known.
+	 */
 	uint64_t snapshot;
 	/** Requests in service or queued at the leaf; negative if not known. */
 	int load;
@@ -172,6 +175,8 @@
 	uint32_t max_queries;
 	/** Most request keys remembered; 0 selects 65536. */
 	uint32_t max_keys;
+	/** Time kept for the answer's way to the caller; 0 selects 3 ms. */
+	int64_t answer_margin_us;
 	/** Failure domain of this host; NULL if not known. */
 	const char *domain;
 };
