--- a/bench/main.c
+++ b/bench/main.c
@@ -23,9 +23,10 @@
 	       counts.slot_peak, counts.connection_peak);
 #define COUNT(name) printf(",\"" #name "\":%d", counts.name);
 #include "bench/counts.def"
-	printf("},\"worth\":{");
+	printf("},\"classes\":{");
 	for (uint32_t i = 0; i < t.set->class_count; i++)
-		printf("%s\"%s\":%u", i ? "," : "", t.set->classes[i].name,
+		printf("%s\"%s\":{\"kind\":\"%s\",\"worth\":%u}", i ? "," : "",
+		       t.set->classes[i].name, t.set->classes[i].kind,
 		       t.set->classes[i].worth);
 	printf("},\"requests\":[");
 	for (guint i = 0; i < t.requests->len; i++) {
--- a/bench/report.jq
+++ b/bench/report.jq
@@ -3,7 +3,7 @@
 def ratio($a; $b): if $a == null or ($b // 0) == 0 then null else $a / $b end;
 def in_time($class): ratio(.in_time_by_class[$class] // 0;
                            .offered_by_class[$class]);
-def top: .worth | to_entries | max_by(.value) | .key;
+def top: .classes | to_entries | max_by(.value.worth) | .key;
 def target($case; $variant; $figure; $limit; f):
   select(.case == $case and .variant == $variant) |
   {case, variant, deployment, policy, seed, figure: $figure,
@@ -28,7 +28,9 @@
   (("stale", "inverted") as $v |
    target("reports"; $v; "p99 to that with true reports"; {max: 1.2};
           ratio(.p99_ms; .others["true"].p99_ms))),
-  target("rolling"; "leaves"; "requests interrupted"; {max: 0}; .interrupted),
+  target("rolling"; "leaves"; "requests cut off at a leaf"; {max: 0}; .interrupted),
+  target("rolling"; "leaves"; "requests failed"; {max: 0};
+         .refusals | del(.OVERLOAD) | add // 0),
   target("rolling"; "leaves"; "calls past 3 s of the notice"; {max: 0};
          .late_work),
   target("rolling"; "leaves"; "peak at a leaf to its slots"; {max: 1};
--- a/bench/summary.jq
+++ b/bench/summary.jq
@@ -5,7 +5,7 @@
   else .[[($q * length | floor), length - 1] | min] end;
 def tally(f): reduce .[] as $r ({}; .[$r | f] += 1);
 
-.worth as $worth | .setup.window_ms as $w | ($w[1] - $w[0]) as $ms |
+.classes as $classes | .setup.window_ms as $w | ($w[1] - $w[0]) as $ms |
 .setup + .counts +
 ([.requests[] | select(.[0] >= $w[0] and .[0] < $w[1])] |
  map(select(.[4] == "OK")) as $done |
@@ -19,7 +19,9 @@
   coverage: (($done | map(.[5]) | add) / ([$done | length, 1] | max)),
   full: ($done | map(select(.[5] == 1)) | length),
   needed: (map(.[6]) | add), extra: (map(.[7]) | add),
-  worth_per_s: (($in_time | map($worth[.[3]]) | add // 0) * 1000 / $ms),
+  worth_per_s: (($in_time | map($classes[.[3]].worth) | add // 0) * 1000 / $ms),
   offered_by_class: tally(.[3]), in_time_by_class: ($in_time | tally(.[3])),
-  worth: $worth,
-  refusals: (map(select(.[4] != "OK")) | tally(.[4]))})
+  classes: $classes,
+  refusals: (map(select(.[4] != "OK")) | tally(.[4])),
+  refusals_by_class: (map(select(.[4] != "OK")) |
+                      tally("\(.[3]) \(.[4])"))})
--- a/bench/table.jq
+++ b/bench/table.jq
@@ -2,7 +2,6 @@
 def round($n): if . == null then "-" else
   (. * pow(10; $n) | round) / pow(10; $n) | tostring end;
 def mean(f): (map(f) | add) / length;
-def top: .worth | to_entries | max_by(.value) | .key;
 def limit: if .max != null then "at most \(.max)" else "at least \(.min)" end;
 
 "### Targets\n",
@@ -31,16 +30,21 @@
  "\($refusals) | \(mean(.worth_per_s) | round(0)) | " +
  "\(map(.slot_peak) | max | round(2)) | " +
  "\(map(.connection_peak) | max | round(2)) | \(mean(.sheds) | round(0)) |"),
-"\n### Overload by class\n",
-"Share of the offered requests that were answered in time.\n",
-"| variant | deployment | policy | class (worth) | offered/s | in time |",
-"|---|---|---|---|---|---|",
+"\n### Overload by kind and worth\n",
+"| variant | deployment | policy | kind (worth) | offered/s | in time, share of the offered | refused |",
+"|---|---|---|---|---|---|---|",
 (.runs | map(select(.case == "overload")) |
  group_by([.variant, .deployment, .policy])[] | . as $g |
  (.[0].window_ms | .[1] - .[0]) as $ms |
  .[0].offered_by_class | keys[] | . as $c |
  ($g | map(.offered_by_class[$c] // 0) | add) as $offered |
+ ($g | map(.refusals_by_class | to_entries[] |
+           select(.key | startswith($c + " "))) | group_by(.key) |
+  map("\(.[0].key | split(" ")[1]) \(map(.value) | add)") | join(", "))
+   as $refused |
+ $g[0].classes[$c] as $class |
  "| \($g[0].variant) | \($g[0].deployment) | \($g[0].policy) | " +
- "\($c) (\($g[0].worth[$c])) | " +
+ "\($class.kind) (\($class.worth)) | " +
  "\($offered * 1000 / $ms / ($g | length) | round(0)) | " +
- "\(($g | map(.in_time_by_class[$c] // 0) | add) / $offered | round(4)) |")
+ "\(($g | map(.in_time_by_class[$c] // 0) | add) / $offered | round(4)) | " +
+ "\($refused) |")
