fleet: claim, verify and release seats

Seat records are one value per failure domain, changed by compare-and-swap. Writes with unknown outcome are read back and not given up while they can still take effect; claims and checks are confirmed by a write, since reads may be stale.

--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -4,11 +4,20 @@
 
 #include "common/errors.h"
 #include "fleet/config.h"
+#include "fleet/seat.h"
+#include "fleet/update.h"
+
+#define PAUSE_US US_PER_S
 
 struct fleet {
 	struct fleet_options options;
 	struct membership *membership;
 	struct config *config;
+	struct updater *updater;
+	struct seat *seat;
+	int64_t timer_us;
+	bool is_stopping;
+	bool has_left;
 	struct frame_codec *encoder;
 	struct frame_codec *decoder;
 };
@@ -94,6 +103,75 @@
 	return config_create(&f->config, &o);
 }
 
+static void handle_get(void *ctx, uint64_t ticket, const char *key)
+{
+	struct fleet *f = ctx;
+
+	f->options.ops->store_get(f->options.ctx, ticket, key);
+}
+
+static void handle_cas(void *ctx, uint64_t ticket, const char *key,
+		       uint64_t revision, const void *data, size_t len)
+{
+	struct fleet *f = ctx;
+
+	f->options.ops->store_cas(f->options.ctx, ticket, key, revision, data,
+				  len);
+}
+
+static const struct updater_ops updater_ops = {
+	.get = handle_get,
+	.cas = handle_cas,
+};
+
+static int create_updater(struct fleet *f)
+{
+	struct updater_options o = {
+		.clock = f->options.clock,
+		.seed = f->options.seed + 2,
+		.ops = &updater_ops,
+		.ctx = f,
+	};
+
+	return updater_create(&f->updater, &o);
+}
+
+static void handle_seat(void *ctx, int32_t number,
+			const struct seat_record *record)
+{
+	struct fleet *f = ctx;
+
+	membership_set_seat(f->membership, number);
+	f->options.ops->placement_changed(f->options.ctx, number);
+}
+
+static const struct seat_ops seat_ops = {
+	.changed = handle_seat,
+};
+
+static struct host_ref own_ref(const struct fleet *f)
+{
+	struct host_ref h = {.incarnation = f->options.incarnation};
+
+	g_strlcpy(h.id, f->options.host, sizeof(h.id));
+	return h;
+}
+
+static int create_seat(struct fleet *f)
+{
+	struct seat_options o = {
+		.clock = f->options.clock,
+		.seed = f->options.seed + 3,
+		.ops = &seat_ops,
+		.ctx = f,
+		.updater = f->updater,
+		.host = own_ref(f),
+		.domain = membership_self(f->membership)->domain,
+	};
+
+	return seat_create(&f->seat, &o);
+}
+
 static int create_parts(struct fleet *f)
 {
 	int r = frame_codec_create(&f->encoder);
@@ -104,6 +182,10 @@
 		r = create_membership(f);
 	if (!r)
 		r = create_config(f);
+	if (!r)
+		r = create_updater(f);
+	if (!r)
+		r = create_seat(f);
 	return r;
 }
 
@@ -128,6 +210,8 @@
 {
 	if (!f)
 		return;
+	seat_destroy(f->seat);
+	updater_destroy(f->updater);
 	config_destroy(f->config);
 	membership_destroy(f->membership);
 	frame_codec_destroy(f->encoder);
@@ -150,6 +234,18 @@
 		receive_gossip(f, frame);
 }
 
+/* Frames that waited during a pause can come in before the timers run. */
+static void check_pause(struct fleet *f)
+{
+	int64_t now = clock_now(&f->options.clock);
+	int64_t late = now - f->timer_us;
+
+	if (!f->timer_us || late < PAUSE_US)
+		return;
+	f->timer_us = now;
+	seat_note_pause(f->seat, late);
+}
+
 int fleet_receive(struct fleet *f, const void *data, size_t len)
 {
 	struct frame frame;
@@ -157,6 +253,7 @@
 
 	if (r)
 		return r;
+	check_pause(f);
 	switch (frame.type) {
 	case FRAME_HELLO:
 		r = frame_select_version(&frame.hello);
@@ -204,16 +301,67 @@
 	return config_version(f->config);
 }
 
+/* The seat is given back first, so that peers still reach its keys. */
+static void leave_when_released(struct fleet *f)
+{
+	if (!f->is_stopping || f->has_left || !seat_is_settled(f->seat))
+		return;
+	membership_leave(f->membership);
+	f->has_left = true;
+}
+
 void fleet_advance(struct fleet *f)
 {
-	membership_advance(f->membership);
+	check_pause(f);
+	if (!f->has_left)
+		membership_advance(f->membership);
 	config_advance(f->config);
+	updater_advance(f->updater);
+	seat_advance(f->seat);
+	leave_when_released(f);
+	f->timer_us = fleet_next_timer(f);
 }
 
 int64_t fleet_next_timer(const struct fleet *f)
 {
-	return MIN(membership_next_timer(f->membership),
-		   config_next_timer(f->config));
+	int64_t at = MIN(config_next_timer(f->config),
+			 updater_next_timer(f->updater));
+
+	if (!f->has_left)
+		at = MIN(at, membership_next_timer(f->membership));
+	return MIN(at, seat_next_timer(f->seat));
+}
+
+void fleet_store_result(struct fleet *f, uint64_t ticket, int code,
+			uint64_t revision, const void *data, size_t len)
+{
+	updater_result(f->updater, ticket, code, revision, data, len);
+}
+
+void fleet_host_list(struct fleet *f, const char *const *hosts, uint32_t count)
+{
+	seat_host_list(f->seat, hosts, count);
+}
+
+void fleet_set_seats(struct fleet *f, uint32_t seats)
+{
+	seat_set_count(f->seat, seats);
+}
+
+int32_t fleet_seat(const struct fleet *f)
+{
+	return seat_number(f->seat);
+}
+
+void fleet_stop(struct fleet *f)
+{
+	f->is_stopping = true;
+	seat_release(f->seat);
+}
+
+bool fleet_is_stopped(const struct fleet *f)
+{
+	return f->has_left;
 }
 
 const struct membership *fleet_members(const struct fleet *f)
--- /dev/null
+++ b/fleet/seat.c
@@ -0,0 +1,375 @@
+#include "fleet/seat.h"
+
+#include <glib.h>
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/errors.h"
+#include "common/events.h"
+
+#define CLAIM_DELAY_US (500 * US_PER_MS)
+/* No free seat: the host is a spare and asks seldom. */
+#define SPARE_DELAY_US (10 * US_PER_S)
+/* Without a new list for this long, absence is not counted on. */
+#define LIST_FRESH_US (5 * US_PER_S)
+/* Forgotten hosts count as absent from the next look at them. */
+#define FORGET_US (3600 * US_PER_S)
+/* Half of the absence that permits a takeover. */
+#define VERIFY_PAUSE_US (SEAT_ABSENCE_US / 2)
+
+enum seat_action {
+	SEAT_IDLE,
+	SEAT_CLAIMING,
+	SEAT_VERIFYING,
+	SEAT_RELEASING,
+};
+
+/** Host that was on the list, or that a record names. */
+struct listed {
+	/** Time of the first list without it, or 0. */
+	int64_t absent_us;
+};
+
+struct seat {
+	struct seat_options options;
+	GRand *rand;
+	GHashTable *listed;
+	int64_t list_us;
+	uint32_t seats;
+	int32_t number;
+	bool is_sure;
+	bool is_stopping;
+	enum seat_action action;
+	int64_t claim_us;
+	struct seat_record record;
+};
+
+static int64_t now_us(const struct seat *s)
+{
+	return clock_now(&s->options.clock);
+}
+
+static int64_t draw_delay(struct seat *s, int64_t max)
+{
+	return g_rand_int_range(s->rand, (gint32)(max / 4), (gint32)max);
+}
+
+static struct listed *find_listed(struct seat *s, const char *host)
+{
+	struct listed *l = g_hash_table_lookup(s->listed, host);
+
+	if (l)
+		return l;
+	l = g_new0(struct listed, 1);
+	l->absent_us = now_us(s);
+	g_hash_table_insert(s->listed, g_strdup(host), l);
+	return l;
+}
+
+static bool is_list_fresh(const struct seat *s)
+{
+	return s->list_us && now_us(s) - s->list_us <= LIST_FRESH_US;
+}
+
+static bool is_removed(struct seat *s, const char *host)
+{
+	const struct listed *l;
+
+	if (!is_list_fresh(s))
+		return false;
+	l = find_listed(s, host);
+	return l->absent_us && now_us(s) - l->absent_us >= SEAT_ABSENCE_US;
+}
+
+/* Absence is counted only over time in which lists arrived. */
+static void mark_absent(struct seat *s, bool is_gap)
+{
+	GHashTableIter iter;
+	gpointer value;
+	struct listed *l;
+
+	g_hash_table_iter_init(&iter, s->listed);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		l = value;
+		if (l->absent_us && now_us(s) - l->absent_us > FORGET_US) {
+			g_hash_table_iter_remove(&iter);
+			continue;
+		}
+		if (!l->absent_us || is_gap)
+			l->absent_us = now_us(s);
+	}
+}
+
+void seat_host_list(struct seat *s, const char *const *hosts, uint32_t count)
+{
+	GHashTable *present = g_hash_table_new(g_str_hash, g_str_equal);
+	GHashTableIter iter;
+	gpointer key;
+
+	for (uint32_t i = 0; i < count; i++) {
+		g_hash_table_add(present, (gpointer)hosts[i]);
+		find_listed(s, hosts[i]);
+	}
+	mark_absent(s, !is_list_fresh(s));
+	g_hash_table_iter_init(&iter, present);
+	while (g_hash_table_iter_next(&iter, &key, NULL))
+		find_listed(s, key)->absent_us = 0;
+	g_hash_table_destroy(present);
+	s->list_us = now_us(s);
+}
+
+static bool is_free(struct seat *s, const struct seat_record *r)
+{
+	if (!r || !r->host.id[0])
+		return true;
+	if (!strcmp(r->host.id, s->options.host.id))
+		return true;
+	return is_removed(s, r->host.id);
+}
+
+static struct seat_record *find_own(const struct seat *s,
+				    const struct seat_table *t)
+{
+	for (uint32_t i = 0; i < t->count; i++) {
+		if (host_ref_equals(&t->records[i].host, &s->options.host))
+			return &t->records[i];
+	}
+	return NULL;
+}
+
+/* Hosts that join at once choose different seats, and so does a retry. */
+static int32_t choose_free(struct seat *s, const struct seat_table *t)
+{
+	uint32_t first;
+
+	if (!s->seats)
+		return NO_SEAT;
+	first = (uint32_t)g_rand_int_range(s->rand, 0, (gint32)s->seats);
+	for (uint32_t i = 0; i < s->seats; i++) {
+		uint16_t number = (uint16_t)((first + i) % s->seats);
+
+		if (is_free(s, seat_table_find(t, number)))
+			return number;
+	}
+	return NO_SEAT;
+}
+
+/* Keys stay with a live host that took them over; it hands them back. */
+static bool may_take_keys(struct seat *s, const struct seat_record *r)
+{
+	if (!r->owner.id[0] || !strcmp(r->owner.id, s->options.host.id))
+		return true;
+	return is_removed(s, r->owner.id);
+}
+
+static void occupy(struct seat *s, struct seat_record *r)
+{
+	bool takes_keys = may_take_keys(s, r);
+
+	r->host = s->options.host;
+	if (!takes_keys)
+		return;
+	r->owner = s->options.host;
+	memset(&r->successor, 0, sizeof(r->successor));
+	r->epoch++;
+	r->tenure_us = clock_wall(&s->options.clock);
+}
+
+static enum update_decision edit_claim(void *ctx, struct seat_table *t)
+{
+	struct seat *s = ctx;
+	struct seat_record *r = find_own(s, t);
+	int32_t number;
+
+	/* Written again: the read may be stale and the seat taken since. */
+	if (r && r->number < s->seats) {
+		s->record = *r;
+		return UPDATE_WRITE;
+	}
+	if (r)
+		memset(&r->host, 0, sizeof(r->host));
+	number = choose_free(s, t);
+	if (number == NO_SEAT || s->is_stopping)
+		return UPDATE_ABORT;
+	r = seat_table_find(t, (uint16_t)number);
+	if (!r)
+		r = seat_table_add(t, (uint16_t)number);
+	if (!r)
+		return UPDATE_ABORT;
+	occupy(s, r);
+	s->record = *r;
+	return UPDATE_WRITE;
+}
+
+static void set_number(struct seat *s, int32_t number)
+{
+	bool is_gained = number != NO_SEAT;
+
+	s->number = number;
+	s->is_sure = is_gained;
+	event_log(is_gained ? EV_SEAT_HELD : EV_SEAT_LOST,
+		  "host=%s domain=%s seat=%d", s->options.host.id,
+		  s->options.domain, is_gained ? number : s->record.number);
+	s->options.ops->changed(s->options.ctx, number,
+				is_gained ? &s->record : NULL);
+}
+
+static void handle_claimed(void *ctx, int code)
+{
+	struct seat *s = ctx;
+
+	s->action = SEAT_IDLE;
+	s->claim_us = now_us(s) + draw_delay(s, SPARE_DELAY_US);
+	if (!code)
+		set_number(s, s->record.number);
+}
+
+static enum update_decision edit_verify(void *ctx, struct seat_table *t)
+{
+	struct seat *s = ctx;
+	const struct seat_record *r = find_own(s, t);
+
+	/* The write proves that the read was not stale. */
+	return r && r->number == s->number ? UPDATE_WRITE : UPDATE_ABORT;
+}
+
+static void handle_verified(void *ctx, int code)
+{
+	struct seat *s = ctx;
+
+	s->action = SEAT_IDLE;
+	if (!code)
+		s->is_sure = true;
+	else if (s->number != NO_SEAT)
+		set_number(s, NO_SEAT);
+}
+
+/* The successor continues with the keys; without one nobody owns them. */
+static enum update_decision edit_release(void *ctx, struct seat_table *t)
+{
+	struct seat *s = ctx;
+	struct seat_record *r = find_own(s, t);
+
+	if (!r)
+		return UPDATE_DONE;
+	memset(&r->host, 0, sizeof(r->host));
+	if (host_ref_equals(&r->owner, &s->options.host)) {
+		r->owner = r->successor;
+		memset(&r->successor, 0, sizeof(r->successor));
+		r->epoch++;
+		r->tenure_us = clock_wall(&s->options.clock);
+	}
+	return UPDATE_WRITE;
+}
+
+static void handle_released(void *ctx, int code)
+{
+	struct seat *s = ctx;
+
+	s->action = SEAT_IDLE;
+	event_log(EV_SEAT_RELEASED, "host=%s domain=%s seat=%u",
+		  s->options.host.id, s->options.domain, s->record.number);
+}
+
+static void start_update(struct seat *s, enum seat_action action,
+			 enum update_decision (*edit)(void *,
+						      struct seat_table *),
+			 void (*finished)(void *, int))
+{
+	struct update u = {s->options.domain, edit, finished, s};
+
+	s->action = action;
+	updater_start(s->options.updater, &u);
+}
+
+void seat_set_count(struct seat *s, uint32_t seats)
+{
+	s->seats = MIN(seats, MAX_SEATS);
+	if (s->number != NO_SEAT && (uint32_t)s->number >= s->seats)
+		set_number(s, NO_SEAT);
+}
+
+/* Waits for a claim under way, which may already be in the store. */
+static void release_now(struct seat *s)
+{
+	if (s->action != SEAT_IDLE)
+		return;
+	s->claim_us = INT64_MAX;
+	start_update(s, SEAT_RELEASING, edit_release, handle_released);
+}
+
+void seat_release(struct seat *s)
+{
+	if (s->is_stopping)
+		return;
+	s->is_stopping = true;
+	s->claim_us = 0;
+	if (s->number != NO_SEAT)
+		set_number(s, NO_SEAT);
+	release_now(s);
+}
+
+void seat_note_pause(struct seat *s, int64_t pause_us)
+{
+	if (pause_us < VERIFY_PAUSE_US || s->number == NO_SEAT)
+		return;
+	s->is_sure = false;
+}
+
+void seat_advance(struct seat *s)
+{
+	if (s->action != SEAT_IDLE || now_us(s) < s->claim_us)
+		return;
+	if (s->is_stopping)
+		release_now(s);
+	else if (s->number != NO_SEAT && !s->is_sure)
+		start_update(s, SEAT_VERIFYING, edit_verify, handle_verified);
+	else if (s->number == NO_SEAT && s->seats)
+		start_update(s, SEAT_CLAIMING, edit_claim, handle_claimed);
+}
+
+int64_t seat_next_timer(const struct seat *s)
+{
+	bool is_complete = s->number != NO_SEAT && s->is_sure;
+
+	if (s->action != SEAT_IDLE || (is_complete && !s->is_stopping) ||
+	    (!s->seats && !s->is_stopping))
+		return INT64_MAX;
+	return s->claim_us;
+}
+
+int32_t seat_number(const struct seat *s)
+{
+	return s->is_sure ? s->number : NO_SEAT;
+}
+
+bool seat_is_settled(const struct seat *s)
+{
+	return s->action == SEAT_IDLE;
+}
+
+int seat_create(struct seat **out, const struct seat_options *options)
+{
+	struct seat *s = calloc(1, sizeof(*s));
+
+	if (!s)
+		return -ERR_NOMEM;
+	s->options = *options;
+	s->number = NO_SEAT;
+	s->rand = g_rand_new_with_seed((guint32)options->seed);
+	s->listed =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	s->claim_us = now_us(s) + draw_delay(s, CLAIM_DELAY_US);
+	*out = s;
+	return 0;
+}
+
+void seat_destroy(struct seat *s)
+{
+	if (!s)
+		return;
+	g_hash_table_destroy(s->listed);
+	g_rand_free(s->rand);
+	free(s);
+}
--- a/include/fleet/fleet.h
+++ b/include/fleet/fleet.h
@@ -29,6 +29,16 @@
 	void (*fetch_set)(void *ctx, const char *address, uint64_t version);
 	/** Starts or stops watching the pointer in the store. */
 	void (*watch)(void *ctx, bool is_wanted);
+	/** Reads a key; the result goes to fleet_store_result(). */
+	void (*store_get)(void *ctx, uint64_t ticket, const char *key);
+	/** Writes a key if its revision is still the given one (0: absent). */
+	void (*store_cas)(void *ctx, uint64_t ticket, const char *key,
+			  uint64_t revision, const void *data, size_t len);
+	/**
+	 * This host has another seat, or NO_SEAT: its shares of leaves and its
+	 * groups are to be derived anew.
+	 */
+	void (*placement_changed)(void *ctx, int32_t seat);
 	/**
 	 * Hands over a PULL that names a part, or a SET; valid during the call.
 	 */
@@ -76,6 +86,30 @@
 /** Returns the version in force, or 0: the host is not ready. */
 uint64_t fleet_version(const struct fleet *f);
 
+/**
+ * Takes the result of store_get() or store_cas(): 0, -ERR_STORE_NOT_FOUND,
+ * -ERR_STORE_CONFLICT, -ERR_STORE_DOWN (not done) or -ERR_STORE_UNKNOWN
+ * (perhaps done). Revision and data belong to a read.
+ */
+void fleet_store_result(struct fleet *f, uint64_t ticket, int code,
+			uint64_t revision, const void *data, size_t len);
+
+/** Takes the platform's list of the ids of live and leaving hosts. */
+void fleet_host_list(struct fleet *f, const char *const *hosts, uint32_t count);
+
+/** Sets the number of seats of this host's domain, from the set in force. */
+void fleet_set_seats(struct fleet *f, uint32_t seats);
+
+/** Returns the seat that this host holds, or NO_SEAT. */
+int32_t fleet_seat(const struct fleet *f);
+
+/**
+ * Begins a graceful stop: gives the seat back and tells the peers. Go on
+ * calling fleet_advance() until fleet_is_stopped() or a deadline.
+ */
+void fleet_stop(struct fleet *f);
+bool fleet_is_stopped(const struct fleet *f);
+
 /** Runs what is due. */
 void fleet_advance(struct fleet *f);
 
--- a/test/unit/fleet_sim.c
+++ b/test/unit/fleet_sim.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "common/errors.h"
 #include "common/events.h"
 
 #define LOCAL_US 250
@@ -55,10 +56,19 @@
 	return first;
 }
 
+static void drop_value(GBytes *value)
+{
+	if (value)
+		g_bytes_unref(value);
+}
+
 static void release_event(struct sim_event *e)
 {
-	if (e->frame)
-		g_bytes_unref(e->frame);
+	drop_value(e->frame);
+	if (!e->call)
+		return;
+	drop_value(e->call->value);
+	g_free(e->call);
 }
 
 static uint32_t region_of(const struct sim_host *h)
@@ -175,7 +185,128 @@
 	return true;
 }
 
+static struct sim_value *find_value(struct sim *s, const char *key)
+{
+	for (uint32_t i = 0; i < s->value_count; i++) {
+		if (!strcmp(s->values[i].key, key))
+			return &s->values[i];
+	}
+	g_strlcpy(s->values[s->value_count].key, key, sizeof(s->values[0].key));
+	return &s->values[s->value_count++];
+}
+
+static void push_call(struct sim *s, uint32_t host, enum sim_kind kind,
+		      struct sim_store_call *call)
+{
+	push_event(s,
+		   (struct sim_event){.at_us = s->clock.now_us +
+					       g_rand_int_range(s->rand, 500,
+								2 * STORE_US),
+				      .host = host,
+				      .kind = kind,
+				      .call = call});
+}
+
+static void start_call(struct sim_host *h, uint64_t ticket, const char *key,
+		       bool is_write, uint64_t revision, GBytes *value)
+{
+	struct sim_store_call *call = g_new0(struct sim_store_call, 1);
+
+	call->ticket = ticket;
+	g_strlcpy(call->key, key, sizeof(call->key));
+	call->is_write = is_write;
+	call->revision = revision;
+	call->value = value;
+	h->sim->store_calls++;
+	push_call(h->sim, h->index, SIM_STORE, call);
+}
+
+static void handle_get(void *ctx, uint64_t ticket, const char *key)
+{
+	start_call(ctx, ticket, key, false, 0, NULL);
+}
+
+static void handle_cas(void *ctx, uint64_t ticket, const char *key,
+		       uint64_t revision, const void *data, size_t len)
+{
+	start_call(ctx, ticket, key, true, revision, g_bytes_new(data, len));
+}
+
+static void run_write(struct sim_value *v, struct sim_store_call *call)
+{
+	call->code = call->revision == v->revision ? 0 : -ERR_STORE_CONFLICT;
+	if (call->code)
+		return;
+	drop_value(v->old_value);
+	v->old_value = v->value;
+	v->old_revision = v->revision;
+	v->value = g_bytes_ref(call->value);
+	v->revision++;
+}
+
+static void run_read(struct sim *s, struct sim_value *v,
+		     struct sim_store_call *call)
+{
+	bool is_stale = g_rand_double(s->rand) < s->stale_reads;
+	GBytes *value = is_stale ? v->old_value : v->value;
+
+	call->revision = is_stale ? v->old_revision : v->revision;
+	call->code = value ? 0 : -ERR_STORE_NOT_FOUND;
+	call->value = value ? g_bytes_ref(value) : NULL;
+}
+
+static void run_call(struct sim *s, struct sim_event *e)
+{
+	struct sim_store_call *call = e->call;
+	struct sim_value *v = find_value(s, call->key);
+
+	e->call = NULL;
+	if (s->is_store_down)
+		call->code = -ERR_STORE_DOWN;
+	else if (call->is_write)
+		run_write(v, call);
+	else
+		run_read(s, v, call);
+	if (call->is_write && g_rand_double(s->rand) < s->lost_replies)
+		call->code = -ERR_STORE_UNKNOWN;
+	push_call(s, e->host, SIM_STORE_RESULT, call);
+}
+
+static void give_result(struct sim_host *h, const struct sim_store_call *call)
+{
+	size_t len = 0;
+	const void *data = NULL;
+
+	if (call->value && !call->is_write)
+		data = g_bytes_get_data(call->value, &len);
+	fleet_store_result(h->fleet, call->ticket, call->code, call->revision,
+			   data, len);
+}
+
+static void handle_placement(void *ctx, int32_t seat)
+{
+}
+
+void sim_host_list(struct sim *s)
+{
+	const char **ids = g_new(const char *, s->host_count);
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < s->host_count; i++) {
+		if (s->hosts[i].is_up)
+			ids[count++] = s->hosts[i].id;
+	}
+	for (uint32_t i = 0; i < s->host_count; i++) {
+		if (s->hosts[i].is_up && !s->hosts[i].is_paused)
+			fleet_host_list(s->hosts[i].fleet, ids, count);
+	}
+	g_free(ids);
+}
+
 static const struct fleet_ops fleet_ops = {
+	.store_get = handle_get,
+	.store_cas = handle_cas,
+	.placement_changed = handle_placement,
 	.send = handle_send,
 	.fetch_set = handle_fetch,
 	.watch = handle_watch,
@@ -225,6 +356,10 @@
 		stop_host(&s->hosts[i]);
 	for (uint32_t i = 0; i < s->event_count; i++)
 		release_event(&s->events[i]);
+	for (uint32_t i = 0; i < s->value_count; i++) {
+		drop_value(s->values[i].value);
+		drop_value(s->values[i].old_value);
+	}
 	g_free(s->events);
 	g_free(s->hosts);
 	g_rand_free(s->rand);
@@ -262,6 +397,7 @@
 	if (fleet_create(&h->fleet, &o))
 		abort();
 	h->is_up = true;
+	fleet_set_seats(h->fleet, s->seats);
 	h->is_paused = false;
 	h->timer_us = 0;
 	arm_timer(s, h);
@@ -293,6 +429,11 @@
 						.kind = SIM_FETCHED,
 						.version = e->version});
 		return;
+	case SIM_STORE:
+		return;
+	case SIM_STORE_RESULT:
+		give_result(h, e->call);
+		return;
 	case SIM_FETCHED:
 		fleet_set_in_force(h->fleet, e->version);
 		return;
@@ -304,6 +445,10 @@
 {
 	struct sim_host *h = &s->hosts[e->host];
 
+	if (e->kind == SIM_STORE) {
+		run_call(s, e);
+		return true;
+	}
 	if (!h->is_up || (e->kind == SIM_TIMER && e->at_us != h->timer_us))
 		return true;
 	if (h->is_paused) {
--- a/test/unit/fleet_sim.h
+++ b/test/unit/fleet_sim.h
@@ -40,6 +40,28 @@
 	SIM_FETCH,
 	/** Its reply. */
 	SIM_FETCHED,
+	/** Request at the store and its result at the host. */
+	SIM_STORE,
+	SIM_STORE_RESULT,
+};
+
+/** Call of the store, then its result. */
+struct sim_store_call {
+	uint64_t ticket;
+	char key[64];
+	bool is_write;
+	uint64_t revision;
+	int code;
+	GBytes *value;
+};
+
+/** Value of the store with the one before, for stale reads. */
+struct sim_value {
+	char key[64];
+	uint64_t revision;
+	GBytes *value;
+	uint64_t old_revision;
+	GBytes *old_value;
 };
 
 struct sim_event {
@@ -52,6 +74,7 @@
 	/** Version, for SIM_VERSION and SIM_FETCH; host that fetches. */
 	uint64_t version;
 	uint32_t from;
+	struct sim_store_call *call;
 };
 
 struct sim {
@@ -71,6 +94,14 @@
 	/** Version in the store. */
 	uint64_t version;
 	bool is_store_down;
+	struct sim_value values[8];
+	uint32_t value_count;
+	/** Shares of writes without a reply and of stale reads. */
+	double lost_replies;
+	double stale_reads;
+	uint64_t store_calls;
+	/** Seats per domain; 0 runs without seats. */
+	uint32_t seats;
 	/** Version that a stale read returns, or 0. */
 	uint64_t stale_version;
 	/** Called after each event, if set. */
@@ -93,6 +124,9 @@
 /** Runs events up to a time from now. */
 void sim_run(struct sim *s, int64_t us);
 
+/** Gives all running hosts the list of running and paused hosts. */
+void sim_host_list(struct sim *s);
+
 /** Puts a version in the store; watchers are told. */
 void sim_publish(struct sim *s, uint64_t version);
 /** Returns whether the version is in force on all running hosts. */
--- a/test/unit/suites.h
+++ b/test/unit/suites.h
@@ -9,6 +9,7 @@
 extern CU_TestInfo fleet_frame_tests[];
 extern CU_TestInfo fleet_membership_tests[];
 extern CU_TestInfo fleet_placement_tests[];
+extern CU_TestInfo fleet_seat_tests[];
 extern CU_TestInfo merge_tests[];
 
 #endif
