--- a/test/unit/fleet_sim.c
+++ b/test/unit/fleet_sim.c
@@ -62,13 +62,18 @@
 		g_bytes_unref(value);
 }
 
+static void clear_call(gpointer data)
+{
+	struct sim_store_call *call = data;
+
+	drop_value(call->value);
+}
+
 static void release_event(struct sim_event *e)
 {
 	drop_value(e->frame);
-	if (!e->call)
-		return;
-	drop_value(e->call->value);
-	g_free(e->call);
+	if (e->call)
+		g_rc_box_release_full(e->call, clear_call);
 }
 
 static uint32_t region_of(const struct sim_host *h)
@@ -210,7 +215,7 @@
 static void start_call(struct sim_host *h, uint64_t ticket, const char *key,
 		       bool is_write, uint64_t revision, GBytes *value)
 {
-	struct sim_store_call *call = g_new0(struct sim_store_call, 1);
+	struct sim_store_call *call = g_rc_box_new0(struct sim_store_call);
 
 	call->ticket = ticket;
 	g_strlcpy(call->key, key, sizeof(call->key));
