--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -436,6 +436,11 @@
 	return r;
 }
 
+void fleet_set_seat(struct fleet *f, int32_t seat)
+{
+	membership_set_seat(f->membership, seat);
+}
+
 void fleet_store_version(struct fleet *f, uint64_t version)
 {
 	config_seen(f->config, version, NULL);
--- a/nutmegpickd/main.c
+++ b/nutmegpickd/main.c
@@ -7,8 +7,11 @@
 #include <string.h>
 #include <time.h>
 
+#include <jansson.h>
+
 #include "common/errors.h"
 #include "common/events.h"
+#include "nutmegpickd/store_thread.h"
 
 #define EVENT_RING_SIZE 65536
 
@@ -63,13 +66,6 @@
 	}
 }
 
-static GLogWriterOutput handle_log(GLogLevelFlags level,
-				   const GLogField *fields, gsize count,
-				   gpointer ctx)
-{
-	return g_log_writer_standard_streams(level, fields, count, ctx);
-}
-
 static int load_objects(struct host *h)
 {
 	struct fault_list faults = {0};
@@ -95,9 +91,10 @@
 {
 	struct host *h = ctx;
 	struct host_event e = {.type = HOST_REQUEST, .exchange = x};
+	struct origin o = {.exchange = x};
 
 	if (host_send(h, e))
-		answer_refuse(x, "", -ERR_OVERLOAD, US_PER_S);
+		answer_refuse(h, &o, "", -ERR_OVERLOAD, RUN_NOT_RUN, US_PER_S);
 }
 
 static void handle_reply(void *ctx, struct upstream_reply *reply)
@@ -110,6 +107,11 @@
 		g_usleep(100);
 }
 
+static void handle_free_hits(gpointer hits)
+{
+	json_decref(hits);
+}
+
 static int start_host(struct host *h)
 {
 	struct engine_options engine_options = {
@@ -134,6 +136,8 @@
 	h->queries = g_hash_table_new(g_int64_hash, g_int64_equal);
 	h->calls = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
 					 NULL);
+	h->kept_hits = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+					     g_free, handle_free_hits);
 	ret = ring_create(&h->events, EVENT_RING_SIZE);
 	if (!ret)
 		ret = engine_create(&h->engine, &engine_options);
@@ -143,6 +147,11 @@
 		ret = load_objects(h);
 	if (ret)
 		return ret;
+	ret = peers_start(h);
+	if (!ret && h->settings.store_endpoints)
+		ret = store_thread_start(&h->store_thread, h);
+	if (ret)
+		return ret;
 	pthread_create(&h->engine_thread, NULL, host_run_engine, h);
 	ret = http_server_create(&h->server, &server_options);
 	if (!ret)
@@ -151,20 +160,39 @@
 	return ret;
 }
 
+static void send_surely(struct host *h, enum host_event_type type)
+{
+	while (host_send(h, (struct host_event){.type = type}))
+		g_usleep(1000);
+}
+
 static void stop_host(struct host *h)
 {
+	unsigned int left;
+
 	event_log(EV_DRAIN, "host=%s", h->settings.host_id);
-	host_send(h, (struct host_event){.type = HOST_DRAIN});
+	send_surely(h, HOST_DRAIN);
+	http_server_drain(h->server);
 	g_usleep((gulong)h->settings.drain_delay_us);
-	while (host_send(h, (struct host_event){.type = HOST_STOP}))
-		g_usleep(1000);
-	http_server_destroy(h->server, h->settings.stop_timeout_us);
-	while (host_send(h, (struct host_event){.type = HOST_EXIT}))
-		g_usleep(1000);
+	left = http_server_stop(h->server, h->settings.stop_timeout_us);
+	if (left)
+		event_log(EV_STOP_TIMEOUT, "host=%s connections=%u",
+			  h->settings.host_id, left);
+	/* Requests that outlast stop_timeout are refused before the exit. */
+	send_surely(h, HOST_STOP);
+	http_server_destroy(h->server, US_PER_S);
+	if (h->store_thread)
+		store_thread_stop(h->store_thread);
+	send_surely(h, HOST_EXIT);
 	pthread_join(h->engine_thread, NULL);
 	upstream_destroy(h->upstream);
+	peers_stop(h);
+	host_drop_events(h);
 	engine_unref(h->engine);
 	object_set_unref(h->set);
+	g_hash_table_destroy(h->queries);
+	g_hash_table_destroy(h->calls);
+	ring_destroy(h->events);
 	event_log(EV_STOP, "host=%s", h->settings.host_id);
 }
 
@@ -192,6 +220,8 @@
 	ret = settings_load(arguments.settings_path, &h.settings, &faults);
 	if (ret) {
 		print_faults(&faults);
+		fault_list_clear(&faults);
+		settings_clear(&h.settings);
 		return EXIT_FAILURE;
 	}
 	if (arguments.is_check_only) {
@@ -199,8 +229,7 @@
 		settings_clear(&h.settings);
 		return EXIT_SUCCESS;
 	}
-	g_log_set_writer_func(handle_log, NULL, NULL);
-	g_setenv("G_MESSAGES_DEBUG", "nutmegpick", TRUE);
+	event_use_line_writer();
 	event_set_level(h.settings.log_level);
 	sigemptyset(&signals);
 	sigaddset(&signals, SIGTERM);
--- a/test/unit/suites.h
+++ b/test/unit/suites.h
@@ -4,7 +4,14 @@
 #include <CUnit/CUnit.h>
 
 /** Suites, one per test file; each is a NULL-terminated list of tests. */
+extern CU_TestInfo broken_tests[];
 extern CU_TestInfo common_tests[];
+extern CU_TestInfo engine_admission_tests[];
+extern CU_TestInfo engine_extra_calls_tests[];
+extern CU_TestInfo engine_keys_tests[];
+extern CU_TestInfo engine_replicas_tests[];
+extern CU_TestInfo engine_snapshot_tests[];
+extern CU_TestInfo forward_tests[];
 extern CU_TestInfo fleet_config_tests[];
 extern CU_TestInfo fleet_fault_tests[];
 extern CU_TestInfo fleet_frame_tests[];
@@ -13,5 +20,11 @@
 extern CU_TestInfo fleet_placement_tests[];
 extern CU_TestInfo fleet_seat_tests[];
 extern CU_TestInfo merge_tests[];
+extern CU_TestInfo upstream_tests[];
+extern CU_TestInfo peer_tests[];
+extern CU_TestInfo store_etcd_tests[];
+extern CU_TestInfo store_follow_tests[];
+extern CU_TestInfo store_gateway_tests[];
+extern CU_TestInfo store_publish_tests[];
 
 #endif
