nutmegpickd: hold seats and key leases; let first attempts through

Hosts now claim their seats in the store and run keyed requests under the key leases of fleet/.

- engine_set_tenure() had one tenure per group, so a successor refused keys of its own seat after a takeover.
Tenures now belong to key ranges, one per seat.
- Keys made within the clock skew of a takeover were refused for good.
A caller may state that it sends a key for the first time (Nutmegpick-Key-Attempt: 1); as no other host was handed the request, it cannot have run before.
- Requests for the keys of a lost owner were refused at once.
They now wait, at most until their deadline, and are not handed to an owner that has given no result for 500 ms.

A successor gets one connection to each leaf of the seats it took over; holders leave one connection of each leaf free for that.

--- a/bench/host.c
+++ b/bench/host.c
@@ -209,6 +209,8 @@
 		.class = w->set->classes[r->class].name,
 		.deadline_us = a->deadline_us - w->now_us,
 		.key_created_us = WALL_US + r->created_us,
+		.key_range = a->key_range,
+		.is_first_attempt = a->is_first,
 		.user = a,
 	};
 	int64_t retry_after_us;
@@ -243,7 +245,7 @@
 	return MIN(g->holders ? g->holders : g->slots, w->host_count);
 }
 
-static struct host *pick_holder(struct world *w, const struct attempt *a)
+static struct host *pick_holder(struct world *w, struct attempt *a)
 {
 	const char *key = a->request->key;
 	obj_handle group = w->set->services[a->request->service].groups[0];
@@ -252,8 +254,10 @@
 			     : g_rand_int(w->random);
 	struct host *best = get_holder(w, group, hash % count);
 
-	if (*key)
+	if (*key) {
+		a->key_range = best->index;
 		return best->key_owner;
+	}
 	for (uint32_t i = 0; i < count; i++) {
 		struct host *h = get_holder(w, group, (hash + i) % count);
 
@@ -284,6 +288,7 @@
 	if (!r->attempts || r->run == RUN_NOT_RUN)
 		r->created_us = w->now_us;
 	r->attempts++;
+	a->is_first = r->attempts == 1;
 	a->code = -ERR_DEADLINE;
 	a->run = RUN_UNKNOWN;
 	world_after(w, r->deadline_us + CALLER_SLACK_US, handle_answer, a);
@@ -338,13 +343,12 @@
 	if (is_silent(w, next, 0))
 		return;
 	if (h->key_owner != next)
-		next->tenure_us = w->now_us + next->clock.wall_offset_us;
+		h->tenure_us = w->now_us + next->clock.wall_offset_us;
 	h->key_owner = next;
 	next->renewed_us = w->now_us;
 	next->clock.now_us = w->now_us;
-	for (uint32_t i = 0; i < w->set->group_count; i++)
-		engine_set_tenure(next->engine, i, next->tenure_us,
-				  w->now_us + LEASE_US);
+	engine_set_tenure(next->engine, h->index, h->tenure_us,
+			  w->now_us + LEASE_US);
 }
 
 static void set_shares(struct world *w, struct host *h,
--- a/engine/engine.c
+++ b/engine/engine.c
@@ -29,6 +29,7 @@
 	e->random = g_rand_new_with_seed((guint32)options->seed);
 	e->start_wall_us = clock_wall(&e->options.clock);
 	e->snapshot_epoch = 1;
+	e->tenures = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 	*out = e;
 	return 0;
 }
@@ -60,6 +61,7 @@
 	heap_clear(&e->timers);
 	heap_clear(&e->ended);
 	heap_clear(&e->ready_pools);
+	g_hash_table_destroy(e->tenures);
 	view_unref(e->view);
 	g_rand_free(e->random);
 	free(e);
@@ -69,7 +71,7 @@
 {
 	struct set_view *previous = e->view;
 
-	e->view = view_create(set, previous, engine_now(e), e->start_wall_us);
+	e->view = view_create(set, previous, engine_now(e));
 	view_unref(previous);
 	e->snapshot_epoch++;
 	LOG(SET_IN_FORCE, "version=%" PRIu64 " services=%u leaves=%u",
@@ -87,14 +89,16 @@
 	return 0;
 }
 
-int engine_set_tenure(struct engine *e, obj_handle group, int64_t start_wall_us,
-		      int64_t lease_until_us)
+void engine_set_tenure(struct engine *e, uint32_t key_range,
+		       int64_t start_wall_us, int64_t lease_until_us)
 {
-	if (!e->view || group >= e->view->set->group_count)
-		return -ERR_INVAL;
-	e->view->groups[group]->tenure_start_us = start_wall_us;
-	e->view->groups[group]->lease_until_us = lease_until_us;
-	return 0;
+	struct tenure t = {
+		.start_us = start_wall_us,
+		.lease_until_us = lease_until_us,
+	};
+
+	g_hash_table_insert(e->tenures, GUINT_TO_POINTER(key_range),
+			    g_memdup2(&t, sizeof(t)));
 }
 
 static int refuse(const struct engine_request *request, int code)
--- a/engine/query.c
+++ b/engine/query.c
@@ -45,6 +45,7 @@
 	q->service = view ? object_set_find_service(view->set, r->service)
 			  : OBJ_NONE;
 	q->user = r->user;
+	q->key_range = r->key_range;
 	q->start_us = engine_now(e);
 	deadline = choose_deadline(q, r->deadline_us);
 	q->deadline_us = q->start_us + deadline - answer_margin(e, deadline);
--- a/engine/request_key.c
+++ b/engine/request_key.c
@@ -48,42 +48,37 @@
 	return true;
 }
 
-static int64_t tenure_start(const struct query *q)
+static struct tenure find_tenure(const struct engine *e, const struct query *q)
 {
-	const struct service_object *service = query_service(q);
-	int64_t start = INT64_MIN;
-
-	for (uint32_t i = 0; i < service->group_count; i++)
-		start = MAX(
-			start,
-			q->view->groups[service->groups[i]]->tenure_start_us);
-	return start;
+	const struct tenure *t =
+		g_hash_table_lookup(e->tenures, GUINT_TO_POINTER(q->key_range));
+	struct tenure none = {
+		.start_us = e->start_wall_us,
+		.lease_until_us = e->options.requires_tenure ? INT64_MIN
+							     : INT64_MAX,
+	};
+
+	return t ? *t : none;
 }
 
 bool request_key_has_lease(const struct engine *e, const struct query *q)
 {
-	const struct service_object *service = query_service(q);
-	int64_t now = engine_now(e);
-
-	for (uint32_t i = 0; i < service->group_count; i++) {
-		if (q->view->groups[service->groups[i]]->lease_until_us <= now)
-			return false;
-	}
-	return true;
+	return find_tenure(e, q).lease_until_us > engine_now(e);
 }
 
 int request_key_check(struct engine *e, const struct engine_request *r,
 		      const struct query *q)
 {
-	int ret;
+	int64_t start = find_tenure(e, q).start_us;
 
 	if (!r->key[0] || r->key_created_us <= 0)
 		return -ERR_KEY_REQUIRED;
-	ret = key_table_check_created(&e->keys, r->key_created_us,
-				      tenure_start(q));
-	if (ret)
-		return ret;
-	return request_key_has_lease(e, q) ? 0 : -ERR_LEASE_LAPSED;
+	if (!request_key_has_lease(e, q))
+		return -ERR_LEASE_LAPSED;
+	/* The key was sent to no other host, so no earlier owner has run it. */
+	if (r->is_first_attempt)
+		start = INT64_MIN / 2;
+	return key_table_check_created(&e->keys, r->key_created_us, start);
 }
 
 static void answer_waiters(struct engine *e, struct query *waiters,
--- a/engine/view.c
+++ b/engine/view.c
@@ -92,21 +92,13 @@
 	return state;
 }
 
-static void take_groups(struct set_view *v, GHashTable *previous,
-			int64_t tenure_start_us)
+static void take_groups(struct set_view *v, GHashTable *previous)
 {
 	v->groups = g_new0(struct group_state *, v->set->group_count);
-	for (uint32_t i = 0; i < v->set->group_count; i++) {
-		struct group_state *g = take_state(
-			v->group_names, previous,
-			g_strdup(v->set->groups[i].name), sizeof(*g));
-
-		v->groups[i] = g;
-		if (g->lease_until_us)
-			continue;
-		g->tenure_start_us = tenure_start_us;
-		g->lease_until_us = INT64_MAX;
-	}
+	for (uint32_t i = 0; i < v->set->group_count; i++)
+		v->groups[i] = take_state(v->group_names, previous,
+					  g_strdup(v->set->groups[i].name),
+					  sizeof(struct group_state));
 }
 
 static char *shard_name(const struct set_view *v, obj_handle shard)
@@ -214,8 +206,7 @@
 }
 
 struct set_view *view_create(struct object_set *set,
-			     const struct set_view *previous, int64_t now_us,
-			     int64_t tenure_start_us)
+			     const struct set_view *previous, int64_t now_us)
 {
 	struct set_view *v = g_rc_box_new0(struct set_view);
 	static const struct set_view none;
@@ -228,7 +219,7 @@
 	v->group_names = new_table(handle_release_group);
 	v->service_names = new_table(handle_release_service);
 	v->pool_names = new_table(handle_release_pool);
-	take_groups(v, previous->group_names, tenure_start_us);
+	take_groups(v, previous->group_names);
 	take_shards(v, previous->shard_names);
 	take_leaves(v, previous->leaf_names, now_us);
 	take_services(v, previous->service_names);
--- a/include/bench/world.h
+++ b/include/bench/world.h
@@ -14,8 +14,8 @@
 	struct host *entry, *holder;
 	int64_t deadline_us;
 	uint64_t weight, snapshot;
-	bool is_mixed, is_finished, is_answered;
-	uint32_t runs;
+	bool is_first, is_mixed, is_finished, is_answered;
+	uint32_t key_range, runs;
 	int code;
 	enum run_state run;
 	double coverage;
--- a/include/engine/engine.h
+++ b/include/engine/engine.h
@@ -38,6 +38,14 @@
 	char key[ENGINE_ID_MAX];
 	/** Wall time at which the caller made the key. */
 	int64_t key_created_us;
+	/** Key range, as in engine_set_tenure(), that the key belongs to. */
+	uint32_t key_range;
+	/**
+	 * The caller states that it sends the key for the first time, and no
+	 * other host was handed the request. Such a key cannot have run before
+	 * the tenure, whenever it was made.
+	 */
+	bool is_first_attempt;
 	/** Marks the request as non-idempotent whatever the service says. */
 	bool is_non_idempotent;
 	/** Handle of the adapter's own state, given back in callbacks. */
@@ -177,6 +185,11 @@
 	uint32_t max_keys;
 	/** Time kept for the answer's way to the caller; 0 selects 3 ms. */
 	int64_t answer_margin_us;
+	/**
+	 * Refuses keys of ranges without a tenure. Otherwise such a tenure
+	 * began when the engine was created, and its lease does not end.
+	 */
+	bool requires_tenure;
 	/** Failure domain of this host; NULL if not known. */
 	const char *domain;
 };
@@ -217,13 +230,12 @@
 		     struct leaf_share share);
 
 /**
- * Sets the key tenure of a group: keys created before start (wall time) are
- * refused, and no keyed call starts after lease_until (monotonic time).
- * Without a call, the tenure began when the engine was created and the lease
- * does not end.
+ * Sets the tenure of a key range: keys created before start (wall time) are
+ * refused unless they are first attempts, and no keyed call starts after
+ * lease_until (monotonic time).
  */
-int engine_set_tenure(struct engine *e, obj_handle group, int64_t start_wall_us,
-		      int64_t lease_until_us);
+void engine_set_tenure(struct engine *e, uint32_t key_range,
+		       int64_t start_wall_us, int64_t lease_until_us);
 
 /**
  * Admits a request. Returns 0 and the query id: the end of the query comes
--- a/include/engine/internal.h
+++ b/include/engine/internal.h
@@ -18,6 +18,12 @@
 			event_log(EV_##id, __VA_ARGS__); \
 	} while (0)
 
+/** Time in which this host owns the keys of a range. */
+struct tenure {
+	int64_t start_us;
+	int64_t lease_until_us;
+};
+
 struct engine {
 	int refs;
 	struct engine_options options;
@@ -34,6 +40,8 @@
 	/** Advances when a leaf gains or loses a snapshot or starts to drain. */
 	uint64_t snapshot_epoch;
 	int64_t start_wall_us;
+	/** Tenures by key range. */
+	GHashTable *tenures;
 	GRand *random;
 	bool is_stopping;
 };
--- a/include/engine/query.h
+++ b/include/engine/query.h
@@ -57,6 +57,7 @@
 
 struct query {
 	uint64_t id;
+	uint32_t key_range;
 	enum query_phase phase;
 	struct set_view *view;
 	obj_handle service;
--- a/include/engine/view.h
+++ b/include/engine/view.h
@@ -28,9 +28,6 @@
 	char *name;
 	bool has_share;
 	struct leaf_share share;
-	/** Wall time at which the key tenure began. */
-	int64_t tenure_start_us;
-	int64_t lease_until_us;
 	/** Durations of answered leaf calls. */
 	struct latency latency;
 };
@@ -73,11 +70,9 @@
 /**
  * Creates the view of a set, with one reference. State is taken over from the
  * previous view, which may be NULL; leaves that it did not have start cold.
- * Groups without a tenure get one that starts at wall time tenure_start_us.
  */
 struct set_view *view_create(struct object_set *set,
-			     const struct set_view *previous, int64_t now_us,
-			     int64_t tenure_start_us);
+			     const struct set_view *previous, int64_t now_us);
 struct set_view *view_ref(struct set_view *v);
 void view_unref(struct set_view *v);
 
--- a/include/net/forward.h
+++ b/include/net/forward.h
@@ -26,6 +26,7 @@
 	char key[ENGINE_ID_MAX];
 	int64_t key_created_us;
 	int64_t remaining_us;
+	bool is_first_attempt;
 	bool is_non_idempotent;
 	/** The caller's request body. */
 	const char *body;
--- a/include/nutmegpickd/host.h
+++ b/include/nutmegpickd/host.h
@@ -25,6 +25,8 @@
 	HOST_FRAME,
 	/** A link to a peer has closed. */
 	HOST_LINK_CLOSED,
+	/** Result of a store call that the fleet asked for. */
+	HOST_STORE_RESULT,
 	HOST_DRAIN,
 	HOST_STOP,
 	HOST_EXIT,
@@ -43,6 +45,9 @@
 	size_t len;
 	/** Frames on the closed link cannot have reached the peer. */
 	bool is_undelivered;
+	uint64_t ticket;
+	int code;
+	uint64_t revision;
 };
 
 /** Where an answer goes: to a caller, or to the host that forwarded. */
@@ -86,6 +91,9 @@
 	struct fleet *fleet;
 	/** Seat of this host in its failure domain, or NO_SEAT. */
 	int32_t seat;
+	/** Seats whose request keys this host owns, by key range. */
+	GHashTable *owned_seats;
+	bool is_route_stale;
 	struct route_table *routes;
 	/** Queries that wait for another host's result, by forward id. */
 	GHashTable *forwards;
@@ -101,6 +109,9 @@
 	bool is_draining;
 	bool is_stopping;
 	bool is_exiting;
+	bool is_leaving;
+	/** End of the wait for forwarded queries and for the seat's release. */
+	int64_t exit_deadline_us;
 	pthread_t engine_thread;
 };
 
@@ -125,12 +136,22 @@
 /** Cancels queries whose callers have closed their connections. */
 void query_check_gone(struct host *h);
 
-/** Refuses every query in flight: the time to stop has run out. */
-void query_stop_all(struct host *h);
+/**
+ * Refuses the queries in flight of callers, or of other hosts: the time to stop
+ * has run out.
+ */
+void query_stop_all(struct host *h, bool is_forwarded);
 
 /** Callbacks of the engine. */
 extern const struct engine_ops query_engine_ops;
 
+/**
+ * Runs a request that waited for another host. Returns 0, or a negative result
+ * code: it was not run, and the origin is still open.
+ */
+int query_start_here(struct host *h, struct origin origin,
+		     const struct engine_request *request);
+
 /** Takes a query that another host forwarded. */
 void query_start_forwarded(struct host *h, peer_link link,
 			   const struct forward_query *f);
--- a/include/nutmegpickd/route.h
+++ b/include/nutmegpickd/route.h
@@ -23,19 +23,30 @@
 		 const char *avoid, struct route *out);
 
 /**
- * Checks that this host may run a forwarded request. Returns 0 or
+ * Checks that this host may run a request and sets its key range. Returns 0 or
  * -ERR_NOT_OWNER.
  */
-int route_check_holder(struct host *h, const struct engine_request *request);
+int route_check_holder(struct host *h, struct engine_request *request);
 
 /** Returns whether this host may call the leaves of a group. */
 bool route_is_holder(const struct host *h, obj_handle group);
 
+/**
+ * Notes whether this host owns the request keys of a seat. Ownership of
+ * another host's seat comes with one connection to each leaf that the seat
+ * holds.
+ */
+void route_set_owner(struct host *h, const char *domain, uint16_t seat,
+		     bool is_owner);
+
+/** Returns the key range of a seat, as in engine_set_tenure(). */
+uint32_t route_key_range(const char *domain, uint16_t seat);
+
 /** Notes the start and the end of a forwarded query. */
 void route_begin(struct host *h, struct route *r);
 void route_end(struct host *h, const struct route *r, bool is_answered);
 
-/** Computes holders again after a change of the set, the seats or members. */
+/** Computes holders again after a change of the set or of own seats. */
 void route_rebuild(struct host *h);
 
 /** Frees the table. */
--- a/include/nutmegpickd/store_thread.h
+++ b/include/nutmegpickd/store_thread.h
@@ -2,6 +2,8 @@
 #define NUTMEGPICKD_STORE_THREAD_H
 
 #include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
 
 struct host;
 
@@ -17,6 +19,18 @@
  */
 void store_thread_set_active(struct store_thread *t, bool is_active);
 
+/**
+ * Reads a key; a HOST_STORE_RESULT event with the ticket tells the result.
+ */
+void store_thread_get(struct store_thread *t, uint64_t ticket, const char *key);
+
+/**
+ * Writes a key if its last change is at the given revision (0: the key does
+ * not exist); a HOST_STORE_RESULT event with the ticket tells the result.
+ */
+void store_thread_cas(struct store_thread *t, uint64_t ticket, const char *key,
+		      uint64_t revision, const void *data, size_t len);
+
 /** Ends all calls and joins the thread. */
 void store_thread_stop(struct store_thread *t);
 
--- a/net/forward.c
+++ b/net/forward.c
@@ -8,7 +8,7 @@
 
 #include "common/errors.h"
 
-#define QUERY_FIELDS 9
+#define QUERY_FIELDS 10
 #define RESULT_FIELDS 4
 #define MAX_NAME 255
 
@@ -35,6 +35,14 @@
 	msgpack_pack_bin_body(pk, data, len);
 }
 
+static void pack_flag(msgpack_packer *pk, bool flag)
+{
+	if (flag)
+		msgpack_pack_true(pk);
+	else
+		msgpack_pack_false(pk);
+}
+
 static void begin(msgpack_sbuffer *buffer, msgpack_packer *pk,
 		  enum forward_type type, uint32_t fields)
 {
@@ -65,10 +73,8 @@
 	pack_text(&pk, q->key);
 	msgpack_pack_int64(&pk, MAX(q->key_created_us, 0));
 	msgpack_pack_int64(&pk, MAX(q->remaining_us, 0));
-	if (q->is_non_idempotent)
-		msgpack_pack_true(&pk);
-	else
-		msgpack_pack_false(&pk);
+	pack_flag(&pk, q->is_first_attempt);
+	pack_flag(&pk, q->is_non_idempotent);
 	pack_bytes(&pk, q->body, q->body_len);
 	return end(&buffer);
 }
@@ -192,6 +198,7 @@
 	read_id(r, q->key);
 	q->key_created_us = (int64_t)read_uint(r, INT64_MAX);
 	q->remaining_us = (int64_t)read_uint(r, INT64_MAX);
+	q->is_first_attempt = read_flag(r);
 	q->is_non_idempotent = read_flag(r);
 	q->body = read_bytes(r, &q->body_len);
 }
--- a/nutmegpick/query.c
+++ b/nutmegpick/query.c
@@ -14,6 +14,8 @@
 	const char *host;
 	const char *deadline_ms;
 	const char *key;
+	const char *created_ms;
+	const char *attempt;
 	const char *class;
 	const char *service;
 	const char *query;
@@ -25,6 +27,10 @@
 	{"host", 'H', "IP:PORT", 0, "Entry host (default 127.0.0.1:8080)", 0},
 	{"deadline-ms", 'd', "MS", 0, "Deadline in milliseconds", 0},
 	{"key", 'k', "KEY", 0, "Request key of a non-idempotent request", 0},
+	{"created", 'C', "MS", 0,
+	 "Time at which the key was made, for a repeat (default: now)", 0},
+	{"attempt", 'a', "N", 0,
+	 "Number of this attempt with the key (default 1)", 0},
 	{"class", 'c', "NAME", 0, "Admission class", 0},
 	{"top", 't', "N", 0, "Number of hits", 0},
 	{"json", 'j', NULL, 0, "Print the reply as JSON", 0},
@@ -45,6 +51,12 @@
 	case 'k':
 		a->key = arg;
 		return 0;
+	case 'C':
+		a->created_ms = arg;
+		return 0;
+	case 'a':
+		a->attempt = arg;
+		return 0;
 	case 'c':
 		a->class = arg;
 		return 0;
@@ -127,7 +139,9 @@
 	if (a->key) {
 		g_snprintf(created, sizeof(created), "%" G_GINT64_FORMAT,
 			   g_get_real_time() / 1000);
-		list = add_header(list, "Nutmegpick-Key-Created", created);
+		list = add_header(list, "Nutmegpick-Key-Created",
+				  a->created_ms ? a->created_ms : created);
+		list = add_header(list, "Nutmegpick-Key-Attempt", a->attempt);
 	}
 	return list;
 }
@@ -217,7 +231,7 @@
 
 int command_query(int argc, char **argv)
 {
-	struct query_arguments a = {.host = "127.0.0.1:8080"};
+	struct query_arguments a = {.host = "127.0.0.1:8080", .attempt = "1"};
 
 	argp_parse(&argp, argc, argv, 0, NULL, &a);
 	return send_query(&a);
--- a/nutmegpickd/engine_thread.c
+++ b/nutmegpickd/engine_thread.c
@@ -10,6 +10,9 @@
 /* Longest sleep, so that a caller's disconnect is noticed in time. */
 #define MAX_SLEEP_US (20 * US_PER_MS)
 
+/* Longest wait for the release of the seat, for a store that is down. */
+#define RELEASE_WAIT_US (3 * US_PER_S)
+
 int host_send(struct host *h, struct host_event event)
 {
 	struct host_event *copy = g_memdup2(&event, sizeof(event));
@@ -82,11 +85,33 @@
 static void start_drain(struct host *h)
 {
 	h->is_draining = true;
-	/* Other hosts then choose other holders. */
+	/* Other hosts then choose other holders; the shares stay in use. */
 	if (h->fleet)
 		fleet_set_seat(h->fleet, NO_SEAT);
 }
 
+static void start_exit(struct host *h)
+{
+	h->is_exiting = true;
+	h->exit_deadline_us =
+		clock_now(&h->clock) + h->settings.stop_timeout_us;
+}
+
+/* Returns whether other hosts' queries and the seat still hold up the exit. */
+static bool is_exit_held(struct host *h)
+{
+	if (!h->fleet || clock_now(&h->clock) >= h->exit_deadline_us)
+		return false;
+	if (g_hash_table_size(h->queries))
+		return true;
+	if (!h->is_leaving) {
+		fleet_stop(h->fleet);
+		h->exit_deadline_us = clock_now(&h->clock) + RELEASE_WAIT_US;
+	}
+	h->is_leaving = true;
+	return !fleet_is_stopped(h->fleet);
+}
+
 static void handle_event(struct host *h, struct host_event *e)
 {
 	switch (e->type) {
@@ -107,6 +132,11 @@
 		peers_handle_frame(h, e);
 		free(e->data);
 		break;
+	case HOST_STORE_RESULT:
+		fleet_store_result(h->fleet, e->ticket, e->code, e->revision,
+				   e->data, e->len);
+		free(e->data);
+		break;
 	case HOST_LINK_CLOSED:
 		forward_handle_closed(h, e);
 		break;
@@ -116,10 +146,10 @@
 	case HOST_STOP:
 		h->is_stopping = true;
 		engine_stop_admission(h->engine);
-		query_stop_all(h);
+		query_stop_all(h, false);
 		break;
 	case HOST_EXIT:
-		h->is_exiting = true;
+		start_exit(h);
 		break;
 	}
 	g_free(e);
@@ -143,7 +173,7 @@
 	struct host *h = ctx;
 	struct pollfd p = {.fd = ring_fd(h->events), .events = POLLIN};
 
-	while (!h->is_exiting) {
+	while (!h->is_exiting || is_exit_held(h)) {
 		struct host_event *e;
 
 		poll(&p, 1, sleep_ms(h));
@@ -155,5 +185,6 @@
 		report_poll(h);
 		query_check_gone(h);
 	}
+	query_stop_all(h, true);
 	return NULL;
 }
--- a/nutmegpickd/forward.c
+++ b/nutmegpickd/forward.c
@@ -25,6 +25,9 @@
 	char *class;
 	int64_t deadline_us;
 	struct route route;
+	/** No holder can be reached yet; the caller's deadline bounds the wait.
+	 */
+	bool is_waiting;
 	bool is_retried;
 };
 
@@ -68,6 +71,7 @@
 		.class = f->class,
 		.key_created_us = f->request.key_created_us,
 		.remaining_us = f->deadline_us - clock_now(&h->clock),
+		.is_first_attempt = f->request.is_first_attempt,
 		.is_non_idempotent = f->request.is_non_idempotent,
 	};
 	struct forward_buffer b;
@@ -97,7 +101,8 @@
 
 static void end_forward(struct host *h, struct forward *f, bool is_answered)
 {
-	route_end(h, &f->route, is_answered);
+	if (!f->is_waiting)
+		route_end(h, &f->route, is_answered);
 	g_hash_table_remove(h->forwards, &f->id);
 	free_forward(f);
 }
@@ -112,6 +117,22 @@
 	end_forward(h, f, false);
 }
 
+static struct forward *create_forward(struct host *h, struct http_exchange *x,
+				      const struct engine_request *request)
+{
+	struct forward *f = g_new0(struct forward, 1);
+
+	f->id = ++h->last_forward_id;
+	f->origin.exchange = x;
+	f->request = *request;
+	f->service = strdup(request->service);
+	f->class = request->class ? strdup(request->class) : NULL;
+	f->request.service = f->service;
+	f->request.class = f->class;
+	f->deadline_us = clock_now(&h->clock) + service_deadline(h, request);
+	return f;
+}
+
 int forward_start(struct host *h, struct http_exchange *x,
 		  const struct engine_request *request)
 {
@@ -122,22 +143,15 @@
 	if (!h->peer || !h->set)
 		return 0;
 	ret = route_choose(h, request, NULL, &route);
-	if (ret)
+	/* The keys of a lost owner are taken over within seconds. */
+	if (ret && !is_keyed(h, request))
 		return ret;
-	if (route.is_local)
+	if (!ret && route.is_local)
 		return 0;
-	f = g_new0(struct forward, 1);
-	f->id = ++h->last_forward_id;
-	f->origin.exchange = x;
-	f->request = *request;
-	f->service = strdup(request->service);
-	f->class = request->class ? strdup(request->class) : NULL;
-	f->deadline_us = clock_now(&h->clock) + service_deadline(h, request);
-	f->request.service = f->service;
-	f->request.class = f->class;
+	f = create_forward(h, x, request);
 	f->route = route;
-	ret = send_query(h, f);
-	if (ret) {
+	f->is_waiting = ret != 0;
+	if (!ret && send_query(h, f)) {
 		free_forward(f);
 		return -ERR_OVERLOAD;
 	}
@@ -163,19 +177,32 @@
 	return !send_query(h, f);
 }
 
+/* The owner did not take the request, so another one may still run it. */
+static void wait_for_owner(struct host *h, struct forward *f)
+{
+	route_end(h, &f->route, true);
+	f->is_waiting = true;
+}
+
 static void handle_result(struct host *h, const char *address,
 			  const struct forward_result *r)
 {
 	struct forward *f = g_hash_table_lookup(h->forwards, &r->id);
 
 	/* A result of the holder that was given up, or of a stranger. */
-	if (!f || strcmp(f->route.address, address)) {
+	if (!f || f->is_waiting || strcmp(f->route.address, address)) {
 		event_log(EV_CALL_DROP, "forward=%" PRIu64 " from=%s", r->id,
 			  address);
 		return;
 	}
-	if (r->status == STATUS_MISDIRECTED && retry(h, f))
-		return;
+	if (r->status == STATUS_MISDIRECTED) {
+		if (retry(h, f))
+			return;
+		if (is_keyed(h, &f->request) && origin_is_open(&f->origin)) {
+			wait_for_owner(h, f);
+			return;
+		}
+	}
 	if (origin_is_open(&f->origin))
 		origin_reply(h, &f->origin, r->status, r->retry_after_s,
 			     r->body, r->body_len);
@@ -215,8 +242,13 @@
 	for (GList *l = all; l; l = l->next) {
 		struct forward *f = l->data;
 
-		if (strcmp(f->route.address, e->address) || retry(h, f))
+		if (f->is_waiting || strcmp(f->route.address, e->address) ||
+		    retry(h, f))
+			continue;
+		if (e->is_undelivered && is_keyed(h, &f->request)) {
+			wait_for_owner(h, f);
 			continue;
+		}
 		refuse(h, f, -ERR_NO_HOLDER,
 		       e->is_undelivered ? RUN_NOT_RUN : RUN_UNKNOWN);
 	}
@@ -231,21 +263,64 @@
 	free(b.data);
 }
 
+/* Hands a waiting request to its owner; true if this host is the owner. */
+static bool try_owner(struct host *h, struct forward *f)
+{
+	struct route route;
+
+	if (route_choose(h, &f->request, NULL, &route))
+		return false;
+	if (route.is_local)
+		return true;
+	f->route = route;
+	f->is_waiting = send_query(h, f) != 0;
+	return false;
+}
+
+/* A request that cannot run yet, for lack of reports, goes on waiting. */
+static void run_here(struct host *h, struct forward *f)
+{
+	int ret;
+
+	f->request.deadline_us = f->deadline_us - clock_now(&h->clock);
+	ret = query_start_here(h, f->origin, &f->request);
+	if (ret == -ERR_NO_SNAPSHOT || ret == -ERR_NOT_OWNER)
+		return;
+	if (ret) {
+		refuse(h, f, ret, RUN_NOT_RUN);
+		return;
+	}
+	memset(&f->origin, 0, sizeof(f->origin));
+	end_forward(h, f, false);
+}
+
+static void check_forward(struct host *h, struct forward *f, int64_t now)
+{
+	bool is_gone = f->origin.exchange &&
+		       http_exchange_is_gone(f->origin.exchange);
+	enum run_state run = f->is_waiting ? RUN_NOT_RUN : RUN_UNKNOWN;
+	int64_t end = f->deadline_us + (f->is_waiting ? 0 : RESULT_GRACE_US);
+
+	if (!is_gone && now < end) {
+		if (f->is_waiting && try_owner(h, f))
+			run_here(h, f);
+		return;
+	}
+	if (!f->is_waiting)
+		cancel(h, f);
+	if (is_gone)
+		refuse(h, f, -ERR_CANCELLED, run);
+	else
+		refuse(h, f, f->is_waiting ? -ERR_NO_HOLDER : -ERR_DEADLINE,
+		       run);
+}
+
 void forward_check(struct host *h)
 {
 	GList *all = g_hash_table_get_values(h->forwards);
 	int64_t now = clock_now(&h->clock);
 
-	for (GList *l = all; l; l = l->next) {
-		struct forward *f = l->data;
-		bool is_gone = f->origin.exchange &&
-			       http_exchange_is_gone(f->origin.exchange);
-
-		if (!is_gone && now < f->deadline_us + RESULT_GRACE_US)
-			continue;
-		cancel(h, f);
-		refuse(h, f, is_gone ? -ERR_CANCELLED : -ERR_DEADLINE,
-		       RUN_UNKNOWN);
-	}
+	for (GList *l = all; l; l = l->next)
+		check_forward(h, l->data, now);
 	g_list_free(all);
 }
--- a/nutmegpickd/main.c
+++ b/nutmegpickd/main.c
@@ -120,6 +120,8 @@
 		.ops = &query_engine_ops,
 		.ctx = h,
 		.domain = h->settings.domain,
+		.requires_tenure = h->settings.listen_peer &&
+				   h->settings.store_endpoints,
 	};
 	struct upstream_options upstream_options = {
 		.clock = h->clock,
@@ -181,10 +183,10 @@
 	/* Requests that outlast stop_timeout are refused before the exit. */
 	send_surely(h, HOST_STOP);
 	http_server_destroy(h->server, US_PER_S);
-	if (h->store_thread)
-		store_thread_stop(h->store_thread);
 	send_surely(h, HOST_EXIT);
 	pthread_join(h->engine_thread, NULL);
+	if (h->store_thread)
+		store_thread_stop(h->store_thread);
 	upstream_destroy(h->upstream);
 	peers_stop(h);
 	host_drop_events(h);
--- a/nutmegpickd/peers.c
+++ b/nutmegpickd/peers.c
@@ -63,7 +63,49 @@
 	set_transfer_handle(h->transfer, frame);
 }
 
+static void handle_store_get(void *ctx, uint64_t ticket, const char *key)
+{
+	struct host *h = ctx;
+
+	store_thread_get(h->store_thread, ticket, key);
+}
+
+static void handle_store_cas(void *ctx, uint64_t ticket, const char *key,
+			     uint64_t revision, const void *data, size_t len)
+{
+	struct host *h = ctx;
+
+	store_thread_cas(h->store_thread, ticket, key, revision, data, len);
+}
+
+static void handle_placement(void *ctx, int32_t seat)
+{
+	struct host *h = ctx;
+
+	/* The fleet is not called from its own callback. */
+	h->seat = seat;
+	h->is_route_stale = true;
+}
+
+static void handle_lease(void *ctx, const struct lease_state *state)
+{
+	struct host *h = ctx;
+	uint32_t range = route_key_range(state->domain, state->seat);
+
+	engine_set_tenure(h->engine, range, state->tenure_us,
+			  state->is_owner ? state->until_us : INT64_MIN);
+	/* A successor has no reports yet of the leaves that it takes over. */
+	if (state->is_owner)
+		h->next_report_us = 0;
+	route_set_owner(h, state->domain, state->seat, state->is_owner);
+	h->is_route_stale = true;
+}
+
 static const struct fleet_ops fleet_ops = {
+	.store_get = handle_store_get,
+	.store_cas = handle_store_cas,
+	.placement_changed = handle_placement,
+	.lease_changed = handle_lease,
 	.send = handle_send,
 	.fetch_set = handle_fetch_set,
 	.watch = handle_watch,
@@ -166,7 +208,7 @@
 		.host = h->settings.host_id,
 		.address = h->settings.listen_peer,
 		.domain = h->settings.domain,
-		.incarnation = (uint64_t)clock_wall(&h->clock),
+		.incarnation = (uint64_t)(clock_wall(&h->clock) / US_PER_MS),
 		.seeds = (const char *const *)h->settings.peer_seeds,
 	};
 
@@ -181,6 +223,7 @@
 	int ret;
 
 	h->seat = NO_SEAT;
+	h->owned_seats = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 	h->forwards = g_hash_table_new(g_int64_hash, g_int64_equal);
 	if (!h->settings.listen_peer)
 		return 0;
@@ -196,7 +239,8 @@
 	if (ret)
 		return ret;
 	h->seat = h->settings.seat;
-	fleet_set_seat(h->fleet, h->seat);
+	if (h->seat != NO_SEAT)
+		fleet_set_seat(h->fleet, h->seat);
 	event_log(EV_LISTEN, "address=%s port=%u", h->settings.listen_peer,
 		  peer_port(h->peer));
 	return 0;
@@ -212,6 +256,7 @@
 	if (h->peers)
 		frame_codec_destroy(h->peers->codec);
 	g_free(h->peers);
+	g_hash_table_destroy(h->owned_seats);
 	g_hash_table_destroy(h->forwards);
 }
 
@@ -230,9 +275,21 @@
 			  e->address);
 }
 
+/* Number of seats of this host's failure domain. */
+static uint32_t count_seats(const struct host *h)
+{
+	for (uint32_t i = 0; i < h->set->domain_count; i++) {
+		if (!strcmp(h->set->domains[i].name, h->settings.domain))
+			return h->set->domains[i].seats;
+	}
+	return 0;
+}
+
 void peers_set_in_force(struct host *h)
 {
 	route_rebuild(h);
+	if (h->store_thread)
+		fleet_set_seats(h->fleet, count_seats(h));
 	set_transfer_keep(h->transfer, h->set);
 	if (h->set->version)
 		fleet_set_in_force(h->fleet, h->set->version);
@@ -244,5 +301,9 @@
 		return;
 	fleet_advance(h->fleet);
 	set_transfer_advance(h->transfer);
+	if (h->is_route_stale) {
+		h->is_route_stale = false;
+		route_rebuild(h);
+	}
 	forward_check(h);
 }
--- a/nutmegpickd/query.c
+++ b/nutmegpickd/query.c
@@ -85,6 +85,7 @@
 	const char *created = http_exchange_header(x, "Nutmegpick-Key-Created");
 	const char *idempotent =
 		http_exchange_header(x, "Nutmegpick-Idempotent");
+	const char *attempt = http_exchange_header(x, "Nutmegpick-Key-Attempt");
 	int64_t ms;
 
 	make_request_id(r->id);
@@ -109,6 +110,9 @@
 	    strcmp(idempotent, "false"))
 		return -ERR_BAD_REQUEST;
 	r->is_non_idempotent = idempotent && !strcmp(idempotent, "false");
+	if (attempt && !parse_positive(attempt, 1000000, &ms))
+		return -ERR_BAD_REQUEST;
+	r->is_first_attempt = attempt && ms == 1;
 	return 0;
 }
 
@@ -164,21 +168,29 @@
 	query_free(q);
 }
 
-static void submit(struct host_query *q, struct engine_request *request)
+static int try_submit(struct host_query *q, struct engine_request *request,
+		      int64_t *retry_after)
 {
 	struct host *h = q->host;
-	int64_t retry_after = 0;
 	int ret;
 
 	request->service = q->service;
 	request->user = q;
-	ret = engine_submit(h->engine, request, &q->id, &retry_after);
-	if (ret) {
+	ret = engine_submit(h->engine, request, &q->id, retry_after);
+	if (ret)
 		q->id = 0;
+	else
+		g_hash_table_insert(h->queries, &q->id, q);
+	return ret;
+}
+
+static void submit(struct host_query *q, struct engine_request *request)
+{
+	int64_t retry_after = 0;
+	int ret = try_submit(q, request, &retry_after);
+
+	if (ret)
 		refuse(q, ret, retry_after);
-		return;
-	}
-	g_hash_table_insert(h->queries, &q->id, q);
 }
 
 static struct host_query *create_query(struct host *h, struct origin origin,
@@ -217,6 +229,8 @@
 		ret = parse_body(q, body, len);
 	if (!ret)
 		ret = forward_start(h, x, &request);
+	if (!ret && h->fleet)
+		route_check_holder(h, &request);
 	if (ret < 0)
 		refuse(q, ret, 0);
 	else if (ret > 0)
@@ -225,6 +239,29 @@
 		submit(q, &request);
 }
 
+int query_start_here(struct host *h, struct origin origin,
+		     const struct engine_request *request)
+{
+	struct engine_request copy = *request;
+	struct host_query *q =
+		create_query(h, origin, strdup(request->service));
+	int64_t retry_after = 0;
+	const char *body;
+	size_t len;
+	int ret;
+
+	g_strlcpy(q->request_id, request->id, sizeof(q->request_id));
+	body = http_exchange_body(origin.exchange, &len);
+	ret = parse_body(q, body, len);
+	if (!ret)
+		ret = route_check_holder(h, &copy);
+	if (!ret)
+		ret = try_submit(q, &copy, &retry_after);
+	if (ret)
+		query_free(q);
+	return ret;
+}
+
 void query_start_forwarded(struct host *h, peer_link link,
 			   const struct forward_query *f)
 {
@@ -232,6 +269,7 @@
 		.class = f->class,
 		.deadline_us = f->remaining_us,
 		.key_created_us = f->key_created_us,
+		.is_first_attempt = f->is_first_attempt,
 		.is_non_idempotent = f->is_non_idempotent,
 	};
 	struct origin origin = {.link = link, .forward_id = f->id};
@@ -317,12 +355,16 @@
 	}
 }
 
-void query_stop_all(struct host *h)
+void query_stop_all(struct host *h, bool is_forwarded)
 {
 	GList *queries = g_hash_table_get_values(h->queries);
 
-	for (GList *l = queries; l; l = l->next)
-		abandon(l->data, -ERR_STOPPING);
+	for (GList *l = queries; l; l = l->next) {
+		struct host_query *q = l->data;
+
+		if ((q->origin.link != 0) == is_forwarded)
+			abandon(q, -ERR_STOPPING);
+	}
 	g_list_free(queries);
 }
 
--- a/nutmegpickd/route.c
+++ b/nutmegpickd/route.c
@@ -18,11 +18,16 @@
 #define FAILURE_PENALTY 2.0
 #define MAX_LATENCY_US (10.0 * US_PER_S)
 
+/* Longest wait for any result of a key owner before it gets no more keys. */
+#define SILENCE_US (500 * US_PER_MS)
+
 /** What this host knows of one holder of a unit. */
 struct holder {
 	struct seat_ref seat;
 	uint32_t outstanding;
 	double latency_us;
+	/** Since when queries are under way without any result. */
+	int64_t waiting_since_us;
 };
 
 struct unit {
@@ -42,6 +47,12 @@
 	GRand *random;
 };
 
+/** Seat whose request keys this host owns. */
+struct owned_seat {
+	/** Until then, reports of the seat's leaves may be missing. */
+	int64_t ready_us;
+};
+
 static void free_table(struct route_table *t)
 {
 	if (!t)
@@ -136,11 +147,49 @@
 	return -1;
 }
 
+uint32_t route_key_range(const char *domain, uint16_t seat)
+{
+	return (uint32_t)hash_string(domain, seat);
+}
+
+static bool is_owner_of(const struct host *h, const struct holder *holder)
+{
+	const char *domain = h->routes->domains[holder->seat.domain].name;
+	uint32_t range = route_key_range(domain, holder->seat.number);
+	const struct owned_seat *s;
+
+	/* Without a store there are no leases; the seat's host owns its keys.
+	 */
+	if (!h->store_thread)
+		return is_self(h, domain, holder->seat.number);
+	s = g_hash_table_lookup(h->owned_seats, GUINT_TO_POINTER(range));
+	return s && clock_now(&h->clock) >= s->ready_us;
+}
+
+/* Returns whether this host took over the keys of one of the holders. */
+static bool is_successor(const struct host *h, const struct unit *u)
+{
+	for (uint32_t i = 0; i < u->holder_count; i++) {
+		const struct seat_ref *seat = &u->holders[i].seat;
+		const char *domain = h->routes->domains[seat->domain].name;
+		uint32_t range = route_key_range(domain, seat->number);
+
+		if (g_hash_table_contains(h->owned_seats,
+					  GUINT_TO_POINTER(range)))
+			return true;
+	}
+	return false;
+}
+
 bool route_is_holder(const struct host *h, obj_handle group)
 {
 	const struct route_table *t = h->routes;
+	const struct unit *u;
 
-	return !t || find_self(h, &t->units[t->unit_of[group]]) >= 0;
+	if (!t)
+		return true;
+	u = &t->units[t->unit_of[group]];
+	return find_self(h, u) >= 0 || is_successor(h, u);
 }
 
 static void limit_connections(struct host *h, obj_handle group, uint32_t limit)
@@ -159,18 +208,32 @@
 	}
 }
 
+/* One connection of each leaf is kept for a successor of a lost holder. */
+static struct leaf_share holder_share(const struct group_object *g,
+				      uint32_t holders)
+{
+	struct leaf_share share = {
+		.connections = (g->connections - 1) / holders,
+		.slots = MAX(g->slots / holders, 1),
+	};
+
+	/* A leaf with as many connections as holders has none to keep. */
+	if (!share.connections)
+		share.connections = g->connections / holders;
+	return share;
+}
+
 static void apply_shares(struct host *h)
 {
 	for (uint32_t g = 0; g < h->set->group_count; g++) {
 		const struct unit *u = &h->routes->units[h->routes->unit_of[g]];
 		struct leaf_share share = {0, 0};
 
-		if (find_self(h, u) >= 0 && u->holder_count) {
-			share.connections =
-				h->set->groups[g].connections / u->holder_count;
-			share.slots = MAX(
-				h->set->groups[g].slots / u->holder_count, 1);
-		}
+		if (find_self(h, u) >= 0)
+			share = holder_share(&h->set->groups[g],
+					     u->holder_count);
+		else if (is_successor(h, u))
+			share = (struct leaf_share){1, 1};
 		engine_set_share(h->engine, g, share);
 		limit_connections(h, g, share.connections);
 	}
@@ -216,6 +279,16 @@
 	return best;
 }
 
+/*
+ * A keyed request that is handed to a paused host has an unknown outcome, so it
+ * is held back before membership notices the pause.
+ */
+static bool is_silent(const struct host *h, const struct holder *holder)
+{
+	return holder->outstanding &&
+	       clock_now(&h->clock) > holder->waiting_since_us + SILENCE_US;
+}
+
 static uint32_t key_owner(const struct host *h, const struct unit *u,
 			  const char *key)
 {
@@ -256,16 +329,26 @@
 			struct route *out)
 {
 	const struct unit *u = &h->routes->units[unit];
-	uint32_t owner;
+	const struct holder *holder;
+	const struct member *m;
 
 	if (!u->holder_count)
 		return -ERR_NO_HOLDER;
-	owner = key_owner(h, u, key);
-	if (find_self(h, u) == (int)owner) {
-		out->is_local = true;
+	out->unit = unit;
+	out->holder = key_owner(h, u, key);
+	holder = &u->holders[out->holder];
+	out->is_local = is_owner_of(h, holder);
+	if (out->is_local)
 		return 0;
-	}
-	return set_remote(h, unit, owner, out);
+	if (is_silent(h, holder))
+		return -ERR_NO_HOLDER;
+	m = fleet_key_owner(h->fleet,
+			    h->routes->domains[holder->seat.domain].name,
+			    holder->seat.number);
+	if (!m || m->info.state != MEMBER_ALIVE)
+		return -ERR_NO_HOLDER;
+	g_strlcpy(out->address, m->info.address, sizeof(out->address));
+	return 0;
 }
 
 int route_choose(struct host *h, const struct engine_request *request,
@@ -291,21 +374,41 @@
 	return at < 0 ? -ERR_NO_HOLDER : set_remote(h, unit, (uint32_t)at, out);
 }
 
-int route_check_holder(struct host *h, const struct engine_request *request)
+int route_check_holder(struct host *h, struct engine_request *request)
 {
+	const struct holder *holder;
 	const struct unit *u;
 	uint32_t unit;
-	int self;
 
 	if (!h->fleet || !h->set || !find_unit(h, request, &unit))
 		return 0;
 	u = &h->routes->units[unit];
-	self = find_self(h, u);
-	if (self < 0)
-		return -ERR_NOT_OWNER;
-	if (*request->key && key_owner(h, u, request->key) != (uint32_t)self)
+	if (!*request->key)
+		return find_self(h, u) < 0 ? -ERR_NOT_OWNER : 0;
+	if (!u->holder_count)
 		return -ERR_NOT_OWNER;
-	return 0;
+	holder = &u->holders[key_owner(h, u, request->key)];
+	request->key_range =
+		route_key_range(h->routes->domains[holder->seat.domain].name,
+				holder->seat.number);
+	return is_owner_of(h, holder) ? 0 : -ERR_NOT_OWNER;
+}
+
+void route_set_owner(struct host *h, const char *domain, uint16_t seat,
+		     bool is_owner)
+{
+	gpointer range = GUINT_TO_POINTER(route_key_range(domain, seat));
+	struct owned_seat *s;
+
+	if (!is_owner) {
+		g_hash_table_remove(h->owned_seats, range);
+		return;
+	}
+	if (g_hash_table_contains(h->owned_seats, range))
+		return;
+	s = g_new0(struct owned_seat, 1);
+	s->ready_us = clock_now(&h->clock) + h->settings.report_interval_us;
+	g_hash_table_insert(h->owned_seats, range, s);
 }
 
 static struct holder *find_holder(struct host *h, const struct route *r)
@@ -321,8 +424,10 @@
 	struct holder *holder = find_holder(h, r);
 
 	r->start_us = clock_now(&h->clock);
-	if (holder)
-		holder->outstanding++;
+	if (!holder)
+		return;
+	if (!holder->outstanding++)
+		holder->waiting_since_us = r->start_us;
 }
 
 void route_end(struct host *h, const struct route *r, bool is_answered)
@@ -335,6 +440,8 @@
 	/* A rebuilt table starts its counts again. */
 	if (holder->outstanding)
 		holder->outstanding--;
+	if (is_answered)
+		holder->waiting_since_us = clock_now(&h->clock);
 	if (!is_answered)
 		us = MIN(holder->latency_us * FAILURE_PENALTY, MAX_LATENCY_US);
 	holder->latency_us += (us - holder->latency_us) * LATENCY_WEIGHT;
--- a/test/unit/test_engine_keys.c
+++ b/test/unit/test_engine_keys.c
@@ -103,6 +103,42 @@
 	fake_destroy(f);
 }
 
+/*
+ * Guards against keys refused after a take-over although no earlier owner can
+ * have run them, and against the tenure of one range applied to another one.
+ */
+static void test_first_attempt(void)
+{
+	struct fake *f = fake_create(2, "");
+	int64_t wall = f->clock.now_us + f->clock.wall_offset_us;
+	struct engine_request r = {
+		.id = "r",
+		.service = "book",
+		.key = "k",
+		.key_created_us = wall,
+		.key_range = 7,
+	};
+	int64_t wait;
+	uint64_t id;
+
+	engine_set_tenure(f->engine, 7, wall, INT64_MAX);
+	CU_ASSERT_EQUAL(engine_submit(f->engine, &r, &id, &wait), 0);
+	fake_advance(f, 0);
+	CU_ASSERT_EQUAL(fake_last(f)->outcome.code, -ERR_KEY_UNKNOWN);
+	CU_ASSERT_EQUAL(f->call_count, 0);
+	r.is_first_attempt = true;
+	CU_ASSERT_EQUAL(engine_submit(f->engine, &r, &id, &wait), 0);
+	CU_ASSERT_EQUAL(f->call_count, 1);
+	/* A repeat is no first attempt, and finds the key's entry. */
+	r.is_first_attempt = false;
+	CU_ASSERT_EQUAL(engine_submit(f->engine, &r, &id, &wait), 0);
+	CU_ASSERT_EQUAL(f->call_count, 1);
+	/* The other range has the tenure of the engine's start. */
+	CU_ASSERT_NOT_EQUAL(fake_book(f, "other", 0), 0);
+	CU_ASSERT_EQUAL(f->call_count, 2);
+	fake_destroy(f);
+}
+
 /* Guards against a hand-over after the key lease has lapsed. */
 static void test_lease(void)
 {
@@ -184,6 +220,7 @@
 	{"unknown", test_unknown},
 	{"not run", test_not_run},
 	{"window", test_window},
+	{"first attempt", test_first_attempt},
 	{"lease", test_lease},
 	{"caller lost", test_caller_lost},
 	{"shard by key", test_shard_by_key},
