--- a/engine/replica.c
+++ b/engine/replica.c
@@ -16,10 +16,11 @@
 #define RELUCTANCE_MAX 4
 
 struct candidates {
-	obj_handle free[CANDIDATES_MAX];
-	uint32_t free_count;
+	int reluctance;
 	/** Limits of those that are usable, but used up. */
 	uint32_t busy_limit;
+	uint32_t free_count;
+	obj_handle free[CANDIDATES_MAX];
 };
 
 static double typical_latency(const struct query_shard *s)
@@ -60,45 +61,48 @@
 	return r;
 }
 
-/* Least reluctance among usable replicas, whether they are free or not. */
-static int least_reluctance(const struct query_shard *s, int64_t now)
+/* A cold leaf takes part in a share of the choices that grows. */
+static bool is_left_cold(struct engine *e, const struct leaf *leaf, int64_t now)
 {
-	const struct shard_object *shard = query_shard_object(s);
-	int least = RELUCTANCE_MAX;
+	double ramp = leaf_ramp(leaf, now);
 
-	for (uint32_t i = 0; i < shard->leaf_count; i++) {
-		const struct leaf *leaf =
-			s->query->view->leaves[shard->first_leaf + i];
+	return ramp < 1 && g_rand_double(e->random) > ramp;
+}
 
-		if (is_usable(s, leaf))
-			least = MIN(least, reluctance(s, leaf, now));
-	}
-	return least;
+static void reset(struct candidates *c, int reluctance)
+{
+	c->reluctance = reluctance;
+	c->free_count = 0;
+	c->busy_limit = 0;
 }
 
-static void collect(struct engine *e, const struct query_shard *s, int allowed,
+/* Keeps the replicas with the least reluctance, whether they are free or not. */
+static void collect(struct engine *e, const struct query_shard *s,
 		    bool skip_cold, struct candidates *out)
 {
 	const struct shard_object *shard = query_shard_object(s);
 	struct leaf_share share = view_share(s->query->view, shard->group);
 	int64_t now = engine_now(e);
 
-	*out = (struct candidates){.free_count = 0};
-	if (!MIN(share.slots, share.connections))
-		return;
+	reset(out, RELUCTANCE_MAX);
 	for (uint32_t i = 0; i < shard->leaf_count; i++) {
 		obj_handle h = shard->first_leaf + i;
 		const struct leaf *leaf = s->query->view->leaves[h];
-		double ramp = leaf_ramp(leaf, now);
 		uint32_t limit = leaf_limit(leaf, share);
+		int r;
 
-		if (!is_usable(s, leaf) || reluctance(s, leaf, now) != allowed)
+		if (!limit || !is_usable(s, leaf))
+			continue;
+		r = reluctance(s, leaf, now);
+		if (r > out->reluctance)
 			continue;
+		if (r < out->reluctance)
+			reset(out, r);
 		if (leaf->outstanding >= limit) {
 			out->busy_limit += limit;
 			continue;
 		}
-		if (skip_cold && ramp < 1 && g_rand_double(e->random) > ramp)
+		if (skip_cold && is_left_cold(e, leaf, now))
 			continue;
 		if (out->free_count < CANDIDATES_MAX)
 			out->free[out->free_count++] = h;
@@ -161,19 +165,17 @@
 			   enum call_kind kind, obj_handle *leaf)
 {
 	struct candidates c;
-	int allowed;
 
 	if (!query_has_limits(s->query))
 		return choose_next(e, s, leaf);
-	allowed = least_reluctance(s, engine_now(e));
-	if (allowed >= RELUCTANCE_MAX)
+	collect(e, s, true, &c);
+	if (c.reluctance >= RELUCTANCE_MAX)
 		return CHOICE_NONE;
 	/* A hedge to the same replica, or to one that is out, cannot help. */
-	if (kind == CALL_HEDGE && allowed)
+	if (kind == CALL_HEDGE && c.reluctance)
 		return CHOICE_NONE;
-	collect(e, s, allowed, true, &c);
 	if (!c.free_count)
-		collect(e, s, allowed, false, &c);
+		collect(e, s, false, &c);
 	if (!c.free_count)
 		return c.busy_limit ? CHOICE_WAIT : CHOICE_NONE;
 	*leaf = choose_of_two(e, s, &c);
--- a/include/engine/heap.h
+++ b/include/engine/heap.h
@@ -11,15 +11,21 @@
 /** Member of a heap, embedded in its owner. */
 struct heap_node {
 	int64_t key;
-	/** Insertion number; equal keys leave in insertion order. */
-	uint64_t order;
 	/** One-based place in the heap; 0 outside of it. */
 	uint32_t position;
 };
 
+/** Place of a heap; holds the key, so that comparisons touch no node. */
+struct heap_entry {
+	int64_t key;
+	/** Insertion number; equal keys leave in insertion order. */
+	uint64_t order;
+	struct heap_node *node;
+};
+
 /** Binary heap with the smallest key at the top. */
 struct heap {
-	struct heap_node **nodes;
+	struct heap_entry *entries;
 	uint32_t count;
 	uint32_t capacity;
 	uint64_t next_order;
