--- a/test/standin/leaf.c
+++ b/test/standin/leaf.c
@@ -37,6 +37,7 @@
 	int64_t executed;
 	int64_t refused;
 	int64_t cancelled;
+	int64_t reports;
 	int64_t most_connections;
 };
 
@@ -313,6 +314,7 @@
 	const struct behaviour *b = &leaf->behaviour;
 	json_t *snapshots = json_array();
 
+	leaf->reports++;
 	for (int i = 0; i < b->snapshot_count; i++)
 		json_array_append_new(snapshots,
 				      json_pack("{s:I,s:i}", "id",
@@ -348,10 +350,11 @@
 static void handle_counts(const struct leaf *leaf, struct http_exchange *x)
 {
 	reply_json(x, 200,
-		   json_pack("{s:I,s:I,s:I,s:I}", "executed",
+		   json_pack("{s:I,s:I,s:I,s:I,s:I}", "executed",
 			     (json_int_t)leaf->executed, "refused",
 			     (json_int_t)leaf->refused, "cancelled",
-			     (json_int_t)leaf->cancelled, "most_connections",
+			     (json_int_t)leaf->cancelled, "reports",
+			     (json_int_t)leaf->reports, "most_connections",
 			     (json_int_t)leaf->most_connections));
 }
 
