--- a/include/nutmegpickd/host.h
+++ b/include/nutmegpickd/host.h
@@ -96,6 +96,8 @@
 	GHashTable *calls;
 	/** JSON hits of runs for request keys, by query id. */
 	GHashTable *kept_hits;
+	/** Wall time at which the set came in force. */
+	int64_t set_since_us;
 	int64_t next_report_us;
 	int64_t next_gone_check_us;
 	bool is_draining;
--- a/nutmegpickd/answer.c
+++ b/nutmegpickd/answer.c
@@ -7,6 +7,7 @@
 #include <jansson.h>
 
 #include "common/errors.h"
+#include "nutmegpickd/metrics.h"
 
 static const char *const run_names[] = {
 	[RUN_NOT_RUN] = "not_run",
@@ -129,6 +130,10 @@
 {
 	json_t *document;
 
+	if (o->code)
+		metrics_refusal(o->code, o->run);
+	else
+		metrics_answer(o->total_us);
 	if (!origin_is_open(&q->origin)) {
 		if (!o->code)
 			json_decref(take_hits(q, o));
@@ -155,6 +160,7 @@
 void answer_refuse(struct host *h, struct origin *o, const char *request_id,
 		   int code, enum run_state run, int64_t retry_after_us)
 {
+	metrics_refusal(code, run);
 	send_json(h, o, http_status(code), retry_after_us,
 		  encode_refusal(request_id, code, run));
 }
--- a/nutmegpickd/engine_thread.c
+++ b/nutmegpickd/engine_thread.c
@@ -72,6 +72,7 @@
 	event_log(EV_SET_IN_FORCE, "version=%" G_GUINT64_FORMAT, set->version);
 	object_set_unref(h->set);
 	h->set = set;
+	h->set_since_us = clock_wall(&h->clock);
 	if (h->fleet)
 		peers_set_in_force(h);
 	else
--- a/nutmegpickd/page.c
+++ b/nutmegpickd/page.c
@@ -6,6 +6,7 @@
 #include <jansson.h>
 
 #include "common/errors.h"
+#include "nutmegpickd/metrics.h"
 
 static void send_text(struct http_exchange *x, unsigned int status,
 		      const char *text)
@@ -15,10 +16,12 @@
 
 static void send_status(struct host *h, struct http_exchange *x)
 {
-	json_t *document = json_pack("{s:s,s:s,s:I,s:b,s:I}", "host",
+	json_t *document = json_pack("{s:s,s:s,s:I,s:I,s:b,s:I}", "host",
 				     h->settings.host_id, "domain",
 				     h->settings.domain, "version",
 				     (json_int_t)(h->set ? h->set->version : 0),
+				     "in_force_since_ms",
+				     (json_int_t)(h->set_since_us / US_PER_MS),
 				     "draining", h->is_draining, "queries",
 				     (json_int_t)engine_query_count(h->engine));
 	char *text = json_dumps(document, JSON_COMPACT);
@@ -30,7 +33,7 @@
 
 static void send_metrics(struct http_exchange *x)
 {
-	char *text = counter_render();
+	char *text = metrics_render();
 
 	http_exchange_reply(x, 200, "text/plain; version=0.0.4", text,
 			    strlen(text));
--- a/nutmegpickd/query.c
+++ b/nutmegpickd/query.c
@@ -10,6 +10,7 @@
 #include "common/errors.h"
 #include "common/events.h"
 #include "common/hash.h"
+#include "nutmegpickd/metrics.h"
 #include "nutmegpickd/route.h"
 
 #define PATH_PREFIX "/v1/services/"
@@ -21,15 +22,9 @@
 	.name = "nutmegpick_queries_total",
 	.help = "Queries received from callers.",
 };
-static struct counter leaf_calls_total = {
-	.name = "nutmegpick_leaf_calls_total",
-	.help = "Calls sent to leaves.",
-};
-
 __attribute__((constructor)) static void register_counters(void)
 {
 	counter_register(&queries_total);
-	counter_register(&leaf_calls_total);
 }
 
 static char *parse_service(const char *path)
@@ -343,7 +338,7 @@
 	uint64_t *id = g_memdup2(&call->call_id, sizeof(*id));
 
 	g_hash_table_insert(h->calls, id, q);
-	counter_add(&leaf_calls_total, 1);
+	metrics_call(call);
 	if (upstream_start(h->upstream, &c)) {
 		struct upstream_reply *reply = calloc(1, sizeof(*reply));
 
