--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -18,6 +18,7 @@
  * bits name the start of the process, as seat records do.
  */
 #define START_SHIFT 16
+#define US_PER_START 1000
 
 struct fleet {
 	struct fleet_options options;
@@ -28,6 +29,8 @@
 	struct leases *leases;
 	struct owners *owners;
 	GRand *rand;
+	/** Start of the process in ms. */
+	uint64_t start;
 	/** Seat whose tenure this host holds, until it is released. */
 	int32_t leased_seat;
 	int64_t timer_us;
@@ -81,7 +84,7 @@
 		.host = f->options.host,
 		.address = f->options.address,
 		.domain = f->options.domain,
-		.incarnation = f->options.incarnation << START_SHIFT,
+		.incarnation = f->start << START_SHIFT,
 		.seeds = f->options.seeds,
 		.seed_count = f->options.seed_count,
 	};
@@ -177,7 +180,7 @@
 
 static struct host_ref own_ref(const struct fleet *f)
 {
-	struct host_ref h = {.incarnation = f->options.incarnation};
+	struct host_ref h = {.incarnation = f->start};
 
 	g_strlcpy(h.id, f->options.host, sizeof(h.id));
 	return h;
@@ -331,12 +334,11 @@
 	struct fleet *f;
 	int r;
 
-	if (options->incarnation >> (64 - START_SHIFT))
-		return -ERR_INVAL;
 	f = calloc(1, sizeof(*f));
 	if (!f)
 		return -ERR_NOMEM;
 	f->options = *options;
+	f->start = options->incarnation / US_PER_START;
 	f->leased_seat = NO_SEAT;
 	f->rand = g_rand_new_with_seed((guint32)options->seed + 5);
 	r = create_parts(f);
--- a/include/fleet/fleet.h
+++ b/include/fleet/fleet.h
@@ -57,7 +57,7 @@
 	const char *host;
 	const char *address;
 	const char *domain;
-	/** Larger than at any earlier start of the same host id; in ms. */
+	/** Wall time of the start in us: larger than at any earlier start. */
 	uint64_t incarnation;
 	/** Addresses to join through; must outlive the fleet. */
 	const char *const *seeds;
