nutmegpickd: pass the start in microseconds

fleet/ now takes the wall time in microseconds and keeps milliseconds; a start in milliseconds would give two starts within a second the same incarnation.

--- a/nutmegpickd/peers.c
+++ b/nutmegpickd/peers.c
@@ -208,7 +208,7 @@
 		.host = h->settings.host_id,
 		.address = h->settings.listen_peer,
 		.domain = h->settings.domain,
-		.incarnation = (uint64_t)(clock_wall(&h->clock) / US_PER_MS),
+		.incarnation = (uint64_t)clock_wall(&h->clock),
 		.seeds = (const char *const *)h->settings.peer_seeds,
 	};
 
