--- /dev/null
+++ b/bench/fleet_cost.c
@@ -0,0 +1,262 @@
+/*
+ * Cost of the decisions between hosts, from 7 to 1,000 hosts in one process on
+ * virtual time, with an extrapolation to 2,200 hosts. Processor time includes
+ * the simulated network, so it is an upper bound.
+ */
+#include <malloc.h>
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/resource.h>
+
+#include "unit/fleet_sim.h"
+
+#define TARGET_HOSTS 2200
+#define FAILURES_PER_DAY 57
+#define REPLACEMENTS_PER_DAY 3400
+#define CHANGES_PER_DAY 8200
+#define SECONDS_PER_DAY 86400
+/* Failures and replacements of an hour happen in each minute. */
+#define TIME_SCALE 60
+#define WARM_SECONDS 30
+#define RUN_SECONDS 60
+#define GRACE_SECONDS 2
+
+#define LIMIT_CORE_PERCENT 3.5
+#define LIMIT_MB 32.0
+#define LIMIT_KB 12.0
+
+struct cost {
+	double state_bytes;
+	double messages;
+	double bytes;
+	double cpu_us;
+	double store_calls;
+	uint32_t watches;
+	uint32_t events;
+};
+
+struct snapshot {
+	double cpu_us;
+	uint64_t messages;
+	uint64_t bytes;
+	uint64_t store_calls;
+};
+
+static uint32_t generation;
+
+static double cpu_now_us(void)
+{
+	struct rusage u;
+
+	getrusage(RUSAGE_SELF, &u);
+	return (double)(u.ru_utime.tv_sec + u.ru_stime.tv_sec) * 1e6 +
+	       (double)(u.ru_utime.tv_usec + u.ru_stime.tv_usec);
+}
+
+static struct snapshot take_snapshot(const struct sim *s)
+{
+	struct snapshot p = {.cpu_us = cpu_now_us(),
+			     .store_calls = s->store_calls};
+
+	for (uint32_t i = 0; i < s->host_count; i++) {
+		p.messages += s->hosts[i].sent;
+		p.bytes += s->hosts[i].sent_bytes;
+	}
+	return p;
+}
+
+/* A replacement is another host at the same place. */
+static void start_new_host(struct sim *s, uint32_t host)
+{
+	sim_kill(s, host);
+	snprintf(s->hosts[host].id, sizeof(s->hosts[host].id), "host-%u-%u",
+		 host, ++generation);
+	sim_start(s, host);
+}
+
+static uint32_t count_due(struct sim *s, double per_second)
+{
+	uint32_t count = (uint32_t)per_second;
+
+	return count + (g_rand_double(s->rand) < per_second - count);
+}
+
+struct churn {
+	uint32_t *stopping;
+	uint32_t stopping_count;
+};
+
+/* Hosts that were stopped in the last step are replaced now. */
+static void finish_stops(struct sim *s, struct churn *c)
+{
+	for (uint32_t i = 0; i < c->stopping_count; i++)
+		start_new_host(s, c->stopping[i]);
+	c->stopping_count = 0;
+}
+
+static uint32_t run_churn(struct sim *s, struct churn *c)
+{
+	double share = (double)s->host_count / TARGET_HOSTS * TIME_SCALE *
+		       GRACE_SECONDS / SECONDS_PER_DAY;
+	uint32_t stops = count_due(s, REPLACEMENTS_PER_DAY * share);
+	uint32_t failures = count_due(s, FAILURES_PER_DAY * share);
+
+	finish_stops(s, c);
+	for (uint32_t i = 0; i < stops; i++) {
+		uint32_t host = (uint32_t)g_rand_int_range(
+			s->rand, 0, (gint32)s->host_count);
+
+		fleet_stop(s->hosts[host].fleet);
+		c->stopping[c->stopping_count++] = host;
+	}
+	for (uint32_t i = 0; i < failures; i++)
+		start_new_host(s, (uint32_t)g_rand_int_range(
+					  s->rand, 0, (gint32)s->host_count));
+	return stops + failures;
+}
+
+static uint32_t run_seconds(struct sim *s, int seconds, struct churn *c)
+{
+	uint32_t events = 0;
+
+	for (int i = 0; i < seconds; i++) {
+		if (i % (SECONDS_PER_DAY / CHANGES_PER_DAY) == 0)
+			sim_publish(s, s->version + 1);
+		if (c && i % GRACE_SECONDS == 0)
+			events += run_churn(s, c);
+		sim_host_list(s);
+		sim_run(s, US_PER_S);
+	}
+	return events;
+}
+
+static uint32_t count_watches(const struct sim *s)
+{
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < s->host_count; i++)
+		count += s->hosts[i].is_up && s->hosts[i].is_watching;
+	return count;
+}
+
+static struct cost measure(struct sim *s, struct churn *c)
+{
+	struct snapshot before = take_snapshot(s);
+	struct cost cost = {.events = run_seconds(s, RUN_SECONDS, c)};
+	struct snapshot after = take_snapshot(s);
+	double host_seconds = (double)s->host_count * RUN_SECONDS;
+
+	cost.messages =
+		(double)(after.messages - before.messages) / host_seconds;
+	cost.bytes = (double)(after.bytes - before.bytes) / host_seconds;
+	cost.cpu_us = (after.cpu_us - before.cpu_us) / host_seconds;
+	cost.store_calls =
+		(double)(after.store_calls - before.store_calls) / RUN_SECONDS;
+	cost.watches = count_watches(s);
+	return cost;
+}
+
+static void print_cost(uint32_t hosts, const char *what, const struct cost *c)
+{
+	printf("%6u  %-10s %9.0f %8.2f %8.0f %9.1f %8.3f %9.2f %7u %7u\n",
+	       hosts, what, c->state_bytes / 1024, c->messages, c->bytes,
+	       c->cpu_us, c->cpu_us / 1e4, c->store_calls, c->watches,
+	       c->events);
+}
+
+static void measure_size(uint32_t hosts, struct cost *healthy,
+			 struct cost *changing)
+{
+	struct churn c = {.stopping = g_new(uint32_t, hosts + 16)};
+	size_t before = mallinfo2().uordblks;
+	struct sim s;
+
+	sim_create(&s, hosts, hosts > 7 ? 6 : 3, 7);
+	s.seats = hosts / s.domain_count + 1;
+	s.version = 1;
+	sim_start_all(&s);
+	run_seconds(&s, WARM_SECONDS, NULL);
+	*healthy = measure(&s, NULL);
+	healthy->state_bytes = (double)(mallinfo2().uordblks - before) / hosts;
+	*changing = measure(&s, &c);
+	changing->state_bytes = (double)(mallinfo2().uordblks - before) / hosts;
+	finish_stops(&s, &c);
+	print_cost(hosts, "healthy", healthy);
+	print_cost(hosts, "changing", changing);
+	sim_destroy(&s);
+	g_free(c.stopping);
+}
+
+static double extrapolate(double a, double b, uint32_t na, uint32_t nb,
+			  bool is_log)
+{
+	double x = is_log ? log(TARGET_HOSTS) : TARGET_HOSTS;
+	double xa = is_log ? log(na) : na;
+	double xb = is_log ? log(nb) : nb;
+
+	return b + (b - a) / (xb - xa) * (x - xb);
+}
+
+static void print_target(const char *what, const struct cost *a,
+			 const struct cost *b, uint32_t na, uint32_t nb,
+			 bool is_log)
+{
+	struct cost c = {0};
+
+	c.state_bytes =
+		extrapolate(a->state_bytes, b->state_bytes, na, nb, is_log);
+	c.messages = extrapolate(a->messages, b->messages, na, nb, is_log);
+	c.bytes = extrapolate(a->bytes, b->bytes, na, nb, is_log);
+	c.cpu_us = extrapolate(a->cpu_us, b->cpu_us, na, nb, is_log);
+	c.store_calls =
+		extrapolate(a->store_calls, b->store_calls, na, nb, is_log);
+	c.watches = b->watches;
+	print_cost(TARGET_HOSTS, what, &c);
+}
+
+/* One day's changes at their real rate: the extra cost divided by the scale. */
+static struct cost at_real_rate(const struct cost *healthy,
+				const struct cost *changing)
+{
+	struct cost c = *changing;
+
+	c.messages = healthy->messages +
+		     (changing->messages - healthy->messages) / TIME_SCALE;
+	c.bytes = healthy->bytes +
+		  (changing->bytes - healthy->bytes) / TIME_SCALE;
+	c.cpu_us = healthy->cpu_us +
+		   (changing->cpu_us - healthy->cpu_us) / TIME_SCALE;
+	c.store_calls =
+		healthy->store_calls +
+		(changing->store_calls - healthy->store_calls) / TIME_SCALE;
+	c.events = 0;
+	return c;
+}
+
+int main(void)
+{
+	static const uint32_t sizes[] = {7, 50, 200, 1000};
+	struct cost healthy[4], changing[4], real[4];
+
+	printf("per host unless noted; changing: %d failures and %d "
+	       "replacements a day at %d hosts, %d times as fast\n",
+	       FAILURES_PER_DAY, REPLACEMENTS_PER_DAY, TARGET_HOSTS,
+	       TIME_SCALE);
+	printf("%6s  %-10s %9s %8s %8s %9s %8s %9s %7s %7s\n", "hosts", "case",
+	       "state KB", "frames/s", "B/s", "cpu us/s", "core %", "store/s",
+	       "watches", "events");
+	for (int i = 0; i < 4; i++) {
+		measure_size(sizes[i], &healthy[i], &changing[i]);
+		real[i] = at_real_rate(&healthy[i], &changing[i]);
+	}
+	print_target("linear", &healthy[2], &healthy[3], 200, 1000, false);
+	print_target("log", &healthy[2], &healthy[3], 200, 1000, true);
+	print_target("lin real", &real[2], &real[3], 200, 1000, false);
+	print_target("lin fast", &changing[2], &changing[3], 200, 1000, false);
+	printf("limits per host: %.1f%% of a core, %.0f MB, %.0f KB/s; store "
+	       "calls are those of the fleet\n",
+	       LIMIT_CORE_PERCENT, LIMIT_MB, LIMIT_KB);
+	return 0;
+}
