fleet: do not copy empty strings from a null pointer

The undefined behaviour sanitizer reported memcpy() with a null source for empty text in frames and seat records.

--- a/fleet/frame.c
+++ b/fleet/frame.c
@@ -408,7 +408,9 @@
 		r->error = -ERR_FRAME;
 		return;
 	}
-	memcpy(out, o->via.str.ptr, size);
+	/* The pointer of an empty string may be NULL. */
+	if (size)
+		memcpy(out, o->via.str.ptr, size);
 	out[size] = 0;
 }
 
--- a/fleet/record.c
+++ b/fleet/record.c
@@ -86,7 +86,9 @@
 	    o[0].via.str.size >= sizeof(h->id) ||
 	    o[1].type != MSGPACK_OBJECT_POSITIVE_INTEGER)
 		return -ERR_SEAT_RECORD;
-	memcpy(h->id, o[0].via.str.ptr, o[0].via.str.size);
+	/* The pointer of an empty string may be NULL. */
+	if (o[0].via.str.size)
+		memcpy(h->id, o[0].via.str.ptr, o[0].via.str.size);
 	h->id[o[0].via.str.size] = 0;
 	h->incarnation = o[1].via.u64;
 	return 0;
