common: check msgpack lengths before decoding forwarded queries

msgpack-c allocates for the number of elements that a value claims. The check that peer frames already had stood in fleet/ only; a 5-byte forwarded query could ask for 100 GB, which stopped the tests under AddressSanitizer.

--- a/fleet/record.c
+++ b/fleet/record.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "common/errors.h"
+#include "common/packed.h"
 
 #define RECORD_FIELDS 9
 
@@ -141,6 +142,8 @@
 	t->count = 0;
 	if (!len)
 		return 0;
+	if (packed_check(data, len))
+		return -ERR_SEAT_RECORD;
 	msgpack_unpacked_init(&value);
 	r = -ERR_SEAT_RECORD;
 	if (msgpack_unpack_next(&value, data, len, &at) ==
--- a/net/forward.c
+++ b/net/forward.c
@@ -7,6 +7,7 @@
 #include <msgpack.h>
 
 #include "common/errors.h"
+#include "common/packed.h"
 
 #define QUERY_FIELDS 10
 #define RESULT_FIELDS 4
@@ -250,6 +251,8 @@
 	size_t offset = 0;
 
 	memset(out, 0, sizeof(*out));
+	if (packed_check(data, len))
+		return -ERR_FRAME;
 	msgpack_unpacked_init(&message);
 	if (msgpack_unpack_next(&message, data, len, &offset) !=
 		    MSGPACK_UNPACK_SUCCESS ||
--- a/test/unit/test_forward.c
+++ b/test/unit/test_forward.c
@@ -59,6 +59,15 @@
 	free(b.data);
 }
 
+/* Guards against memory reserved for the length that a frame claims. */
+static void test_claimed_length(void)
+{
+	static const unsigned char huge[] = {0xdd, 0xff, 0xff, 0xff, 0xff};
+	struct forward_frame f;
+
+	CU_ASSERT_EQUAL(forward_decode(huge, sizeof(huge), &f), -ERR_FRAME);
+}
+
 /* Guards against a crash on any changed byte. */
 static void test_mutated(void)
 {
@@ -82,6 +91,7 @@
 CU_TestInfo forward_tests[] = {
 	{"query round trip", test_query_round_trip},
 	{"truncated", test_truncated},
+	{"claimed length", test_claimed_length},
 	{"mutated", test_mutated},
 	CU_TEST_INFO_NULL,
 };
