--- a/nutmegpickd/route.c
+++ b/nutmegpickd/route.c
@@ -229,7 +229,7 @@
 		const struct unit *u = &h->routes->units[h->routes->unit_of[g]];
 		struct leaf_share share = {0, 0};
 
-		if (find_self(h, u) >= 0)
+		if (u->holder_count && find_self(h, u) >= 0)
 			share = holder_share(&h->set->groups[g],
 					     u->holder_count);
 		else if (is_successor(h, u))
