nutmegpickd: use the smaller share while a set spreads

Hosts act on a new set within 12 s of each other. A holder whose share grows with the new set could meet another one that still uses its old share, so both use the smaller of the two shares until then.

--- a/include/net/peer.h
+++ b/include/net/peer.h
@@ -33,6 +33,8 @@
 	size_t max_queue;
 	/** Most links; the one idle longest is closed. 0 selects 512. */
 	unsigned int max_links;
+	/** Longest wait for a connection and its hello; 0 selects 2 s. */
+	int64_t connect_timeout_us;
 	/** Idle time after which a link is closed; 0 selects 60 s. */
 	int64_t idle_us;
 	/**
--- a/include/nutmegpickd/route.h
+++ b/include/nutmegpickd/route.h
@@ -49,6 +49,9 @@
 /** Computes holders again after a change of the set or of own seats. */
 void route_rebuild(struct host *h);
 
+/** Uses the whole new shares once a change has reached all hosts. */
+void route_settle(struct host *h);
+
 /** Frees the table. */
 void route_clear(struct host *h);
 
--- a/net/peer.c
+++ b/net/peer.c
@@ -22,7 +22,7 @@
 #define DEFAULT_MAX_LINKS 512
 #define DEFAULT_IDLE_US (60 * US_PER_S)
 #define COMMAND_RING_SIZE 65536
-#define CONNECT_TIMEOUT_US (2 * US_PER_S)
+#define DEFAULT_CONNECT_TIMEOUT_US (2 * US_PER_S)
 #define HEADER_SIZE 4
 #define READ_SIZE 65536
 #define SWEEP_MS 500
@@ -371,7 +371,7 @@
 	int64_t idle = now - l->last_use_us;
 
 	if (l->is_connecting || !l->has_hello)
-		return idle > CONNECT_TIMEOUT_US;
+		return idle > p->options.connect_timeout_us;
 	return idle > p->options.idle_us;
 }
 
@@ -476,6 +476,8 @@
 		p->options.max_queue = DEFAULT_MAX_QUEUE;
 	if (!p->options.max_links)
 		p->options.max_links = DEFAULT_MAX_LINKS;
+	if (!p->options.connect_timeout_us)
+		p->options.connect_timeout_us = DEFAULT_CONNECT_TIMEOUT_US;
 	if (!p->options.idle_us)
 		p->options.idle_us = DEFAULT_IDLE_US;
 	p->hello = g_memdup2(options->hello, options->hello_len);
--- a/nutmegpickd/peers.c
+++ b/nutmegpickd/peers.c
@@ -305,5 +305,6 @@
 		h->is_route_stale = false;
 		route_rebuild(h);
 	}
+	route_settle(h);
 	forward_check(h);
 }
--- a/nutmegpickd/route.c
+++ b/nutmegpickd/route.c
@@ -44,6 +44,9 @@
 	uint32_t *unit_of;
 	struct unit *units;
 	uint32_t unit_count;
+	/** Shares of the set before, by group name, until they have settled. */
+	GHashTable *old_shares;
+	int64_t changed_us;
 	GRand *random;
 };
 
@@ -59,6 +62,8 @@
 		return;
 	for (uint32_t i = 0; i < t->unit_count; i++)
 		free(t->units[i].holders);
+	if (t->old_shares)
+		g_hash_table_destroy(t->old_shares);
 	g_rand_free(t->random);
 	free(t->units);
 	free(t->unit_of);
@@ -223,33 +228,90 @@
 	return share;
 }
 
+static struct leaf_share own_share(const struct host *h, obj_handle group)
+{
+	const struct unit *u = &h->routes->units[h->routes->unit_of[group]];
+	struct leaf_share share = {0, 0};
+
+	if (u->holder_count && find_self(h, u) >= 0)
+		share = holder_share(&h->routes->set->groups[group],
+				     u->holder_count);
+	else if (is_successor(h, u))
+		share = (struct leaf_share){1, 1};
+	return share;
+}
+
+/* Other hosts may act on the set before for as long as a change takes. */
+static struct leaf_share settled_share(const struct host *h, obj_handle group)
+{
+	const struct route_table *t = h->routes;
+	struct leaf_share share = own_share(h, group);
+	const struct leaf_share *old = NULL;
+
+	if (t->old_shares)
+		old = g_hash_table_lookup(t->old_shares,
+					  h->set->groups[group].name);
+	if (!old)
+		return share;
+	share.connections = MIN(share.connections, old->connections);
+	share.slots = MIN(share.slots, old->slots);
+	return share;
+}
+
 static void apply_shares(struct host *h)
 {
 	for (uint32_t g = 0; g < h->set->group_count; g++) {
-		const struct unit *u = &h->routes->units[h->routes->unit_of[g]];
-		struct leaf_share share = {0, 0};
-
-		if (u->holder_count && find_self(h, u) >= 0)
-			share = holder_share(&h->set->groups[g],
-					     u->holder_count);
-		else if (is_successor(h, u))
-			share = (struct leaf_share){1, 1};
+		struct leaf_share share = settled_share(h, g);
+
 		engine_set_share(h->engine, g, share);
 		limit_connections(h, g, share.connections);
 	}
 }
 
+static GHashTable *list_shares(const struct host *h,
+			       const struct object_set *set)
+{
+	GHashTable *shares =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+
+	for (uint32_t g = 0; g < set->group_count; g++) {
+		struct leaf_share share = own_share(h, g);
+
+		g_hash_table_insert(shares, g_strdup(set->groups[g].name),
+				    g_memdup2(&share, sizeof(share)));
+	}
+	return shares;
+}
+
 void route_rebuild(struct host *h)
 {
+	GHashTable *old = NULL;
+
 	if (!h->fleet || !h->set)
 		return;
 	if (!h->routes || h->routes->set != h->set) {
+		if (h->routes)
+			old = list_shares(h, h->routes->set);
 		route_clear(h);
 		h->routes = create_table(h);
+		h->routes->old_shares = old;
+		h->routes->changed_us = clock_now(&h->clock);
 	}
 	apply_shares(h);
 }
 
+void route_settle(struct host *h)
+{
+	struct route_table *t = h->routes;
+
+	if (!t || !t->old_shares ||
+	    clock_now(&h->clock) < t->changed_us + PLACEMENT_SETTLE_US)
+		return;
+	g_hash_table_destroy(t->old_shares);
+	t->old_shares = NULL;
+	apply_shares(h);
+}
+
 static double holder_score(const struct holder *holder)
 {
 	return (holder->outstanding + 1) * holder->latency_us;
--- a/test/unit/test_peer.c
+++ b/test/unit/test_peer.c
@@ -69,6 +69,9 @@
 		.hello = hello,
 		.hello_len = strlen(hello),
 		.max_frame = 1024,
+		/* A busy machine must not decide whether a link comes up. */
+		.connect_timeout_us = 3600 * US_PER_S,
+		.idle_us = 3600 * US_PER_S,
 		.handle_hello = handle_hello,
 		.handle_frame = handle_frame,
 		.handle_closed = handle_closed,
