net: wait for leaf sockets with epoll

curl_multi_perform() visits every transfer on each wake-up, and curl_multi_poll() lists every socket. The thread now keeps the sockets in epoll and hands libcurl only those with events.

--- a/net/upstream.c
+++ b/net/upstream.c
@@ -9,6 +9,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/epoll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -33,6 +34,7 @@
 #define LEAF_OPENS_PER_SECOND 20.0
 #define LEAF_OPEN_BURST 8.0
 /* Idle connections are kept for longer than the longest pause of a service. */
+#define MAX_EVENTS 256
 #define IDLE_MAX_S 3600L
 #define MAX_IDLE_HANDLES 1024
 
@@ -104,6 +106,9 @@
 	struct upstream_options options;
 	struct ring *commands;
 	CURLM *multi;
+	int epoll_fd;
+	/* When libcurl wants to be called next; INT64_MAX: not at all. */
+	int64_t timer_us;
 	struct rate_limit host_rate;
 	/* Pools by address. */
 	GHashTable *leaves;
@@ -555,30 +560,109 @@
 	return true;
 }
 
-static int poll_ms(const struct upstream *u)
+static int handle_socket(CURL *easy, curl_socket_t fd, int what, void *ctx,
+			 void *known)
 {
-	return g_hash_table_size(u->blocked) ? WAITING_POLL_MS : POLL_MS;
+	struct upstream *u = ctx;
+	struct epoll_event e = {.data.fd = fd};
+
+	if (what == CURL_POLL_REMOVE) {
+		epoll_ctl(u->epoll_fd, EPOLL_CTL_DEL, fd, NULL);
+		return 0;
+	}
+	if (what != CURL_POLL_OUT)
+		e.events |= EPOLLIN;
+	if (what != CURL_POLL_IN)
+		e.events |= EPOLLOUT;
+	epoll_ctl(u->epoll_fd, known ? EPOLL_CTL_MOD : EPOLL_CTL_ADD, fd, &e);
+	curl_multi_assign(u->multi, fd, u);
+	return 0;
 }
 
-static void *run_thread(void *ctx)
+static int handle_timer(CURLM *multi, long timeout_ms, void *ctx)
 {
 	struct upstream *u = ctx;
-	struct curl_waitfd wait = {
-		.fd = ring_fd(u->commands),
-		.events = CURL_WAIT_POLLIN,
-	};
+
+	u->timer_us = INT64_MAX;
+	if (timeout_ms >= 0)
+		u->timer_us =
+			clock_now(&u->options.clock) + timeout_ms * US_PER_MS;
+	return 0;
+}
+
+static int wait_ms(const struct upstream *u)
+{
+	int64_t left = u->timer_us - clock_now(&u->options.clock);
+	int limit = g_hash_table_size(u->blocked) ? WAITING_POLL_MS : POLL_MS;
+
+	if (left <= 0)
+		return 0;
+	return (int)MIN((left + US_PER_MS - 1) / US_PER_MS, limit);
+}
+
+static void run_socket(struct upstream *u, const struct epoll_event *e)
+{
+	int flags = 0;
+	int running;
+
+	if (e->data.fd == ring_fd(u->commands))
+		return;
+	if (e->events & (EPOLLIN | EPOLLHUP))
+		flags |= CURL_CSELECT_IN;
+	if (e->events & EPOLLOUT)
+		flags |= CURL_CSELECT_OUT;
+	if (e->events & EPOLLERR)
+		flags |= CURL_CSELECT_ERR;
+	curl_multi_socket_action(u->multi, e->data.fd, flags, &running);
+}
+
+static void run_timer(struct upstream *u)
+{
 	int running;
 
+	if (clock_now(&u->options.clock) < u->timer_us)
+		return;
+	u->timer_us = INT64_MAX;
+	curl_multi_socket_action(u->multi, CURL_SOCKET_TIMEOUT, 0, &running);
+}
+
+static void *run_thread(void *ctx)
+{
+	struct upstream *u = ctx;
+	struct epoll_event events[MAX_EVENTS];
+
 	while (run_commands(u)) {
-		curl_multi_perform(u->multi, &running);
+		int n;
+
+		run_timer(u);
 		finish_transfers(u);
 		pump_blocked(u);
-		wait.revents = 0;
-		curl_multi_poll(u->multi, &wait, 1, poll_ms(u), NULL);
+		n = epoll_wait(u->epoll_fd, events, MAX_EVENTS, wait_ms(u));
+		for (int i = 0; i < n; i++)
+			run_socket(u, &events[i]);
+		finish_transfers(u);
 	}
 	return NULL;
 }
 
+/* Only sockets with events are visited, however many calls are under way. */
+static int start_polling(struct upstream *u)
+{
+	struct epoll_event e = {.events = EPOLLIN};
+
+	u->timer_us = INT64_MAX;
+	u->epoll_fd = epoll_create1(EPOLL_CLOEXEC);
+	if (u->epoll_fd < 0)
+		return -ERR_IO;
+	e.data.fd = ring_fd(u->commands);
+	epoll_ctl(u->epoll_fd, EPOLL_CTL_ADD, e.data.fd, &e);
+	curl_multi_setopt(u->multi, CURLMOPT_SOCKETFUNCTION, handle_socket);
+	curl_multi_setopt(u->multi, CURLMOPT_SOCKETDATA, u);
+	curl_multi_setopt(u->multi, CURLMOPT_TIMERFUNCTION, handle_timer);
+	curl_multi_setopt(u->multi, CURLMOPT_TIMERDATA, u);
+	return 0;
+}
+
 static void free_pool(gpointer p)
 {
 	leaf_pool_destroy(p);
@@ -617,6 +701,12 @@
 	u->multi = curl_multi_init();
 	curl_multi_setopt(u->multi, CURLMOPT_MAXCONNECTS, 65536L);
 	curl_multi_setopt(u->multi, CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
+	if (start_polling(u)) {
+		curl_multi_cleanup(u->multi);
+		ring_destroy(u->commands);
+		free(u);
+		return -ERR_IO;
+	}
 	u->leaves =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_pool);
 	u->blocked = g_hash_table_new(NULL, NULL);
@@ -666,6 +756,7 @@
 	g_hash_table_destroy(u->calls);
 	g_ptr_array_free(u->idle_handles, TRUE);
 	curl_multi_cleanup(u->multi);
+	close(u->epoll_fd);
 	/* Connections report their end to the pools until here. */
 	g_hash_table_destroy(u->blocked);
 	g_hash_table_destroy(u->leaves);
