--- a/bench/engine_cost.c
+++ b/bench/engine_cost.c
@@ -76,7 +76,7 @@
 		"[retry.r]\nattempts=2\n"
 		"[hedge.h]\nquantile=0.95\nmax_delay=\"100ms\"\n"
 		"[class.c]\nkind=\"search\"\nworth=10\n");
-	struct fault_list faults = {0};
+	struct fault_list faults = { 0 };
 	struct object_set *set = NULL;
 	uint32_t leaf = 0;
 
@@ -134,7 +134,7 @@
 static void run(struct cost *c, uint32_t services, uint32_t in_flight,
 		uint32_t queries)
 {
-	struct engine_request request = {.id = "cost"};
+	struct engine_request request = { .id = "cost" };
 	char name[16];
 	uint64_t id;
 	int64_t retry_after;
@@ -191,8 +191,8 @@
 
 int main(void)
 {
-	static const uint32_t services[] = {1, 5, 48, 232};
-	static const uint32_t in_flight[] = {10, 100, 1000};
+	static const uint32_t services[] = { 1, 5, 48, 232 };
+	static const uint32_t in_flight[] = { 10, 100, 1000 };
 
 	event_set_level(EVENT_WARNING);
 	printf("%8s %10s %10s %8s %8s %10s\n", "leaves", "in flight", "calls",
--- a/bench/fleet_cost.c
+++ b/bench/fleet_cost.c
@@ -57,8 +57,8 @@
 
 static struct snapshot take_snapshot(const struct sim *s)
 {
-	struct snapshot p = {.cpu_us = cpu_now_us(),
-			     .store_calls = s->store_calls};
+	struct snapshot p = { .cpu_us = cpu_now_us(),
+			      .store_calls = s->store_calls };
 
 	for (uint32_t i = 0; i < s->host_count; i++) {
 		p.messages += s->hosts[i].sent;
@@ -144,7 +144,7 @@
 static struct cost measure(struct sim *s, struct churn *c)
 {
 	struct snapshot before = take_snapshot(s);
-	struct cost cost = {.events = run_seconds(s, RUN_SECONDS, c)};
+	struct cost cost = { .events = run_seconds(s, RUN_SECONDS, c) };
 	struct snapshot after = take_snapshot(s);
 	double host_seconds = (double)s->host_count * RUN_SECONDS;
 
@@ -169,7 +169,7 @@
 static void measure_size(uint32_t hosts, struct cost *healthy,
 			 struct cost *changing)
 {
-	struct churn c = {.stopping = g_new(uint32_t, hosts + 16)};
+	struct churn c = { .stopping = g_new(uint32_t, hosts + 16) };
 	size_t before = mallinfo2().uordblks;
 	struct sim s;
 
@@ -203,7 +203,7 @@
 			 const struct cost *b, uint32_t na, uint32_t nb,
 			 bool is_log)
 {
-	struct cost c = {0};
+	struct cost c = { 0 };
 
 	c.state_bytes =
 		extrapolate(a->state_bytes, b->state_bytes, na, nb, is_log);
@@ -237,7 +237,7 @@
 
 int main(void)
 {
-	static const uint32_t sizes[] = {7, 50, 200, 1000};
+	static const uint32_t sizes[] = { 7, 50, 200, 1000 };
 	struct cost healthy[4], changing[4], real[4];
 
 	printf("per host unless noted; changing: %d failures and %d "
--- a/bench/host.c
+++ b/bench/host.c
@@ -310,7 +310,7 @@
 {
 	for (uint32_t i = 0; i < w->set->leaf_count; i++) {
 		const struct leaf *l = &w->leaves[i];
-		uint64_t snapshots[] = {l->snapshot, l->snapshot - 1};
+		uint64_t snapshots[] = { l->snapshot, l->snapshot - 1 };
 		struct leaf_report report = {
 			.leaf = i,
 			.load = leaf_reported_load(w, l),
--- a/bench/replay.c
+++ b/bench/replay.c
@@ -21,7 +21,7 @@
 
 void world_after(struct world *w, int64_t delay_us, event_fn *run, void *ctx)
 {
-	struct event e = {w->now_us + delay_us, run, ctx};
+	struct event e = { w->now_us + delay_us, run, ctx };
 
 	g_sequence_insert_sorted(w->events, g_memdup2(&e, sizeof(e)),
 				 compare_events, NULL);
@@ -173,9 +173,9 @@
 
 void replay_run(struct replay_trace *t, struct replay_counts *counts)
 {
-	struct world w = {.trace = t, .set = t->set, .counts = counts};
+	struct world w = { .trace = t, .set = t->set, .counts = counts };
 
-	*counts = (struct replay_counts){0};
+	*counts = (struct replay_counts){ 0 };
 	w.events = g_sequence_new(g_free);
 	w.random = g_rand_new_with_seed((guint32)t->seed);
 	w.attempts = g_ptr_array_new_with_free_func(g_free);
--- a/bench/set_cost.c
+++ b/bench/set_cost.c
@@ -111,7 +111,7 @@
 int main(int argc, char **argv)
 {
 	int leaves = argc > 1 ? atoi(argv[1]) : 1000;
-	struct fault_list faults = {0};
+	struct fault_list faults = { 0 };
 	struct chunk_table *before;
 	struct chunk_table *after;
 	struct object_set *set;
--- a/common/duration.c
+++ b/common/duration.c
@@ -12,7 +12,8 @@
 };
 
 static const struct unit units[] = {
-	{"us", 1}, {"ms", 1e3}, {"s", 1e6}, {"m", 60e6}, {"h", 3600e6},
+	{ "us", 1 },   { "ms", 1e3 },	{ "s", 1e6 },
+	{ "m", 60e6 }, { "h", 3600e6 },
 };
 
 #define DURATION_MAX_US (30LL * 24 * 3600 * 1000000)
--- a/common/errors.c
+++ b/common/errors.c
@@ -9,8 +9,8 @@
 };
 
 static const struct entry entries[] = {
-	{0, "OK", "success"},
-#define ERR(name, number, text) {number, #name, text},
+	{ 0, "OK", "success" },
+#define ERR(name, number, text) { number, #name, text },
 #include "common/errors.def"
 #include "objects/errors.def"
 #include "store/errors.def"
@@ -22,7 +22,7 @@
 
 static const struct entry *find_entry(int code)
 {
-	static const struct entry unknown = {-1, "UNKNOWN", "unknown error"};
+	static const struct entry unknown = { -1, "UNKNOWN", "unknown error" };
 
 	code = abs(code);
 	for (size_t i = 0; i < sizeof(entries) / sizeof(entries[0]); i++) {
--- a/common/events.c
+++ b/common/events.c
@@ -11,7 +11,7 @@
 };
 
 static const struct entry entries[] = {
-#define EVENT(name, number, level, text) {number, level, text},
+#define EVENT(name, number, level, text) { number, level, text },
 #include "common/events.def"
 #include "objects/events.def"
 #include "store/events.def"
--- a/common/hash.c
+++ b/common/hash.c
@@ -15,7 +15,7 @@
 
 uint64_t hash_pair(uint64_t a, uint64_t b)
 {
-	uint64_t pair[2] = {a, b};
+	uint64_t pair[2] = { a, b };
 
 	return hash_bytes(pair, sizeof(pair), 0);
 }
--- a/common/packed.c
+++ b/common/packed.c
@@ -44,7 +44,7 @@
 {
 	unsigned char tag = b[0];
 
-	*e = (struct element){.head = 1};
+	*e = (struct element){ .head = 1 };
 	if (tag <= 0x7f || tag >= 0xe0 || tag == 0xc0 || tag == 0xc2 ||
 	    tag == 0xc3)
 		return 0;
@@ -74,7 +74,7 @@
 int packed_check(const void *data, size_t len)
 {
 	const unsigned char *b = data;
-	uint64_t open[MAX_DEPTH] = {1};
+	uint64_t open[MAX_DEPTH] = { 1 };
 	size_t at = 0;
 	int depth = 0;
 	struct element e;
--- a/engine/budget.c
+++ b/engine/budget.c
@@ -22,7 +22,7 @@
 
 void budget_init(struct budget *b)
 {
-	*b = (struct budget){.tokens = RETRY_RESERVE};
+	*b = (struct budget){ .tokens = RETRY_RESERVE };
 }
 
 void budget_deposit(struct budget *b, double percent)
--- a/engine/heap.c
+++ b/engine/heap.c
@@ -45,7 +45,7 @@
 
 void heap_push(struct heap *h, struct heap_node *n, int64_t key)
 {
-	struct heap_entry entry = {.key = key, .node = n};
+	struct heap_entry entry = { .key = key, .node = n };
 
 	heap_remove(h, n);
 	if (h->count == h->capacity) {
--- a/engine/merge.c
+++ b/engine/merge.c
@@ -101,7 +101,7 @@
 
 int merge_add(struct merge *m, const char *id, const char *shard, double score)
 {
-	struct hit probe = {(char *)id, NULL, score};
+	struct hit probe = { (char *)id, NULL, score };
 	struct hit copy;
 
 	if (!m->limit)
--- a/engine/outcome.c
+++ b/engine/outcome.c
@@ -57,7 +57,7 @@
 
 void outcome_deliver(struct engine *e, struct query *q)
 {
-	struct engine_outcome out = {0};
+	struct engine_outcome out = { 0 };
 	struct engine_gap *gaps = NULL;
 	bool is_repeat = q->duplicate_of && !q->code;
 
--- a/engine/snapshot.c
+++ b/engine/snapshot.c
@@ -81,7 +81,7 @@
 
 static uint64_t choose(const struct query *q, uint64_t newer_than)
 {
-	struct candidate_list list = {.count = 0};
+	struct candidate_list list = { .count = 0 };
 	const struct candidate *best = NULL;
 
 	for (uint32_t i = 0; i < q->shard_count; i++)
--- a/fleet/config.c
+++ b/fleet/config.c
@@ -122,7 +122,7 @@
 		membership_pick(c->options.membership, PUSH_PEERS, peers);
 
 	for (uint32_t i = 0; i < count; i++) {
-		struct frame f = {.type = FRAME_GOSSIP};
+		struct frame f = { .type = FRAME_GOSSIP };
 
 		membership_send(c->options.membership, peers[i]->info.address,
 				&f);
--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -180,7 +180,7 @@
 
 static struct host_ref own_ref(const struct fleet *f)
 {
-	struct host_ref h = {.incarnation = f->start};
+	struct host_ref h = { .incarnation = f->start };
 
 	g_strlcpy(h.id, f->options.host, sizeof(h.id));
 	return h;
@@ -266,8 +266,8 @@
 static void announce_owner(struct fleet *f, const struct lease_state *state)
 {
 	const struct frame_update *self = membership_self(f->membership);
-	struct frame_key_owner entry = {.seat = state->seat,
-					.epoch = state->epoch};
+	struct frame_key_owner entry = { .seat = state->seat,
+					 .epoch = state->epoch };
 
 	if (!state->is_owner)
 		return;
--- a/fleet/frame.c
+++ b/fleet/frame.c
@@ -317,7 +317,7 @@
 static struct reader read_array(struct reader *r, uint32_t fields, uint32_t max)
 {
 	const msgpack_object *o = read_next(r);
-	struct reader inner = {NULL, 0, 0};
+	struct reader inner = { NULL, 0, 0 };
 
 	if (!o || o->type != MSGPACK_OBJECT_ARRAY ||
 	    (fields && o->via.array.size != fields) ||
@@ -518,7 +518,7 @@
 static int read_frame(struct frame_codec *c, const msgpack_object *o,
 		      struct frame *out)
 {
-	struct reader r = {NULL, 0, 0};
+	struct reader r = { NULL, 0, 0 };
 	uint64_t type;
 
 	if (o->type != MSGPACK_OBJECT_ARRAY)
--- a/fleet/lease.c
+++ b/fleet/lease.c
@@ -206,7 +206,7 @@
 						      struct seat_table *),
 			 void (*finished)(void *, int))
 {
-	struct update u = {e->domain, edit, finished, e};
+	struct update u = { e->domain, edit, finished, e };
 
 	e->action = action;
 	e->is_lost = false;
@@ -394,7 +394,7 @@
 		       enum lease_answer answer)
 {
 	const struct lease_options *o = &e->leases->options;
-	struct frame f = {.type = type};
+	struct frame f = { .type = type };
 
 	g_strlcpy(f.lease.domain, e->domain, sizeof(f.lease.domain));
 	f.lease.seat = e->seat;
@@ -522,7 +522,7 @@
 
 static struct host_ref sender_of(const struct frame_lease *f)
 {
-	struct host_ref h = {.incarnation = f->incarnation};
+	struct host_ref h = { .incarnation = f->incarnation };
 
 	g_strlcpy(h.id, f->host, sizeof(h.id));
 	return h;
--- a/fleet/membership.c
+++ b/fleet/membership.c
@@ -248,7 +248,8 @@
 
 static const char *state_name(enum member_state state)
 {
-	static const char *const names[] = {"alive", "suspect", "dead", "left"};
+	static const char *const names[] = { "alive", "suspect", "dead",
+					     "left" };
 
 	return names[state];
 }
@@ -376,7 +377,7 @@
 
 static void start_probe(struct membership *m, struct member *e, bool is_pull)
 {
-	struct frame f = {.type = FRAME_PING};
+	struct frame f = { .type = FRAME_PING };
 	struct probe *p = NULL;
 
 	for (int i = 0; i < MAX_PROBES && !p; i++) {
@@ -385,7 +386,7 @@
 	}
 	if (!p)
 		return;
-	*p = (struct probe){e, ++m->next_seq, now_us(m), is_pull, false};
+	*p = (struct probe){ e, ++m->next_seq, now_us(m), is_pull, false };
 	if (is_pull)
 		return;
 	f.ping.seq = p->seq;
@@ -428,7 +429,7 @@
 	for (uint32_t i = 0; i < count; i++) {
 		if (peers[i] == p->target)
 			continue;
-		f = (struct frame){.type = FRAME_PING_REQ};
+		f = (struct frame){ .type = FRAME_PING_REQ };
 		f.ping_req.seq = p->seq;
 		g_strlcpy(f.ping_req.target, p->target->info.host,
 			  sizeof(f.ping_req.target));
@@ -629,7 +630,7 @@
 
 static void pull_random(struct membership *m, int64_t now)
 {
-	struct frame f = {.type = FRAME_PULL};
+	struct frame f = { .type = FRAME_PULL };
 	const struct member *peer;
 
 	if (!membership_pick(m, 1, &peer))
@@ -654,7 +655,7 @@
 
 	m->push_us = INT64_MAX;
 	for (uint32_t i = 0; i < peer_count; i++) {
-		f = (struct frame){.type = FRAME_GOSSIP};
+		f = (struct frame){ .type = FRAME_GOSSIP };
 		f.gossip.updates = updates;
 		f.gossip.update_count = count;
 		membership_send(m, peers[i]->info.address, &f);
@@ -665,7 +666,7 @@
 
 static void send_hello(struct membership *m, const char *address, bool is_reply)
 {
-	struct frame f = {.type = FRAME_HELLO};
+	struct frame f = { .type = FRAME_HELLO };
 
 	f.hello.version_low = FRAME_VERSION_LOW;
 	f.hello.version_high = FRAME_VERSION_HIGH;
@@ -839,7 +840,7 @@
 
 static void send_table(struct membership *m, const char *address)
 {
-	struct frame f = {.type = FRAME_GOSSIP};
+	struct frame f = { .type = FRAME_GOSSIP };
 	struct frame_update *all =
 		g_new(struct frame_update, m->members->len + 1);
 	const struct member *e;
@@ -873,7 +874,7 @@
 
 static void handle_ping(struct membership *m, const struct frame *f)
 {
-	struct frame ack = {.type = FRAME_ACK};
+	struct frame ack = { .type = FRAME_ACK };
 
 	ack.ack.seq = f->ping.seq;
 	g_strlcpy(ack.ack.subject, m->self.host, sizeof(ack.ack.subject));
@@ -883,7 +884,7 @@
 static void handle_ping_req(struct membership *m, const struct frame *f)
 {
 	struct relay *r = &m->relays[m->relay_next++ % MAX_RELAYS];
-	struct frame ping = {.type = FRAME_PING};
+	struct frame ping = { .type = FRAME_PING };
 
 	g_strlcpy(r->address, f->gossip.sender.address, sizeof(r->address));
 	g_strlcpy(r->target, f->ping_req.target, sizeof(r->target));
@@ -896,7 +897,7 @@
 
 static void relay_ack(struct membership *m, const struct frame *f)
 {
-	struct frame ack = {.type = FRAME_ACK};
+	struct frame ack = { .type = FRAME_ACK };
 	struct relay *r;
 
 	for (int i = 0; i < MAX_RELAYS; i++) {
@@ -945,7 +946,7 @@
 
 static void handle_pull(struct membership *m, const struct frame *f)
 {
-	struct frame reply = {.type = FRAME_GOSSIP};
+	struct frame reply = { .type = FRAME_GOSSIP };
 	uint64_t own = m->digest ^ digest_of(m->self_hash, m->self.incarnation);
 
 	if (f->pull.is_full) {
@@ -964,7 +965,7 @@
 static struct member *note_sender(struct membership *m, const struct frame *f)
 {
 	struct member *e = apply_update(m, &f->gossip.sender);
-	struct frame notice = {.type = FRAME_GOSSIP};
+	struct frame notice = { .type = FRAME_GOSSIP };
 
 	if (!e)
 		return NULL;
--- a/fleet/owners.c
+++ b/fleet/owners.c
@@ -37,7 +37,7 @@
 void owners_apply(struct owners *o, const struct frame_key_owner *entry)
 {
 	struct entry *e = find_entry(o, entry->domain, entry->seat);
-	struct entry fresh = {.owner = *entry};
+	struct entry fresh = { .owner = *entry };
 
 	if (e && e->owner.epoch >= entry->epoch)
 		return;
--- a/fleet/placement.c
+++ b/fleet/placement.c
@@ -163,7 +163,7 @@
 				       uint32_t count, uint32_t rank,
 				       const char *leaf)
 {
-	struct placement_share share = {0, 0};
+	struct placement_share share = { 0, 0 };
 	uint64_t leaf_hash = hash_string(leaf, 0);
 
 	if (!count || rank >= count)
--- a/fleet/seat.c
+++ b/fleet/seat.c
@@ -277,7 +277,7 @@
 						      struct seat_table *),
 			 void (*finished)(void *, int))
 {
-	struct update u = {s->options.domain, edit, finished, s};
+	struct update u = { s->options.domain, edit, finished, s };
 
 	s->action = action;
 	updater_start(s->options.updater, &u);
--- a/net/forward.c
+++ b/net/forward.c
@@ -55,7 +55,7 @@
 
 static struct forward_buffer end(msgpack_sbuffer *buffer)
 {
-	struct forward_buffer b = {.len = buffer->size};
+	struct forward_buffer b = { .len = buffer->size };
 
 	b.data = msgpack_sbuffer_release(buffer);
 	return b;
@@ -246,7 +246,7 @@
 
 int forward_decode(const void *data, size_t len, struct forward_frame *out)
 {
-	struct reader r = {0};
+	struct reader r = { 0 };
 	msgpack_unpacked message;
 	size_t offset = 0;
 
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -322,7 +322,7 @@
 static void stop_listening(struct http_server *s)
 {
 	struct sock_filter drop = BPF_STMT(BPF_RET | BPF_K, 0);
-	struct sock_fprog program = {.len = 1, .filter = &drop};
+	struct sock_fprog program = { .len = 1, .filter = &drop };
 	MHD_socket fd = MHD_quiesce_daemon(s->daemon);
 	struct sockaddr_in addr;
 	socklen_t len = sizeof(addr);
@@ -421,7 +421,7 @@
 
 int http_exchange_is_gone(const struct http_exchange *x)
 {
-	struct pollfd p = {.fd = x->caller ? x->caller->fd : -1};
+	struct pollfd p = { .fd = x->caller ? x->caller->fd : -1 };
 
 	/* After a shutdown of our own, POLLRDHUP says nothing of the caller. */
 	if (x->caller &&
--- a/net/peer.c
+++ b/net/peer.c
@@ -427,9 +427,9 @@
 
 static int listen_on(struct peer *p)
 {
-	struct epoll_event accept_event = {.events = EPOLLIN};
-	struct epoll_event wakeup_event = {.events = EPOLLIN,
-					   .data.u64 = UINT64_MAX};
+	struct epoll_event accept_event = { .events = EPOLLIN };
+	struct epoll_event wakeup_event = { .events = EPOLLIN,
+					    .data.u64 = UINT64_MAX };
 	struct sockaddr_in addr;
 	socklen_t size = sizeof(addr);
 	int one = 1;
--- a/net/upstream.c
+++ b/net/upstream.c
@@ -386,7 +386,7 @@
 static void send_reply(struct upstream *u, struct transfer *t, CURLcode code)
 {
 	struct upstream_reply *reply = calloc(1, sizeof(*reply));
-	struct upstream_transfer w = {0};
+	struct upstream_transfer w = { 0 };
 
 	fill_transfer(t, code, &w);
 	reply->elapsed_us = clock_now(&u->options.clock) - t->start_us;
@@ -564,7 +564,7 @@
 			 void *known)
 {
 	struct upstream *u = ctx;
-	struct epoll_event e = {.data.fd = fd};
+	struct epoll_event e = { .data.fd = fd };
 
 	if (what == CURL_POLL_REMOVE) {
 		epoll_ctl(u->epoll_fd, EPOLL_CTL_DEL, fd, NULL);
@@ -648,7 +648,7 @@
 /* Only sockets with events are visited, however many calls are under way. */
 static int start_polling(struct upstream *u)
 {
-	struct epoll_event e = {.events = EPOLLIN};
+	struct epoll_event e = { .events = EPOLLIN };
 
 	u->timer_us = INT64_MAX;
 	u->epoll_fd = epoll_create1(EPOLL_CLOEXEC);
--- a/net/upstream_reply.c
+++ b/net/upstream_reply.c
@@ -34,8 +34,7 @@
 
 	if (!json_is_array(hits))
 		return false;
-	json_array_foreach(hits, i, hit)
-	{
+	json_array_foreach (hits, i, hit) {
 		if (!json_is_string(json_object_get(hit, "id")) ||
 		    !json_is_number(json_object_get(hit, "score")))
 			return false;
--- a/nutmegpick/check.c
+++ b/nutmegpick/check.c
@@ -36,7 +36,7 @@
 
 int command_check(int argc, char **argv)
 {
-	struct fault_list faults = {0};
+	struct fault_list faults = { 0 };
 	struct object_set *set = NULL;
 	const char *path = NULL;
 	int ret;
--- a/nutmegpick/diff.c
+++ b/nutmegpick/diff.c
@@ -35,7 +35,8 @@
 	}
 }
 
-static const struct argp_child children[] = {{&store_argp, 0, NULL, 0}, {0}};
+static const struct argp_child children[] = { { &store_argp, 0, NULL, 0 },
+					      { 0 } };
 
 static const struct argp argp = {
 	NULL,
@@ -70,7 +71,7 @@
 
 static int compare(struct diff_args *a, const struct object_set *set)
 {
-	struct fault_list faults = {0};
+	struct fault_list faults = { 0 };
 	struct object_set *theirs = NULL;
 	struct publish_record record;
 	uint64_t version;
@@ -92,9 +93,9 @@
 
 int command_diff(int argc, char **argv)
 {
-	struct fault_list faults = {0};
+	struct fault_list faults = { 0 };
 	struct object_set *set = NULL;
-	struct diff_args a = {0};
+	struct diff_args a = { 0 };
 	int ret = STATUS_FAULTS;
 
 	argp_parse(&argp, argc, argv, 0, NULL, &a);
--- a/nutmegpick/difference.c
+++ b/nutmegpick/difference.c
@@ -60,8 +60,7 @@
 	size_t i;
 
 	if (json_is_object(value)) {
-		json_object_foreach(value, key, item)
-		{
+		json_object_foreach (value, key, item) {
 			char *p = *path ? g_strdup_printf("%s.%s", path, key)
 					: g_strdup(key);
 
@@ -69,8 +68,7 @@
 			g_free(p);
 		}
 	} else if (is_table_array(value)) {
-		json_array_foreach(value, i, item)
-		{
+		json_array_foreach (value, i, item) {
 			char *p = g_strdup_printf("%s[%s]", path,
 						  element_key(item));
 
@@ -96,8 +94,7 @@
 	const char *name;
 	json_t *object;
 
-	json_object_foreach(objects, name, object)
-	{
+	json_object_foreach (objects, name, object) {
 		char *id = g_strdup_printf("%s.%s", kind, name);
 
 		flatten(out, id, "", object);
@@ -118,7 +115,7 @@
 	text = object_set_encode(set);
 	root = json_loads(text, 0, NULL);
 	free(text);
-	json_object_foreach(root, kind, objects)
+	json_object_foreach (root, kind, objects)
 		flatten_kind(out, kind, objects);
 	json_decref(root);
 	g_ptr_array_sort(out, compare_fields);
@@ -215,7 +212,7 @@
 json_t *difference_build(const struct object_set *before,
 			 const struct object_set *after)
 {
-	struct comparison c = {flatten_set(before), flatten_set(after)};
+	struct comparison c = { flatten_set(before), flatten_set(after) };
 	json_t *out;
 
 	c.before_names = list_objects(c.before);
@@ -250,11 +247,11 @@
 	json_t *item;
 	size_t i;
 
-	json_array_foreach(json_object_get(difference, "added"), i, item)
+	json_array_foreach (json_object_get(difference, "added"), i, item)
 		printf("+ %s\n", json_string_value(item));
-	json_array_foreach(json_object_get(difference, "removed"), i, item)
+	json_array_foreach (json_object_get(difference, "removed"), i, item)
 		printf("- %s\n", json_string_value(item));
-	json_array_foreach(json_object_get(difference, "changed"), i, item)
+	json_array_foreach (json_object_get(difference, "changed"), i, item)
 		printf("~ %s.%s: %s -> %s\n", get_text(item, "object"),
 		       get_text(item, "field"), get_text(item, "before"),
 		       get_text(item, "after"));
--- a/nutmegpick/history.c
+++ b/nutmegpick/history.c
@@ -14,8 +14,8 @@
 };
 
 static const struct argp_option options[] = {
-	{"limit", 'n', "N", 0, "Number of versions (default 20)", 0},
-	{0},
+	{ "limit", 'n', "N", 0, "Number of versions (default 20)", 0 },
+	{ 0 },
 };
 
 static error_t handle_option(int key, char *arg, struct argp_state *state)
@@ -40,7 +40,8 @@
 	}
 }
 
-static const struct argp_child children[] = {{&store_argp, 0, NULL, 0}, {0}};
+static const struct argp_child children[] = { { &store_argp, 0, NULL, 0 },
+					      { 0 } };
 
 static const struct argp argp = {
 	options,
@@ -63,7 +64,7 @@
 
 int command_history(int argc, char **argv)
 {
-	struct history_args a = {.limit = DEFAULT_LIMIT};
+	struct history_args a = { .limit = DEFAULT_LIMIT };
 	struct publish_record record;
 	json_t *list;
 	uint64_t version;
--- a/nutmegpick/main.c
+++ b/nutmegpick/main.c
@@ -5,14 +5,14 @@
 #include "nutmegpick/commands.h"
 
 static const struct command commands[] = {
-	{"check", "check an object set", command_check},
-	{"query", "send a query", command_query},
-	{"publish", "publish an object set", command_publish},
-	{"diff", "compare a set with the version in force", command_diff},
-	{"show", "print a published set", command_show},
-	{"history", "list published versions", command_history},
-	{"status", "print what is in force", command_status},
-	{"replay", "check a trace of requests", command_replay},
+	{ "check", "check an object set", command_check },
+	{ "query", "send a query", command_query },
+	{ "publish", "publish an object set", command_publish },
+	{ "diff", "compare a set with the version in force", command_diff },
+	{ "show", "print a published set", command_show },
+	{ "history", "list published versions", command_history },
+	{ "status", "print what is in force", command_status },
+	{ "replay", "check a trace of requests", command_replay },
 };
 
 static void print_usage(FILE *out)
--- a/nutmegpick/publish.c
+++ b/nutmegpick/publish.c
@@ -21,14 +21,14 @@
 };
 
 static const struct argp_option options[] = {
-	{"author", 'a', "NAME", 0, "Author (default: the user's name)", 0},
-	{"base", 'b', "VERSION", 0,
-	 "Refuse if another version is in force (0: none)", 0},
-	{"id", 'i', "TOKEN", 0,
-	 "Second part of the publish id (default: random)", 0},
-	{"settle", 'S', "ID", 0,
-	 "Decide the outcome of an earlier publish with this publish id", 0},
-	{0},
+	{ "author", 'a', "NAME", 0, "Author (default: the user's name)", 0 },
+	{ "base", 'b', "VERSION", 0,
+	  "Refuse if another version is in force (0: none)", 0 },
+	{ "id", 'i', "TOKEN", 0,
+	  "Second part of the publish id (default: random)", 0 },
+	{ "settle", 'S', "ID", 0,
+	  "Decide the outcome of an earlier publish with this publish id", 0 },
+	{ 0 },
 };
 
 static int64_t parse_version(const char *text, struct argp_state *state)
@@ -75,7 +75,8 @@
 	}
 }
 
-static const struct argp_child children[] = {{&store_argp, 0, NULL, 0}, {0}};
+static const struct argp_child children[] = { { &store_argp, 0, NULL, 0 },
+					      { 0 } };
 
 static const struct argp argp = {
 	options,
@@ -106,7 +107,7 @@
 				   const struct object_set *set,
 				   const struct publish_record *winner)
 {
-	struct fault_list faults = {0};
+	struct fault_list faults = { 0 };
 	struct object_set *theirs = NULL;
 	json_t *difference = NULL;
 
@@ -156,7 +157,8 @@
 static json_t *format_result(const struct publish_result *r, json_t *difference,
 			     const char *command)
 {
-	static const char *const states[] = {"accepted", "refused", "unknown"};
+	static const char *const states[] = { "accepted", "refused",
+					      "unknown" };
 	json_t *out = json_pack("{s:s}", "state", states[r->state]);
 
 	if (r->code)
@@ -183,8 +185,8 @@
 static int print_result(struct publish_args *a, const struct object_set *set,
 			const struct publish_result *r)
 {
-	static const int statuses[] = {STATUS_OK, STATUS_REFUSED,
-				       STATUS_UNKNOWN};
+	static const int statuses[] = { STATUS_OK, STATUS_REFUSED,
+					STATUS_UNKNOWN };
 	json_t *difference = NULL;
 	char *command = NULL;
 
@@ -226,7 +228,7 @@
 		.time_ms = g_get_real_time() / 1000,
 		.base_version = a->base,
 	};
-	struct fault_list faults = {0};
+	struct fault_list faults = { 0 };
 	struct object_set *set = NULL;
 	struct publish_result r;
 	char *token = NULL;
@@ -265,7 +267,7 @@
 
 int command_publish(int argc, char **argv)
 {
-	struct publish_args a = {.base = -1};
+	struct publish_args a = { .base = -1 };
 
 	argp_parse(&argp, argc, argv, 0, NULL, &a);
 	return a.settle ? settle(&a) : publish_path(&a);
--- a/nutmegpick/query.c
+++ b/nutmegpick/query.c
@@ -24,17 +24,17 @@
 };
 
 static const struct argp_option options[] = {
-	{"host", 'H', "IP:PORT", 0, "Entry host (default 127.0.0.1:8080)", 0},
-	{"deadline-ms", 'd', "MS", 0, "Deadline in milliseconds", 0},
-	{"key", 'k', "KEY", 0, "Request key of a non-idempotent request", 0},
-	{"created", 'C', "MS", 0,
-	 "Time at which the key was made, for a repeat (default: now)", 0},
-	{"attempt", 'a', "N", 0,
-	 "Number of this attempt with the key (default 1)", 0},
-	{"class", 'c', "NAME", 0, "Admission class", 0},
-	{"top", 't', "N", 0, "Number of hits", 0},
-	{"json", 'j', NULL, 0, "Print the reply as JSON", 0},
-	{0},
+	{ "host", 'H', "IP:PORT", 0, "Entry host (default 127.0.0.1:8080)", 0 },
+	{ "deadline-ms", 'd', "MS", 0, "Deadline in milliseconds", 0 },
+	{ "key", 'k', "KEY", 0, "Request key of a non-idempotent request", 0 },
+	{ "created", 'C', "MS", 0,
+	  "Time at which the key was made, for a repeat (default: now)", 0 },
+	{ "attempt", 'a', "N", 0,
+	  "Number of this attempt with the key (default 1)", 0 },
+	{ "class", 'c', "NAME", 0, "Admission class", 0 },
+	{ "top", 't', "N", 0, "Number of hits", 0 },
+	{ "json", 'j', NULL, 0, "Print the reply as JSON", 0 },
+	{ 0 },
 };
 
 static error_t handle_option(int key, char *arg, struct argp_state *state)
@@ -159,11 +159,11 @@
 	       json_number_value(json_object_get(coverage, "percent")),
 	       (long long)json_integer_value(json_object_get(
 		       json_object_get(answer, "timing"), "total_us")));
-	json_array_foreach(missing, i, item)
+	json_array_foreach (missing, i, item)
 		printf("missing %s: %s\n",
 		       json_string_value(json_object_get(item, "shard")),
 		       json_string_value(json_object_get(item, "message")));
-	json_array_foreach(json_object_get(answer, "hits"), i, item)
+	json_array_foreach (json_object_get(answer, "hits"), i, item)
 		printf("%8.5f  %s  (%s)\n",
 		       json_number_value(json_object_get(item, "score")),
 		       json_string_value(json_object_get(item, "id")),
@@ -231,7 +231,7 @@
 
 int command_query(int argc, char **argv)
 {
-	struct query_arguments a = {.host = "127.0.0.1:8080", .attempt = "1"};
+	struct query_arguments a = { .host = "127.0.0.1:8080", .attempt = "1" };
 
 	argp_parse(&argp, argc, argv, 0, NULL, &a);
 	return send_query(&a);
--- a/nutmegpick/replay.c
+++ b/nutmegpick/replay.c
@@ -119,7 +119,7 @@
 
 int command_replay(int argc, char **argv)
 {
-	struct check_state s = {0};
+	struct check_state s = { 0 };
 	struct replay_trace t;
 
 	argp_parse(&argp, argc, argv, 0, NULL, &s.path);
--- a/nutmegpick/show.c
+++ b/nutmegpick/show.c
@@ -14,8 +14,8 @@
 };
 
 static const struct argp_option options[] = {
-	{"version", 'V', "N", 0, "Version (default: the one in force)", 0},
-	{0},
+	{ "version", 'V', "N", 0, "Version (default: the one in force)", 0 },
+	{ 0 },
 };
 
 static error_t handle_option(int key, char *arg, struct argp_state *state)
@@ -40,7 +40,8 @@
 	}
 }
 
-static const struct argp_child children[] = {{&store_argp, 0, NULL, 0}, {0}};
+static const struct argp_child children[] = { { &store_argp, 0, NULL, 0 },
+					      { 0 } };
 
 static const struct argp argp = {
 	options,
@@ -75,10 +76,10 @@
 
 int command_show(int argc, char **argv)
 {
-	struct fault_list faults = {0};
+	struct fault_list faults = { 0 };
 	struct publish_record record;
 	struct object_set *set = NULL;
-	struct show_args a = {0};
+	struct show_args a = { 0 };
 	int ret;
 
 	argp_parse(&argp, argc, argv, 0, NULL, &a);
--- a/nutmegpick/status.c
+++ b/nutmegpick/status.c
@@ -20,7 +20,8 @@
 	}
 }
 
-static const struct argp_child children[] = {{&store_argp, 0, NULL, 0}, {0}};
+static const struct argp_child children[] = { { &store_argp, 0, NULL, 0 },
+					      { 0 } };
 
 static const struct argp argp = {
 	NULL,
@@ -37,7 +38,7 @@
 int command_status(int argc, char **argv)
 {
 	struct publish_record record;
-	struct store_args a = {0};
+	struct store_args a = { 0 };
 	int ret;
 
 	argp_parse(&argp, argc, argv, 0, NULL, &a);
--- a/nutmegpick/store_args.c
+++ b/nutmegpick/store_args.c
@@ -10,14 +10,14 @@
 #include "nutmegpick/commands.h"
 
 static const struct argp_option options[] = {
-	{"store", 's', "IP:PORT", 0,
-	 "Endpoint of the store; repeat for several (default " DEFAULT_STORE
-	 ")",
-	 0},
-	{"timeout", 'w', "DURATION", 0,
-	 "Longest wait for one call of the store (default 5s)", 0},
-	{"json", 'j', NULL, 0, "Print JSON", 0},
-	{0},
+	{ "store", 's', "IP:PORT", 0,
+	  "Endpoint of the store; repeat for several (default " DEFAULT_STORE
+	  ")",
+	  0 },
+	{ "timeout", 'w', "DURATION", 0,
+	  "Longest wait for one call of the store (default 5s)", 0 },
+	{ "json", 'j', NULL, 0, "Print JSON", 0 },
+	{ 0 },
 };
 
 static error_t handle_option(int key, char *arg, struct argp_state *state)
@@ -42,7 +42,7 @@
 	}
 }
 
-const struct argp store_argp = {options, handle_option};
+const struct argp store_argp = { options, handle_option };
 
 void store_args_open(struct store_args *a)
 {
--- a/nutmegpick/trace.c
+++ b/nutmegpick/trace.c
@@ -71,7 +71,7 @@
 	double service_ms = 20;
 	double region_ms = 12;
 	double caller_ms = 1;
-	struct fault_list faults = {0};
+	struct fault_list faults = { 0 };
 	json_int_t seed = 1;
 	size_t index;
 	int ret;
@@ -114,7 +114,7 @@
 
 static int add_fault(struct replay_trace *t, json_t *o)
 {
-	struct replay_fault f = {0};
+	struct replay_fault f = { 0 };
 	json_int_t target = 0;
 	const char *leaf = NULL;
 	const char *kind;
@@ -141,7 +141,7 @@
 
 static int add_expect(struct replay_trace *t, json_t *o, int line, bool is_run)
 {
-	struct trace_expect e = {line, is_run, o};
+	struct trace_expect e = { line, is_run, o };
 	const char *const *names = is_run ? run_outcomes : request_outcomes;
 	size_t count = is_run ? G_N_ELEMENTS(run_outcomes)
 			      : G_N_ELEMENTS(request_outcomes);
@@ -149,8 +149,7 @@
 	json_t *value;
 	size_t index;
 
-	json_object_foreach(o, name, value)
-	{
+	json_object_foreach (o, name, value) {
 		if (!json_is_number(value) ||
 		    !find_name(names, count, name, &index))
 			return -ERR_BAD_REQUEST;
@@ -195,7 +194,7 @@
 
 static int add_requests(struct replay_trace *t, json_t *o, int line)
 {
-	struct replay_request r = {.line = line};
+	struct replay_request r = { .line = line };
 	const char *service;
 	const char *class = NULL;
 	const char *key = "";
--- a/nutmegpickd/engine_thread.c
+++ b/nutmegpickd/engine_thread.c
@@ -172,7 +172,7 @@
 void *host_run_engine(void *ctx)
 {
 	struct host *h = ctx;
-	struct pollfd p = {.fd = ring_fd(h->events), .events = POLLIN};
+	struct pollfd p = { .fd = ring_fd(h->events), .events = POLLIN };
 
 	while (!h->is_exiting || is_exit_held(h)) {
 		struct host_event *e;
--- a/nutmegpickd/main.c
+++ b/nutmegpickd/main.c
@@ -23,10 +23,10 @@
 };
 
 static const struct argp_option options[] = {
-	{"settings", 's', "FILE", 0, "Read settings from FILE", 0},
-	{"check-settings", 'c', NULL, 0,
-	 "Check and print the settings, then exit", 0},
-	{0},
+	{ "settings", 's', "FILE", 0, "Read settings from FILE", 0 },
+	{ "check-settings", 'c', NULL, 0,
+	  "Check and print the settings, then exit", 0 },
+	{ 0 },
 };
 
 static error_t handle_option(int key, char *arg, struct argp_state *state)
@@ -68,7 +68,7 @@
 
 static int load_objects(struct host *h)
 {
-	struct fault_list faults = {0};
+	struct fault_list faults = { 0 };
 	struct object_set *set;
 	int ret;
 
@@ -82,7 +82,8 @@
 		fault_list_clear(&faults);
 		return ret;
 	}
-	while (host_send(h, (struct host_event){.type = HOST_SET, .set = set}))
+	while (host_send(h,
+			 (struct host_event){ .type = HOST_SET, .set = set }))
 		g_usleep(1000);
 	return 0;
 }
@@ -90,8 +91,8 @@
 static void handle_request(void *ctx, struct http_exchange *x)
 {
 	struct host *h = ctx;
-	struct host_event e = {.type = HOST_REQUEST, .exchange = x};
-	struct origin o = {.exchange = x};
+	struct host_event e = { .type = HOST_REQUEST, .exchange = x };
+	struct origin o = { .exchange = x };
 
 	if (host_send(h, e))
 		answer_refuse(h, &o, "", -ERR_OVERLOAD, RUN_NOT_RUN, US_PER_S);
@@ -100,7 +101,7 @@
 static void handle_reply(void *ctx, struct upstream_reply *reply)
 {
 	struct host *h = ctx;
-	struct host_event e = {.type = HOST_REPLY, .reply = reply};
+	struct host_event e = { .type = HOST_REPLY, .reply = reply };
 
 	/* A lost reply would leave its call open until the deadline. */
 	while (host_send(h, e))
@@ -164,7 +165,7 @@
 
 static void send_surely(struct host *h, enum host_event_type type)
 {
-	while (host_send(h, (struct host_event){.type = type}))
+	while (host_send(h, (struct host_event){ .type = type }))
 		g_usleep(1000);
 }
 
@@ -212,9 +213,9 @@
 
 int main(int argc, char **argv)
 {
-	struct arguments arguments = {0};
-	struct fault_list faults = {0};
-	struct host h = {.clock = clock_system()};
+	struct arguments arguments = { 0 };
+	struct fault_list faults = { 0 };
+	struct host h = { .clock = clock_system() };
 	sigset_t signals;
 	int ret;
 
--- a/nutmegpickd/metrics.c
+++ b/nutmegpickd/metrics.c
@@ -16,7 +16,7 @@
 	uint64_t count;
 };
 
-#define CODE(name, number, text) {number, 0},
+#define CODE(name, number, text) { number, 0 },
 
 /* Codes that a refusal of a request can carry. */
 static struct refusal refusals[] = {
@@ -31,27 +31,27 @@
 static uint64_t duration_sum_us;
 
 static struct counter outcomes[] = {
-	{.name = "nutmegpick_query_outcomes_total",
-	 .help = "Queries ended, by outcome.",
-	 .label = "outcome=\"answered\""},
-	{.name = "nutmegpick_query_outcomes_total",
-	 .help = "Queries ended, by outcome.",
-	 .label = "outcome=\"not_run\""},
-	{.name = "nutmegpick_query_outcomes_total",
-	 .help = "Queries ended, by outcome.",
-	 .label = "outcome=\"unknown\""},
+	{ .name = "nutmegpick_query_outcomes_total",
+	  .help = "Queries ended, by outcome.",
+	  .label = "outcome=\"answered\"" },
+	{ .name = "nutmegpick_query_outcomes_total",
+	  .help = "Queries ended, by outcome.",
+	  .label = "outcome=\"not_run\"" },
+	{ .name = "nutmegpick_query_outcomes_total",
+	  .help = "Queries ended, by outcome.",
+	  .label = "outcome=\"unknown\"" },
 };
 
 static struct counter calls[] = {
-	{.name = "nutmegpick_leaf_calls_total",
-	 .help = "Calls sent to leaves, by cause.",
-	 .label = "cause=\"first\""},
-	{.name = "nutmegpick_leaf_calls_total",
-	 .help = "Calls sent to leaves, by cause.",
-	 .label = "cause=\"hedge\""},
-	{.name = "nutmegpick_leaf_calls_total",
-	 .help = "Calls sent to leaves, by cause.",
-	 .label = "cause=\"retry\""},
+	{ .name = "nutmegpick_leaf_calls_total",
+	  .help = "Calls sent to leaves, by cause.",
+	  .label = "cause=\"first\"" },
+	{ .name = "nutmegpick_leaf_calls_total",
+	  .help = "Calls sent to leaves, by cause.",
+	  .label = "cause=\"hedge\"" },
+	{ .name = "nutmegpick_leaf_calls_total",
+	  .help = "Calls sent to leaves, by cause.",
+	  .label = "cause=\"retry\"" },
 };
 
 __attribute__((constructor)) static void register_counters(void)
--- a/nutmegpickd/page.c
+++ b/nutmegpickd/page.c
@@ -42,7 +42,7 @@
 
 static void send_not_found(struct host *h, struct http_exchange *x)
 {
-	struct origin o = {.exchange = x};
+	struct origin o = { .exchange = x };
 
 	answer_refuse(h, &o, "", -ERR_NET_NOT_FOUND, RUN_NOT_RUN, 0);
 }
--- a/nutmegpickd/peers.c
+++ b/nutmegpickd/peers.c
@@ -169,7 +169,7 @@
 static int encode_hello(struct host *h, struct frame_codec *codec,
 			const void **data, size_t *len)
 {
-	struct frame frame = {.type = FRAME_HELLO};
+	struct frame frame = { .type = FRAME_HELLO };
 
 	frame.hello.version_low = FRAME_VERSION_LOW;
 	frame.hello.version_high = FRAME_VERSION_HIGH;
--- a/nutmegpickd/query.c
+++ b/nutmegpickd/query.c
@@ -201,7 +201,7 @@
 
 void query_start(struct host *h, struct http_exchange *x)
 {
-	struct engine_request request = {0};
+	struct engine_request request = { 0 };
 	struct host_query *q;
 	char *service = parse_service(http_exchange_path(x));
 	const char *body;
@@ -213,7 +213,7 @@
 		return;
 	}
 	counter_add(&queries_total, 1);
-	q = create_query(h, (struct origin){.exchange = x}, service);
+	q = create_query(h, (struct origin){ .exchange = x }, service);
 	ret = parse_headers(x, &request);
 	request.service = service;
 	g_strlcpy(q->request_id, request.id, sizeof(q->request_id));
@@ -267,7 +267,7 @@
 		.is_first_attempt = f->is_first_attempt,
 		.is_non_idempotent = f->is_non_idempotent,
 	};
-	struct origin origin = {.link = link, .forward_id = f->id};
+	struct origin origin = { .link = link, .forward_id = f->id };
 	struct host_query *q = create_query(h, origin, strdup(f->service));
 	int ret;
 
@@ -294,8 +294,7 @@
 	g_hash_table_remove(h->calls, &reply->call_id);
 	if (!is_accepted || !q)
 		return;
-	json_array_foreach(reply->body, i, hit)
-	{
+	json_array_foreach (reply->body, i, hit) {
 		const char *id = json_string_value(json_object_get(hit, "id"));
 		json_t *score = json_object_get(hit, "score");
 
@@ -388,8 +387,8 @@
 		reply->call_id = call->call_id;
 		reply->result.call_id = call->call_id;
 		reply->result.status = CALL_CONNECT_FAILED;
-		host_send(h, (struct host_event){.type = HOST_REPLY,
-						 .reply = reply});
+		host_send(h, (struct host_event){ .type = HOST_REPLY,
+						  .reply = reply });
 	}
 }
 
--- a/nutmegpickd/report.c
+++ b/nutmegpickd/report.c
@@ -44,8 +44,7 @@
 	json_t *item;
 	size_t i;
 
-	json_array_foreach(array, i, item)
-	{
+	json_array_foreach (array, i, item) {
 		const json_t *id = json_object_get(item, "id");
 
 		if (count < MAX_SNAPSHOTS && json_is_integer(id))
@@ -57,7 +56,7 @@
 void report_handle(struct host *h, const struct upstream_reply *reply)
 {
 	uint64_t snapshots[MAX_SNAPSHOTS];
-	struct leaf_report report = {.snapshots = snapshots};
+	struct leaf_report report = { .snapshots = snapshots };
 
 	if (!h->set || reply->result.status != CALL_OK)
 		return;
--- a/nutmegpickd/route.c
+++ b/nutmegpickd/route.c
@@ -231,13 +231,13 @@
 static struct leaf_share own_share(const struct host *h, obj_handle group)
 {
 	const struct unit *u = &h->routes->units[h->routes->unit_of[group]];
-	struct leaf_share share = {0, 0};
+	struct leaf_share share = { 0, 0 };
 
 	if (u->holder_count && find_self(h, u) >= 0)
 		share = holder_share(&h->routes->set->groups[group],
 				     u->holder_count);
 	else if (is_successor(h, u))
-		share = (struct leaf_share){1, 1};
+		share = (struct leaf_share){ 1, 1 };
 	return share;
 }
 
--- a/nutmegpickd/set_transfer.c
+++ b/nutmegpickd/set_transfer.c
@@ -103,7 +103,7 @@
 
 static void ask(struct set_transfer *t, const char *part)
 {
-	struct frame f = {.type = FRAME_PULL};
+	struct frame f = { .type = FRAME_PULL };
 
 	f.gossip.sender = *membership_self(fleet_members(t->host->fleet));
 	f.gossip.version = fleet_version(t->host->fleet);
@@ -125,7 +125,7 @@
 		      const struct frame_pull *pull, const void *data,
 		      uint32_t size)
 {
-	struct frame f = {.type = FRAME_SET};
+	struct frame f = { .type = FRAME_SET };
 
 	f.set.version = pull->version;
 	g_strlcpy(f.set.part, pull->part, sizeof(f.set.part));
@@ -275,7 +275,7 @@
 
 void set_transfer_advance(struct set_transfer *t)
 {
-	struct fault_list faults = {0};
+	struct fault_list faults = { 0 };
 	uint64_t version = t->version;
 	struct object_set *set;
 	GString *text;
--- a/nutmegpickd/settings.c
+++ b/nutmegpickd/settings.c
@@ -38,36 +38,37 @@
 };
 
 static const struct setting_spec specs[] = {
-	{"host", "id", SETTING_STRING, offsetof(struct settings, host_id), NULL,
-	 true},
-	{"host", "domain", SETTING_STRING, offsetof(struct settings, domain),
-	 NULL, true},
-	{"host", "seat", SETTING_SEAT, offsetof(struct settings, seat), "none",
-	 false},
-	{"listen", "http", SETTING_ADDRESS,
-	 offsetof(struct settings, listen_http), NULL, true},
-	{"listen", "peer", SETTING_ADDRESS,
-	 offsetof(struct settings, listen_peer), NULL, false},
-	{"peers", "seeds", SETTING_ADDRESSES,
-	 offsetof(struct settings, peer_seeds), NULL, false},
-	{"objects", "path", SETTING_STRING,
-	 offsetof(struct settings, objects_path), NULL, false},
-	{"store", "endpoints", SETTING_ADDRESSES,
-	 offsetof(struct settings, store_endpoints), NULL, false},
-	{"log", "level", SETTING_LEVEL, offsetof(struct settings, log_level),
-	 "info", false},
-	{"lifecycle", "drain_delay", SETTING_DURATION,
-	 offsetof(struct settings, drain_delay_us), "3s", false, 0,
-	 3600 * US_PER_S},
-	{"lifecycle", "stop_timeout", SETTING_DURATION,
-	 offsetof(struct settings, stop_timeout_us), "30s", false, 0,
-	 3600 * US_PER_S},
-	{"reports", "interval", SETTING_DURATION,
-	 offsetof(struct settings, report_interval_us), "1s", false,
-	 10 * US_PER_MS, 3600 * US_PER_S},
+	{ "host", "id", SETTING_STRING, offsetof(struct settings, host_id),
+	  NULL, true },
+	{ "host", "domain", SETTING_STRING, offsetof(struct settings, domain),
+	  NULL, true },
+	{ "host", "seat", SETTING_SEAT, offsetof(struct settings, seat), "none",
+	  false },
+	{ "listen", "http", SETTING_ADDRESS,
+	  offsetof(struct settings, listen_http), NULL, true },
+	{ "listen", "peer", SETTING_ADDRESS,
+	  offsetof(struct settings, listen_peer), NULL, false },
+	{ "peers", "seeds", SETTING_ADDRESSES,
+	  offsetof(struct settings, peer_seeds), NULL, false },
+	{ "objects", "path", SETTING_STRING,
+	  offsetof(struct settings, objects_path), NULL, false },
+	{ "store", "endpoints", SETTING_ADDRESSES,
+	  offsetof(struct settings, store_endpoints), NULL, false },
+	{ "log", "level", SETTING_LEVEL, offsetof(struct settings, log_level),
+	  "info", false },
+	{ "lifecycle", "drain_delay", SETTING_DURATION,
+	  offsetof(struct settings, drain_delay_us), "3s", false, 0,
+	  3600 * US_PER_S },
+	{ "lifecycle", "stop_timeout", SETTING_DURATION,
+	  offsetof(struct settings, stop_timeout_us), "30s", false, 0,
+	  3600 * US_PER_S },
+	{ "reports", "interval", SETTING_DURATION,
+	  offsetof(struct settings, report_interval_us), "1s", false,
+	  10 * US_PER_MS, 3600 * US_PER_S },
 };
 
-static const char *const level_names[] = {"debug", "info", "warning", "error"};
+static const char *const level_names[] = { "debug", "info", "warning",
+					   "error" };
 
 struct reader {
 	const char *file;
@@ -246,7 +247,7 @@
 int settings_load(const char *path, struct settings *out,
 		  struct fault_list *faults)
 {
-	struct reader r = {.file = path, .faults = faults};
+	struct reader r = { .file = path, .faults = faults };
 	struct tree_node *root;
 	GError *error = NULL;
 	char message[256];
--- a/nutmegpickd/store_thread.c
+++ b/nutmegpickd/store_thread.c
@@ -35,7 +35,7 @@
 static void handle_set(void *ctx, struct object_set *set)
 {
 	struct store_thread *t = ctx;
-	struct host_event e = {.type = HOST_SET, .set = set};
+	struct host_event e = { .type = HOST_SET, .set = set };
 
 	while (host_send(t->host, e)) {
 		if (__atomic_load_n(&t->is_stopping, __ATOMIC_RELAXED)) {
@@ -107,7 +107,7 @@
 		.len = r->len,
 	};
 	const char *key = r->key;
-	struct store_txn read = {.reads = &key, .read_count = 1};
+	struct store_txn read = { .reads = &key, .read_count = 1 };
 	struct store_txn write = {
 		.compares = &compare,
 		.compare_count = 1,
@@ -117,10 +117,10 @@
 
 	if (r->is_write)
 		store_txn(&t->store, &write,
-			  (struct store_done){handle_write, r});
+			  (struct store_done){ handle_write, r });
 	else
 		store_txn(&t->store, &read,
-			  (struct store_done){handle_read, r});
+			  (struct store_done){ handle_read, r });
 }
 
 static void run_requests(struct store_thread *t)
--- a/objects/build.c
+++ b/objects/build.c
@@ -73,36 +73,36 @@
 		       1000, 600e6),
 	DURATION_FIELD(struct deadline_object, max_us, "max", true, 1000,
 		       600e6),
-	{NULL},
+	{ NULL },
 };
 
 static const struct field_spec retry_fields[] = {
-	{"attempts", FIELD_UINT, offsetof(struct retry_object, attempts), true,
-	 1, 10},
+	{ "attempts", FIELD_UINT, offsetof(struct retry_object, attempts), true,
+	  1, 10 },
 	DURATION_FIELD(struct retry_object, backoff_us, "backoff", false, 0,
 		       60e6),
-	{"budget", FIELD_REAL, offsetof(struct retry_object, budget_percent),
-	 false, 0, 100},
-	{NULL},
+	{ "budget", FIELD_REAL, offsetof(struct retry_object, budget_percent),
+	  false, 0, 100 },
+	{ NULL },
 };
 
 static const struct field_spec hedge_fields[] = {
-	{"quantile", FIELD_REAL, offsetof(struct hedge_object, quantile), false,
-	 0.5, 0.9999},
+	{ "quantile", FIELD_REAL, offsetof(struct hedge_object, quantile),
+	  false, 0.5, 0.9999 },
 	DURATION_FIELD(struct hedge_object, min_delay_us, "min_delay", false, 0,
 		       60e6),
 	DURATION_FIELD(struct hedge_object, max_delay_us, "max_delay", true, 0,
 		       60e6),
-	{NULL},
+	{ NULL },
 };
 
 static const struct field_spec class_fields[] = {
-	{"kind", FIELD_STRING, offsetof(struct class_object, kind), true},
-	{"worth", FIELD_UINT, offsetof(struct class_object, worth), true, 1,
-	 1000},
-	{"floor", FIELD_REAL, offsetof(struct class_object, floor_percent),
-	 false, 0, 100},
-	{NULL},
+	{ "kind", FIELD_STRING, offsetof(struct class_object, kind), true },
+	{ "worth", FIELD_UINT, offsetof(struct class_object, worth), true, 1,
+	  1000 },
+	{ "floor", FIELD_REAL, offsetof(struct class_object, floor_percent),
+	  false, 0, 100 },
+	{ NULL },
 };
 
 static const struct field_spec drain_fields[] = {
@@ -110,71 +110,75 @@
 		       3600e6),
 	DURATION_FIELD(struct drain_object, linger_us, "linger", true, 0,
 		       3600e6),
-	{NULL},
+	{ NULL },
 };
 
 static const struct field_spec group_fields[] = {
-	{"slots", FIELD_UINT, offsetof(struct group_object, slots), true, 1,
-	 100000},
-	{"connections", FIELD_UINT, offsetof(struct group_object, connections),
-	 true, 1, 100000},
+	{ "slots", FIELD_UINT, offsetof(struct group_object, slots), true, 1,
+	  100000 },
+	{ "connections", FIELD_UINT, offsetof(struct group_object, connections),
+	  true, 1, 100000 },
 	DURATION_FIELD(struct group_object, connect_cost_us, "connect_cost",
 		       false, 0, 10e6),
-	{"holders", FIELD_UINT, offsetof(struct group_object, holders), false,
-	 0, 10000},
-	{"shards", FIELD_NESTED, 0, true},
-	{NULL},
+	{ "holders", FIELD_UINT, offsetof(struct group_object, holders), false,
+	  0, 10000 },
+	{ "shards", FIELD_NESTED, 0, true },
+	{ NULL },
 };
 
-static const char *const fan_out_names[] = {"all", "key", NULL};
-static const char *const policy_names[] = {"nutmegpick", "round_robin",
-					   "naive_retry", NULL};
+static const char *const fan_out_names[] = { "all", "key", NULL };
+static const char *const policy_names[] = { "nutmegpick", "round_robin",
+					    "naive_retry", NULL };
 
 static const struct field_spec service_fields[] = {
-	{"groups", FIELD_NESTED, 0, true},
-	{"deadline", FIELD_REFERENCE, offsetof(struct service_object, deadline),
-	 true, 0, 0, KIND_DEADLINE},
-	{"retry", FIELD_REFERENCE, offsetof(struct service_object, retry),
-	 false, 0, 0, KIND_RETRY},
-	{"hedge", FIELD_REFERENCE, offsetof(struct service_object, hedge),
-	 false, 0, 0, KIND_HEDGE},
-	{"class", FIELD_REFERENCE, offsetof(struct service_object, class), true,
-	 0, 0, KIND_CLASS},
-	{"drain", FIELD_REFERENCE, offsetof(struct service_object, drain),
-	 false, 0, 0, KIND_DRAIN},
-	{"min_coverage", FIELD_REAL,
-	 offsetof(struct service_object, min_coverage_percent), false, 0, 100},
-	{"early_answer", FIELD_BOOL,
-	 offsetof(struct service_object, early_answer)},
-	{"idempotent", FIELD_BOOL, offsetof(struct service_object, idempotent)},
-	{"fan_out", FIELD_CHOICE, offsetof(struct service_object, fan_out),
-	 false, 0, 0, 0, fan_out_names},
-	{"top_k", FIELD_UINT, offsetof(struct service_object, top_k), false, 1,
-	 10000},
-	{"policy", FIELD_CHOICE, offsetof(struct service_object, policy), false,
-	 0, 0, 0, policy_names},
-	{NULL},
+	{ "groups", FIELD_NESTED, 0, true },
+	{ "deadline", FIELD_REFERENCE,
+	  offsetof(struct service_object, deadline), true, 0, 0,
+	  KIND_DEADLINE },
+	{ "retry", FIELD_REFERENCE, offsetof(struct service_object, retry),
+	  false, 0, 0, KIND_RETRY },
+	{ "hedge", FIELD_REFERENCE, offsetof(struct service_object, hedge),
+	  false, 0, 0, KIND_HEDGE },
+	{ "class", FIELD_REFERENCE, offsetof(struct service_object, class),
+	  true, 0, 0, KIND_CLASS },
+	{ "drain", FIELD_REFERENCE, offsetof(struct service_object, drain),
+	  false, 0, 0, KIND_DRAIN },
+	{ "min_coverage", FIELD_REAL,
+	  offsetof(struct service_object, min_coverage_percent), false, 0,
+	  100 },
+	{ "early_answer", FIELD_BOOL,
+	  offsetof(struct service_object, early_answer) },
+	{ "idempotent", FIELD_BOOL,
+	  offsetof(struct service_object, idempotent) },
+	{ "fan_out", FIELD_CHOICE, offsetof(struct service_object, fan_out),
+	  false, 0, 0, 0, fan_out_names },
+	{ "top_k", FIELD_UINT, offsetof(struct service_object, top_k), false, 1,
+	  10000 },
+	{ "policy", FIELD_CHOICE, offsetof(struct service_object, policy),
+	  false, 0, 0, 0, policy_names },
+	{ NULL },
 };
 
 static const struct field_spec fleet_fields[] = {
-	{"domains", FIELD_NESTED, 0, true},
-	{NULL},
+	{ "domains", FIELD_NESTED, 0, true },
+	{ NULL },
 };
 
 static const struct field_spec domain_fields[] = {
-	{"name", FIELD_STRING, offsetof(struct domain_object, name), true},
-	{"region", FIELD_STRING, offsetof(struct domain_object, region), true},
-	{"seats", FIELD_UINT, offsetof(struct domain_object, seats), true, 1,
-	 10000},
-	{NULL},
+	{ "name", FIELD_STRING, offsetof(struct domain_object, name), true },
+	{ "region", FIELD_STRING, offsetof(struct domain_object, region),
+	  true },
+	{ "seats", FIELD_UINT, offsetof(struct domain_object, seats), true, 1,
+	  10000 },
+	{ NULL },
 };
 
 static const struct field_spec shard_fields[] = {
-	{"name", FIELD_STRING, offsetof(struct shard_object, name), true},
-	{"weight", FIELD_UINT64, offsetof(struct shard_object, weight), true, 1,
-	 1e15},
-	{"leaves", FIELD_NESTED, 0, true},
-	{NULL},
+	{ "name", FIELD_STRING, offsetof(struct shard_object, name), true },
+	{ "weight", FIELD_UINT64, offsetof(struct shard_object, weight), true,
+	  1, 1e15 },
+	{ "leaves", FIELD_NESTED, 0, true },
+	{ NULL },
 };
 
 struct leaf_fields {
@@ -183,9 +187,10 @@
 };
 
 static const struct field_spec leaf_field_specs[] = {
-	{"address", FIELD_STRING, offsetof(struct leaf_fields, address), true},
-	{"domain", FIELD_STRING, offsetof(struct leaf_fields, domain), true},
-	{NULL},
+	{ "address", FIELD_STRING, offsetof(struct leaf_fields, address),
+	  true },
+	{ "domain", FIELD_STRING, offsetof(struct leaf_fields, domain), true },
+	{ NULL },
 };
 
 static const struct field_spec *const kind_fields[KIND_COUNT] = {
@@ -514,7 +519,7 @@
 		      obj_handle shard)
 {
 	struct object_set *set = b->set;
-	struct leaf_fields fields = {NULL, NULL};
+	struct leaf_fields fields = { NULL, NULL };
 	struct leaf_object *leaf;
 	char *message;
 
@@ -829,7 +834,7 @@
 struct object_set *build_set(const struct set_source *sources, size_t count,
 			     struct fault_list *faults)
 {
-	struct build b = {.faults = faults};
+	struct build b = { .faults = faults };
 
 	b.set = calloc(1, sizeof(*b.set));
 	b.set->refs = 1;
--- a/objects/check.c
+++ b/objects/check.c
@@ -38,7 +38,7 @@
 static struct position locate(const struct check *c, const char *kind,
 			      const char *name, const char *field)
 {
-	struct position p = {c->sources[0].file, 0};
+	struct position p = { c->sources[0].file, 0 };
 
 	for (size_t i = 0; i < c->source_count; i++) {
 		const struct tree_node *object =
--- a/objects/encode.c
+++ b/objects/encode.c
@@ -155,8 +155,8 @@
 static json_t *encode_service(const struct object_set *set,
 			      const struct service_object *s)
 {
-	static const char *const policies[] = {"nutmegpick", "round_robin",
-					       "naive_retry"};
+	static const char *const policies[] = { "nutmegpick", "round_robin",
+						"naive_retry" };
 	json_t *groups = json_array();
 	json_t *o;
 
--- a/objects/load.c
+++ b/objects/load.c
@@ -54,7 +54,7 @@
 int object_set_decode(const char *json, size_t len, struct object_set **out,
 		      struct fault_list *faults)
 {
-	struct set_source source = {.file = "set"};
+	struct set_source source = { .file = "set" };
 	char message[256];
 	int line = 0;
 	int ret;
--- a/objects/tree.c
+++ b/objects/tree.c
@@ -63,11 +63,11 @@
 	size_t i;
 
 	if (json_is_array(v)) {
-		json_array_foreach(v, i, item)
+		json_array_foreach (v, i, item)
 			tree_append(node, convert_json(item, NULL));
 		return;
 	}
-	json_object_foreach((json_t *)v, key, item)
+	json_object_foreach ((json_t *)v, key, item)
 		tree_append(node, convert_json(item, key));
 }
 
--- a/store/etcd.c
+++ b/store/etcd.c
@@ -191,7 +191,7 @@
 	struct etcd *e = c->etcd;
 	int64_t wait = pick_backoff(e, c->attempts);
 	int64_t now = clock_now(&e->clock);
-	struct store_reply reply = {.code = code};
+	struct store_reply reply = { .code = code };
 
 	end_attempt(c);
 	c->endpoint = (c->endpoint + 1) % e->options.endpoint_count;
@@ -247,7 +247,7 @@
 static void finish_attempt(struct etcd_call *c, CURLcode result)
 {
 	int code = judge_transfer(c, result);
-	struct store_reply reply = {0};
+	struct store_reply reply = { 0 };
 	long sent = 0;
 	long status = 0;
 
@@ -541,5 +541,5 @@
 
 struct store etcd_store(struct etcd *e)
 {
-	return (struct store){.ops = &etcd_ops, .ctx = e};
+	return (struct store){ .ops = &etcd_ops, .ctx = e };
 }
--- a/store/follow.c
+++ b/store/follow.c
@@ -201,14 +201,14 @@
 		return;
 	f->is_watching = true;
 	id = store_watch(f->options.store, &watch,
-			 (struct store_done){handle_watch, f});
+			 (struct store_done){ handle_watch, f });
 	f->watch_id = id;
 }
 
 static void handle_pointer(void *ctx, struct store_reply *reply)
 {
 	struct follower *f = ctx;
-	struct publish_record r = {0};
+	struct publish_record r = { 0 };
 	int ret = reply->code;
 
 	f->state = FOLLOW_IDLE;
@@ -234,14 +234,14 @@
 static void read_key(struct follower *f, const char *key,
 		     void (*handle)(void *ctx, struct store_reply *reply))
 {
-	struct store_txn txn = {.reads = &key, .read_count = 1};
+	struct store_txn txn = { .reads = &key, .read_count = 1 };
 
-	store_txn(f->options.store, &txn, (struct store_done){handle, f});
+	store_txn(f->options.store, &txn, (struct store_done){ handle, f });
 }
 
 static void finish_target(struct follower *f)
 {
-	struct fault_list faults = {0};
+	struct fault_list faults = { 0 };
 	struct object_set *set = NULL;
 	int ret = f->text->len == f->target.bytes ? 0 : -ERR_PUBLISH_HASH;
 
--- a/store/gateway.c
+++ b/store/gateway.c
@@ -238,7 +238,7 @@
 static int read_entry(const json_t *kv, const char *asked, bool is_prefix,
 		      struct store_reply *out)
 {
-	struct store_entry found = {0};
+	struct store_entry found = { 0 };
 	struct store_entry *e;
 	char *value = NULL;
 	char *key = NULL;
@@ -279,8 +279,7 @@
 
 	if (!json_is_object(range) || (kvs && !json_is_array(kvs)))
 		return -ERR_STORE_REPLY_FIELD;
-	json_array_foreach(kvs, i, kv)
-	{
+	json_array_foreach (kvs, i, kv) {
 		const char *last = i ? out->entries[out->count - 1].key : NULL;
 
 		ret = read_entry(kv, asked, is_prefix, out);
@@ -384,8 +383,7 @@
 		return -ERR_STORE_COMPACTED;
 	if (is_canceled)
 		return -ERR_STORE_WATCH_END;
-	json_array_foreach(events, i, event)
-	{
+	json_array_foreach (events, i, event) {
 		int ret = read_event(call, event, out);
 
 		if (ret)
--- a/store/publish.c
+++ b/store/publish.c
@@ -59,15 +59,15 @@
 static int put_part(struct store *s, const char *key, const char *data,
 		    size_t len, int64_t revision, bool *is_applied)
 {
-	struct store_compare compare = {key, revision};
-	struct store_put put = {.key = key, .value = data, .len = len};
+	struct store_compare compare = { key, revision };
+	struct store_put put = { .key = key, .value = data, .len = len };
 	struct store_txn txn = {
 		.compares = &compare,
 		.compare_count = 1,
 		.puts = &put,
 		.put_count = 1,
 	};
-	struct store_reply reply = {0};
+	struct store_reply reply = { 0 };
 	int ret = store_txn_wait(s, &txn, &reply);
 
 	*is_applied = reply.is_applied;
@@ -79,8 +79,8 @@
 static int repair_part(struct store *s, const char *key, const char *data,
 		       size_t len)
 {
-	struct store_txn txn = {.reads = &key, .read_count = 1};
-	struct store_reply reply = {0};
+	struct store_txn txn = { .reads = &key, .read_count = 1 };
+	struct store_reply reply = { 0 };
 	const struct store_entry *e;
 	bool is_applied;
 	int ret = store_txn_wait(s, &txn, &reply);
@@ -163,12 +163,12 @@
 {
 	char *text = publish_record_encode(&job->record);
 	const struct store_compare compares[] = {
-		{PUBLISH_KEY_POINTER, job->pointer_revision},
-		{job->fence_key, 0},
+		{ PUBLISH_KEY_POINTER, job->pointer_revision },
+		{ job->fence_key, 0 },
 	};
 	const struct store_put puts[] = {
-		{PUBLISH_KEY_POINTER, text, strlen(text), 0},
-		{job->history_key, text, strlen(text), 0},
+		{ PUBLISH_KEY_POINTER, text, strlen(text), 0 },
+		{ job->history_key, text, strlen(text), 0 },
 	};
 	const char *const reads[] = {
 		PUBLISH_KEY_POINTER,
@@ -198,8 +198,8 @@
 static void judge_reads(const struct store_reply *reply, const char *publish_id,
 			const char *history_key, struct publish_result *out)
 {
-	struct publish_record entry = {0};
-	struct publish_record pointer = {0};
+	struct publish_record entry = { 0 };
+	struct publish_record pointer = { 0 };
 	int ret = publish_record_find(reply, history_key, &entry);
 
 	if (!ret && is_id(&entry, publish_id)) {
@@ -241,7 +241,7 @@
 	int ret = 0;
 
 	for (int i = 0; i < WRITE_ATTEMPTS; i++) {
-		struct store_reply reply = {0};
+		struct store_reply reply = { 0 };
 
 		ret = write_pointer(job, &reply);
 		if (!ret) {
@@ -396,9 +396,9 @@
 		 const char *history_key, struct store_reply *reply)
 {
 	char *key = g_strconcat(PUBLISH_KEY_FENCE, publish_id, NULL);
-	struct store_compare compare = {.key = key};
-	struct store_put put = {.key = key, .value = "", .len = 0};
-	const char *const reads[] = {PUBLISH_KEY_POINTER, history_key};
+	struct store_compare compare = { .key = key };
+	struct store_put put = { .key = key, .value = "", .len = 0 };
+	const char *const reads[] = { PUBLISH_KEY_POINTER, history_key };
 	const struct store_txn txn = {
 		.compares = &compare,
 		.compare_count = 1,
@@ -421,7 +421,7 @@
 		   struct publish_result *out)
 {
 	char *history_key = publish_history_key(version);
-	struct store_reply reply = {0};
+	struct store_reply reply = { 0 };
 	int ret = fence(s, publish_id, history_key, &reply);
 
 	if (ret)
@@ -437,7 +437,7 @@
 void publish_settle(struct store *s, const char *publish_id,
 		    struct publish_result *out)
 {
-	struct publish_record entry = {0};
+	struct publish_record entry = { 0 };
 	uint64_t version;
 	int ret;
 
--- a/store/read.c
+++ b/store/read.c
@@ -11,7 +11,7 @@
 static int read_fresh(struct store *s, const char *key,
 		      struct store_reply *reply)
 {
-	struct store_txn txn = {.reads = &key, .read_count = 1};
+	struct store_txn txn = { .reads = &key, .read_count = 1 };
 
 	return store_txn_wait(s, &txn, reply);
 }
@@ -19,7 +19,7 @@
 static int read_record(struct store *s, const char *key,
 		       struct publish_record *out)
 {
-	struct store_reply reply = {0};
+	struct store_reply reply = { 0 };
 	int ret = read_fresh(s, key, &reply);
 
 	memset(out, 0, sizeof(*out));
@@ -51,8 +51,8 @@
 static int read_part(struct store *s, const char *hash, GString *text)
 {
 	char *key = g_strconcat(PUBLISH_KEY_PART, hash, NULL);
-	struct store_get get = {.key = key};
-	struct store_reply reply = {0};
+	struct store_get get = { .key = key };
+	struct store_reply reply = { 0 };
 	const struct store_entry *e;
 	int ret = store_get_wait(s, &get, &reply);
 
--- a/store/record.c
+++ b/store/record.c
@@ -42,8 +42,7 @@
 	if (!count || count > PUBLISH_PARTS_MAX)
 		return -ERR_PUBLISH_RECORD;
 	out->parts = g_new0(char *, count + 1);
-	json_array_foreach(parts, i, item)
-	{
+	json_array_foreach (parts, i, item) {
 		if (!is_hash(json_string_value(item)))
 			return -ERR_PUBLISH_RECORD;
 		out->parts[i] = g_strdup(json_string_value(item));
--- a/store/store.c
+++ b/store/store.c
@@ -21,21 +21,21 @@
 };
 
 static struct counter calls[] = {
-	{CALLS_NAME, CALLS_HELP, "call=\"get\""},
-	{CALLS_NAME, CALLS_HELP, "call=\"txn\""},
-	{CALLS_NAME, CALLS_HELP, "call=\"watch\""},
-	{CALLS_NAME, CALLS_HELP, "call=\"lease_grant\""},
-	{CALLS_NAME, CALLS_HELP, "call=\"lease_keepalive\""},
-	{CALLS_NAME, CALLS_HELP, "call=\"lease_revoke\""},
+	{ CALLS_NAME, CALLS_HELP, "call=\"get\"" },
+	{ CALLS_NAME, CALLS_HELP, "call=\"txn\"" },
+	{ CALLS_NAME, CALLS_HELP, "call=\"watch\"" },
+	{ CALLS_NAME, CALLS_HELP, "call=\"lease_grant\"" },
+	{ CALLS_NAME, CALLS_HELP, "call=\"lease_keepalive\"" },
+	{ CALLS_NAME, CALLS_HELP, "call=\"lease_revoke\"" },
 };
 
 static struct counter failures[] = {
-	{FAILURES_NAME, FAILURES_HELP, "call=\"get\""},
-	{FAILURES_NAME, FAILURES_HELP, "call=\"txn\""},
-	{FAILURES_NAME, FAILURES_HELP, "call=\"watch\""},
-	{FAILURES_NAME, FAILURES_HELP, "call=\"lease_grant\""},
-	{FAILURES_NAME, FAILURES_HELP, "call=\"lease_keepalive\""},
-	{FAILURES_NAME, FAILURES_HELP, "call=\"lease_revoke\""},
+	{ FAILURES_NAME, FAILURES_HELP, "call=\"get\"" },
+	{ FAILURES_NAME, FAILURES_HELP, "call=\"txn\"" },
+	{ FAILURES_NAME, FAILURES_HELP, "call=\"watch\"" },
+	{ FAILURES_NAME, FAILURES_HELP, "call=\"lease_grant\"" },
+	{ FAILURES_NAME, FAILURES_HELP, "call=\"lease_keepalive\"" },
+	{ FAILURES_NAME, FAILURES_HELP, "call=\"lease_revoke\"" },
 };
 
 static pthread_once_t counters_once = PTHREAD_ONCE_INIT;
@@ -64,7 +64,7 @@
 void store_txn(struct store *s, const struct store_txn *txn,
 	       struct store_done done)
 {
-	struct store_reply refused = {.code = -ERR_STORE_TOO_LARGE};
+	struct store_reply refused = { .code = -ERR_STORE_TOO_LARGE };
 
 	store_count_call(STORE_TXN);
 	for (size_t i = 0; i < txn->put_count; i++) {
@@ -135,9 +135,9 @@
 int store_get_wait(struct store *s, const struct store_get *get,
 		   struct store_reply *out)
 {
-	struct blocking_call b = {.out = out};
+	struct blocking_call b = { .out = out };
 
-	store_get(s, get, (struct store_done){handle_blocking_reply, &b});
+	store_get(s, get, (struct store_done){ handle_blocking_reply, &b });
 	while (!b.is_done)
 		store_run(s, BLOCKING_WAIT_US);
 	return out->code;
@@ -146,9 +146,9 @@
 int store_txn_wait(struct store *s, const struct store_txn *txn,
 		   struct store_reply *out)
 {
-	struct blocking_call b = {.out = out};
+	struct blocking_call b = { .out = out };
 
-	store_txn(s, txn, (struct store_done){handle_blocking_reply, &b});
+	store_txn(s, txn, (struct store_done){ handle_blocking_reply, &b });
 	while (!b.is_done)
 		store_run(s, BLOCKING_WAIT_US);
 	return out->code;
--- a/test/standin/behaviour.c
+++ b/test/standin/behaviour.c
@@ -10,27 +10,27 @@
 };
 
 static const struct integer_field integers[] = {
-	{"slots", offsetof(struct behaviour, slots)},
-	{"queue", offsetof(struct behaviour, queue)},
-	{"connect_us", offsetof(struct behaviour, connect_us)},
-	{"service_us", offsetof(struct behaviour, service_us)},
-	{"cold_us", offsetof(struct behaviour, cold_us)},
-	{"fault_count", offsetof(struct behaviour, fault_count)},
-	{"report_load", offsetof(struct behaviour, report_load)},
+	{ "slots", offsetof(struct behaviour, slots) },
+	{ "queue", offsetof(struct behaviour, queue) },
+	{ "connect_us", offsetof(struct behaviour, connect_us) },
+	{ "service_us", offsetof(struct behaviour, service_us) },
+	{ "cold_us", offsetof(struct behaviour, cold_us) },
+	{ "fault_count", offsetof(struct behaviour, fault_count) },
+	{ "report_load", offsetof(struct behaviour, report_load) },
 };
 
 static const struct integer_field reals[] = {
-	{"sigma", offsetof(struct behaviour, sigma)},
-	{"straggle", offsetof(struct behaviour, straggle)},
-	{"cold_factor", offsetof(struct behaviour, cold_factor)},
+	{ "sigma", offsetof(struct behaviour, sigma) },
+	{ "straggle", offsetof(struct behaviour, straggle) },
+	{ "cold_factor", offsetof(struct behaviour, cold_factor) },
 };
 
 static const struct integer_field flags[] = {
-	{"shed", offsetof(struct behaviour, is_shedding)},
-	{"drain", offsetof(struct behaviour, is_draining)},
-	{"repartitioned", offsetof(struct behaviour, is_repartitioned)},
-	{"hold", offsetof(struct behaviour, is_holding)},
-	{"report_inverted", offsetof(struct behaviour, is_report_inverted)},
+	{ "shed", offsetof(struct behaviour, is_shedding) },
+	{ "drain", offsetof(struct behaviour, is_draining) },
+	{ "repartitioned", offsetof(struct behaviour, is_repartitioned) },
+	{ "hold", offsetof(struct behaviour, is_holding) },
+	{ "report_inverted", offsetof(struct behaviour, is_report_inverted) },
 };
 
 static const char *const fault_names[] = {
@@ -127,7 +127,7 @@
 	if (!json_is_array(v) || json_array_size(v) > MAX_SNAPSHOTS)
 		return false;
 	b->snapshot_count = 0;
-	json_array_foreach(v, i, item)
+	json_array_foreach (v, i, item)
 		b->snapshots[b->snapshot_count++] = json_integer_value(item);
 	return true;
 }
--- a/test/standin/client.c
+++ b/test/standin/client.c
@@ -34,14 +34,14 @@
 };
 
 static const struct argp_option options[] = {
-	{"path", 'p', "PATH", 0, "Path of the request", 0},
-	{"body", 'b', "TEXT", 0, "Body of the request", 0},
-	{"connections", 'c', "N", 0, "Number of senders (default 1)", 0},
-	{"requests", 'n', "N", 0, "Requests per sender (default: no end)", 0},
-	{"idle", 'i', NULL, 0, "Connect, send nothing, wait for the end", 0},
-	{"raw", 'r', "FILE", 0, "Send each line, with \\r and \\n, by itself",
-	 0},
-	{0},
+	{ "path", 'p', "PATH", 0, "Path of the request", 0 },
+	{ "body", 'b', "TEXT", 0, "Body of the request", 0 },
+	{ "connections", 'c', "N", 0, "Number of senders (default 1)", 0 },
+	{ "requests", 'n', "N", 0, "Requests per sender (default: no end)", 0 },
+	{ "idle", 'i', NULL, 0, "Connect, send nothing, wait for the end", 0 },
+	{ "raw", 'r', "FILE", 0, "Send each line, with \\r and \\n, by itself",
+	  0 },
+	{ 0 },
 };
 
 static bool parse_address(const char *text, struct sockaddr_in *out)
@@ -240,7 +240,7 @@
 
 int main(int argc, char **argv)
 {
-	struct client c = {.path = "/", .body = "{}", .connections = 1};
+	struct client c = { .path = "/", .body = "{}", .connections = 1 };
 	pthread_t *threads;
 
 	argp_parse(&argp, argc, argv, 0, NULL, &c);
--- a/test/standin/main.c
+++ b/test/standin/main.c
@@ -16,13 +16,13 @@
 };
 
 static const struct argp_option options[] = {
-	{"objects", 'o', "PATH", 0, "Start a leaf for each leaf of this set",
-	 0},
-	{"store", 's', "IP:PORT", 0, "Serve the key-value store", 0},
-	{"host-list", 'l', "IP:PORT", 0, "Serve the host list", 0},
-	{"service-us", 'u', "US", 0,
-	 "Service time of a call in microseconds (default 3000)", 0},
-	{0},
+	{ "objects", 'o', "PATH", 0, "Start a leaf for each leaf of this set",
+	  0 },
+	{ "store", 's', "IP:PORT", 0, "Serve the key-value store", 0 },
+	{ "host-list", 'l', "IP:PORT", 0, "Serve the host list", 0 },
+	{ "service-us", 'u', "US", 0,
+	  "Service time of a call in microseconds (default 3000)", 0 },
+	{ 0 },
 };
 
 static error_t handle_option(int key, char *arg, struct argp_state *state)
@@ -87,7 +87,7 @@
 
 static int start_objects(const struct arguments *a)
 {
-	struct fault_list faults = {0};
+	struct fault_list faults = { 0 };
 	struct object_set *set;
 
 	if (object_set_load(a->objects_path, &set, &faults)) {
@@ -115,7 +115,7 @@
 
 int main(int argc, char **argv)
 {
-	struct arguments arguments = {.service_us = 3000};
+	struct arguments arguments = { .service_us = 3000 };
 	sigset_t signals;
 	int number;
 
--- a/test/standin/store_data.c
+++ b/test/standin/store_data.c
@@ -184,7 +184,7 @@
 json_t *store_data_range(struct store_data *d, const json_t *request,
 			 int64_t revision)
 {
-	struct range_walk w = {.data = d, .revision = revision};
+	struct range_walk w = { .data = d, .revision = revision };
 	json_t *reply = json_pack("{s:o}", "header", store_data_header(d));
 	json_t *kvs;
 
@@ -206,7 +206,7 @@
 json_t *store_data_events(struct store_data *d, const json_t *create,
 			  int64_t from_revision)
 {
-	struct range_walk w = {.data = d, .from_revision = from_revision};
+	struct range_walk w = { .data = d, .from_revision = from_revision };
 	json_t *events = walk(&w, create, add_events);
 
 	if (json_array_size(events))
@@ -230,8 +230,7 @@
 	json_t *item;
 	size_t i;
 
-	json_array_foreach(compares, i, item)
-	{
+	json_array_foreach (compares, i, item) {
 		if (!compare_holds(d, item))
 			return false;
 	}
@@ -293,8 +292,7 @@
 	json_t *op;
 	size_t i;
 
-	json_array_foreach(ops, i, op)
-	{
+	json_array_foreach (ops, i, op) {
 		if (!get_any(op, "requestRange", "request_range"))
 			return true;
 	}
@@ -312,8 +310,7 @@
 
 	if (has_writes(ops))
 		d->revision++;
-	json_array_foreach(ops, i, op)
-	{
+	json_array_foreach (ops, i, op) {
 		json_t *response = run_operation(d, op);
 
 		if (!response) {
--- a/test/unit/fake_store.c
+++ b/test/unit/fake_store.c
@@ -43,7 +43,7 @@
 
 static void notify(struct fake_store *f)
 {
-	struct store_reply reply = {.revision = f->revision};
+	struct store_reply reply = { .revision = f->revision };
 
 	for (guint i = 0; i < f->changes->len; i++) {
 		const struct change *c = f->changes->pdata[i];
@@ -71,7 +71,7 @@
 		       struct store_done done)
 {
 	struct fake_store *f = ctx;
-	struct store_reply reply = {.revision = f->revision};
+	struct store_reply reply = { .revision = f->revision };
 
 	f->reads++;
 	if (f->is_down)
@@ -120,7 +120,7 @@
 		       struct store_done done)
 {
 	struct fake_store *f = ctx;
-	struct store_reply reply = {0};
+	struct store_reply reply = { 0 };
 	int number = txn->put_count ? f->writes++ : -1;
 
 	f->reads += number < 0;
@@ -188,7 +188,7 @@
 
 void fake_store_put(struct fake_store *f, const char *key, const char *value)
 {
-	struct store_put put = {.key = key, .value = value};
+	struct store_put put = { .key = key, .value = value };
 
 	put.len = value ? strlen(value) : 0;
 	f->revision++;
@@ -198,7 +198,7 @@
 
 void fake_store_end_watch(struct fake_store *f, int code)
 {
-	struct store_reply reply = {.code = code};
+	struct store_reply reply = { .code = code };
 
 	f->is_watched = false;
 	store_finish(STORE_WATCH, f->watcher, &reply);
@@ -207,7 +207,7 @@
 struct object_set *fake_set(const char *name, int services)
 {
 	GString *text = g_string_new(NULL);
-	struct fault_list faults = {0};
+	struct fault_list faults = { 0 };
 	struct object_set *set = NULL;
 
 	g_string_printf(text,
--- a/test/unit/fake_upstream.c
+++ b/test/unit/fake_upstream.c
@@ -54,7 +54,7 @@
 	struct fake_call *c = &f->calls[index];
 
 	heap_remove(&f->done, &c->done);
-	*c = (struct fake_call){.call = *call};
+	*c = (struct fake_call){ .call = *call };
 	f->index_by_slot[(uint32_t)call->call_id % FAKE_CALLS_MAX] = index;
 	if (f->is_serving)
 		serve(f, c);
@@ -121,7 +121,7 @@
 static struct object_set *parse_set(uint32_t shards, const char *fields)
 {
 	GString *text = g_string_new(NULL);
-	struct fault_list faults = {0};
+	struct fault_list faults = { 0 };
 	struct object_set *set = NULL;
 
 	g_string_printf(text, set_text, fields);
--- a/test/unit/fleet_sim.c
+++ b/test/unit/fleet_sim.c
@@ -113,12 +113,12 @@
 	if (is_cut(s, from, to) || (s->loss > 0 && from->domain != to->domain &&
 				    g_rand_double(s->rand) < s->loss))
 		return;
-	push_event(s, (struct sim_event){.at_us = s->clock.now_us +
-						  draw_delay(s, from, to),
-					 .host = to->index,
+	push_event(s, (struct sim_event){ .at_us = s->clock.now_us +
+						   draw_delay(s, from, to),
+					  .host = to->index,
 
-					 .kind = SIM_FRAME,
-					 .frame = g_bytes_new(data, len)});
+					  .kind = SIM_FRAME,
+					  .frame = g_bytes_new(data, len) });
 }
 
 /* A request or reply that takes a network delay; lost ones do not arrive. */
@@ -139,17 +139,18 @@
 
 	if (s->is_store_down || !version)
 		return;
-	push_event(s, (struct sim_event){.at_us = s->clock.now_us + STORE_US,
-					 .host = host,
-					 .kind = SIM_VERSION,
-					 .version = version});
+	push_event(s, (struct sim_event){ .at_us = s->clock.now_us + STORE_US,
+					  .host = host,
+					  .kind = SIM_VERSION,
+					  .version = version });
 }
 
 static void handle_fetch(void *ctx, const char *address, uint64_t version)
 {
 	struct sim_host *h = ctx;
-	struct sim_event e = {
-		.host = h->index, .kind = SIM_FETCHED, .version = version};
+	struct sim_event e = { .host = h->index,
+			       .kind = SIM_FETCHED,
+			       .version = version };
 
 	h->fetches++;
 	if (address) {
@@ -209,7 +210,7 @@
 							2 * STORE_US),
 			      .host = host,
 			      .kind = kind,
-			      .call = call});
+			      .call = call });
 }
 
 static void start_call(struct sim_host *h, uint64_t ticket, const char *key,
@@ -382,7 +383,7 @@
 	if (h->timer_us <= at && h->timer_us > s->clock.now_us)
 		return;
 	h->timer_us = at;
-	push_event(s, (struct sim_event){.at_us = at, .host = h->index});
+	push_event(s, (struct sim_event){ .at_us = at, .host = h->index });
 }
 
 void sim_start(struct sim *s, uint32_t host)
@@ -435,9 +436,9 @@
 		if (fleet_version(h->fleet) < e->version)
 			return;
 		push_message(s, h,
-			     (struct sim_event){.host = e->from,
-						.kind = SIM_FETCHED,
-						.version = e->version});
+			     (struct sim_event){ .host = e->from,
+						 .kind = SIM_FETCHED,
+						 .version = e->version });
 		return;
 	case SIM_STORE:
 		return;
--- a/test/unit/test_broken.c
+++ b/test/unit/test_broken.c
@@ -121,7 +121,7 @@
 	char *base = read_file(base_name);
 	char *text = read_file(name);
 	char **lines = g_strsplit(g_strchomp(text), "\n", -1);
-	struct fault_list faults = {0};
+	struct fault_list faults = { 0 };
 
 	CU_ASSERT_EQUAL(load(base, &faults), 0);
 	fault_list_clear(&faults);
@@ -167,7 +167,7 @@
 		"{\"service\":{\"s\":[]}}",
 		"{\"fleet\":{\"f\":{\"domains\":[[]]}}}",
 	};
-	struct fault_list faults = {0};
+	struct fault_list faults = { 0 };
 	struct object_set *set;
 
 	for (size_t i = 0; i < G_N_ELEMENTS(documents); i++) {
@@ -213,9 +213,9 @@
 }
 
 CU_TestInfo broken_tests[] = {
-	{"sets", test_sets},
-	{"settings", test_settings},
-	{"documents", test_documents},
-	{"replies", test_replies},
+	{ "sets", test_sets },
+	{ "settings", test_settings },
+	{ "documents", test_documents },
+	{ "replies", test_replies },
 	CU_TEST_INFO_NULL,
 };
--- a/test/unit/test_common.c
+++ b/test/unit/test_common.c
@@ -9,8 +9,8 @@
 /* Guards against durations without a unit being taken as some unit. */
 static void test_duration(void)
 {
-	static const char *const bad[] = {"",	"5",  "ms",  "5 ms",  "-5ms",
-					  "5d", "1e", "nan", "1e300s"};
+	static const char *const bad[] = { "",	 "5",  "ms",  "5 ms",  "-5ms",
+					   "5d", "1e", "nan", "1e300s" };
 	int64_t us = 0;
 
 	CU_ASSERT_EQUAL(duration_parse("1.5s", &us), 0);
@@ -37,7 +37,7 @@
 }
 
 CU_TestInfo common_tests[] = {
-	{"duration", test_duration},
-	{"ring bound", test_ring_bound},
+	{ "duration", test_duration },
+	{ "ring bound", test_ring_bound },
 	CU_TEST_INFO_NULL,
 };
--- a/test/unit/test_engine_admission.c
+++ b/test/unit/test_engine_admission.c
@@ -47,7 +47,7 @@
 /* Guards against cheap requests crowding out those with the highest worth. */
 static void test_worth(void)
 {
-	static const double factors[] = {2, 5};
+	static const double factors[] = { 2, 5 };
 
 	for (int i = 0; i < 2; i++) {
 		struct fake *f = fake_create(1, "");
@@ -116,9 +116,9 @@
 }
 
 CU_TestInfo engine_admission_tests[] = {
-	{"overload goodput", test_overload_goodput},
-	{"worth", test_worth},
-	{"recovery", test_recovery},
-	{"refusal", test_refusal},
+	{ "overload goodput", test_overload_goodput },
+	{ "worth", test_worth },
+	{ "recovery", test_recovery },
+	{ "refusal", test_refusal },
 	CU_TEST_INFO_NULL,
 };
--- a/test/unit/test_engine_extra_calls.c
+++ b/test/unit/test_engine_extra_calls.c
@@ -64,8 +64,9 @@
 /* Guards against retries without bound, and against giving up too early. */
 static void test_faults(void)
 {
-	static const enum call_status faults[] = {
-		CALL_RESET, CALL_CONNECT_FAILED, CALL_ERROR, CALL_SHED};
+	static const enum call_status faults[] = { CALL_RESET,
+						   CALL_CONNECT_FAILED,
+						   CALL_ERROR, CALL_SHED };
 
 	for (size_t i = 0; i < sizeof(faults) / sizeof(faults[0]); i++) {
 		struct fake *f = fake_create(4, RULES);
@@ -209,8 +210,8 @@
 }
 
 CU_TestInfo engine_extra_calls_tests[] = {
-	{"straggler", test_straggler},	     {"faults", test_faults},
-	{"recovery", test_recovery},	     {"hedge", test_hedge},
-	{"too late", test_too_late},	     {"baselines", test_baselines},
-	{"early answer", test_early_answer}, CU_TEST_INFO_NULL,
+	{ "straggler", test_straggler },       { "faults", test_faults },
+	{ "recovery", test_recovery },	       { "hedge", test_hedge },
+	{ "too late", test_too_late },	       { "baselines", test_baselines },
+	{ "early answer", test_early_answer }, CU_TEST_INFO_NULL,
 };
--- a/test/unit/test_engine_keys.c
+++ b/test/unit/test_engine_keys.c
@@ -28,8 +28,9 @@
 /* Guards against a lost reply being retried or reported as not run. */
 static void test_unknown(void)
 {
-	static const enum call_status statuses[] = {CALL_RESET, CALL_TIMEOUT,
-						    CALL_BAD_REPLY, CALL_ERROR};
+	static const enum call_status statuses[] = { CALL_RESET, CALL_TIMEOUT,
+						     CALL_BAD_REPLY,
+						     CALL_ERROR };
 
 	for (size_t i = 0; i < sizeof(statuses) / sizeof(statuses[0]); i++) {
 		struct fake *f = fake_create(2, "");
@@ -200,7 +201,7 @@
 static void test_foreign_replies(void)
 {
 	struct fake *f = fake_create(2, "min_coverage = 100\n");
-	struct engine_result foreign = {.call_id = 12345, .status = CALL_OK};
+	struct engine_result foreign = { .call_id = 12345, .status = CALL_OK };
 
 	fake_submit(f, "search", 50 * US_PER_MS);
 	CU_ASSERT_FALSE(engine_call_result(f->engine, &foreign));
@@ -216,14 +217,14 @@
 }
 
 CU_TestInfo engine_keys_tests[] = {
-	{"repeat", test_repeat},
-	{"unknown", test_unknown},
-	{"not run", test_not_run},
-	{"window", test_window},
-	{"first attempt", test_first_attempt},
-	{"lease", test_lease},
-	{"caller lost", test_caller_lost},
-	{"shard by key", test_shard_by_key},
-	{"foreign replies", test_foreign_replies},
+	{ "repeat", test_repeat },
+	{ "unknown", test_unknown },
+	{ "not run", test_not_run },
+	{ "window", test_window },
+	{ "first attempt", test_first_attempt },
+	{ "lease", test_lease },
+	{ "caller lost", test_caller_lost },
+	{ "shard by key", test_shard_by_key },
+	{ "foreign replies", test_foreign_replies },
 	CU_TEST_INFO_NULL,
 };
--- a/test/unit/test_engine_replicas.c
+++ b/test/unit/test_engine_replicas.c
@@ -19,8 +19,8 @@
 /* Guards against calls beyond this host's share, and waits past a deadline. */
 static void test_share(void)
 {
-	struct leaf_share share = {.connections = 2, .slots = 1};
-	struct leaf_share none = {0};
+	struct leaf_share share = { .connections = 2, .slots = 1 };
+	struct leaf_share none = { 0 };
 	struct fake *f = fake_create(1, RULES);
 
 	engine_set_share(f->engine, 0, share);
@@ -45,7 +45,7 @@
 /* Guards against the share being exceeded under overload and hedges. */
 static void test_share_under_load(void)
 {
-	struct leaf_share share = {.connections = 8, .slots = 3};
+	struct leaf_share share = { .connections = 8, .slots = 3 };
 	struct fake *f = fake_create(2, RULES);
 	struct fake_load *load = new_load();
 
@@ -62,7 +62,7 @@
 /* Guards against new work on a leaving leaf, and stale reports that recall it. */
 static void test_drain(void)
 {
-	struct leaf_report stale = {.state = LEAF_SERVING, .load = -1};
+	struct leaf_report stale = { .state = LEAF_SERVING, .load = -1 };
 	uint64_t snapshot = 1;
 	struct fake *f = fake_create(1, RULES);
 	struct fake_load *load = new_load();
@@ -214,13 +214,13 @@
 }
 
 CU_TestInfo engine_replicas_tests[] = {
-	{"share", test_share},
-	{"share under load", test_share_under_load},
-	{"drain", test_drain},
-	{"cold", test_cold},
-	{"inverted reports", test_inverted_reports},
-	{"silent leaves", test_silent_leaves},
-	{"panic", test_panic},
-	{"shed", test_shed},
+	{ "share", test_share },
+	{ "share under load", test_share_under_load },
+	{ "drain", test_drain },
+	{ "cold", test_cold },
+	{ "inverted reports", test_inverted_reports },
+	{ "silent leaves", test_silent_leaves },
+	{ "panic", test_panic },
+	{ "shed", test_shed },
 	CU_TEST_INFO_NULL,
 };
--- a/test/unit/test_engine_snapshot.c
+++ b/test/unit/test_engine_snapshot.c
@@ -9,7 +9,7 @@
 static void report_two(struct fake *f, obj_handle leaf, uint64_t older,
 		       uint64_t newer)
 {
-	uint64_t snapshots[] = {newer, older};
+	uint64_t snapshots[] = { newer, older };
 	struct leaf_report report = {
 		.leaf = leaf,
 		.load = -1,
@@ -49,8 +49,8 @@
 /* Guards against an answer mixed from two snapshots. */
 static void test_restart(void)
 {
-	static const enum call_status refusals[] = {CALL_SNAPSHOT_GONE,
-						    CALL_REPARTITIONED};
+	static const enum call_status refusals[] = { CALL_SNAPSHOT_GONE,
+						     CALL_REPARTITIONED };
 
 	for (int i = 0; i < 2; i++) {
 		struct fake *f = fake_create(2, RULES);
@@ -143,10 +143,10 @@
 }
 
 CU_TestInfo engine_snapshot_tests[] = {
-	{"pin", test_pin},
-	{"restart", test_restart},
-	{"restart limit", test_restart_limit},
-	{"other replica", test_other_replica},
-	{"non-idempotent", test_non_idempotent},
+	{ "pin", test_pin },
+	{ "restart", test_restart },
+	{ "restart limit", test_restart_limit },
+	{ "other replica", test_other_replica },
+	{ "non-idempotent", test_non_idempotent },
 	CU_TEST_INFO_NULL,
 };
--- a/test/unit/test_fleet_config.c
+++ b/test/unit/test_fleet_config.c
@@ -82,7 +82,7 @@
  * against the store being watched by more than two hosts per domain. */
 static void test_in_force(void)
 {
-	static const uint32_t sizes[] = {7, 50, 200, 1000};
+	static const uint32_t sizes[] = { 7, 50, 200, 1000 };
 	/* Joining 1,000 hosts takes most of a minute. */
 	int count = getenv("FLEET_FIGURES") ? 4 : 3;
 	struct sim s;
@@ -109,8 +109,8 @@
  * is in region 0; watchers in the cut region do not see it either. */
 static void test_region_cut(void)
 {
-	static const uint32_t sizes[] = {7, 50, 200};
-	static const int64_t seconds[] = {3600, 600, 60};
+	static const uint32_t sizes[] = { 7, 50, 200 };
+	static const int64_t seconds[] = { 3600, 600, 60 };
 	struct sim s;
 
 	for (int i = 0; i < 3; i++) {
@@ -192,10 +192,10 @@
 }
 
 CU_TestInfo fleet_config_tests[] = {
-	{"in force everywhere", test_in_force},
-	{"region cut off", test_region_cut},
-	{"store down", test_store_down},
-	{"stale read", test_stale_read},
-	{"refused set", test_refused},
+	{ "in force everywhere", test_in_force },
+	{ "region cut off", test_region_cut },
+	{ "store down", test_store_down },
+	{ "stale read", test_stale_read },
+	{ "refused set", test_refused },
 	CU_TEST_INFO_NULL,
 };
--- a/test/unit/test_fleet_faults.c
+++ b/test/unit/test_fleet_faults.c
@@ -29,10 +29,10 @@
 	FAULT_COUNT,
 };
 
-static const char *const fault_names[] = {"host lost",	  "host paused",
-					  "store down",	  "store slow",
-					  "reply lost",	  "stale read",
-					  "publish race", "region cut"};
+static const char *const fault_names[] = { "host lost",	   "host paused",
+					   "store down",   "store slow",
+					   "reply lost",   "stale read",
+					   "publish race", "region cut" };
 
 struct checks {
 	uint64_t versions[HOSTS];
@@ -44,20 +44,21 @@
 };
 
 static struct checks checks;
-static struct placement_domain domains[DOMAINS] = {
-	{"d0", SEATS}, {"d1", SEATS}, {"d2", SEATS}};
-static const struct placement_layout layout = {domains, DOMAINS};
+static struct placement_domain domains[DOMAINS] = { { "d0", SEATS },
+						    { "d1", SEATS },
+						    { "d2", SEATS } };
+static const struct placement_layout layout = { domains, DOMAINS };
 
 static void check_shares(struct sim *s)
 {
-	struct placement_group g = {"g", SLOTS, CONNECTIONS, 0};
+	struct placement_group g = { "g", SLOTS, CONNECTIONS, 0 };
 	struct seat_ref holders[PLACEMENT_MAX_HOLDERS];
 	uint32_t count = (uint32_t)placement_holders(&layout, &g, holders);
 	uint32_t connections = 0, slots = 0;
 
 	for (uint32_t i = 0; i < HOSTS; i++) {
-		struct seat_ref seat = {(uint16_t)s->hosts[i].domain,
-					(uint16_t)checks.seats[i]};
+		struct seat_ref seat = { (uint16_t)s->hosts[i].domain,
+					 (uint16_t)checks.seats[i] };
 		struct placement_share share;
 		int rank = placement_rank(holders, count, seat);
 
@@ -195,8 +196,8 @@
 
 static struct planned plan_fault(struct sim *s, enum fault fault)
 {
-	struct planned p = {fault,
-			    (uint32_t)g_rand_int_range(s->rand, 0, HOSTS)};
+	struct planned p = { fault,
+			     (uint32_t)g_rand_int_range(s->rand, 0, HOSTS) };
 
 	p.from = g_rand_int_range(s->rand, 0, STEPS - 2);
 	p.until = g_rand_int_range(s->rand, p.from + 1, STEPS);
@@ -278,6 +279,6 @@
 }
 
 CU_TestInfo fleet_fault_tests[] = {
-	{"failures alone, in pairs and twice", test_faults},
+	{ "failures alone, in pairs and twice", test_faults },
 	CU_TEST_INFO_NULL,
 };
--- a/test/unit/test_fleet_lease.c
+++ b/test/unit/test_fleet_lease.c
@@ -175,11 +175,11 @@
 		return;
 	if (chance(m, m->late_frames))
 		delay = draw(m, 12000, 8 * US_PER_S);
-	push(m, (struct at){.time = m->now + delay,
-			    .kind = AT_FRAME,
-			    .host = to->id[0] - 'a',
-			    .type = f->type,
-			    .lease = f->lease});
+	push(m, (struct at){ .time = m->now + delay,
+			     .kind = AT_FRAME,
+			     .host = to->id[0] - 'a',
+			     .type = f->type,
+			     .lease = f->lease });
 }
 
 static bool handle_choose(void *ctx, const char *domain, uint16_t seat,
@@ -215,8 +215,8 @@
 	h->model->takeovers += s->is_owner && s->epoch > 1;
 }
 
-static const struct lease_ops lease_ops = {handle_send, handle_choose,
-					   handle_alive, handle_changed};
+static const struct lease_ops lease_ops = { handle_send, handle_choose,
+					    handle_alive, handle_changed };
 
 static void push_call(struct model_host *h, uint64_t ticket, bool is_write,
 		      uint64_t revision, const void *data, size_t len)
@@ -234,10 +234,10 @@
 	/* Some writes arrive long after the caller gave up on them. */
 	if (chance(m, m->lost_replies / 4))
 		delay = draw(m, 10000, 8 * US_PER_S);
-	push(m, (struct at){.time = m->now + delay,
-			    .kind = AT_STORE,
-			    .host = h->ref.id[0] - 'a',
-			    .call = call});
+	push(m, (struct at){ .time = m->now + delay,
+			     .kind = AT_STORE,
+			     .host = h->ref.id[0] - 'a',
+			     .call = call });
 }
 
 static void handle_get(void *ctx, uint64_t ticket, const char *key)
@@ -251,7 +251,7 @@
 	push_call(ctx, ticket, true, revision, data, len);
 }
 
-static const struct updater_ops updater_ops = {handle_get, handle_cas};
+static const struct updater_ops updater_ops = { handle_get, handle_cas };
 
 static void write_value(struct model *m, const void *data, size_t len)
 {
@@ -314,7 +314,7 @@
 static void give_event(struct model *m, const struct at *e)
 {
 	struct model_host *h = &m->hosts[e->host];
-	struct frame f = {.type = e->type, .lease = e->lease};
+	struct frame f = { .type = e->type, .lease = e->lease };
 
 	switch (e->kind) {
 	case AT_TIMER:
@@ -345,7 +345,7 @@
 	if (h->timer == at)
 		return;
 	h->timer = at;
-	push(m, (struct at){.time = at, .kind = AT_TIMER, .host = host});
+	push(m, (struct at){ .time = at, .kind = AT_TIMER, .host = host });
 }
 
 /* Returns whether the event was for the world and not for a host. */
@@ -400,14 +400,14 @@
 		bool is_store = chance(m, 0.3);
 		int host = (int)draw(m, 0, HOSTS);
 
+		push(m, (struct at){ .time = from,
+				     .host = host,
+				     .kind = is_store ? AT_STORE_DOWN
+						      : AT_PAUSE });
 		push(m,
-		     (struct at){.time = from,
-				 .host = host,
-				 .kind = is_store ? AT_STORE_DOWN : AT_PAUSE});
-		push(m,
-		     (struct at){.time = until,
-				 .host = host,
-				 .kind = is_store ? AT_STORE_UP : AT_RESUME});
+		     (struct at){ .time = until,
+				  .host = host,
+				  .kind = is_store ? AT_STORE_UP : AT_RESUME });
 	}
 	m->lost_replies = chance(m, 0.5) ? g_rand_double(m->rand) * 0.6 : 0;
 	m->stale_reads = chance(m, 0.3) ? g_rand_double(m->rand) * 0.5 : 0;
@@ -425,34 +425,35 @@
 		m->keys[i].created_wall_us =
 			WALL_US + created + draw(m, 0, LEASE_SKEW_US + 1);
 		for (int k = 0; k < submits; k++)
-			push(m, (struct at){.time = created +
-						    draw(m, 0, 14 * US_PER_S),
-					    .kind = AT_SUBMIT,
-					    .host = (int)draw(m, 0, HOSTS),
-					    .key = i});
+			push(m, (struct at){ .time = created +
+						     draw(m, 0, 14 * US_PER_S),
+					     .kind = AT_SUBMIT,
+					     .host = (int)draw(m, 0, HOSTS),
+					     .key = i });
 	}
 }
 
 static void add_hosts(struct model *m)
 {
-	struct seat_record r = {
-		.number = 0, .host = {"a", 1}, .owner = {"a", 1}};
-	struct seat_table t = {&r, 1, 1};
+	struct seat_record r = { .number = 0,
+				 .host = { "a", 1 },
+				 .owner = { "a", 1 } };
+	struct seat_table t = { &r, 1, 1 };
 	size_t len;
 	void *data;
 
 	for (int i = 0; i < HOSTS; i++) {
 		struct model_host *h = &m->hosts[i];
-		struct np_clock clock = {handle_monotonic, handle_wall, h};
-		struct updater_options uo = {clock, g_rand_int(m->rand),
-					     &updater_ops, h};
-		struct lease_options lo = {clock,	g_rand_int(m->rand),
-					   &lease_ops,	h,
-					   NULL,	{{0}, 1},
-					   8 * US_PER_S};
+		struct np_clock clock = { handle_monotonic, handle_wall, h };
+		struct updater_options uo = { clock, g_rand_int(m->rand),
+					      &updater_ops, h };
+		struct lease_options lo = { clock,	 g_rand_int(m->rand),
+					    &lease_ops,	 h,
+					    NULL,	 { { 0 }, 1 },
+					    8 * US_PER_S };
 
 		h->model = m;
-		h->ref = (struct host_ref){{(char)('a' + i)}, 1};
+		h->ref = (struct host_ref){ { (char)('a' + i) }, 1 };
 		h->rate = 0.95 + 0.1 * g_rand_double(m->rand);
 		h->skew_us = draw(m, 0, LEASE_SKEW_US + 1);
 		h->is_paused = false;
@@ -532,6 +533,6 @@
 }
 
 CU_TestInfo fleet_lease_tests[] = {
-	{"randomized schedules", test_schedules},
+	{ "randomized schedules", test_schedules },
 	CU_TEST_INFO_NULL,
 };
--- a/test/unit/test_fleet_membership.c
+++ b/test/unit/test_fleet_membership.c
@@ -68,7 +68,7 @@
 /* Guards against loss and jitter being taken for a dead host. */
 static void test_no_false_removal(void)
 {
-	static const uint32_t sizes[] = {7, 50, 200};
+	static const uint32_t sizes[] = { 7, 50, 200 };
 	struct sim s;
 
 	for (int i = 0; i < 3; i++) {
@@ -126,8 +126,8 @@
  * the parts not finding each other after an hour. */
 static void test_partition(void)
 {
-	static const uint32_t sizes[] = {7, 50, 120};
-	static const int64_t seconds[] = {3600, 120, 60};
+	static const uint32_t sizes[] = { 7, 50, 120 };
+	static const int64_t seconds[] = { 3600, 120, 60 };
 	struct sim s;
 
 	for (int i = 0; i < 3; i++) {
@@ -173,10 +173,10 @@
 }
 
 CU_TestInfo fleet_membership_tests[] = {
-	{"dead host detected", test_detection},
-	{"no false removal", test_no_false_removal},
-	{"paused host rejoins", test_pause},
-	{"minority removes nobody", test_partition},
-	{"failure domain lost", test_domain_lost},
+	{ "dead host detected", test_detection },
+	{ "no false removal", test_no_false_removal },
+	{ "paused host rejoins", test_pause },
+	{ "minority removes nobody", test_partition },
+	{ "failure domain lost", test_domain_lost },
 	CU_TEST_INFO_NULL,
 };
--- a/test/unit/test_fleet_placement.c
+++ b/test/unit/test_fleet_placement.c
@@ -8,12 +8,13 @@
 #define GROUPS 400
 
 static struct placement_domain domains[6] = {
-	{"a1", 3}, {"a2", 2}, {"b1", 2}, {"b2", 0}, {"c1", 0}, {"c2", 0},
+	{ "a1", 3 }, { "a2", 2 }, { "b1", 2 },
+	{ "b2", 0 }, { "c1", 0 }, { "c2", 0 },
 };
 
 static struct placement_layout make_layout(uint32_t count, const int *seats)
 {
-	struct placement_layout layout = {domains, count};
+	struct placement_layout layout = { domains, count };
 
 	for (uint32_t i = 0; i < count; i++)
 		domains[i].seats = (uint16_t)seats[i];
@@ -29,13 +30,13 @@
 /* Guards against two holders of a group failing together for no need. */
 static void test_spread(void)
 {
-	struct placement_layout layout = make_layout(3, (int[]){3, 2, 2});
-	struct placement_group g = {.slots = 2, .connections = 100};
+	struct placement_layout layout = make_layout(3, (int[]){ 3, 2, 2 });
+	struct placement_group g = { .slots = 2, .connections = 100 };
 	struct seat_ref h[PLACEMENT_MAX_HOLDERS];
 	char name[32];
 
 	for (int i = 0; i < GROUPS; i++) {
-		int per_domain[3] = {0};
+		int per_domain[3] = { 0 };
 
 		name_group(&g, name, i);
 		g.slots = 1 + i % 7;
@@ -53,7 +54,7 @@
 /* Guards against a leaf's limits being exceeded by the sum of the shares. */
 static void test_shares(void)
 {
-	struct placement_group g = {.name = "g"};
+	struct placement_group g = { .name = "g" };
 	struct placement_share s;
 	char leaf[16];
 
@@ -79,7 +80,7 @@
 /* Guards against old and new holders together exceeding a leaf's limit. */
 static void test_transition(void)
 {
-	struct placement_share old = {50, 1}, new = {34, 2}, s;
+	struct placement_share old = { 50, 1 }, new = { 34, 2 }, s;
 
 	s = placement_transition(old, new, PLACEMENT_SETTLE_US - 1);
 	CU_ASSERT_EQUAL(s.connections, 34);
@@ -93,7 +94,7 @@
 		      const struct placement_layout *after, uint32_t slots,
 		      int groups, int *total)
 {
-	struct placement_group g = {.slots = slots, .connections = 100};
+	struct placement_group g = { .slots = slots, .connections = 100 };
 	struct seat_ref a[PLACEMENT_MAX_HOLDERS], b[PLACEMENT_MAX_HOLDERS];
 	char name[32];
 	int lost = 0;
@@ -117,12 +118,13 @@
 {
 	struct placement_domain grown[6];
 	struct placement_layout small, large;
-	static const int sizes[][6] = {
-		{3, 2, 2}, {5, 5, 5, 5, 5, 5}, {367, 367, 367, 367, 366, 366}};
-	static const uint32_t counts[] = {3, 6, 6};
+	static const int sizes[][6] = { { 3, 2, 2 },
+					{ 5, 5, 5, 5, 5, 5 },
+					{ 367, 367, 367, 367, 366, 366 } };
+	static const uint32_t counts[] = { 3, 6, 6 };
 	/* Enough groups that several moves are expected at each size. */
-	static const int groups[] = {2000, 2000, 8000};
-	static const uint32_t min_slots[] = {1, 1, 5};
+	static const int groups[] = { 2000, 2000, 8000 };
+	static const uint32_t min_slots[] = { 1, 1, 5 };
 
 	for (int s = 0; s < 3; s++) {
 		for (uint32_t slots = min_slots[s]; slots <= 5; slots++) {
@@ -151,11 +153,12 @@
  * owning most keys. */
 static void test_key_owner(void)
 {
-	struct placement_layout layout = make_layout(3, (int[]){3, 2, 2});
-	struct placement_group g = {
-		.name = "booking", .slots = 3, .connections = 100};
+	struct placement_layout layout = make_layout(3, (int[]){ 3, 2, 2 });
+	struct placement_group g = { .name = "booking",
+				     .slots = 3,
+				     .connections = 100 };
 	struct seat_ref h[PLACEMENT_MAX_HOLDERS], swapped[3];
-	int owned[3] = {0};
+	int owned[3] = { 0 };
 	char key[16];
 
 	CU_ASSERT_EQUAL_FATAL(placement_holders(&layout, &g, h), 3);
@@ -175,10 +178,10 @@
 }
 
 CU_TestInfo fleet_placement_tests[] = {
-	{"holders spread over domains", test_spread},
-	{"shares add up to the limit", test_shares},
-	{"transition takes the smaller share", test_transition},
-	{"one seat moves few placements", test_movement},
-	{"key owner", test_key_owner},
+	{ "holders spread over domains", test_spread },
+	{ "shares add up to the limit", test_shares },
+	{ "transition takes the smaller share", test_transition },
+	{ "one seat moves few placements", test_movement },
+	{ "key owner", test_key_owner },
 	CU_TEST_INFO_NULL,
 };
--- a/test/unit/test_fleet_seat.c
+++ b/test/unit/test_fleet_seat.c
@@ -58,7 +58,7 @@
  * write whose reply was lost being done twice or forgotten. */
 static void test_contention(void)
 {
-	static const double lost[] = {0, 0.3};
+	static const double lost[] = { 0, 0.3 };
 	struct sim s;
 
 	for (int i = 0; i < 2; i++) {
@@ -154,9 +154,9 @@
 }
 
 CU_TestInfo fleet_seat_tests[] = {
-	{"contention and lost replies", test_contention},
-	{"release", test_release},
-	{"takeover after absence", test_absence},
-	{"outage and pause", test_outage},
+	{ "contention and lost replies", test_contention },
+	{ "release", test_release },
+	{ "takeover after absence", test_absence },
+	{ "outage and pause", test_outage },
 	CU_TEST_INFO_NULL,
 };
--- a/test/unit/test_forward.c
+++ b/test/unit/test_forward.c
@@ -62,7 +62,7 @@
 /* Guards against memory reserved for the length that a frame claims. */
 static void test_claimed_length(void)
 {
-	static const unsigned char huge[] = {0xdd, 0xff, 0xff, 0xff, 0xff};
+	static const unsigned char huge[] = { 0xdd, 0xff, 0xff, 0xff, 0xff };
 	struct forward_frame f;
 
 	CU_ASSERT_EQUAL(forward_decode(huge, sizeof(huge), &f), -ERR_FRAME);
@@ -89,9 +89,9 @@
 }
 
 CU_TestInfo forward_tests[] = {
-	{"query round trip", test_query_round_trip},
-	{"truncated", test_truncated},
-	{"claimed length", test_claimed_length},
-	{"mutated", test_mutated},
+	{ "query round trip", test_query_round_trip },
+	{ "truncated", test_truncated },
+	{ "claimed length", test_claimed_length },
+	{ "mutated", test_mutated },
 	CU_TEST_INFO_NULL,
 };
--- a/test/unit/test_merge.c
+++ b/test/unit/test_merge.c
@@ -27,6 +27,6 @@
 }
 
 CU_TestInfo merge_tests[] = {
-	{"top k", test_top_k},
+	{ "top k", test_top_k },
 	CU_TEST_INFO_NULL,
 };
--- a/test/unit/test_peer.c
+++ b/test/unit/test_peer.c
@@ -112,8 +112,8 @@
 /* Guards against frames lost, split or reordered on a link. */
 static void test_frames_in_order(void)
 {
-	struct side a = {0};
-	struct side b = {0};
+	struct side a = { 0 };
+	struct side b = { 0 };
 
 	start_side(&b, "b");
 	start_side(&a, "a");
@@ -129,8 +129,8 @@
 /* Guards against a host with no common version being sent work. */
 static void test_refused_hello(void)
 {
-	struct side a = {0};
-	struct side b = {.is_refusing = true};
+	struct side a = { 0 };
+	struct side b = { .is_refusing = true };
 
 	start_side(&b, "b");
 	start_side(&a, "a");
@@ -144,7 +144,7 @@
 /* Guards against a sender waiting for ever on a host that is not there. */
 static void test_unreachable(void)
 {
-	struct side a = {0};
+	struct side a = { 0 };
 
 	start_side(&a, "a");
 	peer_send(a.peer, "127.0.0.1:1", "x", 1);
@@ -172,10 +172,13 @@
 static void test_broken_lengths(void)
 {
 	static const unsigned char broken[][8] = {
-		{0, 0, 0, 0},	      {0xff, 0xff, 0xff, 0xff},	  {0, 0, 4, 1},
-		{'G', 'E', 'T', ' '}, {0, 0, 0, 1, 'h', 0, 0, 0},
+		{ 0, 0, 0, 0 },
+		{ 0xff, 0xff, 0xff, 0xff },
+		{ 0, 0, 4, 1 },
+		{ 'G', 'E', 'T', ' ' },
+		{ 0, 0, 0, 1, 'h', 0, 0, 0 },
 	};
-	struct side b = {0};
+	struct side b = { 0 };
 
 	start_side(&b, "b");
 	for (unsigned int i = 0; i < G_N_ELEMENTS(broken); i++) {
@@ -192,9 +195,9 @@
 }
 
 CU_TestInfo peer_tests[] = {
-	{"frames in order", test_frames_in_order},
-	{"refused hello", test_refused_hello},
-	{"unreachable", test_unreachable},
-	{"broken lengths", test_broken_lengths},
+	{ "frames in order", test_frames_in_order },
+	{ "refused hello", test_refused_hello },
+	{ "unreachable", test_unreachable },
+	{ "broken lengths", test_broken_lengths },
 	CU_TEST_INFO_NULL,
 };
--- a/test/unit/test_store_etcd.c
+++ b/test/unit/test_store_etcd.c
@@ -66,7 +66,7 @@
 
 static void server_start(struct canned_server *s, const char *reply)
 {
-	struct sockaddr_in addr = {.sin_family = AF_INET};
+	struct sockaddr_in addr = { .sin_family = AF_INET };
 	socklen_t len = sizeof(addr);
 
 	memset(s, 0, sizeof(*s));
@@ -107,8 +107,8 @@
 
 static int call_txn(struct store *s, struct store_reply *reply)
 {
-	struct store_compare compare = {.key = "np/current"};
-	struct store_put put = {.key = "np/current", .value = "v", .len = 1};
+	struct store_compare compare = { .key = "np/current" };
+	struct store_put put = { .key = "np/current", .value = "v", .len = 1 };
 	struct store_txn txn = {
 		.compares = &compare,
 		.compare_count = 1,
@@ -132,26 +132,26 @@
 		int txn_code;
 		int txn_cause;
 	} cases[] = {
-		{"", ERR_STORE_DOWN, ERR_STORE_UNKNOWN, ERR_STORE_DOWN},
-		{"HTTP/1.1 200 OK\r\n", ERR_STORE_REPLY_JSON, ERR_STORE_UNKNOWN,
-		 ERR_STORE_REPLY_JSON},
-		{OK_HEAD "90\r\n\r\n" GET_BODY, ERR_STORE_REPLY_TRUNCATED,
-		 ERR_STORE_UNKNOWN, ERR_STORE_REPLY_TRUNCATED},
-		{OK_HEAD "3\r\n\r\n{}}", ERR_STORE_REPLY_JSON,
-		 ERR_STORE_UNKNOWN, ERR_STORE_REPLY_JSON},
-		{OK_HEAD "99999999\r\n\r\n", ERR_STORE_REPLY_TRUNCATED,
-		 ERR_STORE_UNKNOWN, ERR_STORE_REPLY_TRUNCATED},
-		{"HTTP/1.1 503 Busy\r\nContent-Length: 11\r\n\r\n{\"code\":14}",
-		 ERR_STORE_DOWN, ERR_STORE_UNKNOWN, ERR_STORE_DOWN},
-		{"HTTP/1.1 400 Bad\r\nContent-Length: 10\r\n\r\n{\"code\":3}",
-		 ERR_STORE_REFUSED, ERR_STORE_REFUSED, 0},
-		{"nonsense\r\n\r\n", ERR_STORE_PROTOCOL, ERR_STORE_UNKNOWN,
-		 ERR_STORE_PROTOCOL},
+		{ "", ERR_STORE_DOWN, ERR_STORE_UNKNOWN, ERR_STORE_DOWN },
+		{ "HTTP/1.1 200 OK\r\n", ERR_STORE_REPLY_JSON,
+		  ERR_STORE_UNKNOWN, ERR_STORE_REPLY_JSON },
+		{ OK_HEAD "90\r\n\r\n" GET_BODY, ERR_STORE_REPLY_TRUNCATED,
+		  ERR_STORE_UNKNOWN, ERR_STORE_REPLY_TRUNCATED },
+		{ OK_HEAD "3\r\n\r\n{}}", ERR_STORE_REPLY_JSON,
+		  ERR_STORE_UNKNOWN, ERR_STORE_REPLY_JSON },
+		{ OK_HEAD "99999999\r\n\r\n", ERR_STORE_REPLY_TRUNCATED,
+		  ERR_STORE_UNKNOWN, ERR_STORE_REPLY_TRUNCATED },
+		{ "HTTP/1.1 503 Busy\r\nContent-Length: 11\r\n\r\n{\"code\":14}",
+		  ERR_STORE_DOWN, ERR_STORE_UNKNOWN, ERR_STORE_DOWN },
+		{ "HTTP/1.1 400 Bad\r\nContent-Length: 10\r\n\r\n{\"code\":3}",
+		  ERR_STORE_REFUSED, ERR_STORE_REFUSED, 0 },
+		{ "nonsense\r\n\r\n", ERR_STORE_PROTOCOL, ERR_STORE_UNKNOWN,
+		  ERR_STORE_PROTOCOL },
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
-		struct store_get get = {.key = "np/current"};
-		struct store_reply reply = {0};
+		struct store_get get = { .key = "np/current" };
+		struct store_reply reply = { 0 };
 		struct canned_server server;
 		const char *endpoint;
 		uint64_t before;
@@ -182,7 +182,7 @@
 {
 	static const char reply[] = OK_HEAD "78\r\n\r\n" TXN_BODY;
 	const char *endpoints[2];
-	struct store_reply out = {0};
+	struct store_reply out = { 0 };
 	struct canned_server lost;
 	struct canned_server good;
 	uint64_t before = store_call_count(STORE_TXN);
@@ -236,14 +236,14 @@
 		const char *tail;
 		int code;
 	} cases[] = {
-		{"", ERR_STORE_WATCH_END},
-		{"{\"result\":{", ERR_STORE_REPLY_TRUNCATED},
-		{"{}\n", ERR_STORE_REPLY_FIELD},
+		{ "", ERR_STORE_WATCH_END },
+		{ "{\"result\":{", ERR_STORE_REPLY_TRUNCATED },
+		{ "{}\n", ERR_STORE_REPLY_FIELD },
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
-		struct store_watch watch = {.key = "np/current"};
-		struct watch_log log = {0};
+		struct store_watch watch = { .key = "np/current" };
+		struct watch_log log = { 0 };
 		struct canned_server server;
 		const char *endpoint;
 		struct etcd *e;
@@ -259,7 +259,7 @@
 		e = create_adapter(&endpoint, 1);
 		s = etcd_store(e);
 		store_watch(&s, &watch,
-			    (struct store_done){handle_watch, &log});
+			    (struct store_done){ handle_watch, &log });
 		while (!log.end)
 			store_run(&s, 1000000);
 		CU_ASSERT_EQUAL(log.end, -cases[i].code);
@@ -329,18 +329,18 @@
 static int put_key(struct session *s, const char *key, const char *value,
 		   int64_t lease_id)
 {
-	struct store_put put = {key, value, strlen(value), lease_id};
-	struct store_txn txn = {.puts = &put, .put_count = 1};
+	struct store_put put = { key, value, strlen(value), lease_id };
+	struct store_txn txn = { .puts = &put, .put_count = 1 };
 
-	store_txn(&s->store, &txn, (struct store_done){handle_any, s});
+	store_txn(&s->store, &txn, (struct store_done){ handle_any, s });
 	return wait_reply(s);
 }
 
 static size_t count_keys(struct session *s, const char *prefix)
 {
-	struct store_get get = {.key = prefix, .is_prefix = true};
+	struct store_get get = { .key = prefix, .is_prefix = true };
 
-	store_get(&s->store, &get, (struct store_done){handle_any, s});
+	store_get(&s->store, &get, (struct store_done){ handle_any, s });
 	CU_ASSERT_EQUAL(wait_reply(s), 0);
 	return s->reply.count;
 }
@@ -348,7 +348,7 @@
 /* Guards against a key or a lease that outlives the lease's end. */
 static void test_lease(void)
 {
-	struct store_done done = {handle_any, NULL};
+	struct store_done done = { handle_any, NULL };
 	struct session s;
 	int64_t lease;
 
@@ -375,8 +375,8 @@
 /* Guards against a change being lost between two watches. */
 static void test_watch_revision(void)
 {
-	struct store_watch watch = {.key = "k"};
-	struct watch_log log = {0};
+	struct store_watch watch = { .key = "k" };
+	struct watch_log log = { 0 };
 	struct session s;
 
 	session_start(&s);
@@ -384,7 +384,8 @@
 	watch.from_revision = s.reply.revision + 1;
 	CU_ASSERT_EQUAL(put_key(&s, "k", "2", 0), 0);
 	CU_ASSERT_EQUAL(put_key(&s, "k", "3", 0), 0);
-	store_watch(&s.store, &watch, (struct store_done){handle_watch, &log});
+	store_watch(&s.store, &watch,
+		    (struct store_done){ handle_watch, &log });
 	while (!log.end)
 		store_run(&s.store, 1000000);
 	CU_ASSERT_EQUAL(log.end, -ERR_STORE_WATCH_END);
@@ -396,7 +397,7 @@
 /* Guards against faults of the stand-in that tests rely on not working. */
 static void test_standin_faults(void)
 {
-	struct store_get get = {.key = "k"};
+	struct store_get get = { .key = "k" };
 	struct session s;
 
 	session_start(&s);
@@ -416,11 +417,11 @@
 }
 
 CU_TestInfo store_etcd_tests[] = {
-	{"replies", test_replies},
-	{"failover", test_failover},
-	{"watch", test_watch},
-	{"lease", test_lease},
-	{"watch revision", test_watch_revision},
-	{"stand-in faults", test_standin_faults},
+	{ "replies", test_replies },
+	{ "failover", test_failover },
+	{ "watch", test_watch },
+	{ "lease", test_lease },
+	{ "watch revision", test_watch_revision },
+	{ "stand-in faults", test_standin_faults },
 	CU_TEST_INFO_NULL,
 };
--- a/test/unit/test_store_follow.c
+++ b/test/unit/test_store_follow.c
@@ -103,8 +103,8 @@
 static void test_lower_version(void)
 {
 	struct publish_record r;
-	struct store_reply reply = {0};
-	struct store_get get = {.key = PUBLISH_KEY_POINTER};
+	struct store_reply reply = { 0 };
+	struct store_get get = { .key = PUBLISH_KEY_POINTER };
 	struct follow_test t;
 
 	start(&t);
@@ -193,7 +193,9 @@
 }
 
 CU_TestInfo store_follow_tests[] = {
-	{"versions", test_versions}, {"lower version", test_lower_version},
-	{"outage", test_outage},     {"damage", test_damage},
+	{ "versions", test_versions },
+	{ "lower version", test_lower_version },
+	{ "outage", test_outage },
+	{ "damage", test_damage },
 	CU_TEST_INFO_NULL,
 };
--- a/test/unit/test_store_publish.c
+++ b/test/unit/test_store_publish.c
@@ -7,7 +7,7 @@
 static void check_in_force(struct fake_store *f, uint64_t version,
 			   const char *domain)
 {
-	struct fault_list faults = {0};
+	struct fault_list faults = { 0 };
 	struct publish_record record;
 	struct object_set *set = NULL;
 
@@ -25,8 +25,9 @@
 static void test_parts(void)
 {
 	struct object_set *set = fake_set("big", 4000);
-	struct publish_options options = {
-		.token = "a", .author = "ann", .base_version = -1};
+	struct publish_options options = { .token = "a",
+					   .author = "ann",
+					   .base_version = -1 };
 	struct publish_result r;
 	struct fake_store f;
 
@@ -222,7 +223,7 @@
 		"{\"version\":1,\"publish_id\":\"1-a\",\"author\":\"a\","
 		"\"time_ms\":1,\"bytes\":1,\"parts\":[\"../x\"]}",
 	};
-	struct fault_list faults = {0};
+	struct fault_list faults = { 0 };
 	struct publish_record record;
 	struct publish_result r;
 	struct object_set *set;
@@ -257,8 +258,8 @@
 }
 
 CU_TestInfo store_publish_tests[] = {
-	{"parts", test_parts},	   {"lost replies", test_lost_replies},
-	{"outages", test_outages}, {"fence", test_fence},
-	{"race", test_race},	   {"stale reads", test_stale_reads},
-	{"damage", test_damage},   CU_TEST_INFO_NULL,
+	{ "parts", test_parts },     { "lost replies", test_lost_replies },
+	{ "outages", test_outages }, { "fence", test_fence },
+	{ "race", test_race },	     { "stale reads", test_stale_reads },
+	{ "damage", test_damage },   CU_TEST_INFO_NULL,
 };
--- a/test/unit/test_upstream.c
+++ b/test/unit/test_upstream.c
@@ -80,7 +80,7 @@
 
 static void reset_connection(int fd)
 {
-	struct linger linger = {.l_onoff = 1};
+	struct linger linger = { .l_onoff = 1 };
 
 	setsockopt(fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
 }
@@ -163,7 +163,7 @@
 
 static void set_up(struct harness *h, enum leaf_mode mode)
 {
-	struct sockaddr_in addr = {.sin_family = AF_INET};
+	struct sockaddr_in addr = { .sin_family = AF_INET };
 	struct upstream_options options = {
 		.clock = clock_system(),
 		.handle_reply = handle_reply,
@@ -232,12 +232,12 @@
 		enum call_status status;
 		size_t body_len;
 	} cases[] = {
-		{MODE_ANSWER, CALL_OK, 2},
-		{MODE_RESET, CALL_RESET, 2},
-		{MODE_RESET_EARLY, CALL_RESET, HUGE_BODY},
-		{MODE_TRUNCATE, CALL_RESET, 2},
-		{MODE_OVERSIZE, CALL_BAD_REPLY, 2},
-		{MODE_FOREIGN, CALL_BAD_REPLY, 2},
+		{ MODE_ANSWER, CALL_OK, 2 },
+		{ MODE_RESET, CALL_RESET, 2 },
+		{ MODE_RESET_EARLY, CALL_RESET, HUGE_BODY },
+		{ MODE_TRUNCATE, CALL_RESET, 2 },
+		{ MODE_OVERSIZE, CALL_BAD_REPLY, 2 },
+		{ MODE_FOREIGN, CALL_BAD_REPLY, 2 },
 	};
 	char *body = calloc(1, HUGE_BODY);
 
@@ -345,11 +345,11 @@
 }
 
 CU_TestInfo upstream_tests[] = {
-	{"failures", test_failures},
-	{"refused", test_refused},
-	{"no resend", test_no_resend},
-	{"limit", test_limit},
-	{"cancel", test_cancel},
-	{"opening rate", test_opening_rate},
+	{ "failures", test_failures },
+	{ "refused", test_refused },
+	{ "no resend", test_no_resend },
+	{ "limit", test_limit },
+	{ "cancel", test_cancel },
+	{ "opening rate", test_opening_rate },
 	CU_TEST_INFO_NULL,
 };
