nutmegpickd: read the platform's host list while without a seat

fleet/ frees the seat of a host that the list has not named for 20 s, but the daemon never read the list, so a replacement with a new id stayed without a seat for ever. Only hosts without a seat read it, every 2 s.

--- a/include/net/upstream.h
+++ b/include/net/upstream.h
@@ -34,6 +34,8 @@
 	json_t *body;
 	/** Address that a report was asked from. */
 	char *address;
+	/** The body is the platform's host list. */
+	bool is_host_list;
 	/** Shard that a call was for. */
 	char *shard;
 	/** Time between request and reply. */
@@ -86,6 +88,10 @@
 int upstream_fetch_report(struct upstream *u, const char *address,
 			  int64_t timeout_us);
 
+/** Asks the platform for its host list. Returns 0 or -ERR_FULL. */
+int upstream_fetch_host_list(struct upstream *u, const char *address,
+			     int64_t timeout_us);
+
 void upstream_reply_free(struct upstream_reply *reply);
 
 #endif
--- a/include/nutmegpickd/host.h
+++ b/include/nutmegpickd/host.h
@@ -107,6 +107,7 @@
 	/** Wall time at which the set came in force. */
 	int64_t set_since_us;
 	int64_t next_report_us;
+	int64_t next_host_list_us;
 	int64_t next_gone_check_us;
 	bool is_draining;
 	bool is_stopping;
@@ -203,6 +204,9 @@
 /** Takes a frame of another host. */
 void peers_handle_frame(struct host *h, const struct host_event *e);
 
+/** Takes the platform's host list. */
+void peers_handle_host_list(struct host *h, const struct upstream_reply *reply);
+
 /** Tells peers of the set in force. */
 void peers_set_in_force(struct host *h);
 
--- a/include/nutmegpickd/settings.h
+++ b/include/nutmegpickd/settings.h
@@ -21,6 +21,8 @@
 	char *objects_path;
 	/** Addresses of the store; NULL-terminated, NULL where none is used. */
 	char **store_endpoints;
+	/** Address of the platform's host list; NULL where there is none. */
+	char *host_list;
 	enum event_level log_level;
 	/** Time between the negative health check and the end of listening. */
 	int64_t drain_delay_us;
--- a/net/upstream.c
+++ b/net/upstream.c
@@ -42,6 +42,7 @@
 	COMMAND_CALL,
 	COMMAND_CANCEL,
 	COMMAND_REPORT,
+	COMMAND_HOST_LIST,
 	COMMAND_LIMIT,
 	COMMAND_STOP,
 };
@@ -282,10 +283,22 @@
 	curl_easy_setopt(t->easy, CURLOPT_PREREQDATA, t);
 }
 
+static const char *transfer_path(const struct transfer *t)
+{
+	switch (t->type) {
+	case COMMAND_CALL:
+		return "search";
+	case COMMAND_HOST_LIST:
+		return "hosts";
+	default:
+		return "report";
+	}
+}
+
 static void start_transfer(struct upstream *u, struct transfer *t)
 {
 	int64_t remaining = t->deadline_us - clock_now(&u->options.clock);
-	const char *path = t->type == COMMAND_CALL ? "search" : "report";
+	const char *path = transfer_path(t);
 	char url[512];
 
 	if (remaining < US_PER_MS)
@@ -353,6 +366,7 @@
 			struct upstream_reply *reply)
 {
 	reply->address = strdup(t->address);
+	reply->is_host_list = t->type == COMMAND_HOST_LIST;
 	reply->result.status = CALL_ERROR;
 	if (w->is_failed || w->status != 200)
 		return;
@@ -542,6 +556,7 @@
 		switch (t->type) {
 		case COMMAND_CALL:
 		case COMMAND_REPORT:
+		case COMMAND_HOST_LIST:
 			queue_transfer(u, t);
 			break;
 		case COMMAND_LIMIT:
@@ -787,10 +802,10 @@
 	push(u, t);
 }
 
-int upstream_fetch_report(struct upstream *u, const char *address,
-			  int64_t timeout_us)
+static int fetch(struct upstream *u, enum command_type type,
+		 const char *address, int64_t timeout_us)
 {
-	struct transfer *t = create_command(COMMAND_REPORT, 0);
+	struct transfer *t = create_command(type, 0);
 
 	t->start_us = clock_now(&u->options.clock);
 	t->deadline_us = t->start_us + timeout_us;
@@ -798,6 +813,18 @@
 	return push(u, t);
 }
 
+int upstream_fetch_report(struct upstream *u, const char *address,
+			  int64_t timeout_us)
+{
+	return fetch(u, COMMAND_REPORT, address, timeout_us);
+}
+
+int upstream_fetch_host_list(struct upstream *u, const char *address,
+			     int64_t timeout_us)
+{
+	return fetch(u, COMMAND_HOST_LIST, address, timeout_us);
+}
+
 int upstream_set_limit(struct upstream *u, const char *address,
 		       uint32_t connections)
 {
--- a/nutmegpickd/engine_thread.c
+++ b/nutmegpickd/engine_thread.c
@@ -122,6 +122,8 @@
 	case HOST_REPLY:
 		if (e->reply->call_id)
 			query_handle_reply(h, e->reply);
+		else if (e->reply->is_host_list)
+			peers_handle_host_list(h, e->reply);
 		else
 			report_handle(h, e->reply);
 		upstream_reply_free(e->reply);
--- a/nutmegpickd/peers.c
+++ b/nutmegpickd/peers.c
@@ -11,6 +11,9 @@
 #include "nutmegpickd/set_transfer.h"
 #include "nutmegpickd/store_thread.h"
 
+/* Two lists fit into the 5 s that the fleet accepts between them. */
+#define HOST_LIST_PERIOD_US (2 * US_PER_S)
+
 struct peers {
 	struct host *host;
 	/** Decodes hello frames on the thread of the links. */
@@ -295,10 +298,51 @@
 		fleet_set_in_force(h->fleet, h->set->version);
 }
 
+/*
+ * Only a host without a seat reads the list, so the platform's load does not
+ * grow with the fleet.
+ */
+static void poll_host_list(struct host *h)
+{
+	int64_t now = clock_now(&h->clock);
+
+	if (!h->settings.host_list || h->is_draining || !h->store_thread ||
+	    fleet_seat(h->fleet) != NO_SEAT || now < h->next_host_list_us)
+		return;
+	h->next_host_list_us = now + HOST_LIST_PERIOD_US;
+	upstream_fetch_host_list(h->upstream, h->settings.host_list,
+				 HOST_LIST_PERIOD_US);
+}
+
+void peers_handle_host_list(struct host *h, const struct upstream_reply *reply)
+{
+	const json_t *hosts = json_object_get(reply->body, "hosts");
+	const char **ids;
+	uint32_t count = 0;
+	json_t *host;
+	size_t i;
+
+	/* A missing or malformed list says nothing of any host. */
+	if (!h->fleet || reply->result.status != CALL_OK ||
+	    !json_is_array(hosts))
+		return;
+	ids = g_new0(const char *, json_array_size(hosts) + 1);
+	json_array_foreach (hosts, i, host) {
+		const char *id = json_string_value(json_object_get(host, "id"));
+
+		if (id)
+			ids[count++] = id;
+	}
+	if (count == json_array_size(hosts))
+		fleet_host_list(h->fleet, ids, count);
+	g_free(ids);
+}
+
 void peers_advance(struct host *h)
 {
 	if (!h->fleet)
 		return;
+	poll_host_list(h);
 	fleet_advance(h->fleet);
 	set_transfer_advance(h->transfer);
 	if (h->is_route_stale) {
--- a/nutmegpickd/settings.c
+++ b/nutmegpickd/settings.c
@@ -50,6 +50,8 @@
 	  offsetof(struct settings, listen_peer), NULL, false },
 	{ "peers", "seeds", SETTING_ADDRESSES,
 	  offsetof(struct settings, peer_seeds), NULL, false },
+	{ "platform", "host_list", SETTING_ADDRESS,
+	  offsetof(struct settings, host_list), NULL, false },
 	{ "objects", "path", SETTING_STRING,
 	  offsetof(struct settings, objects_path), NULL, false },
 	{ "store", "endpoints", SETTING_ADDRESSES,
@@ -325,6 +327,7 @@
 	free(s->listen_http);
 	free(s->objects_path);
 	free(s->listen_peer);
+	free(s->host_list);
 	g_strfreev(s->peer_seeds);
 	g_strfreev(s->store_endpoints);
 	memset(s, 0, sizeof(*s));
