nutmegpickd: stop cleanly with a fixed seat and no store

A host with a fixed seat crashed at the end of a planned stop: it gave back a seat through a store thread that it does not have. All answers were sent before, but the exit status was 139. Such a host has nothing to give back.

--- a/nutmegpickd/engine_thread.c
+++ b/nutmegpickd/engine_thread.c
@@ -105,6 +105,9 @@
 		return false;
 	if (g_hash_table_size(h->queries))
 		return true;
+	/* A fixed seat is in no store, so there is nothing to give back. */
+	if (!h->store_thread)
+		return false;
 	if (!h->is_leaving) {
 		fleet_stop(h->fleet);
 		h->exit_deadline_us = clock_now(&h->clock) + RELEASE_WAIT_US;
