--- a/common/errors.c
+++ b/common/errors.c
@@ -17,6 +17,7 @@
 #include "engine/errors.def"
 #include "fleet/errors.def"
 #include "net/errors.def"
+#include "router/errors.def"
 #undef ERR
 };
 
--- a/common/events.c
+++ b/common/events.c
@@ -18,6 +18,7 @@
 #include "engine/events.def"
 #include "fleet/events.def"
 #include "net/events.def"
+#include "router/events.def"
 #undef EVENT
 };
 
@@ -103,6 +104,7 @@
 #include "engine/events.def"
 #include "fleet/events.def"
 #include "net/events.def"
+#include "router/events.def"
 #undef EVENT
 	}
 	return EVENT_DEBUG;
--- a/include/common/errors.h
+++ b/include/common/errors.h
@@ -15,6 +15,7 @@
 #include "engine/errors.def"
 #include "fleet/errors.def"
 #include "net/errors.def"
+#include "router/errors.def"
 #undef ERR
 };
 
--- a/include/common/events.h
+++ b/include/common/events.h
@@ -15,6 +15,7 @@
 #include "engine/events.def"
 #include "fleet/events.def"
 #include "net/events.def"
+#include "router/events.def"
 #undef EVENT
 };
 
--- a/include/net/http_server.h
+++ b/include/net/http_server.h
@@ -4,6 +4,10 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include <glib.h>
+
+#include "net/http_header.h"
+
 /** HTTP/1.1 server; requests are answered later and from any thread. */
 struct http_server;
 
@@ -17,6 +21,8 @@
 	size_t max_body;
 	/** Most connections at the same time; 0 selects 4096. */
 	unsigned int max_connections;
+	/** Idle time in seconds that ends a connection; 0 is no limit. */
+	unsigned int idle_timeout_s;
 	/**
 	 * Called on the server's thread with a whole request. The callee owns
 	 * one reference and ends it with http_exchange_reply().
@@ -55,6 +61,12 @@
 const char *http_exchange_method(const struct http_exchange *x);
 const char *http_exchange_path(const struct http_exchange *x);
 
+/** Returns the path and query as sent. */
+const char *http_exchange_target(const struct http_exchange *x);
+
+/** Returns the headers, of struct http_header, in the order of arrival. */
+const GArray *http_exchange_headers(const struct http_exchange *x);
+
 /** Returns a request header's value, or NULL. */
 const char *http_exchange_header(const struct http_exchange *x,
 				 const char *name);
@@ -79,7 +91,8 @@
 void http_exchange_drop(struct http_exchange *x);
 
 /**
- * Sends the reply and ends the caller's reference. The body is copied.
+ * Sends the reply and ends the caller's reference. The body is copied;
+ * content_type may be NULL.
  */
 void http_exchange_reply(struct http_exchange *x, unsigned int status,
 			 const char *content_type, const char *body,
--- a/include/nutmegpickd/settings.h
+++ b/include/nutmegpickd/settings.h
@@ -13,6 +13,10 @@
 	/** Fixed seat in the failure domain, or NO_SEAT. */
 	int32_t seat;
 	char *listen_http;
+	/** Address of the readiness check; NULL where it has none of its own. */
+	char *listen_ready;
+	/** Store that holds routes and leaves; NULL where sets are published. */
+	char *registry;
 	/** Address for other hosts; NULL where the host works alone. */
 	char *listen_peer;
 	/** Addresses of other hosts to join through; may be NULL. */
--- /dev/null
+++ b/include/router/table.h
@@ -0,0 +1,95 @@
+#ifndef ROUTER_TABLE_H
+#define ROUTER_TABLE_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <glib.h>
+
+/** Upstream service that routes name. */
+struct route_upstream {
+	char *name;
+	char *health_path;
+	/** Connections that one leaf accepts from all hosts together. */
+	uint32_t max_connections;
+};
+
+/** One destination of a route: a shard, or a part of a weighted split. */
+struct route_target {
+	/** Index into the upstreams of the table. */
+	uint32_t upstream;
+	uint32_t weight;
+};
+
+enum route_shape {
+	/** One upstream answers. */
+	ROUTE_SINGLE,
+	/** One of several upstreams answers, chosen by weight. */
+	ROUTE_SPLIT,
+	/** Every upstream is a shard, and each gives a part of the answer. */
+	ROUTE_GATHER,
+};
+
+struct route {
+	char *name;
+	char *host;
+	/** Begins and ends with a slash. */
+	char *prefix;
+	enum route_shape shape;
+	bool is_idempotent;
+	/** Most leaves that may run one request, for each target. */
+	uint32_t max_attempts;
+	int64_t timeout_us;
+	/** Time within which an answer has its full value. */
+	int64_t goal_us;
+	/** 0 is the most urgent. */
+	uint32_t priority;
+	/** Records in a gathered answer. */
+	uint32_t top_k;
+	/** Least share of the shards in a gathered answer. */
+	double min_coverage;
+	struct route_target *targets;
+	uint32_t target_count;
+};
+
+/** Bounds on what callers may send. */
+struct caller_limits {
+	uint32_t max_header_bytes;
+	uint32_t max_body_bytes;
+	int64_t header_timeout_us;
+	int64_t idle_timeout_us;
+};
+
+/** Immutable version of the operator's routes, shared by reference count. */
+struct route_table {
+	int refs;
+	uint64_t version;
+	struct route *routes;
+	uint32_t route_count;
+	struct route_upstream *upstreams;
+	uint32_t upstream_count;
+	struct caller_limits limits;
+	/** Routes of each host, longest prefix first. */
+	GHashTable *hosts;
+};
+
+/** Creates an empty table with one reference; fill it, then seal it. */
+struct route_table *route_table_create(uint32_t routes, uint32_t upstreams);
+struct route_table *route_table_ref(struct route_table *t);
+void route_table_unref(struct route_table *t);
+
+/**
+ * Checks the whole table and builds its index. Returns 0, or
+ * -ERR_ROUTE_TABLE with the object and field in message.
+ */
+int route_table_seal(struct route_table *t, char *message, size_t len);
+
+/**
+ * Returns the route with the longest prefix that begins the path, or NULL.
+ * The host may carry a port; the path may carry a query.
+ */
+const struct route *route_table_match(const struct route_table *t,
+				      const char *host, const char *path);
+
+#endif
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -58,8 +58,11 @@
 	struct http_connection *caller;
 	char *method;
 	char *path;
+	/* Path and query as sent. */
+	char *target;
 	GString *body;
-	GHashTable *headers;
+	/* Of struct http_header, in the order of arrival. */
+	GArray *headers;
 	bool is_too_large;
 	bool is_submitted;
 	bool is_first;
@@ -77,8 +80,9 @@
 		MHD_destroy_response(x->response);
 	g_free(x->method);
 	g_free(x->path);
+	g_free(x->target);
 	g_string_free(x->body, TRUE);
-	g_hash_table_destroy(x->headers);
+	g_array_free(x->headers, TRUE);
 	g_ptr_array_free(x->reply_headers, TRUE);
 	g_free(x);
 }
@@ -87,13 +91,20 @@
 				     const char *key, const char *value)
 {
 	struct http_exchange *x = ctx;
+	struct http_header h = { g_strdup(key), g_strdup(value ? value : "") };
 
-	if (value)
-		g_hash_table_insert(x->headers, g_ascii_strdown(key, -1),
-				    g_strdup(value));
+	g_array_append_val(x->headers, h);
 	return MHD_YES;
 }
 
+static void handle_clear_header(gpointer data)
+{
+	struct http_header *h = data;
+
+	g_free(h->name);
+	g_free(h->value);
+}
+
 static struct http_connection *find_caller(struct MHD_Connection *connection)
 {
 	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
@@ -138,28 +149,40 @@
 
 static struct http_exchange *exchange_create(struct http_server *s,
 					     struct MHD_Connection *connection,
-					     const char *method,
-					     const char *path)
+					     const char *target)
 {
 	struct http_exchange *x = g_new0(struct http_exchange, 1);
 
 	x->refs = 1;
 	x->server = s;
 	x->connection = connection;
+	x->target = g_strdup(target);
+	x->body = g_string_new(NULL);
+	x->headers = g_array_new(FALSE, TRUE, sizeof(struct http_header));
+	g_array_set_clear_func(x->headers, handle_clear_header);
+	x->reply_headers = g_ptr_array_new_with_free_func(g_free);
+	return x;
+}
+
+/* Called with the raw request target, before anything else of a request. */
+static void *handle_target(void *ctx, const char *target,
+			   struct MHD_Connection *connection)
+{
+	return exchange_create(ctx, connection, target);
+}
+
+static void exchange_begin(struct http_exchange *x, const char *method,
+			   const char *path)
+{
 	x->method = g_strdup(method);
 	x->path = g_strdup(path);
-	x->body = g_string_new(NULL);
-	x->caller = find_caller(connection);
-	set_busy(s, x->caller, true);
+	x->caller = find_caller(x->connection);
+	set_busy(x->server, x->caller, true);
 	x->is_first = x->caller && !x->caller->is_used;
 	if (x->caller)
 		x->caller->is_used = true;
-	x->headers =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	x->reply_headers = g_ptr_array_new_with_free_func(g_free);
-	MHD_get_connection_values(connection, MHD_HEADER_KIND, handle_header,
+	MHD_get_connection_values(x->connection, MHD_HEADER_KIND, handle_header,
 				  x);
-	return x;
 }
 
 static void add_close_header(const struct http_server *s,
@@ -212,8 +235,8 @@
 	struct http_server *s = ctx;
 	struct http_exchange *x = *state;
 
-	if (!x) {
-		*state = exchange_create(s, connection, method, url);
+	if (!x->method) {
+		exchange_begin(x, method, url);
 		return MHD_YES;
 	}
 	if (*size) {
@@ -283,6 +306,8 @@
 	s->daemon = MHD_start_daemon(
 		flags, 0, NULL, NULL, handle_access, s, MHD_OPTION_SOCK_ADDR,
 		&addr, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u,
+		MHD_OPTION_URI_LOG_CALLBACK, handle_target, s,
+		MHD_OPTION_CONNECTION_TIMEOUT, options->idle_timeout_s,
 		MHD_OPTION_NOTIFY_COMPLETED, handle_completed, s,
 		MHD_OPTION_NOTIFY_CONNECTION, handle_connection, s,
 		MHD_OPTION_CONNECTION_LIMIT,
@@ -406,11 +431,24 @@
 const char *http_exchange_header(const struct http_exchange *x,
 				 const char *name)
 {
-	char *key = g_ascii_strdown(name, -1);
-	const char *value = g_hash_table_lookup(x->headers, key);
+	for (guint i = 0; i < x->headers->len; i++) {
+		const struct http_header *h =
+			&g_array_index(x->headers, struct http_header, i);
 
-	g_free(key);
-	return value;
+		if (!g_ascii_strcasecmp(h->name, name))
+			return h->value;
+	}
+	return NULL;
+}
+
+const char *http_exchange_target(const struct http_exchange *x)
+{
+	return x->target;
+}
+
+const GArray *http_exchange_headers(const struct http_exchange *x)
+{
+	return x->headers;
 }
 
 const char *http_exchange_body(const struct http_exchange *x, size_t *len)
@@ -454,7 +492,9 @@
 	x->status = status;
 	x->response = MHD_create_response_from_buffer(len, (void *)body,
 						      MHD_RESPMEM_MUST_COPY);
-	MHD_add_response_header(x->response, "Content-Type", content_type);
+	if (content_type)
+		MHD_add_response_header(x->response, "Content-Type",
+					content_type);
 	add_close_header(x->server, x->response);
 	for (guint i = 0; i < x->reply_headers->len; i += 2)
 		MHD_add_response_header(x->response, x->reply_headers->pdata[i],
--- /dev/null
+++ b/net/leaf_client.c
@@ -0,0 +1,616 @@
+#include "net/leaf_client.h"
+
+#include <errno.h>
+#include <http_parser.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "common/errors.h"
+
+#define EVENTS_MAX 64
+#define READ_BYTES 16384
+/* A leaf that does not accept a connection in this time is taken as down. */
+#define CONNECT_TIMEOUT_US (600 * US_PER_MS)
+/* Unacknowledged bytes older than this end a connection. */
+#define USER_TIMEOUT_MS 3000
+/* Idle time after which a connection is closed unless the leaf says more. */
+#define IDLE_DEFAULT_US (4 * US_PER_S)
+#define IDLE_MAX_US (20 * US_PER_S)
+/* A connection is closed this much before the leaf would close it. */
+#define IDLE_MARGIN_US (1 * US_PER_S)
+/*
+ * A leaf may drop an idle connection without notice. A request that must not
+ * be repeated takes a connection only if it was used within this time.
+ */
+#define FRESH_US (500 * US_PER_MS)
+/* Largest reply body that is read. */
+#define BODY_MAX_BYTES (16u * 1024 * 1024)
+
+enum connection_phase {
+	CONNECTION_OPENING,
+	CONNECTION_BUSY,
+	CONNECTION_IDLE,
+	CONNECTION_CLOSED,
+};
+
+struct leaf_connection {
+	struct leaf_endpoint *endpoint;
+	int fd;
+	enum connection_phase phase;
+	uint64_t call_id;
+	char *request_id;
+	bool is_head;
+	int64_t deadline_us;
+	int64_t opened_us;
+	int64_t idle_since_us;
+	int64_t idle_max_us;
+	/** Part of the request that is not sent yet. */
+	GByteArray *unsent;
+	bool is_begun;
+	bool is_writing;
+	http_parser parser;
+	struct leaf_reply *reply;
+	GString *field;
+	GString *value;
+	bool is_value;
+	/** The message belongs to an earlier request. */
+	bool is_foreign;
+	bool is_complete;
+	bool is_reusable;
+	GList link;
+};
+
+struct leaf_endpoint {
+	struct leaf_client *client;
+	struct sockaddr_in address;
+	/** Connections, the one used last first. */
+	GQueue connections;
+};
+
+struct leaf_client {
+	struct leaf_client_options options;
+	int epoll_fd;
+	/** Connections by call id. */
+	GHashTable *calls;
+	GHashTable *endpoints;
+	/** Closed connections that an event may still name. */
+	GPtrArray *closed;
+	struct leaf_client_counts counts;
+};
+
+static int64_t now_us(const struct leaf_client *c)
+{
+	return clock_now(&c->options.clock);
+}
+
+static void handle_free_connection(gpointer data)
+{
+	struct leaf_connection *n = data;
+
+	g_byte_array_free(n->unsent, TRUE);
+	g_string_free(n->field, TRUE);
+	g_string_free(n->value, TRUE);
+	leaf_reply_unref(n->reply);
+	g_free(n->request_id);
+	g_free(n);
+}
+
+static void close_connection(struct leaf_connection *n)
+{
+	struct leaf_client *c = n->endpoint->client;
+
+	if (n->phase == CONNECTION_CLOSED)
+		return;
+	if (n->call_id)
+		g_hash_table_remove(c->calls, &n->call_id);
+	g_queue_unlink(&n->endpoint->connections, &n->link);
+	n->phase = CONNECTION_CLOSED;
+	close(n->fd);
+	c->counts.open--;
+	g_ptr_array_add(c->closed, n);
+}
+
+static void finish_call(struct leaf_connection *n, enum transfer_end end,
+			const char *cause)
+{
+	struct leaf_client *c = n->endpoint->client;
+	struct leaf_transfer t = {
+		.call_id = n->call_id,
+		.end = end,
+		.reply = end == TRANSFER_DONE ? n->reply : NULL,
+		.cause = cause,
+	};
+	struct leaf_reply *reply = n->reply;
+
+	n->reply = NULL;
+	if (end == TRANSFER_DONE && n->is_reusable) {
+		g_hash_table_remove(c->calls, &n->call_id);
+		n->call_id = 0;
+		n->phase = CONNECTION_IDLE;
+		n->idle_since_us = now_us(c);
+	} else {
+		close_connection(n);
+	}
+	if (t.call_id)
+		c->options.handle_end(c->options.ctx, &t);
+	leaf_reply_unref(reply);
+}
+
+static void fail_call(struct leaf_connection *n, const char *cause)
+{
+	finish_call(n, n->is_begun ? TRANSFER_BROKEN : TRANSFER_NOT_SENT,
+		    cause);
+}
+
+static void flush_header(struct leaf_connection *n)
+{
+	struct http_header h;
+
+	if (!n->field->len)
+		return;
+	h.name = g_strndup(n->field->str, n->field->len);
+	h.value = g_strndup(n->value->str, n->value->len);
+	g_array_append_val(n->reply->headers, h);
+	g_string_truncate(n->field, 0);
+	g_string_truncate(n->value, 0);
+	n->is_value = false;
+}
+
+static int handle_message_begin(http_parser *parser)
+{
+	struct leaf_connection *n = parser->data;
+
+	leaf_reply_unref(n->reply);
+	n->reply = leaf_reply_create();
+	n->is_foreign = false;
+	g_string_truncate(n->field, 0);
+	g_string_truncate(n->value, 0);
+	return 0;
+}
+
+static int handle_header_field(http_parser *parser, const char *at, size_t len)
+{
+	struct leaf_connection *n = parser->data;
+
+	if (n->is_value)
+		flush_header(n);
+	g_string_append_len(n->field, at, (gssize)len);
+	return 0;
+}
+
+static int handle_header_value(http_parser *parser, const char *at, size_t len)
+{
+	struct leaf_connection *n = parser->data;
+
+	n->is_value = true;
+	g_string_append_len(n->value, at, (gssize)len);
+	return 0;
+}
+
+static void read_idle_timeout(struct leaf_connection *n)
+{
+	const char *text = leaf_reply_header(n->reply, "Keep-Alive");
+	const char *at = text ? strstr(text, "timeout=") : NULL;
+	guint64 seconds;
+
+	if (!at)
+		return;
+	seconds = g_ascii_strtoull(at + strlen("timeout="), NULL, 10);
+	n->idle_max_us =
+		CLAMP((int64_t)MIN(seconds, 3600) * US_PER_S - IDLE_MARGIN_US,
+		      200 * US_PER_MS, IDLE_MAX_US);
+}
+
+static int handle_headers_complete(http_parser *parser)
+{
+	struct leaf_connection *n = parser->data;
+	const char *header = n->endpoint->client->options.echo_header;
+	const char *echo;
+
+	flush_header(n);
+	n->reply->status = parser->status_code;
+	echo = leaf_reply_header(n->reply, header);
+	/* A late reply to an earlier request names that request. */
+	n->is_foreign = echo && n->request_id && strcmp(echo, n->request_id);
+	read_idle_timeout(n);
+	return n->is_head ? 1 : 0;
+}
+
+static int handle_body(http_parser *parser, const char *at, size_t len)
+{
+	struct leaf_connection *n = parser->data;
+
+	if (n->reply->body->len + len > BODY_MAX_BYTES)
+		return 1;
+	g_byte_array_append(n->reply->body, (const guint8 *)at, (guint)len);
+	return 0;
+}
+
+static int handle_message_complete(http_parser *parser)
+{
+	struct leaf_connection *n = parser->data;
+
+	if (n->is_foreign || parser->status_code / 100 == 1) {
+		/* Bytes of an earlier request make the stream doubtful. */
+		if (n->is_foreign)
+			n->is_reusable = false;
+		return 0;
+	}
+	n->is_complete = true;
+	if (!http_should_keep_alive(parser))
+		n->is_reusable = false;
+	http_parser_pause(parser, 1);
+	return 0;
+}
+
+static const http_parser_settings parser_settings = {
+	.on_message_begin = handle_message_begin,
+	.on_header_field = handle_header_field,
+	.on_header_value = handle_header_value,
+	.on_headers_complete = handle_headers_complete,
+	.on_body = handle_body,
+	.on_message_complete = handle_message_complete,
+};
+
+static void handle_bytes(struct leaf_connection *n, const char *data,
+			 size_t len)
+{
+	size_t used =
+		http_parser_execute(&n->parser, &parser_settings, data, len);
+
+	if (n->is_complete) {
+		/*
+		 * Bytes after the reply belong to no request. A leaf that has
+		 * answered early still reads the rest of the request's body.
+		 */
+		if (used < len || n->unsent->len)
+			n->is_reusable = false;
+		finish_call(n, TRANSFER_DONE, NULL);
+		return;
+	}
+	if (HTTP_PARSER_ERRNO(&n->parser) != HPE_OK || n->parser.upgrade)
+		fail_call(n, "bytes are no reply");
+	else if (!len)
+		fail_call(n, "connection closed");
+}
+
+static void handle_readable(struct leaf_connection *n)
+{
+	char buffer[READ_BYTES];
+	ssize_t len = recv(n->fd, buffer, sizeof(buffer), 0);
+
+	if (len < 0 && (errno == EAGAIN || errno == EINTR))
+		return;
+	if (n->phase == CONNECTION_IDLE) {
+		close_connection(n);
+		return;
+	}
+	if (len < 0) {
+		fail_call(n, "connection reset");
+		return;
+	}
+	handle_bytes(n, buffer, (size_t)len);
+}
+
+static void set_writing(struct leaf_connection *n, bool is_writing)
+{
+	struct epoll_event e = {
+		.events = EPOLLIN | (is_writing ? EPOLLOUT : 0),
+		.data.ptr = n,
+	};
+
+	if (n->is_writing == is_writing)
+		return;
+	n->is_writing = is_writing;
+	epoll_ctl(n->endpoint->client->epoll_fd, EPOLL_CTL_MOD, n->fd, &e);
+}
+
+/* Returns false if the connection has failed. */
+static bool write_bytes(struct leaf_connection *n, const void *data, size_t len,
+			size_t *sent)
+{
+	ssize_t ret = send(n->fd, data, len, MSG_NOSIGNAL);
+
+	*sent = 0;
+	if (ret < 0)
+		return errno == EAGAIN || errno == EINTR;
+	n->is_begun = n->is_begun || ret > 0;
+	*sent = (size_t)ret;
+	return true;
+}
+
+static void write_unsent(struct leaf_connection *n)
+{
+	size_t sent;
+
+	if (!write_bytes(n, n->unsent->data, n->unsent->len, &sent)) {
+		fail_call(n, "connection reset");
+		return;
+	}
+	if (sent)
+		g_byte_array_remove_range(n->unsent, 0, (guint)sent);
+	set_writing(n, n->unsent->len > 0);
+}
+
+static void handle_writable(struct leaf_connection *n)
+{
+	socklen_t len = sizeof(int);
+	int error = 0;
+
+	if (n->phase == CONNECTION_OPENING) {
+		getsockopt(n->fd, SOL_SOCKET, SO_ERROR, &error, &len);
+		if (error) {
+			fail_call(n, "connection refused");
+			return;
+		}
+		n->phase = CONNECTION_BUSY;
+	}
+	if (n->phase == CONNECTION_BUSY && n->unsent->len)
+		write_unsent(n);
+	else
+		set_writing(n, false);
+}
+
+static void handle_event(struct leaf_connection *n, uint32_t events)
+{
+	if (n->phase == CONNECTION_CLOSED)
+		return;
+	if (n->phase == CONNECTION_OPENING &&
+	    (events & (EPOLLERR | EPOLLHUP))) {
+		fail_call(n, "connection refused");
+		return;
+	}
+	if (events & EPOLLOUT)
+		handle_writable(n);
+	if (n->phase != CONNECTION_CLOSED &&
+	    (events & (EPOLLIN | EPOLLERR | EPOLLHUP)))
+		handle_readable(n);
+}
+
+static void free_closed(struct leaf_client *c)
+{
+	g_ptr_array_set_size(c->closed, 0);
+}
+
+bool leaf_client_poll(struct leaf_client *c, int64_t timeout_us)
+{
+	struct epoll_event events[EVENTS_MAX];
+	bool is_foreign_ready = false;
+	int timeout_ms = (int)CLAMP((timeout_us + 999) / 1000, 0, 60000);
+	int count = epoll_wait(c->epoll_fd, events, EVENTS_MAX, timeout_ms);
+
+	for (int i = 0; i < count; i++) {
+		if (!events[i].data.ptr)
+			is_foreign_ready = true;
+		else
+			handle_event(events[i].data.ptr, events[i].events);
+	}
+	free_closed(c);
+	return is_foreign_ready;
+}
+
+int leaf_client_watch(struct leaf_client *c, int fd)
+{
+	struct epoll_event e = { .events = EPOLLIN, .data.ptr = NULL };
+
+	if (epoll_ctl(c->epoll_fd, EPOLL_CTL_ADD, fd, &e))
+		return -ERR_IO;
+	return 0;
+}
+
+int leaf_client_create(struct leaf_client **out,
+		       const struct leaf_client_options *options)
+{
+	struct leaf_client *c = g_new0(struct leaf_client, 1);
+
+	c->options = *options;
+	c->epoll_fd = epoll_create1(EPOLL_CLOEXEC);
+	if (c->epoll_fd < 0) {
+		g_free(c);
+		return -ERR_IO;
+	}
+	c->calls = g_hash_table_new(g_int64_hash, g_int64_equal);
+	c->endpoints = g_hash_table_new(NULL, NULL);
+	c->closed = g_ptr_array_new_with_free_func(handle_free_connection);
+	*out = c;
+	return 0;
+}
+
+struct leaf_endpoint *leaf_endpoint_create(struct leaf_client *c,
+					   const struct sockaddr_in *address)
+{
+	struct leaf_endpoint *e = g_new0(struct leaf_endpoint, 1);
+
+	e->client = c;
+	e->address = *address;
+	g_queue_init(&e->connections);
+	g_hash_table_add(c->endpoints, e);
+	return e;
+}
+
+void leaf_endpoint_destroy(struct leaf_endpoint *e)
+{
+	while (e->connections.length)
+		close_connection(e->connections.head->data);
+	g_hash_table_remove(e->client->endpoints, e);
+	g_free(e);
+}
+
+void leaf_client_destroy(struct leaf_client *c)
+{
+	GList *endpoints = g_hash_table_get_keys(c->endpoints);
+
+	for (GList *i = endpoints; i; i = i->next)
+		leaf_endpoint_destroy(i->data);
+	g_list_free(endpoints);
+	g_ptr_array_free(c->closed, TRUE);
+	g_hash_table_destroy(c->endpoints);
+	g_hash_table_destroy(c->calls);
+	close(c->epoll_fd);
+	g_free(c);
+}
+
+static struct leaf_connection *find_idle(struct leaf_endpoint *e,
+					 bool is_idempotent)
+{
+	int64_t now = now_us(e->client);
+
+	for (GList *i = e->connections.head; i; i = i->next) {
+		struct leaf_connection *n = i->data;
+		int64_t idle = now - n->idle_since_us;
+
+		if (n->phase == CONNECTION_IDLE && idle < n->idle_max_us &&
+		    (is_idempotent || idle < FRESH_US))
+			return n;
+	}
+	return NULL;
+}
+
+static int open_socket(const struct sockaddr_in *address)
+{
+	unsigned int timeout = USER_TIMEOUT_MS;
+	int one = 1;
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+
+	if (fd < 0)
+		return -1;
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout,
+		   sizeof(timeout));
+	if (connect(fd, (const struct sockaddr *)address, sizeof(*address)) &&
+	    errno != EINPROGRESS) {
+		close(fd);
+		return -1;
+	}
+	return fd;
+}
+
+static struct leaf_connection *open_connection(struct leaf_endpoint *e)
+{
+	struct leaf_client *c = e->client;
+	int fd = open_socket(&e->address);
+	struct leaf_connection *n;
+	struct epoll_event event;
+
+	if (fd < 0)
+		return NULL;
+	n = g_new0(struct leaf_connection, 1);
+	n->endpoint = e;
+	n->fd = fd;
+	n->phase = CONNECTION_OPENING;
+	n->opened_us = now_us(c);
+	n->idle_max_us = IDLE_DEFAULT_US;
+	n->unsent = g_byte_array_new();
+	n->field = g_string_new(NULL);
+	n->value = g_string_new(NULL);
+	n->is_writing = true;
+	n->link.data = n;
+	event = (struct epoll_event){ .events = EPOLLIN | EPOLLOUT,
+				      .data.ptr = n };
+	epoll_ctl(c->epoll_fd, EPOLL_CTL_ADD, fd, &event);
+	g_queue_push_head_link(&e->connections, &n->link);
+	c->counts.opened++;
+	c->counts.open++;
+	return n;
+}
+
+static void begin_call(struct leaf_connection *n, const struct leaf_request *r)
+{
+	n->call_id = r->call_id;
+	g_free(n->request_id);
+	n->request_id = g_strdup(r->request_id);
+	n->is_head = r->is_head;
+	n->deadline_us = r->deadline_us;
+	n->is_begun = false;
+	n->is_complete = false;
+	n->is_reusable = true;
+	n->is_value = false;
+	http_parser_init(&n->parser, HTTP_RESPONSE);
+	n->parser.data = n;
+	g_byte_array_set_size(n->unsent, 0);
+	g_byte_array_append(n->unsent, (const guint8 *)r->head,
+			    (guint)r->head_len);
+	if (r->body_len)
+		g_byte_array_append(n->unsent, r->body, (guint)r->body_len);
+	g_hash_table_insert(n->endpoint->client->calls, &n->call_id, n);
+}
+
+void leaf_client_send(struct leaf_endpoint *e, const struct leaf_request *r)
+{
+	struct leaf_connection *n = find_idle(e, r->is_idempotent);
+	struct leaf_transfer refused = { .call_id = r->call_id,
+					 .end = TRANSFER_NOT_SENT,
+					 .cause = "no socket" };
+
+	if (!n) {
+		n = open_connection(e);
+		if (n)
+			begin_call(n, r);
+		else
+			e->client->options.handle_end(e->client->options.ctx,
+						      &refused);
+		return;
+	}
+	e->client->counts.reused++;
+	n->phase = CONNECTION_BUSY;
+	g_queue_unlink(&e->connections, &n->link);
+	g_queue_push_head_link(&e->connections, &n->link);
+	begin_call(n, r);
+	write_unsent(n);
+}
+
+void leaf_client_cancel(struct leaf_client *c, uint64_t call_id)
+{
+	struct leaf_connection *n = g_hash_table_lookup(c->calls, &call_id);
+
+	if (n)
+		close_connection(n);
+}
+
+static void sweep_connection(struct leaf_connection *n, int64_t now)
+{
+	switch (n->phase) {
+	case CONNECTION_OPENING:
+		if (now - n->opened_us >= CONNECT_TIMEOUT_US)
+			fail_call(n, "connection not accepted");
+		return;
+	case CONNECTION_BUSY:
+		if (now >= n->deadline_us)
+			fail_call(n, "no reply in time");
+		return;
+	case CONNECTION_IDLE:
+		if (now - n->idle_since_us >= n->idle_max_us)
+			close_connection(n);
+		return;
+	case CONNECTION_CLOSED:
+		return;
+	}
+}
+
+void leaf_client_sweep(struct leaf_client *c)
+{
+	GList *endpoints = g_hash_table_get_keys(c->endpoints);
+	int64_t now = now_us(c);
+
+	for (GList *i = endpoints; i; i = i->next) {
+		struct leaf_endpoint *e = i->data;
+		GList *next;
+
+		if (!g_hash_table_contains(c->endpoints, e))
+			continue;
+		for (GList *k = e->connections.head; k; k = next) {
+			next = k->next;
+			sweep_connection(k->data, now);
+		}
+	}
+	g_list_free(endpoints);
+	free_closed(c);
+}
+
+struct leaf_client_counts leaf_client_count(const struct leaf_client *c)
+{
+	return c->counts;
+}
--- a/nutmegpickd/main.c
+++ b/nutmegpickd/main.c
@@ -11,7 +11,9 @@
 
 #include "common/errors.h"
 #include "common/events.h"
+#include "nutmegpickd/route_service.h"
 #include "nutmegpickd/store_thread.h"
+#include "platform/settings.h"
 
 #define EVENT_RING_SIZE 65536
 
@@ -41,6 +43,8 @@
 		a->is_check_only = true;
 		return 0;
 	case ARGP_KEY_END:
+		if (!a->settings_path)
+			a->settings_path = platform_settings_path();
 		if (!a->settings_path)
 			argp_error(state, "--settings is required");
 		return 0;
@@ -211,6 +215,29 @@
 	}
 }
 
+/* Serves routes and leaves of the platform's store until a signal to stop. */
+static int run_route_service(struct host *h, const sigset_t *signals)
+{
+	struct route_service *service;
+	int ret = route_service_start(&service, &h->settings, h->clock);
+	int signal;
+
+	if (ret) {
+		fprintf(stderr, "nutmegpickd: E%d: %s\n", -ret,
+			error_text(ret));
+		return EXIT_FAILURE;
+	}
+	event_log(EV_START, "host=%s domain=%s", h->settings.host_id,
+		  h->settings.domain);
+	do {
+		sigwait(signals, &signal);
+	} while (signal == SIGHUP);
+	event_log(EV_DRAIN, "host=%s", h->settings.host_id);
+	route_service_stop(service);
+	event_log(EV_STOP, "host=%s", h->settings.host_id);
+	return EXIT_SUCCESS;
+}
+
 int main(int argc, char **argv)
 {
 	struct arguments arguments = { 0 };
@@ -240,6 +267,8 @@
 	sigaddset(&signals, SIGHUP);
 	pthread_sigmask(SIG_BLOCK, &signals, NULL);
 	signal(SIGPIPE, SIG_IGN);
+	if (h.settings.registry)
+		return run_route_service(&h, &signals);
 	ret = start_host(&h);
 	if (ret) {
 		fprintf(stderr, "nutmegpickd: E%d: %s\n", -ret,
--- a/nutmegpickd/settings.c
+++ b/nutmegpickd/settings.c
@@ -48,6 +48,10 @@
 	  offsetof(struct settings, listen_http), NULL, true },
 	{ "listen", "peer", SETTING_ADDRESS,
 	  offsetof(struct settings, listen_peer), NULL, false },
+	{ "listen", "ready", SETTING_ADDRESS,
+	  offsetof(struct settings, listen_ready), NULL, false },
+	{ "registry", "store", SETTING_ADDRESS,
+	  offsetof(struct settings, registry), NULL, false },
 	{ "peers", "seeds", SETTING_ADDRESSES,
 	  offsetof(struct settings, peer_seeds), NULL, false },
 	{ "platform", "host_list", SETTING_ADDRESS,
@@ -278,6 +282,9 @@
 	if (out->objects_path && out->store_endpoints)
 		add_fault(&r, 0, "objects", "path",
 			  "contradicts store.endpoints");
+	if (out->registry && (out->objects_path || out->store_endpoints))
+		add_fault(&r, 0, "registry", "store",
+			  "contradicts objects.path and store.endpoints");
 	tree_destroy(root);
 	return faults->count ? -ERR_SETTINGS : 0;
 }
@@ -325,6 +332,8 @@
 	free(s->host_id);
 	free(s->domain);
 	free(s->listen_http);
+	free(s->listen_ready);
+	free(s->registry);
 	free(s->objects_path);
 	free(s->listen_peer);
 	free(s->host_list);
--- /dev/null
+++ b/router/choice.c
@@ -0,0 +1,230 @@
+#include "router/internal.h"
+
+#include <math.h>
+#include <string.h>
+
+#include "common/events.h"
+
+/* Weight of a new sample in the smoothed duration of a leaf's calls. */
+#define DURATION_WEIGHT 0.2
+/* Weight of a new sample in the smoothed share of failures. */
+#define FAILURE_WEIGHT 0.15
+/* A failure rate loses half of its weight in this time without calls. */
+#define FAILURE_HALF_LIFE_US (2 * US_PER_S)
+/* Age at which a leaf's reported load counts half. */
+#define LOAD_HALF_LIFE_US (200 * US_PER_MS)
+/*
+ * Time by which a leaf in another failure domain must be better: traffic
+ * between domains is paid for by the byte.
+ */
+#define DOMAIN_PENALTY_US (20 * US_PER_MS)
+/* A failed call costs about as much as this many good ones. */
+#define FAILURE_COST 6.0
+/* Cost of a leaf that has just started and is still slow. */
+#define WARM_UP_COST 1.5
+/* A leaf is taken as stalled once its oldest call is late by this factor. */
+#define STALL_FACTOR 1.5
+#define STALL_COST 8.0
+#define EJECT_FAILURES 3
+#define EJECT_FIRST_US (400 * US_PER_MS)
+#define EJECT_MAX_US (3 * US_PER_S)
+
+static double decay(int64_t age_us, int64_t half_life_us)
+{
+	return exp2(-(double)MAX(age_us, 0) / (double)half_life_us);
+}
+
+static double failure_rate(const struct route_leaf *leaf, int64_t now)
+{
+	return leaf->failure_rate *
+	       decay(now - leaf->failed_at_us, FAILURE_HALF_LIFE_US);
+}
+
+static struct leaf_duration *find_duration(struct route_leaf *leaf,
+					   const struct route_stats *route)
+{
+	for (uint32_t i = 0; i < leaf->duration_count; i++) {
+		if (leaf->durations[i].route == route)
+			return &leaf->durations[i];
+	}
+	return NULL;
+}
+
+static double in_system(const struct route_leaf *leaf, int64_t now)
+{
+	return (double)leaf->calls.length +
+	       leaf->others *
+		       decay(now - leaf->reported_at_us, LOAD_HALF_LIFE_US);
+}
+
+static bool is_stalled(const struct route_leaf *leaf, int64_t now)
+{
+	const struct leaf_call *c = g_queue_peek_head((GQueue *)&leaf->calls);
+
+	return c && c->late_after_us &&
+	       (double)(now - c->start_us) >
+		       STALL_FACTOR * (double)c->late_after_us;
+}
+
+/* Expected duration of a call, with the wait for a slot. */
+static double expected_us(struct route_leaf *leaf,
+			  const struct route_stats *route, double typical,
+			  int64_t now)
+{
+	const struct leaf_duration *d = find_duration(leaf, route);
+	double work = typical;
+	double slots = MAX(leaf->entry.slots, 1);
+	double busy = in_system(leaf, now);
+	double wait = MAX(0, busy + 1 - slots) / slots;
+
+	if (d)
+		work += (d->mean_us - typical) *
+			decay(now - d->at_us, FAILURE_HALF_LIFE_US);
+	if (now < leaf->warm_at_us)
+		work *= WARM_UP_COST;
+	return work * (1 + wait + 0.3 * pow(MIN(busy / slots, 1), 2));
+}
+
+static double cost_us(struct route_leaf *leaf, double expected, int64_t now)
+{
+	double cost = expected;
+
+	if (!leaf->is_same_domain)
+		cost += DOMAIN_PENALTY_US;
+	cost *= 1 + FAILURE_COST * failure_rate(leaf, now);
+	if (is_stalled(leaf, now))
+		cost *= STALL_COST;
+	return cost;
+}
+
+static bool is_tried(const struct route_part *p, const struct route_leaf *leaf)
+{
+	for (uint32_t i = 0; i < p->tried_count; i++) {
+		if (p->tried[i] == leaf)
+			return true;
+	}
+	return false;
+}
+
+/* Most calls of this host at one leaf, below its limit of connections. */
+static uint32_t call_limit(const struct route_leaf *leaf)
+{
+	uint32_t share = leaf->pool->max_connections / 8;
+
+	return CLAMP(share, 2, 64);
+}
+
+struct leaf_choice leaf_choose(struct router *r, const struct route_part *part)
+{
+	struct route_stats *stats = part->request->stats;
+	double typical =
+		(double)route_stats_typical(stats, part->request->route);
+	int64_t now = router_now(r);
+	struct leaf_choice choice = { 0 };
+	double best = INFINITY;
+	bool is_best_last_resort = true;
+
+	for (guint i = 0; i < part->pool->leaves->len; i++) {
+		struct route_leaf *leaf = part->pool->leaves->pdata[i];
+		bool is_last_resort = now < leaf->ejected_until_us ||
+				      leaf->phase != LEAF_IN_SERVICE;
+		double expected;
+		double cost;
+
+		if (!route_leaf_is_usable(leaf, now))
+			continue;
+		choice.usable++;
+		if (is_tried(part, leaf) ||
+		    leaf->calls.length >= call_limit(leaf))
+			continue;
+		/* Ejected and leaving leaves serve if there is no other. */
+		if (is_last_resort && !is_best_last_resort)
+			continue;
+		expected = expected_us(leaf, stats, typical, now);
+		cost = cost_us(leaf, expected, now) *
+		       g_rand_double_range(r->random, 0.95, 1.05);
+		if (is_best_last_resort == is_last_resort && cost >= best)
+			continue;
+		best = cost;
+		is_best_last_resort = is_last_resort;
+		choice.leaf = leaf;
+		choice.expected_us = (int64_t)expected;
+	}
+	return choice;
+}
+
+static void note_duration(struct route_leaf *leaf,
+			  const struct route_stats *route, int64_t us,
+			  int64_t now)
+{
+	struct leaf_duration *d = find_duration(leaf, route);
+
+	if (!d) {
+		d = &leaf->durations[leaf->duration_next++ % LEAF_ROUTES_MAX];
+		leaf->duration_count =
+			MIN(leaf->duration_count + 1, LEAF_ROUTES_MAX);
+		d->route = route;
+		d->mean_us = (double)us;
+	}
+	d->mean_us += DURATION_WEIGHT * ((double)us - d->mean_us);
+	d->at_us = now;
+}
+
+static void note_failure(struct route_leaf *leaf, bool is_failure, int64_t now)
+{
+	double rate = failure_rate(leaf, now);
+
+	leaf->failure_rate = rate + FAILURE_WEIGHT * (is_failure - rate);
+	leaf->failed_at_us = now;
+}
+
+static void eject(struct route_leaf *leaf, int64_t now)
+{
+	int64_t time = EJECT_FIRST_US;
+
+	for (uint32_t i = EJECT_FAILURES; i < leaf->failures_in_row; i++)
+		time = MIN(2 * time, EJECT_MAX_US);
+	leaf->ejected_until_us = now + time;
+	event_log(EV_LEAF_EJECTED, "leaf=%s failures=%u for_ms=%lld",
+		  leaf->entry.id, leaf->failures_in_row,
+		  (long long)(time / US_PER_MS));
+}
+
+void leaf_note_result(struct router *r, struct leaf_call *c,
+		      const struct router_result *result)
+{
+	struct route_leaf *leaf = c->leaf;
+	int64_t now = router_now(r);
+	bool is_failure = false;
+
+	if (result->load.is_known) {
+		double others = (double)result->load.running +
+				(double)result->load.waiting -
+				(double)leaf->calls.length;
+
+		leaf->others = MAX(0, others);
+		leaf->reported_at_us = now;
+	}
+	switch (result->outcome) {
+	case CALL_ANSWERED:
+	case CALL_DECLINED:
+		note_duration(leaf, c->stats, now - c->start_us, now);
+		leaf->failures_in_row = 0;
+		break;
+	case CALL_NOT_RUN:
+	case CALL_FAILURE:
+		is_failure = true;
+		break;
+	case CALL_MISDIRECTED:
+	case CALL_NOT_SENT:
+	case CALL_BROKEN:
+		is_failure = true;
+		leaf->failures_in_row++;
+		break;
+	}
+	note_failure(leaf, is_failure, now);
+	if (result->outcome == CALL_MISDIRECTED ||
+	    leaf->failures_in_row >= EJECT_FAILURES ||
+	    (result->outcome == CALL_NOT_SENT && leaf->failures_in_row >= 2))
+		eject(leaf, now);
+}
--- /dev/null
+++ b/router/gather.c
@@ -0,0 +1,131 @@
+#include "router/internal.h"
+
+#include <string.h>
+
+/* Records have a fixed size; a shorter remainder of a part is not a record. */
+#define RECORD_BYTES 16
+
+/* The k greatest records so far, as a heap with the least on top. */
+struct top_records {
+	const guint8 **items;
+	uint32_t count;
+	uint32_t max;
+};
+
+static int compare(const guint8 *a, const guint8 *b)
+{
+	return memcmp(a, b, RECORD_BYTES);
+}
+
+static void sift_down(struct top_records *t, uint32_t at)
+{
+	for (;;) {
+		uint32_t least = at;
+
+		for (uint32_t i = 2 * at + 1; i <= 2 * at + 2; i++) {
+			if (i < t->count &&
+			    compare(t->items[i], t->items[least]) < 0)
+				least = i;
+		}
+		if (least == at)
+			return;
+		const guint8 *item = t->items[at];
+
+		t->items[at] = t->items[least];
+		t->items[least] = item;
+		at = least;
+	}
+}
+
+static void sift_up(struct top_records *t, uint32_t at)
+{
+	while (at) {
+		uint32_t parent = (at - 1) / 2;
+		const guint8 *item = t->items[at];
+
+		if (compare(item, t->items[parent]) >= 0)
+			return;
+		t->items[at] = t->items[parent];
+		t->items[parent] = item;
+		at = parent;
+	}
+}
+
+static void add_record(struct top_records *t, const guint8 *record)
+{
+	if (t->count < t->max) {
+		t->items[t->count++] = record;
+		sift_up(t, t->count - 1);
+		return;
+	}
+	if (!t->max || compare(record, t->items[0]) <= 0)
+		return;
+	t->items[0] = record;
+	sift_down(t, 0);
+}
+
+static void add_part(struct top_records *t, const struct leaf_reply *reply)
+{
+	const guint8 *end = reply->body->data + reply->body->len;
+
+	for (const guint8 *at = reply->body->data; end - at >= RECORD_BYTES;
+	     at += RECORD_BYTES)
+		add_record(t, at);
+}
+
+/* Takes the least record off the top until none is left. */
+static void write_falling(struct top_records *t, GByteArray *body)
+{
+	uint32_t count = t->count;
+
+	g_byte_array_set_size(body, count * RECORD_BYTES);
+	while (t->count) {
+		memcpy(body->data + (size_t)(t->count - 1) * RECORD_BYTES,
+		       t->items[0], RECORD_BYTES);
+		t->items[0] = t->items[--t->count];
+		sift_down(t, 0);
+	}
+}
+
+void gather_answer(struct router *r, struct route_request *q,
+		   struct router_answer *a, GPtrArray *stamps, GByteArray *body)
+{
+	struct top_records top = {
+		.items = g_new(const guint8 *, q->route->top_k + 1),
+		.max = q->route->top_k,
+	};
+
+	for (uint32_t i = 0; i < q->part_count; i++) {
+		const struct route_part *p = &q->parts[i];
+
+		if (p->phase != PART_ANSWERED)
+			continue;
+		add_part(&top, p->reply);
+		g_ptr_array_add(stamps, (gpointer)p->stamp);
+	}
+	write_falling(&top, body);
+	g_free(top.items);
+	a->status = 200;
+	a->stamps = (const char *const *)stamps->pdata;
+	a->stamp_count = stamps->len;
+	a->missing_count = q->part_count - q->answered;
+	a->body = body->data;
+	a->body_len = body->len;
+}
+
+static bool is_enough(const struct route_request *q, uint32_t parts)
+{
+	/* The margin absorbs rounding in shares such as 0.9 of 10. */
+	return parts && (double)parts + 1e-9 >=
+				q->route->min_coverage * (double)q->part_count;
+}
+
+bool gather_has_coverage(const struct route_request *q)
+{
+	return is_enough(q, q->answered);
+}
+
+bool gather_can_cover(const struct route_request *q)
+{
+	return is_enough(q, q->part_count - q->failed);
+}
--- /dev/null
+++ b/router/leaf_set.c
@@ -0,0 +1,232 @@
+#include "router/leaf_set.h"
+
+#include <string.h>
+
+#include "common/clock.h"
+#include "common/events.h"
+
+/*
+ * A leaf that announces its end still serves for the platform's drain time, of
+ * which 3 s is the least. It gets requests this long if no other leaf is left.
+ */
+#define LEAVING_GRACE_US (1200 * US_PER_MS)
+
+void leaf_entry_clear(struct leaf_entry *e)
+{
+	g_free(e->id);
+	g_free(e->service);
+	g_free(e->domain);
+	memset(e, 0, sizeof(*e));
+}
+
+static void handle_free_pool(gpointer data)
+{
+	struct upstream_pool *p = data;
+
+	g_ptr_array_free(p->leaves, TRUE);
+	g_free(p->name);
+	g_free(p);
+}
+
+void leaf_set_init(struct leaf_set *s, const char *domain)
+{
+	memset(s, 0, sizeof(*s));
+	s->domain = g_strdup(domain ? domain : "");
+	s->pools = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					 handle_free_pool);
+	s->leaves = g_hash_table_new(g_str_hash, g_str_equal);
+}
+
+struct route_leaf *route_leaf_ref(struct route_leaf *leaf)
+{
+	leaf->refs++;
+	return leaf;
+}
+
+void route_leaf_unref(struct leaf_set *s, struct route_leaf *leaf)
+{
+	if (--leaf->refs > 0)
+		return;
+	if (s->handle_leaf_end)
+		s->handle_leaf_end(s->ctx, leaf);
+	leaf_entry_clear(&leaf->entry);
+	g_queue_clear(&leaf->calls);
+	g_free(leaf);
+}
+
+void leaf_set_clear(struct leaf_set *s)
+{
+	GHashTableIter iter;
+	gpointer leaf;
+
+	g_hash_table_iter_init(&iter, s->leaves);
+	while (g_hash_table_iter_next(&iter, NULL, &leaf)) {
+		g_hash_table_iter_steal(&iter);
+		route_leaf_unref(s, leaf);
+	}
+	g_hash_table_destroy(s->leaves);
+	g_hash_table_destroy(s->pools);
+	g_free(s->domain);
+}
+
+struct upstream_pool *leaf_set_pool(struct leaf_set *s, const char *service)
+{
+	struct upstream_pool *p = g_hash_table_lookup(s->pools, service);
+
+	if (p)
+		return p;
+	p = g_new0(struct upstream_pool, 1);
+	p->name = g_strdup(service);
+	p->leaves = g_ptr_array_new();
+	g_hash_table_insert(s->pools, p->name, p);
+	return p;
+}
+
+static void drop_leaf(struct leaf_set *s, struct route_leaf *leaf)
+{
+	g_ptr_array_remove(leaf->pool->leaves, leaf);
+	g_hash_table_remove(s->leaves, leaf->entry.id);
+	route_leaf_unref(s, leaf);
+}
+
+static bool is_older(const struct leaf_entry *e, const struct leaf_entry *known)
+{
+	if (e->started_ms != known->started_ms)
+		return e->started_ms < known->started_ms;
+	return e->sequence < known->sequence;
+}
+
+/* A leaf that restarts or moves is another leaf to callers of the pool. */
+static bool is_same_leaf(const struct leaf_entry *a, const struct leaf_entry *b)
+{
+	return a->started_ms == b->started_ms &&
+	       !strcmp(a->service, b->service) &&
+	       a->address.sin_port == b->address.sin_port &&
+	       a->address.sin_addr.s_addr == b->address.sin_addr.s_addr;
+}
+
+static void add_leaf(struct leaf_set *s, struct leaf_entry *e)
+{
+	struct route_leaf *leaf = g_new0(struct route_leaf, 1);
+
+	leaf->refs = 1;
+	leaf->entry = *e;
+	memset(e, 0, sizeof(*e));
+	g_queue_init(&leaf->calls);
+	leaf->pool = leaf_set_pool(s, leaf->entry.service);
+	leaf->is_same_domain = !strcmp(leaf->entry.domain, s->domain);
+	g_ptr_array_add(leaf->pool->leaves, leaf);
+	g_hash_table_insert(s->leaves, leaf->entry.id, leaf);
+}
+
+static void update_leaf(struct route_leaf *leaf, const struct leaf_entry *e,
+			int64_t now_us)
+{
+	enum leaf_phase phase = e->is_draining ? LEAF_LEAVING : LEAF_IN_SERVICE;
+
+	leaf->entry.slots = e->slots;
+	leaf->entry.sequence = e->sequence;
+	leaf->entry.is_draining = e->is_draining;
+	leaf->warm_at_us = now_us + e->warm_up_us;
+	if (leaf->phase != phase)
+		event_log(EV_LEAF_STATE, "leaf=%s service=%s state=%s seq=%lld",
+			  leaf->entry.id, leaf->entry.service,
+			  phase == LEAF_LEAVING ? "leaving" : "in_service",
+			  (long long)e->sequence);
+	if (phase == LEAF_LEAVING && leaf->phase == LEAF_IN_SERVICE)
+		leaf->usable_until_us = now_us + LEAVING_GRACE_US;
+	leaf->phase = phase;
+}
+
+bool leaf_set_put(struct leaf_set *s, struct leaf_entry *e, int64_t now_us)
+{
+	struct route_leaf *leaf = g_hash_table_lookup(s->leaves, e->id);
+	char *id;
+
+	if (leaf && is_older(e, &leaf->entry)) {
+		event_log(EV_LEAF_STALE, "leaf=%s seq=%lld known=%lld", e->id,
+			  (long long)e->sequence,
+			  (long long)leaf->entry.sequence);
+		leaf_entry_clear(e);
+		return false;
+	}
+	if (leaf && is_same_leaf(e, &leaf->entry)) {
+		update_leaf(leaf, e, now_us);
+		leaf_entry_clear(e);
+		return true;
+	}
+	if (leaf)
+		drop_leaf(s, leaf);
+	id = g_strdup(e->id);
+	event_log(EV_LEAF_ADDED, "leaf=%s service=%s domain=%s", id, e->service,
+		  e->domain);
+	add_leaf(s, e);
+	leaf = g_hash_table_lookup(s->leaves, id);
+	leaf->phase = leaf->entry.is_draining ? LEAF_LEAVING : LEAF_IN_SERVICE;
+	leaf->warm_at_us = now_us + leaf->entry.warm_up_us;
+	g_free(id);
+	return true;
+}
+
+static void mark_removed(struct route_leaf *leaf, int64_t grace_us,
+			 int64_t now_us)
+{
+	if (leaf->phase == LEAF_REMOVED)
+		return;
+	event_log(EV_LEAF_STATE,
+		  "leaf=%s service=%s state=removed grace_ms=%lld",
+		  leaf->entry.id, leaf->entry.service,
+		  (long long)(grace_us / 1000));
+	if (leaf->phase == LEAF_IN_SERVICE)
+		leaf->usable_until_us = now_us + grace_us;
+	leaf->phase = LEAF_REMOVED;
+}
+
+void leaf_set_remove(struct leaf_set *s, const char *id, int64_t grace_us,
+		     int64_t now_us)
+{
+	struct route_leaf *leaf = g_hash_table_lookup(s->leaves, id);
+
+	if (leaf)
+		mark_removed(leaf, grace_us, now_us);
+}
+
+void leaf_set_retain(struct leaf_set *s, GHashTable *ids, int64_t grace_us,
+		     int64_t now_us)
+{
+	GHashTableIter iter;
+	gpointer leaf;
+
+	g_hash_table_iter_init(&iter, s->leaves);
+	while (g_hash_table_iter_next(&iter, NULL, &leaf)) {
+		const struct route_leaf *l = leaf;
+
+		if (!g_hash_table_contains(ids, l->entry.id))
+			mark_removed(leaf, grace_us, now_us);
+	}
+}
+
+void leaf_set_sweep(struct leaf_set *s, int64_t now_us)
+{
+	GPtrArray *ended = g_ptr_array_new();
+	GHashTableIter iter;
+	gpointer data;
+
+	g_hash_table_iter_init(&iter, s->leaves);
+	while (g_hash_table_iter_next(&iter, NULL, &data)) {
+		const struct route_leaf *leaf = data;
+
+		if (leaf->phase == LEAF_REMOVED &&
+		    now_us >= leaf->usable_until_us &&
+		    g_queue_is_empty((GQueue *)&leaf->calls))
+			g_ptr_array_add(ended, data);
+	}
+	for (guint i = 0; i < ended->len; i++)
+		drop_leaf(s, ended->pdata[i]);
+	g_ptr_array_free(ended, TRUE);
+}
+
+bool route_leaf_is_usable(const struct route_leaf *leaf, int64_t now_us)
+{
+	return leaf->phase == LEAF_IN_SERVICE || now_us < leaf->usable_until_us;
+}
--- /dev/null
+++ b/router/part.c
@@ -0,0 +1,267 @@
+#include "router/internal.h"
+
+#include "common/errors.h"
+#include "common/events.h"
+
+/* A hedge that found no token or no leaf is tried again after this time. */
+#define HEDGE_RETRY_US (15 * US_PER_MS)
+/* No call is sent when less time is left than this. */
+#define CALL_MIN_US (10 * US_PER_MS)
+
+static const char *outcome_name(enum call_outcome outcome)
+{
+	switch (outcome) {
+	case CALL_ANSWERED:
+		return "answered";
+	case CALL_DECLINED:
+		return "declined";
+	case CALL_FAILURE:
+		return "failure";
+	case CALL_NOT_RUN:
+		return "not_run";
+	case CALL_MISDIRECTED:
+		return "misdirected";
+	case CALL_NOT_SENT:
+		return "not_sent";
+	case CALL_BROKEN:
+		return "broken";
+	}
+	return "unknown";
+}
+
+static void release_call(struct router *r, struct leaf_call *c)
+{
+	g_queue_delete_link(&c->leaf->calls, c->link);
+	route_leaf_unref(&r->leaves, c->leaf);
+	id_table_release(&r->calls, c);
+}
+
+static void detach_call(struct leaf_call *c)
+{
+	struct route_part *p = c->part;
+
+	for (uint32_t i = 0; i < p->call_count; i++) {
+		if (p->calls[i] != c)
+			continue;
+		p->calls[i] = p->calls[--p->call_count];
+		break;
+	}
+	c->part = NULL;
+}
+
+static void cancel_call(struct router *r, struct leaf_call *c)
+{
+	detach_call(c);
+	r->options.ops->cancel_call(r->options.ctx, c->id);
+	release_call(r, c);
+}
+
+void part_clear(struct router *r, struct route_part *p, bool is_cancelled)
+{
+	router_timer_disarm(r, &p->timer);
+	if (p->phase == PART_WAITING)
+		g_queue_remove(&r->waiting, p);
+	while (p->call_count) {
+		/*
+		 * The short calls of a gather end by themselves; to close their
+		 * connections would cost more than their results are worth.
+		 */
+		if (is_cancelled || p->request->route->shape != ROUTE_GATHER)
+			cancel_call(r, p->calls[0]);
+		else
+			detach_call(p->calls[0]);
+	}
+	leaf_reply_unref(p->reply);
+	leaf_reply_unref(p->failure);
+	p->reply = NULL;
+	p->failure = NULL;
+}
+
+static void handle_late_call(struct router *r, struct router_timer *t);
+
+static bool may_hedge(const struct route_part *p)
+{
+	return p->request->route->is_idempotent &&
+	       p->runs < p->request->route->max_attempts &&
+	       p->call_count < PART_CALLS_MAX;
+}
+
+static void send_call(struct router *r, struct route_part *p,
+		      struct route_leaf *leaf, bool is_extra)
+{
+	struct route_request *q = p->request;
+	int64_t now = router_now(r);
+	struct leaf_call *c = id_table_take(&r->calls);
+	struct router_call call;
+
+	c->part = p;
+	c->stats = q->stats;
+	c->leaf = route_leaf_ref(leaf);
+	c->start_us = now;
+	c->late_after_us = route_stats_late_after(q->stats, q->route);
+	c->is_extra = is_extra;
+	g_queue_push_tail(&leaf->calls, c);
+	c->link = leaf->calls.tail;
+	p->calls[p->call_count++] = c;
+	p->runs++;
+	p->arrivals++;
+	if (p->tried_count < PART_TRIED_MAX)
+		p->tried[p->tried_count++] = leaf;
+	p->phase = PART_RUNNING;
+	if (may_hedge(p))
+		router_timer_arm(r, &p->timer, now + c->late_after_us,
+				 handle_late_call);
+	call = (struct router_call){
+		.id = c->id,
+		.leaf = leaf,
+		.request_id = q->request_id,
+		.remaining_us = q->deadline_us - now,
+		.is_idempotent = q->route->is_idempotent,
+		.user = q->user,
+	};
+	r->options.ops->start_call(r->options.ctx, &call);
+}
+
+static bool send_extra(struct router *r, struct route_part *p, bool is_free,
+		       const char *cause)
+{
+	struct route_request *q = p->request;
+	int64_t now = router_now(r);
+	struct leaf_choice choice;
+
+	if (q->deadline_us - now < CALL_MIN_US)
+		return false;
+	choice = leaf_choose(r, p);
+	if (!choice.leaf)
+		return false;
+	if (!is_free && !extra_calls_take(&p->pool->extra, now))
+		return false;
+	q->extra_calls++;
+	event_log(EV_CALL_EXTRA,
+		  "request=%s service=%s leaf=%s cause=%s age_ms=%lld calls=%u",
+		  q->request_id, p->pool->name, choice.leaf->entry.id, cause,
+		  (long long)((now - q->start_us) / US_PER_MS), p->arrivals);
+	send_call(r, p, choice.leaf, true);
+	return true;
+}
+
+static void handle_late_call(struct router *r, struct router_timer *t)
+{
+	struct route_part *p = HEAP_OWNER(t, struct route_part, timer);
+
+	if (!may_hedge(p) || send_extra(r, p, false, "late"))
+		return;
+	router_timer_arm(r, &p->timer, router_now(r) + HEDGE_RETRY_US,
+			 handle_late_call);
+}
+
+static bool send_first(struct router *r, struct route_part *p)
+{
+	struct leaf_choice choice = leaf_choose(r, p);
+
+	if (choice.leaf) {
+		send_call(r, p, choice.leaf, false);
+		return true;
+	}
+	if (!choice.usable)
+		p->phase = PART_FAILED;
+	return !choice.usable;
+}
+
+void part_start(struct router *r, struct route_part *p)
+{
+	extra_calls_note_first(&p->pool->extra, router_now(r));
+	p->phase = PART_WAITING;
+	if (!send_first(r, p))
+		g_queue_push_tail(&r->waiting, p);
+}
+
+void part_run_waiting(struct router *r)
+{
+	guint count = r->waiting.length;
+
+	while (count--) {
+		struct route_part *p = g_queue_pop_head(&r->waiting);
+
+		/* The end of a request takes its other parts off the queue. */
+		if (!p)
+			return;
+		if (!send_first(r, p))
+			g_queue_push_tail(&r->waiting, p);
+		else if (p->phase == PART_FAILED)
+			request_part_ended(r, p->request);
+	}
+}
+
+static void accept_reply(struct router *r, struct route_part *p,
+			 const struct router_result *result)
+{
+	p->reply = leaf_reply_ref(result->reply);
+	p->stamp = result->stamp;
+	p->phase = PART_ANSWERED;
+	router_timer_disarm(r, &p->timer);
+	while (p->call_count) {
+		if (p->request->route->shape == ROUTE_GATHER)
+			detach_call(p->calls[0]);
+		else
+			cancel_call(r, p->calls[0]);
+	}
+	request_part_ended(r, p->request);
+}
+
+static bool may_retry(const struct route_part *p, enum call_outcome outcome)
+{
+	const struct route *route = p->request->route;
+
+	if (p->call_count || p->runs >= route->max_attempts)
+		return false;
+	if (outcome == CALL_DECLINED)
+		return route->shape == ROUTE_GATHER;
+	return route->is_idempotent || !p->runs;
+}
+
+static void handle_failure(struct router *r, struct route_part *p,
+			   const struct router_result *result)
+{
+	struct route_request *q = p->request;
+
+	event_log(EV_CALL_FAILED, "request=%s service=%s outcome=%s status=%u",
+		  q->request_id, p->pool->name, outcome_name(result->outcome),
+		  result->reply ? result->reply->status : 0);
+	if (result->outcome == CALL_NOT_RUN ||
+	    result->outcome == CALL_MISDIRECTED ||
+	    result->outcome == CALL_NOT_SENT)
+		p->runs--;
+	else if (result->reply && result->stamp) {
+		leaf_reply_unref(p->failure);
+		p->failure = leaf_reply_ref(result->reply);
+	}
+	if (may_retry(p, result->outcome) &&
+	    send_extra(r, p, result->outcome == CALL_NOT_SENT,
+		       outcome_name(result->outcome)))
+		return;
+	if (p->call_count)
+		return;
+	p->phase = PART_FAILED;
+	router_timer_disarm(r, &p->timer);
+	request_part_ended(r, q);
+}
+
+void part_handle_result(struct router *r, struct leaf_call *c,
+			const struct router_result *result)
+{
+	struct route_part *p = c->part;
+
+	if (result->outcome == CALL_ANSWERED)
+		latency_add(&c->stats->calls, router_now(r) - c->start_us);
+	leaf_note_result(r, c, result);
+	if (p)
+		detach_call(c);
+	release_call(r, c);
+	if (!p)
+		return;
+	if (result->outcome == CALL_ANSWERED)
+		accept_reply(r, p, result);
+	else
+		handle_failure(r, p, result);
+}
--- /dev/null
+++ b/router/request.c
@@ -0,0 +1,268 @@
+#include "router/internal.h"
+
+#include <string.h>
+
+#include "common/errors.h"
+#include "common/events.h"
+
+/* Time kept for the way of an answer through the server to the caller. */
+#define ANSWER_MARGIN_US (5 * US_PER_MS)
+/* Time kept from the latency goal: the caller counts both of its ways. */
+#define GOAL_MARGIN_US (22 * US_PER_MS)
+/* Advice to callers of refused requests, spread so that they do not meet. */
+#define RETRY_AFTER_MIN_US (100 * US_PER_MS)
+#define RETRY_AFTER_SPREAD_US (200 * US_PER_MS)
+
+static int64_t retry_after(struct router *r)
+{
+	return RETRY_AFTER_MIN_US +
+	       g_rand_int_range(r->random, 0, RETRY_AFTER_SPREAD_US);
+}
+
+static void log_end(const struct router *r, const struct route_request *q,
+		    const struct router_answer *a)
+{
+	bool is_ok = a->status < 400;
+	enum event_id id = is_ok	      ? EV_REQUEST_DONE
+			   : a->status == 503 ? EV_REQUEST_REFUSED
+					      : EV_REQUEST_FAILED;
+
+	event_log(
+		id,
+		"request=%s route=%s version=%llu status=%u code=E%d parts=%u "
+		"of=%u failed=%u extra=%u ms=%lld goal_ms=%lld",
+		q->request_id, q->route->name,
+		(unsigned long long)q->table->version, a->status, -a->code,
+		q->answered, q->part_count, q->failed, q->extra_calls,
+		(long long)((router_now(r) - q->start_us) / US_PER_MS),
+		(long long)(q->route->goal_us / US_PER_MS));
+}
+
+static void release_request(struct router *r, struct route_request *q,
+			    bool is_cancelled)
+{
+	router_timer_disarm(r, &q->timer);
+	for (uint32_t i = 0; i < q->part_count; i++)
+		part_clear(r, &q->parts[i], is_cancelled);
+	g_free(q->parts);
+	route_table_unref(q->table);
+	id_table_release(&r->requests, q);
+}
+
+static void finish(struct router *r, struct route_request *q,
+		   const struct router_answer *a)
+{
+	log_end(r, q, a);
+	r->options.ops->answer(r->options.ctx, q->user, a);
+	release_request(r, q, false);
+}
+
+static bool may_have_run(const struct route_request *q)
+{
+	for (uint32_t i = 0; i < q->part_count; i++) {
+		if (q->parts[i].runs)
+			return true;
+	}
+	return false;
+}
+
+/* Ends a request that got no success. */
+static void finish_failed(struct router *r, struct route_request *q, int code)
+{
+	struct router_answer a = { .code = code, .status = 502 };
+
+	if (!may_have_run(q)) {
+		a.status = 503;
+		a.retry_after_us = retry_after(r);
+	} else if (code == -ERR_NET_TIMEOUT) {
+		a.status = 504;
+	}
+	finish(r, q, &a);
+}
+
+static void finish_gathered(struct router *r, struct route_request *q)
+{
+	GPtrArray *stamps = g_ptr_array_sized_new(q->part_count);
+	GByteArray *body = g_byte_array_new();
+	struct router_answer a = { 0 };
+
+	gather_answer(r, q, &a, stamps, body);
+	finish(r, q, &a);
+	g_ptr_array_free(stamps, TRUE);
+	g_byte_array_free(body, TRUE);
+}
+
+/* These statuses promise that the request was not run. */
+static bool is_promise(unsigned int status)
+{
+	return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+static void end_single(struct router *r, struct route_request *q)
+{
+	const struct route_part *p = &q->parts[0];
+	const struct leaf_reply *reply = p->phase == PART_ANSWERED ? p->reply
+								   : p->failure;
+	struct router_answer a = { .reply = reply };
+
+	if (!reply || (p->phase == PART_FAILED && is_promise(reply->status))) {
+		finish_failed(r, q,
+			      may_have_run(q) ? -ERR_ROUTE_REPLY
+					      : -ERR_ROUTE_NO_LEAF);
+		return;
+	}
+	a.status = reply->status;
+	finish(r, q, &a);
+}
+
+static void end_gather(struct router *r, struct route_request *q)
+{
+	bool is_complete = q->answered + q->failed == q->part_count;
+
+	if (!gather_can_cover(q))
+		finish_failed(r, q, -ERR_ROUTE_COVERAGE);
+	else if (is_complete || (q->is_past_goal && gather_has_coverage(q)))
+		finish_gathered(r, q);
+}
+
+void request_part_ended(struct router *r, struct route_request *q)
+{
+	if (q->is_starting)
+		return;
+	q->answered = 0;
+	q->failed = 0;
+	for (uint32_t i = 0; i < q->part_count; i++) {
+		q->answered += q->parts[i].phase == PART_ANSWERED;
+		q->failed += q->parts[i].phase == PART_FAILED;
+	}
+	if (q->route->shape == ROUTE_GATHER)
+		end_gather(r, q);
+	else if (q->answered + q->failed)
+		end_single(r, q);
+}
+
+static void handle_deadline(struct router *r, struct router_timer *t)
+{
+	struct route_request *q = HEAP_OWNER(t, struct route_request, timer);
+
+	if (q->route->shape == ROUTE_GATHER && gather_has_coverage(q)) {
+		finish_gathered(r, q);
+		return;
+	}
+	finish_failed(r, q, -ERR_NET_TIMEOUT);
+}
+
+static void handle_goal(struct router *r, struct router_timer *t)
+{
+	struct route_request *q = HEAP_OWNER(t, struct route_request, timer);
+
+	q->is_past_goal = true;
+	if (gather_has_coverage(q)) {
+		finish_gathered(r, q);
+		return;
+	}
+	router_timer_arm(r, t, q->deadline_us, handle_deadline);
+}
+
+static void add_parts(struct router *r, struct route_request *q)
+{
+	const struct route *route = q->route;
+	uint32_t first = 0;
+
+	q->part_count = route->shape == ROUTE_GATHER ? route->target_count : 1;
+	q->parts = g_new0(struct route_part, q->part_count);
+	if (route->shape == ROUTE_SPLIT)
+		first = route_stats_pick_target(q->stats, q->table, route);
+	for (uint32_t i = 0; i < q->part_count; i++) {
+		const struct route_target *t = &route->targets[first + i];
+		const struct route_upstream *u =
+			&q->table->upstreams[t->upstream];
+
+		q->parts[i].request = q;
+		q->parts[i].pool = leaf_set_pool(&r->leaves, u->name);
+		q->parts[i].pool->max_connections = u->max_connections;
+	}
+}
+
+static void arm_timer(struct router *r, struct route_request *q)
+{
+	if (q->route->shape == ROUTE_GATHER && q->goal_at_us < q->deadline_us)
+		router_timer_arm(r, &q->timer, q->goal_at_us, handle_goal);
+	else
+		router_timer_arm(r, &q->timer, q->deadline_us, handle_deadline);
+}
+
+static struct route_request *create_request(struct router *r,
+					    const struct router_request *in,
+					    const struct route *route)
+{
+	struct route_request *q = id_table_take(&r->requests);
+	int64_t now = router_now(r);
+	int64_t wait = route->timeout_us;
+	uint64_t id = q->id;
+
+	memset(q, 0, sizeof(*q));
+	q->id = id;
+	g_strlcpy(q->request_id, in->id, sizeof(q->request_id));
+	q->table = route_table_ref(r->table);
+	q->route = route;
+	q->stats = route_stats_get(r, route);
+	q->user = in->user;
+	q->start_us = now;
+	if (in->wait_us > 0)
+		wait = MIN(wait, in->wait_us);
+	q->deadline_us = now + MAX(wait - ANSWER_MARGIN_US, wait / 2);
+	q->goal_at_us =
+		now + MAX(route->goal_us - GOAL_MARGIN_US, route->goal_us / 2);
+	return q;
+}
+
+static uint64_t refuse(struct router *r, const struct router_request *in,
+		       unsigned int status, int code)
+{
+	struct router_answer a = { .status = status, .code = code };
+
+	if (status == 503)
+		a.retry_after_us = retry_after(r);
+	event_log(EV_REQUEST_REFUSED,
+		  "request=%s version=%llu status=%u code=E%d host=%s path=%s",
+		  in->id, (unsigned long long)router_version(r), status, -code,
+		  in->host ? in->host : "", in->path);
+	r->options.ops->answer(r->options.ctx, in->user, &a);
+	return 0;
+}
+
+uint64_t router_start(struct router *r, const struct router_request *in)
+{
+	const struct route *route;
+	struct route_request *q;
+	uint64_t id;
+
+	if (!r->table)
+		return refuse(r, in, 503, -ERR_ROUTE_UNREADY);
+	route = route_table_match(r->table, in->host, in->path);
+	if (!route)
+		return refuse(r, in, 404, -ERR_ROUTE_NONE);
+	q = create_request(r, in, route);
+	id = q->id;
+	add_parts(r, q);
+	arm_timer(r, q);
+	q->is_starting = true;
+	for (uint32_t i = 0; i < q->part_count; i++)
+		part_start(r, &q->parts[i]);
+	q->is_starting = false;
+	request_part_ended(r, q);
+	return id_table_find(&r->requests, id) ? id : 0;
+}
+
+void router_cancel(struct router *r, uint64_t request_id)
+{
+	struct route_request *q = id_table_find(&r->requests, request_id);
+
+	if (!q)
+		return;
+	event_log(EV_REQUEST_LEFT, "request=%s route=%s ms=%lld", q->request_id,
+		  q->route->name,
+		  (long long)((router_now(r) - q->start_us) / US_PER_MS));
+	release_request(r, q, true);
+}
--- /dev/null
+++ b/router/router.c
@@ -0,0 +1,138 @@
+#include "router/internal.h"
+
+#include "common/errors.h"
+#include "common/events.h"
+
+/* Leaves that are out of use are looked for at this interval. */
+#define SWEEP_US (250 * US_PER_MS)
+/* Parts without a leaf are tried again at this interval at least. */
+#define WAITING_US (20 * US_PER_MS)
+
+void router_timer_arm(struct router *r, struct router_timer *t, int64_t at_us,
+		      void (*fire)(struct router *r, struct router_timer *t))
+{
+	t->fire = fire;
+	heap_push(&r->timers, &t->node, at_us);
+}
+
+void router_timer_disarm(struct router *r, struct router_timer *t)
+{
+	heap_remove(&r->timers, &t->node);
+}
+
+static void handle_leaf_end(void *ctx, struct route_leaf *leaf)
+{
+	struct router *r = ctx;
+
+	r->options.ops->forget_leaf(r->options.ctx, leaf);
+}
+
+int router_create(struct router **out, const struct router_options *options)
+{
+	struct router *r = g_new0(struct router, 1);
+
+	r->options = *options;
+	leaf_set_init(&r->leaves, options->domain);
+	r->leaves.handle_leaf_end = handle_leaf_end;
+	r->leaves.ctx = r;
+	r->stats = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					 route_stats_free);
+	id_table_init(&r->requests, sizeof(struct route_request));
+	id_table_init(&r->calls, sizeof(struct leaf_call));
+	g_queue_init(&r->waiting);
+	r->random = g_rand_new_with_seed((guint32)options->seed);
+	*out = r;
+	return 0;
+}
+
+void router_destroy(struct router *r)
+{
+	leaf_set_clear(&r->leaves);
+	g_hash_table_destroy(r->stats);
+	id_table_clear(&r->requests);
+	id_table_clear(&r->calls);
+	heap_clear(&r->timers);
+	g_queue_clear(&r->waiting);
+	route_table_unref(r->table);
+	g_rand_free(r->random);
+	g_free(r);
+}
+
+int router_apply_table(struct router *r, struct route_table *t)
+{
+	if (r->table && t->version <= r->table->version) {
+		route_table_unref(t);
+		return -ERR_ROUTE_VERSION;
+	}
+	event_log(EV_ROUTES_IN_FORCE,
+		  "version=%llu previous=%llu routes=%u upstreams=%u",
+		  (unsigned long long)t->version,
+		  (unsigned long long)router_version(r), t->route_count,
+		  t->upstream_count);
+	route_table_unref(r->table);
+	r->table = t;
+	return 0;
+}
+
+uint64_t router_version(const struct router *r)
+{
+	return r->table ? r->table->version : 0;
+}
+
+struct leaf_set *router_leaves(struct router *r)
+{
+	return &r->leaves;
+}
+
+void router_leaves_changed(struct router *r)
+{
+	part_run_waiting(r);
+}
+
+void router_call_result(struct router *r, const struct router_result *result)
+{
+	struct leaf_call *c = id_table_find(&r->calls, result->call_id);
+
+	if (!c)
+		return;
+	part_handle_result(r, c, result);
+	if (r->waiting.length)
+		part_run_waiting(r);
+}
+
+int64_t router_next_timer(const struct router *r)
+{
+	const struct heap_node *top = heap_top(&r->timers);
+	int64_t next = top ? top->key : INT64_MAX;
+
+	if (r->waiting.length)
+		next = MIN(next, r->next_retry_us);
+	return next;
+}
+
+void router_advance(struct router *r)
+{
+	int64_t now = router_now(r);
+	struct heap_node *top;
+
+	while ((top = heap_top(&r->timers)) && top->key <= now) {
+		struct router_timer *t =
+			HEAP_OWNER(top, struct router_timer, node);
+
+		heap_remove(&r->timers, top);
+		t->fire(r, t);
+	}
+	if (r->waiting.length && now >= r->next_retry_us) {
+		r->next_retry_us = now + WAITING_US;
+		part_run_waiting(r);
+	}
+	if (now >= r->next_sweep_us) {
+		r->next_sweep_us = now + SWEEP_US;
+		leaf_set_sweep(&r->leaves, now);
+	}
+}
+
+uint32_t router_request_count(const struct router *r)
+{
+	return r->requests.count;
+}
--- /dev/null
+++ b/router/table.c
@@ -0,0 +1,180 @@
+#include "router/table.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "common/errors.h"
+
+#define HOST_NAME_MAX_BYTES 256
+
+struct route_table *route_table_create(uint32_t routes, uint32_t upstreams)
+{
+	struct route_table *t = g_new0(struct route_table, 1);
+
+	t->refs = 1;
+	t->routes = g_new0(struct route, routes);
+	t->route_count = routes;
+	t->upstreams = g_new0(struct route_upstream, upstreams);
+	t->upstream_count = upstreams;
+	return t;
+}
+
+struct route_table *route_table_ref(struct route_table *t)
+{
+	__atomic_add_fetch(&t->refs, 1, __ATOMIC_RELAXED);
+	return t;
+}
+
+static void clear_route(struct route *r)
+{
+	g_free(r->name);
+	g_free(r->host);
+	g_free(r->prefix);
+	g_free(r->targets);
+}
+
+void route_table_unref(struct route_table *t)
+{
+	if (!t || __atomic_sub_fetch(&t->refs, 1, __ATOMIC_ACQ_REL) > 0)
+		return;
+	for (uint32_t i = 0; i < t->route_count; i++)
+		clear_route(&t->routes[i]);
+	for (uint32_t i = 0; i < t->upstream_count; i++) {
+		g_free(t->upstreams[i].name);
+		g_free(t->upstreams[i].health_path);
+	}
+	if (t->hosts)
+		g_hash_table_destroy(t->hosts);
+	g_free(t->routes);
+	g_free(t->upstreams);
+	g_free(t);
+}
+
+static const char *check_targets(const struct route_table *t,
+				 const struct route *r)
+{
+	uint64_t weight = 0;
+
+	if (!r->target_count)
+		return "has no upstream";
+	if (r->shape == ROUTE_SINGLE && r->target_count != 1)
+		return "has more than one upstream";
+	for (uint32_t i = 0; i < r->target_count; i++) {
+		if (r->targets[i].upstream >= t->upstream_count)
+			return "names an unknown upstream";
+		for (uint32_t k = 0; k < i && r->shape == ROUTE_GATHER; k++) {
+			if (r->targets[k].upstream == r->targets[i].upstream)
+				return "names a shard twice";
+		}
+		weight += r->targets[i].weight;
+	}
+	if (r->shape == ROUTE_SPLIT && !weight)
+		return "has no upstream of positive weight";
+	return NULL;
+}
+
+static const char *check_route(const struct route_table *t,
+			       const struct route *r)
+{
+	size_t len;
+
+	if (!r->name || !*r->name || !r->host || !*r->host || !r->prefix)
+		return "lacks a name, host or prefix";
+	len = strlen(r->prefix);
+	if (r->prefix[0] != '/' || r->prefix[len - 1] != '/')
+		return "has a prefix that does not begin and end with a slash";
+	if (r->timeout_us <= 0 || r->goal_us <= 0)
+		return "has no positive timeout and latency goal";
+	if (!r->max_attempts)
+		return "allows no attempt";
+	if (r->shape == ROUTE_GATHER && !r->is_idempotent)
+		return "gathers requests that are not idempotent";
+	if (r->min_coverage < 0 || r->min_coverage > 1)
+		return "has a coverage outside of 0 to 1";
+	return check_targets(t, r);
+}
+
+static gint compare_prefixes(gconstpointer a, gconstpointer b)
+{
+	const struct route *x = *(const struct route *const *)a;
+	const struct route *y = *(const struct route *const *)b;
+	size_t x_len = strlen(x->prefix);
+	size_t y_len = strlen(y->prefix);
+
+	return x_len < y_len ? 1 : x_len > y_len ? -1 : 0;
+}
+
+static void handle_free_routes(gpointer routes)
+{
+	g_ptr_array_free(routes, TRUE);
+}
+
+static void build_index(struct route_table *t)
+{
+	GHashTableIter iter;
+	gpointer list;
+
+	t->hosts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					 handle_free_routes);
+	for (uint32_t i = 0; i < t->route_count; i++) {
+		char *host = g_ascii_strdown(t->routes[i].host, -1);
+
+		list = g_hash_table_lookup(t->hosts, host);
+		if (!list) {
+			list = g_ptr_array_new();
+			g_hash_table_insert(t->hosts, g_strdup(host), list);
+		}
+		g_ptr_array_add(list, &t->routes[i]);
+		g_free(host);
+	}
+	g_hash_table_iter_init(&iter, t->hosts);
+	while (g_hash_table_iter_next(&iter, NULL, &list))
+		g_ptr_array_sort(list, compare_prefixes);
+}
+
+int route_table_seal(struct route_table *t, char *message, size_t len)
+{
+	for (uint32_t i = 0; i < t->route_count; i++) {
+		const char *fault = check_route(t, &t->routes[i]);
+		const char *name = t->routes[i].name;
+
+		if (!fault)
+			continue;
+		snprintf(message, len, "route %s %s", name ? name : "?", fault);
+		return -ERR_ROUTE_TABLE;
+	}
+	build_index(t);
+	return 0;
+}
+
+static bool copy_host(const char *host, char *out, size_t size)
+{
+	size_t len = strcspn(host, ":");
+
+	if (!len || len >= size)
+		return false;
+	for (size_t i = 0; i < len; i++)
+		out[i] = g_ascii_tolower(host[i]);
+	out[len] = '\0';
+	return true;
+}
+
+const struct route *route_table_match(const struct route_table *t,
+				      const char *host, const char *path)
+{
+	char name[HOST_NAME_MAX_BYTES];
+	size_t path_len = strcspn(path, "?#");
+	const GPtrArray *list;
+
+	if (!host || !copy_host(host, name, sizeof(name)))
+		return NULL;
+	list = g_hash_table_lookup(t->hosts, name);
+	for (guint i = 0; list && i < list->len; i++) {
+		const struct route *r = list->pdata[i];
+		size_t len = strlen(r->prefix);
+
+		if (len <= path_len && !memcmp(r->prefix, path, len))
+			return r;
+	}
+	return NULL;
+}
