router: keep each host to some leaves and hedge as late as the goal permits

Every host held connections to every leaf. Hedges at the 0.92 quantile also paid for bytes between regions. Now a host prefers some of equal leaves by hash, idle connections close after 3 s, region and domain weigh separately, and a hedge is sent as late as an answer within the goal permits.

--- a/include/nutmegpickd/settings.h
+++ b/include/nutmegpickd/settings.h
@@ -10,6 +10,8 @@
 struct settings {
 	char *host_id;
 	char *domain;
+	/** Region of each failure domain, as "domain=region"; may be NULL. */
+	char **domains;
 	/** Fixed seat in the failure domain, or NO_SEAT. */
 	int32_t seat;
 	char *listen_http;
--- a/include/router/internal.h
+++ b/include/router/internal.h
@@ -135,6 +135,12 @@
 /** Returns the time after which a call is late. */
 int64_t route_stats_late_after(struct route_stats *s,
 			       const struct route *route);
+/**
+ * Returns the time after which a second leaf is called: a late call, and as
+ * late as an answer within the goal, left_us away, permits.
+ */
+int64_t route_stats_hedge_after(struct route_stats *s,
+				const struct route *route, int64_t left_us);
 
 /* choice.c */
 /** Best leaf for a call, with the time it is expected to take. */
--- a/include/router/leaf_set.h
+++ b/include/router/leaf_set.h
@@ -45,6 +45,12 @@
 	int64_t at_us;
 };
 
+enum leaf_distance {
+	LEAF_SAME_DOMAIN,
+	LEAF_SAME_REGION,
+	LEAF_OTHER_REGION,
+};
+
 /** Leaf as this host knows it. */
 struct route_leaf {
 	int refs;
@@ -54,7 +60,9 @@
 	/** Until when a leaf that leaves may be used for want of another. */
 	int64_t usable_until_us;
 	int64_t warm_at_us;
-	bool is_same_domain;
+	enum leaf_distance distance;
+	/** Between 0 and 1; the same for a host and leaf at all times. */
+	double preference;
 	/** Calls of this host under way, oldest first. */
 	GQueue calls;
 	/** Requests of other hosts at the last reply, and its time. */
@@ -83,7 +91,10 @@
 
 /** All leaves of the registry. */
 struct leaf_set {
+	char *host;
 	char *domain;
+	/** Region by failure domain. */
+	GHashTable *regions;
 	GHashTable *pools;
 	GHashTable *leaves;
 	/** Called before a leaf's memory is freed. */
@@ -93,7 +104,12 @@
 
 void leaf_entry_clear(struct leaf_entry *e);
 
-void leaf_set_init(struct leaf_set *s, const char *domain);
+/**
+ * Creates an empty set for a host in a failure domain. The domains, as
+ * "domain=region", may be NULL.
+ */
+void leaf_set_init(struct leaf_set *s, const char *host, const char *domain,
+		   char *const *domains);
 void leaf_set_clear(struct leaf_set *s);
 
 /** Returns the pool of a service; creates it on first use. */
--- a/include/router/router.h
+++ b/include/router/router.h
@@ -108,7 +108,11 @@
 struct router_options {
 	struct np_clock clock;
 	uint64_t seed;
+	/** Name and failure domain of this host. */
+	const char *host;
 	const char *domain;
+	/** Regions, as for leaf_set_init(); may be NULL. */
+	char *const *domains;
 	const struct router_ops *ops;
 	void *ctx;
 };
--- a/net/leaf_client.c
+++ b/net/leaf_client.c
@@ -17,8 +17,12 @@
 /* Unacknowledged bytes older than this end a connection. */
 #define USER_TIMEOUT_MS 3000
 /* Idle time after which a connection is closed unless the leaf says more. */
-#define IDLE_DEFAULT_US (4 * US_PER_S)
-#define IDLE_MAX_US (20 * US_PER_S)
+#define IDLE_DEFAULT_US (3 * US_PER_S)
+/*
+ * Leaves limit their connections, and those of a host that lost power count
+ * until the leaf closes them; so none is kept for longer than it pays.
+ */
+#define IDLE_MAX_US (3 * US_PER_S)
 /* A connection is closed this much before the leaf would close it. */
 #define IDLE_MARGIN_US (1 * US_PER_S)
 /*
--- a/nutmegpickd/route_service.c
+++ b/nutmegpickd/route_service.c
@@ -409,7 +409,9 @@
 	struct router_options router_options = {
 		.clock = clock,
 		.seed = (uint64_t)clock_wall(&clock),
+		.host = settings->host_id,
 		.domain = settings->domain,
+		.domains = settings->domains,
 		.ops = &router_ops,
 		.ctx = s,
 	};
--- a/nutmegpickd/settings.c
+++ b/nutmegpickd/settings.c
@@ -19,6 +19,7 @@
 	SETTING_STRING,
 	SETTING_ADDRESS,
 	SETTING_ADDRESSES,
+	SETTING_DOMAINS,
 	SETTING_DURATION,
 	SETTING_LEVEL,
 	SETTING_SEAT,
@@ -42,6 +43,8 @@
 	  NULL, true },
 	{ "host", "domain", SETTING_STRING, offsetof(struct settings, domain),
 	  NULL, true },
+	{ "host", "domains", SETTING_DOMAINS, offsetof(struct settings, domains),
+	  NULL, false },
 	{ "host", "seat", SETTING_SEAT, offsetof(struct settings, seat), "none",
 	  false },
 	{ "listen", "http", SETTING_ADDRESS,
@@ -145,6 +148,7 @@
 		*(char **)out = strdup(text);
 		return NULL;
 	case SETTING_ADDRESSES:
+	case SETTING_DOMAINS:
 		return NULL;
 	case SETTING_STRING:
 		if (!*text || strlen(text) > 255)
@@ -169,21 +173,34 @@
 	return NULL;
 }
 
-static void read_addresses(struct reader *r, const struct tree_node *n,
-			   const struct setting_spec *s, char ***out)
+/* A failure domain and its region, as "domain=region". */
+static bool is_domain(const char *text)
 {
+	const char *sign = strchr(text, '=');
+
+	return sign && sign != text && sign[1];
+}
+
+static void read_list(struct reader *r, const struct tree_node *n,
+		      const struct setting_spec *s, char ***out)
+{
+	bool is_addresses = s->type == SETTING_ADDRESSES;
 	GPtrArray *list = g_ptr_array_new();
 
 	for (const struct tree_node *i = n->first_child; i; i = i->next) {
-		if (i->type != TREE_STRING || !is_address(i->text))
-			add_fault(r, i->line, s->section, s->name,
-				  "must be IP numbers and ports");
-		else
+		if (i->type == TREE_STRING &&
+		    (is_addresses ? is_address(i->text) : is_domain(i->text)))
 			g_ptr_array_add(list, g_strdup(i->text));
+		else
+			add_fault(r, i->line, s->section, s->name,
+				  is_addresses
+					  ? "must be IP numbers and ports"
+					  : "must be domain=region");
 	}
 	if (n->type != TREE_ARRAY || !n->first_child)
 		add_fault(r, n->line, s->section, s->name,
-			  "must be an array of addresses");
+			  is_addresses ? "must be an array of addresses"
+				       : "must be an array of domains");
 	g_ptr_array_add(list, NULL);
 	*out = (char **)g_ptr_array_free(list, FALSE);
 }
@@ -198,10 +215,9 @@
 
 	if (table && table->type == TREE_TABLE)
 		n = tree_find(table, s->name);
-	if (s->type == SETTING_ADDRESSES) {
+	if (s->type == SETTING_ADDRESSES || s->type == SETTING_DOMAINS) {
 		if (n)
-			read_addresses(r, n, s,
-				       (char ***)((char *)out + s->offset));
+			read_list(r, n, s, (char ***)((char *)out + s->offset));
 		return;
 	}
 	if (n && n->type != TREE_STRING) {
@@ -289,7 +305,7 @@
 	return faults->count ? -ERR_SETTINGS : 0;
 }
 
-static void print_addresses(char *const *addresses)
+static void print_list(char *const *addresses)
 {
 	printf("[");
 	for (size_t i = 0; addresses && addresses[i]; i++)
@@ -311,7 +327,8 @@
 			printf("\"%s\"\n", text ? text : "");
 			break;
 		case SETTING_ADDRESSES:
-			print_addresses(*(char **const *)field);
+		case SETTING_DOMAINS:
+			print_list(*(char **const *)field);
 			break;
 		case SETTING_DURATION:
 			printf("\"%" PRId64 "us\"\n", *(const int64_t *)field);
@@ -337,6 +354,7 @@
 	free(s->objects_path);
 	free(s->listen_peer);
 	free(s->host_list);
+	g_strfreev(s->domains);
 	g_strfreev(s->peer_seeds);
 	g_strfreev(s->store_endpoints);
 	memset(s, 0, sizeof(*s));
--- a/router/choice.c
+++ b/router/choice.c
@@ -14,10 +14,16 @@
 /* Age at which a leaf's reported load counts half. */
 #define LOAD_HALF_LIFE_US (200 * US_PER_MS)
 /*
- * Time by which a leaf in another failure domain must be better: traffic
- * between domains is paid for by the byte.
+ * Time by which a leaf in another failure domain or region must be better:
+ * traffic between them is paid for by the byte.
  */
-#define DOMAIN_PENALTY_US (20 * US_PER_MS)
+#define DOMAIN_PENALTY_US (15 * US_PER_MS)
+#define REGION_PENALTY_US (35 * US_PER_MS)
+/*
+ * Largest difference between equal leaves that comes from the host itself. Each
+ * host keeps to some of them, so that a leaf holds few connections.
+ */
+#define PREFERENCE_SHARE 0.3
 /* A failed call costs about as much as this many good ones. */
 #define FAILURE_COST 6.0
 /* Cost of a leaf that has just started and is still slow. */
@@ -87,10 +93,12 @@
 
 static double cost_us(struct route_leaf *leaf, double expected, int64_t now)
 {
-	double cost = expected;
+	double cost = expected * (1 + PREFERENCE_SHARE * leaf->preference);
 
-	if (!leaf->is_same_domain)
+	if (leaf->distance == LEAF_SAME_REGION)
 		cost += DOMAIN_PENALTY_US;
+	else if (leaf->distance == LEAF_OTHER_REGION)
+		cost += REGION_PENALTY_US;
 	cost *= 1 + FAILURE_COST * failure_rate(leaf, now);
 	if (is_stalled(leaf, now))
 		cost *= STALL_COST;
@@ -141,8 +149,7 @@
 		if (is_last_resort && !is_best_last_resort)
 			continue;
 		expected = expected_us(leaf, stats, typical, now);
-		cost = cost_us(leaf, expected, now) *
-		       g_rand_double_range(r->random, 0.95, 1.05);
+		cost = cost_us(leaf, expected, now);
 		if (is_best_last_resort == is_last_resort && cost >= best)
 			continue;
 		best = cost;
--- a/router/leaf_set.c
+++ b/router/leaf_set.c
@@ -4,6 +4,7 @@
 
 #include "common/clock.h"
 #include "common/events.h"
+#include "common/hash.h"
 
 /*
  * A leaf that announces its end still serves for the platform's drain time, of
@@ -28,10 +29,24 @@
 	g_free(p);
 }
 
-void leaf_set_init(struct leaf_set *s, const char *domain)
+void leaf_set_init(struct leaf_set *s, const char *host, const char *domain,
+		   char *const *domains)
 {
 	memset(s, 0, sizeof(*s));
+	s->host = g_strdup(host ? host : "");
 	s->domain = g_strdup(domain ? domain : "");
+	s->regions = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					   g_free);
+	for (size_t i = 0; domains && domains[i]; i++) {
+		const char *sign = strchr(domains[i], '=');
+
+		if (sign)
+			g_hash_table_insert(s->regions,
+					    g_strndup(domains[i],
+						      (gsize)(sign -
+							      domains[i])),
+					    g_strdup(sign + 1));
+	}
 	s->pools = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					 handle_free_pool);
 	s->leaves = g_hash_table_new(g_str_hash, g_str_equal);
@@ -66,6 +81,8 @@
 	}
 	g_hash_table_destroy(s->leaves);
 	g_hash_table_destroy(s->pools);
+	g_hash_table_destroy(s->regions);
+	g_free(s->host);
 	g_free(s->domain);
 }
 
@@ -105,6 +122,25 @@
 	       a->address.sin_addr.s_addr == b->address.sin_addr.s_addr;
 }
 
+static enum leaf_distance distance_to(const struct leaf_set *s,
+				      const char *domain)
+{
+	const char *here = g_hash_table_lookup(s->regions, s->domain);
+	const char *there = g_hash_table_lookup(s->regions, domain);
+
+	if (!strcmp(domain, s->domain))
+		return LEAF_SAME_DOMAIN;
+	return here && there && !strcmp(here, there) ? LEAF_SAME_REGION
+						     : LEAF_OTHER_REGION;
+}
+
+static double preference_for(const struct leaf_set *s, const char *id)
+{
+	uint64_t hash = hash_pair(hash_string(s->host, 0), hash_string(id, 0));
+
+	return (double)(hash >> 11) / (double)(1ULL << 53);
+}
+
 static void add_leaf(struct leaf_set *s, struct leaf_entry *e)
 {
 	struct route_leaf *leaf = g_new0(struct route_leaf, 1);
@@ -114,7 +150,8 @@
 	memset(e, 0, sizeof(*e));
 	g_queue_init(&leaf->calls);
 	leaf->pool = leaf_set_pool(s, leaf->entry.service);
-	leaf->is_same_domain = !strcmp(leaf->entry.domain, s->domain);
+	leaf->distance = distance_to(s, leaf->entry.domain);
+	leaf->preference = preference_for(s, leaf->entry.id);
 	g_ptr_array_add(leaf->pool->leaves, leaf);
 	g_hash_table_insert(s->leaves, leaf->entry.id, leaf);
 }
--- a/router/part.c
+++ b/router/part.c
@@ -109,7 +109,10 @@
 		p->tried[p->tried_count++] = leaf;
 	p->phase = PART_RUNNING;
 	if (may_hedge(p))
-		router_timer_arm(r, &p->timer, now + c->late_after_us,
+		router_timer_arm(r, &p->timer,
+				 now + route_stats_hedge_after(
+					       q->stats, q->route,
+					       q->goal_at_us - now),
 				 handle_late_call);
 	call = (struct router_call){
 		.id = c->id,
--- a/router/router.c
+++ b/router/router.c
@@ -32,7 +32,8 @@
 	struct router *r = g_new0(struct router, 1);
 
 	r->options = *options;
-	leaf_set_init(&r->leaves, options->domain);
+	leaf_set_init(&r->leaves, options->host, options->domain,
+		      options->domains);
 	r->leaves.handle_leaf_end = handle_leaf_end;
 	r->leaves.ctx = r;
 	r->stats = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
--- a/router/stats.c
+++ b/router/stats.c
@@ -2,8 +2,10 @@
 
 #include <string.h>
 
-/* Calls beyond this quantile are late and are sent to a second leaf. */
+/* Calls beyond this quantile are late. */
 #define LATE_QUANTILE 0.92
+/* Time kept for a second call, in times of what is late for the first. */
+#define SECOND_CALL_FACTOR 2.2
 /* A call is never late sooner than this, so that noise sends no hedges. */
 #define LATE_MIN_US 12000
 /* Shares of the latency goal assumed while nothing is known of a route. */
@@ -90,3 +92,12 @@
 		us = (int64_t)(LATE_GOAL_SHARE * (double)route->goal_us);
 	return CLAMP(us, LATE_MIN_US, MAX(LATE_MIN_US, route->goal_us / 2));
 }
+
+int64_t route_stats_hedge_after(struct route_stats *s,
+				const struct route *route, int64_t left_us)
+{
+	int64_t late = route_stats_late_after(s, route);
+	int64_t latest = left_us - (int64_t)(SECOND_CALL_FACTOR * (double)late);
+
+	return MAX(late, latest);
+}
