--- a/include/router/feed.h
+++ b/include/router/feed.h
@@ -53,8 +53,9 @@
 			   uint64_t revision);
 void feed_handle_unsubscribe(struct feed *f, const char *address);
 
-/** Takes a pulse of another host. */
-void feed_handle_pulse(struct feed *f, const char *address, bool is_store_up);
+/** Takes a pulse of another host: its revision and whether it watches. */
+void feed_handle_pulse(struct feed *f, const char *address, uint64_t revision,
+		       bool is_store_up);
 
 /** Notes that changes of another host could not be taken: some are missing. */
 void feed_handle_gap(struct feed *f, const char *address);
--- a/include/router/internal.h
+++ b/include/router/internal.h
@@ -73,6 +73,8 @@
 	int64_t deadline_us;
 	/** After this time an answer has lost most of its value. */
 	int64_t goal_at_us;
+	/** Least time before a second leaf is called. */
+	int64_t hedge_min_us;
 	struct route_part *parts;
 	uint32_t part_count;
 	uint32_t answered;
--- a/include/router/router.h
+++ b/include/router/router.h
@@ -29,6 +29,8 @@
 	int64_t wait_us;
 	/** Time left until the latency goal; 0 selects that of the route. */
 	int64_t goal_us;
+	/** No second leaf is called sooner than this. */
+	int64_t hedge_min_us;
 	/** Leaves may have been sent the request before, by another host. */
 	bool is_repeat;
 	/** Handle of the adapter's own state, given back in callbacks. */
--- a/nutmegpickd/route_callers.c
+++ b/nutmegpickd/route_callers.c
@@ -4,6 +4,12 @@
 #include "nutmegpickd/route_internal.h"
 #include "platform/headers.h"
 
+/*
+ * The host that handed a request on takes it back if it hears nothing for 45
+ * ms; its cancellation has arrived before a second leaf is called.
+ */
+#define REMOTE_HEDGE_MIN_US (55 * US_PER_MS)
+
 static struct leaf_endpoint *endpoint_of(struct route_service *s,
 					 struct route_leaf *leaf)
 {
@@ -180,6 +186,7 @@
 		in.host = g->host;
 		in.path = g->target;
 		in.goal_us = MAX(g->goal_left_us, 1);
+		in.hedge_min_us = REMOTE_HEDGE_MIN_US;
 	} else {
 		id = http_exchange_header(q->exchange, PLATFORM_REQUEST_ID);
 		in.host = http_exchange_header(q->exchange, "Host");
--- a/nutmegpickd/route_hosts.c
+++ b/nutmegpickd/route_hosts.c
@@ -7,9 +7,11 @@
 
 /*
  * A host that does not confirm a request in this time is taken as stopped. It
- * covers the way between failure domains of a region and a busy processor.
+ * covers the way between failure domains of a region and a new link, and stays
+ * below REMOTE_HEDGE_MIN_US: the host has then called one leaf of a shard, and
+ * this one may call the second that routes allow.
  */
-#define TAKEN_TIMEOUT_US (100 * US_PER_MS)
+#define TAKEN_TIMEOUT_US (45 * US_PER_MS)
 /* A host that failed gets no requests for this long. */
 #define AVOID_US (3 * US_PER_S)
 /* Time for the way of a request to another host and of its answer back. */
@@ -415,7 +417,8 @@
 		handle_changes(s, e->address, f->changes);
 		break;
 	case HOST_PULSE:
-		feed_handle_pulse(s->feed, e->address, f->is_store_up);
+		feed_handle_pulse(s->feed, e->address, f->revision,
+				  f->is_store_up);
 		break;
 	case HOST_GATHER:
 		is_kept = handle_gather(s, e->link, f);
--- a/nutmegpickd/route_service.c
+++ b/nutmegpickd/route_service.c
@@ -71,9 +71,6 @@
 	if (catalog_apply(&s->catalog, c) && c->items->len)
 		feed_publish(s->feed, c);
 	store_changes_free(c);
-	__atomic_store_n(&s->is_ready,
-			 !s->is_draining && router_version(s->router),
-			 __ATOMIC_RELEASE);
 }
 
 static void take_store(struct route_service *s, bool is_up)
@@ -193,6 +190,14 @@
 	give_results(s);
 }
 
+/* Routes come from the store or from another host. */
+static void update_ready(struct route_service *s)
+{
+	__atomic_store_n(&s->is_ready,
+			 !s->is_draining && router_version(s->router),
+			 __ATOMIC_RELEASE);
+}
+
 static void *run(void *ctx)
 {
 	struct route_service *s = ctx;
@@ -201,8 +206,10 @@
 	while (!s->is_exiting) {
 		int64_t now = clock_now(&s->clock);
 
-		if (leaf_client_poll(s->client, next_wait(s, now)))
+		if (leaf_client_poll(s->client, next_wait(s, now))) {
 			take_events(s);
+			update_ready(s);
+		}
 		run_due(s);
 	}
 	return NULL;
--- a/router/feed.c
+++ b/router/feed.c
@@ -179,7 +179,8 @@
 	g_hash_table_remove(f->subscribers, address);
 }
 
-void feed_handle_pulse(struct feed *f, const char *address, bool is_store_up)
+void feed_handle_pulse(struct feed *f, const char *address, uint64_t revision,
+		       bool is_store_up)
 {
 	if (!is_followed(f, address)) {
 		f->options.ops->unsubscribe(f->options.ctx, address);
@@ -190,6 +191,12 @@
 		leave_failed(f, "store_lost");
 		return;
 	}
+	/*
+	 * The host may have learned changes that it did not send, for it took
+	 * them from a feed of its own before it began to watch.
+	 */
+	if (revision > f->options.mirror->revision)
+		ask(f, address);
 	if (f->is_following)
 		return;
 	f->is_following = true;
--- a/router/part.c
+++ b/router/part.c
@@ -93,6 +93,16 @@
 	       p->call_count < PART_CALLS_MAX;
 }
 
+static void arm_hedge(struct router *r, struct route_part *p, int64_t now)
+{
+	const struct route_request *q = p->request;
+	int64_t after = route_stats_hedge_after(q->stats, q->route,
+						q->goal_at_us - now);
+
+	router_timer_arm(r, &p->timer, now + MAX(after, q->hedge_min_us),
+			 handle_late_call);
+}
+
 static void send_call(struct router *r, struct route_part *p,
 		      struct route_leaf *leaf, bool is_extra)
 {
@@ -116,11 +126,7 @@
 		p->tried[p->tried_count++] = leaf;
 	p->phase = PART_RUNNING;
 	if (may_hedge(p))
-		router_timer_arm(
-			r, &p->timer,
-			now + route_stats_hedge_after(q->stats, q->route,
-						      q->goal_at_us - now),
-			handle_late_call);
+		arm_hedge(r, p, now);
 	call = (struct router_call){
 		.id = c->id,
 		.leaf = leaf,
--- a/router/request.c
+++ b/router/request.c
@@ -220,6 +220,7 @@
 	q->goal_at_us =
 		now + (in->goal_us > 0 ? in->goal_us : router_goal_left(route));
 	q->is_repeat = in->is_repeat;
+	q->hedge_min_us = in->hedge_min_us;
 	return q;
 }
 
--- /dev/null
+++ b/test/unit/test_router_feed.c
@@ -0,0 +1,233 @@
+#include "suites.h"
+
+#include <string.h>
+
+#include "router/feed.h"
+
+/** Feed of one host; what it sends is recorded. */
+struct fake_feed {
+	struct virtual_clock time;
+	struct leaf_set leaves;
+	struct host_directory directory;
+	struct store_mirror mirror;
+	struct feed *feed;
+	char subscribed[32];
+	uint32_t subscribe_count;
+	uint32_t changes_sent;
+	uint32_t pulses_sent;
+	bool is_watching;
+};
+
+static void handle_subscribe(void *ctx, const char *address, uint64_t revision)
+{
+	struct fake_feed *f = ctx;
+
+	g_strlcpy(f->subscribed, address, sizeof(f->subscribed));
+	f->subscribe_count++;
+}
+
+static void handle_unsubscribe(void *ctx, const char *address)
+{
+}
+
+static void handle_send_changes(void *ctx, const char *address,
+				const struct store_changes *c)
+{
+	struct fake_feed *f = ctx;
+
+	f->changes_sent++;
+}
+
+static void handle_send_pulse(void *ctx, const char *address, uint64_t revision,
+			      bool is_store_up)
+{
+	struct fake_feed *f = ctx;
+
+	f->pulses_sent += is_store_up;
+}
+
+static void handle_set_watching(void *ctx, bool is_watching)
+{
+	struct fake_feed *f = ctx;
+
+	f->is_watching = is_watching;
+}
+
+static const struct feed_ops ops = {
+	.subscribe = handle_subscribe,
+	.unsubscribe = handle_unsubscribe,
+	.send_changes = handle_send_changes,
+	.send_pulse = handle_send_pulse,
+	.set_watching = handle_set_watching,
+};
+
+static void add_host(struct fake_feed *f, const char *name, uint32_t capacity)
+{
+	struct host_record r = { .name = g_strdup(name),
+				 .address = g_strdup(name),
+				 .domain = g_strdup("a"),
+				 .capacity = capacity };
+
+	host_directory_put(&f->directory, &r);
+}
+
+static struct fake_feed *create_feed(const char *self)
+{
+	struct fake_feed *f = g_new0(struct fake_feed, 1);
+	struct feed_options options = {
+		.clock = clock_virtual(&f->time),
+		.directory = &f->directory,
+		.mirror = &f->mirror,
+		.ops = &ops,
+		.ctx = f,
+	};
+
+	f->time.now_us = US_PER_S;
+	f->is_watching = true;
+	leaf_set_init(&f->leaves, self, "a", NULL);
+	host_directory_init(&f->directory, self, &f->leaves);
+	store_mirror_init(&f->mirror);
+	f->mirror.revision = 10;
+	feed_create(&f->feed, &options);
+	add_host(f, "strong-1", 500);
+	add_host(f, "strong-2", 500);
+	add_host(f, "weak-1", 120);
+	add_host(f, "weak-2", 120);
+	return f;
+}
+
+static void destroy_feed(struct fake_feed *f)
+{
+	feed_destroy(f->feed);
+	store_mirror_clear(&f->mirror);
+	host_directory_clear(&f->directory);
+	leaf_set_clear(&f->leaves);
+	g_free(f);
+}
+
+static void advance(struct fake_feed *f, int64_t us)
+{
+	for (int64_t i = 0; i < us; i += 50 * US_PER_MS) {
+		f->time.now_us += 50 * US_PER_MS;
+		feed_advance(f->feed);
+	}
+}
+
+/* Guards against hosts that watch the store though others do for them. */
+static void test_follow(void)
+{
+	struct fake_feed *f = create_feed("weak-1");
+	struct fake_feed *strong = create_feed("strong-1");
+
+	feed_advance(f->feed);
+	CU_ASSERT_EQUAL(f->subscribe_count, 1);
+	CU_ASSERT_NSTRING_EQUAL(f->subscribed, "strong-", 7);
+	CU_ASSERT_TRUE(f->is_watching);
+	feed_handle_pulse(f->feed, f->subscribed, 10, true);
+	CU_ASSERT_FALSE(f->is_watching);
+	feed_advance(strong->feed);
+	CU_ASSERT_EQUAL(strong->subscribe_count, 0);
+	CU_ASSERT_TRUE(strong->is_watching);
+	destroy_feed(f);
+	destroy_feed(strong);
+}
+
+/* Guards against a host that stays with a feed that is silent or cut off. */
+static void test_feed_lost(void)
+{
+	struct fake_feed *f = create_feed("weak-1");
+	char first[32];
+
+	feed_advance(f->feed);
+	feed_handle_pulse(f->feed, f->subscribed, 10, true);
+	g_strlcpy(first, f->subscribed, sizeof(first));
+	advance(f, 2 * US_PER_S);
+	CU_ASSERT_TRUE(f->is_watching);
+	CU_ASSERT_STRING_NOT_EQUAL(f->subscribed, first);
+	feed_handle_pulse(f->feed, f->subscribed, 10, true);
+	CU_ASSERT_FALSE(f->is_watching);
+	feed_handle_pulse(f->feed, f->subscribed, 10, false);
+	CU_ASSERT_TRUE(f->is_watching);
+	destroy_feed(f);
+}
+
+/*
+ * Guards against a follower that misses a change for good: a feed that had
+ * followed another host did not send it on, and told only of its revision.
+ */
+static void test_pulse_ahead(void)
+{
+	struct fake_feed *f = create_feed("weak-1");
+
+	feed_advance(f->feed);
+	feed_handle_pulse(f->feed, f->subscribed, 10, true);
+	CU_ASSERT_EQUAL(f->subscribe_count, 1);
+	feed_handle_pulse(f->feed, f->subscribed, 11, true);
+	CU_ASSERT_EQUAL(f->subscribe_count, 2);
+	destroy_feed(f);
+}
+
+/* Guards against two hosts that follow each other. */
+static void test_no_chain(void)
+{
+	struct fake_feed *f = create_feed("weak-1");
+
+	feed_advance(f->feed);
+	feed_handle_pulse(f->feed, f->subscribed, 10, true);
+	feed_handle_subscribe(f->feed, "weak-2", 10);
+	CU_ASSERT_EQUAL(f->pulses_sent, 0);
+	destroy_feed(f);
+}
+
+static struct store_changes *changes(uint64_t from, uint64_t to,
+				     const char *key, uint64_t revision,
+				     bool is_deleted)
+{
+	struct store_changes *c = store_changes_create();
+	struct store_item i = { .key = (char *)key,
+				.value = is_deleted ? NULL : (guchar *)"v",
+				.value_len = 1,
+				.revision = revision };
+
+	c->from = from;
+	c->to = to;
+	store_changes_add(c, &i);
+	return c;
+}
+
+/* Guards against changes that are lost, or taken twice or out of order. */
+static void test_mirror(void)
+{
+	struct store_mirror m;
+	struct store_changes *c;
+
+	store_mirror_init(&m);
+	c = changes(0, 5, "a", 4, false);
+	CU_ASSERT_TRUE(store_mirror_apply(&m, c));
+	store_changes_free(c);
+	c = changes(5, 8, "a", 7, true);
+	CU_ASSERT_TRUE(store_mirror_apply(&m, c));
+	CU_ASSERT_EQUAL(c->items->len, 1);
+	CU_ASSERT_TRUE(store_mirror_apply(&m, c));
+	CU_ASSERT_EQUAL(c->items->len, 0);
+	store_changes_free(c);
+	c = changes(9, 10, "b", 10, false);
+	CU_ASSERT_FALSE(store_mirror_apply(&m, c));
+	store_changes_free(c);
+	c = store_mirror_since(&m, 5);
+	CU_ASSERT_EQUAL(c->items->len, 1);
+	CU_ASSERT_EQUAL(c->to, 8);
+	store_changes_free(c);
+	c = changes(0, 12, "b", 11, false);
+	c->is_complete = true;
+	CU_ASSERT_TRUE(store_mirror_apply(&m, c));
+	CU_ASSERT_EQUAL(m.revision, 12);
+	store_changes_free(c);
+	store_mirror_clear(&m);
+}
+
+CU_TestInfo router_feed_tests[] = {
+	{ "follow", test_follow },	     { "feed lost", test_feed_lost },
+	{ "pulse ahead", test_pulse_ahead }, { "no chain", test_no_chain },
+	{ "mirror", test_mirror },	     CU_TEST_INFO_NULL,
+};
