--- a/common/events.c
+++ b/common/events.c
@@ -32,6 +32,11 @@
 static enum event_level min_level = EVENT_INFO;
 static void (*log_sink)(void *ctx, enum event_id id, const char *fields);
 static void *log_sink_ctx;
+static void (*line_sink)(void *ctx, enum event_level level, char *line);
+static void *line_sink_ctx;
+
+static const char *const level_names[] = { "debug", "info", "warning",
+					   "error" };
 
 static const struct entry *find_entry(enum event_id id)
 {
@@ -130,6 +135,29 @@
 	log_sink_ctx = ctx;
 }
 
+void event_set_line_sink(void (*sink)(void *ctx, enum event_level level,
+				      char *line),
+			 void *ctx)
+{
+	line_sink = sink;
+	line_sink_ctx = ctx;
+}
+
+static void write_logfmt(const struct entry *e, const char *fields)
+{
+	gint64 now = g_get_real_time();
+	GDateTime *time = g_date_time_new_from_unix_utc(now / G_USEC_PER_SEC);
+	char *text = g_date_time_format(time, "%Y-%m-%dT%H:%M:%S");
+	char *line = g_strdup_printf(
+		"ts=%s.%03dZ level=%s event=N%d msg=\"%s\" %s\n", text,
+		(int)(now % G_USEC_PER_SEC / 1000), level_names[e->level],
+		e->number, e->text, fields);
+
+	g_free(text);
+	g_date_time_unref(time);
+	line_sink(line_sink_ctx, e->level, line);
+}
+
 void event_log(enum event_id id, const char *fmt, ...)
 {
 	char fields[1024];
@@ -146,6 +174,11 @@
 		return;
 	}
 	e = find_entry(id);
+	if (line_sink) {
+		g_strdelimit(fields, "\r\n", ' ');
+		write_logfmt(e, fields);
+		return;
+	}
 	g_log("nutmegpick", glib_levels[e->level], "N%d %s: %s", e->number,
 	      e->text, fields);
 }
--- a/include/common/events.h
+++ b/include/common/events.h
@@ -51,6 +51,14 @@
  */
 void event_use_line_writer(void);
 
+/**
+ * Routes lines in the logfmt format to a callback that takes them over, and
+ * ends the use of GLib's log; NULL restores it.
+ */
+void event_set_line_sink(void (*sink)(void *ctx, enum event_level level,
+				      char *line),
+			 void *ctx);
+
 /** Routes lines to a callback in place of GLib's log, for tests. */
 void event_set_sink(void (*sink)(void *ctx, enum event_id id,
 				 const char *fields),
--- a/include/nutmegpickd/route_internal.h
+++ b/include/nutmegpickd/route_internal.h
@@ -82,6 +82,8 @@
 	struct feed *feed;
 	struct http_server *server;
 	struct http_server *ready_server;
+	/** NULL where no metrics are served. */
+	struct http_server *metrics_server;
 	struct registry_thread *registry;
 	/** NULL where the host has no links to others. */
 	struct peer *peer;
--- a/include/nutmegpickd/settings.h
+++ b/include/nutmegpickd/settings.h
@@ -19,6 +19,8 @@
 	char *listen_http;
 	/** Address of the readiness check; NULL where it has none of its own. */
 	char *listen_ready;
+	/** Address of the metrics; NULL where they are not served. */
+	char *listen_metrics;
 	/** Store that holds routes and leaves; NULL where sets are published. */
 	char *registry;
 	/** Address for other hosts; NULL where the host works alone. */
--- a/nutmegpickd/main.c
+++ b/nutmegpickd/main.c
@@ -6,16 +6,23 @@
 #include <stdlib.h>
 #include <string.h>
 #include <time.h>
+#include <unistd.h>
 
 #include <jansson.h>
 
 #include "common/errors.h"
 #include "common/events.h"
+#include "common/log_queue.h"
 #include "nutmegpickd/route_service.h"
 #include "nutmegpickd/store_thread.h"
 #include "platform/settings.h"
 
 #define EVENT_RING_SIZE 65536
+/*
+ * Bound of log lines at level info. A request writes about 600 bytes, so lines
+ * of about 100 requests a second are kept; failures are kept above it.
+ */
+#define LOG_INFO_BYTES_PER_SECOND 65536
 
 const char *argp_program_version = "nutmegpickd 0.1.0";
 
@@ -218,10 +225,17 @@
 /* Serves routes and leaves of the platform's store until a signal to stop. */
 static int run_route_service(struct host *h, const sigset_t *signals)
 {
+	struct log_queue_options log_options = {
+		.fd = STDOUT_FILENO,
+		.info_bytes_per_second = LOG_INFO_BYTES_PER_SECOND,
+	};
 	struct route_service *service;
-	int ret = route_service_start(&service, &h->settings, h->clock);
+	int ret = log_queue_start(&log_options);
 	int signal;
 
+	if (!ret)
+		ret = route_service_start(&service, &h->settings, h->clock);
+
 	if (ret) {
 		fprintf(stderr, "nutmegpickd: E%d: %s\n", -ret,
 			error_text(ret));
@@ -235,6 +249,7 @@
 	event_log(EV_DRAIN, "host=%s", h->settings.host_id);
 	route_service_stop(service);
 	event_log(EV_STOP, "host=%s", h->settings.host_id);
+	log_queue_stop();
 	return EXIT_SUCCESS;
 }
 
--- a/nutmegpickd/route_callers.c
+++ b/nutmegpickd/route_callers.c
@@ -2,6 +2,7 @@
 
 #include "common/errors.h"
 #include "nutmegpickd/route_internal.h"
+#include "nutmegpickd/route_metrics.h"
 #include "platform/headers.h"
 
 /*
@@ -148,10 +149,17 @@
 void route_answer(struct route_service *s, struct caller_request *q,
 		  const struct router_answer *a)
 {
-	if (q->exchange)
+	if (q->exchange) {
+		const struct route *route = router_match(
+			s->router, http_exchange_header(q->exchange, "Host"),
+			http_exchange_target(q->exchange));
+
+		route_metrics_note_answer(route ? route->name : "", a->status,
+					  clock_now(&s->clock) - q->start_us);
 		send_answer(q->exchange, a);
-	else
+	} else {
 		route_send_gathered(s, q, a);
+	}
 	release_request(s, q);
 }
 
--- /dev/null
+++ b/nutmegpickd/route_metrics.c
@@ -0,0 +1,118 @@
+#include "nutmegpickd/route_metrics.h"
+
+#include <glib.h>
+#include <pthread.h>
+
+#include "common/clock.h"
+#include "common/counter.h"
+
+/* Buckets double from 1 ms; the last one holds everything above 16 s. */
+#define BUCKET_COUNT 16
+#define FIRST_BUCKET_US 1000
+/* Routes come and go with versions; more than these share one series. */
+#define ROUTES_MAX 256
+
+/** Answers on one route. */
+struct route_series {
+	uint64_t buckets[BUCKET_COUNT];
+	uint64_t count;
+	uint64_t sum_us;
+	/** By hundreds of the status. */
+	uint64_t statuses[6];
+};
+
+/* The router's thread counts, the server's thread renders. */
+static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
+static GHashTable *series;
+
+static struct route_series *find_series(const char *route)
+{
+	struct route_series *s;
+
+	if (!series)
+		series = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					       g_free);
+	s = g_hash_table_lookup(series, route);
+	if (s)
+		return s;
+	if (g_hash_table_size(series) >= ROUTES_MAX) {
+		route = "other";
+		s = g_hash_table_lookup(series, route);
+		if (s)
+			return s;
+	}
+	s = g_new0(struct route_series, 1);
+	g_hash_table_insert(series, g_strdup(route), s);
+	return s;
+}
+
+void route_metrics_note_answer(const char *route, unsigned int status,
+			       int64_t us)
+{
+	struct route_series *s;
+	uint32_t bucket = 0;
+
+	while (bucket < BUCKET_COUNT - 1 && us > (int64_t)FIRST_BUCKET_US
+							    << bucket)
+		bucket++;
+	pthread_mutex_lock(&lock);
+	s = find_series(route);
+	s->buckets[bucket]++;
+	s->count++;
+	s->sum_us += (uint64_t)MAX(us, 0);
+	s->statuses[MIN(status / 100, 5)]++;
+	pthread_mutex_unlock(&lock);
+}
+
+static void render_route(GString *out, const char *route,
+			 const struct route_series *s)
+{
+	uint64_t seen = 0;
+
+	for (uint32_t i = 0; i < BUCKET_COUNT - 1; i++) {
+		seen += s->buckets[i];
+		g_string_append_printf(
+			out,
+			"nutmegpick_request_seconds_bucket{route=\"%s\","
+			"le=\"%g\"} %" G_GUINT64_FORMAT "\n",
+			route,
+			(double)((int64_t)FIRST_BUCKET_US << i) / US_PER_S,
+			seen);
+	}
+	g_string_append_printf(
+		out,
+		"nutmegpick_request_seconds_bucket{route=\"%s\",le=\"+Inf\"} "
+		"%" G_GUINT64_FORMAT "\n"
+		"nutmegpick_request_seconds_sum{route=\"%s\"} %.6f\n"
+		"nutmegpick_request_seconds_count{route=\"%s\"} "
+		"%" G_GUINT64_FORMAT "\n",
+		route, s->count, route, (double)s->sum_us / US_PER_S, route,
+		s->count);
+	for (uint32_t i = 1; i < G_N_ELEMENTS(s->statuses); i++)
+		g_string_append_printf(
+			out,
+			"nutmegpick_answers_total{route=\"%s\",status=\"%uxx\"} "
+			"%" G_GUINT64_FORMAT "\n",
+			route, i, s->statuses[i]);
+}
+
+char *route_metrics_render(void)
+{
+	char *counters = counter_render();
+	GString *out = g_string_new(counters);
+	GHashTableIter iter;
+	gpointer route;
+	gpointer s;
+
+	g_free(counters);
+	g_string_append(out, "# TYPE nutmegpick_request_seconds histogram\n"
+			     "# TYPE nutmegpick_answers_total counter\n");
+	pthread_mutex_lock(&lock);
+	if (series) {
+		g_hash_table_iter_init(&iter, series);
+		while (g_hash_table_iter_next(&iter, &route, &s))
+			render_route(out, route, s);
+	}
+	pthread_mutex_unlock(&lock);
+	return g_string_free(out, FALSE);
+}
--- a/nutmegpickd/route_service.c
+++ b/nutmegpickd/route_service.c
@@ -5,6 +5,7 @@
 #include "common/errors.h"
 #include "common/events.h"
 #include "nutmegpickd/route_internal.h"
+#include "nutmegpickd/route_metrics.h"
 #include "platform/headers.h"
 
 #define EVENT_RING_SIZE 8192
@@ -248,20 +249,40 @@
 			    is_ready ? 6 : 10);
 }
 
-static int start_servers(struct route_service *s)
+static void handle_metrics(void *ctx, struct http_exchange *x)
+{
+	char *text = route_metrics_render();
+
+	http_exchange_reply(x, 200, "text/plain; version=0.0.4", text,
+			    strlen(text));
+	g_free(text);
+}
+
+static int start_server(struct route_service *s, const char *address,
+			void (*handle)(void *ctx, struct http_exchange *x),
+			struct http_server **out)
 {
 	struct http_server_options options = {
-		.address = s->settings.listen_http,
-		.handle_request = handle_request,
+		.address = address,
+		.handle_request = handle,
 		.ctx = s,
 	};
-	int ret = http_server_create(&s->server, &options);
 
-	if (ret || !s->settings.listen_ready)
-		return ret;
-	options.address = s->settings.listen_ready;
-	options.handle_request = handle_ready_check;
-	return http_server_create(&s->ready_server, &options);
+	return address ? http_server_create(out, &options) : 0;
+}
+
+static int start_servers(struct route_service *s)
+{
+	const struct settings *o = &s->settings;
+	int ret = start_server(s, o->listen_http, handle_request, &s->server);
+
+	if (!ret)
+		ret = start_server(s, o->listen_ready, handle_ready_check,
+				   &s->ready_server);
+	if (!ret)
+		ret = start_server(s, o->listen_metrics, handle_metrics,
+				   &s->metrics_server);
+	return ret;
 }
 
 static int create_router(struct route_service *s)
--- a/nutmegpickd/settings.c
+++ b/nutmegpickd/settings.c
@@ -57,6 +57,8 @@
 	  offsetof(struct settings, listen_peer), NULL, false },
 	{ "listen", "ready", SETTING_ADDRESS,
 	  offsetof(struct settings, listen_ready), NULL, false },
+	{ "listen", "metrics", SETTING_ADDRESS,
+	  offsetof(struct settings, listen_metrics), NULL, false },
 	{ "registry", "store", SETTING_ADDRESS,
 	  offsetof(struct settings, registry), NULL, false },
 	{ "peers", "seeds", SETTING_ADDRESSES,
@@ -384,6 +386,7 @@
 	free(s->domain);
 	free(s->listen_http);
 	free(s->listen_ready);
+	free(s->listen_metrics);
 	free(s->registry);
 	free(s->objects_path);
 	free(s->listen_peer);
