Let a host in the other failure domain of the region answer its shards

A gathering host now hands the shards whose nearest leaf is there to a strong host of that domain, which returns the merged records with the signatures; what is late or fails is called directly.

--- a/include/net/host_frame.h
+++ b/include/net/host_frame.h
@@ -26,7 +26,7 @@
 	HOST_GATHER_CANCEL = 88,
 };
 
-#define HOST_PROTOCOL 1
+#define HOST_PROTOCOL 2
 
 /** Request that a host hands to another. Pointers are borrowed. */
 struct gather_request {
@@ -44,6 +44,9 @@
 	const GArray *headers;
 	const char *body;
 	size_t body_len;
+	/** Shards to answer; none for all. */
+	const char *const *shards;
+	uint32_t shard_count;
 };
 
 /** Answer of the host that gathered. */
@@ -55,6 +58,11 @@
 	int64_t retry_after_us;
 	const char *const *stamps;
 	uint32_t stamp_count;
+	/** Shards of the stamps, if some of the shards were asked for. */
+	const char *const *shards;
+	uint32_t shard_count;
+	/** More shards of those asked for follow. */
+	bool is_more;
 	uint32_t missing_count;
 	const void *body;
 	size_t body_len;
--- a/include/nutmegpickd/route_internal.h
+++ b/include/nutmegpickd/route_internal.h
@@ -64,6 +64,13 @@
 	GList link_node;
 };
 
+/** Batch of the router at another host. */
+struct batch_link {
+	uint64_t id;
+	char address[PEER_ADDRESS_MAX];
+	bool is_taken;
+};
+
 /** Result that came while the router was at work. */
 struct late_result {
 	uint64_t call_id;
@@ -92,6 +99,8 @@
 	/** Requests in flight that another host gathers, by forward id. */
 	GHashTable *forwards;
 	uint64_t last_forward_id;
+	/** Of struct batch_link: batches at other hosts, by batch id. */
+	GHashTable *batches;
 	/** Of struct late_result. */
 	GArray *late_results;
 	GRand *random;
@@ -141,9 +150,14 @@
 void route_forward_check(struct route_service *s);
 /** Returns the time of the next check, or INT64_MAX. */
 int64_t route_forward_next(const struct route_service *s);
-/** Sends the answer to a request of another host. */
-void route_send_gathered(struct route_service *s, struct caller_request *q,
-			 const struct router_answer *a);
+/** Hands a batch of the router to a host; returns whether there is one. */
+bool route_start_batch(struct route_service *s, const struct router_batch *b);
+/** Tells the host that the result of a batch is not needed. */
+void route_cancel_batch(struct route_service *s, uint64_t batch_id);
+/** Sends the answer, or a part of it, to a request of another host. */
+void route_send_gathered(struct route_service *s,
+			 const struct caller_request *q,
+			 const struct router_answer *a, bool is_more);
 /** Takes an event of the links. */
 void route_handle_frame(struct route_service *s, struct route_event *e);
 void route_handle_closed(struct route_service *s, const struct route_event *e);
--- a/include/router/directory.h
+++ b/include/router/directory.h
@@ -68,4 +68,9 @@
 						  GRand *random,
 						  int64_t now_us);
 
+/** Returns a strong host of a failure domain, or NULL. */
+struct known_host *host_directory_choose_in(struct host_directory *d,
+					    const char *domain, GRand *random,
+					    int64_t now_us);
+
 #endif
--- a/include/router/internal.h
+++ b/include/router/internal.h
@@ -8,6 +8,8 @@
 
 /** Most calls under way for one part. */
 #define PART_CALLS_MAX 3
+/** Most hosts that answer parts of one request. */
+#define REQUEST_BATCHES_MAX 2
 /** Leaves remembered as tried for one part. */
 #define PART_TRIED_MAX 6
 
@@ -41,6 +43,17 @@
 struct leaf_call;
 struct route_request;
 
+/** Parts of a request that another host answers together. */
+struct part_batch {
+	uint64_t id;
+	struct route_request *request;
+	/** Results may still come. */
+	bool is_open;
+	/** Merged records and signatures of the parts that are in. */
+	GByteArray *body;
+	GPtrArray *stamps;
+};
+
 /** What one upstream has to answer for a request. */
 struct route_part {
 	struct route_request *request;
@@ -61,6 +74,14 @@
 	struct router_timer timer;
 	struct leaf_reply *reply;
 	const char *stamp;
+	/** Batch that the part was handed out with, or NULL. */
+	struct part_batch *batch;
+	/** The planned leaf is held while the request runs. */
+	bool is_planned_held;
+	/** The answer is in the batch. */
+	bool is_in_batch;
+	/** The host that asked for the part has it. */
+	bool is_sent;
 	/** Last failure that can be handed on, if there is one. */
 	struct leaf_reply *failure;
 };
@@ -85,6 +106,11 @@
 	uint32_t extra_calls;
 	/** First calls count against the budget of extra calls. */
 	bool is_repeat;
+	/** Other hosts answer some of the parts. */
+	struct part_batch *batches[REQUEST_BATCHES_MAX];
+	uint32_t batch_count;
+	/** Part of another host's gather. */
+	bool is_partial;
 	/** The goal has passed without enough parts. */
 	bool is_past_goal;
 	/** Calls are being started; the end of a part is looked at later. */
@@ -115,6 +141,9 @@
 	GHashTable *stats;
 	struct id_table requests;
 	struct id_table calls;
+	/** Open batches by id. */
+	GHashTable *batches;
+	uint64_t last_batch_id;
 	struct heap timers;
 	/** Parts that wait for a leaf, oldest first. */
 	GQueue waiting;
@@ -170,6 +199,12 @@
 void leaf_note_result(struct router *r, struct leaf_call *c,
 		      const struct router_result *result);
 
+/**
+ * Notes that the leaf which was planned for a part of a batch has not answered
+ * in time; other leaves are preferred for a while.
+ */
+void leaf_note_late(struct router *r, const struct route_part *p);
+
 /* part.c */
 /**
  * Chooses the leaf of the first call. Returns false if the part cannot be
@@ -185,15 +220,31 @@
 /** Ends all calls of a part and releases what it holds. */
 void part_clear(struct router *r, struct route_part *p, bool is_cancelled);
 
+/** Ends the calls of a part that is answered. */
+void part_end_calls(struct router *r, struct route_part *p);
+/** Sends another call for a part whose batch ended without it. */
+void part_leave_batch(struct router *r, struct route_part *p, bool is_refused);
+/** Sends a second call at once for a part that its batch has not answered. */
+void part_hedge_now(struct router *r, struct route_part *p);
+
+/* batch.c */
+/** Hands out parts whose leaves are in another failure domain of the region. */
+void batch_start_all(struct router *r, struct route_request *q);
+/** Ends the batches of a request. */
+void batch_clear_all(struct router *r, struct route_request *q);
+
 /* request.c */
 /** Takes the end of one part. */
 void request_part_ended(struct router *r, struct route_request *q);
 
 /* gather.c */
-/** Answers with the parts that are in. */
+/**
+ * Answers with the parts that are in; those that were sent to the host that
+ * asked for them are left out. Their shards are listed as well.
+ */
 void gather_answer(struct router *r, struct route_request *q,
 		   struct router_answer *a, GPtrArray *stamps,
-		   GByteArray *body);
+		   GPtrArray *shards, GByteArray *body);
 /** Returns whether enough parts are in for an answer. */
 bool gather_has_coverage(const struct route_request *q);
 /** Returns whether enough parts can still come in. */
--- a/include/router/router.h
+++ b/include/router/router.h
@@ -33,6 +33,14 @@
 	int64_t hedge_min_us;
 	/** Leaves may have been sent the request before, by another host. */
 	bool is_repeat;
+	/**
+	 * Names of the shards to answer, for a part of another host's gather;
+	 * NULL for all. Only leaves of this failure domain are called, none a
+	 * second time. What is in at the goal is sent then, the rest as it
+	 * comes.
+	 */
+	const char *const *shards;
+	uint32_t shard_count;
 	/** Handle of the adapter's own state, given back in callbacks. */
 	void *user;
 };
@@ -96,6 +104,44 @@
 	const char *const *stamps;
 	uint32_t stamp_count;
 	uint32_t missing_count;
+	/** Shards of the parts, where some of them were asked for. */
+	const char *const *shards;
+	const void *body;
+	size_t body_len;
+};
+
+/** Shards that a host in another failure domain is to answer. */
+struct router_batch {
+	uint64_t id;
+	/** Failure domain in which the leaves are. */
+	const char *domain;
+	const char *const *shards;
+	uint32_t shard_count;
+	int64_t wait_us;
+	/** Time until the result has to be here. */
+	int64_t goal_us;
+	void *user;
+};
+
+/** In place of a signature: the shard failed, and a leaf may have run it. */
+#define STAMP_FAILED ""
+/** In place of a signature: the shard failed, and no leaf has run it. */
+#define STAMP_NOT_RUN "-"
+
+/** Result of a batch. */
+struct router_batch_result {
+	uint64_t id;
+	/** No leaf was called. */
+	bool is_refused;
+	/** No other result of the batch follows. */
+	bool is_final;
+	const char *const *shards;
+	/**
+	 * One for each of the shards: the signature of its part, or one of the
+	 * marks below.
+	 */
+	const char *const *stamps;
+	uint32_t count;
 	const void *body;
 	size_t body_len;
 };
@@ -110,6 +156,19 @@
 	 * did. Otherwise the call goes on and its result comes as usual.
 	 */
 	bool (*drop_unsent)(void *ctx, uint64_t call_id);
+	/**
+	 * Hands a batch to a host; returns false if there is none. Its result
+	 * comes through router_batch_done(). NULL where there are no others.
+	 */
+	bool (*start_batch)(void *ctx, const struct router_batch *b);
+	/** Drops a batch whose result is not needed. */
+	void (*cancel_batch)(void *ctx, uint64_t batch_id);
+	/**
+	 * Sends some of the shards that another host asked for; the rest
+	 * follows, the last of it with answer().
+	 */
+	void (*answer_part)(void *ctx, void *user,
+			    const struct router_answer *a);
 	/** Ends a request; no later callback names it. */
 	void (*answer)(void *ctx, void *user, const struct router_answer *a);
 	/** Frees what the adapter holds for a leaf. */
@@ -177,6 +236,9 @@
 /** Takes the result of a call. */
 void router_call_result(struct router *r, const struct router_result *result);
 
+/** Takes the result of a batch; one that is not known is ignored. */
+void router_batch_done(struct router *r, const struct router_batch_result *b);
+
 /** Returns the monotonic time of the next timer, or INT64_MAX. */
 int64_t router_next_timer(const struct router *r);
 
--- a/net/host_frame.c
+++ b/net/host_frame.c
@@ -117,10 +117,18 @@
 	return out;
 }
 
+static void pack_texts(msgpack_packer *pk, const char *const *texts,
+		       uint32_t count)
+{
+	msgpack_pack_array(pk, count);
+	for (uint32_t i = 0; i < count; i++)
+		pack_text(pk, texts[i]);
+}
+
 GByteArray *host_frame_gather(const struct gather_request *r)
 {
 	msgpack_packer pk;
-	GByteArray *out = begin(&pk, HOST_GATHER, 10);
+	GByteArray *out = begin(&pk, HOST_GATHER, 11);
 
 	msgpack_pack_uint64(&pk, r->id);
 	pack_text(&pk, r->request_id);
@@ -139,21 +147,22 @@
 		pack_text(&pk, h->value);
 	}
 	pack_bytes(&pk, r->body, r->body_len);
+	pack_texts(&pk, r->shards, r->shard_count);
 	return out;
 }
 
 GByteArray *host_frame_gathered(const struct gather_result *r)
 {
 	msgpack_packer pk;
-	GByteArray *out = begin(&pk, HOST_GATHERED, 7);
+	GByteArray *out = begin(&pk, HOST_GATHERED, 9);
 
 	msgpack_pack_uint64(&pk, r->id);
 	msgpack_pack_uint32(&pk, r->status);
 	msgpack_pack_uint32(&pk, (uint32_t)-r->code);
 	msgpack_pack_uint64(&pk, (uint64_t)MAX(r->retry_after_us, 0));
-	msgpack_pack_array(&pk, r->stamp_count);
-	for (uint32_t i = 0; i < r->stamp_count; i++)
-		pack_text(&pk, r->stamps[i]);
+	pack_texts(&pk, r->stamps, r->stamp_count);
+	pack_texts(&pk, r->shards, r->shard_count);
+	pack_flag(&pk, r->is_more);
 	msgpack_pack_uint32(&pk, r->missing_count);
 	pack_bytes(&pk, r->body, r->body_len);
 	return out;
@@ -265,6 +274,18 @@
 	r->is_broken = r->is_broken || items.is_broken;
 }
 
+static const char *const *read_texts(struct reader *r, uint32_t *count)
+{
+	const msgpack_object_array *array = read_array(r);
+	const char **list = g_new0(const char *, array->size + 1);
+
+	g_ptr_array_add(r->frame->texts, list);
+	for (uint32_t i = 0; i < array->size; i++)
+		list[i] = keep_text(r, &array->ptr[i]);
+	*count = array->size;
+	return list;
+}
+
 static void read_gather(struct reader *r)
 {
 	struct gather_request *q = &r->frame->request;
@@ -289,25 +310,20 @@
 	}
 	q->headers = r->frame->headers;
 	q->body = read_bytes(r, &q->body_len);
+	q->shards = read_texts(r, &q->shard_count);
 }
 
 static void read_gathered(struct reader *r)
 {
 	struct gather_result *a = &r->frame->result;
-	const msgpack_object_array *stamps;
-	const char **list;
 
 	a->id = read_number(r);
 	a->status = (uint32_t)read_number(r);
 	a->code = -(int32_t)(read_number(r) & 0xffff);
 	a->retry_after_us = read_duration(r);
-	stamps = read_array(r);
-	list = g_new0(const char *, stamps->size + 1);
-	g_ptr_array_add(r->frame->texts, list);
-	for (uint32_t i = 0; i < stamps->size; i++)
-		list[i] = keep_text(r, &stamps->ptr[i]);
-	a->stamps = list;
-	a->stamp_count = stamps->size;
+	a->stamps = read_texts(r, &a->stamp_count);
+	a->shards = read_texts(r, &a->shard_count);
+	a->is_more = read_flag(r);
 	a->missing_count = (uint32_t)read_number(r);
 	a->body = read_bytes(r, &a->body_len);
 }
--- a/nutmegpickd/route_callers.c
+++ b/nutmegpickd/route_callers.c
@@ -85,6 +85,22 @@
 	leaf->endpoint = NULL;
 }
 
+static bool handle_start_batch(void *ctx, const struct router_batch *b)
+{
+	return route_start_batch(ctx, b);
+}
+
+static void handle_cancel_batch(void *ctx, uint64_t batch_id)
+{
+	route_cancel_batch(ctx, batch_id);
+}
+
+static void handle_answer_part(void *ctx, void *user,
+			       const struct router_answer *a)
+{
+	route_send_gathered(ctx, user, a, true);
+}
+
 static void handle_router_answer(void *ctx, void *user,
 				 const struct router_answer *a)
 {
@@ -95,6 +111,9 @@
 	.start_call = handle_start_call,
 	.cancel_call = handle_cancel_call,
 	.drop_unsent = handle_drop_unsent,
+	.start_batch = handle_start_batch,
+	.cancel_batch = handle_cancel_batch,
+	.answer_part = handle_answer_part,
 	.answer = handle_router_answer,
 	.forget_leaf = handle_forget_leaf,
 };
@@ -158,7 +177,7 @@
 					  clock_now(&s->clock) - q->start_us);
 		send_answer(q->exchange, a);
 	} else {
-		route_send_gathered(s, q, a);
+		route_send_gathered(s, q, a, false);
 	}
 	release_request(s, q);
 }
@@ -195,6 +214,10 @@
 		in.path = g->target;
 		in.goal_us = MAX(g->goal_left_us, 1);
 		in.hedge_min_us = REMOTE_HEDGE_MIN_US;
+		if (g->shard_count) {
+			in.shards = g->shards;
+			in.shard_count = g->shard_count;
+		}
 	} else {
 		id = http_exchange_header(q->exchange, PLATFORM_REQUEST_ID);
 		in.host = http_exchange_header(q->exchange, "Host");
--- a/nutmegpickd/route_hosts.c
+++ b/nutmegpickd/route_hosts.c
@@ -317,6 +317,123 @@
 	g_ptr_array_free(list, TRUE);
 }
 
+/* Batches of the router at other hosts */
+
+/*
+ * Ids of forwarded requests and of batches share one number in frames; the
+ * highest bit tells them apart.
+ */
+#define BATCH_BIT (1ULL << 62)
+
+bool route_start_batch(struct route_service *s, const struct router_batch *b)
+{
+	const struct caller_request *q = b->user;
+	struct known_host *h;
+	struct batch_link *link;
+	struct gather_request g;
+
+	if (!s->peer)
+		return false;
+	h = host_directory_choose_in(&s->directory, b->domain, s->random,
+				     clock_now(&s->clock));
+	if (!h)
+		return false;
+	if (q->frame)
+		g = q->frame->request;
+	else
+		g = (struct gather_request){
+			.request_id = http_exchange_header(q->exchange,
+							   PLATFORM_REQUEST_ID),
+			.method = http_exchange_method(q->exchange),
+			.host = http_exchange_header(q->exchange, "Host"),
+			.target = http_exchange_target(q->exchange),
+			.headers = http_exchange_headers(q->exchange),
+		};
+	if (!q->frame)
+		g.body = http_exchange_body(q->exchange, &g.body_len);
+	g.id = b->id | BATCH_BIT;
+	g.version = router_version(s->router);
+	g.wait_us = b->wait_us;
+	g.goal_left_us = b->goal_us;
+	g.shards = b->shards;
+	g.shard_count = b->shard_count;
+	if (!g.request_id)
+		return false;
+	link = g_new0(struct batch_link, 1);
+	link->id = b->id;
+	g_strlcpy(link->address, h->record.address, sizeof(link->address));
+	g_hash_table_insert(s->batches, &link->id, link);
+	send_frame(s, h->record.address, host_frame_gather(&g));
+	return true;
+}
+
+void route_cancel_batch(struct route_service *s, uint64_t batch_id)
+{
+	struct batch_link *link = g_hash_table_lookup(s->batches, &batch_id);
+
+	if (!link)
+		return;
+	if (!link->is_taken)
+		avoid_host(s, link->address);
+	send_frame(s, link->address, host_frame_cancel(batch_id | BATCH_BIT));
+	g_hash_table_remove(s->batches, &batch_id);
+}
+
+static void end_batch(struct route_service *s,
+		      const struct router_batch_result *result)
+{
+	if (result->is_final)
+		g_hash_table_remove(s->batches, &result->id);
+	router_batch_done(s->router, result);
+}
+
+static void handle_batch_result(struct route_service *s,
+				const struct gather_result *g)
+{
+	struct router_batch_result result = {
+		.id = g->id & ~BATCH_BIT,
+		.is_refused = !g->status,
+		.is_final = !g->is_more,
+		.shards = g->shards,
+		.stamps = g->stamps,
+		.count = g->shard_count,
+		.body = g->body,
+		.body_len = g->body_len,
+	};
+
+	/* A failed batch holds no parts, but leaves may have been called. */
+	if (g->status != 200 || g->stamp_count != g->shard_count)
+		result.count = 0;
+	end_batch(s, &result);
+}
+
+static void fail_batches(struct route_service *s, const char *address,
+			 bool is_undelivered)
+{
+	GPtrArray *ids = g_ptr_array_new_with_free_func(g_free);
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, s->batches);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct batch_link *link = value;
+
+		if (!strcmp(link->address, address))
+			g_ptr_array_add(ids,
+					g_memdup2(&link->id, sizeof(link->id)));
+	}
+	for (guint i = 0; i < ids->len; i++) {
+		struct router_batch_result result = {
+			.id = *(const uint64_t *)ids->pdata[i],
+			.is_refused = is_undelivered,
+			.is_final = true,
+		};
+
+		end_batch(s, &result);
+	}
+	g_ptr_array_free(ids, TRUE);
+}
+
 static void handle_gathered(struct route_service *s,
 			    const struct gather_result *g)
 {
@@ -332,6 +449,10 @@
 		.body_len = g->body_len,
 	};
 
+	if (g->id & BATCH_BIT) {
+		handle_batch_result(s, g);
+		return;
+	}
 	if (!q)
 		return;
 	if (!g->status) {
@@ -345,15 +466,22 @@
 static void handle_taken(struct route_service *s, uint64_t id)
 {
 	struct caller_request *q = g_hash_table_lookup(s->forwards, &id);
+	uint64_t batch_id = id & ~BATCH_BIT;
+	struct batch_link *link = g_hash_table_lookup(s->batches, &batch_id);
 
-	if (q)
+	if (id & BATCH_BIT) {
+		if (link)
+			link->is_taken = true;
+	} else if (q) {
 		q->forward.is_taken = true;
+	}
 }
 
 /* Requests of other hosts */
 
-void route_send_gathered(struct route_service *s, struct caller_request *q,
-			 const struct router_answer *a)
+void route_send_gathered(struct route_service *s,
+			 const struct caller_request *q,
+			 const struct router_answer *a, bool is_more)
 {
 	struct gather_result g = {
 		.id = q->remote_id,
@@ -367,6 +495,11 @@
 		.body_len = a->body_len,
 	};
 
+	if (q->frame->request.shard_count) {
+		g.shards = a->shards;
+		g.shard_count = a->shards ? a->stamp_count : 0;
+		g.is_more = is_more;
+	}
 	reply_frame(s, q->link, host_frame_gathered(&g));
 }
 
@@ -462,6 +595,7 @@
 	if (e->link)
 		route_cancel_link(s, e->link);
 	avoid_host(s, e->address);
+	fail_batches(s, e->address, e->is_undelivered);
 	for (guint i = 0; i < list->len; i++) {
 		struct caller_request *q = list->pdata[i];
 
--- a/nutmegpickd/route_service.c
+++ b/nutmegpickd/route_service.c
@@ -358,6 +358,8 @@
 	s->head = g_string_sized_new(1024);
 	s->late_results = g_array_new(FALSE, TRUE, sizeof(struct late_result));
 	s->forwards = g_hash_table_new(g_int64_hash, g_int64_equal);
+	s->batches = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+					   g_free);
 	s->random = g_rand_new();
 	ret = create_router(s);
 	if (!ret && settings->listen_peer)
--- /dev/null
+++ b/router/batch.c
@@ -0,0 +1,249 @@
+#include "router/internal.h"
+
+#include <string.h>
+
+#include "common/events.h"
+
+/*
+ * Fewer parts than this are called directly: their replies are no larger than
+ * one merged answer with its frame.
+ */
+#define BATCH_PARTS_MIN 4
+/* Time kept from the goal for both ways to the other failure domain. */
+#define BATCH_WAYS_US (4 * US_PER_MS)
+
+static bool is_remote(const struct route_part *p)
+{
+	return p->planned && !p->batch &&
+	       p->planned->distance == LEAF_SAME_REGION;
+}
+
+/* Returns the domain with the most planned leaves of other domains. */
+static const char *most_common_domain(const struct route_request *q,
+				      uint32_t *count)
+{
+	const char *best = NULL;
+
+	*count = 0;
+	for (uint32_t i = 0; i < q->part_count; i++) {
+		const char *domain;
+		uint32_t n = 0;
+
+		if (!is_remote(&q->parts[i]))
+			continue;
+		domain = q->parts[i].planned->entry.domain;
+		for (uint32_t k = i; k < q->part_count; k++)
+			n += is_remote(&q->parts[k]) &&
+			     !strcmp(q->parts[k].planned->entry.domain, domain);
+		if (n <= *count)
+			continue;
+		*count = n;
+		best = domain;
+	}
+	return best;
+}
+
+static void free_batch(struct part_batch *b)
+{
+	g_byte_array_free(b->body, TRUE);
+	g_ptr_array_free(b->stamps, TRUE);
+	g_free(b);
+}
+
+static void add_part(struct router *r, struct part_batch *b,
+		     struct route_part *p)
+{
+	p->batch = b;
+	p->runs++;
+	p->arrivals++;
+	route_leaf_ref(p->planned);
+	p->is_planned_held = true;
+	/* A second call goes to a leaf of another domain. */
+	p->tried[p->tried_count++] = p->planned;
+}
+
+static bool start_batch(struct router *r, struct route_request *q,
+			const char *domain, uint32_t count)
+{
+	int64_t after = route_stats_hedge_after(q->stats, q->route,
+						q->goal_at_us - q->start_us);
+	struct part_batch *b = g_new0(struct part_batch, 1);
+	const char **shards = g_new0(const char *, count);
+	struct router_batch out = {
+		.id = ++r->last_batch_id,
+		.domain = domain,
+		.shards = shards,
+		.wait_us = q->deadline_us - q->start_us,
+		.goal_us = MAX(after - BATCH_WAYS_US, 1),
+		.user = q->user,
+	};
+	bool is_sent;
+
+	for (uint32_t i = 0; i < q->part_count; i++) {
+		const struct route_part *p = &q->parts[i];
+
+		if (is_remote(p) && !strcmp(p->planned->entry.domain, domain))
+			shards[out.shard_count++] = p->pool->name;
+	}
+	is_sent = r->options.ops->start_batch(r->options.ctx, &out);
+	g_free(shards);
+	if (!is_sent) {
+		g_free(b);
+		return false;
+	}
+	b->id = out.id;
+	b->request = q;
+	b->is_open = true;
+	b->body = g_byte_array_new();
+	b->stamps = g_ptr_array_new_with_free_func(g_free);
+	q->batches[q->batch_count++] = b;
+	g_hash_table_insert(r->batches, &b->id, b);
+	for (uint32_t i = 0; i < q->part_count; i++) {
+		struct route_part *p = &q->parts[i];
+
+		if (is_remote(p) && !strcmp(p->planned->entry.domain, domain))
+			add_part(r, b, p);
+	}
+	return true;
+}
+
+void batch_start_all(struct router *r, struct route_request *q)
+{
+	if (!r->options.ops->start_batch || q->route->shape != ROUTE_GATHER ||
+	    q->is_partial || q->is_repeat)
+		return;
+	while (q->batch_count < REQUEST_BATCHES_MAX) {
+		uint32_t count;
+		const char *domain = most_common_domain(q, &count);
+
+		if (count < BATCH_PARTS_MIN ||
+		    !start_batch(r, q, domain, count))
+			return;
+	}
+}
+
+static void close_batch(struct router *r, struct part_batch *b)
+{
+	if (b->is_open)
+		g_hash_table_remove(r->batches, &b->id);
+	b->is_open = false;
+}
+
+void batch_clear_all(struct router *r, struct route_request *q)
+{
+	for (uint32_t i = 0; i < q->batch_count; i++) {
+		struct part_batch *b = q->batches[i];
+
+		if (b->is_open)
+			r->options.ops->cancel_batch(r->options.ctx, b->id);
+		close_batch(r, b);
+		free_batch(b);
+	}
+	q->batch_count = 0;
+}
+
+/* Returns the stamp of a shard, or NULL if the result does not name it. */
+static const char *find_stamp(const struct router_batch_result *result,
+			      const char *shard)
+{
+	for (uint32_t i = 0; i < result->count; i++) {
+		if (!strcmp(result->shards[i], shard))
+			return result->stamps[i];
+	}
+	return NULL;
+}
+
+static bool is_signature(const char *stamp)
+{
+	return stamp && strcmp(stamp, STAMP_FAILED) &&
+	       strcmp(stamp, STAMP_NOT_RUN);
+}
+
+/*
+ * Returns whether every part that the result holds is one that the batch still
+ * owes, and whether some of them are needed.
+ */
+static bool is_useful(const struct part_batch *b,
+		      const struct router_batch_result *result)
+{
+	uint32_t owed = 0;
+	uint32_t held = 0;
+	bool is_needed = false;
+
+	for (uint32_t i = 0; i < result->count; i++)
+		held += is_signature(result->stamps[i]);
+	for (uint32_t i = 0; i < b->request->part_count; i++) {
+		const struct route_part *p = &b->request->parts[i];
+
+		if (p->batch != b || p->is_in_batch ||
+		    !is_signature(find_stamp(result, p->pool->name)))
+			continue;
+		owed++;
+		is_needed = is_needed || p->phase != PART_ANSWERED;
+	}
+	return held && owed == held && is_needed;
+}
+
+/* The merged records cannot be told apart: all parts come from the batch. */
+static void accept_part(struct router *r, struct route_part *p)
+{
+	leaf_reply_unref(p->reply);
+	p->reply = NULL;
+	p->phase = PART_ANSWERED;
+	p->is_in_batch = true;
+	part_end_calls(r, p);
+}
+
+static void keep_result(struct part_batch *b,
+			const struct router_batch_result *result)
+{
+	g_byte_array_append(b->body, result->body, (guint)result->body_len);
+	for (uint32_t i = 0; i < result->count; i++) {
+		if (is_signature(result->stamps[i]))
+			g_ptr_array_add(b->stamps, g_strdup(result->stamps[i]));
+	}
+}
+
+static void take_part(struct router *r, struct route_part *p,
+		      const struct router_batch_result *result, bool is_good)
+{
+	const char *stamp = find_stamp(result, p->pool->name);
+	bool is_not_run = result->is_refused ||
+			  (stamp && !strcmp(stamp, STAMP_NOT_RUN));
+
+	if (is_signature(stamp) && is_good) {
+		accept_part(r, p);
+		return;
+	}
+	leaf_note_late(r, p);
+	if (is_not_run || result->is_final ||
+	    (stamp && !strcmp(stamp, STAMP_FAILED)))
+		part_leave_batch(r, p, is_not_run);
+	else
+		part_hedge_now(r, p);
+}
+
+void router_batch_done(struct router *r, const struct router_batch_result *b)
+{
+	struct part_batch *batch = g_hash_table_lookup(r->batches, &b->id);
+	struct route_request *q;
+	bool is_good;
+
+	if (!batch)
+		return;
+	q = batch->request;
+	is_good = !b->is_refused && is_useful(batch, b);
+	if (b->is_refused || b->is_final)
+		close_batch(r, batch);
+	if (is_good)
+		keep_result(batch, b);
+	q->is_starting = true;
+	for (uint32_t i = 0; i < q->part_count; i++) {
+		struct route_part *p = &q->parts[i];
+
+		if (p->batch == batch && !p->is_in_batch)
+			take_part(r, p, b, is_good);
+	}
+	q->is_starting = false;
+	request_part_ended(r, q);
+}
--- a/router/choice.c
+++ b/router/choice.c
@@ -36,6 +36,8 @@
 #define SHRINK_QUEUE 0.8
 #define SHRINK_SHED 0.6
 #define GROW_CALLS 0.5
+/* A call that has not come back is taken to last this much longer. */
+#define LATE_FACTOR 2
 #define EJECT_FAILURES 3
 #define EJECT_FIRST_US (400 * US_PER_MS)
 #define EJECT_MAX_US (3 * US_PER_S)
@@ -158,7 +160,9 @@
 		double expected;
 		double cost;
 
-		if (!route_leaf_is_usable(leaf, now))
+		if (!route_leaf_is_usable(leaf, now) ||
+		    (part->request->is_partial &&
+		     leaf->distance != LEAF_SAME_DOMAIN))
 			continue;
 		choice.usable++;
 		capacity += leaf->window;
@@ -295,3 +299,16 @@
 	    (result->outcome == CALL_NOT_SENT && leaf->failures_in_row >= 2))
 		eject(leaf, now);
 }
+
+void leaf_note_late(struct router *r, const struct route_part *p)
+{
+	const struct route_request *q = p->request;
+	int64_t now = router_now(r);
+
+	/* One pause of a leaf says little: begin with the usual duration. */
+	if (!find_duration(p->planned, q->stats))
+		note_duration(p->planned, q->stats,
+			      route_stats_typical(q->stats, q->route), now);
+	note_duration(p->planned, q->stats, LATE_FACTOR * (now - q->start_us),
+		      now);
+}
--- a/router/directory.c
+++ b/router/directory.c
@@ -202,6 +202,30 @@
 	return list;
 }
 
+struct known_host *host_directory_choose_in(struct host_directory *d,
+					    const char *domain, GRand *random,
+					    int64_t now_us)
+{
+	GPtrArray *list = list_region(d);
+	struct known_host *chosen = NULL;
+	guint strongest;
+
+	for (guint i = list->len; i-- > 0;) {
+		const struct known_host *h = list->pdata[i];
+
+		if (strcmp(h->record.domain, domain) || is_self(d, h) ||
+		    now_us < h->suspect_until_us)
+			g_ptr_array_remove_index(list, i);
+	}
+	g_ptr_array_sort(list, compare_feeds);
+	strongest = MIN(list->len, GATHERERS_MIN);
+	if (strongest)
+		chosen = list->pdata[g_rand_int_range(random, 0,
+						      (gint32)strongest)];
+	g_ptr_array_free(list, TRUE);
+	return chosen;
+}
+
 struct known_host *host_directory_choose_gatherer(struct host_directory *d,
 						  GHashTable *local_leaves,
 						  GRand *random, int64_t now_us)
--- a/router/gather.c
+++ b/router/gather.c
@@ -64,13 +64,22 @@
 	sift_down(t, 0);
 }
 
-static void add_part(struct top_records *t, const struct leaf_reply *reply)
+static void add_records(struct top_records *t, const GByteArray *body)
 {
-	const guint8 *end = reply->body->data + reply->body->len;
+	for (guint at = 0; body->len - at >= RECORD_BYTES; at += RECORD_BYTES)
+		add_record(t, body->data + at);
+}
+
+static void add_batches(struct top_records *t, const struct route_request *q,
+			GPtrArray *stamps)
+{
+	for (uint32_t i = 0; i < q->batch_count; i++) {
+		const struct part_batch *b = q->batches[i];
 
-	for (const guint8 *at = reply->body->data; end - at >= RECORD_BYTES;
-	     at += RECORD_BYTES)
-		add_record(t, at);
+		add_records(t, b->body);
+		for (guint k = 0; k < b->stamps->len; k++)
+			g_ptr_array_add(stamps, b->stamps->pdata[k]);
+	}
 }
 
 /* Takes the least record off the top until none is left. */
@@ -87,8 +96,23 @@
 	}
 }
 
+/* Tells the host that asked for them of the parts that have failed. */
+static void add_failures(const struct route_request *q, GPtrArray *stamps,
+			 GPtrArray *shards)
+{
+	for (uint32_t i = 0; i < q->part_count; i++) {
+		const struct route_part *p = &q->parts[i];
+
+		if (p->phase != PART_FAILED || p->is_sent)
+			continue;
+		g_ptr_array_add(stamps, p->runs ? STAMP_FAILED : STAMP_NOT_RUN);
+		g_ptr_array_add(shards, p->pool->name);
+	}
+}
+
 void gather_answer(struct router *r, struct route_request *q,
-		   struct router_answer *a, GPtrArray *stamps, GByteArray *body)
+		   struct router_answer *a, GPtrArray *stamps,
+		   GPtrArray *shards, GByteArray *body)
 {
 	struct top_records top = {
 		.items = g_new(const guint8 *, q->route->top_k + 1),
@@ -98,16 +122,21 @@
 	for (uint32_t i = 0; i < q->part_count; i++) {
 		const struct route_part *p = &q->parts[i];
 
-		if (p->phase != PART_ANSWERED)
+		if (p->phase != PART_ANSWERED || p->is_in_batch || p->is_sent)
 			continue;
-		add_part(&top, p->reply);
+		add_records(&top, p->reply->body);
 		g_ptr_array_add(stamps, (gpointer)p->stamp);
+		g_ptr_array_add(shards, p->pool->name);
 	}
+	add_batches(&top, q, stamps);
+	if (q->is_partial)
+		add_failures(q, stamps, shards);
 	write_falling(&top, body);
 	g_free(top.items);
 	a->status = 200;
 	a->stamps = (const char *const *)stamps->pdata;
 	a->stamp_count = stamps->len;
+	a->shards = (const char *const *)shards->pdata;
 	a->missing_count = q->part_count - q->answered;
 	a->body = body->data;
 	a->body_len = body->len;
--- a/router/part.c
+++ b/router/part.c
@@ -5,6 +5,8 @@
 
 /* A hedge that found no token or no leaf is tried again after this time. */
 #define HEDGE_RETRY_US (15 * US_PER_MS)
+/* A result of another host comes this much after the time it was asked for. */
+#define BATCH_LATE_US (12 * US_PER_MS)
 /* No call is sent when less time is left than this. */
 #define CALL_MIN_US (10 * US_PER_MS)
 
@@ -78,6 +80,8 @@
 		else
 			let_go(r, p->calls[0]);
 	}
+	if (p->is_planned_held)
+		route_leaf_unref(&r->leaves, p->planned);
 	leaf_reply_unref(p->reply);
 	leaf_reply_unref(p->failure);
 	p->reply = NULL;
@@ -88,7 +92,7 @@
 
 static bool may_hedge(const struct route_part *p)
 {
-	return p->request->route->is_idempotent &&
+	return p->request->route->is_idempotent && !p->request->is_partial &&
 	       p->runs < p->request->route->max_attempts &&
 	       p->call_count < PART_CALLS_MAX;
 }
@@ -172,6 +176,12 @@
 			 handle_late_call);
 }
 
+void part_hedge_now(struct router *r, struct route_part *p)
+{
+	if (p->phase == PART_RUNNING && !p->call_count)
+		router_timer_arm(r, &p->timer, router_now(r), handle_late_call);
+}
+
 static bool send_first(struct router *r, struct route_part *p)
 {
 	struct leaf_choice choice = leaf_choose(r, p);
@@ -212,9 +222,10 @@
 		p->phase = PART_FAILED;
 		return;
 	}
-	if (!q->is_repeat) {
+	/* The host that asked for a part of its gather has counted the call. */
+	if (!q->is_repeat && !q->is_partial) {
 		extra_calls_note_first(&p->pool->extra, now);
-	} else {
+	} else if (q->is_repeat) {
 		/* A leaf may have run the call of another host. */
 		p->runs = 1;
 		if (p->runs >= q->route->max_attempts ||
@@ -224,10 +235,14 @@
 			return;
 		}
 	}
-	if (p->planned)
+	if (p->batch) {
+		p->phase = PART_RUNNING;
+		arm_hedge(r, p, now + BATCH_LATE_US);
+	} else if (p->planned) {
 		send_call(r, p, p->planned, false);
-	else
+	} else {
 		wait_for_leaf(r, p);
+	}
 }
 
 void part_run_waiting(struct router *r)
@@ -248,12 +263,8 @@
 	}
 }
 
-static void accept_reply(struct router *r, struct route_part *p,
-			 const struct router_result *result)
+void part_end_calls(struct router *r, struct route_part *p)
 {
-	p->reply = leaf_reply_ref(result->reply);
-	p->stamp = result->stamp;
-	p->phase = PART_ANSWERED;
 	router_timer_disarm(r, &p->timer);
 	while (p->call_count) {
 		if (p->request->route->shape == ROUTE_GATHER)
@@ -261,14 +272,29 @@
 		else
 			cancel_call(r, p->calls[0]);
 	}
+}
+
+static void accept_reply(struct router *r, struct route_part *p,
+			 const struct router_result *result)
+{
+	p->reply = leaf_reply_ref(result->reply);
+	p->stamp = result->stamp;
+	p->phase = PART_ANSWERED;
+	part_end_calls(r, p);
 	request_part_ended(r, p->request);
 }
 
+static bool is_in_open_batch(const struct route_part *p)
+{
+	return p->batch && p->batch->is_open;
+}
+
 static bool may_retry(const struct route_part *p, enum call_outcome outcome)
 {
 	const struct route *route = p->request->route;
 
-	if (p->call_count || p->runs >= route->max_attempts)
+	if (p->call_count || p->runs >= route->max_attempts ||
+	    p->request->is_partial)
 		return false;
 	if (outcome == CALL_DECLINED)
 		return route->shape == ROUTE_GATHER;
@@ -295,13 +321,27 @@
 	    send_extra(r, p, result->outcome == CALL_NOT_SENT,
 		       outcome_name(result->outcome)))
 		return;
-	if (p->call_count)
+	if (p->call_count || is_in_open_batch(p))
 		return;
 	p->phase = PART_FAILED;
 	router_timer_disarm(r, &p->timer);
 	request_part_ended(r, q);
 }
 
+void part_leave_batch(struct router *r, struct route_part *p, bool is_refused)
+{
+	p->batch = NULL;
+	if (is_refused)
+		p->runs--;
+	if (p->phase != PART_RUNNING || p->call_count)
+		return;
+	if (p->runs < p->request->route->max_attempts &&
+	    send_extra(r, p, is_refused, "batch"))
+		return;
+	p->phase = PART_FAILED;
+	router_timer_disarm(r, &p->timer);
+}
+
 void part_handle_result(struct router *r, struct leaf_call *c,
 			const struct router_result *result)
 {
--- a/router/request.c
+++ b/router/request.c
@@ -44,6 +44,7 @@
 	router_timer_disarm(r, &q->timer);
 	for (uint32_t i = 0; i < q->part_count; i++)
 		part_clear(r, &q->parts[i], is_cancelled);
+	batch_clear_all(r, q);
 	g_free(q->parts);
 	route_table_unref(q->table);
 	id_table_release(&r->requests, q);
@@ -83,12 +84,33 @@
 static void finish_gathered(struct router *r, struct route_request *q)
 {
 	GPtrArray *stamps = g_ptr_array_sized_new(q->part_count);
+	GPtrArray *shards = g_ptr_array_sized_new(q->part_count);
 	GByteArray *body = g_byte_array_new();
 	struct router_answer a = { 0 };
 
-	gather_answer(r, q, &a, stamps, body);
+	gather_answer(r, q, &a, stamps, shards, body);
 	finish(r, q, &a);
 	g_ptr_array_free(stamps, TRUE);
+	g_ptr_array_free(shards, TRUE);
+	g_byte_array_free(body, TRUE);
+}
+
+/* Sends what is in and not sent yet to the host that asked for it. */
+static void send_part(struct router *r, struct route_request *q)
+{
+	GPtrArray *stamps = g_ptr_array_sized_new(q->part_count);
+	GPtrArray *shards = g_ptr_array_sized_new(q->part_count);
+	GByteArray *body = g_byte_array_new();
+	struct router_answer a = { 0 };
+
+	gather_answer(r, q, &a, stamps, shards, body);
+	if (stamps->len)
+		r->options.ops->answer_part(r->options.ctx, q->user, &a);
+	for (uint32_t i = 0; i < q->part_count; i++)
+		q->parts[i].is_sent = q->parts[i].phase == PART_ANSWERED ||
+				      q->parts[i].phase == PART_FAILED;
+	g_ptr_array_free(stamps, TRUE);
+	g_ptr_array_free(shards, TRUE);
 	g_byte_array_free(body, TRUE);
 }
 
@@ -115,10 +137,26 @@
 	finish(r, q, &a);
 }
 
+static bool has_unsent_failure(const struct route_request *q)
+{
+	for (uint32_t i = 0; i < q->part_count; i++) {
+		if (q->parts[i].phase == PART_FAILED && !q->parts[i].is_sent)
+			return true;
+	}
+	return false;
+}
+
 static void end_gather(struct router *r, struct route_request *q)
 {
 	bool is_complete = q->answered + q->failed == q->part_count;
 
+	if (q->is_partial) {
+		if (is_complete)
+			finish_gathered(r, q);
+		else if (q->is_past_goal || has_unsent_failure(q))
+			send_part(r, q);
+		return;
+	}
 	if (!gather_can_cover(q))
 		finish_failed(r, q, -ERR_ROUTE_COVERAGE);
 	else if (is_complete || (q->is_past_goal && gather_has_coverage(q)))
@@ -145,7 +183,8 @@
 {
 	struct route_request *q = HEAP_OWNER(t, struct route_request, timer);
 
-	if (q->route->shape == ROUTE_GATHER && gather_has_coverage(q)) {
+	if (q->is_partial ||
+	    (q->route->shape == ROUTE_GATHER && gather_has_coverage(q))) {
 		finish_gathered(r, q);
 		return;
 	}
@@ -157,14 +196,26 @@
 	struct route_request *q = HEAP_OWNER(t, struct route_request, timer);
 
 	q->is_past_goal = true;
-	if (gather_has_coverage(q)) {
+	if (q->is_partial) {
+		send_part(r, q);
+	} else if (gather_has_coverage(q)) {
 		finish_gathered(r, q);
 		return;
 	}
 	router_timer_arm(r, t, q->deadline_us, handle_deadline);
 }
 
-static void add_parts(struct router *r, struct route_request *q)
+static bool is_asked_for(const struct router_request *in, const char *shard)
+{
+	for (uint32_t i = 0; i < in->shard_count; i++) {
+		if (!strcmp(in->shards[i], shard))
+			return true;
+	}
+	return !in->shards;
+}
+
+static void add_parts(struct router *r, struct route_request *q,
+		      const struct router_request *in)
 {
 	const struct route *route = q->route;
 	uint32_t first = 0;
@@ -173,14 +224,18 @@
 	q->parts = g_new0(struct route_part, q->part_count);
 	if (route->shape == ROUTE_SPLIT)
 		first = route_stats_pick_target(q->stats, q->table, route);
-	for (uint32_t i = 0; i < q->part_count; i++) {
+	for (uint32_t i = 0, end = q->part_count, n = 0; i < end; i++) {
 		const struct route_target *t = &route->targets[first + i];
 		const struct route_upstream *u =
 			&q->table->upstreams[t->upstream];
 
-		q->parts[i].request = q;
-		q->parts[i].pool = leaf_set_pool(&r->leaves, u->name);
-		q->parts[i].pool->max_connections = u->max_connections;
+		if (!is_asked_for(in, u->name)) {
+			q->part_count--;
+			continue;
+		}
+		q->parts[n].request = q;
+		q->parts[n].pool = leaf_set_pool(&r->leaves, u->name);
+		q->parts[n++].pool->max_connections = u->max_connections;
 	}
 }
 
@@ -221,6 +276,7 @@
 		now + (in->goal_us > 0 ? in->goal_us : router_goal_left(route));
 	q->is_repeat = in->is_repeat;
 	q->hedge_min_us = in->hedge_min_us;
+	q->is_partial = in->shards != NULL;
 	return q;
 }
 
@@ -253,6 +309,8 @@
 		if (!part_plan(r, &q->parts[i], left))
 			q->failed++;
 	}
+	if (q->is_partial)
+		return true;
 	return is_gather ? gather_can_cover(q) : !q->failed;
 }
 
@@ -269,13 +327,14 @@
 		return refuse(r, in, 404, -ERR_ROUTE_NONE);
 	q = create_request(r, in, route);
 	id = q->id;
-	add_parts(r, q);
+	add_parts(r, q, in);
 	arm_timer(r, q);
 	if (!plan(r, q)) {
 		finish_failed(r, q, -ERR_ROUTE_LATE);
 		return 0;
 	}
 	q->is_starting = true;
+	batch_start_all(r, q);
 	for (uint32_t i = 0; i < q->part_count; i++)
 		part_start(r, &q->parts[i]);
 	q->is_starting = false;
--- a/router/router.c
+++ b/router/router.c
@@ -44,6 +44,7 @@
 	r->leaves.ctx = r;
 	r->stats = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					 route_stats_free);
+	r->batches = g_hash_table_new(g_int64_hash, g_int64_equal);
 	id_table_init(&r->requests, sizeof(struct route_request));
 	id_table_init(&r->calls, sizeof(struct leaf_call));
 	g_queue_init(&r->waiting);
@@ -57,6 +58,7 @@
 {
 	leaf_set_clear(&r->leaves);
 	g_hash_table_destroy(r->stats);
+	g_hash_table_destroy(r->batches);
 	id_table_clear(&r->requests);
 	id_table_clear(&r->calls);
 	heap_clear(&r->timers);
--- a/test/unit/fake_router.c
+++ b/test/unit/fake_router.c
@@ -63,10 +63,40 @@
 {
 }
 
+static bool handle_start_batch(void *ctx, const struct router_batch *b)
+{
+	struct fake_router *f = ctx;
+
+	if (!f->has_other_host)
+		return false;
+	f->batch_id = b->id;
+	f->batch_shards = b->shard_count;
+	f->batch_count++;
+	return true;
+}
+
+static void handle_cancel_batch(void *ctx, uint64_t batch_id)
+{
+	struct fake_router *f = ctx;
+
+	f->batch_cancelled++;
+}
+
+static void handle_answer_part(void *ctx, void *user,
+			       const struct router_answer *a)
+{
+	struct fake_router *f = ctx;
+
+	f->parts_sent += a->stamp_count;
+}
+
 static const struct router_ops ops = {
 	.start_call = handle_start_call,
 	.cancel_call = handle_cancel_call,
 	.drop_unsent = handle_drop_unsent,
+	.start_batch = handle_start_batch,
+	.cancel_batch = handle_cancel_batch,
+	.answer_part = handle_answer_part,
 	.answer = handle_answer,
 	.forget_leaf = handle_forget_leaf,
 };
@@ -130,11 +160,14 @@
 struct fake_router *fake_router_create(uint32_t shards)
 {
 	static const char *const domains[] = { "a", "b", "c" };
+	static char *const regions[] = { "a=north", "b=north", "c=south",
+					 NULL };
 	struct fake_router *f = g_new0(struct fake_router, 1);
 	struct router_options options = {
 		.clock = clock_virtual(&f->time),
 		.seed = 1,
 		.domain = "a",
+		.domains = regions,
 		.ops = &ops,
 		.ctx = f,
 	};
--- a/test/unit/fake_router.h
+++ b/test/unit/fake_router.h
@@ -39,6 +39,14 @@
 	struct fake_answer answers[FAKE_ANSWERS_MAX];
 	uint32_t answer_count;
 	uint32_t request_count;
+	/** Batches are taken by another host. */
+	bool has_other_host;
+	uint64_t batch_id;
+	uint32_t batch_shards;
+	uint32_t batch_count;
+	uint32_t batch_cancelled;
+	/** Shards and parts sent before the end of a request. */
+	uint32_t parts_sent;
 };
 
 /**
--- a/test/unit/test_router.c
+++ b/test/unit/test_router.c
@@ -308,6 +308,123 @@
 	fake_router_destroy(f);
 }
 
+/* Leaves of eight shards, those of the first five in another domain only. */
+static struct fake_router *create_spread(void)
+{
+	struct fake_router *f = fake_router_create(8);
+	char id[16];
+
+	f->has_other_host = true;
+	for (int i = 0; i < 5; i++) {
+		g_snprintf(id, sizeof(id), "s%d-a", i);
+		leaf_set_remove(router_leaves(f->router), id, 0,
+				f->time.now_us);
+	}
+	return f;
+}
+
+/* Guards against parts that are lost, doubled or mixed between hosts. */
+static void test_batch(void)
+{
+	struct fake_router *f = create_spread();
+	const char *shards[] = { "s0", "s1", "s2", "s3" };
+	const char *stamps[] = { "t0", "t1", "t2", STAMP_NOT_RUN };
+	struct router_batch_result result = {
+		.shards = shards,
+		.stamps = stamps,
+		.count = 4,
+		.body = RECORD_D RECORD_A,
+		.body_len = 32,
+	};
+
+	fake_router_start(f, "/search/x", 0);
+	CU_ASSERT_EQUAL(f->batch_shards, 5);
+	CU_ASSERT_EQUAL(f->call_count, 3);
+	for (uint32_t i = 0; i < 3; i++)
+		fake_router_end(f, i, CALL_ANSWERED, 200, RECORD_B);
+	result.id = f->batch_id;
+	router_batch_done(f->router, &result);
+	fake_router_advance(f, US_PER_MS);
+	/* s3 is called here at once, s4 as the budget permits. */
+	CU_ASSERT(f->call_count >= 4);
+	CU_ASSERT_STRING_EQUAL(f->calls[3].service, "s3");
+	CU_ASSERT_STRING_NOT_EQUAL(f->calls[3].leaf_id, "s3-b");
+	fake_router_answer_all(f);
+	if (!f->answer_count) {
+		fake_router_advance(f, 300 * US_PER_MS);
+		fake_router_answer_all(f);
+	}
+	CU_ASSERT_EQUAL(f->answer_count, 1);
+	CU_ASSERT_EQUAL(f->answers[0].status, 200);
+	CU_ASSERT_EQUAL(f->answers[0].stamp_count + f->answers[0].missing_count,
+			8);
+	CU_ASSERT_NSTRING_EQUAL(f->answers[0].body, RECORD_D, 16);
+	/* A second result of the same batch must not count again. */
+	router_batch_done(f->router, &result);
+	CU_ASSERT_EQUAL(f->answer_count, 1);
+	fake_router_destroy(f);
+}
+
+/* Guards against answers that hold a shard both alone and in a batch. */
+static void test_batch_overlap(void)
+{
+	struct fake_router *f = create_spread();
+	const char *shards[] = { "s0", "s1", "s2", "s3", "s4" };
+	const char *stamps[] = { "t0", "t1", "t2", "t3", "t4" };
+	struct router_batch_result result = {
+		.shards = shards,
+		.stamps = stamps,
+		.count = 5,
+		.is_final = true,
+		.body = RECORD_D,
+		.body_len = 16,
+	};
+
+	fake_router_start(f, "/search/x", 0);
+	fake_router_end(f, 0, CALL_ANSWERED, 200, RECORD_A);
+	fake_router_end(f, 1, CALL_ANSWERED, 200, RECORD_A);
+	/* The batch is late: a leaf of another domain answers one shard. */
+	fake_router_advance(f, 250 * US_PER_MS);
+	CU_ASSERT(f->call_count > 3);
+	fake_router_end(f, 3, CALL_ANSWERED, 200, RECORD_C);
+	result.id = f->batch_id;
+	router_batch_done(f->router, &result);
+	fake_router_end(f, 2, CALL_ANSWERED, 200, RECORD_A);
+	CU_ASSERT_EQUAL(f->answer_count, 1);
+	CU_ASSERT_EQUAL(f->answers[0].stamp_count, 8);
+	CU_ASSERT_EQUAL(f->answers[0].missing_count, 0);
+	CU_ASSERT_NSTRING_EQUAL(f->answers[0].body, RECORD_D RECORD_A, 32);
+	fake_router_destroy(f);
+}
+
+/* Guards against a host that calls leaves of other domains for a batch. */
+static void test_batch_remote(void)
+{
+	struct fake_router *f = fake_router_create(4);
+	const char *shards[] = { "s1", "s2" };
+	struct router_request in = {
+		.id = "r1",
+		.host = "example",
+		.path = "/search/x",
+		.goal_us = 60 * US_PER_MS,
+		.shards = shards,
+		.shard_count = 2,
+	};
+
+	router_start(f->router, &in);
+	CU_ASSERT_EQUAL(f->call_count, 2);
+	CU_ASSERT_STRING_EQUAL(f->calls[0].leaf_id, "s1-a");
+	fake_router_end(f, 0, CALL_ANSWERED, 200, RECORD_A);
+	CU_ASSERT_EQUAL(f->parts_sent, 0);
+	fake_router_advance(f, 70 * US_PER_MS);
+	CU_ASSERT_EQUAL(f->parts_sent, 1);
+	CU_ASSERT_EQUAL(f->call_count, 2);
+	fake_router_end(f, 1, CALL_FAILURE, 500, NULL);
+	CU_ASSERT_EQUAL(f->answer_count, 1);
+	CU_ASSERT_EQUAL(f->answers[0].stamp_count, 1);
+	fake_router_destroy(f);
+}
+
 CU_TestInfo router_tests[] = {
 	{ "gather merge", test_gather_merge },
 	{ "gather goal", test_gather_goal },
@@ -323,5 +440,8 @@
 	{ "repeat", test_repeat },
 	{ "hopeless", test_hopeless },
 	{ "overload", test_overload },
+	{ "batch", test_batch },
+	{ "batch overlap", test_batch_overlap },
+	{ "batch remote", test_batch_remote },
 	CU_TEST_INFO_NULL,
 };
