--- a/include/router/extra_calls.h
+++ b/include/router/extra_calls.h
@@ -20,6 +20,14 @@
 	int64_t bucket;
 };
 
+/** Why a call beyond the first is sent. */
+enum extra_cause {
+	/** The first call is late and may still be answered. */
+	EXTRA_LATE,
+	/** The first call has failed. */
+	EXTRA_FAILED,
+};
+
 /** Counts the first call of a request. */
 void extra_calls_note_first(struct extra_calls *e, int64_t now_us);
 
@@ -27,7 +35,8 @@
  * Counts one extra call if the budget allows it; returns whether it does. The
  * allowance is this host's part of the calls that need no requests.
  */
-bool extra_calls_take(struct extra_calls *e, double allowance, int64_t now_us);
+bool extra_calls_take(struct extra_calls *e, enum extra_cause cause,
+		      double allowance, int64_t now_us);
 
 /** Counts an extra call that is sent in any case. */
 void extra_calls_charge(struct extra_calls *e, int64_t now_us);
--- a/router/extra_calls.c
+++ b/router/extra_calls.c
@@ -6,6 +6,11 @@
 #define BUCKET_US 500000
 /* The platform permits 0.2; the rest covers hosts that stop meanwhile. */
 #define EXTRA_RATIO 0.18
+/*
+ * Part of the ratio that calls which are only late may use: a failed call is
+ * lost for certain without a second one.
+ */
+#define LATE_RATIO 0.14
 static void turn_buckets(struct extra_calls *e, int64_t now_us)
 {
 	int64_t bucket = now_us / BUCKET_US;
@@ -39,10 +44,13 @@
 	e->extra_sum++;
 }
 
-bool extra_calls_take(struct extra_calls *e, double allowance, int64_t now_us)
+bool extra_calls_take(struct extra_calls *e, enum extra_cause cause,
+		      double allowance, int64_t now_us)
 {
+	double ratio = cause == EXTRA_LATE ? LATE_RATIO : EXTRA_RATIO;
+
 	turn_buckets(e, now_us);
-	if (e->extra_sum + 1 > EXTRA_RATIO * e->first_sum + allowance)
+	if (e->extra_sum + 1 > ratio * e->first_sum + allowance)
 		return false;
 	extra_calls_charge(e, now_us);
 	return true;
--- a/router/part.c
+++ b/router/part.c
@@ -142,35 +142,74 @@
 	r->options.ops->start_call(r->options.ctx, &call);
 }
 
-static bool send_extra(struct router *r, struct route_part *p, bool is_free,
-		       const char *cause)
+enum extra_result {
+	EXTRA_SENT,
+	EXTRA_NO_LEAF,
+	EXTRA_NO_TOKEN,
+};
+
+static enum extra_result send_extra(struct router *r, struct route_part *p,
+				    enum extra_cause kind, bool is_free,
+				    const char *cause)
 {
 	struct route_request *q = p->request;
 	int64_t now = router_now(r);
 	struct leaf_choice choice;
 
 	if (q->deadline_us - now < CALL_MIN_US)
-		return false;
+		return EXTRA_NO_LEAF;
 	choice = leaf_choose(r, p);
 	if (!choice.leaf)
-		return false;
+		return EXTRA_NO_LEAF;
 	if (!is_free &&
-	    !extra_calls_take(&p->pool->extra, r->extra_allowance, now))
-		return false;
+	    !extra_calls_take(&p->pool->extra, kind, r->extra_allowance, now))
+		return EXTRA_NO_TOKEN;
 	q->extra_calls++;
 	event_log(EV_CALL_EXTRA,
 		  "request=%s service=%s leaf=%s cause=%s age_ms=%lld calls=%u",
 		  q->request_id, p->pool->name, choice.leaf->entry.id, cause,
 		  (long long)((now - q->start_us) / US_PER_MS), p->arrivals);
 	send_call(r, p, choice.leaf, true);
+	return EXTRA_SENT;
+}
+
+static void handle_failed_call(struct router *r, struct router_timer *t);
+
+/*
+ * Sends a call in place of one that failed. A part of a gather waits for the
+ * budget to permit it; a single request fails at once, so that its caller may
+ * try again. Returns false if the part has failed.
+ */
+static bool replace_call(struct router *r, struct route_part *p, bool is_free,
+			 const char *cause)
+{
+	enum extra_result ret = send_extra(r, p, EXTRA_FAILED, is_free, cause);
+
+	if (ret != EXTRA_NO_TOKEN)
+		return ret == EXTRA_SENT;
+	if (p->request->route->shape != ROUTE_GATHER)
+		return false;
+	router_timer_arm(r, &p->timer, router_now(r) + HEDGE_RETRY_US,
+			 handle_failed_call);
 	return true;
 }
 
+static void handle_failed_call(struct router *r, struct router_timer *t)
+{
+	struct route_part *p = HEAP_OWNER(t, struct route_part, timer);
+
+	if (p->call_count || replace_call(r, p, false, "failed"))
+		return;
+	p->phase = PART_FAILED;
+	request_part_ended(r, p->request);
+}
+
 static void handle_late_call(struct router *r, struct router_timer *t)
 {
 	struct route_part *p = HEAP_OWNER(t, struct route_part, timer);
 
-	if (!may_hedge(p) || send_extra(r, p, false, "late"))
+	if (!may_hedge(p) ||
+	    send_extra(r, p, EXTRA_LATE, false, "late") == EXTRA_SENT)
 		return;
 	router_timer_arm(r, &p->timer, router_now(r) + HEDGE_RETRY_US,
 			 handle_late_call);
@@ -229,8 +268,8 @@
 		/* A leaf may have run the call of another host. */
 		p->runs = 1;
 		if (p->runs >= q->route->max_attempts ||
-		    !extra_calls_take(&p->pool->extra, r->extra_allowance,
-				      now)) {
+		    !extra_calls_take(&p->pool->extra, EXTRA_FAILED,
+				      r->extra_allowance, now)) {
 			p->phase = PART_FAILED;
 			return;
 		}
@@ -318,8 +357,8 @@
 		p->failure = leaf_reply_ref(result->reply);
 	}
 	if (may_retry(p, result->outcome) &&
-	    send_extra(r, p, result->outcome == CALL_NOT_SENT,
-		       outcome_name(result->outcome)))
+	    replace_call(r, p, result->outcome == CALL_NOT_SENT,
+			 outcome_name(result->outcome)))
 		return;
 	if (p->call_count || is_in_open_batch(p))
 		return;
@@ -336,7 +375,7 @@
 	if (p->phase != PART_RUNNING || p->call_count)
 		return;
 	if (p->runs < p->request->route->max_attempts &&
-	    send_extra(r, p, is_refused, "batch"))
+	    replace_call(r, p, is_refused, "batch"))
 		return;
 	p->phase = PART_FAILED;
 	router_timer_disarm(r, &p->timer);
