test: soak that runs hosts under faults; require the id in a leaf's success

The soak runs hosts as processes against stand-ins of store and leaves, with a proxy that delays, resets and silences, and signals.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 SANITIZE_BUILD ?= build-sanitize
 
 .PHONY: all install-deps build check check-format lint test check-sanitize \
-	bench demo fleet-check format clean
+	bench demo fleet-check soak format clean
 
 all: build
 
@@ -49,5 +49,9 @@
 fleet-check: build
 	@test/fleet-check $(BUILD)
 
+# SEED=N [SOAK_SECONDS=S] runs one seed.
+soak: build
+	@test/soak/run $(BUILD) $(SEED)
+
 clean:
 	rm -rf $(BUILD) $(SANITIZE_BUILD)
--- a/net/leaf_client.c
+++ b/net/leaf_client.c
@@ -208,6 +208,19 @@
 		      200 * US_PER_MS, IDLE_MAX_US);
 }
 
+/*
+ * A late reply to an earlier request names that request. A success that names
+ * none cannot be told from one; a failure can do no harm.
+ */
+static bool is_foreign(const struct leaf_connection *n, const char *echo)
+{
+	if (!n->request_id || !*n->request_id)
+		return false;
+	if (!echo)
+		return n->reply->status / 100 == 2;
+	return strcmp(echo, n->request_id) != 0;
+}
+
 static int handle_headers_complete(http_parser *parser)
 {
 	struct leaf_connection *n = parser->data;
@@ -217,8 +230,7 @@
 	flush_header(n);
 	n->reply->status = parser->status_code;
 	echo = leaf_reply_header(n->reply, header);
-	/* A late reply to an earlier request names that request. */
-	n->is_foreign = echo && n->request_id && strcmp(echo, n->request_id);
+	n->is_foreign = is_foreign(n, echo);
 	read_idle_timeout(n);
 	return n->is_head ? 1 : 0;
 }
--- a/nutmegpickd/main.c
+++ b/nutmegpickd/main.c
@@ -261,6 +261,12 @@
 	sigset_t signals;
 	int ret;
 
+	/* A stop that comes during the start is taken after it. */
+	sigemptyset(&signals);
+	sigaddset(&signals, SIGTERM);
+	sigaddset(&signals, SIGINT);
+	sigaddset(&signals, SIGHUP);
+	pthread_sigmask(SIG_BLOCK, &signals, NULL);
 	argp_parse(&argp, argc, argv, 0, NULL, &arguments);
 	ret = settings_load(arguments.settings_path, &h.settings, &faults);
 	if (ret) {
@@ -276,11 +282,6 @@
 	}
 	event_use_line_writer();
 	event_set_level(h.settings.log_level);
-	sigemptyset(&signals);
-	sigaddset(&signals, SIGTERM);
-	sigaddset(&signals, SIGINT);
-	sigaddset(&signals, SIGHUP);
-	pthread_sigmask(SIG_BLOCK, &signals, NULL);
 	signal(SIGPIPE, SIG_IGN);
 	if (h.settings.registry)
 		return run_route_service(&h, &signals);
--- /dev/null
+++ b/test/soak/soak.py
@@ -0,0 +1,320 @@
+#!/usr/bin/env python3
+"""Runs real hosts against stand-ins, injects faults, and checks promises.
+
+Every check is of safety: whole answers to the right request, at most one run
+of requests that must not be repeated, true refusals, versions that never fall.
+Usage: soak.py NUTMEGPICKD [--seed N] [--seconds S] [--hosts N]
+"""
+import argparse
+import asyncio
+import hashlib
+import os
+import random
+import signal
+import sys
+import tempfile
+import time
+
+from standins import Leaf, Proxy, Store, read_message
+
+SHARDS = 6
+TOP_K = 5
+WAIT_MS = 2000
+STOP_GRACE_S = 6
+START_S = 0.5
+
+
+def records(service, request_id):
+    """Returns the records that every leaf of a shard has for a request."""
+    out = []
+    for i in range(8):
+        digest = hashlib.md5(f"{service}/{request_id}/{i}".encode()).digest()
+        out.append(digest)
+    return out
+
+
+class Soak:
+    def __init__(self, args):
+        self.args = args
+        self.random = random.Random(args.seed)
+        self.faults = []
+        self.runs = {}
+        self.refused = set()
+        self.counts = {}
+        self.version = 0
+        self.seen_versions = {}
+        self.started = {}
+        self.store = Store()
+        self.leaves = []
+        self.proxies = []
+        self.processes = [None] * args.hosts
+        self.ended = False
+        self.folder = tempfile.TemporaryDirectory()
+
+    def fail(self, text):
+        self.faults.append(text)
+        print("FAULT", text, flush=True)
+
+    def count(self, name):
+        self.counts[name] = self.counts.get(name, 0) + 1
+
+    # What leaves do
+
+    def handle_run(self, leaf, request):
+        request_id = request.headers.get("nutmegpick-request-id", "")
+        key = (request_id, leaf.service)
+        self.runs[key] = self.runs.get(key, 0) + 1
+        if request.method == "POST" and self.runs[key] > 1:
+            self.fail(f"{request_id} ran {self.runs[key]} times")
+        if request_id in self.refused and request.method == "POST":
+            self.fail(f"{request_id} ran after a refusal")
+        body = b"".join(records(leaf.service, request_id))
+        return f"{leaf.service}.{request_id}", body
+
+    # Configuration
+
+    async def publish(self):
+        self.version += self.random.choice([1, 1, 3])
+        shards = [f"shard{i}" for i in range(SHARDS)]
+        routes = [
+            {"name": "gather", "host": "soak.example", "prefix": "/g/",
+             "kind": "safe", "timeout_ms": WAIT_MS, "latency_goal_ms": 400,
+             "priority": 1, "gather": shards, "max_attempts": 2,
+             "top_k": TOP_K, "min_shard_share": 0.6},
+            {"name": "book", "host": "soak.example", "prefix": "/b/",
+             "kind": "unsafe", "timeout_ms": WAIT_MS, "latency_goal_ms": 800,
+             "priority": 1, "service": "book", "max_attempts": 2},
+            {"name": f"v{self.version}", "host": "soak.example",
+             "prefix": f"/v{self.version}/", "kind": "safe",
+             "timeout_ms": WAIT_MS, "latency_goal_ms": 800, "priority": 1,
+             "service": "book", "max_attempts": 2},
+        ]
+        services = [{"name": s, "health_path": "/health", "max_conns": 64}
+                    for s in shards + ["book"]]
+        self.store.put("op/config", {
+            "version": self.version, "routes": routes, "services": services,
+            "limits": {"max_header_bytes": 16384, "max_body_bytes": 262144,
+                       "header_timeout_ms": 3000, "idle_timeout_ms": 15000}})
+
+    # Hosts
+
+    def host_address(self, i):
+        return f"127.0.0.{11 + i}"
+
+    def write_settings(self, i):
+        path = os.path.join(self.folder.name, f"host{i}.toml")
+        ip = self.host_address(i)
+        with open(path, "w") as out:
+            out.write(
+                f'[host]\nid = "host-{i}"\ndomain = "d{i % 2}"\n'
+                'domains = ["d0=north", "d1=north"]\ncores = "1"\n'
+                f'[listen]\nhttp = "{ip}:{self.args.port}"\n'
+                f'ready = "{ip}:{self.args.port + 1}"\n'
+                f'peer = "{ip}:{self.args.port + 2}"\n'
+                f'[registry]\nstore = "{self.proxies[i].address}"\n'
+                '[budget]\nextra_calls = "50"\n'
+                '[lifecycle]\ndrain_delay = "300ms"\nstop_timeout = "2500ms"\n')
+        return path
+
+    async def start_host(self, i):
+        log = open(os.path.join(self.folder.name, f"host{i}.log"), "ab")
+        self.seen_versions[i] = 0
+        self.started[i] = time.monotonic()
+        self.processes[i] = await asyncio.create_subprocess_exec(
+            self.args.program, "--settings", self.write_settings(i),
+            stdout=log, stderr=log)
+        log.close()
+
+    async def stop_host(self, i, sig):
+        process = self.processes[i]
+        process.send_signal(sig)
+        try:
+            await asyncio.wait_for(process.wait(), STOP_GRACE_S)
+        except asyncio.TimeoutError:
+            self.count("stop_too_long")
+            process.kill()
+            await process.wait()
+        # Before main() blocks it, the signal ends the process by default.
+        is_young = time.monotonic() - self.started[i] < START_S
+        if sig == signal.SIGTERM and process.returncode not in (0, -9) and \
+                not (is_young and process.returncode == -signal.SIGTERM):
+            self.fail(f"host {i} ended with {process.returncode}")
+
+    async def pause_host(self, i, seconds):
+        process = self.processes[i]
+        process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(seconds)
+        if process.returncode is None:
+            process.send_signal(signal.SIGCONT)
+
+    # Callers
+
+    async def call(self, i, method, path, request_id):
+        reader, writer = await asyncio.wait_for(
+            asyncio.open_connection(self.host_address(i), self.args.port), 1)
+        try:
+            body = b"x" * 20 if method == "POST" else b""
+            writer.write((
+                f"{method} {path} HTTP/1.1\r\nHost: soak.example\r\n"
+                f"Nutmegpick-Request-Id: {request_id}\r\n"
+                f"Nutmegpick-Request-Deadline: {WAIT_MS}\r\n"
+                f"Content-Length: {len(body)}\r\n\r\n").encode() + body)
+            return await asyncio.wait_for(read_message(reader),
+                                          WAIT_MS / 1000 + 1)
+        finally:
+            writer.close()
+
+    def check_gather(self, request_id, reply):
+        stamps = reply.headers.get("nutmegpick-part-stamps", "")
+        names = [s.strip() for s in stamps.split(",") if s.strip()]
+        missing = int(reply.headers.get("nutmegpick-missing-parts", "0"))
+        if len(set(names)) != len(names) or len(names) + missing != SHARDS:
+            self.fail(f"{request_id}: parts {names}, {missing} missing")
+        if len(names) < 0.6 * SHARDS:
+            self.fail(f"{request_id}: too few parts {names}")
+        expected = []
+        for name in names:
+            service, _, stamped = name.partition(".")
+            if stamped != request_id:
+                self.fail(f"{request_id}: part of another request {name}")
+            expected += records(service, request_id)
+        expected = b"".join(sorted(expected, reverse=True)[:TOP_K])
+        if reply.body != expected:
+            self.fail(f"{request_id}: wrong records of {names}")
+
+    def check_single(self, request_id, reply):
+        stamp = reply.headers.get("nutmegpick-response-stamp", "")
+        if stamp != f"book.{request_id}":
+            self.fail(f"{request_id}: stamp {stamp}")
+        if reply.body != b"".join(records("book", request_id)):
+            self.fail(f"{request_id}: wrong body")
+
+    def check_version(self, i, version, reply):
+        """A host that has served a version must not forget it."""
+        if reply.status == 404 and version == self.version and \
+                self.seen_versions[i] >= version:
+            self.fail(f"host {i} went back below version {version}")
+        if reply.status == 200:
+            self.seen_versions[i] = max(self.seen_versions[i], version)
+
+    async def run_caller(self, n):
+        while not self.ended:
+            i = self.random.randrange(self.args.hosts)
+            request_id = f"{self.args.seed:x}-{n}-{self.random.getrandbits(48):x}"
+            kind = self.random.choice(["g", "g", "b", "v"])
+            version = self.version
+            path = f"/v{version}/x" if kind == "v" else f"/{kind}/x?a=b"
+            method = "POST" if kind == "b" else "GET"
+            process = self.processes[i]
+            try:
+                reply = await self.call(i, method, path, request_id)
+            except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError,
+                    ValueError):
+                self.count("no_answer")
+                await asyncio.sleep(0.05)
+                continue
+            self.count(f"{kind}_{reply.status}")
+            if kind == "v" and process is self.processes[i]:
+                self.check_version(i, version, reply)
+            if reply.status == 200 and kind == "g":
+                self.check_gather(request_id, reply)
+            elif reply.status == 200:
+                self.check_single(request_id, reply)
+            elif reply.status in (408, 421, 429, 503) and kind == "b":
+                self.refused.add(request_id)
+                if self.runs.get((request_id, "book")):
+                    self.fail(f"{request_id} refused, but had run")
+            await asyncio.sleep(self.random.uniform(0, 0.02))
+
+    # Faults
+
+    async def fault_host(self):
+        i = self.random.randrange(self.args.hosts)
+        what = self.random.choice(["term", "kill", "pause"])
+        self.count(f"fault_{what}")
+        if what == "pause":
+            await self.pause_host(i, self.random.uniform(0.2, 1.5))
+            return
+        await self.stop_host(
+            i, signal.SIGTERM if what == "term" else signal.SIGKILL)
+        await self.start_host(i)
+
+    async def fault_leaf(self):
+        leaf = self.random.choice(self.leaves)
+        leaf.mode = self.random.choice(
+            ["slow", "reset", "cut", "shed", "silent", "extra", "error"])
+        self.count(f"fault_{leaf.mode}")
+        await asyncio.sleep(self.random.uniform(0.2, 1.5))
+        leaf.mode = "ok"
+
+    async def fault_store(self):
+        proxy = self.random.choice(self.proxies)
+        proxy.mode = self.random.choice(["reset", "silent", "delay"])
+        self.count(f"fault_store_{proxy.mode}")
+        await asyncio.sleep(self.random.uniform(0.2, 2))
+        proxy.mode = "ok"
+
+    async def fault_registry(self):
+        leaf = self.random.choice(self.leaves)
+        self.store.remove(leaf.key)
+        self.count("fault_lapse")
+        await asyncio.sleep(self.random.uniform(0.1, 1))
+        leaf.register(self.store)
+
+    async def run_faults(self):
+        kinds = [self.fault_host, self.fault_leaf, self.fault_leaf,
+                 self.fault_store, self.fault_registry, self.publish,
+                 self.store.compact]
+        while not self.ended:
+            await self.random.choice(kinds)()
+            await asyncio.sleep(self.random.uniform(0, 0.4))
+
+    async def start(self):
+        await self.store.start("127.0.1.1")
+        services = [f"shard{i}" for i in range(SHARDS)] + ["book"]
+        for n, service in enumerate(s for s in services for _ in range(3)):
+            leaf = Leaf(service, f"leaf-{n}", f"d{n % 2}", self)
+            await leaf.start(f"127.0.2.{n + 1}")
+            leaf.register(self.store)
+            self.leaves.append(leaf)
+        for i in range(self.args.hosts):
+            proxy = Proxy(self.store.address)
+            await proxy.start(f"127.0.3.{i + 1}")
+            self.proxies.append(proxy)
+        await self.publish()
+        for i in range(self.args.hosts):
+            await self.start_host(i)
+
+    async def run(self):
+        await self.start()
+        tasks = [asyncio.create_task(self.run_caller(n)) for n in range(12)]
+        tasks += [asyncio.create_task(self.run_faults()) for _ in range(2)]
+        await asyncio.sleep(self.args.seconds)
+        self.ended = True
+        results = await asyncio.gather(*tasks, return_exceptions=True)
+        for r in results:
+            if isinstance(r, Exception):
+                self.fail(f"soak itself: {r!r}")
+        for i, process in enumerate(self.processes):
+            if process.returncode is None:
+                await self.stop_host(i, signal.SIGTERM)
+        if not self.counts.get("g_200") or not self.counts.get("b_200"):
+            self.fail("nothing was served")
+
+
+def main():
+    parser = argparse.ArgumentParser()
+    parser.add_argument("program")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=10)
+    parser.add_argument("--hosts", type=int, default=6)
+    parser.add_argument("--port", type=int, default=18080)
+    soak = Soak(parser.parse_args())
+    asyncio.run(soak.run())
+    counts = " ".join(f"{k}={v}" for k, v in sorted(soak.counts.items()))
+    print(f"seed {soak.args.seed}: {len(soak.faults)} faults; {counts}")
+    sys.exit(1 if soak.faults else 0)
+
+
+if __name__ == "__main__":
+    main()
