--- a/nutmegpickd/registry_thread.c
+++ b/nutmegpickd/registry_thread.c
@@ -81,11 +81,15 @@
 	return is_done;
 }
 
-/* Short keep-alive probes show a connection that has gone silent. */
+/*
+ * Short keep-alive probes show a connection that has gone silent. One that is
+ * lost ends it: a feed that is cut off has to tell its followers in 2 s, since
+ * a configuration is to be in force in 3 s.
+ */
 static int handle_socket(void *ctx, curl_socket_t fd, curlsocktype purpose)
 {
 	int one = 1;
-	int probes = 3;
+	int probes = 1;
 	unsigned int timeout = 3000;
 
 	setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &one, sizeof(one));
