Let feeds compare revisions and end watches after 2 s

The store took the watches of two feeds and never answered them, which showed only after the wait of a watch (5 s, the renewal) and 1.5 s. Their followers kept version 4 for 5.1 s after version 7 was acknowledged.

Ruled out: a silent TCP connection (the keep-alive probe would have ended it after 2 s), slow followers (they adopted version 7 70 ms after the feed's pulse of the lost store).

Change: feeds of all regions send each other pulses with their revision; one that lags for 0.4 s takes the changes from the other one and hands them on. A watch waits 2 s at most, for the case that no feed gets an answer.

--- a/include/router/directory.h
+++ b/include/router/directory.h
@@ -54,6 +54,12 @@
 /** Returns whether this host is one of those that watch the store. */
 bool host_directory_is_feed(struct host_directory *d);
 
+/**
+ * Returns the other hosts of all regions that watch the store. The caller frees
+ * the array.
+ */
+GPtrArray *host_directory_other_feeds(struct host_directory *d);
+
 /** Returns the host to follow in place of the store, or NULL. */
 struct known_host *host_directory_choose_feed(struct host_directory *d,
 					      int64_t now_us);
--- a/nutmegpickd/registry_thread.c
+++ b/nutmegpickd/registry_thread.c
@@ -10,8 +10,13 @@
 #include "common/events.h"
 #include "platform/store.h"
 
-/* Longest wait of one watch; each one that ends is a call that is priced. */
-#define WATCH_WAIT_US (25 * US_PER_S)
+/*
+ * Longest wait of one watch. The store may take a watch and never answer it;
+ * with WATCH_TIMEOUT_MS that shows in less than 3 s, the least time to put a
+ * configuration in force. Each watch that ends is a call that is priced.
+ */
+#define WATCH_WAIT_US (2 * US_PER_S)
+#define WATCH_TIMEOUT_MS 800
 #define WATCH_WAIT_MIN_US (500 * US_PER_MS)
 #define CALL_TIMEOUT_MS 1500
 #define CONNECT_TIMEOUT_MS 800
@@ -266,7 +271,7 @@
 	struct store_changes *changes;
 	bool has_more;
 	long status = perform(t, platform_store_watch("", revision, wait_ms),
-			      "GET", (long)wait_ms + CALL_TIMEOUT_MS);
+			      "GET", (long)wait_ms + WATCH_TIMEOUT_MS);
 
 	if (status == 410) {
 		t->is_listed = false;
--- a/nutmegpickd/route_hosts.c
+++ b/nutmegpickd/route_hosts.c
@@ -530,6 +530,8 @@
 {
 	if (!catalog_apply(&s->catalog, c))
 		feed_handle_gap(s->feed, address);
+	else
+		feed_publish(s->feed, c);
 }
 
 void route_handle_frame(struct route_service *s, struct route_event *e)
--- a/router/directory.c
+++ b/router/directory.c
@@ -129,6 +129,43 @@
 	return list;
 }
 
+static const char *region_of(const struct host_directory *d,
+			     const struct known_host *h)
+{
+	const char *region =
+		g_hash_table_lookup(d->leaves->regions, h->record.domain);
+
+	return region ? region : h->record.domain;
+}
+
+GPtrArray *host_directory_other_feeds(struct host_directory *d)
+{
+	GPtrArray *list = g_ptr_array_new();
+	GHashTable *counts = g_hash_table_new(g_str_hash, g_str_equal);
+	GHashTableIter iter;
+	gpointer host;
+
+	g_hash_table_iter_init(&iter, d->hosts);
+	while (g_hash_table_iter_next(&iter, NULL, &host))
+		g_ptr_array_add(list, host);
+	g_ptr_array_sort(list, compare_feeds);
+	for (guint i = 0; i < list->len;) {
+		const struct known_host *h = list->pdata[i];
+		const char *region = region_of(d, h);
+		guint count =
+			GPOINTER_TO_UINT(g_hash_table_lookup(counts, region));
+
+		g_hash_table_insert(counts, (gpointer)region,
+				    GUINT_TO_POINTER(count + 1));
+		if (count >= FEEDS_PER_REGION || is_self(d, h))
+			g_ptr_array_remove_index(list, i);
+		else
+			i++;
+	}
+	g_hash_table_destroy(counts);
+	return list;
+}
+
 bool host_directory_is_feed(struct host_directory *d)
 {
 	GPtrArray *list = list_feeds(d);
--- a/router/feed.c
+++ b/router/feed.c
@@ -13,6 +13,11 @@
 #define SILENCE_US (1500 * US_PER_MS)
 /* A host that failed as a feed is not chosen again for this long. */
 #define AVOID_US (4 * US_PER_S)
+/*
+ * A feed that lags behind another one for this long takes the changes from it.
+ * Changes that are taken in groups lie below it.
+ */
+#define LAG_US (400 * US_PER_MS)
 
 struct feed {
 	struct feed_options options;
@@ -23,6 +28,10 @@
 	int64_t heard_us;
 	bool is_store_up;
 	GHashTable *subscribers;
+	/** Newest revision that another feed told of, and since when it lacks. */
+	uint64_t ahead_revision;
+	char *ahead_address;
+	int64_t ahead_since_us;
 	int64_t next_check_us;
 	int64_t next_pulse_us;
 };
@@ -42,6 +51,7 @@
 {
 	g_hash_table_destroy(f->subscribers);
 	g_free(f->followed);
+	g_free(f->ahead_address);
 	g_free(f);
 }
 
@@ -83,6 +93,43 @@
 				  f->options.mirror->revision);
 }
 
+static bool is_watching_feed(const struct feed *f)
+{
+	return !f->followed && host_directory_is_feed(f->options.directory);
+}
+
+/*
+ * The store may take a watch and never answer it. No call to it shows that
+ * before the watch ends, but another feed has the change by then.
+ */
+static void note_other_feed(struct feed *f, const char *address,
+			    uint64_t revision)
+{
+	if (revision <= f->options.mirror->revision)
+		return;
+	if (f->ahead_revision <= f->options.mirror->revision) {
+		f->ahead_revision = revision;
+		f->ahead_since_us = now_us(f);
+	}
+	g_free(f->ahead_address);
+	f->ahead_address = g_strdup(address);
+}
+
+static void check_lag(struct feed *f)
+{
+	if (f->ahead_revision <= f->options.mirror->revision ||
+	    now_us(f) - f->ahead_since_us < LAG_US)
+		return;
+	event_log(EV_FEED_LAGS, "address=%s revision=%llu newer=%llu",
+		  f->ahead_address,
+		  (unsigned long long)f->options.mirror->revision,
+		  (unsigned long long)f->ahead_revision);
+	f->ahead_since_us = now_us(f);
+	f->options.ops->subscribe(f->options.ctx, f->ahead_address,
+				  f->options.mirror->revision);
+	f->options.ops->unsubscribe(f->options.ctx, f->ahead_address);
+}
+
 static void check(struct feed *f)
 {
 	struct known_host *h;
@@ -90,6 +137,7 @@
 	if (f->followed && now_us(f) - f->heard_us > SILENCE_US)
 		leave_failed(f, "silent");
 	if (host_directory_is_feed(f->options.directory)) {
+		check_lag(f);
 		if (!f->followed)
 			return;
 		f->options.ops->unsubscribe(f->options.ctx, f->followed);
@@ -124,6 +172,22 @@
 		send_pulse(f, address);
 }
 
+static void send_feed_pulses(struct feed *f)
+{
+	GPtrArray *feeds;
+
+	if (!is_watching_feed(f) || !f->is_store_up)
+		return;
+	feeds = host_directory_other_feeds(f->options.directory);
+	for (guint i = 0; i < feeds->len; i++) {
+		const struct known_host *h = feeds->pdata[i];
+
+		if (!g_hash_table_contains(f->subscribers, h->record.address))
+			send_pulse(f, h->record.address);
+	}
+	g_ptr_array_free(feeds, TRUE);
+}
+
 int64_t feed_advance(struct feed *f)
 {
 	int64_t now = now_us(f);
@@ -135,6 +199,7 @@
 	if (now >= f->next_pulse_us) {
 		f->next_pulse_us = now + PULSE_US;
 		send_pulses(f);
+		send_feed_pulses(f);
 	}
 	return MIN(f->next_check_us, f->next_pulse_us);
 }
@@ -182,6 +247,10 @@
 void feed_handle_pulse(struct feed *f, const char *address, uint64_t revision,
 		       bool is_store_up)
 {
+	if (!is_followed(f, address) && is_watching_feed(f)) {
+		note_other_feed(f, address, revision);
+		return;
+	}
 	if (!is_followed(f, address)) {
 		f->options.ops->unsubscribe(f->options.ctx, address);
 		return;
--- a/test/unit/test_router_feed.c
+++ b/test/unit/test_router_feed.c
@@ -13,8 +13,11 @@
 	struct feed *feed;
 	char subscribed[32];
 	uint32_t subscribe_count;
+	uint32_t unsubscribe_count;
 	uint32_t changes_sent;
 	uint32_t pulses_sent;
+	/** Receiver of the last pulse. */
+	char pulsed[32];
 	bool is_watching;
 };
 
@@ -28,6 +31,9 @@
 
 static void handle_unsubscribe(void *ctx, const char *address)
 {
+	struct fake_feed *f = ctx;
+
+	f->unsubscribe_count++;
 }
 
 static void handle_send_changes(void *ctx, const char *address,
@@ -44,6 +50,7 @@
 	struct fake_feed *f = ctx;
 
 	f->pulses_sent += is_store_up;
+	g_strlcpy(f->pulsed, address, sizeof(f->pulsed));
 }
 
 static void handle_set_watching(void *ctx, bool is_watching)
@@ -167,6 +174,45 @@
 	destroy_feed(f);
 }
 
+/*
+ * Guards against a feed that misses a change for seconds: the store takes its
+ * watch and never answers it (litaleit-grown fresh-e068).
+ */
+static void test_mute_watch(void)
+{
+	struct fake_feed *f = create_feed("strong-1");
+
+	feed_advance(f->feed);
+	feed_handle_pulse(f->feed, "strong-2", 10, true);
+	advance(f, US_PER_S);
+	CU_ASSERT_EQUAL(f->subscribe_count, 0);
+	feed_handle_pulse(f->feed, "strong-2", 11, true);
+	CU_ASSERT_EQUAL(f->subscribe_count, 0);
+	advance(f, US_PER_S);
+	CU_ASSERT_STRING_EQUAL(f->subscribed, "strong-2");
+	CU_ASSERT_EQUAL(f->subscribe_count, f->unsubscribe_count);
+	CU_ASSERT_TRUE(f->is_watching);
+	f->mirror.revision = 11;
+	f->subscribe_count = 0;
+	advance(f, 2 * US_PER_S);
+	CU_ASSERT_EQUAL(f->subscribe_count, 0);
+	destroy_feed(f);
+}
+
+/* Guards against feeds that do not learn that they lag behind another. */
+static void test_feed_pulses(void)
+{
+	struct fake_feed *f = create_feed("strong-1");
+	struct fake_feed *weak = create_feed("weak-1");
+
+	advance(f, US_PER_S);
+	CU_ASSERT_STRING_EQUAL(f->pulsed, "strong-2");
+	advance(weak, US_PER_S);
+	CU_ASSERT_STRING_EQUAL(weak->pulsed, "");
+	destroy_feed(f);
+	destroy_feed(weak);
+}
+
 /* Guards against two hosts that follow each other. */
 static void test_no_chain(void)
 {
@@ -227,7 +273,12 @@
 }
 
 CU_TestInfo router_feed_tests[] = {
-	{ "follow", test_follow },	     { "feed lost", test_feed_lost },
-	{ "pulse ahead", test_pulse_ahead }, { "no chain", test_no_chain },
-	{ "mirror", test_mirror },	     CU_TEST_INFO_NULL,
+	{ "follow", test_follow },
+	{ "feed lost", test_feed_lost },
+	{ "pulse ahead", test_pulse_ahead },
+	{ "no chain", test_no_chain },
+	{ "mute watch", test_mute_watch },
+	{ "feed pulses", test_feed_pulses },
+	{ "mirror", test_mirror },
+	CU_TEST_INFO_NULL,
 };
