Let one feed a region watch the store, with a standby

A host lists all keys with one call at its start instead of three. The first host of a region by rank watches the store; the second follows it and watches only while the first is lost. Before, two hosts of each region watched.

--- a/include/router/directory.h
+++ b/include/router/directory.h
@@ -51,11 +51,14 @@
 struct known_host *host_directory_find(struct host_directory *d,
 				       const char *address);
 
-/** Returns whether this host is one of those that watch the store. */
+/** Returns whether this host watches the store for the others of its region. */
 bool host_directory_is_feed(struct host_directory *d);
 
+/** Returns whether this host watches the store while the feed is lost. */
+bool host_directory_is_standby(struct host_directory *d);
+
 /**
- * Returns the other hosts of all regions that watch the store. The caller frees
+ * Returns the feeds of all regions but this host. The caller frees
  * the array.
  */
 GPtrArray *host_directory_other_feeds(struct host_directory *d);
--- a/nutmegpickd/registry_thread.c
+++ b/nutmegpickd/registry_thread.c
@@ -187,17 +187,16 @@
 	return -ERR_IO;
 }
 
-/* Adds all pages of one prefix. Pages are no snapshot: the first counts. */
-static int list_prefix(struct registry_thread *t, const char *prefix,
-		       struct store_changes *all)
+/* Adds all pages. Pages are no snapshot: the first counts. */
+static int list_pages(struct registry_thread *t, struct store_changes *all)
 {
 	bool has_more = true;
 	char *after = NULL;
 
 	while (has_more) {
 		struct store_changes *page;
-		long status = perform(t, platform_store_list(prefix, after),
-				      "GET", CALL_TIMEOUT_MS);
+		long status = perform(t, platform_store_list("", after), "GET",
+				      CALL_TIMEOUT_MS);
 
 		g_free(after);
 		after = NULL;
@@ -231,9 +230,7 @@
 {
 	struct store_changes *all = store_changes_create();
 
-	if (list_prefix(t, PLATFORM_CONFIG_KEY, all) ||
-	    list_prefix(t, PLATFORM_LEAF_PREFIX, all) ||
-	    list_prefix(t, PLATFORM_HOST_PREFIX, all)) {
+	if (list_pages(t, all)) {
 		store_changes_free(all);
 		return false;
 	}
--- a/router/directory.c
+++ b/router/directory.c
@@ -4,7 +4,11 @@
 
 #include "common/hash.h"
 
-/* Hosts of each region that watch the store; the others follow them. */
+/*
+ * Hosts of each region that others may follow. The first watches the store; the
+ * next follows it and watches only while the first is lost, since each watch of
+ * the store is paid for.
+ */
 #define FEEDS_PER_REGION 2
 /*
  * Hosts of each region that gather for the others: few, so that leaves hold few
@@ -157,7 +161,7 @@
 
 		g_hash_table_insert(counts, (gpointer)region,
 				    GUINT_TO_POINTER(count + 1));
-		if (count >= FEEDS_PER_REGION || is_self(d, h))
+		if (count || is_self(d, h))
 			g_ptr_array_remove_index(list, i);
 		else
 			i++;
@@ -169,31 +173,37 @@
 bool host_directory_is_feed(struct host_directory *d)
 {
 	GPtrArray *list = list_feeds(d);
-	bool is_feed = false;
+	bool is_feed = list->len && is_self(d, list->pdata[0]);
 
-	for (guint i = 0; i < list->len; i++)
-		is_feed = is_feed || is_self(d, list->pdata[i]);
 	g_ptr_array_free(list, TRUE);
 	return is_feed;
 }
 
+bool host_directory_is_standby(struct host_directory *d)
+{
+	GPtrArray *list = list_feeds(d);
+	bool is_standby = false;
+
+	for (guint i = 1; i < list->len; i++)
+		is_standby = is_standby || is_self(d, list->pdata[i]);
+	g_ptr_array_free(list, TRUE);
+	return is_standby;
+}
+
 struct known_host *host_directory_choose_feed(struct host_directory *d,
 					      int64_t now_us)
 {
 	GPtrArray *list = list_feeds(d);
 	struct known_host *chosen = NULL;
-	uint64_t best = 0;
 
-	for (guint i = 0; i < list->len; i++) {
+	for (guint i = 0; i < list->len && !chosen; i++) {
 		struct known_host *h = list->pdata[i];
-		uint64_t hash = hash_pair(hash_string(d->self, 0), h->rank);
 
-		if (is_self(d, h) || now_us < h->suspect_until_us)
-			continue;
-		if (!chosen || hash > best) {
+		/* A host follows those before it only, never in a circle. */
+		if (is_self(d, h))
+			break;
+		if (now_us >= h->suspect_until_us)
 			chosen = h;
-			best = hash;
-		}
 	}
 	g_ptr_array_free(list, TRUE);
 	return chosen;
--- a/router/feed.c
+++ b/router/feed.c
@@ -11,6 +11,8 @@
  * of a watch it stays below 3 s, the least time to put a configuration in force.
  */
 #define SILENCE_US (1500 * US_PER_MS)
+/* The standby begins to watch before the others turn to it. */
+#define STANDBY_SILENCE_US (1150 * US_PER_MS)
 /* A host that failed as a feed is not chosen again for this long. */
 #define AVOID_US (4 * US_PER_S)
 /*
@@ -93,6 +95,13 @@
 				  f->options.mirror->revision);
 }
 
+static int64_t silence_us(const struct feed *f)
+{
+	return host_directory_is_standby(f->options.directory)
+		       ? STANDBY_SILENCE_US
+		       : SILENCE_US;
+}
+
 static bool is_watching_feed(const struct feed *f)
 {
 	return !f->followed && host_directory_is_feed(f->options.directory);
@@ -134,7 +143,7 @@
 {
 	struct known_host *h;
 
-	if (f->followed && now_us(f) - f->heard_us > SILENCE_US)
+	if (f->followed && now_us(f) - f->heard_us > silence_us(f))
 		leave_failed(f, "silent");
 	if (host_directory_is_feed(f->options.directory)) {
 		check_lag(f);
--- a/test/unit/test_router_feed.c
+++ b/test/unit/test_router_feed.c
@@ -68,18 +68,21 @@
 	.set_watching = handle_set_watching,
 };
 
-static void add_host(struct fake_feed *f, const char *name, uint32_t capacity)
+static void add_host(struct fake_feed *f, const char *name, const char *domain,
+		     uint32_t capacity)
 {
 	struct host_record r = { .name = g_strdup(name),
 				 .address = g_strdup(name),
-				 .domain = g_strdup("a"),
+				 .domain = g_strdup(domain),
 				 .capacity = capacity };
 
 	host_directory_put(&f->directory, &r);
 }
 
+/* Hosts by rank: the feed, its standby and others; "far" is another region's. */
 static struct fake_feed *create_feed(const char *self)
 {
+	static const char *const regions[] = { "a=here", "b=there", NULL };
 	struct fake_feed *f = g_new0(struct fake_feed, 1);
 	struct feed_options options = {
 		.clock = clock_virtual(&f->time),
@@ -91,15 +94,16 @@
 
 	f->time.now_us = US_PER_S;
 	f->is_watching = true;
-	leaf_set_init(&f->leaves, self, "a", NULL);
+	leaf_set_init(&f->leaves, self, "a", (char **)regions);
 	host_directory_init(&f->directory, self, &f->leaves);
 	store_mirror_init(&f->mirror);
 	f->mirror.revision = 10;
 	feed_create(&f->feed, &options);
-	add_host(f, "strong-1", 500);
-	add_host(f, "strong-2", 500);
-	add_host(f, "weak-1", 120);
-	add_host(f, "weak-2", 120);
+	add_host(f, "feed", "a", 500);
+	add_host(f, "standby", "a", 400);
+	add_host(f, "weak-1", "a", 120);
+	add_host(f, "weak-2", "a", 120);
+	add_host(f, "far", "b", 500);
 	return f;
 }
 
@@ -123,39 +127,69 @@
 /* Guards against hosts that watch the store though others do for them. */
 static void test_follow(void)
 {
-	struct fake_feed *f = create_feed("weak-1");
-	struct fake_feed *strong = create_feed("strong-1");
+	static const char *const followers[] = { "standby", "weak-1", "weak-2" };
+	struct fake_feed *feed = create_feed("feed");
 
-	feed_advance(f->feed);
-	CU_ASSERT_EQUAL(f->subscribe_count, 1);
-	CU_ASSERT_NSTRING_EQUAL(f->subscribed, "strong-", 7);
-	CU_ASSERT_TRUE(f->is_watching);
-	feed_handle_pulse(f->feed, f->subscribed, 10, true);
-	CU_ASSERT_FALSE(f->is_watching);
-	feed_advance(strong->feed);
-	CU_ASSERT_EQUAL(strong->subscribe_count, 0);
-	CU_ASSERT_TRUE(strong->is_watching);
-	destroy_feed(f);
-	destroy_feed(strong);
+	for (size_t i = 0; i < G_N_ELEMENTS(followers); i++) {
+		struct fake_feed *f = create_feed(followers[i]);
+
+		feed_advance(f->feed);
+		CU_ASSERT_EQUAL(f->subscribe_count, 1);
+		CU_ASSERT_STRING_EQUAL(f->subscribed, "feed");
+		CU_ASSERT_TRUE(f->is_watching);
+		feed_handle_pulse(f->feed, "feed", 10, true);
+		CU_ASSERT_FALSE(f->is_watching);
+		destroy_feed(f);
+	}
+	feed_advance(feed->feed);
+	CU_ASSERT_EQUAL(feed->subscribe_count, 0);
+	CU_ASSERT_TRUE(feed->is_watching);
+	destroy_feed(feed);
 }
 
 /* Guards against a host that stays with a feed that is silent or cut off. */
 static void test_feed_lost(void)
 {
 	struct fake_feed *f = create_feed("weak-1");
-	char first[32];
 
 	feed_advance(f->feed);
-	feed_handle_pulse(f->feed, f->subscribed, 10, true);
-	g_strlcpy(first, f->subscribed, sizeof(first));
+	feed_handle_pulse(f->feed, "feed", 10, true);
 	advance(f, 2 * US_PER_S);
 	CU_ASSERT_TRUE(f->is_watching);
-	CU_ASSERT_STRING_NOT_EQUAL(f->subscribed, first);
-	feed_handle_pulse(f->feed, f->subscribed, 10, true);
+	CU_ASSERT_STRING_EQUAL(f->subscribed, "standby");
+	feed_handle_pulse(f->feed, "standby", 10, true);
 	CU_ASSERT_FALSE(f->is_watching);
-	feed_handle_pulse(f->feed, f->subscribed, 10, false);
+	feed_handle_pulse(f->feed, "standby", 10, false);
+	CU_ASSERT_TRUE(f->is_watching);
+	destroy_feed(f);
+}
+
+/*
+ * Guards against a standby that does not watch yet when the others turn to it,
+ * so that each of them watches the store.
+ */
+static void test_standby(void)
+{
+	struct fake_feed *f = create_feed("standby");
+	struct fake_feed *weak = create_feed("weak-1");
+
+	feed_advance(f->feed);
+	feed_advance(weak->feed);
+	feed_handle_pulse(f->feed, "feed", 10, true);
+	feed_handle_pulse(weak->feed, "feed", 10, true);
+	advance(f, 1450 * US_PER_MS);
+	advance(weak, 1450 * US_PER_MS);
 	CU_ASSERT_TRUE(f->is_watching);
+	CU_ASSERT_FALSE(weak->is_watching);
+	feed_handle_subscribe(f->feed, "weak-1", 10);
+	CU_ASSERT_EQUAL(f->pulses_sent, 1);
+	/* The feed is back: the standby follows it again. */
+	advance(f, 5 * US_PER_S);
+	CU_ASSERT_EQUAL(f->subscribe_count, 2);
+	feed_handle_pulse(f->feed, "feed", 10, true);
+	CU_ASSERT_FALSE(f->is_watching);
 	destroy_feed(f);
+	destroy_feed(weak);
 }
 
 /*
@@ -167,9 +201,9 @@
 	struct fake_feed *f = create_feed("weak-1");
 
 	feed_advance(f->feed);
-	feed_handle_pulse(f->feed, f->subscribed, 10, true);
+	feed_handle_pulse(f->feed, "feed", 10, true);
 	CU_ASSERT_EQUAL(f->subscribe_count, 1);
-	feed_handle_pulse(f->feed, f->subscribed, 11, true);
+	feed_handle_pulse(f->feed, "feed", 11, true);
 	CU_ASSERT_EQUAL(f->subscribe_count, 2);
 	destroy_feed(f);
 }
@@ -180,16 +214,16 @@
  */
 static void test_mute_watch(void)
 {
-	struct fake_feed *f = create_feed("strong-1");
+	struct fake_feed *f = create_feed("feed");
 
 	feed_advance(f->feed);
-	feed_handle_pulse(f->feed, "strong-2", 10, true);
+	feed_handle_pulse(f->feed, "far", 10, true);
 	advance(f, US_PER_S);
 	CU_ASSERT_EQUAL(f->subscribe_count, 0);
-	feed_handle_pulse(f->feed, "strong-2", 11, true);
+	feed_handle_pulse(f->feed, "far", 11, true);
 	CU_ASSERT_EQUAL(f->subscribe_count, 0);
 	advance(f, US_PER_S);
-	CU_ASSERT_STRING_EQUAL(f->subscribed, "strong-2");
+	CU_ASSERT_STRING_EQUAL(f->subscribed, "far");
 	CU_ASSERT_EQUAL(f->subscribe_count, f->unsubscribe_count);
 	CU_ASSERT_TRUE(f->is_watching);
 	f->mirror.revision = 11;
@@ -202,11 +236,11 @@
 /* Guards against feeds that do not learn that they lag behind another. */
 static void test_feed_pulses(void)
 {
-	struct fake_feed *f = create_feed("strong-1");
+	struct fake_feed *f = create_feed("feed");
 	struct fake_feed *weak = create_feed("weak-1");
 
 	advance(f, US_PER_S);
-	CU_ASSERT_STRING_EQUAL(f->pulsed, "strong-2");
+	CU_ASSERT_STRING_EQUAL(f->pulsed, "far");
 	advance(weak, US_PER_S);
 	CU_ASSERT_STRING_EQUAL(weak->pulsed, "");
 	destroy_feed(f);
@@ -219,7 +253,7 @@
 	struct fake_feed *f = create_feed("weak-1");
 
 	feed_advance(f->feed);
-	feed_handle_pulse(f->feed, f->subscribed, 10, true);
+	feed_handle_pulse(f->feed, "feed", 10, true);
 	feed_handle_subscribe(f->feed, "weak-2", 10);
 	CU_ASSERT_EQUAL(f->pulses_sent, 0);
 	destroy_feed(f);
@@ -275,7 +309,7 @@
 CU_TestInfo router_feed_tests[] = {
 	{ "follow", test_follow },
 	{ "feed lost", test_feed_lost },
-	{ "pulse ahead", test_pulse_ahead },
+	{ "standby", test_standby },	     { "pulse ahead", test_pulse_ahead },
 	{ "no chain", test_no_chain },
 	{ "mute watch", test_mute_watch },
 	{ "feed pulses", test_feed_pulses },
