Hold requests at a start until the first routes are there

Change: requests wait for the first routes, 0.4 s after the start at most and only while the store has not failed.

--- a/include/nutmegpickd/route_internal.h
+++ b/include/nutmegpickd/route_internal.h
@@ -13,6 +13,7 @@
 #include "nutmegpickd/route_service.h"
 #include "router/feed.h"
 #include "router/router.h"
+#include "router/start_hold.h"
 
 enum route_event_type {
 	ROUTE_EVENT_REQUEST,
@@ -60,6 +61,8 @@
 	uint64_t id;
 	int64_t start_us;
 	int64_t wait_us;
+	/** The request waits for the first routes. */
+	bool is_held;
 	struct forward forward;
 	GList link_node;
 };
@@ -96,6 +99,8 @@
 	struct peer *peer;
 	/** Requests in flight. */
 	GQueue requests;
+	struct start_hold hold;
+	uint32_t held_count;
 	/** Requests in flight that another host gathers, by forward id. */
 	GHashTable *forwards;
 	uint64_t last_forward_id;
@@ -122,6 +127,8 @@
 extern const struct router_ops route_router_ops;
 /** Takes a request of a caller. */
 void route_start_request(struct route_service *s, struct http_exchange *x);
+/** Starts requests that waited for the first routes, if they are to go on. */
+void route_release_held(struct route_service *s);
 /** Takes a request that another host has handed on. */
 void route_start_remote(struct route_service *s, peer_link link,
 			struct host_frame *frame);
--- /dev/null
+++ b/include/router/start_hold.h
@@ -0,0 +1,26 @@
+#ifndef ROUTER_START_HOLD_H
+#define ROUTER_START_HOLD_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/**
+ * Decides whether a request that comes before the first routes waits for them.
+ * A host that has just started usually has its routes a tenth of a second
+ * later. A caller that is refused instead uses up one of its few attempts.
+ */
+struct start_hold {
+	int64_t until_us;
+	bool is_store_lost;
+};
+
+void start_hold_init(struct start_hold *h, int64_t now_us);
+
+/** Notes that the store failed: its answer can take seconds. */
+void start_hold_note_lost(struct start_hold *h);
+
+/** Returns whether a request that comes now may wait. */
+bool start_hold_is_open(const struct start_hold *h, bool has_routes,
+			int64_t now_us);
+
+#endif
--- a/nutmegpickd/route_callers.c
+++ b/nutmegpickd/route_callers.c
@@ -157,6 +157,7 @@
 static void release_request(struct route_service *s, struct caller_request *q)
 {
 	g_queue_unlink(&s->requests, &q->link_node);
+	s->held_count -= q->is_held;
 	if (q->forward.id)
 		g_hash_table_remove(s->forwards, &q->forward.id);
 	if (q->frame)
@@ -235,14 +236,48 @@
 		q->id = request_id;
 }
 
+static void start_request(struct route_service *s, struct caller_request *q)
+{
+	if (!route_forward(s, q))
+		route_run_here(s, q, false);
+}
+
+static bool is_hold_open(const struct route_service *s)
+{
+	return start_hold_is_open(&s->hold, router_version(s->router),
+				  clock_now(&s->clock));
+}
+
 void route_start_request(struct route_service *s, struct http_exchange *x)
 {
 	struct caller_request *q = create_request(s);
 
 	q->exchange = x;
 	q->wait_us = platform_read_wait(http_exchange_header(x, PLATFORM_WAIT));
-	if (!route_forward(s, q))
-		route_run_here(s, q, false);
+	if (!is_hold_open(s)) {
+		start_request(s, q);
+		return;
+	}
+	q->is_held = true;
+	s->held_count++;
+}
+
+void route_release_held(struct route_service *s)
+{
+	GList *next;
+
+	if (!s->held_count || is_hold_open(s))
+		return;
+	for (GList *i = s->requests.head; i; i = next) {
+		struct caller_request *q = i->data;
+
+		next = i->next;
+		if (!q->is_held)
+			continue;
+		q->is_held = false;
+		s->held_count--;
+		start_request(s, q);
+	}
 }
 
 void route_start_remote(struct route_service *s, peer_link link,
--- a/nutmegpickd/route_hosts.c
+++ b/nutmegpickd/route_hosts.c
@@ -161,12 +161,14 @@
 	struct http_exchange *x = q->exchange;
 	int64_t hop = h->distance == LEAF_SAME_DOMAIN ? HOP_DOMAIN_US
 						      : HOP_REGION_US;
+	int64_t elapsed = clock_now(&s->clock) - q->start_us;
 	struct gather_request g = {
 		.id = q->forward.id,
 		.request_id = http_exchange_header(x, PLATFORM_REQUEST_ID),
 		.version = router_version(s->router),
-		.wait_us = MAX(q->wait_us - hop, 1),
-		.goal_left_us = MAX(router_goal_left(route) - hop, 1),
+		.wait_us = MAX(q->wait_us - hop - elapsed, 1),
+		.goal_left_us =
+			MAX(router_goal_left(route) - hop - elapsed, 1),
 		.method = http_exchange_method(x),
 		.host = http_exchange_header(x, "Host"),
 		.target = http_exchange_target(x),
--- a/nutmegpickd/route_service.c
+++ b/nutmegpickd/route_service.c
@@ -78,6 +78,8 @@
 {
 	if (is_up)
 		s->catalog.back_at_us = clock_now(&s->clock);
+	else
+		start_hold_note_lost(&s->hold);
 	feed_note_store(s->feed, is_up);
 }
 
@@ -167,6 +169,8 @@
 		next = MIN(next, s->next_sweep_us);
 	if (s->requests.length)
 		next = MIN(next, s->next_gone_check_us);
+	if (s->held_count)
+		next = MIN(next, s->hold.until_us);
 	return MAX(next - now, 0);
 }
 
@@ -179,6 +183,7 @@
 		leaf_client_sweep(s->client);
 	}
 	give_results(s);
+	route_release_held(s);
 	if (now >= s->next_gone_check_us) {
 		s->next_gone_check_us = now + GONE_CHECK_US;
 		route_check_gone(s);
@@ -355,6 +360,7 @@
 
 	s->settings = *settings;
 	s->clock = clock;
+	start_hold_init(&s->hold, clock_now(&clock));
 	s->head = g_string_sized_new(1024);
 	s->late_results = g_array_new(FALSE, TRUE, sizeof(struct late_result));
 	s->forwards = g_hash_table_new(g_int64_hash, g_int64_equal);
--- /dev/null
+++ b/router/start_hold.c
@@ -0,0 +1,25 @@
+#include "router/start_hold.h"
+
+#include "common/clock.h"
+
+/*
+ * Longest wait. Hosts with an eighth of a core have their routes 350 ms after
+ * their start; the shortest callers' deadlines are 600 ms.
+ */
+#define HOLD_US (400 * US_PER_MS)
+
+void start_hold_init(struct start_hold *h, int64_t now_us)
+{
+	*h = (struct start_hold){ .until_us = now_us + HOLD_US };
+}
+
+void start_hold_note_lost(struct start_hold *h)
+{
+	h->is_store_lost = true;
+}
+
+bool start_hold_is_open(const struct start_hold *h, bool has_routes,
+			int64_t now_us)
+{
+	return !has_routes && !h->is_store_lost && now_us < h->until_us;
+}
--- a/test/unit/main.c
+++ b/test/unit/main.c
@@ -22,6 +22,7 @@
 	{ "host frame", NULL, NULL, NULL, NULL, host_frame_tests },
 	{ "merge", NULL, NULL, NULL, NULL, merge_tests },
 	{ "router", NULL, NULL, NULL, NULL, router_tests },
+	{ "start hold", NULL, NULL, NULL, NULL, start_hold_tests },
 	{ "router feed", NULL, NULL, NULL, NULL, router_feed_tests },
 	{ "upstream", NULL, NULL, NULL, NULL, upstream_tests },
 	{ "peer", NULL, NULL, NULL, NULL, peer_tests },
--- a/test/unit/suites.h
+++ b/test/unit/suites.h
@@ -23,6 +23,7 @@
 extern CU_TestInfo merge_tests[];
 extern CU_TestInfo router_tests[];
 extern CU_TestInfo router_feed_tests[];
+extern CU_TestInfo start_hold_tests[];
 extern CU_TestInfo upstream_tests[];
 extern CU_TestInfo peer_tests[];
 extern CU_TestInfo store_etcd_tests[];
--- /dev/null
+++ b/test/unit/test_start_hold.c
@@ -0,0 +1,28 @@
+#include "suites.h"
+
+#include "common/clock.h"
+#include "router/start_hold.h"
+
+/*
+ * Guards against a host that refuses requests in the tenth of a second before
+ * its routes are there, and against requests that wait for a lost store.
+ */
+static void test_hold(void)
+{
+	struct start_hold h;
+
+	start_hold_init(&h, US_PER_S);
+	CU_ASSERT_TRUE(start_hold_is_open(&h, false, US_PER_S));
+	CU_ASSERT_FALSE(start_hold_is_open(&h, true, US_PER_S));
+	CU_ASSERT_TRUE(
+		start_hold_is_open(&h, false, US_PER_S + 300 * US_PER_MS));
+	CU_ASSERT_FALSE(
+		start_hold_is_open(&h, false, US_PER_S + 600 * US_PER_MS));
+	start_hold_note_lost(&h);
+	CU_ASSERT_FALSE(start_hold_is_open(&h, false, US_PER_S));
+}
+
+CU_TestInfo start_hold_tests[] = {
+	{ "hold", test_hold },
+	CU_TEST_INFO_NULL,
+};
