router: use a leaf that has paused again sooner

A pause of 300 ms raised its smoothed duration above the penalty of a region, and that decayed with a half-life of 2 s, so one pause in 7.5 s moved the calls of about 5 s. Ruled out: ejection (0 calls), no leaf in the region (0), full windows.

Change: the deviation decays with a half-life of 0.6 s.

--- a/router/choice.c
+++ b/router/choice.c
@@ -9,6 +9,12 @@
 #define DURATION_WEIGHT 0.2
 /* Weight of a new sample in the smoothed share of failures. */
 #define FAILURE_WEIGHT 0.15
+/*
+ * A deviation from the usual duration loses half of its weight in this time. A
+ * leaf that has only paused must be used again soon: the other leaves may be in
+ * another region.
+ */
+#define DURATION_HALF_LIFE_US (600 * US_PER_MS)
 /* A failure rate loses half of its weight in this time without calls. */
 #define FAILURE_HALF_LIFE_US (2 * US_PER_S)
 /* Age at which a leaf's reported load counts half. */
@@ -92,7 +98,7 @@
 
 	if (d)
 		work += (d->mean_us - typical) *
-			decay(now - d->at_us, FAILURE_HALF_LIFE_US);
+			decay(now - d->at_us, DURATION_HALF_LIFE_US);
 	if (now < leaf->warm_at_us)
 		work *= WARM_UP_COST;
 	return work * (1 + wait + 0.3 * pow(MIN(busy / slots, 1), 2));
