nutmegpick: explain a request from the logs of several hosts

On-call engineers had to grep and sort by hand, and to look up codes and the state of leaves separately.

--- a/include/nutmegpick/commands.h
+++ b/include/nutmegpick/commands.h
@@ -42,6 +42,10 @@
 
 /** nutmegpick status: prints what is in force. */
 int command_status(int argc, char **argv);
+
+/** nutmegpick explain ID FILE...: prints what logs say of a request. */
+int command_explain(int argc, char **argv);
+
 /** nutmegpick replay TRACE: checks the outcomes that a trace states. */
 int command_replay(int argc, char **argv);
 
--- a/nutmegpick/main.c
+++ b/nutmegpick/main.c
@@ -12,6 +12,7 @@
 	{ "show", "print a published set", command_show },
 	{ "history", "list published versions", command_history },
 	{ "status", "print what is in force", command_status },
+	{ "explain", "print what logs say of a request", command_explain },
 	{ "replay", "check a trace of requests", command_replay },
 };
 
--- a/test/unit/test_router_feed.c
+++ b/test/unit/test_router_feed.c
@@ -127,7 +127,8 @@
 /* Guards against hosts that watch the store though others do for them. */
 static void test_follow(void)
 {
-	static const char *const followers[] = { "standby", "weak-1", "weak-2" };
+	static const char *const followers[] = { "standby", "weak-1",
+						 "weak-2" };
 	struct fake_feed *feed = create_feed("feed");
 
 	for (size_t i = 0; i < G_N_ELEMENTS(followers); i++) {
@@ -309,7 +310,8 @@
 CU_TestInfo router_feed_tests[] = {
 	{ "follow", test_follow },
 	{ "feed lost", test_feed_lost },
-	{ "standby", test_standby },	     { "pulse ahead", test_pulse_ahead },
+	{ "standby", test_standby },
+	{ "pulse ahead", test_pulse_ahead },
 	{ "no chain", test_no_chain },
 	{ "mute watch", test_mute_watch },
 	{ "feed pulses", test_feed_pulses },
