router: refuse requests whose shards have only ejected leaves; check routes

Change: an ejected leaf is tried every 150 ms if there is no other. Requests between are refused before any leaf works, with Retry-After. A leaf that answers is in service again at once; before, it stayed ejected until the time was over.

--- a/include/router/internal.h
+++ b/include/router/internal.h
@@ -199,6 +199,9 @@
 void leaf_note_result(struct router *r, struct leaf_call *c,
 		      const struct router_result *result);
 
+/** Notes that a call is sent to a leaf. */
+void leaf_note_sent(struct router *r, struct route_leaf *leaf);
+
 /**
  * Notes that the leaf which was planned for a part of a batch has not answered
  * in time; other leaves are preferred for a while.
--- a/include/router/leaf_set.h
+++ b/include/router/leaf_set.h
@@ -76,6 +76,8 @@
 	int64_t failed_at_us;
 	uint32_t failures_in_row;
 	int64_t ejected_until_us;
+	/** Last time that an ejected leaf was tried, or was ejected. */
+	int64_t probed_at_us;
 	struct leaf_duration durations[LEAF_ROUTES_MAX];
 	uint32_t duration_count;
 	uint32_t duration_next;
--- a/router/choice.c
+++ b/router/choice.c
@@ -47,6 +47,11 @@
 #define EJECT_FAILURES 3
 #define EJECT_FIRST_US (400 * US_PER_MS)
 #define EJECT_MAX_US (3 * US_PER_S)
+/*
+ * An ejected leaf may serve this often if there is no other. Requests between
+ * are refused at once: most of them would fail after other leaves have worked.
+ */
+#define PROBE_INTERVAL_US (150 * US_PER_MS)
 
 static double decay(int64_t age_us, int64_t half_life_us)
 {
@@ -140,6 +145,26 @@
 	return leaf->calls.length >= MIN(leaf->window, window_max(leaf));
 }
 
+static bool is_ejected(const struct route_leaf *leaf, int64_t now)
+{
+	return now < leaf->ejected_until_us;
+}
+
+static bool may_choose(const struct route_part *p,
+		       const struct route_leaf *leaf, int64_t now)
+{
+	if (!route_leaf_is_usable(leaf, now) ||
+	    (p->request->is_partial && leaf->distance != LEAF_SAME_DOMAIN))
+		return false;
+	return !is_ejected(leaf, now) ||
+	       now - leaf->probed_at_us >= PROBE_INTERVAL_US;
+}
+
+void leaf_note_sent(struct router *r, struct route_leaf *leaf)
+{
+	leaf->probed_at_us = router_now(r);
+}
+
 /* The wait for a leaf of a pool whose windows are all in use. */
 static int64_t expected_wait(const struct upstream_pool *pool, double capacity,
 			     double call_us)
@@ -161,14 +186,12 @@
 
 	for (guint i = 0; i < part->pool->leaves->len; i++) {
 		struct route_leaf *leaf = part->pool->leaves->pdata[i];
-		bool is_last_resort = now < leaf->ejected_until_us ||
+		bool is_last_resort = is_ejected(leaf, now) ||
 				      leaf->phase != LEAF_IN_SERVICE;
 		double expected;
 		double cost;
 
-		if (!route_leaf_is_usable(leaf, now) ||
-		    (part->request->is_partial &&
-		     leaf->distance != LEAF_SAME_DOMAIN))
+		if (!may_choose(part, leaf, now))
 			continue;
 		choice.usable++;
 		capacity += leaf->window;
@@ -256,6 +279,7 @@
 	for (uint32_t i = EJECT_FAILURES; i < leaf->failures_in_row; i++)
 		time = MIN(2 * time, EJECT_MAX_US);
 	leaf->ejected_until_us = now + time;
+	leaf->probed_at_us = now;
 	event_log(EV_LEAF_EJECTED, "leaf=%s failures=%u for_ms=%lld",
 		  leaf->entry.id, leaf->failures_in_row,
 		  (long long)(time / US_PER_MS));
@@ -282,6 +306,7 @@
 	case CALL_DECLINED:
 		note_duration(leaf, c->stats, now - c->start_us, now);
 		leaf->failures_in_row = 0;
+		leaf->ejected_until_us = 0;
 		break;
 	case CALL_NOT_RUN:
 	case CALL_FAILURE:
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -44,6 +44,7 @@
         self.version = 0
         self.seen_versions = {}
         self.started = {}
+        self.faulted = set()
         self.store = Store()
         self.leaves = []
         self.proxies = []
@@ -229,15 +230,23 @@
     # Faults
 
     async def fault_host(self):
-        i = self.random.randrange(self.args.hosts)
+        # Faults overlap, but each host has one at a time.
+        free = [i for i in range(self.args.hosts) if i not in self.faulted]
+        i = self.random.choice(free)
         what = self.random.choice(["term", "kill", "pause"])
+        if self.processes[i].returncode is not None:
+            self.fail(f"host {i} ended by itself: "
+                      f"{self.processes[i].returncode}")
+            await self.start_host(i)
         self.count(f"fault_{what}")
+        self.faulted.add(i)
         if what == "pause":
             await self.pause_host(i, self.random.uniform(0.2, 1.5))
-            return
-        await self.stop_host(
-            i, signal.SIGTERM if what == "term" else signal.SIGKILL)
-        await self.start_host(i)
+        else:
+            await self.stop_host(
+                i, signal.SIGTERM if what == "term" else signal.SIGKILL)
+            await self.start_host(i)
+        self.faulted.discard(i)
 
     async def fault_leaf(self):
         leaf = self.random.choice(self.leaves)
@@ -298,6 +307,8 @@
         for i, process in enumerate(self.processes):
             if process.returncode is None:
                 await self.stop_host(i, signal.SIGTERM)
+            else:
+                self.fail(f"host {i} ended by itself: {process.returncode}")
         if not self.counts.get("g_200") or not self.counts.get("b_200"):
             self.fail("nothing was served")
 
--- a/test/unit/test_router.c
+++ b/test/unit/test_router.c
@@ -252,6 +252,50 @@
 	fake_router_destroy(f);
 }
 
+/* Ends every open call: those to the shard are refused by its hosts. */
+static void break_shard(struct fake_router *f, const char *service)
+{
+	for (uint32_t i = 0; i < f->call_count; i++) {
+		if (!f->calls[i].is_open)
+			continue;
+		if (!strcmp(f->calls[i].service, service))
+			fake_router_end(f, i, CALL_NOT_SENT, 0, NULL);
+		else
+			fake_router_end(f, i, CALL_ANSWERED, 200, RECORD_A);
+	}
+}
+
+/*
+ * Guards against 502 answers for requests that were known to fail: all leaves
+ * of a shard have crashed and are still in the registry. Now and then one
+ * request finds out whether a leaf is back.
+ */
+static void test_shard_down(void)
+{
+	struct fake_router *f = fake_router_create(3);
+	uint32_t calls;
+
+	for (int i = 0; i < 4; i++) {
+		fake_router_start(f, "/search/x", 0);
+		break_shard(f, "s1");
+	}
+	calls = f->call_count;
+	fake_router_start(f, "/search/x", 0);
+	CU_ASSERT_EQUAL(f->call_count, calls);
+	CU_ASSERT_EQUAL(f->answers[f->answer_count - 1].status, 503);
+	CU_ASSERT(f->answers[f->answer_count - 1].retry_after_us > 0);
+	fake_router_advance(f, 200 * US_PER_MS);
+	fake_router_start(f, "/search/x", 0);
+	CU_ASSERT_EQUAL(f->call_count, calls + 3);
+	for (uint32_t i = calls; i < f->call_count; i++)
+		fake_router_end(f, i, CALL_ANSWERED, 200, RECORD_A);
+	CU_ASSERT_EQUAL(f->answers[f->answer_count - 1].status, 200);
+	/* The leaf that answered is in service again. */
+	fake_router_start(f, "/search/x", 0);
+	CU_ASSERT_EQUAL(f->call_count, calls + 6);
+	fake_router_destroy(f);
+}
+
 /* Calls that the overloaded leaf of the next test runs at a time. */
 #define OVERLOAD_SLOTS 4
 #define OVERLOAD_CALL_US (60 * US_PER_MS)
@@ -446,6 +490,7 @@
 	{ "caller left", test_caller_left },
 	{ "repeat", test_repeat },
 	{ "hopeless", test_hopeless },
+	{ "shard down", test_shard_down },
 	{ "overload", test_overload },
 	{ "batch", test_batch },
 	{ "batch overlap", test_batch_overlap },
