--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -45,6 +45,7 @@
         self.seen_versions = {}
         self.started = {}
         self.faulted = set()
+        self.all_processes = []
         self.store = Store()
         self.leaves = []
         self.proxies = []
@@ -124,6 +125,7 @@
         self.processes[i] = await asyncio.create_subprocess_exec(
             self.args.program, "--settings", self.write_settings(i),
             stdout=log, stderr=log)
+        self.all_processes.append(self.processes[i])
         log.close()
 
     async def stop_host(self, i, sig):
@@ -295,6 +297,16 @@
             await self.start_host(i)
 
     async def run(self):
+        """Runs the soak; no process outlives it, whatever happens."""
+        try:
+            await self.run_all()
+        finally:
+            for process in self.all_processes:
+                if process.returncode is None:
+                    process.kill()
+                    await process.wait()
+
+    async def run_all(self):
         await self.start()
         tasks = [asyncio.create_task(self.run_caller(n)) for n in range(12)]
         tasks += [asyncio.create_task(self.run_faults()) for _ in range(2)]
