nutmegpickd: withdraw the host's record at a planned stop

Cause: the call that ends the lease was itself ended by handle_progress(), which ends every call for as long as the record is published and is to be withdrawn. The record stayed for up to 15 s, and other hosts handed requests to a host that had stopped.

The registry thread is asked to end before the last requests are waited for, so both end at the same time.

--- a/include/nutmegpickd/registry_thread.h
+++ b/include/nutmegpickd/registry_thread.h
@@ -38,7 +38,10 @@
 /** Withdraws the record of this host; the thread goes on. */
 void registry_thread_withdraw(struct registry_thread *t);
 
-/** Ends the thread. */
+/** Asks the thread to end, which takes up to a second. */
+void registry_thread_end(struct registry_thread *t);
+
+/** Ends the thread and frees it. */
 void registry_thread_stop(struct registry_thread *t);
 
 #endif
--- a/nutmegpickd/registry_thread.c
+++ b/nutmegpickd/registry_thread.c
@@ -293,11 +293,15 @@
 
 static void withdraw(struct registry_thread *t)
 {
-	if (t->lease)
-		perform(t, platform_store_end_lease(t->lease), "DELETE",
-			CALL_TIMEOUT_MS);
+	uint64_t lease = t->lease;
+
+	/* handle_progress() ends calls for as long as the record is there. */
 	t->lease = 0;
 	t->is_published = false;
+	if (lease && perform(t, platform_store_end_lease(lease), "DELETE",
+			     CALL_TIMEOUT_MS) != 200)
+		event_log(EV_RECORD_LEFT, "host=%s lease=%llu",
+			  t->options.self.name, (unsigned long long)lease);
 }
 
 static void publish(struct registry_thread *t)
@@ -434,12 +438,17 @@
 	pthread_mutex_unlock(&t->lock);
 }
 
-void registry_thread_stop(struct registry_thread *t)
+void registry_thread_end(struct registry_thread *t)
 {
 	pthread_mutex_lock(&t->lock);
 	t->is_stopping = true;
 	pthread_cond_signal(&t->changed);
 	pthread_mutex_unlock(&t->lock);
+}
+
+void registry_thread_stop(struct registry_thread *t)
+{
+	registry_thread_end(t);
 	pthread_join(t->thread, NULL);
 	curl_easy_cleanup(t->curl);
 	g_byte_array_free(t->body, TRUE);
--- a/nutmegpickd/route_service.c
+++ b/nutmegpickd/route_service.c
@@ -390,6 +390,8 @@
 	registry_thread_withdraw(s->registry);
 	http_server_drain(s->server);
 	g_usleep((gulong)s->settings.drain_delay_us);
+	/* A call to the store takes a second to end; requests end meanwhile. */
+	registry_thread_end(s->registry);
 	left = http_server_stop(s->server, s->settings.stop_timeout_us);
 	if (left)
 		event_log(EV_STOP_TIMEOUT, "host=%s connections=%u",
