--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -251,9 +251,13 @@
         self.faulted.discard(i)
 
     async def fault_leaf(self):
-        leaf = self.random.choice(self.leaves)
+        # Few leaves run requests that must not be repeated; half of the
+        # faults are theirs.
+        booking = [leaf for leaf in self.leaves if leaf.service == "book"]
+        leaf = self.random.choice(self.random.choice([self.leaves, booking]))
         leaf.mode = self.random.choice(
-            ["slow", "reset", "cut", "shed", "silent", "extra", "error"])
+            ["slow", "reset", "cut", "shed", "silent", "extra", "error",
+             "duplicate"])
         self.count(f"fault_{leaf.mode}")
         await asyncio.sleep(self.random.uniform(0.2, 1.5))
         leaf.mode = "ok"
--- a/test/soak/standins.py
+++ b/test/soak/standins.py
@@ -204,6 +204,8 @@
             writer.write(b"HTTP/1.1 200 X\r\nContent-Length: 128\r\n\r\nshort")
             return False
         write_reply(writer, 500 if self.mode == "error" else 200, body, headers)
+        if self.mode == "duplicate":
+            write_reply(writer, 200, body, headers)
         if self.mode == "extra":
             write_reply(writer, 200, b"z" * 32,
                         [("Nutmegpick-Response-Stamp", "other")])
