--- a/router/start_hold.c
+++ b/router/start_hold.c
@@ -3,8 +3,8 @@
 #include "common/clock.h"
 
 /*
- * Longest wait. Hosts with an eighth of a core mostly need half of it from their
- * start to the first routes; the shortest deadline of a caller is 600 ms.
+ * Longest wait. Hosts with an eighth of a core mostly need half of it from
+ * their start to the first routes; the shortest deadline of a caller is 600 ms.
  */
 #define HOLD_US (400 * US_PER_MS)
 
