net: bound what a leaf may send beside and in its reply

Cause: a reply could fill memory and link until its deadline: up to 16 MiB of body a call, bodies of foreign replies too, and heads, early hints, chunk extensions and foreign replies without any bound. Calls that nobody waits for any more ran on to the same deadline. A failure without the id of a request was taken for the answer on a connection that had been used before, though it may be the late copy of an earlier one; a request that must not be repeated could then have been sent again.

Change: net/reply_reader.c reads replies from bytes alone, with bounds on the body (1 MiB, and at once by its declared length) and on all other bytes (256 KiB). A failure without id ends the call as broken unless the connection is new.

Ruled out: a bound learned from earlier replies. It could refuse a sound long reply.

--- a/include/net/leaf_client.h
+++ b/include/net/leaf_client.h
@@ -8,6 +8,7 @@
 
 #include "common/clock.h"
 #include "net/leaf_reply.h"
+#include "net/reply_reader.h"
 
 /**
  * HTTP/1.1 client for leaves on one epoll descriptor. It is used by one thread.
@@ -58,6 +59,10 @@
 	struct np_clock clock;
 	/** Header in which leaves repeat the id of the request. */
 	const char *echo_header;
+	/** Bounds on one reply; 0 selects the default. */
+	struct reply_limits limits;
+	/** Most bytes of bodies held for all calls under way; 0 as above. */
+	size_t held_max;
 	/** Called within leaf_client_poll() and leaf_client_send(). */
 	void (*handle_end)(void *ctx, const struct leaf_transfer *t);
 	void *ctx;
@@ -69,6 +74,13 @@
 	uint32_t open;
 };
 
+/** Default of limits.other_max: some late copies of a few KB, and heads. */
+#define LEAF_HEAD_MAX_BYTES (256u * 1024)
+/** Default of limits.body_max. */
+#define LEAF_BODY_MAX_BYTES (1024u * 1024)
+/** Default of held_max; the smallest host has 160 MB. */
+#define LEAF_HELD_MAX_BYTES (32u * 1024 * 1024)
+
 /** Creates a client. Returns 0 or -ERR_IO. */
 int leaf_client_create(struct leaf_client **out,
 		       const struct leaf_client_options *options);
@@ -98,10 +110,11 @@
 void leaf_client_cancel(struct leaf_client *c, uint64_t call_id);
 
 /**
- * Drops a call of which nothing has been sent yet. Returns whether it did; the
- * call then ends without a callback.
+ * Takes note that nobody waits for a call any more. One of which nothing has
+ * been sent is dropped without a callback, and true is returned. Another goes
+ * on for a second at most, so that its connection can be used again.
  */
-bool leaf_client_drop_unsent(struct leaf_client *c, uint64_t call_id);
+bool leaf_client_let_go(struct leaf_client *c, uint64_t call_id);
 
 /** Closes idle connections and gives up calls that are out of time. */
 void leaf_client_sweep(struct leaf_client *c);
--- a/include/nutmegpickd/route_internal.h
+++ b/include/nutmegpickd/route_internal.h
@@ -79,6 +79,8 @@
 	uint64_t call_id;
 	enum transfer_end end;
 	struct leaf_reply *reply;
+	/** What broke the transfer; a string that stays. */
+	const char *cause;
 };
 
 struct route_service {
--- a/include/router/router.h
+++ b/include/router/router.h
@@ -88,6 +88,8 @@
 	struct leaf_reply *reply;
 	/** Signature of the reply, or NULL; points into the reply. */
 	const char *stamp;
+	/** Why there is no reply, for the log; may be NULL. */
+	const char *cause;
 	struct leaf_load load;
 };
 
@@ -152,10 +154,10 @@
 	/** Drops a call; no result of it is wanted any more. */
 	void (*cancel_call)(void *ctx, uint64_t call_id);
 	/**
-	 * Drops a call of which nothing has been sent yet; returns whether it
-	 * did. Otherwise the call goes on and its result comes as usual.
+	 * Notes that nobody waits for a call. Drops it and returns true if
+	 * nothing has been sent yet; otherwise its result comes as usual.
 	 */
-	bool (*drop_unsent)(void *ctx, uint64_t call_id);
+	bool (*let_go)(void *ctx, uint64_t call_id);
 	/**
 	 * Hands a batch to a host; returns false if there is none. Its result
 	 * comes through router_batch_done(). NULL where there are no others.
--- a/net/leaf_client.c
+++ b/net/leaf_client.c
@@ -1,13 +1,13 @@
 #include "net/leaf_client.h"
 
 #include <errno.h>
-#include <http_parser.h>
 #include <netinet/tcp.h>
 #include <string.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "common/counter.h"
 #include "common/errors.h"
 
 #define EVENTS_MAX 64
@@ -30,8 +30,8 @@
  * be repeated takes a connection only if it was used within this time.
  */
 #define FRESH_US (500 * US_PER_MS)
-/* Largest reply body that is read. */
-#define BODY_MAX_BYTES (16u * 1024 * 1024)
+/* A call whose result nobody waits for may go on this long. */
+#define LET_GO_US (1 * US_PER_S)
 
 enum connection_phase {
 	CONNECTION_OPENING,
@@ -45,8 +45,6 @@
 	int fd;
 	enum connection_phase phase;
 	uint64_t call_id;
-	char *request_id;
-	bool is_head;
 	int64_t deadline_us;
 	int64_t opened_us;
 	int64_t idle_since_us;
@@ -55,15 +53,9 @@
 	GByteArray *unsent;
 	bool is_begun;
 	bool is_writing;
-	http_parser parser;
-	struct leaf_reply *reply;
-	GString *field;
-	GString *value;
-	bool is_value;
-	/** The message belongs to an earlier request. */
-	bool is_foreign;
-	bool is_complete;
-	bool is_reusable;
+	struct reply_reader reader;
+	/** Bytes of the reply's body that are held. */
+	size_t held_bytes;
 	GList link;
 };
 
@@ -74,6 +66,15 @@
 	GQueue connections;
 };
 
+static struct counter unusable_counter = {
+	.name = "nutmegpick_leaf_replies_unusable_total",
+	.help = "Leaf calls ended because their bytes were no reply.",
+};
+static struct counter overfull_counter = {
+	.name = "nutmegpick_leaf_replies_overfull_total",
+	.help = "Leaf calls ended because all replies held too much memory.",
+};
+
 struct leaf_client {
 	struct leaf_client_options options;
 	int epoll_fd;
@@ -82,6 +83,8 @@
 	GHashTable *endpoints;
 	/** Closed connections that an event may still name. */
 	GPtrArray *closed;
+	/** Bytes of reply bodies that are held for calls under way. */
+	size_t held_bytes;
 	struct leaf_client_counts counts;
 };
 
@@ -95,10 +98,7 @@
 	struct leaf_connection *n = data;
 
 	g_byte_array_free(n->unsent, TRUE);
-	g_string_free(n->field, TRUE);
-	g_string_free(n->value, TRUE);
-	leaf_reply_unref(n->reply);
-	g_free(n->request_id);
+	reply_reader_clear(&n->reader);
 	g_free(n);
 }
 
@@ -114,23 +114,33 @@
 	n->phase = CONNECTION_CLOSED;
 	close(n->fd);
 	c->counts.open--;
+	c->held_bytes -= n->held_bytes;
+	n->held_bytes = 0;
 	g_ptr_array_add(c->closed, n);
 }
 
+static void note_held(struct leaf_connection *n)
+{
+	size_t held = reply_reader_held(&n->reader);
+
+	n->endpoint->client->held_bytes += held - n->held_bytes;
+	n->held_bytes = held;
+}
+
 static void finish_call(struct leaf_connection *n, enum transfer_end end,
 			const char *cause)
 {
 	struct leaf_client *c = n->endpoint->client;
+	struct leaf_reply *reply = reply_reader_take(&n->reader);
 	struct leaf_transfer t = {
 		.call_id = n->call_id,
 		.end = end,
-		.reply = end == TRANSFER_DONE ? n->reply : NULL,
+		.reply = end == TRANSFER_DONE ? reply : NULL,
 		.cause = cause,
 	};
-	struct leaf_reply *reply = n->reply;
 
-	n->reply = NULL;
-	if (end == TRANSFER_DONE && n->is_reusable) {
+	note_held(n);
+	if (end == TRANSFER_DONE && n->reader.is_reusable) {
 		g_hash_table_remove(c->calls, &n->call_id);
 		n->call_id = 0;
 		n->phase = CONNECTION_IDLE;
@@ -149,54 +159,9 @@
 		    cause);
 }
 
-static void flush_header(struct leaf_connection *n)
-{
-	struct http_header h;
-
-	if (!n->field->len)
-		return;
-	h.name = g_strndup(n->field->str, n->field->len);
-	h.value = g_strndup(n->value->str, n->value->len);
-	g_array_append_val(n->reply->headers, h);
-	g_string_truncate(n->field, 0);
-	g_string_truncate(n->value, 0);
-	n->is_value = false;
-}
-
-static int handle_message_begin(http_parser *parser)
-{
-	struct leaf_connection *n = parser->data;
-
-	leaf_reply_unref(n->reply);
-	n->reply = leaf_reply_create();
-	n->is_foreign = false;
-	g_string_truncate(n->field, 0);
-	g_string_truncate(n->value, 0);
-	return 0;
-}
-
-static int handle_header_field(http_parser *parser, const char *at, size_t len)
-{
-	struct leaf_connection *n = parser->data;
-
-	if (n->is_value)
-		flush_header(n);
-	g_string_append_len(n->field, at, (gssize)len);
-	return 0;
-}
-
-static int handle_header_value(http_parser *parser, const char *at, size_t len)
-{
-	struct leaf_connection *n = parser->data;
-
-	n->is_value = true;
-	g_string_append_len(n->value, at, (gssize)len);
-	return 0;
-}
-
 static void read_idle_timeout(struct leaf_connection *n)
 {
-	const char *text = leaf_reply_header(n->reply, "Keep-Alive");
+	const char *text = leaf_reply_header(n->reader.reply, "Keep-Alive");
 	const char *at = text ? strstr(text, "timeout=") : NULL;
 	guint64 seconds;
 
@@ -208,89 +173,48 @@
 		      200 * US_PER_MS, IDLE_MAX_US);
 }
 
-/*
- * A late reply to an earlier request names that request. A success that names
- * none cannot be told from one; a failure can do no harm.
- */
-static bool is_foreign(const struct leaf_connection *n, const char *echo)
-{
-	if (!n->request_id || !*n->request_id)
-		return false;
-	if (!echo)
-		return n->reply->status / 100 == 2;
-	return strcmp(echo, n->request_id) != 0;
-}
-
-static int handle_headers_complete(http_parser *parser)
+/* The calls that hold the most are ended until the rest fits. */
+static void limit_held(struct leaf_client *c)
 {
-	struct leaf_connection *n = parser->data;
-	const char *header = n->endpoint->client->options.echo_header;
-	const char *echo;
-
-	flush_header(n);
-	n->reply->status = parser->status_code;
-	echo = leaf_reply_header(n->reply, header);
-	n->is_foreign = is_foreign(n, echo);
-	read_idle_timeout(n);
-	return n->is_head ? 1 : 0;
-}
+	while (c->held_bytes > c->options.held_max) {
+		struct leaf_connection *largest = NULL;
+		GHashTableIter iter;
+		gpointer value;
 
-static int handle_body(http_parser *parser, const char *at, size_t len)
-{
-	struct leaf_connection *n = parser->data;
+		g_hash_table_iter_init(&iter, c->calls);
+		while (g_hash_table_iter_next(&iter, NULL, &value)) {
+			struct leaf_connection *n = value;
 
-	if (n->reply->body->len + len > BODY_MAX_BYTES)
-		return 1;
-	g_byte_array_append(n->reply->body, (const guint8 *)at, (guint)len);
-	return 0;
-}
-
-static int handle_message_complete(http_parser *parser)
-{
-	struct leaf_connection *n = parser->data;
-
-	if (n->is_foreign || parser->status_code / 100 == 1) {
-		/* Bytes of an earlier request make the stream doubtful. */
-		if (n->is_foreign)
-			n->is_reusable = false;
-		return 0;
+			if (!largest || n->held_bytes > largest->held_bytes)
+				largest = n;
+		}
+		if (!largest || !largest->held_bytes)
+			return;
+		counter_add(&overfull_counter, 1);
+		fail_call(largest, "replies hold too much memory");
 	}
-	n->is_complete = true;
-	if (!http_should_keep_alive(parser))
-		n->is_reusable = false;
-	http_parser_pause(parser, 1);
-	return 0;
 }
 
-static const http_parser_settings parser_settings = {
-	.on_message_begin = handle_message_begin,
-	.on_header_field = handle_header_field,
-	.on_header_value = handle_header_value,
-	.on_headers_complete = handle_headers_complete,
-	.on_body = handle_body,
-	.on_message_complete = handle_message_complete,
-};
-
 static void handle_bytes(struct leaf_connection *n, const char *data,
 			 size_t len)
 {
-	size_t used =
-		http_parser_execute(&n->parser, &parser_settings, data, len);
-
-	if (n->is_complete) {
-		/*
-		 * Bytes after the reply belong to no request. A leaf that has
-		 * answered early still reads the rest of the request's body.
-		 */
-		if (used < len || n->unsent->len)
-			n->is_reusable = false;
+	switch (reply_reader_feed(&n->reader, data, len)) {
+	case REPLY_COMPLETE:
+		/* A leaf that answered early still reads the request's body. */
+		if (n->unsent->len)
+			n->reader.is_reusable = false;
+		read_idle_timeout(n);
 		finish_call(n, TRANSFER_DONE, NULL);
 		return;
+	case REPLY_BROKEN:
+		counter_add(&unusable_counter, 1);
+		fail_call(n, n->reader.cause);
+		return;
+	case REPLY_INCOMPLETE:
+		note_held(n);
+		limit_held(n->endpoint->client);
+		return;
 	}
-	if (HTTP_PARSER_ERRNO(&n->parser) != HPE_OK || n->parser.upgrade)
-		fail_call(n, "bytes are no reply");
-	else if (!len)
-		fail_call(n, "connection closed");
 }
 
 static void handle_readable(struct leaf_connection *n)
@@ -417,12 +341,35 @@
 	return 0;
 }
 
+static void register_counters(void)
+{
+	static gsize is_registered;
+
+	if (!g_once_init_enter(&is_registered))
+		return;
+	counter_register(&unusable_counter);
+	counter_register(&overfull_counter);
+	g_once_init_leave(&is_registered, 1);
+}
+
+static void set_default_limits(struct leaf_client_options *o)
+{
+	if (!o->limits.body_max)
+		o->limits.body_max = LEAF_BODY_MAX_BYTES;
+	if (!o->limits.other_max)
+		o->limits.other_max = LEAF_HEAD_MAX_BYTES;
+	if (!o->held_max)
+		o->held_max = LEAF_HELD_MAX_BYTES;
+}
+
 int leaf_client_create(struct leaf_client **out,
 		       const struct leaf_client_options *options)
 {
 	struct leaf_client *c = g_new0(struct leaf_client, 1);
 
 	c->options = *options;
+	set_default_limits(&c->options);
+	register_counters();
 	c->epoll_fd = epoll_create1(EPOLL_CLOEXEC);
 	if (c->epoll_fd < 0) {
 		g_free(c);
@@ -520,8 +467,8 @@
 	n->opened_us = now_us(c);
 	n->idle_max_us = IDLE_DEFAULT_US;
 	n->unsent = g_byte_array_new();
-	n->field = g_string_new(NULL);
-	n->value = g_string_new(NULL);
+	reply_reader_init(&n->reader, &c->options.limits,
+			  c->options.echo_header);
 	n->is_writing = true;
 	n->link.data = n;
 	event = (struct epoll_event){ .events = EPOLLIN | EPOLLOUT,
@@ -536,16 +483,9 @@
 static void begin_call(struct leaf_connection *n, const struct leaf_request *r)
 {
 	n->call_id = r->call_id;
-	g_free(n->request_id);
-	n->request_id = g_strdup(r->request_id);
-	n->is_head = r->is_head;
+	reply_reader_begin(&n->reader, r->request_id, r->is_head);
 	n->deadline_us = r->deadline_us;
 	n->is_begun = false;
-	n->is_complete = false;
-	n->is_reusable = true;
-	n->is_value = false;
-	http_parser_init(&n->parser, HTTP_RESPONSE);
-	n->parser.data = n;
 	g_byte_array_set_size(n->unsent, 0);
 	g_byte_array_append(n->unsent, (const guint8 *)r->head,
 			    (guint)r->head_len);
@@ -586,14 +526,20 @@
 		close_connection(n);
 }
 
-bool leaf_client_drop_unsent(struct leaf_client *c, uint64_t call_id)
+bool leaf_client_let_go(struct leaf_client *c, uint64_t call_id)
 {
 	struct leaf_connection *n = g_hash_table_lookup(c->calls, &call_id);
 
-	if (!n || n->is_begun)
+	if (!n)
 		return false;
-	close_connection(n);
-	return true;
+	if (!n->is_begun) {
+		close_connection(n);
+		return true;
+	}
+	reply_reader_drop_body(&n->reader);
+	note_held(n);
+	n->deadline_us = MIN(n->deadline_us, now_us(c) + LET_GO_US);
+	return false;
 }
 
 static void sweep_connection(struct leaf_connection *n, int64_t now)
--- /dev/null
+++ b/net/reply_reader.c
@@ -0,0 +1,221 @@
+#include "net/reply_reader.h"
+
+#include <string.h>
+
+void reply_reader_init(struct reply_reader *r, const struct reply_limits *l,
+		       const char *echo_header)
+{
+	memset(r, 0, sizeof(*r));
+	r->limits = *l;
+	r->echo_header = echo_header;
+	r->field = g_string_new(NULL);
+	r->value = g_string_new(NULL);
+}
+
+void reply_reader_clear(struct reply_reader *r)
+{
+	g_string_free(r->field, TRUE);
+	g_string_free(r->value, TRUE);
+	leaf_reply_unref(r->reply);
+	g_free(r->request_id);
+}
+
+void reply_reader_begin(struct reply_reader *r, const char *request_id,
+			bool is_head)
+{
+	r->is_used = r->request_id != NULL;
+	g_free(r->request_id);
+	r->request_id = g_strdup(request_id ? request_id : "");
+	r->is_head = is_head;
+	r->other_bytes = 0;
+	r->cause = NULL;
+	r->is_reusable = true;
+	r->is_dropping = false;
+	r->is_value = false;
+	r->is_foreign = false;
+	r->is_complete = false;
+	http_parser_init(&r->parser, HTTP_RESPONSE);
+	r->parser.data = r;
+}
+
+static void flush_header(struct reply_reader *r)
+{
+	struct http_header h;
+
+	if (!r->field->len)
+		return;
+	h.name = g_strndup(r->field->str, r->field->len);
+	h.value = g_strndup(r->value->str, r->value->len);
+	g_array_append_val(r->reply->headers, h);
+	g_string_truncate(r->field, 0);
+	g_string_truncate(r->value, 0);
+	r->is_value = false;
+}
+
+static int handle_message_begin(http_parser *parser)
+{
+	struct reply_reader *r = parser->data;
+
+	leaf_reply_unref(r->reply);
+	r->reply = leaf_reply_create();
+	r->is_foreign = false;
+	g_string_truncate(r->field, 0);
+	g_string_truncate(r->value, 0);
+	return 0;
+}
+
+static int handle_header_field(http_parser *parser, const char *at, size_t len)
+{
+	struct reply_reader *r = parser->data;
+
+	if (r->is_value)
+		flush_header(r);
+	g_string_append_len(r->field, at, (gssize)len);
+	return 0;
+}
+
+static int handle_header_value(http_parser *parser, const char *at, size_t len)
+{
+	struct reply_reader *r = parser->data;
+
+	r->is_value = true;
+	g_string_append_len(r->value, at, (gssize)len);
+	return 0;
+}
+
+/* A late reply to an earlier request names that request. */
+static bool is_foreign(const struct reply_reader *r, const char *echo)
+{
+	if (!*r->request_id)
+		return false;
+	if (!echo)
+		return r->reply->status / 100 == 2;
+	return strcmp(echo, r->request_id) != 0;
+}
+
+/*
+ * On a connection that was used before, a refusal that names no request may be
+ * the late copy of an earlier one: this request may have run.
+ */
+static bool is_doubtful(const struct reply_reader *r, const char *echo)
+{
+	return *r->request_id && !echo && r->is_used &&
+	       r->reply->status / 100 > 2;
+}
+
+static bool is_too_long(const struct reply_reader *r)
+{
+	return r->parser.content_length != G_MAXUINT64 && !r->is_head &&
+	       r->parser.content_length > r->limits.body_max;
+}
+
+static int handle_headers_complete(http_parser *parser)
+{
+	struct reply_reader *r = parser->data;
+	const char *echo;
+
+	flush_header(r);
+	r->reply->status = parser->status_code;
+	echo = leaf_reply_header(r->reply, r->echo_header);
+	r->is_foreign = is_foreign(r, echo);
+	if (is_doubtful(r, echo))
+		r->cause = "failure names no request";
+	else if (!r->is_foreign && is_too_long(r))
+		r->cause = "reply too long";
+	/* Any value but 0 and 1 ends the parser. */
+	if (r->cause)
+		return -1;
+	return r->is_head ? 1 : 0;
+}
+
+static int handle_body(http_parser *parser, const char *at, size_t len)
+{
+	struct reply_reader *r = parser->data;
+
+	if (r->is_foreign || r->is_dropping)
+		return 0;
+	if (r->reply->body->len + len > r->limits.body_max) {
+		r->cause = "reply too long";
+		return 1;
+	}
+	g_byte_array_append(r->reply->body, (const guint8 *)at, (guint)len);
+	return 0;
+}
+
+static int handle_message_complete(http_parser *parser)
+{
+	struct reply_reader *r = parser->data;
+
+	if (r->is_foreign || parser->status_code / 100 == 1) {
+		/* Bytes of an earlier request make the stream doubtful. */
+		if (r->is_foreign)
+			r->is_reusable = false;
+		return 0;
+	}
+	r->is_complete = true;
+	if (!http_should_keep_alive(parser))
+		r->is_reusable = false;
+	http_parser_pause(parser, 1);
+	return 0;
+}
+
+static const http_parser_settings parser_settings = {
+	.on_message_begin = handle_message_begin,
+	.on_header_field = handle_header_field,
+	.on_header_value = handle_header_value,
+	.on_headers_complete = handle_headers_complete,
+	.on_body = handle_body,
+	.on_message_complete = handle_message_complete,
+};
+
+size_t reply_reader_held(const struct reply_reader *r)
+{
+	return r->reply ? r->reply->body->len : 0;
+}
+
+static enum reply_state fail(struct reply_reader *r, const char *cause)
+{
+	if (!r->cause)
+		r->cause = cause;
+	r->is_reusable = false;
+	return REPLY_BROKEN;
+}
+
+enum reply_state reply_reader_feed(struct reply_reader *r, const char *data,
+				   size_t len)
+{
+	size_t held = reply_reader_held(r);
+	size_t used =
+		http_parser_execute(&r->parser, &parser_settings, data, len);
+
+	if (r->is_complete) {
+		/* Bytes after the reply belong to no request. */
+		if (used < len)
+			r->is_reusable = false;
+		return REPLY_COMPLETE;
+	}
+	if (HTTP_PARSER_ERRNO(&r->parser) != HPE_OK || r->parser.upgrade)
+		return fail(r, "bytes are no reply");
+	if (!len)
+		return fail(r, "connection closed");
+	held = MAX(reply_reader_held(r), held) - held;
+	r->other_bytes += len - MIN(held, len);
+	if (r->other_bytes > r->limits.other_max)
+		return fail(r, "too many bytes beside the reply");
+	return REPLY_INCOMPLETE;
+}
+
+void reply_reader_drop_body(struct reply_reader *r)
+{
+	r->is_dropping = true;
+	if (r->reply)
+		g_byte_array_set_size(r->reply->body, 0);
+}
+
+struct leaf_reply *reply_reader_take(struct reply_reader *r)
+{
+	struct leaf_reply *reply = r->reply;
+
+	r->reply = NULL;
+	return reply;
+}
--- a/nutmegpickd/route_callers.c
+++ b/nutmegpickd/route_callers.c
@@ -71,11 +71,11 @@
 	leaf_client_cancel(s->client, call_id);
 }
 
-static bool handle_drop_unsent(void *ctx, uint64_t call_id)
+static bool handle_let_go(void *ctx, uint64_t call_id)
 {
 	struct route_service *s = ctx;
 
-	return leaf_client_drop_unsent(s->client, call_id);
+	return leaf_client_let_go(s->client, call_id);
 }
 
 static void handle_forget_leaf(void *ctx, struct route_leaf *leaf)
@@ -110,7 +110,7 @@
 const struct router_ops route_router_ops = {
 	.start_call = handle_start_call,
 	.cancel_call = handle_cancel_call,
-	.drop_unsent = handle_drop_unsent,
+	.let_go = handle_let_go,
 	.start_batch = handle_start_batch,
 	.cancel_batch = handle_cancel_batch,
 	.answer_part = handle_answer_part,
--- a/nutmegpickd/route_service.c
+++ b/nutmegpickd/route_service.c
@@ -36,6 +36,7 @@
 		.call_id = t->call_id,
 		.end = t->end,
 		.reply = t->reply ? leaf_reply_ref(t->reply) : NULL,
+		.cause = t->cause,
 	};
 
 	/* The router does not take a result within one of its own actions. */
@@ -48,6 +49,7 @@
 		.call_id = late->call_id,
 		.outcome = late->end == TRANSFER_NOT_SENT ? CALL_NOT_SENT
 							  : CALL_BROKEN,
+		.cause = late->cause,
 	};
 
 	if (late->reply)
--- a/router/part.c
+++ b/router/part.c
@@ -65,7 +65,7 @@
 static void let_go(struct router *r, struct leaf_call *c)
 {
 	detach_call(c);
-	if (r->options.ops->drop_unsent(r->options.ctx, c->id))
+	if (r->options.ops->let_go(r->options.ctx, c->id))
 		release_call(r, c);
 }
 
@@ -346,9 +346,11 @@
 {
 	struct route_request *q = p->request;
 
-	event_log(EV_CALL_FAILED, "request=%s service=%s outcome=%s status=%u",
+	event_log(EV_CALL_FAILED,
+		  "request=%s service=%s outcome=%s status=%u cause=\"%s\"",
 		  q->request_id, p->pool->name, outcome_name(result->outcome),
-		  result->reply ? result->reply->status : 0);
+		  result->reply ? result->reply->status : 0,
+		  result->cause ? result->cause : "");
 	if (result->outcome == CALL_NOT_RUN ||
 	    result->outcome == CALL_MISDIRECTED ||
 	    result->outcome == CALL_NOT_SENT)
--- a/test/unit/fake_router.c
+++ b/test/unit/fake_router.c
@@ -54,7 +54,7 @@
 		memcpy(out->body, body, out->body_len);
 }
 
-static bool handle_drop_unsent(void *ctx, uint64_t call_id)
+static bool handle_let_go(void *ctx, uint64_t call_id)
 {
 	return false;
 }
@@ -93,7 +93,7 @@
 static const struct router_ops ops = {
 	.start_call = handle_start_call,
 	.cancel_call = handle_cancel_call,
-	.drop_unsent = handle_drop_unsent,
+	.let_go = handle_let_go,
 	.start_batch = handle_start_batch,
 	.cancel_batch = handle_cancel_batch,
 	.answer_part = handle_answer_part,
--- a/test/unit/main.c
+++ b/test/unit/main.c
@@ -20,6 +20,7 @@
 	{ "fleet seat", NULL, NULL, NULL, NULL, fleet_seat_tests },
 	{ "fleet placement", NULL, NULL, NULL, NULL, fleet_placement_tests },
 	{ "host frame", NULL, NULL, NULL, NULL, host_frame_tests },
+	{ "leaf client", NULL, NULL, NULL, NULL, leaf_client_tests },
 	{ "merge", NULL, NULL, NULL, NULL, merge_tests },
 	{ "router", NULL, NULL, NULL, NULL, router_tests },
 	{ "start hold", NULL, NULL, NULL, NULL, start_hold_tests },
--- /dev/null
+++ b/test/unit/test_leaf_client.c
@@ -0,0 +1,370 @@
+#include "suites.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "net/leaf_client.h"
+
+/* A leaf that was not stopped after this many bytes is taken as endless. */
+#define ENDLESS_BYTES (24u * 1024 * 1024)
+#define PEERS_MAX 32
+/* Steps after which an exchange that has not ended counts as hanging. */
+#define STEPS_MAX 200000
+
+struct end {
+	uint64_t call_id;
+	enum transfer_end end;
+	unsigned int status;
+	size_t body_len;
+	bool is_own;
+};
+
+/* Client under test, and the leaf's side of its connections. */
+struct rig {
+	int64_t now_us;
+	struct leaf_client *client;
+	struct leaf_endpoint *endpoint;
+	int listener;
+	int peers[PEERS_MAX];
+	int peer_count;
+	struct end ends[PEERS_MAX];
+	int end_count;
+};
+
+static int64_t read_now(void *ctx)
+{
+	return ((struct rig *)ctx)->now_us;
+}
+
+static void handle_end(void *ctx, const struct leaf_transfer *t)
+{
+	struct rig *g = ctx;
+	struct end *e = &g->ends[g->end_count++ % PEERS_MAX];
+	const char *id = t->reply ? leaf_reply_header(t->reply, "Request-Id")
+				  : NULL;
+	char own[32];
+
+	snprintf(own, sizeof(own), "r%llu", (unsigned long long)t->call_id);
+	*e = (struct end){
+		.call_id = t->call_id,
+		.end = t->end,
+		.status = t->reply ? t->reply->status : 0,
+		.body_len = t->reply ? t->reply->body->len : 0,
+		.is_own = !id || !strcmp(id, own),
+	};
+}
+
+static void rig_init_held(struct rig *g, size_t held_max)
+{
+	struct leaf_client_options options = {
+		.held_max = held_max,
+		.clock = { read_now, read_now, g },
+		.echo_header = "Request-Id",
+		.handle_end = handle_end,
+		.ctx = g,
+	};
+	struct sockaddr_in address = {
+		.sin_family = AF_INET,
+		.sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+	};
+	socklen_t len = sizeof(address);
+
+	memset(g, 0, sizeof(*g));
+	g->now_us = US_PER_S;
+	g->listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+	bind(g->listener, (struct sockaddr *)&address, sizeof(address));
+	listen(g->listener, PEERS_MAX);
+	getsockname(g->listener, (struct sockaddr *)&address, &len);
+	CU_ASSERT_EQUAL_FATAL(leaf_client_create(&g->client, &options), 0);
+	g->endpoint = leaf_endpoint_create(g->client, &address);
+}
+
+static void rig_init(struct rig *g)
+{
+	rig_init_held(g, 0);
+}
+
+static void rig_clear(struct rig *g)
+{
+	for (int i = 0; i < g->peer_count; i++)
+		close(g->peers[i]);
+	leaf_client_destroy(g->client);
+	close(g->listener);
+}
+
+static void step(struct rig *g)
+{
+	int fd = accept4(g->listener, NULL, NULL, SOCK_NONBLOCK);
+
+	if (fd >= 0)
+		g->peers[g->peer_count++] = fd;
+	leaf_client_poll(g->client, 0);
+}
+
+/* Sends request id and waits until the leaf has read it on some connection. */
+static int send_request(struct rig *g, uint64_t id, int peer)
+{
+	static const char head[] = "GET /x HTTP/1.1\r\n\r\n";
+	char request_id[32];
+	char buffer[256];
+	struct leaf_request r = {
+		.call_id = id,
+		.head = head,
+		.head_len = sizeof(head) - 1,
+		.request_id = request_id,
+		.is_idempotent = true,
+		.deadline_us = g->now_us + 5 * US_PER_S,
+	};
+
+	snprintf(request_id, sizeof(request_id), "r%llu",
+		 (unsigned long long)id);
+	leaf_client_send(g->endpoint, &r);
+	for (int i = 0; i < STEPS_MAX; i++) {
+		step(g);
+		if (peer < g->peer_count &&
+		    recv(g->peers[peer], buffer, sizeof(buffer), 0) > 0)
+			return peer;
+	}
+	CU_FAIL("the request did not arrive");
+	return peer;
+}
+
+/* Writes all of the bytes, or less if the client closes. */
+static bool send_bytes(struct rig *g, int peer, const char *data, size_t len)
+{
+	for (int i = 0; len && i < STEPS_MAX; i++) {
+		ssize_t n = send(g->peers[peer], data, len, MSG_NOSIGNAL);
+
+		if (n < 0 && errno != EAGAIN)
+			return false;
+		if (n > 0) {
+			data += n;
+			len -= (size_t)n;
+		}
+		step(g);
+	}
+	return !len;
+}
+
+static void settle(struct rig *g)
+{
+	int before = g->end_count;
+
+	for (int i = 0; i < STEPS_MAX && g->end_count == before; i++)
+		step(g);
+}
+
+/* Returns how much the leaf could send before the client closed. */
+static size_t send_endless(struct rig *g, int peer, const char *start,
+			   const char *piece)
+{
+	size_t piece_len = strlen(piece);
+	size_t sent = strlen(start);
+	GString *block = g_string_new(NULL);
+
+	while (block->len < 65536)
+		g_string_append(block, piece);
+	send_bytes(g, peer, start, strlen(start));
+	while (sent < ENDLESS_BYTES && !g->end_count) {
+		size_t len = block->len - block->len % piece_len;
+
+		if (!send_bytes(g, peer, block->str, len))
+			break;
+		sent += len;
+	}
+	g_string_free(block, TRUE);
+	return sent;
+}
+
+static void check_endless(const char *name, const char *start,
+			  const char *piece, size_t max)
+{
+	struct rig g;
+	size_t sent;
+
+	rig_init(&g);
+	send_request(&g, 1, 0);
+	sent = send_endless(&g, 0, start, piece);
+	settle(&g);
+	if (g.end_count != 1 || sent > max)
+		printf("\n    %s: %zu bytes taken, %d ends\n", name, sent,
+		       g.end_count);
+	CU_ASSERT_EQUAL(g.end_count, 1);
+	CU_ASSERT_EQUAL(g.ends[0].end, TRANSFER_BROKEN);
+	/* What lies in the buffers of both sockets was sent as well. */
+	CU_ASSERT_TRUE(sent <= max);
+	rig_clear(&g);
+}
+
+#define OK_HEAD "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n"
+#define SOCKET_BYTES (8u * 1024 * 1024)
+
+/* Guards against bytes without end that fill the link and the memory. */
+static void test_endless_reply(void)
+{
+	size_t head = LEAF_HEAD_MAX_BYTES + SOCKET_BYTES;
+	size_t body = LEAF_BODY_MAX_BYTES + SOCKET_BYTES;
+
+	check_endless("header", OK_HEAD "X: ", "aaaaaaaa", head);
+	check_endless("headers", OK_HEAD, "X: a\r\n", head);
+	check_endless("status line", "HTTP/1.1 200 ", "OK ", head);
+	check_endless("no protocol", "", "garbage ", head);
+	check_endless("early hints", "", "HTTP/1.1 103 Early Hints\r\n\r\n",
+		      head);
+	check_endless("foreign replies", "",
+		      "HTTP/1.1 200 OK\r\nRequest-Id: r0\r\n"
+		      "Content-Length: 4\r\n\r\nbody",
+		      head);
+	check_endless("foreign body",
+		      "HTTP/1.1 200 OK\r\nRequest-Id: r0\r\n\r\n", "body",
+		      head);
+	check_endless("body until close", OK_HEAD "\r\n", "body", body);
+	check_endless("chunks", OK_HEAD "Transfer-Encoding: chunked\r\n\r\n",
+		      "4\r\nbody\r\n", body);
+	check_endless("chunk extension",
+		      OK_HEAD "Transfer-Encoding: chunked\r\n\r\n4;", "ext;",
+		      head);
+	check_endless("trailers",
+		      OK_HEAD "Transfer-Encoding: chunked\r\n\r\n0\r\n",
+		      "X: a\r\n", head);
+}
+
+/* Guards against reading what is known from the start to be too long. */
+static void test_declared_length(void)
+{
+	struct rig g;
+
+	rig_init(&g);
+	send_request(&g, 1, 0);
+	send_bytes(&g, 0, OK_HEAD "Content-Length: 9999999999\r\n\r\n",
+		   strlen(OK_HEAD) + 30);
+	settle(&g);
+	CU_ASSERT_EQUAL(g.end_count, 1);
+	CU_ASSERT_EQUAL(g.ends[0].end, TRANSFER_BROKEN);
+	rig_clear(&g);
+}
+
+static void reply_to(struct rig *g, int peer, unsigned int status,
+		     const char *id)
+{
+	char text[256];
+
+	snprintf(text, sizeof(text),
+		 "HTTP/1.1 %u Status\r\n%s%s%sContent-Length: 4\r\n\r\nbody",
+		 status, id ? "Request-Id: " : "", id ? id : "",
+		 id ? "\r\n" : "");
+	send_bytes(g, peer, text, strlen(text));
+}
+
+/* Guards against a late second copy that the next request takes for its own. */
+static void test_late_copy(void)
+{
+	struct rig g;
+
+	rig_init(&g);
+	send_request(&g, 1, 0);
+	reply_to(&g, 0, 200, "r1");
+	settle(&g);
+	send_request(&g, 2, 0);
+	reply_to(&g, 0, 200, "r1");
+	reply_to(&g, 0, 200, "r2");
+	settle(&g);
+	CU_ASSERT_EQUAL(g.end_count, 2);
+	CU_ASSERT_EQUAL(g.ends[1].end, TRANSFER_DONE);
+	CU_ASSERT_TRUE(g.ends[1].is_own);
+	/* The connection is not used for a third request. */
+	send_request(&g, 3, 1);
+	CU_ASSERT_EQUAL(g.peer_count, 2);
+	rig_clear(&g);
+}
+
+/*
+ * Guards against a late refusal without id, taken for the answer to a request
+ * that has run: the request would be sent again.
+ */
+static void test_nameless_failure(void)
+{
+	struct rig g;
+
+	rig_init(&g);
+	send_request(&g, 1, 0);
+	reply_to(&g, 0, 503, NULL);
+	settle(&g);
+	CU_ASSERT_EQUAL(g.ends[0].end, TRANSFER_DONE);
+	CU_ASSERT_EQUAL(g.ends[0].status, 503);
+	send_request(&g, 2, 0);
+	reply_to(&g, 0, 503, NULL);
+	settle(&g);
+	CU_ASSERT_EQUAL(g.end_count, 2);
+	CU_ASSERT_EQUAL(g.ends[1].end, TRANSFER_BROKEN);
+	rig_clear(&g);
+}
+
+/* Guards against calls that hold a connection after their request has ended. */
+static void test_let_go(void)
+{
+	struct rig g;
+
+	rig_init(&g);
+	send_request(&g, 1, 0);
+	send_bytes(&g, 0, OK_HEAD "\r\n", strlen(OK_HEAD) + 2);
+	CU_ASSERT_FALSE(leaf_client_let_go(g.client, 1));
+	for (int i = 0; i < 12; i++) {
+		send_bytes(&g, 0, "body", 4);
+		g.now_us += 100 * US_PER_MS;
+		leaf_client_sweep(g.client);
+	}
+	CU_ASSERT_EQUAL(g.end_count, 1);
+	CU_ASSERT_EQUAL(g.ends[0].end, TRANSFER_BROKEN);
+	CU_ASSERT_EQUAL(leaf_client_count(g.client).open, 0);
+	rig_clear(&g);
+}
+
+/*
+ * Guards against many long replies that fill the memory together, and against
+ * giving up a short one for them.
+ */
+static void test_held_by_all(void)
+{
+	const size_t piece = 900 * 1024;
+	char *body = g_malloc0(piece);
+	struct rig g;
+
+	rig_init_held(&g, 4 * piece);
+	send_request(&g, 1, 0);
+	for (uint64_t i = 2; i < PEERS_MAX; i++)
+		send_request(&g, i, (int)i - 1);
+	for (int i = 1; i < g.peer_count; i++) {
+		char head[64];
+
+		snprintf(head, sizeof(head),
+			 "HTTP/1.1 200 OK\r\nRequest-Id: r%d\r\n\r\n", i + 1);
+		send_bytes(&g, i, head, strlen(head));
+		send_bytes(&g, i, body, piece);
+	}
+	for (int i = 0; i < STEPS_MAX && g.end_count < PEERS_MAX - 2 - 4; i++)
+		step(&g);
+	CU_ASSERT_TRUE(g.end_count >= PEERS_MAX - 2 - 4);
+	reply_to(&g, 0, 200, "r1");
+	settle(&g);
+	for (int i = 0; i < g.end_count; i++)
+		CU_ASSERT_EQUAL(g.ends[i].end == TRANSFER_DONE,
+				g.ends[i].call_id == 1);
+	g_free(body);
+	rig_clear(&g);
+}
+
+CU_TestInfo leaf_client_tests[] = {
+	{ "endless reply", test_endless_reply },
+	{ "declared length", test_declared_length },
+	{ "late copy", test_late_copy },
+	{ "failure without id", test_nameless_failure },
+	{ "let go", test_let_go },
+	{ "held by all calls", test_held_by_all },
+	CU_TEST_INFO_NULL,
+};
