router: let a gather's part wait for a leaf that is busy for a moment

Cause: when a part's call could not be sent, or was refused, and its other leaves had full windows, the part failed at once.

Change: the part tries again each 15 ms while the wait expected fits into the time left, as it did for the budget.

Ruled out: waiting of single requests; their callers may come back at once.

The test failed before the change. unit-tests takes the name of a suite.

--- a/router/part.c
+++ b/router/part.c
@@ -146,6 +146,8 @@
 enum extra_result {
 	EXTRA_SENT,
 	EXTRA_NO_LEAF,
+	/** The leaves that are left are busy. */
+	EXTRA_BUSY,
 	EXTRA_NO_TOKEN,
 };
 
@@ -161,7 +163,11 @@
 		return EXTRA_NO_LEAF;
 	choice = leaf_choose(r, p);
 	if (!choice.leaf)
-		return EXTRA_NO_LEAF;
+		return choice.expected_us &&
+				       choice.wait_us + choice.expected_us <=
+					       q->deadline_us - now
+			       ? EXTRA_BUSY
+			       : EXTRA_NO_LEAF;
 	if (!is_free &&
 	    !extra_calls_take(&p->pool->extra, kind, r->extra_allowance, now))
 		return EXTRA_NO_TOKEN;
@@ -177,16 +183,16 @@
 static void handle_failed_call(struct router *r, struct router_timer *t);
 
 /*
- * Sends a call in place of one that failed. A part of a gather waits for the
- * budget to permit it; a single request fails at once, so that its caller may
- * try again. Returns false if the part has failed.
+ * Sends a call in place of one that failed. A part of a gather waits for a leaf
+ * that is free and for the budget; a single request fails at once, so that its
+ * caller may try again. Returns false if the part has failed.
  */
 static bool replace_call(struct router *r, struct route_part *p, bool is_free,
 			 const char *cause)
 {
 	enum extra_result ret = send_extra(r, p, EXTRA_FAILED, is_free, cause);
 
-	if (ret != EXTRA_NO_TOKEN)
+	if (ret == EXTRA_SENT || ret == EXTRA_NO_LEAF)
 		return ret == EXTRA_SENT;
 	if (p->request->route->shape != ROUTE_GATHER)
 		return false;
--- a/test/unit/main.c
+++ b/test/unit/main.c
@@ -34,14 +34,23 @@
 	CU_SUITE_INFO_NULL,
 };
 
-int main(void)
+/* Runs all suites, or the one that is named. */
+int main(int argc, char **argv)
 {
 	unsigned int failures;
+	CU_pSuite suite;
 
 	if (CU_initialize_registry() || CU_register_suites(suites))
 		return 1;
 	CU_basic_set_mode(CU_BRM_NORMAL);
-	CU_basic_run_tests();
+	if (argc < 2) {
+		CU_basic_run_tests();
+	} else {
+		suite = CU_get_suite(argv[1]);
+		if (!suite)
+			return 2;
+		CU_basic_run_suite(suite);
+	}
 	failures = CU_get_number_of_failures();
 	CU_cleanup_registry();
 	return failures ? 1 : 0;
--- a/test/unit/test_router.c
+++ b/test/unit/test_router.c
@@ -296,6 +296,38 @@
 	fake_router_destroy(f);
 }
 
+/*
+ * Guards against giving up a part whose leaf cannot be reached while the other
+ * leaves are busy for a moment: the whole answer would fail for it.
+ */
+static void test_replacement_waits(void)
+{
+	struct fake_router *f = fake_router_create(1);
+	const char *broken;
+	uint32_t calls;
+
+	for (int i = 0; i < 12; i++)
+		fake_router_start(f, "/search/x", 0);
+	calls = f->call_count;
+	CU_ASSERT_EQUAL(calls, 12);
+	broken = f->calls[0].leaf_id;
+	fake_router_end(f, 0, CALL_NOT_SENT, 0, NULL);
+	CU_ASSERT_EQUAL(f->answer_count, 0);
+	for (uint32_t i = 1; i < calls; i++) {
+		if (strcmp(f->calls[i].leaf_id, broken)) {
+			fake_router_end(f, i, CALL_ANSWERED, 200, RECORD_A);
+			break;
+		}
+	}
+	fake_router_advance(f, 20 * US_PER_MS);
+	CU_ASSERT_EQUAL(f->call_count, calls + 1);
+	CU_ASSERT_STRING_NOT_EQUAL(f->calls[calls].leaf_id, broken);
+	fake_router_end(f, calls, CALL_ANSWERED, 200, RECORD_A);
+	CU_ASSERT_EQUAL(f->answer_count, 2);
+	CU_ASSERT_EQUAL(f->answers[1].status, 200);
+	fake_router_destroy(f);
+}
+
 /* Calls that the overloaded leaf of the next test runs at a time. */
 #define OVERLOAD_SLOTS 4
 #define OVERLOAD_CALL_US (60 * US_PER_MS)
@@ -491,6 +523,7 @@
 	{ "repeat", test_repeat },
 	{ "hopeless", test_hopeless },
 	{ "shard down", test_shard_down },
+	{ "replacement waits", test_replacement_waits },
 	{ "overload", test_overload },
 	{ "batch", test_batch },
 	{ "batch overlap", test_batch_overlap },
