router: let few hosts gather, and more of them while they are busy

Cause: an eighth of a region's hosts gathered. At 195 hosts that is eight a region, each with about four gathers a second: a call to a shard's leaf every 0.7 s says little about the leaf, the budget of extra calls is spread thin, and connections grow with the hosts, not with the load.

Change: two hosts of a region gather. A host whose router thread is at work for over 60% of the time refuses gathers of others as busy; the sender then lets a quarter more hosts gather and asks another host once. The number falls back by half in 5 s.

--- a/include/net/leaf_client.h
+++ b/include/net/leaf_client.h
@@ -95,6 +95,9 @@
  */
 bool leaf_client_poll(struct leaf_client *c, int64_t timeout_us);
 
+/** Returns the monotonic time at which the wait of the last poll ended. */
+int64_t leaf_client_woke_us(const struct leaf_client *c);
+
 struct leaf_endpoint *leaf_endpoint_create(struct leaf_client *c,
 					   const struct sockaddr_in *address);
 /** Closes all connections; calls under way end without a callback. */
--- a/include/nutmegpickd/route_internal.h
+++ b/include/nutmegpickd/route_internal.h
@@ -14,6 +14,7 @@
 #include "router/feed.h"
 #include "router/router.h"
 #include "router/start_hold.h"
+#include "router/work_share.h"
 
 enum route_event_type {
 	ROUTE_EVENT_REQUEST,
@@ -46,6 +47,8 @@
 	char address[PEER_ADDRESS_MAX];
 	int64_t sent_us;
 	bool is_taken;
+	/** A host had no time for the request already. */
+	bool was_busy;
 };
 
 /** Request of a caller or of another host, from its arrival to its answer. */
@@ -102,6 +105,9 @@
 	/** Requests in flight. */
 	GQueue requests;
 	struct start_hold hold;
+	struct work_share work;
+	/** When the router thread last woke from its wait. */
+	int64_t woke_us;
 	uint32_t held_count;
 	/** Requests in flight that another host gathers, by forward id. */
 	GHashTable *forwards;
--- a/include/router/directory.h
+++ b/include/router/directory.h
@@ -37,6 +37,12 @@
 	const struct leaf_set *leaves;
 	char *self;
 	GHashTable *hosts;
+	/**
+	 * Hosts of the region that gather, and when that was so. It grows when
+	 * they are busy and falls back by itself.
+	 */
+	double gatherers;
+	int64_t gatherers_at_us;
 };
 
 void host_directory_init(struct host_directory *d, const char *self,
@@ -77,6 +83,9 @@
 						  GRand *random,
 						  int64_t now_us);
 
+/** Notes that a gathering host had no time: more hosts gather for a while. */
+void host_directory_note_busy(struct host_directory *d, int64_t now_us);
+
 /** Returns a strong host of a failure domain, or NULL. */
 struct known_host *host_directory_choose_in(struct host_directory *d,
 					    const char *domain, GRand *random,
--- a/net/leaf_client.c
+++ b/net/leaf_client.c
@@ -83,6 +83,7 @@
 	GHashTable *endpoints;
 	/** Closed connections that an event may still name. */
 	GPtrArray *closed;
+	int64_t woke_us;
 	/** Bytes of reply bodies that are held for calls under way. */
 	size_t held_bytes;
 	struct leaf_client_counts counts;
@@ -322,6 +323,7 @@
 	int timeout_ms = (int)CLAMP((timeout_us + 999) / 1000, 0, 60000);
 	int count = epoll_wait(c->epoll_fd, events, EVENTS_MAX, timeout_ms);
 
+	c->woke_us = now_us(c);
 	for (int i = 0; i < count; i++) {
 		if (!events[i].data.ptr)
 			is_foreign_ready = true;
@@ -332,6 +334,11 @@
 	return is_foreign_ready;
 }
 
+int64_t leaf_client_woke_us(const struct leaf_client *c)
+{
+	return c->woke_us;
+}
+
 int leaf_client_watch(struct leaf_client *c, int fd)
 {
 	struct epoll_event e = { .events = EPOLLIN, .data.ptr = NULL };
--- a/nutmegpickd/route_hosts.c
+++ b/nutmegpickd/route_hosts.c
@@ -193,10 +193,8 @@
 		return false;
 	q->wait_us = q->wait_us > 0 ? MIN(q->wait_us, route->timeout_us)
 				    : route->timeout_us;
-	q->forward = (struct forward){
-		.id = ++s->last_forward_id,
-		.sent_us = clock_now(&s->clock),
-	};
+	q->forward.id = ++s->last_forward_id;
+	q->forward.sent_us = clock_now(&s->clock);
 	g_strlcpy(q->forward.address, h->record.address,
 		  sizeof(q->forward.address));
 	g_hash_table_insert(s->forwards, &q->forward.id, q);
@@ -435,6 +433,23 @@
 	g_ptr_array_free(ids, TRUE);
 }
 
+/* Another host may have time; it is asked once. */
+static void handle_busy(struct route_service *s, struct caller_request *q)
+{
+	host_directory_note_busy(&s->directory, clock_now(&s->clock));
+	if (q->forward.was_busy) {
+		take_back(s, q, "busy", false);
+		return;
+	}
+	event_log(EV_FORWARD_FAILED, "request=%s address=%s reason=busy",
+		  http_exchange_header(q->exchange, PLATFORM_REQUEST_ID),
+		  q->forward.address);
+	end_forward(s, q);
+	q->forward.was_busy = true;
+	if (!route_forward(s, q))
+		route_run_here(s, q, false);
+}
+
 static void handle_gathered(struct route_service *s,
 			    const struct gather_result *g)
 {
@@ -456,6 +471,10 @@
 	}
 	if (!q)
 		return;
+	if (g->code == -ERR_ROUTE_BUSY && !g->status) {
+		handle_busy(s, q);
+		return;
+	}
 	if (!g->status) {
 		take_back(s, q, "refused", false);
 		return;
@@ -521,6 +540,11 @@
 		reply_frame(s, link, host_frame_gathered(&refused));
 		return false;
 	}
+	if (work_share_is_high(&s->work)) {
+		refused.code = -ERR_ROUTE_BUSY;
+		reply_frame(s, link, host_frame_gathered(&refused));
+		return false;
+	}
 	reply_frame(s, link, host_frame_taken(f->request.id));
 	route_start_remote(s, link, f);
 	return true;
--- a/nutmegpickd/route_service.c
+++ b/nutmegpickd/route_service.c
@@ -214,10 +214,13 @@
 	while (!s->is_exiting) {
 		int64_t now = clock_now(&s->clock);
 
+		if (s->woke_us)
+			work_share_note(&s->work, s->woke_us, now);
 		if (leaf_client_poll(s->client, next_wait(s, now))) {
 			take_events(s);
 			update_ready(s);
 		}
+		s->woke_us = leaf_client_woke_us(s->client);
 		run_due(s);
 	}
 	return NULL;
--- a/router/directory.c
+++ b/router/directory.c
@@ -1,7 +1,9 @@
 #include "router/directory.h"
 
+#include <math.h>
 #include <string.h>
 
+#include "common/clock.h"
 #include "common/hash.h"
 
 /*
@@ -12,10 +14,12 @@
 #define FEEDS_PER_REGION 2
 /*
  * Hosts of each region that gather for the others: few, so that leaves hold few
- * connections and each gathering host knows its leaves well.
+ * connections and each gathering host knows its leaves well. One that is busy
+ * says so, and more hosts gather for a while.
  */
 #define GATHERERS_MIN 2
-#define GATHERERS_SHARE 8
+#define GATHERERS_GROWTH 1.25
+#define GATHERERS_HALF_LIFE_US (5 * US_PER_S)
 /*
  * In a region of this many hosts or fewer every host gathers by itself: a hop
  * would cost more than it saves.
@@ -224,6 +228,25 @@
 	return compare_feeds(&x->host, &y->host);
 }
 
+/* What lies above the least number loses half in each half-life. */
+static double gatherer_count(const struct host_directory *d, int64_t now_us)
+{
+	double more = MAX(d->gatherers - GATHERERS_MIN, 0);
+	int64_t age = MAX(now_us - d->gatherers_at_us, 0);
+
+	return GATHERERS_MIN +
+	       more * exp2(-(double)age / (double)GATHERERS_HALF_LIFE_US);
+}
+
+void host_directory_note_busy(struct host_directory *d, int64_t now_us)
+{
+	double hosts = MAX(g_hash_table_size(d->hosts), GATHERERS_MIN);
+	double count = gatherer_count(d, now_us) * GATHERERS_GROWTH;
+
+	d->gatherers = MIN(count, hosts);
+	d->gatherers_at_us = now_us;
+}
+
 static GArray *list_candidates(struct host_directory *d,
 			       GHashTable *local_leaves, int64_t now_us)
 {
@@ -242,9 +265,9 @@
 	}
 	g_array_sort(list, compare_candidates);
 	if (list->len)
-		g_array_set_size(list, MIN(list->len,
-					   MAX(GATHERERS_MIN,
-					       region->len / GATHERERS_SHARE)));
+		g_array_set_size(list,
+				 MIN(list->len,
+				     (guint)lround(gatherer_count(d, now_us))));
 	g_ptr_array_free(region, TRUE);
 	return list;
 }
--- /dev/null
+++ b/test/unit/test_directory.c
@@ -0,0 +1,132 @@
+#include "suites.h"
+
+#include "common/clock.h"
+#include "router/directory.h"
+#include "router/work_share.h"
+
+#define CHOICES 400
+
+struct rig {
+	struct leaf_set leaves;
+	struct host_directory directory;
+	GHashTable *local_leaves;
+	GRand *random;
+	int64_t now_us;
+};
+
+static void rig_init(struct rig *g, uint32_t hosts)
+{
+	static char *const regions[] = { "a=north", NULL };
+
+	leaf_set_init(&g->leaves, "self", "a", regions);
+	host_directory_init(&g->directory, "self", &g->leaves);
+	g->local_leaves = g_hash_table_new(g_str_hash, g_str_equal);
+	g->random = g_rand_new_with_seed(1);
+	g->now_us = 100 * US_PER_S;
+	for (uint32_t i = 0; i < hosts; i++) {
+		struct host_record r = {
+			.name = g_strdup_printf("h%u", i),
+			.address = g_strdup_printf("10.0.0.%u:7000", i),
+			.domain = g_strdup("a"),
+			.capacity = i < 3 ? 500 : 120,
+		};
+
+		host_directory_put(&g->directory, &r);
+	}
+}
+
+static void rig_clear(struct rig *g)
+{
+	host_directory_clear(&g->directory);
+	leaf_set_clear(&g->leaves);
+	g_hash_table_destroy(g->local_leaves);
+	g_rand_free(g->random);
+}
+
+/* Returns how many hosts are chosen to gather. */
+static uint32_t count_gatherers(struct rig *g)
+{
+	GHashTable *seen = g_hash_table_new(NULL, NULL);
+	uint32_t count;
+
+	for (int i = 0; i < CHOICES; i++) {
+		struct known_host *h = host_directory_choose_gatherer(
+			&g->directory, g->local_leaves, g->random, g->now_us);
+
+		if (h)
+			g_hash_table_add(seen, h);
+	}
+	count = g_hash_table_size(seen);
+	g_hash_table_destroy(seen);
+	return count;
+}
+
+/*
+ * Guards against a fleet in which more hosts gather than the load needs: each
+ * then knows little of the leaves, and holds more connections to them.
+ */
+static void test_few_gatherers(void)
+{
+	struct rig g;
+
+	rig_init(&g, 20);
+	CU_ASSERT_EQUAL(count_gatherers(&g), 2);
+	rig_clear(&g);
+	rig_init(&g, 200);
+	CU_ASSERT_EQUAL(count_gatherers(&g), 2);
+	rig_clear(&g);
+}
+
+/* Guards against gathering hosts that are busy while others are idle. */
+static void test_spread(void)
+{
+	struct rig g;
+	uint32_t before;
+
+	rig_init(&g, 100);
+	host_directory_note_busy(&g.directory, g.now_us);
+	before = count_gatherers(&g);
+	CU_ASSERT_TRUE(before > 2);
+	for (int i = 0; i < 20; i++)
+		host_directory_note_busy(&g.directory, g.now_us);
+	CU_ASSERT_TRUE(count_gatherers(&g) > 80);
+	/* The load has gone: few hosts gather again. */
+	g.now_us += 60 * US_PER_S;
+	CU_ASSERT_EQUAL(count_gatherers(&g), 2);
+	rig_clear(&g);
+}
+
+/* Guards against a busy host that takes more work, and one that flaps. */
+static void test_work_share(void)
+{
+	struct work_share w = { 0 };
+	int64_t now = US_PER_S;
+
+	for (int i = 0; i < 100; i++) {
+		work_share_note(&w, now, now + 2 * US_PER_MS);
+		now += 10 * US_PER_MS;
+	}
+	CU_ASSERT_FALSE(work_share_is_high(&w));
+	for (int i = 0; i < 100; i++) {
+		work_share_note(&w, now, now + 8 * US_PER_MS);
+		now += 10 * US_PER_MS;
+	}
+	CU_ASSERT_TRUE(work_share_is_high(&w));
+	for (int i = 0; i < 100; i++) {
+		work_share_note(&w, now, now + 5 * US_PER_MS);
+		now += 10 * US_PER_MS;
+	}
+	CU_ASSERT_TRUE(work_share_is_high(&w));
+	for (int i = 0; i < 100; i++) {
+		work_share_note(&w, now, now + 1 * US_PER_MS);
+		now += 10 * US_PER_MS;
+	}
+	CU_ASSERT_FALSE(work_share_is_high(&w));
+}
+
+CU_TestInfo directory_tests[] = {
+	{ "few gatherers", test_few_gatherers },
+	{ "spread", test_spread },
+	{ "work share", test_work_share },
+	CU_TEST_INFO_NULL,
+};
