router: leave a store in trouble to the few hosts that others follow

The feeds are also the hosts that gather, and were marked as not responding for 4 s, so that hosts which knew nothing of the leaves gathered.

Change: six hosts of a region, by rank, may be followed, and watch the store when those before them cannot. The others wait 1 to 2.5 s, call it each 2 to 4 s until it answers, and go back to a feed with its first pulse after the store's return, which also tells them that entries may have lapsed. A host that has lost the store still gathers. A host that has just listed the store waits 0.7 s for a feed before it watches.

The test follow asserted that a host watches the store while it asks a feed; now it asserts that it does not at first, and does if the feed stays silent.

--- a/include/nutmegpickd/registry_thread.h
+++ b/include/nutmegpickd/registry_thread.h
@@ -6,6 +6,7 @@
 
 #include "common/clock.h"
 #include "router/directory.h"
+#include "router/feed.h"
 #include "store/mirror.h"
 
 /** Thread that calls the platform's store. */
@@ -29,11 +30,13 @@
 			  const struct registry_thread_options *options);
 
 /**
- * Stops or begins to watch the store. A host that gets the changes from
- * another host need not watch; it begins again after the revision.
+ * Sets how the thread watches the store. A host that gets the changes from
+ * another host need not watch; it begins again after the revision. A host
+ * without an address for others watches from the start, another one after this
+ * was called.
  */
-void registry_thread_set_watching(struct registry_thread *t, bool is_watching,
-				  uint64_t revision);
+void registry_thread_set_watch(struct registry_thread *t, enum feed_watch watch,
+			       uint64_t revision);
 
 /** Withdraws the record of this host; the thread goes on. */
 void registry_thread_withdraw(struct registry_thread *t);
--- a/include/router/directory.h
+++ b/include/router/directory.h
@@ -24,6 +24,8 @@
 	enum leaf_distance distance;
 	/** The host did not respond; it is not chosen until this time. */
 	int64_t suspect_until_us;
+	/** The host has lost the store; it is not followed until this time. */
+	int64_t no_feed_until_us;
 	/** Requests forwarded to the host that are not answered yet. */
 	uint32_t outstanding;
 	uint64_t rank;
@@ -63,6 +65,12 @@
 /** Returns whether this host watches the store while the feed is lost. */
 bool host_directory_is_standby(struct host_directory *d);
 
+/**
+ * Returns whether this host may follow the one with the address; with NULL,
+ * whether others may follow this host.
+ */
+bool host_directory_may_feed(struct host_directory *d, const char *address);
+
 /**
  * Returns the feeds of all regions but this host. The caller frees
  * the array.
--- a/include/router/feed.h
+++ b/include/router/feed.h
@@ -15,6 +15,18 @@
  */
 struct feed;
 
+/** How a host watches the store. */
+enum feed_watch {
+	FEED_WATCH_OFF,
+	/** Without a break. */
+	FEED_WATCH_ON,
+	/**
+	 * Now and then until the store answers: other hosts are more likely to
+	 * be served, and all together must not burden a store in trouble.
+	 */
+	FEED_WATCH_RARELY,
+};
+
 struct feed_ops {
 	/** Asks a host for changes after the revision of the mirror. */
 	void (*subscribe)(void *ctx, const char *address, uint64_t revision);
@@ -24,8 +36,12 @@
 			     const struct store_changes *c);
 	void (*send_pulse)(void *ctx, const char *address, uint64_t revision,
 			   bool is_store_up);
-	/** Begins or stops to watch the store. */
-	void (*set_watching)(void *ctx, bool is_watching);
+	void (*set_watch)(void *ctx, enum feed_watch watch);
+	/**
+	 * Tells that the store is back after the followed host had lost it:
+	 * entries of leaves may have lapsed meanwhile.
+	 */
+	void (*note_store_back)(void *ctx);
 };
 
 struct feed_options {
--- a/nutmegpickd/registry_thread.c
+++ b/nutmegpickd/registry_thread.c
@@ -28,9 +28,20 @@
 /* A host that stops without notice is forgotten after the lease. */
 #define LEASE_MS 15000
 #define RENEW_US (5 * US_PER_S)
+/* Longest wait without a look at the record of this host. */
+#define IDLE_US (1 * US_PER_S)
 /* Hosts that start together publish their records spread over this time. */
 #define PUBLISH_SPREAD_US (300 * US_PER_MS)
 #define STOP_POLL_US (100 * US_PER_MS)
+/*
+ * Waits of a host that watches rarely, before its first call and after one that
+ * failed. Others are more likely to be served, and 5 s are permitted to put a
+ * configuration in force where there are so many hosts.
+ */
+#define RARE_FIRST_MIN_MS 1000
+#define RARE_FIRST_MAX_MS 2500
+#define RARE_NEXT_MIN_MS 2000
+#define RARE_NEXT_MAX_MS 4000
 
 struct registry_thread {
 	struct registry_thread_options options;
@@ -47,7 +58,9 @@
 	pthread_mutex_t lock;
 	pthread_cond_t changed;
 	uint64_t revision;
-	bool is_watching;
+	enum feed_watch watch;
+	/** A watch that is rare begins then; 0 once the store has answered. */
+	int64_t rare_at_us;
 	bool is_withdrawn;
 	bool is_stopping;
 };
@@ -174,6 +187,36 @@
 	t->backoff_us = MIN(2 * t->backoff_us, BACKOFF_MAX_US);
 }
 
+static void set_rare(struct registry_thread *t, int min_ms, int max_ms)
+{
+	t->rare_at_us =
+		now_us(t) + g_random_int_range(min_ms, max_ms) * US_PER_MS;
+}
+
+/* After a call that failed. */
+static void delay_watch(struct registry_thread *t)
+{
+	bool is_rare;
+
+	pthread_mutex_lock(&t->lock);
+	is_rare = t->watch == FEED_WATCH_RARELY;
+	if (is_rare)
+		set_rare(t, RARE_NEXT_MIN_MS, RARE_NEXT_MAX_MS);
+	pthread_mutex_unlock(&t->lock);
+	if (!is_rare)
+		back_off(t);
+}
+
+/* Returns how long the thread must not watch; it need not do so before. */
+static int64_t watch_delay(struct registry_thread *t)
+{
+	if (t->watch == FEED_WATCH_OFF)
+		return IDLE_US;
+	if (t->watch == FEED_WATCH_ON || !t->rare_at_us)
+		return 0;
+	return CLAMP(t->rare_at_us - now_us(t), 0, IDLE_US);
+}
+
 static int take_page(struct registry_thread *t, long status, const char *what,
 		     struct store_changes **page, bool *has_more)
 {
@@ -242,6 +285,14 @@
 	return true;
 }
 
+/* The store serves this host: it watches without a break. */
+static void end_rare(struct registry_thread *t)
+{
+	pthread_mutex_lock(&t->lock);
+	t->rare_at_us = 0;
+	pthread_mutex_unlock(&t->lock);
+}
+
 static uint64_t read_revision(struct registry_thread *t)
 {
 	uint64_t revision;
@@ -278,9 +329,10 @@
 	if (!status && handle_progress(t, 0, 0, 0, 0))
 		return;
 	if (take_page(t, status, "watch", &changes, &has_more)) {
-		back_off(t);
+		delay_watch(t);
 		return;
 	}
+	end_rare(t);
 	changes->from = revision;
 	set_revision(t, changes->to);
 	if (!changes->items->len) {
@@ -344,17 +396,26 @@
 		renew(t);
 }
 
-/* Waits until the thread has to watch again or to renew its record. */
-static void wait_idle(struct registry_thread *t)
+/*
+ * Waits until the thread has to watch again or to renew its record. Returns
+ * whether it is to watch now.
+ */
+static bool wait_idle(struct registry_thread *t)
 {
 	struct timespec until;
+	int64_t delay;
 
-	clock_gettime(CLOCK_MONOTONIC, &until);
-	until.tv_sec += 1;
 	pthread_mutex_lock(&t->lock);
-	if (!t->is_watching && !t->is_stopping)
+	delay = watch_delay(t);
+	if (delay && !t->is_stopping) {
+		clock_gettime(CLOCK_MONOTONIC, &until);
+		until.tv_nsec += (delay % US_PER_S) * 1000;
+		until.tv_sec += delay / US_PER_S + until.tv_nsec / 1000000000;
+		until.tv_nsec %= 1000000000;
 		pthread_cond_timedwait(&t->changed, &t->lock, &until);
+	}
 	pthread_mutex_unlock(&t->lock);
+	return !delay;
 }
 
 static void *run(void *ctx)
@@ -371,10 +432,8 @@
 			continue;
 		}
 		keep_record(t);
-		if (read_flag(t, &t->is_watching))
+		if (wait_idle(t))
 			watch_once(t);
-		else
-			wait_idle(t);
 	}
 	return NULL;
 }
@@ -400,7 +459,7 @@
 
 	t->options = *options;
 	t->backoff_us = BACKOFF_MIN_US;
-	t->is_watching = true;
+	t->watch = options->self.address ? FEED_WATCH_OFF : FEED_WATCH_ON;
 	pthread_mutex_init(&t->lock, NULL);
 	/* The time of day may jump; the wait must not depend on it. */
 	pthread_condattr_init(&attributes);
@@ -420,11 +479,13 @@
 	return 0;
 }
 
-void registry_thread_set_watching(struct registry_thread *t, bool is_watching,
-				  uint64_t revision)
+void registry_thread_set_watch(struct registry_thread *t, enum feed_watch watch,
+			       uint64_t revision)
 {
 	pthread_mutex_lock(&t->lock);
-	t->is_watching = is_watching;
+	t->watch = watch;
+	if (watch == FEED_WATCH_RARELY)
+		set_rare(t, RARE_FIRST_MIN_MS, RARE_FIRST_MAX_MS);
 	t->revision = MAX(t->revision, revision);
 	pthread_cond_signal(&t->changed);
 	pthread_mutex_unlock(&t->lock);
--- a/nutmegpickd/route_hosts.c
+++ b/nutmegpickd/route_hosts.c
@@ -62,12 +62,19 @@
 	send_frame(ctx, address, host_frame_pulse(revision, is_store_up));
 }
 
-static void handle_set_watching(void *ctx, bool is_watching)
+static void handle_set_watch(void *ctx, enum feed_watch watch)
 {
 	struct route_service *s = ctx;
 
-	registry_thread_set_watching(s->registry, is_watching,
-				     s->catalog.mirror.revision);
+	registry_thread_set_watch(s->registry, watch,
+				  s->catalog.mirror.revision);
+}
+
+static void handle_store_back(void *ctx)
+{
+	struct route_service *s = ctx;
+
+	s->catalog.back_at_us = clock_now(&s->clock);
 }
 
 const struct feed_ops route_feed_ops = {
@@ -75,7 +82,8 @@
 	.unsubscribe = handle_unsubscribe,
 	.send_changes = handle_send_changes,
 	.send_pulse = handle_send_pulse,
-	.set_watching = handle_set_watching,
+	.set_watch = handle_set_watch,
+	.note_store_back = handle_store_back,
 };
 
 /* Thread of the links */
--- a/router/directory.c
+++ b/router/directory.c
@@ -7,11 +7,13 @@
 #include "common/hash.h"
 
 /*
- * Hosts of each region that others may follow. The first watches the store; the
- * next follows it and watches only while the first is lost, since each watch of
- * the store is paid for.
+ * Hosts of each region that others may follow, by rank. The first watches the
+ * store; the next follows it and watches only while the first is lost, since
+ * each watch of the store is paid for. The store may reject a third of the
+ * hosts and serve the others: one of six is nearly always served.
  */
-#define FEEDS_PER_REGION 2
+#define FEED_CANDIDATES 6
+#define STANDBY_RANK 1
 /*
  * Hosts of each region that gather for the others: few, so that leaves hold few
  * connections and each gathering host knows its leaves well. One that is busy
@@ -132,8 +134,8 @@
 	GPtrArray *list = list_region(d);
 
 	g_ptr_array_sort(list, compare_feeds);
-	if (list->len > FEEDS_PER_REGION)
-		g_ptr_array_set_size(list, FEEDS_PER_REGION);
+	if (list->len > FEED_CANDIDATES)
+		g_ptr_array_set_size(list, FEED_CANDIDATES);
 	return list;
 }
 
@@ -174,24 +176,47 @@
 	return list;
 }
 
-bool host_directory_is_feed(struct host_directory *d)
+/* Returns this host's rank among those that may be followed, or -1. */
+static int own_feed_rank(struct host_directory *d)
 {
 	GPtrArray *list = list_feeds(d);
-	bool is_feed = list->len && is_self(d, list->pdata[0]);
+	int rank = -1;
 
+	for (guint i = 0; i < list->len && rank < 0; i++) {
+		if (is_self(d, list->pdata[i]))
+			rank = (int)i;
+	}
 	g_ptr_array_free(list, TRUE);
-	return is_feed;
+	return rank;
+}
+
+bool host_directory_is_feed(struct host_directory *d)
+{
+	return own_feed_rank(d) == 0;
 }
 
 bool host_directory_is_standby(struct host_directory *d)
+{
+	return own_feed_rank(d) == STANDBY_RANK;
+}
+
+bool host_directory_may_feed(struct host_directory *d, const char *address)
 {
 	GPtrArray *list = list_feeds(d);
-	bool is_standby = false;
+	bool is_found = false;
+
+	for (guint i = 0; i < list->len && !is_found; i++) {
+		const struct known_host *h = list->pdata[i];
 
-	for (guint i = 1; i < list->len; i++)
-		is_standby = is_standby || is_self(d, list->pdata[i]);
+		/* A host follows those before it only, never in a circle. */
+		if (is_self(d, h)) {
+			is_found = !address;
+			break;
+		}
+		is_found = address && !strcmp(h->record.address, address);
+	}
 	g_ptr_array_free(list, TRUE);
-	return is_standby;
+	return is_found;
 }
 
 struct known_host *host_directory_choose_feed(struct host_directory *d,
@@ -206,7 +231,8 @@
 		/* A host follows those before it only, never in a circle. */
 		if (is_self(d, h))
 			break;
-		if (now_us >= h->suspect_until_us)
+		if (now_us >= h->suspect_until_us &&
+		    now_us >= h->no_feed_until_us)
 			chosen = h;
 	}
 	g_ptr_array_free(list, TRUE);
--- a/router/feed.c
+++ b/router/feed.c
@@ -20,6 +20,11 @@
  * Changes that are taken in groups lie below it.
  */
 #define LAG_US (400 * US_PER_MS)
+/*
+ * A host that has just started knows the store's state. It waits this long for
+ * the records of hosts that start with it, rather than watch for each of them.
+ */
+#define START_WAIT_US (700 * US_PER_MS)
 
 struct feed {
 	struct feed_options options;
@@ -27,6 +32,12 @@
 	char *followed;
 	/** The followed host has said that it watches the store. */
 	bool is_following;
+	bool was_following;
+	/** A followed host has lost the store since then. */
+	bool is_store_lost;
+	enum feed_watch watch;
+	/** Until then a feed is expected to show, and the store is left alone. */
+	int64_t watch_from_us;
 	int64_t heard_us;
 	bool is_store_up;
 	GHashTable *subscribers;
@@ -44,6 +55,7 @@
 
 	f->options = *options;
 	f->is_store_up = true;
+	f->watch_from_us = clock_now(&options->clock) + START_WAIT_US;
 	f->subscribers =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	*out = f;
@@ -67,27 +79,68 @@
 	return f->followed && !strcmp(f->followed, address);
 }
 
+static enum feed_watch wanted_watch(const struct feed *f)
+{
+	struct host_directory *d = f->options.directory;
+
+	if (f->is_following)
+		return FEED_WATCH_OFF;
+	if (host_directory_is_feed(d))
+		return FEED_WATCH_ON;
+	if (now_us(f) < f->watch_from_us)
+		return FEED_WATCH_OFF;
+	/* A host whose record is not there yet learns of the others. */
+	if (!f->was_following || host_directory_may_feed(d, NULL))
+		return FEED_WATCH_ON;
+	return FEED_WATCH_RARELY;
+}
+
+static void update_watch(struct feed *f)
+{
+	enum feed_watch watch = wanted_watch(f);
+
+	if (watch == f->watch)
+		return;
+	f->watch = watch;
+	f->options.ops->set_watch(f->options.ctx, watch);
+}
+
 static void stop_following(struct feed *f, const char *reason)
 {
 	event_log(EV_FEED_LOST, "address=%s reason=%s revision=%llu",
 		  f->followed, reason,
 		  (unsigned long long)f->options.mirror->revision);
 	g_clear_pointer(&f->followed, g_free);
-	if (f->is_following)
-		f->options.ops->set_watching(f->options.ctx, true);
 	f->is_following = false;
+	update_watch(f);
+}
+
+static struct known_host *find_followed(struct feed *f)
+{
+	return host_directory_find(f->options.directory, f->followed);
 }
 
+/* The host did not respond: it is not used for anything else either. */
 static void leave_failed(struct feed *f, const char *reason)
 {
-	struct known_host *h =
-		host_directory_find(f->options.directory, f->followed);
+	struct known_host *h = find_followed(f);
 
 	if (h)
 		h->suspect_until_us = now_us(f) + AVOID_US;
 	stop_following(f, reason);
 }
 
+/* The host may well gather for others. */
+static void leave_without_store(struct feed *f)
+{
+	struct known_host *h = find_followed(f);
+
+	if (h)
+		h->no_feed_until_us = now_us(f) + AVOID_US;
+	f->is_store_lost = f->is_store_lost || f->is_following;
+	stop_following(f, "store_lost");
+}
+
 static void ask(struct feed *f, const char *address)
 {
 	f->heard_us = now_us(f);
@@ -165,10 +218,10 @@
 static void send_pulse(struct feed *f, const char *address)
 {
 	/* A follower is no source: two could follow each other. */
-	f->options.ops->send_pulse(f->options.ctx, address,
-				   f->options.mirror->revision,
-				   f->is_store_up && !f->is_following &&
-					   f->options.mirror->revision);
+	f->options.ops->send_pulse(
+		f->options.ctx, address, f->options.mirror->revision,
+		f->is_store_up && f->watch == FEED_WATCH_ON &&
+			f->options.mirror->revision);
 }
 
 static void send_pulses(struct feed *f)
@@ -204,6 +257,7 @@
 	if (now >= f->next_check_us) {
 		f->next_check_us = now + CHECK_US;
 		check(f);
+		update_watch(f);
 	}
 	if (now >= f->next_pulse_us) {
 		f->next_pulse_us = now + PULSE_US;
@@ -253,6 +307,25 @@
 	g_hash_table_remove(f->subscribers, address);
 }
 
+/*
+ * A feed that had lost the store goes on to send pulses, so that its followers
+ * learn at once of the store's return. Returns whether the host is followed now.
+ */
+static bool follow_again(struct feed *f, const char *address, bool is_store_up)
+{
+	bool is_open = !f->followed &&
+		       host_directory_may_feed(f->options.directory, address);
+
+	if (is_open && is_store_up) {
+		f->followed = g_strdup(address);
+		ask(f, address);
+		return true;
+	}
+	if (!is_open)
+		f->options.ops->unsubscribe(f->options.ctx, address);
+	return false;
+}
+
 void feed_handle_pulse(struct feed *f, const char *address, uint64_t revision,
 		       bool is_store_up)
 {
@@ -260,13 +333,11 @@
 		note_other_feed(f, address, revision);
 		return;
 	}
-	if (!is_followed(f, address)) {
-		f->options.ops->unsubscribe(f->options.ctx, address);
+	if (!is_followed(f, address) && !follow_again(f, address, is_store_up))
 		return;
-	}
 	f->heard_us = now_us(f);
 	if (!is_store_up) {
-		leave_failed(f, "store_lost");
+		leave_without_store(f);
 		return;
 	}
 	/*
@@ -278,9 +349,13 @@
 	if (f->is_following)
 		return;
 	f->is_following = true;
+	f->was_following = true;
+	if (f->is_store_lost)
+		f->options.ops->note_store_back(f->options.ctx);
+	f->is_store_lost = false;
 	event_log(EV_FEED_FOLLOWED, "address=%s revision=%llu", address,
 		  (unsigned long long)f->options.mirror->revision);
-	f->options.ops->set_watching(f->options.ctx, false);
+	update_watch(f);
 }
 
 void feed_handle_gap(struct feed *f, const char *address)
--- a/test/unit/test_router_feed.c
+++ b/test/unit/test_router_feed.c
@@ -19,6 +19,8 @@
 	/** Receiver of the last pulse. */
 	char pulsed[32];
 	bool is_watching;
+	enum feed_watch watch;
+	uint32_t returns;
 };
 
 static void handle_subscribe(void *ctx, const char *address, uint64_t revision)
@@ -53,11 +55,19 @@
 	g_strlcpy(f->pulsed, address, sizeof(f->pulsed));
 }
 
-static void handle_set_watching(void *ctx, bool is_watching)
+static void handle_set_watch(void *ctx, enum feed_watch watch)
 {
 	struct fake_feed *f = ctx;
 
-	f->is_watching = is_watching;
+	f->watch = watch;
+	f->is_watching = watch == FEED_WATCH_ON;
+}
+
+static void handle_store_back(void *ctx)
+{
+	struct fake_feed *f = ctx;
+
+	f->returns++;
 }
 
 static const struct feed_ops ops = {
@@ -65,7 +75,8 @@
 	.unsubscribe = handle_unsubscribe,
 	.send_changes = handle_send_changes,
 	.send_pulse = handle_send_pulse,
-	.set_watching = handle_set_watching,
+	.set_watch = handle_set_watch,
+	.note_store_back = handle_store_back,
 };
 
 static void add_host(struct fake_feed *f, const char *name, const char *domain,
@@ -93,7 +104,6 @@
 	};
 
 	f->time.now_us = US_PER_S;
-	f->is_watching = true;
 	leaf_set_init(&f->leaves, self, "a", (char **)regions);
 	host_directory_init(&f->directory, self, &f->leaves);
 	store_mirror_init(&f->mirror);
@@ -137,6 +147,9 @@
 		feed_advance(f->feed);
 		CU_ASSERT_EQUAL(f->subscribe_count, 1);
 		CU_ASSERT_STRING_EQUAL(f->subscribed, "feed");
+		/* The feed is given some time to show before the store is. */
+		CU_ASSERT_FALSE(f->is_watching);
+		advance(f, US_PER_S);
 		CU_ASSERT_TRUE(f->is_watching);
 		feed_handle_pulse(f->feed, "feed", 10, true);
 		CU_ASSERT_FALSE(f->is_watching);
@@ -165,6 +178,63 @@
 	destroy_feed(f);
 }
 
+/*
+ * Guards against 195 hosts that all call a store in trouble, because their feed
+ * has lost it (litaleit-large trouble-3: 4,583 calls), and against hosts that
+ * learn late of its return.
+ */
+static void test_store_lost(void)
+{
+	struct fake_feed *f = create_feed("tail");
+
+	for (int i = 0; i < 10; i++) {
+		char name[16];
+
+		g_snprintf(name, sizeof(name), "mid-%d", i);
+		add_host(f, name, "a", 200);
+	}
+	add_host(f, "tail", "a", 100);
+	advance(f, US_PER_S);
+	feed_handle_pulse(f->feed, "feed", 10, true);
+	CU_ASSERT_EQUAL(f->watch, FEED_WATCH_OFF);
+	feed_handle_pulse(f->feed, "feed", 10, false);
+	CU_ASSERT_EQUAL(f->watch, FEED_WATCH_RARELY);
+	/* A host without the store still gathers for others. */
+	CU_ASSERT_EQUAL(
+		host_directory_find(&f->directory, "feed")->suspect_until_us,
+		0);
+	/* The next candidates have lost it too. */
+	for (int i = 0; i < 20; i++) {
+		advance(f, 250 * US_PER_MS);
+		feed_handle_pulse(f->feed, f->subscribed, 10, false);
+	}
+	CU_ASSERT_EQUAL(f->watch, FEED_WATCH_RARELY);
+	CU_ASSERT_EQUAL(f->unsubscribe_count, 0);
+	CU_ASSERT_EQUAL(f->returns, 0);
+	feed_handle_pulse(f->feed, "feed", 11, true);
+	CU_ASSERT_EQUAL(f->watch, FEED_WATCH_OFF);
+	CU_ASSERT_EQUAL(f->returns, 1);
+	destroy_feed(f);
+}
+
+/* Guards against a host that others rely on though it does not watch. */
+static void test_idle_candidate(void)
+{
+	struct fake_feed *f = create_feed("weak-1");
+
+	feed_handle_subscribe(f->feed, "weak-2", 10);
+	CU_ASSERT_EQUAL(f->pulses_sent, 0);
+	feed_advance(f->feed);
+	feed_handle_pulse(f->feed, "feed", 10, true);
+	feed_handle_pulse(f->feed, "feed", 10, false);
+	advance(f, US_PER_S);
+	CU_ASSERT_EQUAL(f->watch, FEED_WATCH_ON);
+	f->pulses_sent = 0;
+	feed_handle_subscribe(f->feed, "weak-2", 10);
+	CU_ASSERT_EQUAL(f->pulses_sent, 1);
+	destroy_feed(f);
+}
+
 /*
  * Guards against a standby that does not watch yet when the others turn to it,
  * so that each of them watches the store.
@@ -310,6 +380,8 @@
 CU_TestInfo router_feed_tests[] = {
 	{ "follow", test_follow },
 	{ "feed lost", test_feed_lost },
+	{ "store lost", test_store_lost },
+	{ "idle candidate", test_idle_candidate },
 	{ "standby", test_standby },
 	{ "pulse ahead", test_pulse_ahead },
 	{ "no chain", test_no_chain },
