router: give the allowance of extra calls to the hosts that gather

Six of them gather and make all calls to the shards.

Change: the sender of a gather tells how many hosts gather. They share 0.35 of the allowance, since others may take over from them within the window, and the rest of the hosts share 0.25 for gathers that nobody else took.

Ruled out: all of the allowance for the hosts that gather. Two sets of them in one window would exceed it; the test allowance adds that up from 7 to 2,200 hosts.

--- a/include/net/host_frame.h
+++ b/include/net/host_frame.h
@@ -47,6 +47,8 @@
 	/** Shards to answer; none for all. */
 	const char *const *shards;
 	uint32_t shard_count;
+	/** Hosts that gather such requests, of all regions; 0 if not known. */
+	uint32_t gatherers;
 };
 
 /** Answer of the host that gathered. */
--- a/include/nutmegpickd/route_internal.h
+++ b/include/nutmegpickd/route_internal.h
@@ -64,6 +64,8 @@
 	uint64_t id;
 	int64_t start_us;
 	int64_t wait_us;
+	/** Hosts that gather such requests if this is one of them, or 0. */
+	uint32_t gatherers;
 	/** The request waits for the first routes. */
 	bool is_held;
 	struct forward forward;
--- a/include/router/directory.h
+++ b/include/router/directory.h
@@ -84,12 +84,17 @@
 /**
  * Returns the host of this region that is to gather for a route, or NULL if
  * this host gathers itself. local_leaves counts the shards with a leaf in
- * each failure domain.
+ * each failure domain. is_gatherer tells whether this host is one of those
+ * that gather for others.
  */
 struct known_host *host_directory_choose_gatherer(struct host_directory *d,
 						  GHashTable *local_leaves,
-						  GRand *random,
-						  int64_t now_us);
+						  GRand *random, int64_t now_us,
+						  bool *is_gatherer);
+
+/** Returns the number of hosts that gather, of all regions. */
+uint32_t host_directory_count_gatherers(struct host_directory *d,
+					int64_t now_us);
 
 /** Notes that a gathering host had no time: more hosts gather for a while. */
 void host_directory_note_busy(struct host_directory *d, int64_t now_us);
--- a/include/router/internal.h
+++ b/include/router/internal.h
@@ -104,6 +104,8 @@
 	uint32_t answered;
 	uint32_t failed;
 	uint32_t extra_calls;
+	/** Hosts that gather such requests; 0 if this one is none of them. */
+	uint32_t gatherers;
 	/** First calls count against the budget of extra calls. */
 	bool is_repeat;
 	/** Other hosts answer some of the parts. */
@@ -149,8 +151,7 @@
 	GQueue waiting;
 	int64_t next_sweep_us;
 	int64_t next_retry_us;
-	/** Extra calls to an upstream that this host may make in any case. */
-	double extra_allowance;
+	uint32_t host_count;
 	GRand *random;
 };
 
@@ -163,6 +164,13 @@
 		      void (*fire)(struct router *r, struct router_timer *t));
 void router_timer_disarm(struct router *r, struct router_timer *t);
 
+/**
+ * Returns the extra calls to an upstream in 10 s that this host may make for
+ * such requests besides the ratio.
+ */
+double router_extra_allowance(const struct router *r,
+			      const struct route_request *q);
+
 /* stats.c */
 struct route_stats *route_stats_get(struct router *r,
 				    const struct route *route);
--- a/include/router/router.h
+++ b/include/router/router.h
@@ -41,6 +41,11 @@
 	 */
 	const char *const *shards;
 	uint32_t shard_count;
+	/**
+	 * Hosts that gather such requests if this host is one of them, or 0:
+	 * the fewer they are, the more extra calls each may make.
+	 */
+	uint32_t gatherers;
 	/** Handle of the adapter's own state, given back in callbacks. */
 	void *user;
 };
--- a/net/host_frame.c
+++ b/net/host_frame.c
@@ -128,7 +128,7 @@
 GByteArray *host_frame_gather(const struct gather_request *r)
 {
 	msgpack_packer pk;
-	GByteArray *out = begin(&pk, HOST_GATHER, 11);
+	GByteArray *out = begin(&pk, HOST_GATHER, 12);
 
 	msgpack_pack_uint64(&pk, r->id);
 	pack_text(&pk, r->request_id);
@@ -148,6 +148,7 @@
 	}
 	pack_bytes(&pk, r->body, r->body_len);
 	pack_texts(&pk, r->shards, r->shard_count);
+	msgpack_pack_uint32(&pk, r->gatherers);
 	return out;
 }
 
@@ -290,6 +291,7 @@
 {
 	struct gather_request *q = &r->frame->request;
 	const msgpack_object_array *headers;
+	uint64_t gatherers;
 
 	q->id = read_number(r);
 	q->request_id = read_text(r);
@@ -311,6 +313,8 @@
 	q->headers = r->frame->headers;
 	q->body = read_bytes(r, &q->body_len);
 	q->shards = read_texts(r, &q->shard_count);
+	gatherers = read_number(r);
+	q->gatherers = (uint32_t)MIN(gatherers, UINT32_MAX);
 }
 
 static void read_gathered(struct reader *r)
--- a/nutmegpickd/route_callers.c
+++ b/nutmegpickd/route_callers.c
@@ -202,7 +202,11 @@
 		    bool is_repeat)
 {
 	int64_t elapsed = clock_now(&s->clock) - q->start_us;
-	struct router_request in = { .user = q, .is_repeat = is_repeat };
+	struct router_request in = {
+		.user = q,
+		.is_repeat = is_repeat,
+		.gatherers = is_repeat ? 0 : q->gatherers,
+	};
 	const struct route *route;
 	const char *id;
 	uint64_t request_id;
@@ -213,6 +217,7 @@
 		id = g->request_id;
 		in.host = g->host;
 		in.path = g->target;
+		in.gatherers = g->gatherers;
 		in.goal_us = MAX(g->goal_left_us, 1);
 		in.hedge_min_us = REMOTE_HEDGE_MIN_US;
 		if (g->shard_count) {
--- a/nutmegpickd/route_hosts.c
+++ b/nutmegpickd/route_hosts.c
@@ -156,11 +156,19 @@
 /* Requests that other hosts gather */
 
 static struct known_host *choose(struct route_service *s,
+				 struct caller_request *q,
 				 const struct route *route)
 {
-	return host_directory_choose_gatherer(
+	int64_t now = clock_now(&s->clock);
+	bool is_gatherer;
+	struct known_host *h = host_directory_choose_gatherer(
 		&s->directory, router_local_leaves(s->router, route), s->random,
-		clock_now(&s->clock));
+		now, &is_gatherer);
+
+	q->gatherers =
+		is_gatherer ? host_directory_count_gatherers(&s->directory, now)
+			    : 0;
+	return h;
 }
 
 static void send_request(struct route_service *s, struct caller_request *q,
@@ -176,6 +184,8 @@
 		.version = router_version(s->router),
 		.wait_us = MAX(q->wait_us - hop - elapsed, 1),
 		.goal_left_us = MAX(router_goal_left(route) - hop - elapsed, 1),
+		.gatherers = host_directory_count_gatherers(
+			&s->directory, clock_now(&s->clock)),
 		.method = http_exchange_method(x),
 		.host = http_exchange_header(x, "Host"),
 		.target = http_exchange_target(x),
@@ -196,7 +206,7 @@
 
 	if (!s->peer || !id || !route || route->shape != ROUTE_GATHER)
 		return false;
-	h = choose(s, route);
+	h = choose(s, q, route);
 	if (!h)
 		return false;
 	q->wait_us = q->wait_us > 0 ? MIN(q->wait_us, route->timeout_us)
--- a/router/directory.c
+++ b/router/directory.c
@@ -273,6 +273,15 @@
 	d->gatherers_at_us = now_us;
 }
 
+static bool is_region_small(struct host_directory *d)
+{
+	GPtrArray *region = list_region(d);
+	bool is_small = region->len <= GATHERERS_ALL;
+
+	g_ptr_array_free(region, TRUE);
+	return is_small;
+}
+
 static GArray *list_candidates(struct host_directory *d,
 			       GHashTable *local_leaves, int64_t now_us)
 {
@@ -322,19 +331,50 @@
 	return chosen;
 }
 
+uint32_t host_directory_count_gatherers(struct host_directory *d,
+					int64_t now_us)
+{
+	GHashTable *counts = g_hash_table_new(g_str_hash, g_str_equal);
+	guint most = (guint)lround(gatherer_count(d, now_us));
+	GHashTableIter iter;
+	gpointer value;
+	uint32_t sum = 0;
+
+	g_hash_table_iter_init(&iter, d->hosts);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const char *region = region_of(d, value);
+		gpointer count = g_hash_table_lookup(counts, region);
+
+		g_hash_table_insert(
+			counts, (gpointer)region,
+			GUINT_TO_POINTER(GPOINTER_TO_UINT(count) + 1));
+	}
+	g_hash_table_iter_init(&iter, counts);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		guint hosts = GPOINTER_TO_UINT(value);
+
+		sum += hosts <= GATHERERS_ALL ? hosts : MIN(hosts, most);
+	}
+	g_hash_table_destroy(counts);
+	return sum;
+}
+
 struct known_host *host_directory_choose_gatherer(struct host_directory *d,
 						  GHashTable *local_leaves,
-						  GRand *random, int64_t now_us)
+						  GRand *random, int64_t now_us,
+						  bool *is_gatherer)
 {
 	GArray *list = list_candidates(d, local_leaves, now_us);
 	struct known_host *chosen = NULL;
 	double total = 0;
 
+	*is_gatherer = is_region_small(d);
 	for (guint i = 0; i < list->len; i++) {
 		struct known_host *h =
 			g_array_index(list, struct candidate, i).host;
 
 		if (is_self(d, h)) {
+			*is_gatherer = true;
 			chosen = NULL;
 			break;
 		}
--- a/router/part.c
+++ b/router/part.c
@@ -168,8 +168,8 @@
 					       q->deadline_us - now
 			       ? EXTRA_BUSY
 			       : EXTRA_NO_LEAF;
-	if (!is_free &&
-	    !extra_calls_take(&p->pool->extra, kind, r->extra_allowance, now))
+	if (!is_free && !extra_calls_take(&p->pool->extra, kind,
+					  router_extra_allowance(r, q), now))
 		return EXTRA_NO_TOKEN;
 	q->extra_calls++;
 	event_log(EV_CALL_EXTRA,
@@ -276,7 +276,7 @@
 		p->runs = 1;
 		if (p->runs >= q->route->max_attempts ||
 		    !extra_calls_take(&p->pool->extra, EXTRA_FAILED,
-				      r->extra_allowance, now)) {
+				      router_extra_allowance(r, q), now)) {
 			p->phase = PART_FAILED;
 			return;
 		}
--- a/router/request.c
+++ b/router/request.c
@@ -275,6 +275,7 @@
 	q->goal_at_us =
 		now + (in->goal_us > 0 ? in->goal_us : router_goal_left(route));
 	q->is_repeat = in->is_repeat;
+	q->gatherers = in->gatherers;
 	q->hedge_min_us = in->hedge_min_us;
 	q->is_partial = in->shards != NULL;
 	return q;
--- a/router/router.c
+++ b/router/router.c
@@ -11,6 +11,14 @@
 #define EXTRA_USED 0.9
 #define EXTRA_MAX 8.0
 #define EXTRA_UNKNOWN_HOSTS 2.0
+/*
+ * Where few hosts gather, each of them may use its part of this share. When
+ * others take over from them, both parts fall into one window. The rest is for
+ * hosts that gather because no other did.
+ */
+#define EXTRA_GATHERERS 0.35
+#define EXTRA_GATHERER_MAX 24.0
+#define EXTRA_OTHERS 0.25
 /* Time for which the count of leaves by failure domain is kept. */
 #define LOCAL_LEAVES_US (500 * US_PER_MS)
 
@@ -70,11 +78,22 @@
 
 void router_set_host_count(struct router *r, uint32_t hosts)
 {
-	double share = r->options.extra_calls * EXTRA_USED;
+	r->host_count = hosts;
+}
+
+double router_extra_allowance(const struct router *r,
+			      const struct route_request *q)
+{
+	double all = r->options.extra_calls;
 
 	/* Until the hosts are known there may be many. */
-	r->extra_allowance = hosts ? MIN(share / hosts, EXTRA_MAX)
-				   : EXTRA_UNKNOWN_HOSTS;
+	if (!r->host_count)
+		return EXTRA_UNKNOWN_HOSTS;
+	if (q->route->shape != ROUTE_GATHER || q->gatherers >= r->host_count)
+		return MIN(all * EXTRA_USED / r->host_count, EXTRA_MAX);
+	if (!q->gatherers)
+		return MIN(all * EXTRA_OTHERS / r->host_count, EXTRA_MAX);
+	return MIN(all * EXTRA_GATHERERS / q->gatherers, EXTRA_GATHERER_MAX);
 }
 
 int router_apply_table(struct router *r, struct route_table *t)
--- a/test/unit/test_directory.c
+++ b/test/unit/test_directory.c
@@ -48,10 +48,12 @@
 {
 	GHashTable *seen = g_hash_table_new(NULL, NULL);
 	uint32_t count;
+	bool is_gatherer;
 
 	for (int i = 0; i < CHOICES; i++) {
 		struct known_host *h = host_directory_choose_gatherer(
-			&g->directory, g->local_leaves, g->random, g->now_us);
+			&g->directory, g->local_leaves, g->random, g->now_us,
+			&is_gatherer);
 
 		if (h)
 			g_hash_table_add(seen, h);
@@ -74,6 +76,8 @@
 	rig_clear(&g);
 	rig_init(&g, 200);
 	CU_ASSERT_EQUAL(count_gatherers(&g), 2);
+	CU_ASSERT_EQUAL(host_directory_count_gatherers(&g.directory, g.now_us),
+			2);
 	rig_clear(&g);
 }
 
--- a/test/unit/test_host_frame.c
+++ b/test/unit/test_host_frame.c
@@ -39,6 +39,7 @@
 		.headers = headers,
 		.body = "x\0y",
 		.body_len = 3,
+		.gatherers = 6,
 	};
 	struct host_frame f;
 
@@ -48,6 +49,7 @@
 	CU_ASSERT_STRING_EQUAL(f.request.request_id, g.request_id);
 	CU_ASSERT_EQUAL(f.request.version, g.version);
 	CU_ASSERT_EQUAL(f.request.wait_us, g.wait_us);
+	CU_ASSERT_EQUAL(f.request.gatherers, 6);
 	CU_ASSERT_EQUAL(f.request.goal_left_us, g.goal_left_us);
 	CU_ASSERT_STRING_EQUAL(f.request.target, g.target);
 	CU_ASSERT_EQUAL(f.request.headers->len, 2);
--- a/test/unit/test_router.c
+++ b/test/unit/test_router.c
@@ -4,6 +4,7 @@
 
 #include "common/errors.h"
 #include "fake_router.h"
+#include "router/internal.h"
 
 #define RECORD_A "aaaaaaaaaaaaaaaa"
 #define RECORD_B "bbbbbbbbbbbbbbbb"
@@ -181,6 +182,40 @@
 	}
 }
 
+/*
+ * Guards against hosts whose parts of the allowance make up more than all of
+ * it, also when other hosts have taken over the gathering within the window.
+ */
+static void test_allowance(void)
+{
+	static const uint32_t sizes[][2] = { { 7, 7 },	  { 12, 6 },
+					     { 65, 6 },	  { 195, 6 },
+					     { 195, 40 }, { 300, 6 },
+					     { 2200, 6 }, { 2200, 2200 } };
+	struct fake_router *f = fake_router_create(2);
+	struct route gather = { .shape = ROUTE_GATHER };
+	struct route_request q = { .route = &gather };
+
+	f->router->options.extra_calls = 430;
+	for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
+		uint32_t hosts = sizes[i][0];
+		uint32_t gatherers = sizes[i][1];
+		double sum;
+
+		router_set_host_count(f->router, hosts);
+		q.gatherers = gatherers;
+		sum = gatherers * router_extra_allowance(f->router, &q);
+		if (gatherers < hosts)
+			sum *= 2;
+		q.gatherers = 0;
+		sum += (hosts - gatherers) *
+		       router_extra_allowance(f->router, &q);
+		CU_ASSERT_TRUE(sum <= 430);
+		CU_ASSERT_TRUE(sum > 430 * 0.1);
+	}
+	fake_router_destroy(f);
+}
+
 /* Guards against a route table that goes back to an older version. */
 static void test_version(void)
 {
@@ -518,6 +553,7 @@
 	{ "misdirected", test_misdirected },
 	{ "draining", test_draining },
 	{ "extra calls", test_extra_calls },
+	{ "allowance", test_allowance },
 	{ "version", test_version },
 	{ "caller left", test_caller_left },
 	{ "repeat", test_repeat },
