nutmegpickd: bound replies of the store; read settings again on SIGHUP

Cause: the registry thread kept every byte of a reply of the store until the call's deadline of 1.5 s; a reply without end filled the memory. SIGHUP changed nothing at a host that serves routes. The times of a stop were fixed for a grace time of 6 s.

Change: a reply of 8 MiB or 64 KiB of headers ends the call.

--- a/include/nutmegpickd/route_internal.h
+++ b/include/nutmegpickd/route_internal.h
@@ -22,6 +22,7 @@
 	ROUTE_EVENT_STORE,
 	ROUTE_EVENT_FRAME,
 	ROUTE_EVENT_LINK_CLOSED,
+	ROUTE_EVENT_SETTINGS,
 	ROUTE_EVENT_DRAIN,
 	ROUTE_EVENT_EXIT,
 };
@@ -36,6 +37,8 @@
 	char address[PEER_ADDRESS_MAX];
 	/** Of ROUTE_EVENT_FRAME; owned. */
 	struct host_frame *frame;
+	/** Of ROUTE_EVENT_SETTINGS. */
+	uint32_t extra_calls;
 	/** Of ROUTE_EVENT_LINK_CLOSED: no frame on the link was delivered. */
 	bool is_undelivered;
 };
--- a/include/nutmegpickd/route_service.h
+++ b/include/nutmegpickd/route_service.h
@@ -11,6 +11,13 @@
 int route_service_start(struct route_service **out,
 			const struct settings *settings, struct np_clock clock);
 
+/**
+ * Takes the settings that may change while the process runs: the budget of
+ * extra calls and the times of a stop.
+ */
+void route_service_reload(struct route_service *s,
+			  const struct settings *settings);
+
 /**
  * Stops in order: readiness first, then new connections, then the requests in
  * flight, within the times of the settings.
--- a/include/nutmegpickd/settings.h
+++ b/include/nutmegpickd/settings.h
@@ -40,6 +40,11 @@
 	int64_t drain_delay_us;
 	/** Longest wait for requests in flight at a stop. */
 	int64_t stop_timeout_us;
+	/**
+	 * Time from SIGTERM until the process is killed, or 0. Where it is set,
+	 * the two times above are made to fit.
+	 */
+	int64_t grace_us;
 	int64_t report_interval_us;
 };
 
@@ -50,6 +55,13 @@
 int settings_load(const char *path, struct settings *out,
 		  struct fault_list *faults);
 
+/**
+ * Returns the name of a setting that differs and cannot change while the
+ * process runs, or NULL.
+ */
+const char *settings_fixed_difference(const struct settings *a,
+				      const struct settings *b);
+
 /** Prints every setting with its value. */
 void settings_print(const struct settings *s);
 
--- a/include/router/router.h
+++ b/include/router/router.h
@@ -219,6 +219,9 @@
 /** Returns the time until the goal for a request that comes now. */
 int64_t router_goal_left(const struct route *route);
 
+/** Changes options.extra_calls. */
+void router_set_extra_calls(struct router *r, uint32_t extra_calls);
+
 /** Takes the number of hosts that share the budget of extra calls. */
 void router_set_host_count(struct router *r, uint32_t hosts);
 
--- a/nutmegpickd/main.c
+++ b/nutmegpickd/main.c
@@ -222,8 +222,32 @@
 	}
 }
 
+/* What cannot be read or checked changes nothing. */
+static void reload_settings(struct route_service *service,
+			    const struct settings *old, const char *path)
+{
+	struct fault_list faults = { 0 };
+	struct settings settings;
+	int ret = settings_load(path, &settings, &faults);
+	const char *fixed = "";
+
+	if (ret) {
+		print_faults(&faults);
+		event_log(EV_SETTINGS, "path=%s code=E%d", path, -ret);
+	} else {
+		fixed = settings_fixed_difference(old, &settings);
+		event_set_level(settings.log_level);
+		route_service_reload(service, &settings);
+		event_log(EV_RELOAD, "path=%s needs_restart=%s", path,
+			  fixed ? fixed : "");
+	}
+	fault_list_clear(&faults);
+	settings_clear(&settings);
+}
+
 /* Serves routes and leaves of the platform's store until a signal to stop. */
-static int run_route_service(struct host *h, const sigset_t *signals)
+static int run_route_service(struct host *h, const sigset_t *signals,
+			     const char *path)
 {
 	struct log_queue_options log_options = {
 		.fd = STDOUT_FILENO,
@@ -243,9 +267,8 @@
 	}
 	event_log(EV_START, "host=%s domain=%s", h->settings.host_id,
 		  h->settings.domain);
-	do {
-		sigwait(signals, &signal);
-	} while (signal == SIGHUP);
+	while (!sigwait(signals, &signal) && signal == SIGHUP)
+		reload_settings(service, &h->settings, path);
 	event_log(EV_DRAIN, "host=%s", h->settings.host_id);
 	route_service_stop(service);
 	event_log(EV_STOP, "host=%s", h->settings.host_id);
@@ -284,7 +307,7 @@
 	event_set_level(h.settings.log_level);
 	signal(SIGPIPE, SIG_IGN);
 	if (h.settings.registry)
-		return run_route_service(&h, &signals);
+		return run_route_service(&h, &signals, arguments.settings_path);
 	ret = start_host(&h);
 	if (ret) {
 		fprintf(stderr, "nutmegpickd: E%d: %s\n", -ret,
--- a/nutmegpickd/registry_thread.c
+++ b/nutmegpickd/registry_thread.c
@@ -32,6 +32,9 @@
 #define IDLE_US (1 * US_PER_S)
 /* Hosts that start together publish their records spread over this time. */
 #define PUBLISH_SPREAD_US (300 * US_PER_MS)
+/* A page holds 1 MB of values, which take a third more in base64. */
+#define REPLY_MAX_BYTES (8u * 1024 * 1024)
+#define HEADERS_MAX_BYTES (64u * 1024)
 #define STOP_POLL_US (100 * US_PER_MS)
 /*
  * Waits of a host that watches rarely, before its first call and after one that
@@ -47,6 +50,7 @@
 	struct registry_thread_options options;
 	CURL *curl;
 	GByteArray *body;
+	size_t header_bytes;
 	bool is_listed;
 	bool is_lost;
 	int64_t backoff_us;
@@ -80,12 +84,26 @@
 	return clock_now(&t->options.clock);
 }
 
+/* Returning less than was given ends the call. */
 static size_t handle_data(char *data, size_t size, size_t count, void *ctx)
 {
-	g_byte_array_append(ctx, (const guint8 *)data, (guint)(size * count));
+	struct registry_thread *t = ctx;
+
+	if (t->body->len + size * count > REPLY_MAX_BYTES)
+		return 0;
+	g_byte_array_append(t->body, (const guint8 *)data,
+			    (guint)(size * count));
 	return size * count;
 }
 
+static size_t handle_header(char *data, size_t size, size_t count, void *ctx)
+{
+	struct registry_thread *t = ctx;
+
+	t->header_bytes += size * count;
+	return t->header_bytes > HEADERS_MAX_BYTES ? 0 : size * count;
+}
+
 /* Ends a watch early when the thread has something else to do. */
 static int handle_progress(void *ctx, curl_off_t a, curl_off_t b, curl_off_t c,
 			   curl_off_t d)
@@ -129,6 +147,7 @@
 	long status = 0;
 
 	g_byte_array_set_size(t->body, 0);
+	t->header_bytes = 0;
 	curl_easy_setopt(t->curl, CURLOPT_URL, url);
 	curl_easy_setopt(t->curl, CURLOPT_TIMEOUT_MS, timeout_ms);
 	if (c.body) {
@@ -442,7 +461,9 @@
 {
 	curl_easy_setopt(t->curl, CURLOPT_NOSIGNAL, 1L);
 	curl_easy_setopt(t->curl, CURLOPT_WRITEFUNCTION, handle_data);
-	curl_easy_setopt(t->curl, CURLOPT_WRITEDATA, t->body);
+	curl_easy_setopt(t->curl, CURLOPT_WRITEDATA, t);
+	curl_easy_setopt(t->curl, CURLOPT_HEADERFUNCTION, handle_header);
+	curl_easy_setopt(t->curl, CURLOPT_HEADERDATA, t);
 	curl_easy_setopt(t->curl, CURLOPT_CONNECTTIMEOUT_MS,
 			 (long)CONNECT_TIMEOUT_MS);
 	curl_easy_setopt(t->curl, CURLOPT_NOPROGRESS, 0L);
--- a/nutmegpickd/route_service.c
+++ b/nutmegpickd/route_service.c
@@ -103,6 +103,9 @@
 	case ROUTE_EVENT_LINK_CLOSED:
 		route_handle_closed(s, e);
 		return;
+	case ROUTE_EVENT_SETTINGS:
+		router_set_extra_calls(s->router, e->extra_calls);
+		return;
 	case ROUTE_EVENT_DRAIN:
 		s->is_draining = true;
 		return;
@@ -385,6 +388,16 @@
 	return ret;
 }
 
+void route_service_reload(struct route_service *s,
+			  const struct settings *settings)
+{
+	s->settings.drain_delay_us = settings->drain_delay_us;
+	s->settings.stop_timeout_us = settings->stop_timeout_us;
+	route_service_send(s, (struct route_event){
+				      .type = ROUTE_EVENT_SETTINGS,
+				      .extra_calls = settings->extra_calls });
+}
+
 void route_service_stop(struct route_service *s)
 {
 	unsigned int left;
--- a/nutmegpickd/settings.c
+++ b/nutmegpickd/settings.c
@@ -79,6 +79,9 @@
 	{ "lifecycle", "stop_timeout", SETTING_DURATION,
 	  offsetof(struct settings, stop_timeout_us), "30s", false, 0,
 	  3600 * US_PER_S },
+	{ "lifecycle", "grace", SETTING_DURATION,
+	  offsetof(struct settings, grace_us), "0s", false, 0,
+	  3600 * US_PER_S },
 	{ "reports", "interval", SETTING_DURATION,
 	  offsetof(struct settings, report_interval_us), "1s", false,
 	  10 * US_PER_MS, 3600 * US_PER_S },
@@ -296,6 +299,40 @@
 	}
 }
 
+/*
+ * Shares of the grace time: two checks of a second each and a connection under
+ * way fit into the first at 6 s, and the exit itself into what the second
+ * leaves.
+ */
+#define GRACE_DRAIN 0.37
+#define GRACE_USED 0.84
+
+static void fit_stop_times(struct settings *s)
+{
+	int64_t used = (int64_t)(GRACE_USED * (double)s->grace_us);
+
+	if (!s->grace_us)
+		return;
+	s->drain_delay_us = MIN(s->drain_delay_us,
+				(int64_t)(GRACE_DRAIN * (double)s->grace_us));
+	s->stop_timeout_us = MIN(s->stop_timeout_us, used - s->drain_delay_us);
+}
+
+const char *settings_fixed_difference(const struct settings *a,
+				      const struct settings *b)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(specs); i++) {
+		const char *x = (const char *)a + specs[i].offset;
+		const char *y = (const char *)b + specs[i].offset;
+
+		if ((specs[i].type == SETTING_STRING ||
+		     specs[i].type == SETTING_ADDRESS) &&
+		    g_strcmp0(*(char *const *)x, *(char *const *)y))
+			return specs[i].name;
+	}
+	return NULL;
+}
+
 int settings_load(const char *path, struct settings *out,
 		  struct fault_list *faults)
 {
@@ -331,6 +368,7 @@
 	if (out->registry && (out->objects_path || out->store_endpoints))
 		add_fault(&r, 0, "registry", "store",
 			  "contradicts objects.path and store.endpoints");
+	fit_stop_times(out);
 	tree_destroy(root);
 	return faults->count ? -ERR_SETTINGS : 0;
 }
--- a/router/router.c
+++ b/router/router.c
@@ -81,6 +81,11 @@
 	r->host_count = hosts;
 }
 
+void router_set_extra_calls(struct router *r, uint32_t extra_calls)
+{
+	r->options.extra_calls = extra_calls;
+}
+
 double router_extra_allowance(const struct router *r,
 			      const struct route_request *q)
 {
--- a/test/soak/withdraw.py
+++ b/test/soak/withdraw.py
@@ -31,4 +31,5 @@
     print("left:", left, "status:", soak.processes[0].returncode)
 
 
-asyncio.run(main())
+if __name__ == "__main__":
+    asyncio.run(main())
--- a/test/unit/test_broken.c
+++ b/test/unit/test_broken.c
@@ -4,9 +4,11 @@
 #include <glib/gstdio.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <inttypes.h>
 #include <string.h>
 #include <unistd.h>
 
+#include "common/clock.h"
 #include "common/errors.h"
 #include "net/upstream_reply.h"
 #include "nutmegpickd/settings.h"
@@ -99,22 +101,30 @@
 	return ret;
 }
 
-static int load_settings(const char *text, struct fault_list *faults)
+static int read_settings(const char *text, struct settings *out,
+			 struct fault_list *faults)
 {
-	struct settings settings;
 	char *path = g_strdup("/tmp/nutmegpick-settings-XXXXXX");
 	int fd = g_mkstemp(path);
 	int ret;
 
 	CU_ASSERT_FATAL(g_file_set_contents(path, text, -1, NULL));
-	ret = settings_load(path, &settings, faults);
-	settings_clear(&settings);
+	ret = settings_load(path, out, faults);
 	close(fd);
 	g_unlink(path);
 	g_free(path);
 	return ret;
 }
 
+static int load_settings(const char *text, struct fault_list *faults)
+{
+	struct settings settings;
+	int ret = read_settings(text, &settings, faults);
+
+	settings_clear(&settings);
+	return ret;
+}
+
 static void run_cases(const char *name, const char *base_name,
 		      int (*load)(const char *text, struct fault_list *faults))
 {
@@ -144,6 +154,45 @@
 	run_cases("sets.tsv", "base-set.toml", load_set);
 }
 
+/* Guards against a stop that takes longer than the platform permits. */
+static void test_grace(void)
+{
+	static const int64_t graces_ms[] = { 1000, 2000, 4000, 6000, 20000 };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(graces_ms); i++) {
+		struct fault_list faults = { 0 };
+		struct settings s;
+		char *text = g_strdup_printf(
+			"[host]\nid = \"h\"\ndomain = \"d\"\n[listen]\n"
+			"http = \"127.0.0.1:1\"\n[lifecycle]\n"
+			"drain_delay = \"2200ms\"\ngrace = \"%" PRId64 "ms\"\n",
+			graces_ms[i]);
+		int64_t grace_us = graces_ms[i] * US_PER_MS;
+
+		CU_ASSERT_EQUAL(read_settings(text, &s, &faults), 0);
+		CU_ASSERT_TRUE(s.drain_delay_us + s.stop_timeout_us <
+			       grace_us * 9 / 10);
+		CU_ASSERT_TRUE(s.stop_timeout_us >= grace_us / 4);
+		settings_clear(&s);
+		fault_list_clear(&faults);
+		g_free(text);
+	}
+}
+
+/* Guards against a changed address that is taken for a change in force. */
+static void test_fixed_settings(void)
+{
+	struct settings a = { .host_id = "h",
+			      .listen_http = "127.0.0.1:1",
+			      .extra_calls = 5 };
+	struct settings b = a;
+
+	b.extra_calls = 6;
+	CU_ASSERT_PTR_NULL(settings_fixed_difference(&a, &b));
+	b.listen_http = "127.0.0.1:2";
+	CU_ASSERT_STRING_EQUAL(settings_fixed_difference(&a, &b), "http");
+}
+
 /* Guards against a wrong setting that is ignored. */
 static void test_settings(void)
 {
@@ -215,6 +264,8 @@
 CU_TestInfo broken_tests[] = {
 	{ "sets", test_sets },
 	{ "settings", test_settings },
+	{ "grace", test_grace },
+	{ "fixed settings", test_fixed_settings },
 	{ "documents", test_documents },
 	{ "replies", test_replies },
 	CU_TEST_INFO_NULL,
