test: fuzz the readers of foreign bytes and explore orders of events

Cause: nothing showed what malformed bytes or unlucky orders of events do.

Found and changed: - net/reply_reader: a status below 100 was taken for a failure, also without the id of the request; trailers were taken for headers, so that a trailer could name the request or say that it was not run; a name and a value left by a trailer split the headers of the next message where bytes came one at a time. - net/host_frame: a deletion that carried a value was accepted, and the host that sent it on to its followers read from NULL and ended.

A gather frame without the number of gatherers is read, as a host of the version before sends it.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 SANITIZE_BUILD ?= build-sanitize
 
 .PHONY: all install-deps build check check-format lint test check-sanitize \
-	bench demo fleet-check soak format clean
+	bench demo fleet-check soak fuzz format clean
 
 all: build
 
@@ -49,9 +49,13 @@
 fleet-check: build
 	@test/fleet-check $(BUILD)
 
+# TARGET=reply|frame|page|routes|leaf [SECONDS=S]; needs clang.
+fuzz:
+	@test/fuzz/run $(TARGET) $(or $(SECONDS),60)
+
 # SEED=N [SOAK_SECONDS=S] runs one seed.
 soak: build
 	@test/soak/run $(BUILD) $(SEED)
 
 clean:
-	rm -rf $(BUILD) $(SANITIZE_BUILD)
+	rm -rf $(BUILD) $(SANITIZE_BUILD) build-fuzz
--- a/include/net/reply_reader.h
+++ b/include/net/reply_reader.h
@@ -51,6 +51,8 @@
 	/** The body is read and dropped. */
 	bool is_dropping;
 	bool is_value;
+	/** What follows are trailers: they say nothing of the reply. */
+	bool is_past_head;
 	/** The message belongs to an earlier request. */
 	bool is_foreign;
 	bool is_complete;
--- a/net/host_frame.c
+++ b/net/host_frame.c
@@ -215,7 +215,8 @@
 	char *text = NULL;
 
 	if (o->type != MSGPACK_OBJECT_STR ||
-	    memchr(o->via.str.ptr, '\0', o->via.str.size))
+	    (o->via.str.size &&
+	     memchr(o->via.str.ptr, '\0', o->via.str.size)))
 		r->is_broken = true;
 	else
 		text = g_strndup(o->via.str.ptr, o->via.str.size);
@@ -269,6 +270,8 @@
 		value = read_bytes(&items, &item.value_len);
 		if (has_value)
 			item.value = (guchar *)value;
+		else if (item.value_len)
+			items.is_broken = true;
 		if (!items.is_broken)
 			store_changes_add(c, &item);
 	}
@@ -313,7 +316,8 @@
 	q->headers = r->frame->headers;
 	q->body = read_bytes(r, &q->body_len);
 	q->shards = read_texts(r, &q->shard_count);
-	gatherers = read_number(r);
+	/* Hosts of the version before do not send it. */
+	gatherers = r->next < r->fields->size ? read_number(r) : 0;
 	q->gatherers = (uint32_t)MIN(gatherers, UINT32_MAX);
 }
 
--- a/net/reply_reader.c
+++ b/net/reply_reader.c
@@ -59,6 +59,8 @@
 	leaf_reply_unref(r->reply);
 	r->reply = leaf_reply_create();
 	r->is_foreign = false;
+	r->is_past_head = false;
+	r->is_value = false;
 	g_string_truncate(r->field, 0);
 	g_string_truncate(r->value, 0);
 	return 0;
@@ -68,6 +70,8 @@
 {
 	struct reply_reader *r = parser->data;
 
+	if (r->is_past_head)
+		return 0;
 	if (r->is_value)
 		flush_header(r);
 	g_string_append_len(r->field, at, (gssize)len);
@@ -78,6 +82,8 @@
 {
 	struct reply_reader *r = parser->data;
 
+	if (r->is_past_head)
+		return 0;
 	r->is_value = true;
 	g_string_append_len(r->value, at, (gssize)len);
 	return 0;
@@ -115,10 +121,13 @@
 	const char *echo;
 
 	flush_header(r);
+	r->is_past_head = true;
 	r->reply->status = parser->status_code;
 	echo = leaf_reply_header(r->reply, r->echo_header);
 	r->is_foreign = is_foreign(r, echo);
-	if (is_doubtful(r, echo))
+	if (parser->status_code < 100 || parser->status_code > 599)
+		r->cause = "reply has no valid status";
+	else if (is_doubtful(r, echo))
 		r->cause = "failure names no request";
 	else if (!r->is_foreign && is_too_long(r))
 		r->cause = "reply too long";
--- /dev/null
+++ b/test/fuzz/targets.c
@@ -0,0 +1,231 @@
+#include "targets.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/errors.h"
+#include "net/host_frame.h"
+#include "net/reply_reader.h"
+#include "platform/routes.h"
+#include "platform/store.h"
+
+#define ECHO "Request-Id"
+#define OWN_ID "own"
+
+/* A property that does not hold is a crash, for both runners. */
+static void require(int holds, const char *property)
+{
+	if (holds)
+		return;
+	fprintf(stderr, "property does not hold: %s\n", property);
+	abort();
+}
+
+static const struct reply_limits reply_limits = { .body_max = 4096,
+						  .other_max = 2048 };
+
+/* What came of the bytes that were fed. */
+struct reading {
+	enum reply_state state;
+	struct leaf_reply *reply;
+	bool is_reusable;
+	/** Bytes fed until the state was final. */
+	size_t used;
+};
+
+/* Feeds the bytes in pieces of the given length. */
+static struct reading read_reply(const char *data, size_t len, size_t piece,
+				 bool is_used)
+{
+	struct reading out = { .state = REPLY_INCOMPLETE };
+	struct reply_reader r;
+
+	reply_reader_init(&r, &reply_limits, ECHO);
+	if (is_used)
+		reply_reader_begin(&r, "earlier", false);
+	reply_reader_begin(&r, OWN_ID, false);
+	while (out.used < len && out.state == REPLY_INCOMPLETE) {
+		size_t n = MIN(piece, len - out.used);
+
+		out.state = reply_reader_feed(&r, data + out.used, n);
+		out.used += n;
+		require(reply_reader_held(&r) <= reply_limits.body_max,
+			"a body stays within its limit");
+	}
+	if (out.state == REPLY_INCOMPLETE)
+		require(r.other_bytes <= reply_limits.other_max,
+			"other bytes stay within their limit");
+	if (out.state == REPLY_BROKEN)
+		require(r.cause != NULL, "a broken reply has a cause");
+	if (out.state == REPLY_COMPLETE)
+		out.reply = reply_reader_take(&r);
+	out.is_reusable = r.is_reusable;
+	reply_reader_clear(&r);
+	return out;
+}
+
+static void require_own(const struct reading *r, bool is_used)
+{
+	const char *echo = leaf_reply_header(r->reply, ECHO);
+
+	if (echo)
+		require(!strcmp(echo, OWN_ID), "a reply names its request");
+	else
+		require(r->reply->status / 100 != 2 && !is_used,
+			"only a failure on a new connection names none");
+}
+
+static void run_reply(const uint8_t *data, size_t len)
+{
+	bool is_used = len && data[0] & 1;
+	const char *text = (const char *)data + 1;
+	struct reading whole;
+	struct reading bytes;
+
+	if (!len)
+		return;
+	whole = read_reply(text, len - 1, len, is_used);
+	bytes = read_reply(text, len - 1, 1, is_used);
+	/* Limits on other bytes are checked a piece at a time. */
+	if (whole.state == REPLY_COMPLETE && bytes.state == REPLY_COMPLETE) {
+		require(whole.reply->status == bytes.reply->status &&
+				whole.reply->body->len ==
+					bytes.reply->body->len &&
+				!memcmp(whole.reply->body->data,
+					bytes.reply->body->data,
+					whole.reply->body->len),
+			"a reply does not depend on how its bytes arrive");
+		require_own(&whole, is_used);
+	}
+	if (bytes.state == REPLY_COMPLETE) {
+		require_own(&bytes, is_used);
+		require(whole.state == REPLY_COMPLETE,
+			"a reply is whole in one piece as well");
+		require(bytes.used == len - 1 || !whole.is_reusable,
+			"bytes after a reply end the connection");
+	}
+	leaf_reply_unref(whole.reply);
+	leaf_reply_unref(bytes.reply);
+}
+
+static GByteArray *encode_frame(const struct host_frame *f)
+{
+	switch (f->type) {
+	case HOST_HELLO:
+		return host_frame_hello(f->address);
+	case HOST_SUBSCRIBE:
+		return host_frame_subscribe(f->revision);
+	case HOST_UNSUBSCRIBE:
+		return host_frame_unsubscribe();
+	case HOST_CHANGES:
+		return host_frame_changes(f->changes);
+	case HOST_PULSE:
+		return host_frame_pulse(f->revision, f->is_store_up);
+	case HOST_GATHER:
+		return host_frame_gather(&f->request);
+	case HOST_GATHER_TAKEN:
+		return host_frame_taken(f->id);
+	case HOST_GATHERED:
+		return host_frame_gathered(&f->result);
+	case HOST_GATHER_CANCEL:
+		return host_frame_cancel(f->id);
+	}
+	return NULL;
+}
+
+/* An accepted frame means the same after it was sent on. */
+static void run_frame(const uint8_t *data, size_t len)
+{
+	struct host_frame f;
+	struct host_frame again;
+	GByteArray *first;
+	GByteArray *second;
+
+	if (host_frame_decode(data, len, &f))
+		return;
+	first = encode_frame(&f);
+	require(first != NULL, "an accepted frame has a known type");
+	require(!host_frame_decode(first->data, first->len, &again),
+		"an accepted frame can be sent on");
+	second = encode_frame(&again);
+	require(first->len == second->len &&
+			!memcmp(first->data, second->data, first->len),
+		"a frame that is sent on is the same");
+	g_byte_array_free(first, TRUE);
+	g_byte_array_free(second, TRUE);
+	host_frame_clear(&f);
+	host_frame_clear(&again);
+}
+
+static void run_page(const uint8_t *data, size_t len)
+{
+	struct store_changes *c;
+	bool has_more;
+
+	platform_store_decode_lease((const char *)data, len);
+	if (platform_store_decode((const char *)data, len, &c, &has_more))
+		return;
+	for (guint i = 0; i < c->items->len; i++) {
+		const struct store_item *item =
+			&g_array_index(c->items, struct store_item, i);
+
+		require(item->key != NULL, "an item has a key");
+		require(!item->value || item->value_len <= len,
+			"a value is no longer than its message");
+	}
+	store_changes_free(c);
+}
+
+static void require_route(const struct route_table *t, const struct route *r)
+{
+	require(r->timeout_us > 0 && r->goal_us > 0 && r->max_attempts > 0,
+		"a route has positive times and attempts");
+	require(r->shape != ROUTE_GATHER || r->is_idempotent,
+		"gathered requests may be repeated");
+	for (uint32_t i = 0; i < r->target_count; i++) {
+		require(r->targets[i].upstream < t->upstream_count,
+			"a target names an upstream");
+		for (uint32_t k = 0; k < i && r->shape == ROUTE_GATHER; k++)
+			require(r->targets[k].upstream !=
+					r->targets[i].upstream,
+				"a gather names a shard once");
+	}
+}
+
+static void run_routes(const uint8_t *data, size_t len)
+{
+	char message[128];
+	struct route_table *t;
+
+	if (platform_decode_routes((const char *)data, len, &t, message,
+				   sizeof(message)))
+		return;
+	require(t->version > 0, "a table has a version");
+	for (uint32_t i = 0; i < t->route_count; i++)
+		require_route(t, &t->routes[i]);
+	route_table_match(t, "example", "/a/b?c");
+	route_table_unref(t);
+}
+
+static void run_leaf(const uint8_t *data, size_t len)
+{
+	struct leaf_entry leaf;
+	struct host_record host;
+
+	if (!platform_decode_leaf("id", (const char *)data, len, &leaf)) {
+		require(leaf.service && leaf.domain && leaf.slots > 0 &&
+				leaf.warm_up_us >= 0,
+			"an accepted leaf can be used");
+		leaf_entry_clear(&leaf);
+	}
+	if (!platform_decode_host("h", (const char *)data, len, &host)) {
+		require(host.address && host.domain, "a host can be reached");
+		host_record_clear(&host);
+	}
+}
+
+const struct fuzz_target fuzz_targets[] = {
+	{ "reply", run_reply },	  { "frame", run_frame }, { "page", run_page },
+	{ "routes", run_routes }, { "leaf", run_leaf },	  { NULL, NULL },
+};
--- /dev/null
+++ b/test/fuzz/targets.h
@@ -0,0 +1,17 @@
+#ifndef TEST_FUZZ_TARGETS_H
+#define TEST_FUZZ_TARGETS_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+/** Reader of foreign bytes that is fed with any input. */
+struct fuzz_target {
+	const char *name;
+	/** Ends the process if a property of the reader does not hold. */
+	void (*run)(const uint8_t *data, size_t len);
+};
+
+/** All targets; the last one has no name. */
+extern const struct fuzz_target fuzz_targets[];
+
+#endif
--- a/test/unit/fake_router.c
+++ b/test/unit/fake_router.c
@@ -18,6 +18,7 @@
 	};
 	g_strlcpy(c->leaf_id, call->leaf->entry.id, sizeof(c->leaf_id));
 	g_strlcpy(c->service, call->leaf->entry.service, sizeof(c->service));
+	g_strlcpy(c->request_id, call->request_id, sizeof(c->request_id));
 }
 
 static void handle_cancel_call(void *ctx, uint64_t call_id)
--- a/test/unit/fake_router.h
+++ b/test/unit/fake_router.h
@@ -12,6 +12,7 @@
 	struct route_leaf *leaf;
 	char leaf_id[16];
 	char service[16];
+	char request_id[16];
 	int64_t sent_us;
 	int64_t remaining_us;
 	bool is_open;
--- a/test/unit/main.c
+++ b/test/unit/main.c
@@ -24,6 +24,7 @@
 	{ "leaf client", NULL, NULL, NULL, NULL, leaf_client_tests },
 	{ "merge", NULL, NULL, NULL, NULL, merge_tests },
 	{ "router", NULL, NULL, NULL, NULL, router_tests },
+	{ "router schedules", NULL, NULL, NULL, NULL, router_schedule_tests },
 	{ "start hold", NULL, NULL, NULL, NULL, start_hold_tests },
 	{ "router feed", NULL, NULL, NULL, NULL, router_feed_tests },
 	{ "upstream", NULL, NULL, NULL, NULL, upstream_tests },
--- a/test/unit/suites.h
+++ b/test/unit/suites.h
@@ -25,6 +25,7 @@
 extern CU_TestInfo merge_tests[];
 extern CU_TestInfo router_tests[];
 extern CU_TestInfo router_feed_tests[];
+extern CU_TestInfo router_schedule_tests[];
 extern CU_TestInfo start_hold_tests[];
 extern CU_TestInfo upstream_tests[];
 extern CU_TestInfo peer_tests[];
