nutmegpickd: start no unrepeatable request for a caller that has left

Cause: after a pause of the process, requests that came meanwhile are read at once and were sent to leaves; callers that had left were noticed 150 ms later.

Change: before an unrepeatable request is started, and before any request after a late wake-up of the router thread, the caller's connection is looked at.

Ruled out: a deadline from the arrival; the time of arrival is not known after a pause. Looking at every request's connection: one more system call for each.

--- a/include/nutmegpickd/route_internal.h
+++ b/include/nutmegpickd/route_internal.h
@@ -113,6 +113,8 @@
 	struct work_share work;
 	/** When the router thread last woke from its wait. */
 	int64_t woke_us;
+	/** The thread woke much later than it had asked for. */
+	bool is_stalled;
 	uint32_t held_count;
 	/** Requests in flight that another host gathers, by forward id. */
 	GHashTable *forwards;
--- a/nutmegpickd/route_callers.c
+++ b/nutmegpickd/route_callers.c
@@ -247,6 +247,31 @@
 		route_run_here(s, q, false);
 }
 
+static void drop_request(struct route_service *s, struct caller_request *q)
+{
+	route_forward_cancel(s, q);
+	if (q->id)
+		router_cancel(s->router, q->id);
+	if (q->exchange)
+		http_exchange_drop(q->exchange);
+	release_request(s, q);
+}
+
+/*
+ * After a pause of the process its callers' requests are read all at once, and
+ * some of these callers have given up. An unrepeatable request is not started
+ * for nobody; others are found by route_check_gone().
+ */
+static bool is_too_late(struct route_service *s, const struct http_exchange *x)
+{
+	const struct route *route =
+		router_match(s->router, http_exchange_header(x, "Host"),
+			     http_exchange_target(x));
+
+	return (s->is_stalled || (route && !route->is_idempotent)) &&
+	       http_exchange_is_gone(x);
+}
+
 static bool is_hold_open(const struct route_service *s)
 {
 	return start_hold_is_open(&s->hold, router_version(s->router),
@@ -258,6 +283,10 @@
 	struct caller_request *q = create_request(s);
 
 	q->exchange = x;
+	if (is_too_late(s, x)) {
+		drop_request(s, q);
+		return;
+	}
 	q->wait_us = platform_read_wait(http_exchange_header(x, PLATFORM_WAIT));
 	if (!is_hold_open(s)) {
 		start_request(s, q);
@@ -297,16 +326,6 @@
 	route_run_here(s, q, false);
 }
 
-static void drop_request(struct route_service *s, struct caller_request *q)
-{
-	route_forward_cancel(s, q);
-	if (q->id)
-		router_cancel(s->router, q->id);
-	if (q->exchange)
-		http_exchange_drop(q->exchange);
-	release_request(s, q);
-}
-
 static void cancel_matching(struct route_service *s, peer_link link,
 			    uint64_t id, bool is_any)
 {
--- a/nutmegpickd/route_service.c
+++ b/nutmegpickd/route_service.c
@@ -16,6 +16,8 @@
  * within half a second.
  */
 #define GONE_CHECK_US (150 * US_PER_MS)
+/* A thread that wakes this much too late was paused. */
+#define STALL_US (200 * US_PER_MS)
 #define IDLE_WAIT_US (1 * US_PER_S)
 
 void route_service_send(struct route_service *s, struct route_event event)
@@ -209,6 +211,11 @@
 			 __ATOMIC_RELEASE);
 }
 
+static bool is_stalled(const struct route_service *s, int64_t until_us)
+{
+	return leaf_client_woke_us(s->client) - until_us > STALL_US;
+}
+
 static void *run(void *ctx)
 {
 	struct route_service *s = ctx;
@@ -216,10 +223,12 @@
 	s->next_feed_us = s->peer ? 0 : INT64_MAX;
 	while (!s->is_exiting) {
 		int64_t now = clock_now(&s->clock);
+		int64_t wait = next_wait(s, now);
 
 		if (s->woke_us)
 			work_share_note(&s->work, s->woke_us, now);
-		if (leaf_client_poll(s->client, next_wait(s, now))) {
+		if (leaf_client_poll(s->client, wait)) {
+			s->is_stalled = is_stalled(s, now + wait);
 			take_events(s);
 			update_ready(s);
 		}
