router: let callers of shards in trouble come back as late as they will

Cause: callers whose request was refused because shards were down or overloaded were told to come back after 100 to 300 ms, into the same refusal: shards are in trouble for seconds.

Change: they come back spread over the second half of a third of the time that they have left, which is as long as they wait.

Ruled out: the same for single requests that no leaf could take; another leaf serves them at once.

The test failed before.

--- a/router/request.c
+++ b/router/request.c
@@ -12,6 +12,8 @@
 /* Advice to callers of refused requests, spread so that they do not meet. */
 #define RETRY_AFTER_MIN_US (100 * US_PER_MS)
 #define RETRY_AFTER_SPREAD_US (200 * US_PER_MS)
+/* Callers wait for a third of the time that they have left at most. */
+#define RETRY_AFTER_SHARE 0.32
 
 static int64_t retry_after(struct router *r)
 {
@@ -19,6 +21,20 @@
 	       g_rand_int_range(r->random, 0, RETRY_AFTER_SPREAD_US);
 }
 
+/*
+ * Shards that are down or overloaded are so for seconds: their callers come
+ * back as late as they will, spread over the second half of that time.
+ */
+static int64_t retry_after_trouble(struct router *r,
+				   const struct route_request *q)
+{
+	double longest =
+		RETRY_AFTER_SHARE * (double)(q->deadline_us - router_now(r));
+	double share = g_rand_double_range(r->random, 0.5, 1);
+
+	return MAX(RETRY_AFTER_MIN_US, (int64_t)(share * longest));
+}
+
 static void log_end(const struct router *r, const struct route_request *q,
 		    const struct router_answer *a)
 {
@@ -74,7 +90,9 @@
 
 	if (!may_have_run(q)) {
 		a.status = 503;
-		a.retry_after_us = retry_after(r);
+		a.retry_after_us = code == -ERR_ROUTE_LATE
+					   ? retry_after_trouble(r, q)
+					   : retry_after(r);
 	} else if (code == -ERR_NET_TIMEOUT) {
 		a.status = 504;
 	}
--- a/test/unit/test_router.c
+++ b/test/unit/test_router.c
@@ -331,6 +331,36 @@
 	fake_router_destroy(f);
 }
 
+/*
+ * Guards against callers who are invited back into the same refusal, and
+ * against their coming back at the same moment: a shard is down for seconds.
+ */
+static void test_retry_after(void)
+{
+	struct fake_router *f = fake_router_create(3);
+	int64_t first = INT64_MAX;
+	int64_t last = 0;
+
+	for (int i = 0; i < 4; i++) {
+		fake_router_start(f, "/search/x", 0);
+		break_shard(f, "s1");
+	}
+	f->answer_count = 0;
+	for (int i = 0; i < 50; i++)
+		fake_router_start(f, "/search/x", 1200 * US_PER_MS);
+	for (uint32_t i = 0; i < f->answer_count; i++) {
+		CU_ASSERT_EQUAL(f->answers[i].status, 503);
+		first = MIN(first, f->answers[i].retry_after_us);
+		last = MAX(last, f->answers[i].retry_after_us);
+	}
+	CU_ASSERT_EQUAL(f->answer_count, 50);
+	/* Callers wait for a third of the time that they have left at most. */
+	CU_ASSERT_TRUE(last <= 400 * US_PER_MS);
+	CU_ASSERT_TRUE(last > 330 * US_PER_MS);
+	CU_ASSERT_TRUE(last - first > 120 * US_PER_MS);
+	fake_router_destroy(f);
+}
+
 /*
  * Guards against giving up a part whose leaf cannot be reached while the other
  * leaves are busy for a moment: the whole answer would fail for it.
@@ -559,6 +589,7 @@
 	{ "repeat", test_repeat },
 	{ "hopeless", test_hopeless },
 	{ "shard down", test_shard_down },
+	{ "retry after", test_retry_after },
 	{ "replacement waits", test_replacement_waits },
 	{ "overload", test_overload },
 	{ "batch", test_batch },
