router: try a leaf that had no room again for a gather

Cause: a leaf that refused a call for want of room was not tried again for that part. Where the other leaves of a shard were down, the part failed at once, and with a third such part the whole gather, after 39 shards had worked.

Change: the leaf counts as busy for 40 ms and is then tried again, within the budget and up to four calls of a part. Whether busy leaves are left is told apart from an expected duration of 0.

The test failed before.

--- a/include/router/internal.h
+++ b/include/router/internal.h
@@ -198,6 +198,8 @@
 	int64_t expected_us;
 	/** Leaves that may be used at all, busy or not. */
 	uint32_t usable;
+	/** There is no leaf, but some are only busy. */
+	bool is_busy;
 	/** Expected wait for a leaf where all are busy; 0 if none is usable. */
 	int64_t wait_us;
 };
--- a/include/router/leaf_set.h
+++ b/include/router/leaf_set.h
@@ -68,6 +68,8 @@
 	/** Calls that this host may have under way at the leaf. */
 	double window;
 	int64_t shrunk_at_us;
+	/** The leaf has refused a call for want of room. */
+	int64_t full_until_us;
 	/** Requests of other hosts at the last reply, and its time. */
 	double others;
 	int64_t reported_at_us;
--- a/router/choice.c
+++ b/router/choice.c
@@ -42,6 +42,8 @@
 #define SHRINK_QUEUE 0.8
 #define SHRINK_SHED 0.6
 #define GROW_CALLS 0.5
+/* A leaf that refused a call for want of room gets none for this long. */
+#define FULL_US (40 * US_PER_MS)
 /* A call that has not come back is taken to last this much longer. */
 #define LATE_FACTOR 2
 #define EJECT_FAILURES 3
@@ -140,9 +142,10 @@
 	return CLAMP(share, 2, 64);
 }
 
-static bool is_busy(const struct route_leaf *leaf)
+static bool is_busy(const struct route_leaf *leaf, int64_t now)
 {
-	return leaf->calls.length >= MIN(leaf->window, window_max(leaf));
+	return now < leaf->full_until_us ||
+	       leaf->calls.length >= MIN(leaf->window, window_max(leaf));
 }
 
 static bool is_ejected(const struct route_leaf *leaf, int64_t now)
@@ -197,7 +200,7 @@
 		capacity += leaf->window;
 		if (is_tried(part, leaf))
 			continue;
-		if (is_busy(leaf)) {
+		if (is_busy(leaf, now)) {
 			least_busy = MIN(least_busy, expected_us(leaf, stats,
 								 typical, now));
 			continue;
@@ -215,6 +218,7 @@
 		choice.expected_us = (int64_t)expected;
 	}
 	if (!choice.leaf && least_busy < INFINITY) {
+		choice.is_busy = true;
 		choice.expected_us = (int64_t)least_busy;
 		choice.wait_us =
 			expected_wait(part->pool, capacity, least_busy);
@@ -262,14 +266,17 @@
 static void adapt_window(struct route_leaf *leaf,
 			 const struct router_result *result, int64_t now)
 {
-	if (result->outcome == CALL_NOT_RUN)
+	if (result->outcome == CALL_NOT_RUN) {
+		leaf->full_until_us = now + FULL_US;
 		shrink_window(leaf, SHRINK_SHED, now);
-	else if (!result->load.is_known)
+	} else if (!result->load.is_known) {
 		return;
-	else if (2 * result->load.waiting > leaf->entry.slots)
+	} else if (2 * result->load.waiting > leaf->entry.slots) {
 		shrink_window(leaf, SHRINK_QUEUE, now);
-	else if (!result->load.waiting && leaf->calls.length >= leaf->window)
+	} else if (!result->load.waiting &&
+		   leaf->calls.length >= leaf->window) {
 		leaf->window = MIN(leaf->window + GROW_CALLS, window_max(leaf));
+	}
 }
 
 static void eject(struct route_leaf *leaf, int64_t now)
--- a/router/part.c
+++ b/router/part.c
@@ -9,6 +9,8 @@
 #define BATCH_LATE_US (12 * US_PER_MS)
 /* No call is sent when less time is left than this. */
 #define CALL_MIN_US (10 * US_PER_MS)
+/* Calls of a part after which leaves that had no room are not tried again. */
+#define SHED_CALLS_MAX 4
 
 static const char *outcome_name(enum call_outcome outcome)
 {
@@ -151,6 +153,12 @@
 	EXTRA_NO_TOKEN,
 };
 
+static bool is_worth_waiting(const struct leaf_choice *choice, int64_t left_us)
+{
+	return choice->is_busy &&
+	       choice->wait_us + choice->expected_us <= left_us;
+}
+
 static enum extra_result send_extra(struct router *r, struct route_part *p,
 				    enum extra_cause kind, bool is_free,
 				    const char *cause)
@@ -163,9 +171,7 @@
 		return EXTRA_NO_LEAF;
 	choice = leaf_choose(r, p);
 	if (!choice.leaf)
-		return choice.expected_us &&
-				       choice.wait_us + choice.expected_us <=
-					       q->deadline_us - now
+		return is_worth_waiting(&choice, q->deadline_us - now)
 			       ? EXTRA_BUSY
 			       : EXTRA_NO_LEAF;
 	if (!is_free && !extra_calls_take(&p->pool->extra, kind,
@@ -347,7 +353,19 @@
 	return route->is_idempotent || !p->runs;
 }
 
+/* A leaf that had no room may have some before the goal of a gather. */
+static void forget_tried(struct route_part *p, const struct route_leaf *leaf)
+{
+	for (uint32_t i = 0; i < p->tried_count; i++) {
+		if (p->tried[i] != leaf)
+			continue;
+		p->tried[i] = p->tried[--p->tried_count];
+		return;
+	}
+}
+
 static void handle_failure(struct router *r, struct route_part *p,
+			   const struct route_leaf *leaf,
 			   const struct router_result *result)
 {
 	struct route_request *q = p->request;
@@ -357,6 +375,9 @@
 		  q->request_id, p->pool->name, outcome_name(result->outcome),
 		  result->reply ? result->reply->status : 0,
 		  result->cause ? result->cause : "");
+	if (result->outcome == CALL_NOT_RUN &&
+	    q->route->shape == ROUTE_GATHER && p->arrivals < SHED_CALLS_MAX)
+		forget_tried(p, leaf);
 	if (result->outcome == CALL_NOT_RUN ||
 	    result->outcome == CALL_MISDIRECTED ||
 	    result->outcome == CALL_NOT_SENT)
@@ -394,6 +415,7 @@
 			const struct router_result *result)
 {
 	struct route_part *p = c->part;
+	const struct route_leaf *leaf = c->leaf;
 
 	if (result->outcome == CALL_ANSWERED)
 		latency_add(&c->stats->calls, router_now(r) - c->start_us);
@@ -406,5 +428,5 @@
 	if (result->outcome == CALL_ANSWERED)
 		accept_reply(r, p, result);
 	else
-		handle_failure(r, p, result);
+		handle_failure(r, p, leaf, result);
 }
--- a/test/unit/test_router.c
+++ b/test/unit/test_router.c
@@ -393,6 +393,38 @@
 	fake_router_destroy(f);
 }
 
+/*
+ * Guards against a gather that fails because the one leaf left of a shard had
+ * no room for a moment, after all other shards have worked.
+ */
+static void test_shed(void)
+{
+	struct fake_router *f = fake_router_create(1);
+	uint32_t calls;
+
+	for (int i = 0; i < 2; i++)
+		leaf_set_remove(router_leaves(f->router), i ? "s0-b" : "s0-c",
+				0, f->time.now_us);
+	fake_router_start(f, "/search/x", 0);
+	for (uint32_t i = 0; i < 10; i++) {
+		fake_router_start(f, "/search/x", 0);
+		fake_router_end(f, f->call_count - 1, CALL_ANSWERED, 200,
+				RECORD_A);
+	}
+	f->answer_count = 0;
+	calls = f->call_count;
+	fake_router_end(f, 0, CALL_NOT_RUN, 503, NULL);
+	CU_ASSERT_EQUAL(f->answer_count, 0);
+	/* Not at once: the leaf has no room yet. */
+	CU_ASSERT_EQUAL(f->call_count, calls);
+	fake_router_advance(f, 80 * US_PER_MS);
+	CU_ASSERT_EQUAL(f->call_count, calls + 1);
+	fake_router_end(f, calls, CALL_ANSWERED, 200, RECORD_A);
+	CU_ASSERT_EQUAL(f->answer_count, 1);
+	CU_ASSERT_EQUAL(f->answers[0].status, 200);
+	fake_router_destroy(f);
+}
+
 /* Calls that the overloaded leaf of the next test runs at a time. */
 #define OVERLOAD_SLOTS 4
 #define OVERLOAD_CALL_US (60 * US_PER_MS)
@@ -591,6 +623,7 @@
 	{ "shard down", test_shard_down },
 	{ "retry after", test_retry_after },
 	{ "replacement waits", test_replacement_waits },
+	{ "shed", test_shed },
 	{ "overload", test_overload },
 	{ "batch", test_batch },
 	{ "batch overlap", test_batch_overlap },
