nutmegpickd: keep callers to the limits of the configuration

Cause: the operator's limits on callers were read and not used. A connection without a request, or with a head that came a byte at a time, stayed for ever.

Change: the largest body is that of the configuration. The library tells of a request when its head is whole, so a slow head counts as idle time.

Ruled out: the library's own timeout, which begins anew with each byte.

A soak script that fails no longer leaves its host running; one did, and later runs waited on it for 8 minutes.

--- a/include/net/http_server.h
+++ b/include/net/http_server.h
@@ -36,6 +36,24 @@
 		       const struct http_server_options *options);
 
 /** Returns the port that the server listens on. */
+/** Bounds on what callers send and on how long they take. */
+struct http_limits {
+	/** Largest request body, in bytes. */
+	size_t max_body;
+	/** Longest time without a request on an open connection. */
+	int64_t idle_us;
+	/** Longest time for the head of a request. */
+	int64_t head_us;
+	/** Longest time for the body of a request. */
+	int64_t body_us;
+};
+
+/** Sets the limits; safe from any thread. */
+void http_server_set_limits(struct http_server *s, const struct http_limits *l);
+
+/** Closes connections that are out of time; safe from any thread. */
+void http_server_sweep(struct http_server *s);
+
 uint16_t http_server_port(const struct http_server *s);
 
 /** Marks every later reply with "Connection: close"; listening goes on. */
--- a/include/nutmegpickd/route_internal.h
+++ b/include/nutmegpickd/route_internal.h
@@ -131,6 +131,9 @@
 	int64_t next_sweep_us;
 	int64_t next_gone_check_us;
 	int64_t next_feed_us;
+	int64_t next_callers_us;
+	/** The server of callers is there. */
+	bool is_listening;
 	GString *head;
 	pthread_t thread;
 };
--- a/include/router/router.h
+++ b/include/router/router.h
@@ -228,6 +228,9 @@
 /** Returns the version in force; 0 if there is none. */
 uint64_t router_version(const struct router *r);
 
+/** Returns the bounds for callers in force, or NULL if there are none yet. */
+const struct caller_limits *router_caller_limits(const struct router *r);
+
 /** Returns the leaves, which the owner of the router may change. */
 struct leaf_set *router_leaves(struct router *r);
 
--- a/net/host_frame.c
+++ b/net/host_frame.c
@@ -215,8 +215,7 @@
 	char *text = NULL;
 
 	if (o->type != MSGPACK_OBJECT_STR ||
-	    (o->via.str.size &&
-	     memchr(o->via.str.ptr, '\0', o->via.str.size)))
+	    (o->via.str.size && memchr(o->via.str.ptr, '\0', o->via.str.size)))
 		r->is_broken = true;
 	else
 		text = g_strndup(o->via.str.ptr, o->via.str.size);
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -30,6 +30,8 @@
 struct http_connection {
 	int fd;
 	bool is_busy;
+	/* The whole request is here and waits for its answer. */
+	bool is_read;
 	bool is_used;
 	/* Set once the receiving side was shut down by http_server_stop(). */
 	bool is_shut;
@@ -40,6 +42,9 @@
 	struct MHD_Daemon *daemon;
 	struct http_server_options options;
 	size_t max_body;
+	/* Times of the limits, guarded by the lock; 0 sets no bound. */
+	int64_t quiet_us;
+	int64_t body_us;
 	uint16_t port;
 	bool is_draining;
 	/* Set once no request may wait for a reply any more. */
@@ -120,10 +125,20 @@
 		return;
 	pthread_mutex_lock(&s->lock);
 	c->is_busy = is_busy;
+	c->is_read = false;
 	c->idle_since_us = g_get_monotonic_time();
 	pthread_mutex_unlock(&s->lock);
 }
 
+static void set_read(struct http_server *s, struct http_connection *c)
+{
+	if (!c)
+		return;
+	pthread_mutex_lock(&s->lock);
+	c->is_read = true;
+	pthread_mutex_unlock(&s->lock);
+}
+
 static void handle_connection(void *ctx, struct MHD_Connection *connection,
 			      void **state,
 			      enum MHD_ConnectionNotificationCode code)
@@ -220,6 +235,7 @@
 		return queue_refusal(s, x->connection, 503, ERR_STOPPING);
 	}
 	x->is_submitted = true;
+	set_read(s, x->caller);
 	x->refs++;
 	MHD_suspend_connection(x->connection);
 	s->options.handle_request(s->options.ctx, x);
@@ -240,7 +256,8 @@
 		return MHD_YES;
 	}
 	if (*size) {
-		if (x->body->len + *size > s->max_body)
+		if (x->body->len + *size >
+		    __atomic_load_n(&s->max_body, __ATOMIC_RELAXED))
 			x->is_too_large = true;
 		else
 			g_string_append_len(x->body, data, (gssize)*size);
@@ -325,6 +342,49 @@
 	return 0;
 }
 
+void http_server_set_limits(struct http_server *s, const struct http_limits *l)
+{
+	__atomic_store_n(&s->max_body, l->max_body, __ATOMIC_RELAXED);
+	pthread_mutex_lock(&s->lock);
+	s->quiet_us = l->idle_us + l->head_us;
+	s->body_us = l->body_us;
+	pthread_mutex_unlock(&s->lock);
+}
+
+/*
+ * The head of a request that comes slowly is part of the idle time: the library
+ * tells of a request when its head is whole.
+ */
+static bool is_out_of_time(const struct http_server *s,
+			   const struct http_connection *c, int64_t now)
+{
+	int64_t max = c->is_busy ? s->body_us : s->quiet_us;
+
+	return max && !c->is_shut && !c->is_read &&
+	       now - c->idle_since_us > max;
+}
+
+void http_server_sweep(struct http_server *s)
+{
+	int64_t now = g_get_monotonic_time();
+	struct http_connection *c;
+	GHashTableIter iter;
+	uint32_t closed = 0;
+
+	pthread_mutex_lock(&s->lock);
+	g_hash_table_iter_init(&iter, s->connections);
+	while (g_hash_table_iter_next(&iter, (gpointer *)&c, NULL)) {
+		if (!is_out_of_time(s, c, now))
+			continue;
+		c->is_shut = true;
+		closed++;
+		shutdown(c->fd, SHUT_RDWR);
+	}
+	pthread_mutex_unlock(&s->lock);
+	if (closed)
+		event_log(EV_HTTP_SLOW, "connections=%u", closed);
+}
+
 uint16_t http_server_port(const struct http_server *s)
 {
 	return s->port;
--- a/nutmegpickd/route_service.c
+++ b/nutmegpickd/route_service.c
@@ -16,6 +16,10 @@
  * within half a second.
  */
 #define GONE_CHECK_US (150 * US_PER_MS)
+/* Interval at which connections of callers are looked at. */
+#define CALLERS_CHECK_US (1 * US_PER_S)
+/* Time for the body of a request; the operator's limits bound its length. */
+#define BODY_TIMEOUT_US (30 * US_PER_S)
 /* A thread that wakes this much too late was paused. */
 #define STALL_US (200 * US_PER_MS)
 #define IDLE_WAIT_US (1 * US_PER_S)
@@ -181,6 +185,21 @@
 	return MAX(next - now, 0);
 }
 
+static void check_callers(struct route_service *s)
+{
+	const struct caller_limits *l = router_caller_limits(s->router);
+	struct http_limits limits = { .body_us = BODY_TIMEOUT_US };
+
+	/* The router's thread starts before the server. */
+	if (!l || !__atomic_load_n(&s->is_listening, __ATOMIC_ACQUIRE))
+		return;
+	limits.max_body = l->max_body_bytes;
+	limits.idle_us = l->idle_timeout_us;
+	limits.head_us = l->header_timeout_us;
+	http_server_set_limits(s->server, &limits);
+	http_server_sweep(s->server);
+}
+
 static void run_due(struct route_service *s)
 {
 	int64_t now = clock_now(&s->clock);
@@ -195,6 +214,10 @@
 		s->next_gone_check_us = now + GONE_CHECK_US;
 		route_check_gone(s);
 	}
+	if (now >= s->next_callers_us) {
+		s->next_callers_us = now + CALLERS_CHECK_US;
+		check_callers(s);
+	}
 	if (s->peer) {
 		route_forward_check(s);
 		s->next_feed_us = feed_advance(s->feed);
@@ -393,6 +416,7 @@
 		return ret;
 	pthread_create(&s->thread, NULL, run, s);
 	ret = start_servers(s);
+	__atomic_store_n(&s->is_listening, !ret, __ATOMIC_RELEASE);
 	*out = s;
 	return ret;
 }
@@ -411,6 +435,7 @@
 {
 	unsigned int left;
 
+	__atomic_store_n(&s->is_listening, false, __ATOMIC_RELEASE);
 	__atomic_store_n(&s->is_ready, false, __ATOMIC_RELEASE);
 	route_service_send(s,
 			   (struct route_event){ .type = ROUTE_EVENT_DRAIN });
--- a/router/router.c
+++ b/router/router.c
@@ -170,6 +170,11 @@
 	return r->table ? r->table->version : 0;
 }
 
+const struct caller_limits *router_caller_limits(const struct router *r)
+{
+	return r->table ? &r->table->limits : NULL;
+}
+
 struct leaf_set *router_leaves(struct router *r)
 {
 	return &r->leaves;
--- a/test/soak/paused.py
+++ b/test/soak/paused.py
@@ -55,4 +55,5 @@
     print("status:", soak.processes[0].returncode)
 
 
-asyncio.run(main())
+if __name__ == "__main__":
+    asyncio.run(main())
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -7,6 +7,7 @@
 """
 import argparse
 import asyncio
+import atexit
 import hashlib
 import os
 import random
@@ -46,6 +47,7 @@
         self.started = {}
         self.faulted = set()
         self.all_processes = []
+        atexit.register(self.kill_left)
         self.store = Store()
         self.leaves = []
         self.proxies = []
@@ -53,6 +55,15 @@
         self.ended = False
         self.folder = tempfile.TemporaryDirectory()
 
+    def kill_left(self):
+        """No host outlives a run that fails; a later one uses its address."""
+        for process in self.all_processes:
+            if process.returncode is None:
+                try:
+                    os.kill(process.pid, signal.SIGKILL)
+                except ProcessLookupError:
+                    pass
+
     def fail(self, text):
         self.faults.append(text)
         print("FAULT", text, flush=True)
--- a/test/unit/test_leaf_client.c
+++ b/test/unit/test_leaf_client.c
@@ -77,8 +77,10 @@
 	memset(g, 0, sizeof(*g));
 	g->now_us = US_PER_S;
 	g->listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-	bind(g->listener, (struct sockaddr *)&address, sizeof(address));
-	listen(g->listener, PEERS_MAX);
+	CU_ASSERT_EQUAL_FATAL(bind(g->listener, (struct sockaddr *)&address,
+				   sizeof(address)),
+			      0);
+	CU_ASSERT_EQUAL_FATAL(listen(g->listener, PEERS_MAX), 0);
 	getsockname(g->listener, (struct sockaddr *)&address, &len);
 	CU_ASSERT_EQUAL_FATAL(leaf_client_create(&g->client, &options), 0);
 	g->endpoint = leaf_endpoint_create(g->client, &address);
@@ -184,7 +186,7 @@
 static void check_endless(const char *name, const char *start,
 			  const char *piece, size_t max)
 {
-	struct rig g;
+	struct rig g = { 0 };
 	size_t sent;
 
 	rig_init(&g);
@@ -237,7 +239,7 @@
 /* Guards against reading what is known from the start to be too long. */
 static void test_declared_length(void)
 {
-	struct rig g;
+	struct rig g = { 0 };
 
 	rig_init(&g);
 	send_request(&g, 1, 0);
@@ -264,7 +266,7 @@
 /* Guards against a late second copy that the next request takes for its own. */
 static void test_late_copy(void)
 {
-	struct rig g;
+	struct rig g = { 0 };
 
 	rig_init(&g);
 	send_request(&g, 1, 0);
@@ -289,7 +291,7 @@
  */
 static void test_nameless_failure(void)
 {
-	struct rig g;
+	struct rig g = { 0 };
 
 	rig_init(&g);
 	send_request(&g, 1, 0);
@@ -308,7 +310,7 @@
 /* Guards against calls that hold a connection after their request has ended. */
 static void test_let_go(void)
 {
-	struct rig g;
+	struct rig g = { 0 };
 
 	rig_init(&g);
 	send_request(&g, 1, 0);
@@ -333,7 +335,7 @@
 {
 	const size_t piece = 900 * 1024;
 	char *body = g_malloc0(piece);
-	struct rig g;
+	struct rig g = { 0 };
 
 	rig_init_held(&g, 4 * piece);
 	send_request(&g, 1, 0);
