--- a/test/unit/test_leaf_client.c
+++ b/test/unit/test_leaf_client.c
@@ -285,6 +285,28 @@
 	rig_clear(&g);
 }
 
+/* Guards against a connection that is used after bytes came while it was idle. */
+static void test_copy_while_idle(void)
+{
+	struct rig g = { 0 };
+
+	rig_init(&g);
+	send_request(&g, 1, 0);
+	reply_to(&g, 0, 200, "r1");
+	settle(&g);
+	CU_ASSERT_EQUAL(leaf_client_count(g.client).open, 1);
+	reply_to(&g, 0, 200, "r1");
+	for (int i = 0; i < STEPS_MAX && leaf_client_count(g.client).open; i++)
+		step(&g);
+	CU_ASSERT_EQUAL(leaf_client_count(g.client).open, 0);
+	send_request(&g, 2, 1);
+	reply_to(&g, 1, 200, "r2");
+	settle(&g);
+	CU_ASSERT_EQUAL(g.end_count, 2);
+	CU_ASSERT_TRUE(g.ends[1].is_own);
+	rig_clear(&g);
+}
+
 /*
  * Guards against a late refusal without id, taken for the answer to a request
  * that has run: the request would be sent again.
@@ -365,6 +387,7 @@
 	{ "endless reply", test_endless_reply },
 	{ "declared length", test_declared_length },
 	{ "late copy", test_late_copy },
+	{ "copy while idle", test_copy_while_idle },
 	{ "failure without id", test_nameless_failure },
 	{ "let go", test_let_go },
 	{ "held by all calls", test_held_by_all },
