test: pause all threads of the host before the request is sent

Seen: the session paused printed once "ran for a caller that had left: True". Cause: kill() returns before SIGSTOP has stopped every thread. The script sent its request meanwhile, and the host served it 1.0 ms after the signal, before it was paused. Change: the script waits until each thread of the host is in state T. What it checks stays as it was.

--- a/test/soak/paused.py
+++ b/test/soak/paused.py
@@ -6,6 +6,7 @@
 """
 import argparse
 import asyncio
+import os
 import signal
 import sys
 
@@ -32,6 +33,19 @@
     return line.split()[1:2] == [b"200"]
 
 
+def is_stopped(pid, thread):
+    with open(f"/proc/{pid}/task/{thread}/stat", encoding="ascii") as stat:
+        return stat.read().rpartition(")")[2].split()[0] == "T"
+
+
+async def pause(process):
+    """Returns once every thread has stopped, which is after the signal."""
+    process.send_signal(signal.SIGSTOP)
+    while not all(is_stopped(process.pid, thread)
+                  for thread in os.listdir(f"/proc/{process.pid}/task")):
+        await asyncio.sleep(0.001)
+
+
 async def main():
     soak = Soak(argparse.Namespace(program=sys.argv[1], seed=1, hosts=1,
                                    port=18410))
@@ -41,7 +55,7 @@
     while not await served(soak, f"ready-{number}"):
         number += 1
     print("serves")
-    soak.processes[0].send_signal(signal.SIGSTOP)
+    await pause(soak.processes[0])
     _, writer = await send(soak, "left")
     writer.close()
     await asyncio.sleep(1)
