router: decode, log and count the rate limits that leaves name

Cause: the logs could not tell whether hosts ignore a limit, keep it each by itself, or exceed it with hedges and retries: no line named a limit, and only lines of extra calls named a leaf. Change: platform/ decodes Server-Limit once (the least usable value; other notations than decimal ones say nothing). N725 logs each change of a limit, N726 each second the calls to a limited leaf, first and extra ones apart; both are metrics of the leaf. No decision changes.

--- a/include/platform/headers.h
+++ b/include/platform/headers.h
@@ -32,7 +32,8 @@
 /** Parses a PLATFORM_REQUEST_DEADLINE value to microseconds; 0 if unusable. */
 int64_t platform_parse_deadline(const char *text);
 
-/** Sets the outcome, stamp and load of a call from the leaf's whole reply. */
+/** Sets the outcome, stamp, load and rate limit of a call from the leaf's whole
+ * reply. */
 void platform_read_reply(struct leaf_reply *reply,
 			 struct router_result *result);
 
--- a/include/router/internal.h
+++ b/include/router/internal.h
@@ -192,6 +192,8 @@
 	struct heap timers;
 	/** Parts that wait for a leaf, oldest first. */
 	GQueue waiting;
+	/** Leaves that name a rate limit; each holds a reference. */
+	GPtrArray *limited_leaves;
 	int64_t next_sweep_us;
 	int64_t next_retry_us;
 	uint32_t host_count;
@@ -259,7 +261,7 @@
 		      const struct router_result *result);
 
 /** Notes that a call is sent to a leaf. */
-void leaf_note_sent(struct router *r, struct route_leaf *leaf);
+void leaf_note_sent(struct router *r, struct route_leaf *leaf, bool is_extra);
 
 /**
  * Notes that the planned leaf of a part in a batch has not answered in time;
@@ -267,6 +269,14 @@
  */
 void leaf_note_late(struct router *r, const struct route_part *p);
 
+/* rates.c */
+/** Notes the rate limit in the result of a call. */
+void rates_note_result(struct router *r, const struct leaf_call *c,
+		       const struct router_result *result);
+/** Logs the calls to limited leaves and drops leaves that are gone. */
+void rates_sweep(struct router *r);
+void rates_clear(struct router *r);
+
 /* part.c */
 /**
  * Chooses the leaf of the first call. Returns false if no leaf can answer the
--- a/include/router/router.h
+++ b/include/router/router.h
@@ -7,6 +7,7 @@
 
 #include "common/clock.h"
 #include "net/leaf_reply.h"
+#include "router/leaf_rate.h"
 #include "router/leaf_set.h"
 #include "router/table.h"
 
@@ -97,6 +98,7 @@
 	/** Why there is no reply, for the log; may be NULL. */
 	const char *cause;
 	struct leaf_load load;
+	struct leaf_rate_limit rate_limit;
 };
 
 /** Answer to a caller; valid during the callback. */
@@ -182,6 +184,11 @@
 			    const struct router_answer *a);
 	/** Answers and ends a request; no later callback refers to it. */
 	void (*answer)(void *ctx, void *user, const struct router_answer *a);
+	/**
+	 * Reports the calls to a leaf with a rate limit, about once a second,
+	 * and the end of its limit. NULL if the adapter has no metrics.
+	 */
+	void (*report_rate)(void *ctx, const struct route_leaf *leaf);
 	/** Frees the adapter's state of a leaf, leaf->endpoint. */
 	void (*free_endpoint)(void *ctx, struct route_leaf *leaf);
 };
--- a/nutmegpickd/route_callers.c
+++ b/nutmegpickd/route_callers.c
@@ -103,6 +103,11 @@
 	route_send_result_to_sender(ctx, user, a, true);
 }
 
+static void handle_report_rate(void *ctx, const struct route_leaf *leaf)
+{
+	route_metrics_note_leaf_rate(leaf);
+}
+
 static void handle_router_answer(void *ctx, void *user,
 				 const struct router_answer *a)
 {
@@ -117,6 +122,7 @@
 	.cancel_batch = handle_cancel_batch,
 	.answer_part = handle_answer_part,
 	.answer = handle_router_answer,
+	.report_rate = handle_report_rate,
 	.free_endpoint = handle_free_endpoint,
 };
 
--- a/nutmegpickd/route_metrics.c
+++ b/nutmegpickd/route_metrics.c
@@ -28,6 +28,78 @@
 static pthread_mutex_t series_lock = PTHREAD_MUTEX_INITIALIZER;
 static GHashTable *series;
 
+/*
+ * Limit of leaves with series of their own. The others are left out: the log
+ * still has them.
+ */
+#define LIMITED_LEAVES_MAX 256
+
+/** Leaf that names a rate limit. */
+struct leaf_rate_series {
+	char *service;
+	double limit_per_s;
+	uint64_t first_calls;
+	uint64_t extra_calls;
+};
+
+/* By id of the leaf; guarded by series_lock. */
+static GHashTable *leaf_rates;
+
+static void handle_free_leaf_rate(gpointer data)
+{
+	struct leaf_rate_series *s = data;
+
+	g_free(s->service);
+	g_free(s);
+}
+
+static struct leaf_rate_series *find_leaf_rate(const struct route_leaf *leaf)
+{
+	struct leaf_rate_series *s;
+
+	if (!leaf_rates)
+		leaf_rates = g_hash_table_new_full(
+			g_str_hash, g_str_equal, g_free, handle_free_leaf_rate);
+	s = g_hash_table_lookup(leaf_rates, leaf->entry.id);
+	if (s || g_hash_table_size(leaf_rates) >= LIMITED_LEAVES_MAX)
+		return s;
+	s = g_new0(struct leaf_rate_series, 1);
+	s->service = g_strdup(leaf->entry.service);
+	g_hash_table_insert(leaf_rates, g_strdup(leaf->entry.id), s);
+	return s;
+}
+
+void route_metrics_note_leaf_rate(const struct route_leaf *leaf)
+{
+	const struct leaf_rate *rate = &leaf->rate;
+	struct leaf_rate_series *s;
+
+	pthread_mutex_lock(&series_lock);
+	s = find_leaf_rate(leaf);
+	if (s && !rate->is_limited) {
+		g_hash_table_remove(leaf_rates, leaf->entry.id);
+	} else if (s) {
+		s->limit_per_s = rate->limit_per_s;
+		s->first_calls += rate->first_calls;
+		s->extra_calls += rate->extra_calls;
+	}
+	pthread_mutex_unlock(&series_lock);
+}
+
+static void render_leaf_rate(GString *out, const char *leaf,
+			     const struct leaf_rate_series *s)
+{
+	g_string_append_printf(
+		out,
+		"nutmegpick_leaf_rate_limit{leaf=\"%s\",service=\"%s\"} %g\n"
+		"nutmegpick_leaf_limited_calls_total{leaf=\"%s\",service=\"%s\","
+		"kind=\"first\"} %" G_GUINT64_FORMAT "\n"
+		"nutmegpick_leaf_limited_calls_total{leaf=\"%s\",service=\"%s\","
+		"kind=\"extra\"} %" G_GUINT64_FORMAT "\n",
+		leaf, s->service, s->limit_per_s, leaf, s->service,
+		s->first_calls, leaf, s->service, s->extra_calls);
+}
+
 static struct route_series *find_series(const char *route)
 {
 	struct route_series *s;
@@ -116,6 +188,14 @@
 		while (g_hash_table_iter_next(&iter, &route, &s))
 			render_route(out, route, s);
 	}
+	g_string_append(out, "# TYPE nutmegpick_leaf_rate_limit gauge\n"
+			     "# TYPE nutmegpick_leaf_limited_calls_total "
+			     "counter\n");
+	if (leaf_rates) {
+		g_hash_table_iter_init(&iter, leaf_rates);
+		while (g_hash_table_iter_next(&iter, &route, &s))
+			render_leaf_rate(out, route, s);
+	}
 	pthread_mutex_unlock(&series_lock);
 	return g_string_free(out, FALSE);
 }
--- a/router/choice.c
+++ b/router/choice.c
@@ -176,9 +176,10 @@
 	       now - leaf->probed_at_us >= PROBE_INTERVAL_US;
 }
 
-void leaf_note_sent(struct router *r, struct route_leaf *leaf)
+void leaf_note_sent(struct router *r, struct route_leaf *leaf, bool is_extra)
 {
 	leaf->probed_at_us = router_now(r);
+	leaf_rate_note_call(&leaf->rate, is_extra);
 }
 
 /* Returns the expected wait in a pool whose leaves are all busy. */
@@ -328,6 +329,7 @@
 		leaf->reported_at_us = now;
 	}
 	adapt_concurrency_limit(leaf, result, now);
+	rates_note_result(r, c, result);
 	switch (result->outcome) {
 	case CALL_ANSWERED:
 	case CALL_DECLINED:
--- a/router/part.c
+++ b/router/part.c
@@ -130,7 +130,7 @@
 	c->start_us = now;
 	c->late_after_us = route_stats_late_threshold(q->stats, q->route);
 	c->is_extra = is_extra;
-	leaf_note_sent(r, leaf);
+	leaf_note_sent(r, leaf, is_extra);
 	g_queue_push_tail(&leaf->calls, c);
 	c->link = leaf->calls.tail;
 	p->calls[p->call_count++] = c;
--- a/router/router.c
+++ b/router/router.c
@@ -63,6 +63,7 @@
 	id_table_init(&r->requests, sizeof(struct route_request));
 	id_table_init(&r->calls, sizeof(struct leaf_call));
 	g_queue_init(&r->waiting);
+	r->limited_leaves = g_ptr_array_new();
 	router_set_host_count(r, 0);
 	r->random = g_rand_new_with_seed((guint32)options->seed);
 	*out = r;
@@ -71,6 +72,7 @@
 
 void router_destroy(struct router *r)
 {
+	rates_clear(r);
 	leaf_set_clear(&r->leaves);
 	g_hash_table_destroy(r->stats);
 	g_hash_table_destroy(r->batches);
@@ -235,6 +237,7 @@
 	}
 	if (now >= r->next_sweep_us) {
 		r->next_sweep_us = now + SWEEP_INTERVAL_US;
+		rates_sweep(r);
 		leaf_set_sweep(&r->leaves, now);
 	}
 }
