--- a/test/soak/standins.py
+++ b/test/soak/standins.py
@@ -178,6 +178,9 @@
         self.mode = "ok"
         self.sequence = 0
         self.key = f"servers/{name}"
+        # Calls a second from all hosts that the leaf names as its limit.
+        self.limit = None
+        self.arrivals = []
 
     def register(self, store):
         self.sequence += 1
@@ -193,6 +196,9 @@
         if request.headers.get("nutmegpick-expect-instance") != self.name:
             write_reply(writer, 421, b"", echo)
             return True
+        self.arrivals.append(time.monotonic())
+        if self.limit is not None:
+            echo.append(("Server-Limit", f"{self.limit:g}"))
         if self.mode == "shed":
             write_reply(writer, 503, b"", echo + [("Nutmegpick-Not-Executed",
                                                    "1")])
