router: divide the rate limit of a leaf among the hosts that claim it

Cause: the limit is a sum over hosts, and a host sees only its own calls. Change: rate_shares.c, the part of the host that divides the limit of a leaf. Hosts claim what they want to send; each gets its max-min fair share, and what nobody wants is divided equally. A share lapses unless it is claimed again. A limit too small for all gives whole shares to a few hosts, since each may save up one call. Claims carry what a host knows of the limit, and grants the newest of it. Not used yet. Ruled out: equal shares of all hosts, of which a seventh is used where one host calls the leaf; counters that each host keeps by itself.

--- /dev/null
+++ b/router/rate_shares.c
@@ -0,0 +1,290 @@
+#include "router/rate_shares.h"
+
+#include <string.h>
+
+#include <glib.h>
+
+#include "common/clock.h"
+
+/*
+ * Interval at which a host claims again. It grows with the number of hosts, so
+ * that the dividing host gets at most CLAIMS_PER_S claims for a leaf.
+ */
+#define REFRESH_MIN_US (250 * US_PER_MS)
+#define CLAIMS_PER_S 200
+/* A share lapses after this many intervals without a claim. */
+#define VALID_INTERVALS 4
+/* A claim counts for longer than its share is valid at the claiming host. */
+#define CLAIM_MARGIN_US (100 * US_PER_MS)
+/*
+ * Smallest share of a host. A leaf with a lower limit is called by one host:
+ * each host may save up one call, and the saved calls of many hosts at once
+ * would exceed a small limit.
+ */
+#define SHARE_MIN_PER_S 2.0
+/* A leaf that names a lower limit is called at this rate to learn its end. */
+#define PROBE_PER_S 0.25
+/* Hosts may claim more for a moment than they wanted in the last one. */
+#define WANTED_HEADROOM 1.2
+/* A leaf without claims is forgotten after this time. */
+#define FORGET_US (10 * US_PER_S)
+
+struct held_claim {
+	char *host;
+	double wanted_per_s;
+	double share_per_s;
+	int64_t until_us;
+};
+
+/** Division of the limit of one leaf. */
+struct leaf_shares {
+	char *leaf;
+	int64_t leaf_started_ms;
+	bool is_limited;
+	double limit_per_s;
+	int64_t news_at_us;
+	int64_t claimed_at_us;
+	/** Of struct held_claim, the earliest first. */
+	GPtrArray *claims;
+};
+
+struct rate_shares {
+	/** Of struct leaf_shares, by id of the leaf. */
+	GHashTable *leaves;
+};
+
+static void handle_free_claim(gpointer data)
+{
+	struct held_claim *c = data;
+
+	g_free(c->host);
+	g_free(c);
+}
+
+static void handle_free_leaf(gpointer data)
+{
+	struct leaf_shares *l = data;
+
+	g_ptr_array_free(l->claims, TRUE);
+	g_free(l->leaf);
+	g_free(l);
+}
+
+struct rate_shares *rate_shares_create(void)
+{
+	struct rate_shares *s = g_new0(struct rate_shares, 1);
+
+	s->leaves = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					  handle_free_leaf);
+	return s;
+}
+
+void rate_shares_free(struct rate_shares *s)
+{
+	g_hash_table_destroy(s->leaves);
+	g_free(s);
+}
+
+/* Returns the leaf of a claim; a leaf that was restarted begins anew. */
+static struct leaf_shares *get_leaf(struct rate_shares *s,
+				    const struct rate_claim *c)
+{
+	struct leaf_shares *l = g_hash_table_lookup(s->leaves, c->leaf);
+
+	if (l && l->leaf_started_ms >= c->leaf_started_ms)
+		return l;
+	l = g_new0(struct leaf_shares, 1);
+	l->leaf = g_strdup(c->leaf);
+	l->leaf_started_ms = c->leaf_started_ms;
+	l->news_at_us = INT64_MIN;
+	l->claims = g_ptr_array_new_with_free_func(handle_free_claim);
+	g_hash_table_replace(s->leaves, l->leaf, l);
+	return l;
+}
+
+static void note_news(struct leaf_shares *l, const struct rate_limit_news *n,
+		      int64_t now)
+{
+	int64_t at = now - n->age_us;
+
+	if (at <= l->news_at_us)
+		return;
+	l->news_at_us = at;
+	l->is_limited = n->is_limited;
+	l->limit_per_s = n->per_s;
+}
+
+static void drop_lapsed_claims(struct leaf_shares *l, int64_t now)
+{
+	for (guint i = l->claims->len; i-- > 0;) {
+		const struct held_claim *c = l->claims->pdata[i];
+
+		if (now >= c->until_us)
+			g_ptr_array_remove_index(l->claims, i);
+	}
+}
+
+static void drop_claim(struct leaf_shares *l, const char *host)
+{
+	for (guint i = 0; i < l->claims->len; i++) {
+		const struct held_claim *c = l->claims->pdata[i];
+
+		if (strcmp(c->host, host))
+			continue;
+		g_ptr_array_remove_index(l->claims, i);
+		return;
+	}
+}
+
+static struct held_claim *get_claim(struct leaf_shares *l, const char *host)
+{
+	struct held_claim *c;
+
+	for (guint i = 0; i < l->claims->len; i++) {
+		c = l->claims->pdata[i];
+		if (!strcmp(c->host, host))
+			return c;
+	}
+	c = g_new0(struct held_claim, 1);
+	c->host = g_strdup(host);
+	g_ptr_array_add(l->claims, c);
+	return c;
+}
+
+/* Returns how many hosts, the earliest claims first, get a share. */
+static guint count_sharers(const struct leaf_shares *l, double total)
+{
+	guint most = (guint)MIN(total / SHARE_MIN_PER_S, G_MAXUINT32);
+
+	return MIN(l->claims->len, MAX(most, 1));
+}
+
+/* Returns what the sharers that want less than a share each want together. */
+static double sum_modest(const struct leaf_shares *l, guint sharers,
+			 double share, guint *count)
+{
+	double sum = 0;
+
+	*count = 0;
+	for (guint i = 0; i < sharers; i++) {
+		const struct held_claim *c = l->claims->pdata[i];
+
+		if (c->wanted_per_s * WANTED_HEADROOM > share)
+			continue;
+		sum += c->wanted_per_s * WANTED_HEADROOM;
+		++*count;
+	}
+	return sum;
+}
+
+/*
+ * Returns the max-min fair share of a claim. What nobody wants is divided
+ * equally, so that a sudden need does not wait for the next claim.
+ */
+static double fair_share(const struct leaf_shares *l,
+			 const struct held_claim *claim, double total)
+{
+	guint sharers = count_sharers(l, total);
+	double level = total / sharers;
+	double wanted = claim->wanted_per_s * WANTED_HEADROOM;
+	guint index;
+
+	if (!g_ptr_array_find(l->claims, claim, &index) || index >= sharers)
+		return 0;
+	for (;;) {
+		guint modest;
+		double sum = sum_modest(l, sharers, level, &modest);
+		double next;
+
+		if (modest == sharers)
+			return wanted + (total - sum) / sharers;
+		next = (total - sum) / (sharers - modest);
+		if (next <= level * (1 + 1e-9))
+			return MIN(wanted, level);
+		level = next;
+	}
+}
+
+/* Returns the shares that other hosts hold. */
+static double sum_others(const struct leaf_shares *l,
+			 const struct held_claim *claim)
+{
+	double sum = 0;
+
+	for (guint i = 0; i < l->claims->len; i++) {
+		const struct held_claim *c = l->claims->pdata[i];
+
+		if (c != claim)
+			sum += c->share_per_s;
+	}
+	return sum;
+}
+
+static int64_t refresh_interval(const struct leaf_shares *l)
+{
+	return MAX(REFRESH_MIN_US,
+		   (int64_t)l->claims->len * US_PER_S / CLAIMS_PER_S);
+}
+
+/* Updates the claim of a host and returns its share. */
+static double divide(struct leaf_shares *l, const char *host,
+		     const struct rate_claim *in, double part, int64_t now)
+{
+	double total = MAX(l->limit_per_s, PROBE_PER_S) * part;
+	struct held_claim *c = get_claim(l, host);
+	double share;
+
+	c->wanted_per_s = in->wanted_per_s;
+	share = MIN(fair_share(l, c, total), total - sum_others(l, c));
+	c->share_per_s = MAX(share, 0);
+	c->until_us =
+		now + VALID_INTERVALS * refresh_interval(l) + CLAIM_MARGIN_US;
+	return c->share_per_s;
+}
+
+void rate_shares_claim(struct rate_shares *s, const char *host,
+		       const struct rate_claim *claim, double part,
+		       int64_t now_us, struct rate_grant *out)
+{
+	struct leaf_shares *l = get_leaf(s, claim);
+	bool is_old = claim->leaf_started_ms < l->leaf_started_ms;
+
+	*out = (struct rate_grant){
+		.leaf = claim->leaf,
+		.leaf_started_ms = claim->leaf_started_ms,
+		.news = claim->news,
+	};
+	if (!is_old) {
+		l->claimed_at_us = now_us;
+		drop_lapsed_claims(l, now_us);
+		note_news(l, &claim->news, now_us);
+		if (l->is_limited && claim->wanted_per_s > 0)
+			out->share_per_s = divide(l, host, claim, part, now_us);
+		else
+			drop_claim(l, host);
+		out->news.is_limited = l->is_limited;
+		out->news.per_s = l->limit_per_s;
+		out->news.age_us = now_us - l->news_at_us;
+	}
+	out->refresh_us = refresh_interval(l);
+	out->valid_us = VALID_INTERVALS * out->refresh_us;
+}
+
+void rate_shares_sweep(struct rate_shares *s, int64_t now_us)
+{
+	GHashTableIter iter;
+	gpointer leaf;
+
+	g_hash_table_iter_init(&iter, s->leaves);
+	while (g_hash_table_iter_next(&iter, NULL, &leaf)) {
+		const struct leaf_shares *l = leaf;
+
+		if (now_us - l->claimed_at_us >= FORGET_US)
+			g_hash_table_iter_remove(&iter);
+	}
+}
+
+uint32_t rate_shares_leaf_count(const struct rate_shares *s)
+{
+	return g_hash_table_size(s->leaves);
+}
