router: keep all hosts together within the rate limits of leaves

Cause: hosts ignored the limit; and it is a sum over hosts, which a host that sees only its own calls cannot keep. Change: a host that wants to call a limited leaf claims a share of its limit from one host, the first by a hash of host and leaf in the leaf's region. leaf_choose() passes over a limited leaf for which the share leaves no room; a part waits for it or is refused at once, as for a busy leaf. The limit ends with a reply that names none, to a call sent after the last one that did; claims carry such news to the others.

--- a/include/net/host_frame.h
+++ b/include/net/host_frame.h
@@ -7,6 +7,7 @@
 
 #include <glib.h>
 
+#include "router/rate_shares.h"
 #include "store/mirror.h"
 
 /** Types of the frames between hosts that serve the platform's routes. */
@@ -25,6 +26,10 @@
 	HOST_GATHER_ACCEPTED = 86,
 	HOST_GATHER_RESULT = 87,
 	HOST_GATHER_CANCEL = 88,
+	/** Claims shares of the rate limits of leaves. */
+	HOST_RATE_CLAIMS = 89,
+	/** Answers claims. */
+	HOST_RATE_GRANTS = 90,
 };
 
 #define HOST_PROTOCOL 2
@@ -89,6 +94,10 @@
 	struct gather_result result;
 	/** Set for HOST_GATHER_ACCEPTED and HOST_GATHER_CANCEL. */
 	uint64_t id;
+	/** Set for HOST_RATE_CLAIMS, of struct rate_claim. */
+	GArray *rate_claims;
+	/** Set for HOST_RATE_GRANTS, of struct rate_grant. */
+	GArray *rate_grants;
 	/** Memory of the strings, bodies and arrays of the other fields. */
 	GPtrArray *allocations;
 	/** Headers of the request; the strings are in allocations. */
@@ -105,6 +114,9 @@
 GByteArray *host_frame_gather_accepted(uint64_t id);
 GByteArray *host_frame_gather_cancel(uint64_t id);
 GByteArray *host_frame_gather_result(const struct gather_result *r);
+/** claims is of struct rate_claim, grants of struct rate_grant. */
+GByteArray *host_frame_rate_claims(const GArray *claims);
+GByteArray *host_frame_rate_grants(const GArray *grants);
 
 /** Decodes a frame. Returns 0, or -ERR_FRAME with out already cleared. */
 int host_frame_decode(const void *data, size_t len, struct host_frame *out);
--- a/include/nutmegpickd/route_internal.h
+++ b/include/nutmegpickd/route_internal.h
@@ -128,6 +128,10 @@
 	GHashTable *batches;
 	/** Of struct pending_result. */
 	GArray *pending_results;
+	/** Division of the rate limits that this host divides. */
+	struct rate_shares *rate_shares;
+	/** Of struct rate_grant: this host's answers to its own claims. */
+	GArray *own_grants;
 	GRand *random;
 	bool is_draining;
 	bool is_exiting;
@@ -137,6 +141,7 @@
 	int64_t next_gone_check_us;
 	int64_t next_feed_us;
 	int64_t next_callers_check_us;
+	int64_t next_shares_sweep_us;
 	/** The HTTP server for callers is running. */
 	bool is_listening;
 	/** Buffer for the head of a request to a leaf. */
@@ -173,6 +178,18 @@
 /** Drops requests whose callers have closed their connections. */
 void route_drop_gone_callers(struct route_service *s);
 
+/* route_rates.c */
+/** Sends claims of the router to the hosts that divide the limits. */
+void route_claim_rates(struct route_service *s, const struct rate_claim *claims,
+		       uint32_t count);
+/** Answers the claims of another host. */
+void route_answer_claims(struct route_service *s, link_id link,
+			 const char *address, const GArray *claims);
+/** Delivers grants to the router; of struct rate_grant. */
+void route_deliver_grants(struct route_service *s, const GArray *grants);
+/** Delivers the answers to claims that this host made to itself. */
+void route_deliver_own_grants(struct route_service *s);
+
 /* route_hosts.c */
 extern const struct feed_ops route_feed_ops;
 /** Starts the links to other hosts. Returns 0 or a negative result code. */
@@ -205,6 +222,13 @@
 void route_send_result_to_sender(struct route_service *s,
 				 const struct caller_request *q,
 				 const struct router_answer *a, bool is_more);
+/** Sends a frame to the host with an address, or on a link; frees it. */
+void route_send_frame(struct route_service *s, const char *address,
+		      GByteArray *frame);
+void route_reply_frame(struct route_service *s, link_id link,
+		       GByteArray *frame);
+/** Avoids a host that does not respond for some seconds. */
+void route_avoid_host(struct route_service *s, const char *address);
 /** Handles a frame of another host, on the router thread. */
 void route_handle_link_frame(struct route_service *s, struct route_event *e);
 /** Handles the end of a link to another host, on the router thread. */
--- a/include/platform/headers.h
+++ b/include/platform/headers.h
@@ -32,8 +32,7 @@
 /** Parses a PLATFORM_REQUEST_DEADLINE value to microseconds; 0 if unusable. */
 int64_t platform_parse_deadline(const char *text);
 
-/** Sets the outcome, stamp, load and rate limit of a call from the leaf's whole
- * reply. */
+/** Sets the fields of a result that the leaf's whole reply tells. */
 void platform_read_reply(struct leaf_reply *reply,
 			 struct router_result *result);
 
--- a/include/router/directory.h
+++ b/include/router/directory.h
@@ -61,6 +61,10 @@
 struct known_host *host_directory_find(struct host_directory *d,
 				       const char *address);
 
+/** Returns whether a host of the directory is this host. */
+bool host_directory_is_self(const struct host_directory *d,
+			    const struct known_host *h);
+
 /** Returns whether this host watches the store for its region. */
 bool host_directory_is_feed(struct host_directory *d);
 
@@ -95,6 +99,20 @@
 uint32_t host_directory_count_gatherers(struct host_directory *d,
 					int64_t now_us);
 
+/**
+ * Returns the host that divides the rate limit of a leaf in a failure domain:
+ * the first one by a hash, of the domain's region if it has hosts. Hosts that
+ * did not respond are passed over. NULL if no host is known.
+ */
+struct known_host *host_directory_choose_rate_owner(struct host_directory *d,
+						    const char *leaf,
+						    const char *domain,
+						    int64_t now_us);
+
+/** Returns whether this host is that host while all hosts respond. */
+bool host_directory_is_rate_owner(struct host_directory *d, const char *leaf,
+				  const char *domain);
+
 /** Notes that a gathering host was busy: more hosts gather for a while. */
 void host_directory_note_busy(struct host_directory *d, int64_t now_us);
 
--- a/include/router/internal.h
+++ b/include/router/internal.h
@@ -72,6 +72,8 @@
 	uint32_t call_count;
 	/** Leaf of the first call, or NULL if the part waits for one. */
 	struct route_leaf *planned_leaf;
+	/** part_plan() has chosen; a batch is possible only before. */
+	bool is_planned;
 	/** No leaf can answer in time; no call is sent. */
 	bool is_infeasible;
 	/**
@@ -194,6 +196,8 @@
 	GQueue waiting;
 	/** Leaves that name a rate limit; each holds a reference. */
 	GPtrArray *limited_leaves;
+	/** When the next claim of a share of their limits is due. */
+	int64_t next_claims_us;
 	int64_t next_sweep_us;
 	int64_t next_retry_us;
 	uint32_t host_count;
@@ -253,6 +257,8 @@
 	bool is_busy;
 	/** Expected wait for a leaf if is_busy is set, otherwise 0. */
 	int64_t wait_us;
+	/** Cost by which the leaf was chosen; INFINITY without a leaf. */
+	double cost;
 };
 
 struct leaf_choice leaf_choose(struct router *r, const struct route_part *part);
@@ -260,6 +266,13 @@
 void leaf_note_result(struct router *r, struct leaf_call *c,
 		      const struct router_result *result);
 
+/**
+ * Notes that the part wants calls to the limited leaves that are as good as the
+ * chosen one, or to all of them if none was chosen.
+ */
+void leaf_note_wanted(struct router *r, const struct route_part *part,
+		      const struct leaf_choice *choice);
+
 /** Notes that a call is sent to a leaf. */
 void leaf_note_sent(struct router *r, struct route_leaf *leaf, bool is_extra);
 
@@ -275,6 +288,12 @@
 		       const struct router_result *result);
 /** Logs the calls to limited leaves and drops leaves that are gone. */
 void rates_sweep(struct router *r);
+/** Sends the claims that are due. */
+void rates_claim(struct router *r);
+/** Notes that a call to a limited leaf is wanted, whether it is sent or not. */
+void rates_note_wanted(struct router *r, struct route_leaf *leaf);
+/** Logs the limits that leave no room for a part of a request. */
+void rates_log_no_room(struct router *r, const struct route_part *p);
 void rates_clear(struct router *r);
 
 /* part.c */
--- a/include/router/router.h
+++ b/include/router/router.h
@@ -184,6 +184,13 @@
 			    const struct router_answer *a);
 	/** Answers and ends a request; no later callback refers to it. */
 	void (*answer)(void *ctx, void *user, const struct router_answer *a);
+	/**
+	 * Claims shares of the rate limits of leaves from the hosts that divide
+	 * them. Grants come through router_handle_grant(). NULL if the adapter
+	 * has no links to other hosts.
+	 */
+	void (*claim_rates)(void *ctx, const struct rate_claim *claims,
+			    uint32_t count);
 	/**
 	 * Reports the calls to a leaf with a rate limit, about once a second,
 	 * and the end of its limit. NULL if the adapter has no metrics.
@@ -268,6 +275,9 @@
 void router_handle_batch_result(struct router *r,
 				const struct router_batch_result *b);
 
+/** Handles the answer to a claim. */
+void router_handle_grant(struct router *r, const struct rate_grant *g);
+
 /** Returns the monotonic time of the next timer, or INT64_MAX. */
 int64_t router_next_timer(const struct router *r);
 
--- a/net/host_frame.c
+++ b/net/host_frame.c
@@ -7,6 +7,14 @@
 #include "common/packed.h"
 #include "net/http_header.h"
 
+/* Rates are sent as whole numbers of thousandths of a call a second. */
+#define RATE_SCALE 1000.0
+#define RATE_MAX_PER_S 1e12
+
+/* Number of fields of a claim and of a grant in their lists. */
+#define RATE_CLAIM_FIELDS 7
+#define RATE_GRANT_FIELDS 8
+
 static int handle_write(void *ctx, const char *data, size_t len)
 {
 	g_byte_array_append(ctx, (const guint8 *)data, (guint)len);
@@ -170,6 +178,59 @@
 	return out;
 }
 
+static void pack_rate(msgpack_packer *pk, double per_s)
+{
+	msgpack_pack_uint64(
+		pk,
+		(uint64_t)(CLAMP(per_s, 0, RATE_MAX_PER_S) * RATE_SCALE + 0.5));
+}
+
+static void pack_rate_news(msgpack_packer *pk, const struct rate_limit_news *n)
+{
+	pack_flag(pk, n->is_limited);
+	pack_rate(pk, n->per_s);
+	msgpack_pack_uint64(pk, (uint64_t)MAX(n->age_us, 0));
+}
+
+GByteArray *host_frame_rate_claims(const GArray *claims)
+{
+	msgpack_packer pk;
+	GByteArray *out = begin_frame(&pk, HOST_RATE_CLAIMS, 1);
+
+	msgpack_pack_array(&pk, (size_t)claims->len * RATE_CLAIM_FIELDS);
+	for (guint i = 0; i < claims->len; i++) {
+		const struct rate_claim *c =
+			&g_array_index(claims, struct rate_claim, i);
+
+		pack_text(&pk, c->leaf);
+		msgpack_pack_uint64(&pk, (uint64_t)c->leaf_started_ms);
+		pack_text(&pk, c->leaf_domain);
+		pack_rate_news(&pk, &c->news);
+		pack_rate(&pk, c->wanted_per_s);
+	}
+	return out;
+}
+
+GByteArray *host_frame_rate_grants(const GArray *grants)
+{
+	msgpack_packer pk;
+	GByteArray *out = begin_frame(&pk, HOST_RATE_GRANTS, 1);
+
+	msgpack_pack_array(&pk, (size_t)grants->len * RATE_GRANT_FIELDS);
+	for (guint i = 0; i < grants->len; i++) {
+		const struct rate_grant *g =
+			&g_array_index(grants, struct rate_grant, i);
+
+		pack_text(&pk, g->leaf);
+		msgpack_pack_uint64(&pk, (uint64_t)g->leaf_started_ms);
+		pack_rate_news(&pk, &g->news);
+		pack_rate(&pk, g->share_per_s);
+		msgpack_pack_uint64(&pk, (uint64_t)MAX(g->valid_us, 0));
+		msgpack_pack_uint64(&pk, (uint64_t)MAX(g->refresh_us, 0));
+	}
+	return out;
+}
+
 /**
  * Reads the fields of an array in order. A field that is missing or of another
  * type sets is_broken and reads as empty.
@@ -210,6 +271,13 @@
 	return (int64_t)MIN(us, (uint64_t)INT64_MAX / 4);
 }
 
+static double read_rate(struct reader *r)
+{
+	uint64_t thousandths = read_number(r);
+
+	return MIN((double)thousandths / RATE_SCALE, RATE_MAX_PER_S);
+}
+
 static bool read_flag(struct reader *r)
 {
 	const msgpack_object *o = next_field(r, MSGPACK_OBJECT_BOOLEAN);
@@ -342,6 +410,54 @@
 	a->body = read_bytes(r, &a->body_len);
 }
 
+static void read_rate_news(struct reader *r, struct rate_limit_news *n)
+{
+	n->is_limited = read_flag(r);
+	n->per_s = read_rate(r);
+	n->age_us = read_duration(r);
+}
+
+static void read_rate_claims(struct reader *r)
+{
+	struct reader items = { .frame = r->frame };
+
+	r->frame->rate_claims =
+		g_array_new(FALSE, TRUE, sizeof(struct rate_claim));
+	items.fields = read_array(r);
+	while (items.next < items.fields->size && !items.is_broken) {
+		struct rate_claim c = { .leaf = read_text(&items) };
+
+		c.leaf_started_ms = read_duration(&items);
+		c.leaf_domain = read_text(&items);
+		read_rate_news(&items, &c.news);
+		c.wanted_per_s = read_rate(&items);
+		if (!items.is_broken)
+			g_array_append_val(r->frame->rate_claims, c);
+	}
+	r->is_broken = r->is_broken || items.is_broken;
+}
+
+static void read_rate_grants(struct reader *r)
+{
+	struct reader items = { .frame = r->frame };
+
+	r->frame->rate_grants =
+		g_array_new(FALSE, TRUE, sizeof(struct rate_grant));
+	items.fields = read_array(r);
+	while (items.next < items.fields->size && !items.is_broken) {
+		struct rate_grant g = { .leaf = read_text(&items) };
+
+		g.leaf_started_ms = read_duration(&items);
+		read_rate_news(&items, &g.news);
+		g.share_per_s = read_rate(&items);
+		g.valid_us = read_duration(&items);
+		g.refresh_us = read_duration(&items);
+		if (!items.is_broken)
+			g_array_append_val(r->frame->rate_grants, g);
+	}
+	r->is_broken = r->is_broken || items.is_broken;
+}
+
 static void read_hello(struct reader *r)
 {
 	if (read_number(r) != HOST_PROTOCOL)
@@ -377,6 +493,12 @@
 	case HOST_GATHER_RESULT:
 		read_gather_result(r);
 		return;
+	case HOST_RATE_CLAIMS:
+		read_rate_claims(r);
+		return;
+	case HOST_RATE_GRANTS:
+		read_rate_grants(r);
+		return;
 	}
 	r->is_broken = true;
 }
@@ -386,6 +508,10 @@
 	store_changes_free(f->changes);
 	if (f->headers)
 		g_array_free(f->headers, TRUE);
+	if (f->rate_claims)
+		g_array_free(f->rate_claims, TRUE);
+	if (f->rate_grants)
+		g_array_free(f->rate_grants, TRUE);
 	if (f->allocations)
 		g_ptr_array_free(f->allocations, TRUE);
 	memset(f, 0, sizeof(*f));
--- a/nutmegpickd/route_callers.c
+++ b/nutmegpickd/route_callers.c
@@ -103,6 +103,12 @@
 	route_send_result_to_sender(ctx, user, a, true);
 }
 
+static void handle_claim_rates(void *ctx, const struct rate_claim *claims,
+			       uint32_t count)
+{
+	route_claim_rates(ctx, claims, count);
+}
+
 static void handle_report_rate(void *ctx, const struct route_leaf *leaf)
 {
 	route_metrics_note_leaf_rate(leaf);
@@ -122,6 +128,7 @@
 	.cancel_batch = handle_cancel_batch,
 	.answer_part = handle_answer_part,
 	.answer = handle_router_answer,
+	.claim_rates = handle_claim_rates,
 	.report_rate = handle_report_rate,
 	.free_endpoint = handle_free_endpoint,
 };
--- a/nutmegpickd/route_hosts.c
+++ b/nutmegpickd/route_hosts.c
@@ -24,8 +24,8 @@
 /* Time reserved for sending the answer to the caller. */
 #define ANSWER_MARGIN_US (5 * US_PER_MS)
 
-static void send_frame(struct route_service *s, const char *address,
-		       GByteArray *frame)
+void route_send_frame(struct route_service *s, const char *address,
+		      GByteArray *frame)
 {
 	if (transport_send(s->transport, address, frame->data, frame->len))
 		event_log(EV_FORWARD_FAILED, "address=%s reason=queue_full",
@@ -33,8 +33,7 @@
 	g_byte_array_free(frame, TRUE);
 }
 
-static void reply_frame(struct route_service *s, link_id link,
-			GByteArray *frame)
+void route_reply_frame(struct route_service *s, link_id link, GByteArray *frame)
 {
 	if (transport_reply(s->transport, link, frame->data, frame->len))
 		event_log(EV_FORWARD_FAILED, "link=%llu reason=queue_full",
@@ -48,24 +47,25 @@
  */
 static void send_subscribe(void *ctx, const char *address, uint64_t revision)
 {
-	send_frame(ctx, address, host_frame_subscribe(revision));
+	route_send_frame(ctx, address, host_frame_subscribe(revision));
 }
 
 static void send_unsubscribe(void *ctx, const char *address)
 {
-	send_frame(ctx, address, host_frame_unsubscribe());
+	route_send_frame(ctx, address, host_frame_unsubscribe());
 }
 
 static void send_changes(void *ctx, const char *address,
 			 const struct store_changes *c)
 {
-	send_frame(ctx, address, host_frame_changes(c));
+	route_send_frame(ctx, address, host_frame_changes(c));
 }
 
 static void send_feed_heartbeat(void *ctx, const char *address,
 				uint64_t revision, bool is_store_up)
 {
-	send_frame(ctx, address, host_frame_heartbeat(revision, is_store_up));
+	route_send_frame(ctx, address,
+			 host_frame_heartbeat(revision, is_store_up));
 }
 
 static void set_registry_watch(void *ctx, enum feed_watch watch)
@@ -205,7 +205,7 @@
 	};
 
 	g.body = http_exchange_body(x, &g.body_len);
-	send_frame(s, h->record.address, host_frame_gather(&g));
+	route_send_frame(s, h->record.address, host_frame_gather(&g));
 }
 
 bool route_forward_request(struct route_service *s, struct caller_request *q)
@@ -245,12 +245,12 @@
 {
 	if (!q->forward.id)
 		return;
-	send_frame(s, q->forward.address,
-		   host_frame_gather_cancel(q->forward.id));
+	route_send_frame(s, q->forward.address,
+			 host_frame_gather_cancel(q->forward.id));
 	end_forward(s, q);
 }
 
-static void avoid_host(struct route_service *s, const char *address)
+void route_avoid_host(struct route_service *s, const char *address)
 {
 	struct known_host *h = host_directory_find(&s->directory, address);
 
@@ -342,8 +342,9 @@
 			continue;
 		}
 		g_strlcpy(address, q->forward.address, sizeof(address));
-		avoid_host(s, address);
-		send_frame(s, address, host_frame_gather_cancel(q->forward.id));
+		route_avoid_host(s, address);
+		route_send_frame(s, address,
+				 host_frame_gather_cancel(q->forward.id));
 		run_forward_locally(s, q, "not_taken", true);
 		break;
 	}
@@ -398,7 +399,7 @@
 	sent->id = b->id;
 	g_strlcpy(sent->address, h->record.address, sizeof(sent->address));
 	g_hash_table_insert(s->batches, &sent->id, sent);
-	send_frame(s, h->record.address, host_frame_gather(&g));
+	route_send_frame(s, h->record.address, host_frame_gather(&g));
 	return true;
 }
 
@@ -409,9 +410,9 @@
 	if (!sent)
 		return;
 	if (!sent->is_accepted)
-		avoid_host(s, sent->address);
-	send_frame(s, sent->address,
-		   host_frame_gather_cancel(batch_id | BATCH_BIT));
+		route_avoid_host(s, sent->address);
+	route_send_frame(s, sent->address,
+			 host_frame_gather_cancel(batch_id | BATCH_BIT));
 	g_hash_table_remove(s->batches, &batch_id);
 }
 
@@ -564,7 +565,7 @@
 		g.shard_count = a->shards ? a->stamp_count : 0;
 		g.is_more = is_more;
 	}
-	reply_frame(s, q->link, host_frame_gather_result(&g));
+	route_reply_frame(s, q->link, host_frame_gather_result(&g));
 }
 
 /* Returns whether the request was started, which then owns the frame. */
@@ -582,15 +583,15 @@
 	 */
 	if (s->is_draining || !route || route->shape != ROUTE_GATHER ||
 	    f->request.version != router_version(s->router)) {
-		reply_frame(s, link, host_frame_gather_result(&refused));
+		route_reply_frame(s, link, host_frame_gather_result(&refused));
 		return false;
 	}
 	if (work_share_is_high(&s->work)) {
 		refused.code = -ERR_ROUTE_BUSY;
-		reply_frame(s, link, host_frame_gather_result(&refused));
+		route_reply_frame(s, link, host_frame_gather_result(&refused));
 		return false;
 	}
-	reply_frame(s, link, host_frame_gather_accepted(f->request.id));
+	route_reply_frame(s, link, host_frame_gather_accepted(f->request.id));
 	route_start_remote(s, link, f);
 	return true;
 }
@@ -642,6 +643,12 @@
 	case HOST_GATHER_CANCEL:
 		route_cancel_remote(s, e->link, f->id);
 		break;
+	case HOST_RATE_CLAIMS:
+		route_answer_claims(s, e->link, e->address, f->rate_claims);
+		break;
+	case HOST_RATE_GRANTS:
+		route_deliver_grants(s, f->rate_grants);
+		break;
 	}
 	if (is_kept)
 		return;
@@ -674,7 +681,7 @@
 	feed_handle_closed(s->feed, e->address);
 	if (e->link)
 		route_cancel_link_requests(s, e->link);
-	avoid_host(s, e->address);
+	route_avoid_host(s, e->address);
 	fail_batches(s, e->address, e->is_undelivered);
 	for (guint i = 0; i < list->len; i++) {
 		struct caller_request *q = list->pdata[i];
--- a/nutmegpickd/route_service.c
+++ b/nutmegpickd/route_service.c
@@ -23,6 +23,8 @@
 /* A wait that ends this much too late means that the process was paused. */
 #define STALL_US (200 * US_PER_MS)
 #define IDLE_WAIT_US (1 * US_PER_S)
+/* Interval at which leaves without claims are forgotten. */
+#define SHARES_SWEEP_US (5 * US_PER_S)
 
 void route_service_send_event(struct route_service *s, struct route_event event)
 {
@@ -225,6 +227,11 @@
 		s->next_feed_us = feed_advance(s->feed);
 	}
 	router_advance(s->router);
+	route_deliver_own_grants(s);
+	if (now >= s->next_shares_sweep_us) {
+		s->next_shares_sweep_us = now + SHARES_SWEEP_US;
+		rate_shares_sweep(s->rate_shares, now);
+	}
 	deliver_results(s);
 }
 
@@ -407,6 +414,8 @@
 	s->call_head = g_string_sized_new(1024);
 	s->pending_results =
 		g_array_new(FALSE, TRUE, sizeof(struct pending_result));
+	s->rate_shares = rate_shares_create();
+	s->own_grants = g_array_new(FALSE, FALSE, sizeof(struct rate_grant));
 	s->forwards = g_hash_table_new(g_int64_hash, g_int64_equal);
 	s->batches = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 					   g_free);
--- a/router/choice.c
+++ b/router/choice.c
@@ -59,6 +59,8 @@
  * leaves have done their work.
  */
 #define PROBE_INTERVAL_US (150 * US_PER_MS)
+/* Minimum of the concurrent calls that the leaves of a pool take together. */
+#define CAPACITY_MIN 0.01
 
 static double decay(int64_t age_us, int64_t half_life_us)
 {
@@ -166,6 +168,27 @@
 	return now < leaf->ejected_until_us;
 }
 
+/*
+ * Returns whether a planned part may go to a leaf in a batch. The host that
+ * takes the batch has its own share of the leaf's limit.
+ */
+static bool may_join_batch(const struct router *r, const struct route_part *p,
+			   const struct route_leaf *leaf)
+{
+	const struct route_request *q = p->request;
+
+	return !p->is_planned && r->options.ops->start_batch &&
+	       q->route->shape == ROUTE_GATHER && !q->is_partial &&
+	       !q->is_repeat && leaf->distance == LEAF_SAME_REGION;
+}
+
+static bool has_room(const struct router *r, const struct route_part *p,
+		     struct route_leaf *leaf, int64_t now)
+{
+	return !leaf->rate.is_limited || may_join_batch(r, p, leaf) ||
+	       leaf_rate_has_room(&leaf->rate, r->host_count, now);
+}
+
 static bool may_choose(const struct route_part *p,
 		       const struct route_leaf *leaf, int64_t now)
 {
@@ -179,15 +202,74 @@
 void leaf_note_sent(struct router *r, struct route_leaf *leaf, bool is_extra)
 {
 	leaf->probed_at_us = router_now(r);
-	leaf_rate_note_call(&leaf->rate, is_extra);
+	leaf_rate_note_call(&leaf->rate, is_extra, r->host_count,
+			    router_now(r));
 }
 
-/* Returns the expected wait in a pool whose leaves are all busy. */
-static int64_t expected_wait(const struct upstream_pool *pool, double capacity,
-			     double call_us)
+/* What leaf_choose() learns of the leaves that it passes over. */
+struct passed_over {
+	/** Concurrent calls that the usable leaves take together. */
+	double capacity;
+	/** Shortest expected duration at a busy leaf. */
+	double least_busy_us;
+	/** Calls a second that the limited leaves without room take together. */
+	double limited_per_s;
+	/** Shortest wait for a limited leaf, and the duration of a call there. */
+	int64_t limited_wait_us;
+	double limited_us;
+};
+
+/* Returns the concurrent calls at a leaf that its limits allow. */
+static double leaf_capacity(const struct router *r, struct route_leaf *leaf,
+			    double expected, int64_t now)
 {
-	return (int64_t)(call_us * (pool->waiting_count + 1) /
-			 MAX(capacity, 1));
+	double per_s;
+
+	if (!leaf->rate.is_limited)
+		return leaf->concurrency_limit;
+	per_s = leaf_rate_share(&leaf->rate, r->host_count, now);
+	return MIN(leaf->concurrency_limit, per_s * expected / US_PER_S);
+}
+
+/* Notes a leaf whose rate limit leaves no room; false if it never will. */
+static bool note_limited(const struct router *r, struct passed_over *o,
+			 struct route_leaf *leaf, double expected, int64_t now)
+{
+	int64_t wait = leaf_rate_wait(&leaf->rate, r->host_count, now);
+
+	if (wait == INT64_MAX)
+		return false;
+	o->limited_per_s += leaf_rate_share(&leaf->rate, r->host_count, now);
+	if (wait >= o->limited_wait_us)
+		return true;
+	o->limited_wait_us = wait;
+	o->limited_us = expected;
+	return true;
+}
+
+/* Fills in the wait for the first of the leaves that were passed over. */
+static void set_wait(struct leaf_choice *choice,
+		     const struct upstream_pool *pool,
+		     const struct passed_over *o)
+{
+	double turn = pool->waiting_count + 1;
+	double busy = o->least_busy_us * turn / MAX(o->capacity, CAPACITY_MIN);
+	double limited = (double)o->limited_wait_us;
+
+	if (o->limited_per_s > 0)
+		limited = MAX(limited, turn / o->limited_per_s * US_PER_S);
+	choice->is_busy = o->least_busy_us < INFINITY ||
+			  o->limited_wait_us < INT64_MAX;
+	if (!choice->is_busy)
+		return;
+	if (o->least_busy_us < INFINITY &&
+	    (o->limited_wait_us == INT64_MAX || busy <= limited)) {
+		choice->wait_us = (int64_t)busy;
+		choice->expected_us = (int64_t)o->least_busy_us;
+		return;
+	}
+	choice->wait_us = (int64_t)MIN(limited, (double)INT64_MAX / 4);
+	choice->expected_us = (int64_t)o->limited_us;
 }
 
 struct leaf_choice leaf_choose(struct router *r, const struct route_part *part)
@@ -196,11 +278,10 @@
 	double typical = (double)route_stats_typical_duration(
 		stats, part->request->route);
 	int64_t now = router_now(r);
-	struct leaf_choice choice = { 0 };
-	double best = INFINITY;
+	struct leaf_choice choice = { .cost = INFINITY };
+	struct passed_over over = { .least_busy_us = INFINITY,
+				    .limited_wait_us = INT64_MAX };
 	bool is_best_last_resort = true;
-	double least_busy = INFINITY;
-	double capacity = 0;
 
 	for (guint i = 0; i < part->pool->leaves->len; i++) {
 		struct route_leaf *leaf = part->pool->leaves->pdata[i];
@@ -211,36 +292,62 @@
 
 		if (!may_choose(part, leaf, now))
 			continue;
+		expected = expected_us(leaf, stats, typical, now);
+		if (!has_room(r, part, leaf, now)) {
+			if (!is_tried(part, leaf) &&
+			    note_limited(r, &over, leaf, expected, now))
+				choice.usable_count++;
+			continue;
+		}
 		choice.usable_count++;
-		capacity += leaf->concurrency_limit;
+		over.capacity += leaf_capacity(r, leaf, expected, now);
 		if (is_tried(part, leaf))
 			continue;
 		if (is_busy(leaf, now)) {
-			least_busy = MIN(least_busy, expected_us(leaf, stats,
-								 typical, now));
+			over.least_busy_us = MIN(over.least_busy_us, expected);
 			continue;
 		}
 		/* Ejected, draining and removed leaves are a last resort. */
 		if (is_last_resort && !is_best_last_resort)
 			continue;
-		expected = expected_us(leaf, stats, typical, now);
 		cost = cost_us(leaf, expected, now);
-		if (is_best_last_resort == is_last_resort && cost >= best)
+		if (is_best_last_resort == is_last_resort &&
+		    cost >= choice.cost)
 			continue;
-		best = cost;
+		choice.cost = cost;
 		is_best_last_resort = is_last_resort;
 		choice.leaf = leaf;
 		choice.expected_us = (int64_t)expected;
 	}
-	if (!choice.leaf && least_busy < INFINITY) {
-		choice.is_busy = true;
-		choice.expected_us = (int64_t)least_busy;
-		choice.wait_us =
-			expected_wait(part->pool, capacity, least_busy);
-	}
+	if (!choice.leaf)
+		set_wait(&choice, part->pool, &over);
 	return choice;
 }
 
+void leaf_note_wanted(struct router *r, const struct route_part *part,
+		      const struct leaf_choice *choice)
+{
+	struct route_stats *stats = part->request->stats;
+	int64_t now = router_now(r);
+	double typical;
+
+	if (!r->limited_leaves->len)
+		return;
+	typical = (double)route_stats_typical_duration(stats,
+						       part->request->route);
+	for (guint i = 0; i < part->pool->leaves->len; i++) {
+		struct route_leaf *leaf = part->pool->leaves->pdata[i];
+		double expected;
+
+		if (!leaf->rate.is_limited || !may_choose(part, leaf, now) ||
+		    may_join_batch(r, part, leaf))
+			continue;
+		expected = expected_us(leaf, stats, typical, now);
+		if (cost_us(leaf, expected, now) <= choice->cost)
+			rates_note_wanted(r, leaf);
+	}
+}
+
 static void update_duration(struct route_leaf *leaf,
 			    const struct route_stats *route, int64_t us,
 			    int64_t now)
--- a/router/directory.c
+++ b/router/directory.c
@@ -99,7 +99,8 @@
 	return NULL;
 }
 
-static bool is_self(const struct host_directory *d, const struct known_host *h)
+bool host_directory_is_self(const struct host_directory *d,
+			    const struct known_host *h)
 {
 	return !strcmp(h->record.name, d->self);
 }
@@ -144,13 +145,18 @@
 	return list;
 }
 
+static const char *region_of_domain(const struct host_directory *d,
+				    const char *domain)
+{
+	const char *region = g_hash_table_lookup(d->leaves->regions, domain);
+
+	return region ? region : domain;
+}
+
 static const char *region_of(const struct host_directory *d,
 			     const struct known_host *h)
 {
-	const char *region =
-		g_hash_table_lookup(d->leaves->regions, h->record.domain);
-
-	return region ? region : h->record.domain;
+	return region_of_domain(d, h->record.domain);
 }
 
 GPtrArray *host_directory_other_feeds(struct host_directory *d)
@@ -172,7 +178,7 @@
 
 		g_hash_table_insert(counts, (gpointer)region,
 				    GUINT_TO_POINTER(count + 1));
-		if (count || is_self(d, h))
+		if (count || host_directory_is_self(d, h))
 			g_ptr_array_remove_index(list, i);
 		else
 			i++;
@@ -188,7 +194,7 @@
 	int rank = -1;
 
 	for (guint i = 0; i < list->len && rank < 0; i++) {
-		if (is_self(d, list->pdata[i]))
+		if (host_directory_is_self(d, list->pdata[i]))
 			rank = (int)i;
 	}
 	g_ptr_array_free(list, TRUE);
@@ -214,7 +220,7 @@
 		const struct known_host *h = list->pdata[i];
 
 		/* A host follows only hosts before it: there are no cycles. */
-		if (is_self(d, h)) {
+		if (host_directory_is_self(d, h)) {
 			is_found = !address;
 			break;
 		}
@@ -234,7 +240,7 @@
 		struct known_host *h = list->pdata[i];
 
 		/* A host follows only hosts before it: there are no cycles. */
-		if (is_self(d, h))
+		if (host_directory_is_self(d, h))
 			break;
 		if (now_us >= h->suspect_until_us &&
 		    now_us >= h->no_feed_until_us)
@@ -327,7 +333,8 @@
 	for (guint i = list->len; i-- > 0;) {
 		const struct known_host *h = list->pdata[i];
 
-		if (strcmp(h->record.domain, domain) || is_self(d, h) ||
+		if (strcmp(h->record.domain, domain) ||
+		    host_directory_is_self(d, h) ||
 		    now_us < h->suspect_until_us)
 			g_ptr_array_remove_index(list, i);
 	}
@@ -340,6 +347,55 @@
 	return chosen;
 }
 
+/*
+ * Returns the first host by its hash with a leaf. With a region, only its hosts
+ * count; at now_us, those that did not respond do not.
+ */
+static struct known_host *first_by_hash(struct host_directory *d,
+					const char *leaf, const char *region,
+					int64_t now_us)
+{
+	uint64_t leaf_hash = hash_string(leaf, 0);
+	struct known_host *first = NULL;
+	uint64_t least = 0;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, d->hosts);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct known_host *h = value;
+		uint64_t hash = hash_pair(h->name_hash, leaf_hash);
+
+		if (now_us < h->suspect_until_us ||
+		    (region && strcmp(region_of(d, h), region)) ||
+		    (first && hash >= least))
+			continue;
+		first = h;
+		least = hash;
+	}
+	return first;
+}
+
+struct known_host *host_directory_choose_rate_owner(struct host_directory *d,
+						    const char *leaf,
+						    const char *domain,
+						    int64_t now_us)
+{
+	struct known_host *h =
+		first_by_hash(d, leaf, region_of_domain(d, domain), now_us);
+
+	return h ? h : first_by_hash(d, leaf, NULL, now_us);
+}
+
+bool host_directory_is_rate_owner(struct host_directory *d, const char *leaf,
+				  const char *domain)
+{
+	const struct known_host *h =
+		host_directory_choose_rate_owner(d, leaf, domain, INT64_MAX);
+
+	return h && host_directory_is_self(d, h);
+}
+
 uint32_t host_directory_count_gatherers(struct host_directory *d,
 					int64_t now_us)
 {
@@ -383,7 +439,7 @@
 		struct known_host *h =
 			g_array_index(list, struct gather_candidate, i).host;
 
-		if (is_self(d, h)) {
+		if (host_directory_is_self(d, h)) {
 			*is_gatherer = true;
 			chosen = NULL;
 			break;
--- a/router/leaf_rate.c
+++ b/router/leaf_rate.c
@@ -1,30 +1,196 @@
 #include "router/leaf_rate.h"
 
+#include <math.h>
+
+#include <glib.h>
+
+#include "common/clock.h"
+
+/* Calls that were not sent may be sent later at once, if so few. */
+#define TOKENS_MIN 1.0
+#define TOKENS_S 0.5
+/*
+ * Part of a limit that hosts without a share divide equally. The shares may
+ * still be in use: such a host has lost the one that divides the limit.
+ */
+#define ALONE_PART 0.1
+#define WANTED_HALF_LIFE_US (300 * US_PER_MS)
+/* A leaf that is wanted more rarely needs no share. */
+#define WANTED_MIN_PER_S 0.05
+/* Interval of claims that are not answered. */
+#define CLAIM_INTERVAL_US (250 * US_PER_MS)
+/* Shortest interval between claims after the leaf was not wanted for a time. */
+#define CLAIM_INTERVAL_MIN_US (50 * US_PER_MS)
+/* Time in which a first claim is answered, over the links of a region. */
+#define GRANT_TIMEOUT_US (60 * US_PER_MS)
+
+static void begin_limit(struct leaf_rate *rate, int64_t now)
+{
+	rate->is_limited = true;
+	rate->share_per_s = 0;
+	rate->share_until_us = 0;
+	rate->tokens = 0;
+	rate->tokens_at_us = now;
+	rate->wanted = 0;
+	rate->unanswered = 0;
+	rate->awaited_until_us = 0;
+	rate->claim_at_us = INT64_MAX;
+	rate->claimed_at_us = 0;
+}
+
 bool leaf_rate_note_reply(struct leaf_rate *rate,
 			  const struct leaf_rate_limit *limit, int64_t sent_us,
 			  int64_t now_us)
 {
-	bool was_limited = rate->is_limited;
 	double previous = rate->limit_per_s;
+	bool was_limited = rate->is_limited;
 
-	if (limit->news == RATE_UNKNOWN)
-		return false;
 	if (limit->news == RATE_LIMITED) {
-		rate->is_limited = true;
+		if (!was_limited)
+			begin_limit(rate, now_us);
 		rate->limit_per_s = limit->per_s;
 		rate->news_at_us = now_us;
 		return !was_limited || previous != limit->per_s;
 	}
-	if (!was_limited || sent_us < rate->news_at_us)
+	if (limit->news == RATE_UNKNOWN || !was_limited ||
+	    sent_us < rate->news_at_us)
 		return false;
 	rate->is_limited = false;
+	rate->news_at_us = now_us;
+	/* The next claim tells the other hosts. */
+	if (rate->claimed_at_us)
+		rate->claim_at_us = now_us;
 	return true;
 }
 
-void leaf_rate_note_call(struct leaf_rate *rate, bool is_extra)
+double leaf_rate_share(const struct leaf_rate *rate, uint32_t hosts,
+		       int64_t now_us)
+{
+	if (now_us < rate->share_until_us)
+		return rate->share_per_s;
+	return hosts ? ALONE_PART * rate->limit_per_s / hosts : 0;
+}
+
+static void refill(struct leaf_rate *rate, uint32_t hosts, int64_t now)
+{
+	double share = leaf_rate_share(rate, hosts, now);
+	double most = share > 0 ? MAX(TOKENS_MIN, share * TOKENS_S) : 0;
+	double more = share * (double)(now - rate->tokens_at_us) / US_PER_S;
+
+	rate->tokens = MIN(rate->tokens + more, most);
+	rate->tokens_at_us = now;
+}
+
+bool leaf_rate_has_room(struct leaf_rate *rate, uint32_t hosts, int64_t now_us)
+{
+	if (!rate->is_limited)
+		return true;
+	refill(rate, hosts, now_us);
+	return rate->tokens >= 1;
+}
+
+int64_t leaf_rate_wait(struct leaf_rate *rate, uint32_t hosts, int64_t now_us)
+{
+	double share = leaf_rate_share(rate, hosts, now_us);
+
+	if (leaf_rate_has_room(rate, hosts, now_us))
+		return 0;
+	if (now_us < rate->awaited_until_us)
+		return rate->awaited_until_us - now_us;
+	if (share <= 0)
+		return INT64_MAX;
+	return (int64_t)MIN((1 - rate->tokens) / share * US_PER_S,
+			    (double)INT64_MAX / 4);
+}
+
+void leaf_rate_note_call(struct leaf_rate *rate, bool is_extra, uint32_t hosts,
+			 int64_t now_us)
 {
 	if (is_extra)
 		rate->extra_calls++;
 	else
 		rate->first_calls++;
+	if (!rate->is_limited)
+		return;
+	refill(rate, hosts, now_us);
+	rate->tokens -= 1;
+}
+
+static double decayed_wanted(const struct leaf_rate *rate, int64_t now)
+{
+	return rate->wanted * exp2(-(double)(now - rate->wanted_at_us) /
+				   (double)WANTED_HALF_LIFE_US);
+}
+
+double leaf_rate_wanted(const struct leaf_rate *rate, int64_t now_us)
+{
+	double per_s = decayed_wanted(rate, now_us) * M_LN2 /
+		       ((double)WANTED_HALF_LIFE_US / US_PER_S);
+
+	return per_s < WANTED_MIN_PER_S ? 0 : per_s;
+}
+
+void leaf_rate_note_wanted(struct leaf_rate *rate, int64_t now_us)
+{
+	rate->wanted = decayed_wanted(rate, now_us) + 1;
+	rate->wanted_at_us = now_us;
+	if (rate->claim_at_us != INT64_MAX)
+		return;
+	rate->claim_at_us =
+		MAX(now_us, rate->claimed_at_us + CLAIM_INTERVAL_MIN_US);
+	rate->awaited_until_us = rate->claim_at_us + GRANT_TIMEOUT_US;
+}
+
+bool leaf_rate_take_claim(struct leaf_rate *rate, int64_t now_us,
+			  struct rate_claim *out)
+{
+	double wanted = rate->is_limited ? leaf_rate_wanted(rate, now_us) : 0;
+
+	if (now_us < rate->claim_at_us)
+		return false;
+	out->news.is_limited = rate->is_limited;
+	out->news.per_s = rate->limit_per_s;
+	out->news.age_us = now_us - rate->news_at_us;
+	out->wanted_per_s = wanted;
+	out->unanswered = rate->unanswered++;
+	rate->claimed_at_us = now_us;
+	/* The claim of nothing returns the share and is the last one. */
+	rate->claim_at_us = wanted > 0 ? now_us + CLAIM_INTERVAL_US : INT64_MAX;
+	return true;
+}
+
+static bool apply_news(struct leaf_rate *rate, const struct rate_limit_news *n,
+		       int64_t now)
+{
+	int64_t at = now - n->age_us;
+	double previous = rate->limit_per_s;
+
+	if (at <= rate->news_at_us)
+		return false;
+	rate->news_at_us = at;
+	rate->is_limited = n->is_limited;
+	if (n->is_limited)
+		rate->limit_per_s = n->per_s;
+	else
+		rate->claim_at_us = INT64_MAX;
+	return !rate->is_limited || rate->limit_per_s != previous;
+}
+
+bool leaf_rate_apply_grant(struct leaf_rate *rate, const struct rate_grant *g,
+			   uint32_t hosts, int64_t now_us)
+{
+	bool has_changed;
+
+	if (!rate->is_limited)
+		return false;
+	has_changed = apply_news(rate, &g->news, now_us);
+	rate->unanswered = 0;
+	rate->awaited_until_us = 0;
+	refill(rate, hosts, now_us);
+	rate->share_per_s = g->share_per_s;
+	rate->share_until_us = now_us + g->valid_us;
+	refill(rate, hosts, now_us);
+	if (rate->claim_at_us != INT64_MAX)
+		rate->claim_at_us = rate->claimed_at_us + g->refresh_us;
+	return has_changed;
 }
--- a/router/part.c
+++ b/router/part.c
@@ -266,10 +266,14 @@
 {
 	struct leaf_choice choice = leaf_choose(r, p);
 
+	leaf_note_wanted(r, p, &choice);
+	p->is_planned = true;
 	p->planned_leaf = choice.leaf;
 	p->is_infeasible = !choice.leaf &&
 			   (!choice.usable_count ||
 			    choice.wait_us + choice.expected_us > left_us);
+	if (p->is_infeasible)
+		rates_log_no_room(r, p);
 	return !p->is_infeasible;
 }
 
@@ -280,6 +284,26 @@
 	g_queue_push_tail(&r->waiting, p);
 }
 
+/*
+ * Sends the first call of a part that was planned for a batch which was not
+ * sent: the rate limit of the planned leaf may leave no room for it.
+ */
+static void start_without_batch(struct router *r, struct route_part *p)
+{
+	const struct route_request *q = p->request;
+	struct leaf_choice choice = leaf_choose(r, p);
+
+	leaf_note_wanted(r, p, &choice);
+	if (choice.leaf) {
+		send_call(r, p, choice.leaf, false);
+	} else if (is_worth_waiting(&choice, q->goal_at_us - router_now(r))) {
+		wait_for_leaf(r, p);
+	} else {
+		rates_log_no_room(r, p);
+		p->phase = PART_FAILED;
+	}
+}
+
 void part_start(struct router *r, struct route_part *p)
 {
 	const struct route_request *q = p->request;
@@ -305,8 +329,11 @@
 	if (p->batch) {
 		p->phase = PART_RUNNING;
 		arm_hedge(r, p, now + BATCH_MARGIN_US);
-	} else if (p->planned_leaf) {
+	} else if (p->planned_leaf && leaf_rate_has_room(&p->planned_leaf->rate,
+							 r->host_count, now)) {
 		send_call(r, p, p->planned_leaf, false);
+	} else if (p->planned_leaf) {
+		start_without_batch(r, p);
 	} else {
 		wait_for_leaf(r, p);
 	}
--- a/router/router.c
+++ b/router/router.c
@@ -64,6 +64,7 @@
 	id_table_init(&r->calls, sizeof(struct leaf_call));
 	g_queue_init(&r->waiting);
 	r->limited_leaves = g_ptr_array_new();
+	r->next_claims_us = INT64_MAX;
 	router_set_host_count(r, 0);
 	r->random = g_rand_new_with_seed((guint32)options->seed);
 	*out = r;
@@ -216,6 +217,8 @@
 
 	if (r->waiting.length)
 		next = MIN(next, r->next_retry_us);
+	if (r->options.ops->claim_rates)
+		next = MIN(next, r->next_claims_us);
 	return next;
 }
 
@@ -235,6 +238,7 @@
 		r->next_retry_us = now + WAITING_RETRY_US;
 		part_retry_waiting(r);
 	}
+	rates_claim(r);
 	if (now >= r->next_sweep_us) {
 		r->next_sweep_us = now + SWEEP_INTERVAL_US;
 		rates_sweep(r);
--- a/test/fuzz/targets.c
+++ b/test/fuzz/targets.c
@@ -140,6 +140,10 @@
 		return host_frame_gather_result(&f->result);
 	case HOST_GATHER_CANCEL:
 		return host_frame_gather_cancel(f->id);
+	case HOST_RATE_CLAIMS:
+		return host_frame_rate_claims(f->rate_claims);
+	case HOST_RATE_GRANTS:
+		return host_frame_rate_grants(f->rate_grants);
 	}
 	return NULL;
 }
--- a/test/unit/fake_router.c
+++ b/test/unit/fake_router.c
@@ -91,6 +91,14 @@
 	f->sent_stamp_count += a->stamp_count;
 }
 
+static void handle_claim_rates(void *ctx, const struct rate_claim *claims,
+			       uint32_t count)
+{
+	struct fake_router *f = ctx;
+
+	g_array_append_vals(f->claims, claims, count);
+}
+
 static const struct router_ops ops = {
 	.start_call = handle_start_call,
 	.cancel_call = handle_cancel_call,
@@ -99,6 +107,7 @@
 	.cancel_batch = handle_cancel_batch,
 	.answer_part = handle_answer_part,
 	.answer = handle_answer,
+	.claim_rates = handle_claim_rates,
 	.free_endpoint = handle_free_endpoint,
 };
 
@@ -175,6 +184,9 @@
 	};
 
 	f->time.now_us = 100 * US_PER_S;
+	f->rate_limits =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	f->claims = g_array_new(FALSE, FALSE, sizeof(struct rate_claim));
 	router_create(&f->router, &options);
 	router_apply_table(f->router, create_table(shards));
 	for (uint32_t i = 0; i < 3 * shards; i++) {
@@ -191,6 +203,8 @@
 void fake_router_destroy(struct fake_router *f)
 {
 	router_destroy(f->router);
+	g_hash_table_destroy(f->rate_limits);
+	g_array_free(f->claims, TRUE);
 	g_free(f);
 }
 
@@ -218,6 +232,26 @@
 	}
 }
 
+void fake_router_set_rate_limit(struct fake_router *f, const char *leaf,
+				double per_s)
+{
+	if (per_s < 0)
+		g_hash_table_remove(f->rate_limits, leaf);
+	else
+		g_hash_table_insert(f->rate_limits, g_strdup(leaf),
+				    g_memdup2(&per_s, sizeof(per_s)));
+}
+
+static struct leaf_rate_limit get_rate_limit(const struct fake_router *f,
+					     const char *leaf)
+{
+	const double *per_s = g_hash_table_lookup(f->rate_limits, leaf);
+
+	if (!per_s)
+		return (struct leaf_rate_limit){ RATE_UNLIMITED, 0 };
+	return (struct leaf_rate_limit){ RATE_LIMITED, *per_s };
+}
+
 bool fake_router_end_call(struct fake_router *f, uint32_t call,
 			  enum call_outcome outcome, unsigned int status,
 			  const char *body)
@@ -232,6 +266,7 @@
 		result.reply = leaf_reply_create();
 		result.reply->status = status;
 		result.stamp = "stamp";
+		result.rate_limit = get_rate_limit(f, c->leaf_id);
 		if (body)
 			g_byte_array_append(result.reply->body,
 					    (const guint8 *)body,
--- a/test/unit/fake_router.h
+++ b/test/unit/fake_router.h
@@ -48,6 +48,10 @@
 	uint32_t batch_cancel_count;
 	/** Stamps sent by answer_part(), before the end of a request. */
 	uint32_t sent_stamp_count;
+	/** Rate limits that leaves name in their replies, as text by leaf. */
+	GHashTable *rate_limits;
+	/** Of struct rate_claim: claims that were not answered yet. */
+	GArray *claims;
 };
 
 /**
@@ -70,6 +74,13 @@
 /** Advances the clock in steps of 1 ms and runs the timers. */
 void fake_router_advance(struct fake_router *f, int64_t us);
 
+/**
+ * Sets the rate limit that a leaf names in the replies of
+ * fake_router_end_call(); a negative one sets none.
+ */
+void fake_router_set_rate_limit(struct fake_router *f, const char *leaf,
+				double per_s);
+
 /** Ends a call. Returns false if it is not open. */
 bool fake_router_end_call(struct fake_router *f, uint32_t call,
 			  enum call_outcome outcome, unsigned int status,
--- a/test/unit/test_host_frame.c
+++ b/test/unit/test_host_frame.c
@@ -1,5 +1,6 @@
 #include "suites.h"
 
+#include <math.h>
 #include <string.h>
 
 #include "common/errors.h"
@@ -115,6 +116,67 @@
 	store_changes_free(c);
 }
 
+/* Guards against claims and grants whose fields are lost between hosts. */
+static void test_rates(void)
+{
+	struct rate_claim claim = {
+		.leaf = "leaf-1",
+		.leaf_started_ms = 1700000000000,
+		.leaf_domain = "a",
+		.news = { true, 31.5, 2000 },
+		.wanted_per_s = 60.25,
+	};
+	struct rate_grant grant = {
+		.leaf = "leaf-1",
+		.leaf_started_ms = 1700000000000,
+		.news = { false, 0, 10 },
+		.share_per_s = 4.5,
+		.valid_us = 1000000,
+		.refresh_us = 250000,
+	};
+	GArray *list = g_array_new(FALSE, FALSE, sizeof(claim));
+	struct host_frame f;
+	struct rate_claim *c;
+	struct rate_grant *g;
+
+	g_array_append_val(list, claim);
+	g_array_append_val(list, claim);
+	CU_ASSERT_EQUAL_FATAL(decode_frame(host_frame_rate_claims(list), &f),
+			      0);
+	CU_ASSERT_EQUAL_FATAL(f.rate_claims->len, 2);
+	c = &g_array_index(f.rate_claims, struct rate_claim, 1);
+	CU_ASSERT_STRING_EQUAL(c->leaf, "leaf-1");
+	CU_ASSERT_EQUAL(c->leaf_started_ms, 1700000000000);
+	CU_ASSERT_STRING_EQUAL(c->leaf_domain, "a");
+	CU_ASSERT_TRUE(c->news.is_limited);
+	CU_ASSERT_DOUBLE_EQUAL(c->news.per_s, 31.5, 0);
+	CU_ASSERT_EQUAL(c->news.age_us, 2000);
+	CU_ASSERT_DOUBLE_EQUAL(c->wanted_per_s, 60.25, 0);
+	host_frame_clear(&f);
+	/* A negative or infinite rate is not sent as a large one. */
+	g_array_index(list, struct rate_claim, 0).wanted_per_s = -1;
+	g_array_index(list, struct rate_claim, 1).wanted_per_s = INFINITY;
+	CU_ASSERT_EQUAL_FATAL(decode_frame(host_frame_rate_claims(list), &f),
+			      0);
+	c = &g_array_index(f.rate_claims, struct rate_claim, 0);
+	CU_ASSERT_DOUBLE_EQUAL(c[0].wanted_per_s, 0, 0);
+	CU_ASSERT_DOUBLE_EQUAL(c[1].wanted_per_s, 1e12, 0);
+	host_frame_clear(&f);
+	g_array_free(list, TRUE);
+	list = g_array_new(FALSE, FALSE, sizeof(grant));
+	g_array_append_val(list, grant);
+	CU_ASSERT_EQUAL_FATAL(decode_frame(host_frame_rate_grants(list), &f),
+			      0);
+	CU_ASSERT_EQUAL_FATAL(f.rate_grants->len, 1);
+	g = &g_array_index(f.rate_grants, struct rate_grant, 0);
+	CU_ASSERT_FALSE(g->news.is_limited);
+	CU_ASSERT_DOUBLE_EQUAL(g->share_per_s, 4.5, 0);
+	CU_ASSERT_EQUAL(g->valid_us, 1000000);
+	CU_ASSERT_EQUAL(g->refresh_us, 250000);
+	host_frame_clear(&f);
+	g_array_free(list, TRUE);
+}
+
 /* Guards against reads past the end of a truncated or altered frame. */
 static void test_broken(void)
 {
@@ -148,6 +210,6 @@
 
 CU_TestInfo host_frame_tests[] = {
 	{ "gather", test_gather },   { "gathered", test_gathered },
-	{ "changes", test_changes }, { "broken", test_broken },
-	CU_TEST_INFO_NULL,
+	{ "changes", test_changes }, { "rates", test_rates },
+	{ "broken", test_broken },   CU_TEST_INFO_NULL,
 };
