nutmegpickd: show the shares of rate limits, and explain refusals by them

Cause: a refused request did not lead to the leaf whose limit left no room for it, nor a leaf to the shares that hosts hold of its limit. The router reports to the adapter by a struct of its own rather than its table of leaves.

--- a/include/router/router.h
+++ b/include/router/router.h
@@ -157,6 +157,23 @@
 	size_t body_len;
 };
 
+/** Calls of this host to a leaf with a rate limit. Strings are borrowed. */
+struct leaf_rate_report {
+	const char *leaf;
+	const char *service;
+	/** Unset at the end of the limit, with the last report. */
+	bool is_limited;
+	/** Calls a second: of all hosts, of this one, and wanted by this one. */
+	double limit_per_s;
+	double share_per_s;
+	double wanted_per_s;
+	/** Time since the newest reply that named the limit. */
+	int64_t news_age_us;
+	/** Calls since the last report. */
+	uint32_t first_calls;
+	uint32_t extra_calls;
+};
+
 /** Operations of the adapter. They must not call the router. */
 struct router_ops {
 	void (*start_call)(void *ctx, const struct router_call *call);
@@ -195,7 +212,7 @@
 	 * Reports the calls to a leaf with a rate limit, about once a second,
 	 * and the end of its limit. NULL if the adapter has no metrics.
 	 */
-	void (*report_rate)(void *ctx, const struct route_leaf *leaf);
+	void (*report_rate)(void *ctx, const struct leaf_rate_report *report);
 	/** Frees the adapter's state of a leaf, leaf->endpoint. */
 	void (*free_endpoint)(void *ctx, struct route_leaf *leaf);
 };
--- a/nutmegpick/explain.c
+++ b/nutmegpick/explain.c
@@ -132,13 +132,14 @@
 
 /*
  * Returns whether a line may explain the outcome of a request: a change of a
- * leaf, of the routes, or of the connection to the platform's store or to the
- * feed of another host.
+ * leaf, its rate limit or this host's share of it, of the routes, or of the
+ * connection to the platform's store or to the feed of another host.
  */
 static bool is_context_event(const struct log_line *l)
 {
 	static const char *const events[] = { "N701", "N704", "N707",
-					      "N714", "N715", "N719" };
+					      "N714", "N715", "N719",
+					      "N725", "N727", "N729" };
 
 	for (size_t i = 0; i < G_N_ELEMENTS(events); i++) {
 		if (!strcmp(l->event, events[i]))
--- a/nutmegpickd/route_callers.c
+++ b/nutmegpickd/route_callers.c
@@ -109,9 +109,9 @@
 	route_claim_rates(ctx, claims, count);
 }
 
-static void handle_report_rate(void *ctx, const struct route_leaf *leaf)
+static void handle_report_rate(void *ctx, const struct leaf_rate_report *report)
 {
-	route_metrics_note_leaf_rate(leaf);
+	route_metrics_note_leaf_rate(report);
 }
 
 static void handle_router_answer(void *ctx, void *user,
--- a/nutmegpickd/route_metrics.c
+++ b/nutmegpickd/route_metrics.c
@@ -37,7 +37,11 @@
 /** Leaf that names a rate limit. */
 struct leaf_rate_series {
 	char *service;
+	/** Calls a second: of all hosts, of this one, and wanted by this one. */
 	double limit_per_s;
+	double share_per_s;
+	double wanted_per_s;
+	int64_t news_age_us;
 	uint64_t first_calls;
 	uint64_t extra_calls;
 };
@@ -53,35 +57,38 @@
 	g_free(s);
 }
 
-static struct leaf_rate_series *find_leaf_rate(const struct route_leaf *leaf)
+static struct leaf_rate_series *
+find_leaf_rate(const struct leaf_rate_report *report)
 {
 	struct leaf_rate_series *s;
 
 	if (!leaf_rates)
 		leaf_rates = g_hash_table_new_full(
 			g_str_hash, g_str_equal, g_free, handle_free_leaf_rate);
-	s = g_hash_table_lookup(leaf_rates, leaf->entry.id);
+	s = g_hash_table_lookup(leaf_rates, report->leaf);
 	if (s || g_hash_table_size(leaf_rates) >= LIMITED_LEAVES_MAX)
 		return s;
 	s = g_new0(struct leaf_rate_series, 1);
-	s->service = g_strdup(leaf->entry.service);
-	g_hash_table_insert(leaf_rates, g_strdup(leaf->entry.id), s);
+	s->service = g_strdup(report->service);
+	g_hash_table_insert(leaf_rates, g_strdup(report->leaf), s);
 	return s;
 }
 
-void route_metrics_note_leaf_rate(const struct route_leaf *leaf)
+void route_metrics_note_leaf_rate(const struct leaf_rate_report *report)
 {
-	const struct leaf_rate *rate = &leaf->rate;
 	struct leaf_rate_series *s;
 
 	pthread_mutex_lock(&series_lock);
-	s = find_leaf_rate(leaf);
-	if (s && !rate->is_limited) {
-		g_hash_table_remove(leaf_rates, leaf->entry.id);
+	s = find_leaf_rate(report);
+	if (s && !report->is_limited) {
+		g_hash_table_remove(leaf_rates, report->leaf);
 	} else if (s) {
-		s->limit_per_s = rate->limit_per_s;
-		s->first_calls += rate->first_calls;
-		s->extra_calls += rate->extra_calls;
+		s->limit_per_s = report->limit_per_s;
+		s->share_per_s = report->share_per_s;
+		s->wanted_per_s = report->wanted_per_s;
+		s->news_age_us = report->news_age_us;
+		s->first_calls += report->first_calls;
+		s->extra_calls += report->extra_calls;
 	}
 	pthread_mutex_unlock(&series_lock);
 }
@@ -89,15 +96,42 @@
 static void render_leaf_rate(GString *out, const char *leaf,
 			     const struct leaf_rate_series *s)
 {
+	char *labels =
+		g_strdup_printf("leaf=\"%s\",service=\"%s\"", leaf, s->service);
+
 	g_string_append_printf(
 		out,
-		"nutmegpick_leaf_rate_limit{leaf=\"%s\",service=\"%s\"} %g\n"
-		"nutmegpick_leaf_limited_calls_total{leaf=\"%s\",service=\"%s\","
-		"kind=\"first\"} %" G_GUINT64_FORMAT "\n"
-		"nutmegpick_leaf_limited_calls_total{leaf=\"%s\",service=\"%s\","
-		"kind=\"extra\"} %" G_GUINT64_FORMAT "\n",
-		leaf, s->service, s->limit_per_s, leaf, s->service,
-		s->first_calls, leaf, s->service, s->extra_calls);
+		"nutmegpick_leaf_rate_limit{%s} %g\n"
+		"nutmegpick_leaf_rate_share{%s} %g\n"
+		"nutmegpick_leaf_rate_wanted{%s} %g\n"
+		"nutmegpick_leaf_rate_news_seconds{%s} %.3f\n"
+		"nutmegpick_leaf_limited_calls_total{%s,kind=\"first\"} "
+		"%" G_GUINT64_FORMAT "\n"
+		"nutmegpick_leaf_limited_calls_total{%s,kind=\"extra\"} "
+		"%" G_GUINT64_FORMAT "\n",
+		labels, s->limit_per_s, labels, s->share_per_s, labels,
+		s->wanted_per_s, labels, (double)s->news_age_us / US_PER_S,
+		labels, s->first_calls, labels, s->extra_calls);
+	g_free(labels);
+}
+
+static void render_leaf_rates(GString *out)
+{
+	GHashTableIter iter;
+	gpointer leaf;
+	gpointer s;
+
+	g_string_append(out, "# TYPE nutmegpick_leaf_rate_limit gauge\n"
+			     "# TYPE nutmegpick_leaf_rate_share gauge\n"
+			     "# TYPE nutmegpick_leaf_rate_wanted gauge\n"
+			     "# TYPE nutmegpick_leaf_rate_news_seconds gauge\n"
+			     "# TYPE nutmegpick_leaf_limited_calls_total "
+			     "counter\n");
+	if (!leaf_rates)
+		return;
+	g_hash_table_iter_init(&iter, leaf_rates);
+	while (g_hash_table_iter_next(&iter, &leaf, &s))
+		render_leaf_rate(out, leaf, s);
 }
 
 static struct route_series *find_series(const char *route)
@@ -188,14 +222,7 @@
 		while (g_hash_table_iter_next(&iter, &route, &s))
 			render_route(out, route, s);
 	}
-	g_string_append(out, "# TYPE nutmegpick_leaf_rate_limit gauge\n"
-			     "# TYPE nutmegpick_leaf_limited_calls_total "
-			     "counter\n");
-	if (leaf_rates) {
-		g_hash_table_iter_init(&iter, leaf_rates);
-		while (g_hash_table_iter_next(&iter, &route, &s))
-			render_leaf_rate(out, route, s);
-	}
+	render_leaf_rates(out);
 	pthread_mutex_unlock(&series_lock);
 	return g_string_free(out, FALSE);
 }
--- a/router/rates.c
+++ b/router/rates.c
@@ -157,19 +157,28 @@
 {
 	struct leaf_rate *rate = &leaf->rate;
 	int64_t now = router_now(r);
-
-	if (rate->first_calls || rate->extra_calls)
+	struct leaf_rate_report report = {
+		.leaf = leaf->entry.id,
+		.service = leaf->entry.service,
+		.is_limited = rate->is_limited,
+		.limit_per_s = rate->limit_per_s,
+		.share_per_s = leaf_rate_share(rate, r->host_count, now),
+		.wanted_per_s = leaf_rate_wanted(rate, now),
+		.news_age_us = now - rate->news_at_us,
+		.first_calls = rate->first_calls,
+		.extra_calls = rate->extra_calls,
+	};
+
+	if (report.first_calls || report.extra_calls)
 		event_log(EV_LEAF_LIMIT_USE,
 			  "leaf=%s service=%s limit=%.3f first=%u extra=%u "
 			  "share=%.3f wanted=%.3f news_ms=%lld",
-			  leaf->entry.id, leaf->entry.service,
-			  rate->limit_per_s, rate->first_calls,
-			  rate->extra_calls,
-			  leaf_rate_share(rate, r->host_count, now),
-			  leaf_rate_wanted(rate, now),
-			  (long long)((now - rate->news_at_us) / US_PER_MS));
+			  report.leaf, report.service, report.limit_per_s,
+			  report.first_calls, report.extra_calls,
+			  report.share_per_s, report.wanted_per_s,
+			  (long long)(report.news_age_us / US_PER_MS));
 	if (r->options.ops->report_rate)
-		r->options.ops->report_rate(r->options.ctx, leaf);
+		r->options.ops->report_rate(r->options.ctx, &report);
 	rate->reported_at_us = now;
 	rate->first_calls = 0;
 	rate->extra_calls = 0;
--- a/test/soak/rate_limit.py
+++ b/test/soak/rate_limit.py
@@ -7,9 +7,11 @@
 import argparse
 import asyncio
 import random
+import re
 import signal
 import sys
 import time
+import urllib.request
 
 from soak import Soak
 from withdraw import wait_for_record
@@ -79,6 +81,17 @@
             leaf.arrivals = []
         return time.monotonic()
 
+    def limited_leaves(self):
+        """Returns the leaves whose limits the metrics of the hosts show."""
+        leaves = set()
+        for i in range(HOSTS):
+            url = (f"http://{self.soak.host_address(i)}:"
+                   f"{self.soak.args.port + 3}/metrics")
+            text = urllib.request.urlopen(url, timeout=5).read().decode()
+            leaves |= set(re.findall(
+                r'nutmegpick_leaf_rate_limit\{leaf="([^"]+)"', text))
+        return sorted(leaves)
+
     def all_answered(self):
         return all(r and r.status == 200 for r in self.replies)
 
@@ -112,11 +125,14 @@
     print("all leaves: within limits:",
           all(is_within(leaf, since) for leaf in book),
           "refused truly:", test.refused_truly())
+    print("in the metrics:",
+          test.limited_leaves() == sorted(leaf.name for leaf in book))
 
     test.set_limit(book, None)
     await test.press(path, seconds=SETTLE_S)
     await test.press(path, seconds=1)
-    print("no limit: all answered:", test.all_answered())
+    print("no limit: all answered:", test.all_answered(),
+          "in the metrics:", test.limited_leaves())
 
     since = test.set_limit(shard, 2)
     await test.press("/g/x")
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -128,6 +128,7 @@
                 f'[listen]\nhttp = "{ip}:{self.args.port}"\n'
                 f'ready = "{ip}:{self.args.port + 1}"\n'
                 f'peer = "{ip}:{self.args.port + 2}"\n'
+                f'metrics = "{ip}:{self.args.port + 3}"\n'
                 f'[registry]\nstore = "{self.proxies[i].address}"\n'
                 '[budget]\nextra_calls = "50"\n'
                 '[lifecycle]\ndrain_delay = "300ms"\nstop_timeout = "2500ms"\n')
