--- a/router/rate_exchange.c
+++ b/router/rate_exchange.c
@@ -79,7 +79,7 @@
 
 	if (x->options.is_alone || (owners.first && is_self(x, owners.first)))
 		return 1;
-	if (!owners.second || !is_self(x, owners.second))
+	if (!owners.first || !owners.second || !is_self(x, owners.second))
 		return 0;
 	if (!is_own_claim)
 		owners.first->rates_missed_us = now;
