router: give the calls of the highest rank a limited leaf's room first

Seen: with all leaves of a shard limited and twice the requests, routes of priority 2 were answered more often than those of priority 1 (94 in 100 against 65), as both took what the share left in the order of arrival. Change: a host keeps apart what calls of the highest rank want; calls of a lower rank get what these leave of the share. Result: unit test "ranks".

--- a/include/router/internal.h
+++ b/include/router/internal.h
@@ -274,7 +274,8 @@
 		      const struct leaf_choice *choice);
 
 /** Notes that a call is sent to a leaf. */
-void leaf_note_sent(struct router *r, struct route_leaf *leaf, bool is_extra);
+void leaf_note_sent(struct router *r, const struct route_part *part,
+		    struct route_leaf *leaf, bool is_extra);
 
 /**
  * Notes that the planned leaf of a part in a batch has not answered in time;
@@ -291,7 +292,8 @@
 /** Sends the claims that are due. */
 void rates_claim(struct router *r);
 /** Notes that a call to a limited leaf is wanted, whether it is sent or not. */
-void rates_note_wanted(struct router *r, struct route_leaf *leaf);
+void rates_note_wanted(struct router *r, const struct route_part *p,
+		       struct route_leaf *leaf);
 /** Logs the limits that leave no room for a part of a request. */
 void rates_log_no_room(struct router *r, const struct route_part *p);
 void rates_clear(struct router *r);
--- a/include/router/leaf_rate.h
+++ b/include/router/leaf_rate.h
@@ -43,6 +43,15 @@
 	 */
 	double wanted;
 	int64_t wanted_at_us;
+	/**
+	 * Least priority value, so the highest rank, of the calls wanted of
+	 * late, and the part of them in wanted.
+	 */
+	uint32_t top_priority;
+	double top_wanted;
+	int64_t top_wanted_at_us;
+	/** Calls of lower rank that may be sent at once. */
+	double spare_tokens;
 	/** When to claim a share; INT64_MAX while the leaf is not wanted. */
 	int64_t claim_at_us;
 	int64_t claimed_at_us;
@@ -74,18 +83,28 @@
 double leaf_rate_share(const struct leaf_rate *rate, uint32_t hosts,
 		       int64_t now_us);
 
-/** Returns whether the limit allows a call now. */
-bool leaf_rate_has_room(struct leaf_rate *rate, uint32_t hosts, int64_t now_us);
+/** Returns the part of that which calls of a route with a priority may use. */
+double leaf_rate_share_of(const struct leaf_rate *rate, uint32_t priority,
+			  uint32_t hosts, int64_t now_us);
+
+/**
+ * Returns whether the limit allows a call of a route with a priority now. Calls
+ * of a lower rank get what those of the highest leave of the share.
+ */
+bool leaf_rate_has_room(struct leaf_rate *rate, uint32_t priority,
+			uint32_t hosts, int64_t now_us);
 
-/** Returns the time until the limit allows a call; INT64_MAX if never. */
-int64_t leaf_rate_wait(struct leaf_rate *rate, uint32_t hosts, int64_t now_us);
+/** Returns the time until the limit allows such a call; INT64_MAX if never. */
+int64_t leaf_rate_wait(struct leaf_rate *rate, uint32_t priority,
+		       uint32_t hosts, int64_t now_us);
 
 /** Counts a call to the leaf. */
-void leaf_rate_note_call(struct leaf_rate *rate, bool is_extra, uint32_t hosts,
-			 int64_t now_us);
+void leaf_rate_note_call(struct leaf_rate *rate, uint32_t priority,
+			 bool is_extra, uint32_t hosts, int64_t now_us);
 
 /** Notes that this host wants to send a call to a limited leaf. */
-void leaf_rate_note_wanted(struct leaf_rate *rate, int64_t now_us);
+void leaf_rate_note_wanted(struct leaf_rate *rate, uint32_t priority,
+			   int64_t now_us);
 
 /** Returns the calls a second that this host wants to send; 0 if few. */
 double leaf_rate_wanted(const struct leaf_rate *rate, int64_t now_us);
--- a/router/choice.c
+++ b/router/choice.c
@@ -186,7 +186,8 @@
 		     struct route_leaf *leaf, int64_t now)
 {
 	return !leaf->rate.is_limited || may_join_batch(r, p, leaf) ||
-	       leaf_rate_has_room(&leaf->rate, r->host_count, now);
+	       leaf_rate_has_room(&leaf->rate, p->request->route->priority,
+				  r->host_count, now);
 }
 
 static bool may_choose(const struct route_part *p,
@@ -199,11 +200,12 @@
 	       now - leaf->probed_at_us >= PROBE_INTERVAL_US;
 }
 
-void leaf_note_sent(struct router *r, struct route_leaf *leaf, bool is_extra)
+void leaf_note_sent(struct router *r, const struct route_part *part,
+		    struct route_leaf *leaf, bool is_extra)
 {
 	leaf->probed_at_us = router_now(r);
-	leaf_rate_note_call(&leaf->rate, is_extra, r->host_count,
-			    router_now(r));
+	leaf_rate_note_call(&leaf->rate, part->request->route->priority,
+			    is_extra, r->host_count, router_now(r));
 }
 
 /* What leaf_choose() learns of the leaves that it passes over. */
@@ -232,14 +234,17 @@
 }
 
 /* Notes a leaf whose rate limit leaves no room; false if it never will. */
-static bool note_limited(const struct router *r, struct passed_over *o,
-			 struct route_leaf *leaf, double expected, int64_t now)
+static bool note_limited(const struct router *r, const struct route_part *p,
+			 struct passed_over *o, struct route_leaf *leaf,
+			 double expected, int64_t now)
 {
-	int64_t wait = leaf_rate_wait(&leaf->rate, r->host_count, now);
+	int64_t wait = leaf_rate_wait(&leaf->rate, p->request->route->priority,
+				      r->host_count, now);
 
 	if (wait == INT64_MAX)
 		return false;
-	o->limited_per_s += leaf_rate_share(&leaf->rate, r->host_count, now);
+	o->limited_per_s += leaf_rate_share_of(
+		&leaf->rate, p->request->route->priority, r->host_count, now);
 	if (wait >= o->limited_wait_us)
 		return true;
 	o->limited_wait_us = wait;
@@ -295,7 +300,7 @@
 		expected = expected_us(leaf, stats, typical, now);
 		if (!has_room(r, part, leaf, now)) {
 			if (!is_tried(part, leaf) &&
-			    note_limited(r, &over, leaf, expected, now))
+			    note_limited(r, part, &over, leaf, expected, now))
 				choice.usable_count++;
 			continue;
 		}
@@ -344,7 +349,7 @@
 			continue;
 		expected = expected_us(leaf, stats, typical, now);
 		if (cost_us(leaf, expected, now) <= choice->cost)
-			rates_note_wanted(r, leaf);
+			rates_note_wanted(r, part, leaf);
 	}
 }
 
--- a/router/leaf_rate.c
+++ b/router/leaf_rate.c
@@ -15,6 +15,8 @@
  */
 #define ALONE_PART 0.1
 #define WANTED_HALF_LIFE_US (300 * US_PER_MS)
+/* Calls of the highest rank may come more often for a moment. */
+#define TOP_HEADROOM 1.1
 /* A leaf that is wanted more rarely needs no share. */
 #define WANTED_MIN_PER_S 0.05
 /* Interval of claims that are not answered. */
@@ -30,8 +32,11 @@
 	rate->share_per_s = 0;
 	rate->share_until_us = 0;
 	rate->tokens = 0;
+	rate->spare_tokens = 0;
 	rate->tokens_at_us = now;
 	rate->wanted = 0;
+	rate->top_priority = UINT32_MAX;
+	rate->top_wanted = 0;
 	rate->awaited_until_us = 0;
 	rate->claim_at_us = INT64_MAX;
 	rate->claimed_at_us = 0;
@@ -70,40 +75,95 @@
 	return hosts ? ALONE_PART * rate->limit_per_s / hosts : 0;
 }
 
+/* Returns a sum that decays exponentially, as of now. */
+static double decayed(double sum, int64_t at_us, int64_t now)
+{
+	return sum * exp2(-(double)(now - at_us) / (double)WANTED_HALF_LIFE_US);
+}
+
+/* Converts such a sum of calls to calls a second. */
+static double sum_to_rate(double sum)
+{
+	return sum * M_LN2 / ((double)WANTED_HALF_LIFE_US / US_PER_S);
+}
+
+static double top_wanted(const struct leaf_rate *rate, int64_t now)
+{
+	return sum_to_rate(
+		decayed(rate->top_wanted, rate->top_wanted_at_us, now));
+}
+
+static double add_tokens(double tokens, double per_s, int64_t us)
+{
+	double most = per_s > 0 ? MAX(TOKENS_MIN, per_s * TOKENS_S) : 0;
+
+	return MIN(tokens + per_s * (double)us / US_PER_S, most);
+}
+
+/* Returns what the calls of the highest rank leave of the share. */
+static double spare_share(const struct leaf_rate *rate, double share,
+			  int64_t now)
+{
+	return MAX(share - TOP_HEADROOM * top_wanted(rate, now), 0);
+}
+
 static void refill(struct leaf_rate *rate, uint32_t hosts, int64_t now)
 {
 	double share = leaf_rate_share(rate, hosts, now);
-	double most = share > 0 ? MAX(TOKENS_MIN, share * TOKENS_S) : 0;
-	double more = share * (double)(now - rate->tokens_at_us) / US_PER_S;
+	int64_t us = now - rate->tokens_at_us;
 
-	rate->tokens = MIN(rate->tokens + more, most);
+	rate->tokens = add_tokens(rate->tokens, share, us);
+	rate->spare_tokens = add_tokens(rate->spare_tokens,
+					spare_share(rate, share, now), us);
 	rate->tokens_at_us = now;
 }
 
-bool leaf_rate_has_room(struct leaf_rate *rate, uint32_t hosts, int64_t now_us)
+static bool is_top(const struct leaf_rate *rate, uint32_t priority)
+{
+	return priority <= rate->top_priority;
+}
+
+double leaf_rate_share_of(const struct leaf_rate *rate, uint32_t priority,
+			  uint32_t hosts, int64_t now_us)
+{
+	double share = leaf_rate_share(rate, hosts, now_us);
+
+	return is_top(rate, priority) ? share
+				      : spare_share(rate, share, now_us);
+}
+
+static double tokens_for(const struct leaf_rate *rate, uint32_t priority)
+{
+	return is_top(rate, priority) ? rate->tokens
+				      : MIN(rate->tokens, rate->spare_tokens);
+}
+
+bool leaf_rate_has_room(struct leaf_rate *rate, uint32_t priority,
+			uint32_t hosts, int64_t now_us)
 {
 	if (!rate->is_limited)
 		return true;
 	refill(rate, hosts, now_us);
-	return rate->tokens >= 1;
+	return tokens_for(rate, priority) >= 1;
 }
 
-int64_t leaf_rate_wait(struct leaf_rate *rate, uint32_t hosts, int64_t now_us)
+int64_t leaf_rate_wait(struct leaf_rate *rate, uint32_t priority,
+		       uint32_t hosts, int64_t now_us)
 {
-	double share = leaf_rate_share(rate, hosts, now_us);
+	double share = leaf_rate_share_of(rate, priority, hosts, now_us);
 
-	if (leaf_rate_has_room(rate, hosts, now_us))
+	if (leaf_rate_has_room(rate, priority, hosts, now_us))
 		return 0;
 	if (now_us < rate->awaited_until_us)
 		return rate->awaited_until_us - now_us;
 	if (share <= 0)
 		return INT64_MAX;
-	return (int64_t)MIN((1 - rate->tokens) / share * US_PER_S,
+	return (int64_t)MIN((1 - tokens_for(rate, priority)) / share * US_PER_S,
 			    (double)INT64_MAX / 4);
 }
 
-void leaf_rate_note_call(struct leaf_rate *rate, bool is_extra, uint32_t hosts,
-			 int64_t now_us)
+void leaf_rate_note_call(struct leaf_rate *rate, uint32_t priority,
+			 bool is_extra, uint32_t hosts, int64_t now_us)
 {
 	if (is_extra)
 		rate->extra_calls++;
@@ -113,25 +173,39 @@
 		return;
 	refill(rate, hosts, now_us);
 	rate->tokens -= 1;
+	if (!is_top(rate, priority))
+		rate->spare_tokens -= 1;
 }
 
-static double decayed_wanted(const struct leaf_rate *rate, int64_t now)
+double leaf_rate_wanted(const struct leaf_rate *rate, int64_t now_us)
 {
-	return rate->wanted * exp2(-(double)(now - rate->wanted_at_us) /
-				   (double)WANTED_HALF_LIFE_US);
+	double per_s =
+		sum_to_rate(decayed(rate->wanted, rate->wanted_at_us, now_us));
+
+	return per_s < WANTED_MIN_PER_S ? 0 : per_s;
 }
 
-double leaf_rate_wanted(const struct leaf_rate *rate, int64_t now_us)
+static void note_top_wanted(struct leaf_rate *rate, uint32_t priority,
+			    int64_t now)
 {
-	double per_s = decayed_wanted(rate, now_us) * M_LN2 /
-		       ((double)WANTED_HALF_LIFE_US / US_PER_S);
+	bool is_forgotten = top_wanted(rate, now) < WANTED_MIN_PER_S;
 
-	return per_s < WANTED_MIN_PER_S ? 0 : per_s;
+	if (priority > rate->top_priority && !is_forgotten)
+		return;
+	if (priority != rate->top_priority) {
+		rate->top_priority = priority;
+		rate->top_wanted = 0;
+	}
+	rate->top_wanted =
+		decayed(rate->top_wanted, rate->top_wanted_at_us, now) + 1;
+	rate->top_wanted_at_us = now;
 }
 
-void leaf_rate_note_wanted(struct leaf_rate *rate, int64_t now_us)
+void leaf_rate_note_wanted(struct leaf_rate *rate, uint32_t priority,
+			   int64_t now_us)
 {
-	rate->wanted = decayed_wanted(rate, now_us) + 1;
+	note_top_wanted(rate, priority, now_us);
+	rate->wanted = decayed(rate->wanted, rate->wanted_at_us, now_us) + 1;
 	rate->wanted_at_us = now_us;
 	if (rate->claim_at_us != INT64_MAX)
 		return;
--- a/router/part.c
+++ b/router/part.c
@@ -130,7 +130,7 @@
 	c->start_us = now;
 	c->late_after_us = route_stats_late_threshold(q->stats, q->route);
 	c->is_extra = is_extra;
-	leaf_note_sent(r, leaf, is_extra);
+	leaf_note_sent(r, p, leaf, is_extra);
 	g_queue_push_tail(&leaf->calls, c);
 	c->link = leaf->calls.tail;
 	p->calls[p->call_count++] = c;
@@ -329,8 +329,9 @@
 	if (p->batch) {
 		p->phase = PART_RUNNING;
 		arm_hedge(r, p, now + BATCH_MARGIN_US);
-	} else if (p->planned_leaf && leaf_rate_has_room(&p->planned_leaf->rate,
-							 r->host_count, now)) {
+	} else if (p->planned_leaf &&
+		   leaf_rate_has_room(&p->planned_leaf->rate,
+				      q->route->priority, r->host_count, now)) {
 		send_call(r, p, p->planned_leaf, false);
 	} else if (p->planned_leaf) {
 		start_without_batch(r, p);
--- a/test/unit/test_rate_exchange.c
+++ b/test/unit/test_rate_exchange.c
@@ -249,10 +249,10 @@
 	struct leaf_rate_limit limit = { RATE_LIMITED, s->limit };
 
 	if (h->rate.is_limited)
-		leaf_rate_note_wanted(&h->rate, now);
-	if (!leaf_rate_has_room(&h->rate, s->count, now))
+		leaf_rate_note_wanted(&h->rate, 1, now);
+	if (!leaf_rate_has_room(&h->rate, 1, s->count, now))
 		return;
-	leaf_rate_note_call(&h->rate, false, s->count, now);
+	leaf_rate_note_call(&h->rate, 1, false, s->count, now);
 	leaf_rate_note_reply(&h->rate, &limit, now, now);
 	s->all_calls++;
 	if (now >= h->excused_until_us)
--- a/test/unit/test_rate_limit.c
+++ b/test/unit/test_rate_limit.c
@@ -424,6 +424,59 @@
 	CU_ASSERT_FALSE(rate.is_limited);
 }
 
+#define TOP 1
+#define LOWER 2
+
+/* Sends a call if the share has room for it; returns how many were sent. */
+static uint32_t try_call(struct leaf_rate *rate, uint32_t priority, int64_t now)
+{
+	leaf_rate_note_wanted(rate, priority, now);
+	if (!leaf_rate_has_room(rate, priority, 7, now))
+		return 0;
+	leaf_rate_note_call(rate, priority, false, 7, now);
+	return 1;
+}
+
+/*
+ * Guards against a limit whose room goes to requests of lower rank while more
+ * urgent ones are refused, and against room left unused between them.
+ */
+static void test_ranks(void)
+{
+	static const struct {
+		uint32_t top_per_s;
+		uint32_t top_min;
+		uint32_t lower_max;
+	} cases[] = { { 40, 190, 10 }, { 10, 95, 110 }, { 0, 0, 205 } };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct leaf_rate rate = { 0 };
+		struct leaf_rate_limit limit = { RATE_LIMITED, 20 };
+		struct rate_grant grant = { .news = { true, 20, 0 },
+					    .share_per_s = 20,
+					    .valid_us = 60 * US_PER_S,
+					    .refresh_us = US_PER_S };
+		uint32_t top = 0;
+		uint32_t lower = 0;
+
+		leaf_rate_note_reply(&rate, &limit, 0, 1);
+		leaf_rate_apply_grant(&rate, &grant, 7, 2);
+		for (int64_t t = 0; t < 1000; t++) {
+			int64_t now = t * 10 * US_PER_MS + 3;
+
+			/* The lower rank asks first, 100 times a second. */
+			lower += try_call(&rate, LOWER, now);
+			if (t * cases[i].top_per_s / 100 !=
+			    (t + 1) * cases[i].top_per_s / 100)
+				top += try_call(&rate, TOP, now);
+		}
+		CU_ASSERT_TRUE(top >= cases[i].top_min);
+		CU_ASSERT_TRUE(lower <= cases[i].lower_max);
+		CU_ASSERT_TRUE(top + lower >= 180);
+		CU_ASSERT_TRUE(top + lower <= 210);
+	}
+}
+
 CU_TestInfo rate_limit_tests[] = {
 	{ "sum of hosts", test_sum_of_hosts },
 	{ "limit is used", test_limit_is_used },
@@ -433,5 +486,6 @@
 	{ "pause", test_pause },
 	{ "header", test_header },
 	{ "overtaken reply", test_overtaken_reply },
+	{ "ranks", test_ranks },
 	CU_TEST_INFO_NULL,
 };
