soak: let leaves name rate limits and check the calls of all hosts

Change: leaves that every host calls name limits of 0.5 to 50 calls a second for 2 to 8 s; each window of the platform's rule is checked, without calls of hosts that were faulty in the last 3 s. The id of a request names its host.

--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -22,6 +22,10 @@
 SHARDS = 6
 TOP_K = 5
 WAIT_MS = 2000
+# The platform's rule on calls to a leaf that names a rate limit.
+RATE_WINDOW_S = 4
+RATE_TOLD_S = 0.5
+RATE_EXCUSED_S = 3
 STOP_GRACE_S = 6
 START_S = 0.5
 
@@ -47,6 +51,8 @@
         self.seen_versions = {}
         self.started = {}
         self.faulty_hosts = set()
+        # End of the last fault of a host, by its number as text.
+        self.excused = {}
         self.all_processes = []
         atexit.register(self.kill_remaining)
         self.store = Store()
@@ -88,6 +94,29 @@
         body = b"".join(records(leaf.service, request_id))
         return f"{leaf.service}.{request_id}", body
 
+    def check_rate(self, leaf, request):
+        """Checks the calls to a leaf with a limit in each window of the rule.
+
+        Calls count from half a second after the leaf has told their host, but
+        not those of a host that was faulty shortly before.
+        """
+        now = time.monotonic()
+        host = request.headers.get("nutmegpick-request-id", "").split("-")[0]
+        told = leaf.told.setdefault(host, now)
+        excused = self.excused.get(host, 0)
+        if now < told + RATE_TOLD_S or now < excused + RATE_EXCUSED_S or \
+                self.is_faulty(host):
+            return
+        leaf.counted = [t for t in leaf.counted if t > now - RATE_WINDOW_S]
+        leaf.counted.append(now)
+        most = 1.5 * leaf.limit * RATE_WINDOW_S + 5
+        if len(leaf.counted) > most:
+            self.fail(f"{leaf.name} got {len(leaf.counted)} calls in "
+                      f"{RATE_WINDOW_S} s with a limit of {leaf.limit:g}")
+
+    def is_faulty(self, host):
+        return host.isdecimal() and int(host) in self.faulty_hosts
+
     # Configuration
 
     async def publish(self):
@@ -219,7 +248,8 @@
     async def run_caller(self, n):
         while not self.ended:
             i = self.random.randrange(self.args.hosts)
-            request_id = f"{self.args.seed:x}-{n}-{self.random.getrandbits(48):x}"
+            request_id = (f"{i}-{self.args.seed:x}-{n}-"
+                          f"{self.random.getrandbits(48):x}")
             kind = self.random.choice(["g", "g", "b", "v"])
             version = self.version
             path = f"/v{version}/x" if kind == "v" else f"/{kind}/x?a=b"
@@ -264,6 +294,7 @@
             await self.stop_host(
                 i, signal.SIGTERM if what == "term" else signal.SIGKILL)
             await self.start_host(i)
+        self.excused[str(i)] = time.monotonic()
         self.faulty_hosts.discard(i)
 
     async def fault_leaf(self):
@@ -280,6 +311,24 @@
         await asyncio.sleep(self.random.uniform(0.2, 1.5))
         leaf.mode = "ok"
 
+    async def fault_limit(self):
+        """Lets a leaf that is called by every host name a rate limit."""
+        leaf = self.random.choice([leaf for leaf in self.leaves
+                                   if leaf.service == "book"])
+        if leaf.limit is not None:
+            return
+        leaf.told = {}
+        leaf.counted = []
+        leaf.limit = self.random.choice([0.5, 1, 5, 20, 50])
+        self.count("fault_limit")
+        await asyncio.sleep(self.random.uniform(2, 8))
+        leaf.limit = None
+
+    async def run_limits(self):
+        while not self.ended:
+            await self.fault_limit()
+            await asyncio.sleep(self.random.uniform(0, 1))
+
     async def fault_store(self):
         proxy = self.random.choice(self.proxies)
         proxy.mode = self.random.choice(["reset", "silent", "delay"])
@@ -332,6 +381,7 @@
         await self.start()
         tasks = [asyncio.create_task(self.run_caller(n)) for n in range(12)]
         tasks += [asyncio.create_task(self.run_faults()) for _ in range(2)]
+        tasks += [asyncio.create_task(self.run_limits()) for _ in range(2)]
         await asyncio.sleep(self.args.seconds)
         self.ended = True
         results = await asyncio.gather(*tasks, return_exceptions=True)
--- a/test/soak/standins.py
+++ b/test/soak/standins.py
@@ -181,6 +181,9 @@
         # Calls a second from all hosts that the leaf names as its limit.
         self.limit = None
         self.arrivals = []
+        # When the leaf told each host of the limit, and the calls that count.
+        self.told = {}
+        self.counted = []
 
     def register(self, store):
         self.sequence += 1
@@ -198,6 +201,7 @@
             return True
         self.arrivals.append(time.monotonic())
         if self.limit is not None:
+            self.owner.check_rate(self, request)
             echo.append(("Server-Limit", f"{self.limit:g}"))
         if self.mode == "shed":
             write_reply(writer, 503, b"", echo + [("Nutmegpick-Not-Executed",
