router: bound the claims that a host answers for all leaves it owns

Cause: the interval of claims grew with the hosts that claim one leaf's limit, so a host that owns two limited leaves had twice the messages; and each claim searched all hosts for the owner.

--- a/include/router/directory.h
+++ b/include/router/directory.h
@@ -49,6 +49,8 @@
 	const struct leaf_set *leaves;
 	char *self;
 	GHashTable *hosts;
+	/** Grows when a host is added, replaced or removed. */
+	uint64_t generation;
 	/**
 	 * Number of hosts in the region that gather, as of gatherers_at_us. It
 	 * grows when a gathering host is busy and decays exponentially.
--- a/router/directory.c
+++ b/router/directory.c
@@ -76,11 +76,13 @@
 	h->distance = leaf_set_distance(d->leaves, h->record.domain);
 	h->name_hash = hash_string(h->record.name, 0);
 	g_hash_table_replace(d->hosts, h->record.name, h);
+	d->generation++;
 }
 
 void host_directory_remove(struct host_directory *d, const char *name)
 {
-	g_hash_table_remove(d->hosts, name);
+	if (g_hash_table_remove(d->hosts, name))
+		d->generation++;
 }
 
 struct known_host *host_directory_find(struct host_directory *d,
--- a/router/rate_exchange.c
+++ b/router/rate_exchange.c
@@ -16,6 +16,9 @@
  */
 #define SECOND_OWNER_PART 0.25
 
+/* Leaves whose owners are kept; the table is emptied beyond that. */
+#define OWNERS_MAX 1024
+
 struct rate_exchange {
 	struct rate_exchange_options options;
 	/** Division of the limits that this host owns. */
@@ -25,6 +28,9 @@
 	 * is a copy.
 	 */
 	GArray *own_grants;
+	/** Of struct rate_owners by leaf, for one generation of the directory. */
+	GHashTable *owners;
+	uint64_t owners_generation;
 };
 
 static bool is_self(const struct rate_exchange *x, const struct known_host *h)
@@ -32,6 +38,26 @@
 	return host_directory_is_self(x->options.directory, h);
 }
 
+/* Returns the owners of a leaf's limit, computed once while no host changes. */
+static struct rate_owners get_owners(struct rate_exchange *x,
+				     const struct rate_claim *c)
+{
+	struct host_directory *d = x->options.directory;
+	struct rate_owners *known;
+
+	if (x->owners_generation != d->generation) {
+		g_hash_table_remove_all(x->owners);
+		x->owners_generation = d->generation;
+	}
+	known = g_hash_table_lookup(x->owners, c->leaf);
+	if (known)
+		return *known;
+	known = g_new(struct rate_owners, 1);
+	*known = host_directory_rate_owners(d, c->leaf, c->leaf_domain);
+	g_hash_table_insert(x->owners, g_strdup(c->leaf), known);
+	return *known;
+}
+
 static bool is_silent(const struct known_host *h, int64_t us, int64_t now)
 {
 	return h->rates_asked_us && now - h->rates_asked_us >= us;
@@ -74,8 +100,7 @@
 		       bool is_own_claim)
 {
 	int64_t now = clock_now(&x->options.clock);
-	struct rate_owners owners = host_directory_rate_owners(
-		x->options.directory, c->leaf, c->leaf_domain);
+	struct rate_owners owners = get_owners(x, c);
 
 	if (x->options.is_alone || (owners.first && is_self(x, owners.first)))
 		return 1;
@@ -121,8 +146,7 @@
 static struct known_host *choose_owner(struct rate_exchange *x,
 				       const struct rate_claim *c)
 {
-	struct rate_owners owners = host_directory_rate_owners(
-		x->options.directory, c->leaf, c->leaf_domain);
+	struct rate_owners owners = get_owners(x, c);
 	struct known_host *const list[] = { owners.first, owners.second };
 	int64_t now = clock_now(&x->options.clock);
 
@@ -246,6 +270,8 @@
 void rate_exchange_sweep(struct rate_exchange *x)
 {
 	rate_shares_sweep(x->shares, clock_now(&x->options.clock));
+	if (g_hash_table_size(x->owners) > OWNERS_MAX)
+		g_hash_table_remove_all(x->owners);
 }
 
 struct rate_exchange *
@@ -255,6 +281,8 @@
 
 	x->options = *options;
 	x->shares = rate_shares_create();
+	x->owners =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	x->own_grants = g_array_new(FALSE, FALSE, sizeof(struct rate_grant));
 	return x;
 }
@@ -262,6 +290,7 @@
 void rate_exchange_free(struct rate_exchange *x)
 {
 	rate_shares_free(x->shares);
+	g_hash_table_destroy(x->owners);
 	free_own_grants(x->own_grants);
 	g_free(x);
 }
--- a/router/rate_shares.c
+++ b/router/rate_shares.c
@@ -7,11 +7,11 @@
 #include "common/clock.h"
 
 /*
- * Interval at which a host claims again. It grows with the number of hosts, so
- * that the dividing host gets at most CLAIMS_PER_S claims for a leaf.
+ * Interval at which a host claims again. It grows with the claims for all
+ * leaves, so that the dividing host gets at most CLAIMS_PER_S claims.
  */
 #define REFRESH_MIN_US (250 * US_PER_MS)
-#define CLAIMS_PER_S 200
+#define CLAIMS_PER_S 100
 /* A share lapses after this many intervals without a claim. */
 #define VALID_INTERVALS 4
 /* A claim counts for longer than its share is valid at the claiming host. */
@@ -51,6 +51,8 @@
 struct rate_shares {
 	/** Of struct leaf_shares, by id of the leaf. */
 	GHashTable *leaves;
+	/** Claims for all leaves together, lapsed ones included. */
+	uint32_t claim_count;
 };
 
 static void handle_free_claim(gpointer data)
@@ -93,6 +95,8 @@
 
 	if (l && l->leaf_started_ms >= c->leaf_started_ms)
 		return l;
+	if (l)
+		s->claim_count -= l->claims->len;
 	l = g_new0(struct leaf_shares, 1);
 	l->leaf = g_strdup(c->leaf);
 	l->leaf_started_ms = c->leaf_started_ms;
@@ -220,15 +224,15 @@
 	return sum;
 }
 
-static int64_t refresh_interval(const struct leaf_shares *l)
+static int64_t refresh_interval(const struct rate_shares *s)
 {
 	return MAX(REFRESH_MIN_US,
-		   (int64_t)l->claims->len * US_PER_S / CLAIMS_PER_S);
+		   (int64_t)s->claim_count * US_PER_S / CLAIMS_PER_S);
 }
 
-/* Updates the claim of a host and returns its share. */
+/* Updates the claim of a host and returns its share, which it may use. */
 static double divide(struct leaf_shares *l, const char *host,
-		     const struct rate_claim *in, double part, int64_t now)
+		     const struct rate_claim *in, double part)
 {
 	double total = MAX(l->limit_per_s, PROBE_PER_S) * part;
 	struct held_claim *c = get_claim(l, host);
@@ -237,37 +241,49 @@
 	c->wanted_per_s = in->wanted_per_s;
 	share = MIN(fair_share(l, c, total), total - sum_others(l, c));
 	c->share_per_s = MAX(share, 0);
-	c->until_us =
-		now + VALID_INTERVALS * refresh_interval(l) + CLAIM_MARGIN_US;
 	return c->share_per_s;
 }
 
+/* Adds or removes the claim of a host for a leaf and fills in its grant. */
+static void update_claim(struct rate_shares *s, struct leaf_shares *l,
+			 const char *host, const struct rate_claim *claim,
+			 double part, int64_t now, struct rate_grant *out)
+{
+	guint before = l->claims->len;
+
+	l->claimed_at_us = now;
+	drop_lapsed_claims(l, now);
+	note_news(l, &claim->news, now);
+	if (l->is_limited && claim->wanted_per_s > 0)
+		out->share_per_s = divide(l, host, claim, part);
+	else
+		drop_claim(l, host);
+	s->claim_count += l->claims->len - before;
+	out->news.is_limited = l->is_limited;
+	out->news.per_s = l->limit_per_s;
+	out->news.age_us = now - l->news_at_us;
+	out->refresh_us = refresh_interval(s);
+	out->valid_us = VALID_INTERVALS * out->refresh_us;
+	if (l->is_limited && claim->wanted_per_s > 0)
+		get_claim(l, host)->until_us =
+			now + out->valid_us + CLAIM_MARGIN_US;
+}
+
 void rate_shares_claim(struct rate_shares *s, const char *host,
 		       const struct rate_claim *claim, double part,
 		       int64_t now_us, struct rate_grant *out)
 {
 	struct leaf_shares *l = get_leaf(s, claim);
-	bool is_old = claim->leaf_started_ms < l->leaf_started_ms;
 
 	*out = (struct rate_grant){
 		.leaf = claim->leaf,
 		.leaf_started_ms = claim->leaf_started_ms,
 		.news = claim->news,
+		.refresh_us = REFRESH_MIN_US,
+		.valid_us = VALID_INTERVALS * REFRESH_MIN_US,
 	};
-	if (!is_old) {
-		l->claimed_at_us = now_us;
-		drop_lapsed_claims(l, now_us);
-		note_news(l, &claim->news, now_us);
-		if (l->is_limited && claim->wanted_per_s > 0)
-			out->share_per_s = divide(l, host, claim, part, now_us);
-		else
-			drop_claim(l, host);
-		out->news.is_limited = l->is_limited;
-		out->news.per_s = l->limit_per_s;
-		out->news.age_us = now_us - l->news_at_us;
-	}
-	out->refresh_us = refresh_interval(l);
-	out->valid_us = VALID_INTERVALS * out->refresh_us;
+	if (claim->leaf_started_ms == l->leaf_started_ms)
+		update_claim(s, l, host, claim, part, now_us, out);
 }
 
 void rate_shares_sweep(struct rate_shares *s, int64_t now_us)
@@ -279,8 +295,10 @@
 	while (g_hash_table_iter_next(&iter, NULL, &leaf)) {
 		const struct leaf_shares *l = leaf;
 
-		if (now_us - l->claimed_at_us >= FORGET_US)
-			g_hash_table_iter_remove(&iter);
+		if (now_us - l->claimed_at_us < FORGET_US)
+			continue;
+		s->claim_count -= l->claims->len;
+		g_hash_table_iter_remove(&iter);
 	}
 }
 
--- a/test/unit/test_rate_shares.c
+++ b/test/unit/test_rate_shares.c
@@ -174,7 +174,10 @@
 	rate_shares_free(f.shares);
 }
 
-/* Guards against more claims than the dividing host can handle. */
+/*
+ * Guards against more claims than the dividing host can handle, for one leaf or
+ * for many.
+ */
 static void test_refresh_grows(void)
 {
 	struct fixture f = fixture_create(30);
@@ -186,7 +189,28 @@
 		g_snprintf(host, sizeof(host), "h%d", i);
 		refresh = claim(&f, host, 1).refresh_us;
 	}
-	CU_ASSERT_EQUAL(refresh, 11 * US_PER_S);
+	CU_ASSERT_EQUAL(refresh, 22 * US_PER_S);
+	rate_shares_free(f.shares);
+	f = fixture_create(30);
+	for (int i = 0; i < 50; i++) {
+		char leaf[16];
+		struct rate_claim c = {
+			.leaf = leaf,
+			.news = { .is_limited = true, .per_s = 30 },
+			.wanted_per_s = 10,
+		};
+		struct rate_grant g;
+
+		g_snprintf(leaf, sizeof(leaf), "leaf-%d", i);
+		rate_shares_claim(f.shares, "a", &c, 1, f.now_us, &g);
+		rate_shares_claim(f.shares, "b", &c, 1, f.now_us, &g);
+		refresh = g.refresh_us;
+	}
+	CU_ASSERT_EQUAL(refresh, US_PER_S);
+	/* Forgotten leaves do not count. */
+	f.now_us += 11 * US_PER_S;
+	rate_shares_sweep(f.shares, f.now_us);
+	CU_ASSERT_EQUAL(claim(&f, "a", 1).refresh_us, 250 * US_PER_MS);
 	rate_shares_free(f.shares);
 }
 
