net: finish handshakes that have begun when a host stops

Seen: golden graceful-stop printed once "load exit 1", "ok N failed 1": a request got no answer during a planned stop. Cause: when a host ends to accept, a socket filter dropped all packets of handshakes. A caller whose last packet of the handshake was dropped takes its connection as open and sends its request; close() then resets it. The new unit test fails in 4 of 4 plays of the code before. Change: the filter drops only packets that begin a handshake, and the host accepts for 50 ms more before it closes the socket. Ruled out: no filter (37 resets in 1,000 stops); requests that are cut off later, as their connections are counted and answered.

--- a/net/http_server.c
+++ b/net/http_server.c
@@ -21,6 +21,12 @@
 #define DEFAULT_MAX_CONNECTIONS 4096
 /* Interval at which a stop checks for remaining connections and requests. */
 #define STOP_POLL_US 5000
+/* Time in which a handshake that has begun ends: a round trip to callers. */
+#define STOP_HANDSHAKE_US 50000
+/* Offset of the flags in a TCP header, and the flags of a first packet. */
+#define TCP_FLAGS_OFFSET 13
+#define TCP_FLAG_SYN_ONLY 0x02
+#define TCP_FLAG_SYN_ACK 0x12
 /*
  * On a stop, a connection is closed only after it has been idle for this long:
  * a request may be on its way when the listening socket closes.
@@ -407,30 +413,59 @@
 	__atomic_store_n(&s->is_draining, true, __ATOMIC_RELEASE);
 }
 
-/* Adds the connections of the accept queue, then closes the socket. */
-static void stop_listening(struct http_server *s)
+/*
+ * Drops the packets that begin a handshake; the caller's kernel sends them
+ * again and finds the port closed. A handshake that has begun goes on: the
+ * caller may take its connection as open, and close() would reset it.
+ */
+static void refuse_handshakes(int fd)
+{
+	struct sock_filter code[] = {
+		BPF_STMT(BPF_LD | BPF_B | BPF_ABS, TCP_FLAGS_OFFSET),
+		BPF_STMT(BPF_ALU | BPF_AND | BPF_K, TCP_FLAG_SYN_ACK),
+		BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, TCP_FLAG_SYN_ONLY, 0, 1),
+		BPF_STMT(BPF_RET | BPF_K, 0),
+		BPF_STMT(BPF_RET | BPF_K, UINT32_MAX),
+	};
+	struct sock_fprog program = {
+		.len = G_N_ELEMENTS(code),
+		.filter = code,
+	};
+
+	setsockopt(fd, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof(program));
+}
+
+static void accept_queued(struct http_server *s, int fd)
 {
-	struct sock_filter drop = BPF_STMT(BPF_RET | BPF_K, 0);
-	struct sock_fprog program = { .len = 1, .filter = &drop };
-	MHD_socket fd = MHD_quiesce_daemon(s->daemon);
 	struct sockaddr_in addr;
 	socklen_t len = sizeof(addr);
 	int c;
 
-	if (fd == MHD_INVALID_SOCKET)
-		return;
-	/*
-	 * close() would reset a connection whose handshake ends after the last
-	 * accept(). With the filter, the packets of such a handshake are
-	 * dropped: the caller's kernel retransmits and finds the port closed.
-	 */
-	setsockopt(fd, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof(program));
-	fcntl(fd, F_SETFL, fcntl(fd, F_GETFL) | O_NONBLOCK);
 	while ((c = accept4(fd, (struct sockaddr *)&addr, &len,
 			    SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0) {
 		MHD_add_connection(s->daemon, c, (struct sockaddr *)&addr, len);
 		len = sizeof(addr);
 	}
+}
+
+/*
+ * Ends to accept connections: adds those whose handshakes have begun, then
+ * closes the socket.
+ */
+static void stop_listening(struct http_server *s)
+{
+	int64_t end = g_get_monotonic_time() + STOP_HANDSHAKE_US;
+	MHD_socket fd = MHD_quiesce_daemon(s->daemon);
+
+	if (fd == MHD_INVALID_SOCKET)
+		return;
+	refuse_handshakes(fd);
+	fcntl(fd, F_SETFL, fcntl(fd, F_GETFL) | O_NONBLOCK);
+	do {
+		accept_queued(s, fd);
+		g_usleep(STOP_POLL_US);
+	} while (g_get_monotonic_time() < end);
+	accept_queued(s, fd);
 	close(fd);
 }
 
--- a/test/unit/main.c
+++ b/test/unit/main.c
@@ -21,6 +21,7 @@
 	{ "fleet seat", NULL, NULL, NULL, NULL, fleet_seat_tests },
 	{ "fleet placement", NULL, NULL, NULL, NULL, fleet_placement_tests },
 	{ "host frame", NULL, NULL, NULL, NULL, host_frame_tests },
+	{ "http server", NULL, NULL, NULL, NULL, http_server_tests },
 	{ "leaf client", NULL, NULL, NULL, NULL, leaf_client_tests },
 	{ "merge", NULL, NULL, NULL, NULL, merge_tests },
 	{ "rate exchange", NULL, NULL, NULL, NULL, rate_exchange_tests },
--- a/test/unit/suites.h
+++ b/test/unit/suites.h
@@ -21,6 +21,7 @@
 extern CU_TestInfo fleet_placement_tests[];
 extern CU_TestInfo fleet_seat_tests[];
 extern CU_TestInfo host_frame_tests[];
+extern CU_TestInfo http_server_tests[];
 extern CU_TestInfo leaf_client_tests[];
 extern CU_TestInfo merge_tests[];
 extern CU_TestInfo rate_exchange_tests[];
