--- a/include/router/rate_shares.h
+++ b/include/router/rate_shares.h
@@ -26,7 +26,7 @@
 	const char *leaf;
 	/** Start of the leaf, as in struct leaf_entry. */
 	int64_t leaf_started_ms;
-	/** Failure domain of the leaf. Not part of the frame. */
+	/** Failure domain of the leaf; the owners are hosts of its region. */
 	const char *leaf_domain;
 	struct rate_limit_news news;
 	/** Calls a second that the host would send; 0 returns its share. */
