test: begin the soak's count of calls anew with each limit

Cause: the session sets limits of 5 and then 1 at a leaf, and the soak's check went on with the calls under the first one and the hosts told of it. Change: the session resets both with each limit, as the soak does, and its request ids begin with the host, by which the check counts.

--- a/test/soak/rate_limit.py
+++ b/test/soak/rate_limit.py
@@ -49,8 +49,8 @@
 
     async def call(self, path, method):
         self.number += 1
-        request_id = f"limit-{self.number}"
         host = random.randrange(HOSTS)
+        request_id = f"{host}-limit-{self.number}"
         try:
             reply = await self.soak.call(host, method, path, request_id)
         except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
@@ -79,6 +79,8 @@
         for leaf in leaves:
             leaf.limit = limit
             leaf.arrivals = []
+            leaf.told = {}
+            leaf.counted = []
         return time.monotonic()
 
     def limited_leaves(self):
