review: a planned stop cuts requests that wait for a leaf

A host that gets SIGTERM under load ends 5.1 s later and closes the connections of requests that it has read and still holds. Nothing answers them, though no leaf has run them.

--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -59,8 +59,8 @@
         self.work_s = work_s
         self.random = random.Random(name)
         self.running = 0
-        self.waiting = 0
-        self.free = asyncio.Semaphore(slots)
+        self.waiting = []
+        self.readers = {}
         self.sequence = 0
         # Time of arrival, begin and end of the runs, by request id.
         self.arrived = {}
@@ -79,20 +79,37 @@
 
     def load(self):
         return ("Nutmegpick-Server-Load",
-                f"{self.running},{self.waiting},{self.slots}")
+                f"{self.running},{len(self.waiting)},{self.slots}")
 
     def body(self, request_id):
         return f"{self.service} {request_id}\n".encode() * 8
 
-    async def run(self, request_id, deadline_s):
-        """Returns whether the request was run."""
-        self.waiting += 1
+    async def serve(self, reader, writer):
+        self.readers[writer] = reader
+        try:
+            await super().serve(reader, writer)
+        finally:
+            del self.readers[writer]
+
+    async def wait_for_slot(self, request_id, deadline_s, writer):
+        """Returns whether a slot was taken before the caller has gone."""
+        end = time.monotonic() + deadline_s
+        self.waiting.append(request_id)
         try:
-            await asyncio.wait_for(self.free.acquire(), deadline_s)
-        except asyncio.TimeoutError:
+            while time.monotonic() < end and \
+                    not self.readers[writer].at_eof():
+                if self.running < self.slots and \
+                        self.waiting[0] == request_id:
+                    return True
+                await asyncio.sleep(0.002)
             return False
         finally:
-            self.waiting -= 1
+            self.waiting.remove(request_id)
+
+    async def run(self, request_id, deadline_s, writer):
+        """Returns whether the request was run."""
+        if not await self.wait_for_slot(request_id, deadline_s, writer):
+            return False
         self.running += 1
         self.began[request_id] = self.record.now()
         self.record(f"leaf {self.name} begins {request_id}")
@@ -100,7 +117,6 @@
             await asyncio.sleep(self.random.uniform(*self.work_s))
         finally:
             self.running -= 1
-            self.free.release()
             self.ended[request_id] = self.record.now()
             self.record(f"leaf {self.name} ends {request_id}")
         return True
@@ -115,8 +131,8 @@
         self.record(f"leaf {self.name} gets {request_id}")
         deadline_s = int(request.headers.get("nutmegpick-request-deadline",
                                              "60000")) / 1000
-        full = self.running >= self.slots and self.waiting >= self.queue
-        if full or not await self.run(request_id, deadline_s):
+        full = self.running >= self.slots and len(self.waiting) >= self.queue
+        if full or not await self.run(request_id, deadline_s, writer):
             self.record(f"leaf {self.name} rejects {request_id}")
             write_reply(writer, 503, b"", echo + [
                 ("Nutmegpick-Not-Executed", "1"), self.load()])
