--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -268,12 +268,17 @@
     run() gets the record and a temporary folder; it ends what it starts.
     """
     async def main():
+        # run.sh ends a case that takes too long; run() then ends its hosts.
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, asyncio.current_task().cancel)
         record = Record(os.path.join(folder, "record.txt"))
         with temporary_folder() as temporary:
             return await run(record, temporary)
 
     try:
         code = asyncio.run(main())
+    except asyncio.CancelledError:
+        code = 2
     except Exception:
         traceback.print_exc()
         code = 2
