--- a/review/4/case.py
+++ b/review/4/case.py
@@ -14,13 +14,13 @@
          "austurland-a": "austurland"}
 DEADLINE_MS = 6000
 CONFIG_APPLY_S = 3.0
-CALLERS = 30
+CALLERS = 13
 THINK_S = (0.3, 1.0)
 LEAVES = 6
 # Weights of boka and malarar, the canary, with and without the canary.
-WITH_CANARY = (900, 100)
+WITH_CANARY = (90, 10)
 WITHOUT_CANARY = (1, 0)
-ROUNDS = 3
+ROUNDS = 5
 CANARY_S = 5
 AFTER_S = 9
 
