--- a/review/build.sh
+++ b/review/build.sh
@@ -6,4 +6,5 @@
 cache=$(mktemp -d)
 trap 'rm -rf "$cache"' EXIT
 PYTHONPYCACHEPREFIX=$cache python3 -m py_compile \
-	test/soak/standins.py review/lib/*.py review/*/case.py
+	test/soak/standins.py review/*/*.py \
+	review/more/*/*.py
