--- a/router/request.c
+++ b/router/request.c
@@ -39,6 +39,12 @@
 	return MAX(RETRY_AFTER_MIN_US, (int64_t)(share * longest));
 }
 
+/* Returns the upstream that a request was sent to; empty for a gather. */
+static const char *upstream_name(const struct route_request *q)
+{
+	return q->route->shape == ROUTE_GATHER ? "" : q->parts[0].pool->name;
+}
+
 static void log_request_end(const struct router *r,
 			    const struct route_request *q,
 			    const struct router_answer *a)
@@ -48,16 +54,16 @@
 			   : a->status == 503 ? EV_REQUEST_REFUSED
 					      : EV_REQUEST_FAILED;
 
-	event_log(
-		id,
-		"request=%s route=%s version=%llu status=%u code=E%d parts=%u "
-		"of=%u failed=%u extra=%u ms=%lld goal_ms=%lld",
-		q->request_id, q->route->name,
-		(unsigned long long)q->table->version, a->status, -a->code,
-		q->answered_count, q->part_count, q->failed_count,
-		q->extra_call_count,
-		(long long)((router_now(r) - q->start_us) / US_PER_MS),
-		(long long)(q->route->goal_us / US_PER_MS));
+	event_log(id,
+		  "request=%s route=%s upstream=%s version=%llu status=%u "
+		  "code=E%d parts=%u of=%u failed=%u extra=%u ms=%lld "
+		  "goal_ms=%lld",
+		  q->request_id, q->route->name, upstream_name(q),
+		  (unsigned long long)q->table->version, a->status, -a->code,
+		  q->answered_count, q->part_count, q->failed_count,
+		  q->extra_call_count,
+		  (long long)((router_now(r) - q->start_us) / US_PER_MS),
+		  (long long)(q->route->goal_us / US_PER_MS));
 }
 
 static void release_request(struct router *r, struct route_request *q,
