router: pick targets of a split by position, not by credit

Cause: the round robin kept a credit for each upstream by name, in units of the weights, and the credits outlived the table that they were counted in. With weights 90 and 10 a credit reaches half of 100; in a table with the weights 1 and 0 it takes up to 50 requests to use it up, and a weight of 0 excludes no target. Two more faults of the same state, found by its test: every host began with the target of the largest weight, so that over hosts with a few requests each the shares were wrong; and weights were kept in thousandths of 32 bits, so that 0.0004 was 0 and from 2,147,484 on the whole version was refused, with a text about a service that is not defined. Change: a route keeps a position, which advances by the golden ratio (Weyl sequence) and begins at random on each host. A target owns the part of the range that its weight in the table in force says, so nothing is left to convert when weights change, and a target without weight owns nothing. Weights are floating point numbers; those that are none, negative or without a finite sum are refused with their own text. Ruled out: credits cleared with each version. In a storm of versions each of them would begin with the target of the largest weight. Credits scaled to the new weights: a removed target leaves its credit to nobody, so the sum drifts. Proof: unit-tests "route split".

--- a/include/router/internal.h
+++ b/include/router/internal.h
@@ -26,8 +26,12 @@
 	 */
 	GHashTable *shard_counts;
 	int64_t shard_counts_at_us;
-	/** Credit in the weighted round robin, by upstream name. */
-	GHashTable *split_credits;
+	/**
+	 * Position of the last request in the range of 64 bits, of which each
+	 * target of a split has the part of its weight. It does not depend on
+	 * the weights, so it remains valid when they change.
+	 */
+	uint64_t split_position;
 };
 
 struct router_timer {
@@ -225,9 +229,8 @@
 struct route_stats *route_stats_get(struct router *r,
 				    const struct route *route);
 void route_stats_free(gpointer stats);
-/** Picks a target of a split by weighted round robin; returns its index. */
+/** Picks a target of a split in proportion to the weights. */
 uint32_t route_stats_pick_target(struct route_stats *s,
-				 const struct route_table *t,
 				 const struct route *route);
 /**
  * Returns the median duration of a call, or a share of the latency goal if no
--- a/include/router/table.h
+++ b/include/router/table.h
@@ -19,7 +19,8 @@
 struct route_target {
 	/** Index into the upstreams of the table. */
 	uint32_t upstream;
-	uint32_t weight;
+	/** Of a split: 0 or more; only the ratio to the others matters. */
+	double weight;
 };
 
 enum route_shape {
--- a/router/request.c
+++ b/router/request.c
@@ -256,7 +256,7 @@
 	q->part_count = route->shape == ROUTE_GATHER ? route->target_count : 1;
 	q->parts = g_new0(struct route_part, q->part_count);
 	if (route->shape == ROUTE_SPLIT)
-		first = route_stats_pick_target(q->stats, q->table, route);
+		first = route_stats_pick_target(q->stats, route);
 	for (uint32_t i = 0, end = q->part_count, n = 0; i < end; i++) {
 		const struct route_target *t = &route->targets[first + i];
 		const struct route_upstream *u =
--- a/router/stats.c
+++ b/router/stats.c
@@ -1,6 +1,6 @@
 #include "router/internal.h"
 
-#include <string.h>
+#include <math.h>
 
 /* Calls that take longer than this quantile of durations are late. */
 #define LATE_QUANTILE 0.92
@@ -8,15 +8,15 @@
 #define SECOND_CALL_FACTOR 2.2
 /* Minimum duration of a late call, so that noise causes no hedges. */
 #define LATE_MIN_US 12000
+/*
+ * Step of a Weyl sequence: 2^64 divided by the golden ratio. Any number of
+ * successive positions divides the range of 64 bits evenly.
+ */
+#define SPLIT_STEP 0x9e3779b97f4a7c15ULL
 /* Durations assumed without answered calls, as shares of the latency goal. */
 #define TYPICAL_GOAL_SHARE 0.15
 #define LATE_GOAL_SHARE 0.35
 
-static void handle_free_credit(gpointer credit)
-{
-	g_free(credit);
-}
-
 struct route_stats *route_stats_get(struct router *r, const struct route *route)
 {
 	struct route_stats *s = g_hash_table_lookup(r->stats, route->name);
@@ -25,8 +25,8 @@
 		return s;
 	s = g_new0(struct route_stats, 1);
 	s->name = g_strdup(route->name);
-	s->split_credits = g_hash_table_new_full(g_str_hash, g_str_equal,
-						 g_free, handle_free_credit);
+	/* Hosts begin at different positions: each may get few requests. */
+	s->split_position = (uint64_t)g_rand_int(r->random) << 32;
 	g_hash_table_insert(r->stats, s->name, s);
 	return s;
 }
@@ -38,46 +38,29 @@
 	latency_clear(&s->call_latency);
 	if (s->shard_counts)
 		g_hash_table_destroy(s->shard_counts);
-	g_hash_table_destroy(s->split_credits);
 	g_free(s->name);
 	g_free(s);
 }
 
-static double *find_credit(struct route_stats *s, const char *upstream)
-{
-	double *credit = g_hash_table_lookup(s->split_credits, upstream);
-
-	if (!credit) {
-		credit = g_new0(double, 1);
-		g_hash_table_insert(s->split_credits, g_strdup(upstream),
-				    credit);
-	}
-	return credit;
-}
-
 uint32_t route_stats_pick_target(struct route_stats *s,
-				 const struct route_table *t,
 				 const struct route *route)
 {
-	double total_weight = 0;
-	double *best_credit = NULL;
-	uint32_t best = 0;
+	double at = 0;
+	uint32_t pick = 0;
 
-	/* Smooth weighted round robin: each target's credit grows by weight. */
+	for (uint32_t i = 0; i < route->target_count; i++)
+		at += route->targets[i].weight;
+	s->split_position += SPLIT_STEP;
+	at *= ldexp((double)(s->split_position >> 11), -53);
 	for (uint32_t i = 0; i < route->target_count; i++) {
-		const struct route_target *x = &route->targets[i];
-		double *credit = find_credit(s, t->upstreams[x->upstream].name);
-
-		total_weight += x->weight;
-		*credit += x->weight;
-		if (!best_credit || *credit > *best_credit) {
-			best_credit = credit;
-			best = i;
-		}
+		if (route->targets[i].weight <= 0)
+			continue;
+		pick = i;
+		if (at < route->targets[i].weight)
+			break;
+		at -= route->targets[i].weight;
 	}
-	if (best_credit)
-		*best_credit -= total_weight;
-	return best;
+	return pick;
 }
 
 int64_t route_stats_typical_duration(struct route_stats *s,
--- a/router/table.c
+++ b/router/table.c
@@ -1,5 +1,6 @@
 #include "router/table.h"
 
+#include <math.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -53,7 +54,7 @@
 static const char *check_targets(const struct route_table *t,
 				 const struct route *r)
 {
-	uint64_t weight = 0;
+	double weight = 0;
 
 	if (!r->target_count)
 		return "has no upstream";
@@ -66,10 +67,13 @@
 			if (r->targets[k].upstream == r->targets[i].upstream)
 				return "names a shard twice";
 		}
+		if (!(r->targets[i].weight >= 0))
+			return "has an upstream whose weight is not 0 or more";
 		weight += r->targets[i].weight;
 	}
-	if (r->shape == ROUTE_SPLIT && !weight)
-		return "has no upstream with a positive weight";
+	if (r->shape == ROUTE_SPLIT && !(weight > 0 && isfinite(weight)))
+		return "has no upstream with a positive weight, or weights "
+		       "without a finite sum";
 	return NULL;
 }
 
--- a/test/unit/fake_router.c
+++ b/test/unit/fake_router.c
@@ -169,6 +169,11 @@
 }
 
 struct fake_router *fake_router_create(uint32_t shards)
+{
+	return fake_router_create_seeded(shards, 1);
+}
+
+struct fake_router *fake_router_create_seeded(uint32_t shards, uint64_t seed)
 {
 	static const char *const domains[] = { "a", "b", "c" };
 	static char *const regions[] = { "a=north", "b=north", "c=south",
@@ -176,7 +181,7 @@
 	struct fake_router *f = g_new0(struct fake_router, 1);
 	struct router_options options = {
 		.clock = clock_virtual(&f->time),
-		.seed = 1,
+		.seed = seed,
 		.domain = "a",
 		.domains = regions,
 		.ops = &ops,
--- a/test/unit/fake_router.h
+++ b/test/unit/fake_router.h
@@ -60,6 +60,8 @@
  * gathers all shards, /get/ and /put/ go to s0, and /put/ is not idempotent.
  */
 struct fake_router *fake_router_create(uint32_t shards);
+/** The same with a seed; the seed is 1 otherwise. */
+struct fake_router *fake_router_create_seeded(uint32_t shards, uint64_t seed);
 void fake_router_destroy(struct fake_router *f);
 
 /** Adds or updates a leaf. */
--- a/test/unit/main.c
+++ b/test/unit/main.c
@@ -27,6 +27,7 @@
 	{ "rate exchange", NULL, NULL, NULL, NULL, rate_exchange_tests },
 	{ "rate limit", NULL, NULL, NULL, NULL, rate_limit_tests },
 	{ "rate shares", NULL, NULL, NULL, NULL, rate_shares_tests },
+	{ "route split", NULL, NULL, NULL, NULL, route_split_tests },
 	{ "router", NULL, NULL, NULL, NULL, router_tests },
 	{ "router schedules", NULL, NULL, NULL, NULL, router_schedule_tests },
 	{ "start hold", NULL, NULL, NULL, NULL, start_hold_tests },
