router: drop the state of a route that is gone or has moved

Durations of calls and the counts of shards by domain were kept by route name alone. A route that an operator moves to another upstream was hedged at the durations of the old one: after a fast one at the last moment that fits its durations, too late for a slower one. The state of names that are gone was never freed. Change: struct route_stats belongs to the name, the shape and the set of upstreams; a new table drops what does not apply to it. Requests and calls hold references, and a leaf keeps its durations by the id of the state. Ruled out, as they belong to the service or leaf and not to the table: the budget of extra calls, rate limits, concurrency limits, ejections. A version that leaves the upstreams as they are keeps what was learned.

--- a/include/router/internal.h
+++ b/include/router/internal.h
@@ -13,9 +13,18 @@
 /** Maximum number of leaves that are recorded as tried for one part. */
 #define PART_TRIED_MAX 6
 
-/** State of a route, kept by its name when a new table is put in force. */
+/**
+ * What is known of a route by its name and upstreams. It is kept when a new
+ * table is put in force, unless the route is gone or has other upstreams.
+ * Requests and calls hold references.
+ */
 struct route_stats {
+	int refs;
+	/** Unique within a router. */
+	uint64_t id;
 	char *name;
+	/** Hash of the upstreams and the shape, whatever their order. */
+	uint64_t upstreams_hash;
 	/** Durations of answered calls. */
 	struct latency call_latency;
 	/** Not used. */
@@ -190,6 +199,7 @@
 	struct route_table *table;
 	/** struct route_stats by route name. */
 	GHashTable *stats;
+	uint64_t last_stats_id;
 	struct id_table requests;
 	struct id_table calls;
 	/** Open batches by id. */
@@ -228,7 +238,10 @@
 /* stats.c */
 struct route_stats *route_stats_get(struct router *r,
 				    const struct route *route);
-void route_stats_free(gpointer stats);
+struct route_stats *route_stats_ref(struct route_stats *s);
+void route_stats_unref(gpointer stats);
+/** Drops what does not apply to the routes that have come in force. */
+void route_stats_apply_table(struct router *r);
 /** Picks a target of a split in proportion to the weights. */
 uint32_t route_stats_pick_target(struct route_stats *s,
 				 const struct route *route);
--- a/include/router/leaf_set.h
+++ b/include/router/leaf_set.h
@@ -44,7 +44,8 @@
 
 /** Moving average of the duration of one route's calls to a leaf. */
 struct leaf_duration {
-	const struct route_stats *route;
+	/** Id of the route's struct route_stats. */
+	uint64_t route_id;
 	double mean_us;
 	int64_t at_us;
 };
--- a/router/choice.c
+++ b/router/choice.c
@@ -77,7 +77,7 @@
 					   const struct route_stats *route)
 {
 	for (uint32_t i = 0; i < leaf->duration_count; i++) {
-		if (leaf->durations[i].route == route)
+		if (leaf->durations[i].route_id == route->id)
 			return &leaf->durations[i];
 	}
 	return NULL;
@@ -363,7 +363,7 @@
 		d = &leaf->durations[leaf->duration_next++ % LEAF_ROUTES_MAX];
 		leaf->duration_count =
 			MIN(leaf->duration_count + 1, LEAF_ROUTES_MAX);
-		d->route = route;
+		d->route_id = route->id;
 		d->mean_us = (double)us;
 	}
 	d->mean_us += DURATION_WEIGHT * ((double)us - d->mean_us);
--- a/router/part.c
+++ b/router/part.c
@@ -43,6 +43,7 @@
 {
 	g_queue_delete_link(&c->leaf->calls, c->link);
 	route_leaf_unref(&r->leaves, c->leaf);
+	route_stats_unref(c->stats);
 	id_table_release(&r->calls, c);
 }
 
@@ -125,7 +126,7 @@
 	struct router_call call;
 
 	c->part = p;
-	c->stats = q->stats;
+	c->stats = route_stats_ref(q->stats);
 	c->leaf = route_leaf_ref(leaf);
 	c->start_us = now;
 	c->late_after_us = route_stats_late_threshold(q->stats, q->route);
--- a/router/request.c
+++ b/router/request.c
@@ -74,6 +74,7 @@
 		part_clear(r, &q->parts[i], is_cancelled);
 	batch_clear_all(r, q);
 	g_free(q->parts);
+	route_stats_unref(q->stats);
 	route_table_unref(q->table);
 	id_table_release(&r->requests, q);
 }
@@ -299,7 +300,7 @@
 	g_strlcpy(q->request_id, in->id, sizeof(q->request_id));
 	q->table = route_table_ref(r->table);
 	q->route = route;
-	q->stats = route_stats_get(r, route);
+	q->stats = route_stats_ref(route_stats_get(r, route));
 	q->user = in->user;
 	q->start_us = now;
 	if (in->wait_us > 0)
--- a/router/router.c
+++ b/router/router.c
@@ -58,7 +58,7 @@
 	r->leaves.handle_leaf_free = handle_leaf_free;
 	r->leaves.ctx = r;
 	r->stats = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
-					 route_stats_free);
+					 route_stats_unref);
 	r->batches = g_hash_table_new(g_int64_hash, g_int64_equal);
 	id_table_init(&r->requests, sizeof(struct route_request));
 	id_table_init(&r->calls, sizeof(struct leaf_call));
@@ -127,6 +127,7 @@
 		  t->upstream_count);
 	route_table_unref(r->table);
 	r->table = t;
+	route_stats_apply_table(r);
 	return 0;
 }
 
--- a/router/stats.c
+++ b/router/stats.c
@@ -2,6 +2,8 @@
 
 #include <math.h>
 
+#include "common/hash.h"
+
 /* Calls that take longer than this quantile of durations are late. */
 #define LATE_QUANTILE 0.92
 /* Time reserved for the hedge, as a factor on the duration of a late call. */
@@ -17,6 +19,19 @@
 #define TYPICAL_GOAL_SHARE 0.15
 #define LATE_GOAL_SHARE 0.35
 
+static uint64_t hash_upstreams(const struct route_table *t,
+			       const struct route *route)
+{
+	uint64_t hash = 0;
+
+	for (uint32_t i = 0; i < route->target_count; i++) {
+		uint32_t at = route->targets[i].upstream;
+
+		hash += hash_string(t->upstreams[at].name, 0);
+	}
+	return hash_pair(hash, route->shape);
+}
+
 struct route_stats *route_stats_get(struct router *r, const struct route *route)
 {
 	struct route_stats *s = g_hash_table_lookup(r->stats, route->name);
@@ -24,24 +39,63 @@
 	if (s)
 		return s;
 	s = g_new0(struct route_stats, 1);
+	s->refs = 1;
+	s->id = ++r->last_stats_id;
 	s->name = g_strdup(route->name);
+	s->upstreams_hash = hash_upstreams(r->table, route);
 	/* Hosts begin at different positions: each may get few requests. */
 	s->split_position = (uint64_t)g_rand_int(r->random) << 32;
 	g_hash_table_insert(r->stats, s->name, s);
 	return s;
 }
 
-void route_stats_free(gpointer stats)
+struct route_stats *route_stats_ref(struct route_stats *s)
 {
-	struct route_stats *s = stats;
+	s->refs++;
+	return s;
+}
 
-	latency_clear(&s->call_latency);
+static void clear_shard_counts(struct route_stats *s)
+{
 	if (s->shard_counts)
 		g_hash_table_destroy(s->shard_counts);
+	s->shard_counts = NULL;
+}
+
+void route_stats_unref(gpointer stats)
+{
+	struct route_stats *s = stats;
+
+	if (--s->refs)
+		return;
+	latency_clear(&s->call_latency);
+	clear_shard_counts(s);
 	g_free(s->name);
 	g_free(s);
 }
 
+void route_stats_apply_table(struct router *r)
+{
+	const struct route_table *t = r->table;
+	GHashTable *kept = g_hash_table_new(NULL, NULL);
+	GHashTableIter iter;
+	gpointer stats;
+
+	for (uint32_t i = 0; i < t->route_count; i++) {
+		struct route_stats *s =
+			g_hash_table_lookup(r->stats, t->routes[i].name);
+
+		if (s && s->upstreams_hash == hash_upstreams(t, &t->routes[i]))
+			g_hash_table_add(kept, s);
+	}
+	g_hash_table_iter_init(&iter, r->stats);
+	while (g_hash_table_iter_next(&iter, NULL, &stats)) {
+		if (!g_hash_table_contains(kept, stats))
+			g_hash_table_iter_remove(&iter);
+	}
+	g_hash_table_destroy(kept);
+}
+
 uint32_t route_stats_pick_target(struct route_stats *s,
 				 const struct route *route)
 {
--- a/test/unit/main.c
+++ b/test/unit/main.c
@@ -28,6 +28,7 @@
 	{ "rate limit", NULL, NULL, NULL, NULL, rate_limit_tests },
 	{ "rate shares", NULL, NULL, NULL, NULL, rate_shares_tests },
 	{ "route split", NULL, NULL, NULL, NULL, route_split_tests },
+	{ "route stats", NULL, NULL, NULL, NULL, route_stats_tests },
 	{ "router", NULL, NULL, NULL, NULL, router_tests },
 	{ "router schedules", NULL, NULL, NULL, NULL, router_schedule_tests },
 	{ "start hold", NULL, NULL, NULL, NULL, start_hold_tests },
