--- a/include/router/leaf_set.h
+++ b/include/router/leaf_set.h
@@ -60,6 +60,8 @@
 struct route_leaf {
 	int refs;
 	struct leaf_entry entry;
+	/** When the entry was last written, as far as this host has seen. */
+	int64_t written_us;
 	struct upstream_pool *pool;
 	enum leaf_phase phase;
 	/**
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -1,6 +1,5 @@
 #include "net/http_server.h"
 
-#include <arpa/inet.h>
 #include <fcntl.h>
 #include <linux/filter.h>
 #include <microhttpd.h>
@@ -14,6 +13,7 @@
 
 #include <glib.h>
 
+#include "common/address.h"
 #include "common/errors.h"
 #include "common/events.h"
 
@@ -293,27 +293,6 @@
 	exchange_unref(x);
 }
 
-static int parse_address(const char *text, struct sockaddr_in *out)
-{
-	const char *colon = strrchr(text, ':');
-	char ip[64];
-	char *end;
-	long port;
-
-	if (!colon || (size_t)(colon - text) >= sizeof(ip))
-		return -ERR_INVAL;
-	memcpy(ip, text, (size_t)(colon - text));
-	ip[colon - text] = '\0';
-	port = strtol(colon + 1, &end, 10);
-	memset(out, 0, sizeof(*out));
-	out->sin_family = AF_INET;
-	if (*end || end == colon + 1 || port < 0 || port > 65535 ||
-	    inet_pton(AF_INET, ip, &out->sin_addr) != 1)
-		return -ERR_INVAL;
-	out->sin_port = htons((uint16_t)port);
-	return 0;
-}
-
 int http_server_create(struct http_server **out,
 		       const struct http_server_options *options)
 {
@@ -323,7 +302,7 @@
 	struct http_server *s;
 	struct sockaddr_in addr;
 
-	if (parse_address(options->address, &addr))
+	if (address_parse(options->address, &addr))
 		return -ERR_INVAL;
 	s = g_new0(struct http_server, 1);
 	s->options = *options;
--- a/net/transport.c
+++ b/net/transport.c
@@ -1,6 +1,5 @@
 #include "net/transport.h"
 
-#include <arpa/inet.h>
 #include <errno.h>
 #include <netinet/tcp.h>
 #include <pthread.h>
@@ -13,6 +12,7 @@
 
 #include <glib.h>
 
+#include "common/address.h"
 #include "common/errors.h"
 #include "common/events.h"
 #include "common/ring.h"
@@ -73,24 +73,6 @@
 	pthread_t thread;
 };
 
-static int parse_address(const char *text, struct sockaddr_in *out)
-{
-	const char *colon = strrchr(text, ':');
-	char ip[PEER_ADDRESS_MAX];
-	guint64 port;
-
-	if (!colon || (size_t)(colon - text) >= sizeof(ip))
-		return -ERR_INVAL;
-	g_strlcpy(ip, text, (gsize)(colon - text) + 1);
-	memset(out, 0, sizeof(*out));
-	out->sin_family = AF_INET;
-	if (!g_ascii_string_to_unsigned(colon + 1, 10, 0, 65535, &port, NULL) ||
-	    inet_pton(AF_INET, ip, &out->sin_addr) != 1)
-		return -ERR_INVAL;
-	out->sin_port = htons((uint16_t)port);
-	return 0;
-}
-
 static void add_count(uint64_t *count, uint64_t n)
 {
 	__atomic_fetch_add(count, n, __ATOMIC_RELAXED);
@@ -165,7 +147,7 @@
 	struct link *l;
 	int fd;
 
-	if (parse_address(address, &addr))
+	if (address_parse(address, &addr))
 		return NULL;
 	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 	if (fd < 0)
@@ -446,7 +428,7 @@
 	socklen_t size = sizeof(addr);
 	int one = 1;
 
-	if (parse_address(t->options.address, &addr))
+	if (address_parse(t->options.address, &addr))
 		return -ERR_INVAL;
 	t->listen_fd =
 		socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
--- a/router/leaf_set.c
+++ b/router/leaf_set.c
@@ -12,6 +12,13 @@
  */
 #define LEAVING_GRACE_US (1200 * US_PER_MS)
 
+/*
+ * The store may carry a leaf's write out seconds late, after newer ones. An
+ * older entry that comes later than this is no late write: another writer has
+ * overwritten the leaf's entry in between.
+ */
+#define LATE_WRITE_MAX_US (10 * US_PER_S)
+
 /* Minimum of the initial concurrency limit of a leaf. */
 #define CONCURRENCY_START_MIN 2
 
@@ -116,6 +123,13 @@
 	return e->sequence < known->sequence;
 }
 
+static bool is_late_write(const struct leaf_entry *e,
+			  const struct route_leaf *leaf, int64_t now_us)
+{
+	return is_older(e, &leaf->entry) &&
+	       now_us - leaf->written_us < LATE_WRITE_MAX_US;
+}
+
 /*
  * Returns whether two entries are of the same leaf. After a restart or a change
  * of its address or service, a leaf is replaced by a new one.
@@ -168,6 +182,7 @@
 {
 	enum leaf_phase phase = e->is_draining ? LEAF_LEAVING : LEAF_IN_SERVICE;
 
+	leaf->written_us = now_us;
 	leaf->entry.slots = e->slots;
 	leaf->entry.sequence = e->sequence;
 	leaf->entry.is_draining = e->is_draining;
@@ -187,7 +202,7 @@
 	struct route_leaf *leaf = g_hash_table_lookup(s->leaves, e->id);
 	char *id;
 
-	if (leaf && is_older(e, &leaf->entry)) {
+	if (leaf && is_late_write(e, leaf, now_us)) {
 		event_log(EV_LEAF_STALE, "leaf=%s seq=%lld known=%lld", e->id,
 			  (long long)e->sequence,
 			  (long long)leaf->entry.sequence);
@@ -206,6 +221,7 @@
 		  e->domain);
 	add_leaf(s, e);
 	leaf = g_hash_table_lookup(s->leaves, id);
+	leaf->written_us = now_us;
 	leaf->phase = leaf->entry.is_draining ? LEAF_LEAVING : LEAF_IN_SERVICE;
 	leaf->warm_at_us = now_us + leaf->entry.warm_up_us;
 	g_free(id);
