net: take a reply cut within its head for a broken one

Report: a leaf stopped in the middle of its answer's head and closed; clients got a 200 with an empty or short body, framed as whole. Shown and ruled out: calls of routes. Change: struct reply_head notes the empty line that ends a head; without it the transfer counts as broken. The command line asks for a JSON object. The stand-in leaves of the soak cut heads as well. Ruled out: store/etcd.c, which decodes every body and refuses an empty one.

--- a/net/upstream.c
+++ b/net/upstream.c
@@ -17,6 +17,7 @@
 #include "common/errors.h"
 #include "common/ring.h"
 #include "net/leaf_pool.h"
+#include "net/reply_head.h"
 #include "net/upstream_reply.h"
 
 #define DEFAULT_QUEUE_SIZE 65536
@@ -91,6 +92,7 @@
 	CURL *easy;
 	struct curl_slist *headers;
 	GString *reply;
+	struct reply_head head;
 	char *run;
 	char *state;
 	char *load;
@@ -173,6 +175,7 @@
 	struct transfer *t = ctx;
 
 	t->is_reply_begun = true;
+	reply_head_add_line(&t->head, data, size * count);
 	copy_header(&t->run, data, size * count, "Nutmegpick-Run:");
 	copy_header(&t->state, data, size * count, "Nutmegpick-State:");
 	copy_header(&t->load, data, size * count, "Nutmegpick-Load:");
@@ -313,6 +316,7 @@
 	snprintf(url, sizeof(url), "http://%s/%s", t->address, path);
 	t->easy = take_handle(u);
 	t->reply = g_string_new(NULL);
+	t->head = (struct reply_head){ 0 };
 	set_connection_options(t);
 	curl_easy_setopt(t->easy, CURLOPT_URL, url);
 	curl_easy_setopt(t->easy, CURLOPT_PRIVATE, t);
@@ -390,7 +394,7 @@
 	w->request_id = t->request_id;
 	w->shard = t->shard;
 	w->snapshot = t->snapshot;
-	w->is_failed = code != CURLE_OK;
+	w->is_failed = code != CURLE_OK || !t->head.is_complete;
 	w->is_timed_out = code == CURLE_OPERATION_TIMEDOUT;
 	if (!t->easy)
 		return;
--- a/nutmegpick/query.c
+++ b/nutmegpick/query.c
@@ -185,15 +185,17 @@
 		       long status)
 {
 	json_t *document = json_loadb(reply->str, reply->len, 0, NULL);
+	/* A connection that closes within the head looks like an empty body. */
+	bool is_answer = status == 200 && json_is_object(document);
 
 	if (a->is_json)
 		printf("%s\n", reply->str);
-	else if (status == 200)
+	else if (is_answer)
 		print_answer(document);
 	else
 		print_refusal(document);
 	json_decref(document);
-	return status == 200 ? EXIT_SUCCESS : EXIT_FAILURE;
+	return is_answer ? EXIT_SUCCESS : EXIT_FAILURE;
 }
 
 static int send_query(const struct query_arguments *a)
--- a/nutmegpickd/registry_thread.c
+++ b/nutmegpickd/registry_thread.c
@@ -8,6 +8,7 @@
 
 #include "common/errors.h"
 #include "common/events.h"
+#include "net/reply_head.h"
 #include "platform/store.h"
 
 /*
@@ -56,6 +57,7 @@
 	CURL *curl;
 	GByteArray *body;
 	size_t header_bytes;
+	struct reply_head head;
 	bool is_listed;
 	bool is_store_lost;
 	int64_t backoff_us;
@@ -109,6 +111,7 @@
 	struct registry_thread *t = ctx;
 
 	t->header_bytes += size * count;
+	reply_head_add_line(&t->head, data, size * count);
 	return t->header_bytes > HEADERS_MAX_BYTES ? 0 : size * count;
 }
 
@@ -157,6 +160,7 @@
 
 	g_byte_array_set_size(t->body, 0);
 	t->header_bytes = 0;
+	t->head = (struct reply_head){ 0 };
 	curl_easy_setopt(t->curl, CURLOPT_URL, url);
 	curl_easy_setopt(t->curl, CURLOPT_TIMEOUT_MS, timeout_ms);
 	if (c.body) {
@@ -167,7 +171,7 @@
 		curl_easy_setopt(t->curl, CURLOPT_HTTPHEADER, NULL);
 	}
 	curl_easy_setopt(t->curl, CURLOPT_CUSTOMREQUEST, method);
-	if (curl_easy_perform(t->curl) == CURLE_OK)
+	if (curl_easy_perform(t->curl) == CURLE_OK && t->head.is_complete)
 		curl_easy_getinfo(t->curl, CURLINFO_RESPONSE_CODE, &status);
 	curl_slist_free_all(headers);
 	g_free(url);
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -305,7 +305,7 @@
         leaf = self.random.choice(
             self.random.choice([self.leaves, booking_leaves]))
         leaf.mode = self.random.choice(
-            ["slow", "reset", "cut", "shed", "silent", "extra", "error",
+            ["slow", "reset", "cut", "head", "shed", "silent", "extra", "error",
              "duplicate"])
         self.count(f"fault_{leaf.mode}")
         await asyncio.sleep(self.random.uniform(0.2, 1.5))
--- a/test/soak/standins.py
+++ b/test/soak/standins.py
@@ -193,6 +193,14 @@
             "state": "ready", "warmup_left_ms": 0,
             "sequence": self.sequence, "born": 1})
 
+    def write_cut_head(self, writer, body, headers):
+        """Sends a reply up to a random place in its head."""
+        lines = ["HTTP/1.1 200 X"] + [f"{k}: {v}" for k, v in headers]
+        lines.insert(self.owner.random.randrange(1, len(lines) + 1),
+                     f"Content-Length: {len(body)}")
+        head = "\r\n".join(lines + ["", ""]).encode()
+        writer.write(head[:self.owner.random.randrange(1, len(head))])
+
     async def handle(self, request, writer):
         echo = [("Nutmegpick-Request-Id",
                  request.headers.get("nutmegpick-request-id", ""))]
@@ -220,6 +228,9 @@
         if self.mode == "cut":
             writer.write(b"HTTP/1.1 200 X\r\nContent-Length: 128\r\n\r\nshort")
             return False
+        if self.mode == "head":
+            self.write_cut_head(writer, body, headers)
+            return False
         write_reply(writer, 500 if self.mode == "error" else 200, body, headers)
         if self.mode == "duplicate":
             write_reply(writer, 200, body, headers)
--- a/test/unit/main.c
+++ b/test/unit/main.c
@@ -5,6 +5,7 @@
 static CU_SuiteInfo suites[] = {
 	{ "broken inputs", NULL, NULL, NULL, NULL, broken_tests },
 	{ "common", NULL, NULL, NULL, NULL, common_tests },
+	{ "cut reply", NULL, NULL, NULL, NULL, cut_reply_tests },
 	{ "directory", NULL, NULL, NULL, NULL, directory_tests },
 	{ "engine admission", NULL, NULL, NULL, NULL, engine_admission_tests },
 	{ "engine extra calls", NULL, NULL, NULL, NULL,
--- a/test/unit/suites.h
+++ b/test/unit/suites.h
@@ -6,6 +6,7 @@
 /** Suites, one per test file; each is a NULL-terminated list of tests. */
 extern CU_TestInfo broken_tests[];
 extern CU_TestInfo common_tests[];
+extern CU_TestInfo cut_reply_tests[];
 extern CU_TestInfo directory_tests[];
 extern CU_TestInfo engine_admission_tests[];
 extern CU_TestInfo engine_extra_calls_tests[];
--- a/test/unit/test_upstream.c
+++ b/test/unit/test_upstream.c
@@ -25,6 +25,8 @@
 	/* Reads a part of the request, then resets the connection. */
 	MODE_RESET_EARLY,
 	MODE_TRUNCATE,
+	/* Sends cut_text, then closes the connection. */
+	MODE_CUT,
 	MODE_OVERSIZE,
 	/* Sends the reply to another attempt. */
 	MODE_OTHER_ATTEMPT,
@@ -37,6 +39,7 @@
 	int fd;
 	char address[32];
 	enum leaf_mode mode;
+	char *cut_text;
 	pthread_t thread;
 	/* Number of requests read. */
 	int request_count;
@@ -128,6 +131,11 @@
 			set_reset_on_close(c->fd);
 			break;
 		}
+		if (leaf->mode == MODE_CUT) {
+			send(c->fd, leaf->cut_text, strlen(leaf->cut_text),
+			     MSG_NOSIGNAL);
+			break;
+		}
 		send_answer(c->fd, text, leaf->mode);
 		if (leaf->mode != MODE_ANSWER)
 			break;
@@ -259,6 +267,34 @@
 	free(body);
 }
 
+/*
+ * Guards against a connection that closes within the head of a reply and is
+ * taken for a whole reply: a success, or a refusal that states "not run".
+ */
+static void test_cut_heads(void)
+{
+	static const char *const heads[] = {
+		"HTTP/1.1 200 OK\r\nNutmegpick-Load: 1\r\n\r\n",
+		"HTTP/1.1 503 X\r\nNutmegpick-Run: not_run\r\n\r\n",
+		"HTTP/1.1 409 X\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 100 X\r\n\r\nHTTP/1.1 504 X\r\n"
+		"Nutmegpick-Run: not_run\r\n\r\n",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(heads); i++) {
+		for (size_t len = 1; len < strlen(heads[i]); len++) {
+			struct harness h;
+
+			harness_init(&h, MODE_CUT);
+			h.leaf.cut_text = g_strndup(heads[i], len);
+			start_call(&h, 1, "{}", 2);
+			expect_reply(&h, CALL_RESET, true);
+			harness_clear(&h);
+			g_free(h.leaf.cut_text);
+		}
+	}
+}
+
 /* Guards against a refused connection reported as if bytes had been sent. */
 static void test_refused(void)
 {
@@ -361,6 +397,7 @@
 
 CU_TestInfo upstream_tests[] = {
 	{ "failures", test_failures },
+	{ "cut heads", test_cut_heads },
 	{ "refused", test_refused },
 	{ "no resend", test_no_resend },
 	{ "limit", test_limit },
