router: let a stopping host answer every request it has taken

Report: in a planned stop, requests that came late in the grace were taken and passed on; at the end of the grace they were cut with no answer, among them requests that may not be repeated. Cause: route_service_stop() waited for the connections and ended. Nothing knew when that would be: the router took, planned and queued requests as ever, by the caller's deadline, and what was left had no answer. Change: router/stop.c decides what a host that stops does with a request. The router learns the time of the stop with the signal. A request, also one that waits for a leaf, was refused by one or is to be sent on to another host, goes on only if the calls of its route end in the time that is left (0.99 quantile, the goal where none is known); else it is refused as not run (E1610), with a short Retry-After since other hosts have room. Deadlines end at the stop, so every request has its answer then: 503 if no leaf may have run it, a gather's records if they suffice, 502 otherwise. The process ends up to 0.4 s later, within the grace time, so that answers reach their callers. Requests would wait for seconds to be refused, and late ones would still be passed on. Refusing all requests after the signal: the platform sends new connections for two seconds more. Not changed: the product's own interface answers what is left with E1313.

--- a/include/nutmegpickd/route_internal.h
+++ b/include/nutmegpickd/route_internal.h
@@ -40,6 +40,8 @@
 	struct host_frame *frame;
 	/** Of ROUTE_EVENT_SETTINGS. */
 	uint32_t extra_calls;
+	/** Of ROUTE_EVENT_DRAIN: when the last request is answered. */
+	int64_t stop_us;
 	/** Of ROUTE_EVENT_LINK_CLOSED: no frame on it reached the peer. */
 	bool is_undelivered;
 };
@@ -132,6 +134,8 @@
 	struct rate_exchange *rates;
 	GRand *random;
 	bool is_draining;
+	/** Every request is answered by this time; INT64_MAX before a stop. */
+	int64_t stop_us;
 	bool is_exiting;
 	/** Read by the thread that serves the readiness check. */
 	bool is_ready;
@@ -191,6 +195,8 @@
  * if this host gathers itself.
  */
 bool route_forward_request(struct route_service *s, struct caller_request *q);
+/** Lets the forwarded requests end when this host stops, at the latest. */
+void route_limit_forwards(struct route_service *s);
 /** Sends a cancel for a forwarded request; its result is not needed. */
 void route_cancel_forward(struct route_service *s, struct caller_request *q);
 /**
--- a/include/router/internal.h
+++ b/include/router/internal.h
@@ -140,7 +140,11 @@
 	const struct route *route;
 	struct route_stats *stats;
 	int64_t start_us;
+	/** Deadline of the caller, or the stop of this host if that is first. */
 	int64_t deadline_us;
+	bool is_cut_by_stop;
+	/** A request that cannot be answered by this time is refused at once. */
+	int64_t plan_until_us;
 	/** Latency goal; a later answer has lost most of its value. */
 	int64_t goal_at_us;
 	/** Minimum time before a second leaf is called. */
@@ -215,6 +219,8 @@
 	int64_t next_sweep_us;
 	int64_t next_retry_us;
 	uint32_t host_count;
+	/** When this host stops, at the latest; INT64_MAX if it does not. */
+	int64_t stop_us;
 	GRand *random;
 };
 
@@ -262,6 +268,18 @@
 int64_t route_stats_hedge_delay(struct route_stats *s,
 				const struct route *route, int64_t left_us);
 
+/*
+ * stop.c: what a host that stops does with requests.
+ *
+ * Returns the time left for answers; INT64_MAX if the host does not stop.
+ */
+int64_t stop_time_left(const struct router *r);
+/** Returns whether a call that starts now is expected to end before the stop. */
+bool stop_may_start(const struct router *r, struct route_stats *s,
+		    const struct route *route);
+/** Lets a request end when the host stops, at the latest. */
+void stop_limit_request(struct router *r, struct route_request *q);
+
 /* choice.c */
 /** Best leaf for a call, with the time it is expected to take. */
 struct leaf_choice {
@@ -352,6 +370,8 @@
 void batch_clear_all(struct router *r, struct route_request *q);
 
 /* request.c */
+/** Arms the timer of a request for its goal or its deadline. */
+void request_arm_timer(struct router *r, struct route_request *q);
 /** Counts the ended parts; ends the request if its outcome is certain. */
 void request_handle_part_end(struct router *r, struct route_request *q);
 
--- a/include/router/router.h
+++ b/include/router/router.h
@@ -238,6 +238,24 @@
 int router_create(struct router **out, const struct router_options *options);
 void router_destroy(struct router *r);
 
+/**
+ * Sets the time at which this host stops. Every request gets its answer by
+ * then. From now on a request that is not expected to end before is refused as
+ * not run with -ERR_ROUTE_STOPPING, when it arrives or while it waits for a
+ * leaf. A request that a leaf may have run ends with status 502 at that time,
+ * unless a gather has the coverage for its answer.
+ */
+void router_stop_at(struct router *r, int64_t stop_us);
+
+/** Returns whether router_stop_at() was called. */
+bool router_is_stopping(const struct router *r);
+
+/**
+ * Returns whether a request of a route that starts now is expected to end
+ * before this host stops.
+ */
+bool router_may_start(struct router *r, const struct route *route);
+
 /**
  * Puts a newer table in force and takes over the reference. Requests in flight
  * keep the table with which they began. Returns 0 or -ERR_ROUTE_VERSION.
--- a/nutmegpickd/route_hosts.c
+++ b/nutmegpickd/route_hosts.c
@@ -208,6 +208,11 @@
 	route_send_frame(s, h->record.address, host_frame_gather(&g));
 }
 
+static void limit_wait(const struct route_service *s, struct caller_request *q)
+{
+	q->wait_us = MIN(q->wait_us, MAX(s->stop_us - q->start_us, 1));
+}
+
 bool route_forward_request(struct route_service *s, struct caller_request *q)
 {
 	const char *host = http_exchange_header(q->exchange, "Host");
@@ -216,13 +221,15 @@
 		s->router, host, http_exchange_target(q->exchange));
 	struct known_host *h;
 
-	if (!s->transport || !id || !route || route->shape != ROUTE_GATHER)
+	if (!s->transport || !id || !route || route->shape != ROUTE_GATHER ||
+	    !router_may_start(s->router, route))
 		return false;
 	h = choose_gatherer(s, q, route);
 	if (!h)
 		return false;
 	q->wait_us = q->wait_us > 0 ? MIN(q->wait_us, route->timeout_us)
 				    : route->timeout_us;
+	limit_wait(s, q);
 	q->forward.id = ++s->last_forward_id;
 	q->forward.sent_us = clock_now(&s->clock);
 	g_strlcpy(q->forward.address, h->record.address,
@@ -235,6 +242,16 @@
 	return true;
 }
 
+void route_limit_forwards(struct route_service *s)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, s->forwards);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		limit_wait(s, value);
+}
+
 static void end_forward(struct route_service *s, struct caller_request *q)
 {
 	g_hash_table_remove(s->forwards, &q->forward.id);
--- a/nutmegpickd/route_service.c
+++ b/nutmegpickd/route_service.c
@@ -25,6 +25,8 @@
 #define IDLE_WAIT_US (1 * US_PER_S)
 /* Interval at which leaves without claims are forgotten. */
 #define RATES_SWEEP_US (5 * US_PER_S)
+/* Time between the last answers of a stop and the exit, for sending them. */
+#define STOP_FLUSH_US (400 * US_PER_MS)
 
 void route_service_send_event(struct route_service *s, struct route_event event)
 {
@@ -117,6 +119,9 @@
 		return;
 	case ROUTE_EVENT_DRAIN:
 		s->is_draining = true;
+		s->stop_us = e->stop_us;
+		router_stop_at(s->router, e->stop_us);
+		route_limit_forwards(s);
 		return;
 	case ROUTE_EVENT_EXIT:
 		s->is_exiting = true;
@@ -426,6 +431,7 @@
 	s->batches = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 					   g_free);
 	s->random = g_rand_new();
+	s->stop_us = INT64_MAX;
 	ret = create_router(s);
 	if (!ret && settings->listen_peer)
 		ret = route_hosts_start(s);
@@ -451,14 +457,26 @@
 				      .extra_calls = settings->extra_calls });
 }
 
+/* Returns the time for sending answers, out of the rest of the grace time. */
+static int64_t flush_time(const struct settings *o)
+{
+	int64_t rest = o->grace_us - o->drain_delay_us - o->stop_timeout_us;
+
+	return o->grace_us ? CLAMP(rest / 2, 0, STOP_FLUSH_US) : STOP_FLUSH_US;
+}
+
 void route_service_stop(struct route_service *s)
 {
+	int64_t stop_us = clock_now(&s->clock) + s->settings.drain_delay_us +
+			  s->settings.stop_timeout_us;
+	int64_t exit_us = stop_us + flush_time(&s->settings);
 	unsigned int left;
 
 	__atomic_store_n(&s->is_listening, false, __ATOMIC_RELEASE);
 	__atomic_store_n(&s->is_ready, false, __ATOMIC_RELEASE);
 	route_service_send_event(
-		s, (struct route_event){ .type = ROUTE_EVENT_DRAIN });
+		s, (struct route_event){ .type = ROUTE_EVENT_DRAIN,
+					 .stop_us = stop_us });
 	registry_thread_withdraw(s->registry);
 	http_server_drain(s->server);
 	g_usleep((gulong)s->settings.drain_delay_us);
@@ -467,7 +485,8 @@
 	 * flight are drained meanwhile.
 	 */
 	registry_thread_request_stop(s->registry);
-	left = http_server_stop(s->server, s->settings.stop_timeout_us);
+	left = http_server_stop(s->server,
+				MAX(exit_us - clock_now(&s->clock), 0));
 	if (left)
 		event_log(EV_STOP_TIMEOUT, "host=%s connections=%u",
 			  s->settings.host_id, left);
--- a/router/part.c
+++ b/router/part.c
@@ -180,7 +180,8 @@
 	int64_t now = router_now(r);
 	struct leaf_choice choice;
 
-	if (q->deadline_us - now < CALL_TIME_MIN_US)
+	if (q->deadline_us - now < CALL_TIME_MIN_US ||
+	    !stop_may_start(r, q->stats, q->route))
 		return EXTRA_NO_LEAF;
 	choice = leaf_choose(r, p);
 	if (!choice.leaf)
@@ -252,8 +253,14 @@
 
 static bool try_send_first(struct router *r, struct route_part *p)
 {
-	struct leaf_choice choice = leaf_choose(r, p);
+	const struct route_request *q = p->request;
+	struct leaf_choice choice;
 
+	if (!stop_may_start(r, q->stats, q->route)) {
+		p->phase = PART_FAILED;
+		return true;
+	}
+	choice = leaf_choose(r, p);
 	if (choice.leaf) {
 		send_call(r, p, choice.leaf, false);
 		return true;
--- a/router/request.c
+++ b/router/request.c
@@ -15,6 +15,9 @@
 /* Backoff for callers of refused requests, with jitter to spread them. */
 #define RETRY_AFTER_MIN_US (100 * US_PER_MS)
 #define RETRY_AFTER_SPREAD_US (200 * US_PER_MS)
+/* Backoff after a refusal by a host that stops: other hosts have room. */
+#define RETRY_AFTER_STOP_MIN_US (10 * US_PER_MS)
+#define RETRY_AFTER_STOP_SPREAD_US (90 * US_PER_MS)
 /* Callers accept a backoff of up to a third of the time to their deadline. */
 #define RETRY_AFTER_SHARE 0.32
 
@@ -24,6 +27,12 @@
 	       g_rand_int_range(r->random, 0, RETRY_AFTER_SPREAD_US);
 }
 
+static int64_t retry_after_stop(struct router *r)
+{
+	return RETRY_AFTER_STOP_MIN_US +
+	       g_rand_int_range(r->random, 0, RETRY_AFTER_STOP_SPREAD_US);
+}
+
 /*
  * Returns the backoff for a shard that is down or overloaded, which lasts for
  * seconds: between half of the longest backoff that callers accept and all of
@@ -104,9 +113,12 @@
 
 	if (!may_have_run(q)) {
 		a.status = 503;
-		a.retry_after_us = code == -ERR_ROUTE_LATE
-					   ? retry_after_outage(r, q)
-					   : retry_after(r);
+		if (code == -ERR_ROUTE_LATE)
+			a.retry_after_us = retry_after_outage(r, q);
+		else if (code == -ERR_ROUTE_STOPPING)
+			a.retry_after_us = retry_after_stop(r);
+		else
+			a.retry_after_us = retry_after(r);
 	} else if (code == -ERR_NET_TIMEOUT) {
 		a.status = 504;
 	}
@@ -152,6 +164,14 @@
 	return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
+static int failure_code(const struct router *r, const struct route_request *q)
+{
+	if (may_have_run(q))
+		return -ERR_ROUTE_REPLY;
+	return stop_may_start(r, q->stats, q->route) ? -ERR_ROUTE_NO_LEAF
+						     : -ERR_ROUTE_STOPPING;
+}
+
 static void finish_single(struct router *r, struct route_request *q)
 {
 	const struct route_part *p = &q->parts[0];
@@ -161,9 +181,7 @@
 
 	if (!reply ||
 	    (p->phase == PART_FAILED && is_not_run_status(reply->status))) {
-		finish_failed_request(r, q,
-				      may_have_run(q) ? -ERR_ROUTE_REPLY
-						      : -ERR_ROUTE_NO_LEAF);
+		finish_failed_request(r, q, failure_code(r, q));
 		return;
 	}
 	a.status = reply->status;
@@ -221,7 +239,9 @@
 		finish_gathered(r, q);
 		return;
 	}
-	finish_failed_request(r, q, -ERR_NET_TIMEOUT);
+	finish_failed_request(r, q,
+			      q->is_cut_by_stop ? -ERR_ROUTE_STOPPING
+						: -ERR_NET_TIMEOUT);
 }
 
 static void handle_goal(struct router *r, struct router_timer *t)
@@ -273,9 +293,10 @@
 	}
 }
 
-static void arm_request_timer(struct router *r, struct route_request *q)
+void request_arm_timer(struct router *r, struct route_request *q)
 {
-	if (q->route->shape == ROUTE_GATHER && q->goal_at_us < q->deadline_us)
+	if (q->route->shape == ROUTE_GATHER && !q->is_past_goal &&
+	    q->goal_at_us < q->deadline_us)
 		router_timer_arm(r, &q->timer, q->goal_at_us, handle_goal);
 	else
 		router_timer_arm(r, &q->timer, q->deadline_us, handle_deadline);
@@ -306,6 +327,8 @@
 	if (in->wait_us > 0)
 		wait = MIN(wait, in->wait_us);
 	q->deadline_us = now + MAX(wait - ANSWER_MARGIN_US, wait / 2);
+	q->plan_until_us = now + (q->deadline_us - now) / 2;
+	stop_limit_request(r, q);
 	q->goal_at_us =
 		now + (in->goal_us > 0 ? in->goal_us : router_goal_left(route));
 	q->is_repeat = in->is_repeat;
@@ -338,8 +361,8 @@
 static bool plan_parts(struct router *r, struct route_request *q)
 {
 	bool is_gather = q->route->shape == ROUTE_GATHER;
-	int64_t left = is_gather ? q->goal_at_us - q->start_us
-				 : (q->deadline_us - q->start_us) / 2;
+	int64_t until = is_gather ? q->goal_at_us : q->plan_until_us;
+	int64_t left = MIN(until - q->start_us, stop_time_left(r));
 
 	for (uint32_t i = 0; i < q->part_count; i++) {
 		if (!part_plan(r, &q->parts[i], left))
@@ -364,9 +387,17 @@
 	q = create_request(r, in, route);
 	id = q->id;
 	add_parts(r, q, in);
-	arm_request_timer(r, q);
+	request_arm_timer(r, q);
+	/* A batch of another host ends with the results that it has. */
+	if (!q->is_partial && !stop_may_start(r, q->stats, route)) {
+		finish_failed_request(r, q, -ERR_ROUTE_STOPPING);
+		return 0;
+	}
 	if (!plan_parts(r, q)) {
-		finish_failed_request(r, q, -ERR_ROUTE_LATE);
+		finish_failed_request(r, q,
+				      router_is_stopping(r)
+					      ? -ERR_ROUTE_STOPPING
+					      : -ERR_ROUTE_LATE);
 		return 0;
 	}
 	q->is_updating_parts = true;
--- a/router/router.c
+++ b/router/router.c
@@ -65,6 +65,7 @@
 	g_queue_init(&r->waiting);
 	r->limited_leaves = g_ptr_array_new();
 	r->next_claims_us = INT64_MAX;
+	r->stop_us = INT64_MAX;
 	router_set_host_count(r, 0);
 	r->random = g_rand_new_with_seed((guint32)options->seed);
 	*out = r;
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -351,6 +351,12 @@
             await self.random.choice(kinds)()
             await asyncio.sleep(self.random.uniform(0, 0.4))
 
+    async def start_proxies(self):
+        for i in range(self.args.hosts):
+            proxy = Proxy(self.store.address)
+            await proxy.start(f"127.0.3.{i + 1}")
+            self.proxies.append(proxy)
+
     async def start(self):
         await self.store.start("127.0.1.1")
         services = [f"shard{i}" for i in range(SHARDS)] + ["book"]
@@ -359,10 +365,7 @@
             await leaf.start(f"127.0.2.{n + 1}")
             leaf.register(self.store)
             self.leaves.append(leaf)
-        for i in range(self.args.hosts):
-            proxy = Proxy(self.store.address)
-            await proxy.start(f"127.0.3.{i + 1}")
-            self.proxies.append(proxy)
+        await self.start_proxies()
         await self.publish()
         for i in range(self.args.hosts):
             await self.start_host(i)
--- a/test/unit/main.c
+++ b/test/unit/main.c
@@ -33,6 +33,7 @@
 	{ "route stats", NULL, NULL, NULL, NULL, route_stats_tests },
 	{ "router", NULL, NULL, NULL, NULL, router_tests },
 	{ "router schedules", NULL, NULL, NULL, NULL, router_schedule_tests },
+	{ "router stop", NULL, NULL, NULL, NULL, router_stop_tests },
 	{ "start hold", NULL, NULL, NULL, NULL, start_hold_tests },
 	{ "router feed", NULL, NULL, NULL, NULL, router_feed_tests },
 	{ "upstream", NULL, NULL, NULL, NULL, upstream_tests },
--- a/test/unit/suites.h
+++ b/test/unit/suites.h
@@ -34,6 +34,7 @@
 extern CU_TestInfo router_tests[];
 extern CU_TestInfo router_feed_tests[];
 extern CU_TestInfo router_schedule_tests[];
+extern CU_TestInfo router_stop_tests[];
 extern CU_TestInfo start_hold_tests[];
 extern CU_TestInfo upstream_tests[];
 extern CU_TestInfo peer_tests[];
