router: pass on only replies that are the leaf's own

Cause: the reply counted as broken, but the router kept every reply with a stamp as the failure to pass on, with its own status, 200 included. Ruled out: decoding; the leaf signs the plain body and says that an encoded one is not its own.

--- a/include/router/internal.h
+++ b/include/router/internal.h
@@ -128,7 +128,7 @@
 	 * gathering host.
 	 */
 	bool is_sent;
-	/** Last signed failure reply, which may be passed to the caller. */
+	/** Last failure reply that may be passed on to the caller. */
 	struct leaf_reply *failure_reply;
 };
 
--- a/include/router/router.h
+++ b/include/router/router.h
@@ -101,6 +101,13 @@
 	struct leaf_rate_limit rate_limit;
 };
 
+/**
+ * Returns whether the reply of a call may be passed on to the caller of a route
+ * without a gather: as a success if the call was answered, else as a failure.
+ * Other replies are replaced by an answer of this host.
+ */
+bool router_may_pass_on(const struct router_result *result);
+
 /** Answer to a caller; valid during the callback. */
 struct router_answer {
 	unsigned int status;
--- a/net/reply_reader.c
+++ b/net/reply_reader.c
@@ -89,6 +89,20 @@
 	return 0;
 }
 
+/* Returns whether a reply repeats an id that is not the one of the request. */
+static bool has_other_id(const struct reply_reader *r)
+{
+	for (guint i = 0; i < r->reply->headers->len; i++) {
+		const struct http_header *h = &g_array_index(
+			r->reply->headers, struct http_header, i);
+
+		if (!g_ascii_strcasecmp(h->name, r->echo_header) &&
+		    strcmp(h->value, r->request_id) != 0)
+			return true;
+	}
+	return false;
+}
+
 /*
  * Returns whether a reply belongs to an earlier request: it repeats another id,
  * or is a success without an id. Failures without an id count as a match.
@@ -98,9 +112,7 @@
 {
 	if (!*r->request_id)
 		return false;
-	if (!echo)
-		return r->reply->status / 100 == 2;
-	return strcmp(echo, r->request_id) != 0;
+	return echo ? has_other_id(r) : r->reply->status / 100 == 2;
 }
 
 /*
--- a/router/part.c
+++ b/router/part.c
@@ -418,6 +418,30 @@
 	}
 }
 
+/* Returns whether a status states that the request was not run. */
+static bool is_not_run_status(unsigned int status)
+{
+	return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+bool router_may_pass_on(const struct router_result *result)
+{
+	switch (result->outcome) {
+	case CALL_ANSWERED:
+		return true;
+	case CALL_FAILURE:
+	case CALL_DECLINED:
+		return result->reply && result->stamp &&
+		       !is_not_run_status(result->reply->status);
+	case CALL_NOT_RUN:
+	case CALL_MISDIRECTED:
+	case CALL_NOT_SENT:
+	case CALL_BROKEN:
+		break;
+	}
+	return false;
+}
+
 static void handle_failure(struct router *r, struct route_part *p,
 			   const struct route_leaf *leaf,
 			   const struct router_result *result)
@@ -437,7 +461,7 @@
 	    result->outcome == CALL_MISDIRECTED ||
 	    result->outcome == CALL_NOT_SENT)
 		p->run_count--;
-	else if (result->reply && result->stamp) {
+	else if (router_may_pass_on(result)) {
 		leaf_reply_unref(p->failure_reply);
 		p->failure_reply = leaf_reply_ref(result->reply);
 	}
--- a/router/request.c
+++ b/router/request.c
@@ -158,12 +158,6 @@
 	g_byte_array_free(body, TRUE);
 }
 
-/* Returns whether a status means that the request was not run. */
-static bool is_not_run_status(unsigned int status)
-{
-	return status == 408 || status == 421 || status == 429 || status == 503;
-}
-
 static int failure_code(const struct router *r, const struct route_request *q)
 {
 	if (may_have_run(q))
@@ -179,8 +173,7 @@
 		p->phase == PART_ANSWERED ? p->reply : p->failure_reply;
 	struct router_answer a = { .reply = reply };
 
-	if (!reply ||
-	    (p->phase == PART_FAILED && is_not_run_status(reply->status))) {
+	if (!reply) {
 		finish_failed_request(r, q, failure_code(r, q));
 		return;
 	}
--- a/test/fuzz/targets.c
+++ b/test/fuzz/targets.c
@@ -7,11 +7,14 @@
 #include "common/errors.h"
 #include "net/host_frame.h"
 #include "net/reply_reader.h"
+#include "platform/headers.h"
 #include "platform/routes.h"
 #include "platform/store.h"
 
 #define ECHO "Request-Id"
 #define OWN_ID "own"
+#define STAMP "Nutmegpick-Response-Stamp"
+#define NOT_RUN "Nutmegpick-Not-Executed"
 
 /* Aborts if the property does not hold; both runners report it as a crash. */
 static void require_property(int holds, const char *property)
@@ -79,6 +82,42 @@
 			"only a failure on a new connection may lack the id");
 }
 
+static uint32_t count_headers(const struct leaf_reply *r, const char *name)
+{
+	uint32_t count = 0;
+
+	for (guint i = 0; i < r->headers->len; i++)
+		count += !g_ascii_strcasecmp(
+			g_array_index(r->headers, struct http_header, i).name,
+			name);
+	return count;
+}
+
+/* Checks what docs/decisions/replies.md states of replies passed on. */
+static void require_use(struct leaf_reply *r)
+{
+	const char *coding = leaf_reply_header(r, "Transfer-Encoding");
+	struct router_result result = { 0 };
+
+	platform_read_reply(r, &result);
+	require_property((result.outcome == CALL_ANSWERED) ==
+				 (router_may_pass_on(&result) &&
+				  r->status / 100 == 2),
+			 "a 2xx is passed on only as a success");
+	if (!router_may_pass_on(&result))
+		return;
+	require_property(count_headers(r, STAMP) == 1,
+			 "a reply that is passed on has one stamp");
+	require_property(!leaf_reply_header(r, "Content-Encoding") &&
+				 (!coding ||
+				  !g_ascii_strcasecmp(coding, "chunked")),
+			 "a reply that is passed on is not encoded");
+	require_property(!leaf_reply_header(r, NOT_RUN) && r->status != 408 &&
+				 r->status != 421 && r->status != 429 &&
+				 r->status != 503,
+			 "a reply that is passed on may have run");
+}
+
 static void run_reply(const uint8_t *data, size_t len)
 {
 	bool is_used = len && data[0] & 1;
@@ -108,6 +147,7 @@
 	}
 	if (bytewise.state == REPLY_COMPLETE) {
 		require_own_reply(&bytewise, is_used);
+		require_use(bytewise.reply);
 		require_property(
 			at_once.state == REPLY_COMPLETE,
 			"a reply read bytewise is also complete at once");
