net: bound and count the memory of reply heads

Cause: leaves in trouble sent heads without end. A head was bounded in bytes only, and a header of three bytes takes about 80 of memory; no account held it. Change: at most 256 headers a head; the account of all replies also holds the headers and the buffers of the one that is read. At its limit the large replies of leaves that were in trouble in the last 10 s end first: before, the largest one did, also a sound leaf's. Ruled out: an end after a silence, since a leaf's silence is no reason to end an answer sooner; the deadline bounds it.

--- a/include/net/leaf_client.h
+++ b/include/net/leaf_client.h
@@ -64,7 +64,7 @@
 	const char *echo_header;
 	/** Limits on one reply; 0 selects the default. */
 	struct reply_limits limits;
-	/** Limit on the reply bodies of all calls in flight; 0: default. */
+	/** Limit on the memory of all replies that are read; 0: default. */
 	size_t buffered_max_bytes;
 	/**
 	 * Called within leaf_client_poll(), leaf_client_send() and
@@ -85,6 +85,8 @@
  * of a few KB.
  */
 #define LEAF_OTHER_MAX_BYTES (256u * 1024)
+/** Default of limits.headers_max. */
+#define LEAF_HEADERS_MAX 256
 /** Default of limits.body_max_bytes. */
 #define LEAF_BODY_MAX_BYTES (1024u * 1024)
 /** Default of buffered_max_bytes. The smallest host has 160 MB of memory. */
--- a/include/net/reply_reader.h
+++ b/include/net/reply_reader.h
@@ -21,6 +21,8 @@
 	size_t body_max_bytes;
 	/** Most other bytes: heads, chunk sizes and skipped replies. */
 	size_t other_max_bytes;
+	/** Most headers of a head; 0 sets no limit. */
+	uint32_t headers_max;
 };
 
 enum reply_state {
@@ -43,6 +45,8 @@
 	/** Name and value of the header that is being read. */
 	GString *field;
 	GString *value;
+	/** Memory of the headers that were read. */
+	size_t header_memory;
 	/** Bytes read for this request, without its buffered body. */
 	size_t other_bytes;
 	/** Reason for REPLY_BROKEN. */
@@ -76,6 +80,9 @@
 enum reply_state reply_reader_feed(struct reply_reader *r, const char *data,
 				   size_t len);
 
+/** Returns the memory that the reader holds for the current reply. */
+size_t reply_reader_memory(const struct reply_reader *r);
+
 /** Discards the body that was read, and what follows of it. */
 void reply_reader_drop_body(struct reply_reader *r);
 
--- a/net/leaf_client.c
+++ b/net/leaf_client.c
@@ -31,6 +31,10 @@
  * be repeated reuses only connections that have been idle for less than this.
  */
 #define IDLE_FRESH_MAX_US (500 * US_PER_MS)
+/* A leaf counts as in trouble for this time after an unusable reply. */
+#define TROUBLE_US (10 * US_PER_S)
+/* Smaller replies of such a leaf are left alone: little would be freed. */
+#define LARGE_REPLY_BYTES (16u * 1024)
 /* Timeout of a detached call, so that its connection may be reused. */
 #define DETACHED_MAX_US (1 * US_PER_S)
 
@@ -57,7 +61,7 @@
 	/** EPOLLOUT is polled. */
 	bool is_writing;
 	struct reply_reader reader;
-	/** Bytes of the reply's body, as counted in the client's total. */
+	/** Memory of the reply, as counted in the client's total. */
 	size_t buffered_bytes;
 	GList link;
 };
@@ -67,6 +71,8 @@
 	struct sockaddr_in address;
 	/** Connections, the most recently used first. */
 	GQueue connections;
+	/** When the leaf last sent an unusable reply, or 0. */
+	int64_t unusable_us;
 };
 
 static struct counter unusable_total = {
@@ -88,7 +94,7 @@
 	GPtrArray *closed;
 	/** Time at which the wait of the last poll ended. */
 	int64_t woke_us;
-	/** Bytes of the reply bodies of all calls in flight. */
+	/** Memory of all replies that are read. */
 	size_t buffered_bytes;
 	struct leaf_client_counts counts;
 };
@@ -126,7 +132,7 @@
 
 static void update_buffered_bytes(struct leaf_connection *n)
 {
-	size_t held = reply_reader_buffered_bytes(&n->reader);
+	size_t held = reply_reader_memory(&n->reader);
 
 	n->endpoint->client->buffered_bytes += held - n->buffered_bytes;
 	n->buffered_bytes = held;
@@ -179,22 +185,50 @@
 		      200 * US_PER_MS, IDLE_MAX_US);
 }
 
-/* Fails the calls with the largest bodies until the rest fits the limit. */
+static bool is_large_in_trouble(const struct leaf_connection *n)
+{
+	const struct leaf_endpoint *e = n->endpoint;
+
+	return n->buffered_bytes >= LARGE_REPLY_BYTES && e->unusable_us &&
+	       now_us(e->client) - e->unusable_us < TROUBLE_US;
+}
+
+/* Returns whether the call of a is to fail before that of b. */
+static bool fails_before(const struct leaf_connection *a,
+			 const struct leaf_connection *b)
+{
+	bool is_a_first = is_large_in_trouble(a);
+
+	if (is_a_first != is_large_in_trouble(b))
+		return is_a_first;
+	return a->buffered_bytes > b->buffered_bytes;
+}
+
+static struct leaf_connection *find_largest_reply(const struct leaf_client *c)
+{
+	struct leaf_connection *largest = NULL;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, c->calls);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct leaf_connection *n = value;
+
+		if (n->reader.reply && (!largest || fails_before(n, largest)))
+			largest = n;
+	}
+	return largest;
+}
+
+/*
+ * Fails calls until the other replies fit the limit: the largest replies of
+ * leaves that have sent unusable ones lately, then the largest of the others.
+ */
 static void limit_buffered_bytes(struct leaf_client *c)
 {
 	while (c->buffered_bytes > c->options.buffered_max_bytes) {
-		struct leaf_connection *largest = NULL;
-		GHashTableIter iter;
-		gpointer value;
+		struct leaf_connection *largest = find_largest_reply(c);
 
-		g_hash_table_iter_init(&iter, c->calls);
-		while (g_hash_table_iter_next(&iter, NULL, &value)) {
-			struct leaf_connection *n = value;
-
-			if (!largest ||
-			    n->buffered_bytes > largest->buffered_bytes)
-				largest = n;
-		}
 		if (!largest || !largest->buffered_bytes)
 			return;
 		counter_add(&overfull_total, 1);
@@ -218,6 +252,7 @@
 		return;
 	case REPLY_BROKEN:
 		counter_add(&unusable_total, 1);
+		n->endpoint->unusable_us = now_us(n->endpoint->client);
 		fail_call(n, n->reader.cause);
 		return;
 	case REPLY_INCOMPLETE:
@@ -372,6 +407,8 @@
 {
 	if (!o->limits.body_max_bytes)
 		o->limits.body_max_bytes = LEAF_BODY_MAX_BYTES;
+	if (!o->limits.headers_max)
+		o->limits.headers_max = LEAF_HEADERS_MAX;
 	if (!o->limits.other_max_bytes)
 		o->limits.other_max_bytes = LEAF_OTHER_MAX_BYTES;
 	if (!o->buffered_max_bytes)
--- a/net/reply_reader.c
+++ b/net/reply_reader.c
@@ -2,6 +2,11 @@
 
 #include <string.h>
 
+/* Memory of a header beside its characters: the entry and two blocks. */
+#define HEADER_OVERHEAD (sizeof(struct http_header) + 2 * 24)
+/* A buffer for the current header that has grown beyond this is replaced. */
+#define HEADER_BUFFER_KEPT 4096
+
 void reply_reader_init(struct reply_reader *r, const struct reply_limits *l,
 		       const char *echo_header)
 {
@@ -20,9 +25,19 @@
 	g_free(r->request_id);
 }
 
+static void shrink_buffer(GString **buffer)
+{
+	if ((*buffer)->allocated_len <= HEADER_BUFFER_KEPT)
+		return;
+	g_string_free(*buffer, TRUE);
+	*buffer = g_string_new(NULL);
+}
+
 void reply_reader_begin(struct reply_reader *r, const char *request_id,
 			bool is_head)
 {
+	shrink_buffer(&r->field);
+	shrink_buffer(&r->value);
 	r->is_used = r->request_id != NULL;
 	g_free(r->request_id);
 	r->request_id = g_strdup(request_id ? request_id : "");
@@ -47,17 +62,29 @@
 	h.name = g_strndup(r->field->str, r->field->len);
 	h.value = g_strndup(r->value->str, r->value->len);
 	g_array_append_val(r->reply->headers, h);
+	r->header_memory += r->field->len + r->value->len + HEADER_OVERHEAD;
 	g_string_truncate(r->field, 0);
 	g_string_truncate(r->value, 0);
 	r->is_value = false;
 }
 
+/* Returns whether one more header may be read. */
+static bool has_header_room(struct reply_reader *r)
+{
+	if (!r->limits.headers_max ||
+	    r->reply->headers->len < r->limits.headers_max)
+		return true;
+	r->cause = "reply has too many headers";
+	return false;
+}
+
 static int handle_message_begin(http_parser *parser)
 {
 	struct reply_reader *r = parser->data;
 
 	leaf_reply_unref(r->reply);
 	r->reply = leaf_reply_create();
+	r->header_memory = 0;
 	r->is_for_earlier_request = false;
 	r->is_past_head = false;
 	r->is_value = false;
@@ -74,6 +101,8 @@
 		return 0;
 	if (r->is_value)
 		flush_header(r);
+	if (!has_header_room(r))
+		return 1;
 	g_string_append_len(r->field, at, (gssize)len);
 	return 0;
 }
@@ -198,6 +227,12 @@
 	return r->reply ? r->reply->body->len : 0;
 }
 
+size_t reply_reader_memory(const struct reply_reader *r)
+{
+	return reply_reader_buffered_bytes(r) + r->header_memory +
+	       r->field->allocated_len + r->value->allocated_len;
+}
+
 static enum reply_state fail_reply(struct reply_reader *r, const char *cause)
 {
 	if (!r->cause)
@@ -242,5 +277,6 @@
 	struct leaf_reply *reply = r->reply;
 
 	r->reply = NULL;
+	r->header_memory = 0;
 	return reply;
 }
--- a/test/unit/test_leaf_client.c
+++ b/test/unit/test_leaf_client.c
@@ -3,6 +3,7 @@
 #include <arpa/inet.h>
 #include <errno.h>
 #include <fcntl.h>
+#include <malloc.h>
 #include <stdio.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -396,6 +397,133 @@
 	rig_clear(&g);
 }
 
+/* Sends a request to another leaf; its connection is the last one accepted. */
+static void send_to(struct rig *g, struct leaf_endpoint *e, uint64_t id)
+{
+	struct leaf_endpoint *own = g->endpoint;
+
+	g->endpoint = e;
+	send_request(g, id, g->peer_count);
+	g->endpoint = own;
+}
+
+/* Sends the head of a reply that never ends, up to a number of bytes. */
+static void send_long_head(struct rig *g, int peer, const char *line,
+			   size_t len)
+{
+	GString *text = g_string_new("HTTP/1.1 200 OK\r\n");
+
+	while (text->len < len)
+		g_string_append(text, line);
+	send_bytes(g, peer, text->str, text->len);
+	g_string_free(text, TRUE);
+}
+
+/*
+ * Guards against heads without end that fill the memory together, and against
+ * failing the long reply of a sound leaf to free memory for them.
+ */
+static void test_heads_of_all(void)
+{
+	/* NULL stands for a line of 235 characters. */
+	static const char *const lines[] = {
+		"a:\n",
+		"X: a\r\n",
+		"Name-of-a-header: and value\r\n",
+		NULL,
+	};
+	const size_t sound = 600 * 1024;
+	char *body = g_malloc0(sound);
+	char *long_line = g_strdup_printf("X: %0230d\r\n", 0);
+
+	for (size_t k = 0; k < G_N_ELEMENTS(lines); k++) {
+		struct rig g = { 0 };
+		struct leaf_endpoint *bad;
+		struct sockaddr_in address;
+		socklen_t len = sizeof(address);
+
+		rig_init_limited(&g, 800 * 1024);
+		getsockname(g.listener, (struct sockaddr *)&address, &len);
+		bad = leaf_endpoint_create(g.client, &address);
+		send_request(&g, 1, 0);
+		for (uint64_t i = 2; i < PEERS_MAX; i++)
+			send_to(&g, bad, i);
+		send_bytes(&g, 0, OK_HEAD "Content-Length: 614400\r\n\r\n",
+			   strlen(OK_HEAD) + 26);
+		send_bytes(&g, 0, body, sound - 1);
+		send_bytes(&g, 1, "garbage", 7);
+		wait_end(&g);
+		for (int i = 2; i < g.peer_count; i++)
+			send_long_head(&g, i, lines[k] ? lines[k] : long_line,
+				       40 * 1024);
+		for (int i = 0; i < 1000; i++)
+			run_client_step(&g);
+		send_bytes(&g, 0, body, 1);
+		wait_end(&g);
+		for (int i = 0; i < g.end_count; i++)
+			CU_ASSERT_EQUAL(g.ends[i].end == LEAF_CALL_DONE,
+					g.ends[i].call_id == 1);
+		CU_ASSERT(g.end_count > 20);
+		rig_clear(&g);
+	}
+	g_free(long_line);
+	g_free(body);
+}
+
+/* Reads pieces of a reply without end with many readers. */
+static void read_endless(const char *start, const char *piece)
+{
+	enum { READERS = 100 };
+	const struct reply_limits limits = {
+		.body_max_bytes = LEAF_BODY_MAX_BYTES,
+		.other_max_bytes = LEAF_OTHER_MAX_BYTES,
+		.headers_max = LEAF_HEADERS_MAX,
+	};
+	static struct reply_reader readers[READERS];
+	size_t before = mallinfo2().uordblks;
+	uint32_t broken = 0;
+	size_t held = 0;
+
+	for (int i = 0; i < READERS; i++) {
+		reply_reader_init(&readers[i], &limits, "Request-Id");
+		reply_reader_begin(&readers[i], "r1", false);
+		reply_reader_feed(&readers[i], start, strlen(start));
+	}
+	while (broken < READERS && held < 100u * 1024 * 1024) {
+		size_t used;
+
+		broken = 0;
+		held = 0;
+		for (int i = 0; i < READERS; i++) {
+			struct reply_reader *r = &readers[i];
+
+			for (int n = 0; n < 50 && !r->cause; n++)
+				reply_reader_feed(r, piece, strlen(piece));
+			broken += r->cause != NULL;
+			held += reply_reader_memory(r);
+		}
+		used = mallinfo2().uordblks - before;
+		/* 4 KB: what a reader needs without a reply. */
+		CU_ASSERT(used <= 2 * held + READERS * 4096);
+	}
+	for (int i = 0; i < READERS; i++)
+		reply_reader_clear(&readers[i]);
+}
+
+/* Guards against memory of replies that is missing in the account of all. */
+static void test_memory_counted(void)
+{
+	read_endless("HTTP/1.1 200 OK\r\n", "a:\n");
+	read_endless("HTTP/1.1 200 OK\r\n", "Some-Header: some value\r\n");
+	read_endless("HTTP/1.1 200 OK\r\nX: ", "aaaaaaaaaaaaaaaa");
+	read_endless("HTTP/1.1 200 OK\r\n", "aaaaaaaaaaaaaaaa");
+	read_endless("", "HTTP/1.1 103 Early\r\nLink: x\r\n\r\n");
+	read_endless("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n\r\n", "body");
+	read_endless("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n"
+		     "Transfer-Encoding: chunked\r\n\r\n",
+		     "4\r\nbody\r\n");
+}
+
 CU_TestInfo leaf_client_tests[] = {
 	{ "endless reply", test_endless_reply },
 	{ "declared length", test_declared_length },
@@ -404,5 +532,7 @@
 	{ "failure without id", test_failure_without_id },
 	{ "let go", test_detached_call },
 	{ "held by all calls", test_buffered_by_all },
+	{ "heads of all calls", test_heads_of_all },
+	{ "memory counted", test_memory_counted },
 	CU_TEST_INFO_NULL,
 };
