net: bound the memory of callers' bodies together

The body of a request is bounded by the configuration (256 KB on the sites), the bodies of 4,096 connections together were not: callers that send slowly could hold 1 GB, on hosts of 260 MB. Change: one account of all bodies, 32 MiB. A request beyond it is refused with 503, E1509 and Retry-After; it has reached no leaf. What was read of a body that is refused for its size is dropped at once as well. Looked at and left: the store's replies are bounded at 8 MiB, one at a time; frames of other hosts at 2 MB and 512 links, by hosts of the same fleet only.

--- a/include/net/http_server.h
+++ b/include/net/http_server.h
@@ -19,6 +19,11 @@
 	const char *address;
 	/** Largest request body in bytes; 0 selects 1 MB. */
 	size_t max_body;
+	/**
+	 * Most bytes of the bodies of all requests that are read or answered;
+	 * a request beyond it is refused as not run. 0 selects 32 MiB.
+	 */
+	size_t max_buffered;
 	/** Most connections at the same time; 0 selects 4096. */
 	unsigned int max_connections;
 	/** Idle time after which a connection is closed; 0 sets no limit. */
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -19,6 +19,9 @@
 
 #define DEFAULT_MAX_BODY (1024 * 1024)
 #define DEFAULT_MAX_CONNECTIONS 4096
+#define DEFAULT_MAX_BUFFERED (32u * 1024 * 1024)
+/* Backoff of callers whose body found no room; most bodies are short. */
+#define REFUSED_RETRY_AFTER_S "1"
 /* Interval at which a stop checks for remaining connections and requests. */
 #define STOP_POLL_US 5000
 /* Time in which a handshake that has begun ends: a round trip to callers. */
@@ -58,6 +61,8 @@
 	bool is_draining;
 	/* New requests are refused: the server is being destroyed. */
 	bool is_closed;
+	/* Bytes of the bodies of all requests. */
+	size_t buffered_bytes;
 	/* Requests passed to handle_request() and not answered yet. */
 	unsigned int unanswered_count;
 	/* Guards the connections, which other threads also read. */
@@ -78,6 +83,10 @@
 	/* Of struct http_header, in the order of arrival. */
 	GArray *headers;
 	bool is_too_large;
+	/* The bodies of all requests leave no room for this one. */
+	bool is_without_room;
+	/* Bytes of the body, as counted in the server's total. */
+	size_t buffered_bytes;
 	bool is_submitted;
 	bool is_first;
 	/* Set by the answering thread, read after the connection's resume. */
@@ -92,6 +101,8 @@
 		return;
 	if (x->response)
 		MHD_destroy_response(x->response);
+	__atomic_sub_fetch(&x->server->buffered_bytes, x->buffered_bytes,
+			   __ATOMIC_RELAXED);
 	g_free(x->method);
 	g_free(x->path);
 	g_free(x->target);
@@ -228,6 +239,9 @@
 	enum MHD_Result ret;
 
 	MHD_add_response_header(r, "Content-Type", "application/json");
+	if (status == 503)
+		MHD_add_response_header(r, "Retry-After",
+					REFUSED_RETRY_AFTER_S);
 	add_close_header(s, r);
 	ret = MHD_queue_response(connection, status, r);
 	MHD_destroy_response(r);
@@ -236,6 +250,38 @@
 	return ret;
 }
 
+/* Drops what was read of a body; the rest is read and dropped as well. */
+static void drop_body(struct http_exchange *x)
+{
+	g_string_free(x->body, TRUE);
+	x->body = g_string_new(NULL);
+	__atomic_sub_fetch(&x->server->buffered_bytes, x->buffered_bytes,
+			   __ATOMIC_RELAXED);
+	x->buffered_bytes = 0;
+}
+
+static void append_body(struct http_exchange *x, const char *data, size_t size)
+{
+	struct http_server *s = x->server;
+
+	if (x->is_too_large || x->is_without_room)
+		return;
+	if (x->body->len + size >
+	    __atomic_load_n(&s->max_body, __ATOMIC_RELAXED)) {
+		x->is_too_large = true;
+		drop_body(x);
+		return;
+	}
+	x->buffered_bytes += size;
+	if (__atomic_add_fetch(&s->buffered_bytes, size, __ATOMIC_RELAXED) >
+	    s->options.max_buffered) {
+		x->is_without_room = true;
+		drop_body(x);
+		return;
+	}
+	g_string_append_len(x->body, data, (gssize)size);
+}
+
 static enum MHD_Result submit_request(struct http_server *s,
 				      struct http_exchange *x)
 {
@@ -266,14 +312,12 @@
 		return MHD_YES;
 	}
 	if (*size) {
-		if (x->body->len + *size >
-		    __atomic_load_n(&s->max_body, __ATOMIC_RELAXED))
-			x->is_too_large = true;
-		else
-			g_string_append_len(x->body, data, (gssize)*size);
+		append_body(x, data, *size);
 		*size = 0;
 		return MHD_YES;
 	}
+	if (x->is_without_room)
+		return queue_refusal(s, connection, 503, ERR_NET_NO_ROOM);
 	if (x->is_too_large)
 		return queue_refusal(s, connection, 413, ERR_NET_BODY_SIZE);
 	if (x->is_submitted)
@@ -306,6 +350,8 @@
 		return -ERR_INVAL;
 	s = g_new0(struct http_server, 1);
 	s->options = *options;
+	if (!s->options.max_buffered)
+		s->options.max_buffered = DEFAULT_MAX_BUFFERED;
 	s->max_body = options->max_body ? options->max_body : DEFAULT_MAX_BODY;
 	pthread_mutex_init(&s->lock, NULL);
 	s->connections = g_hash_table_new_full(NULL, NULL, g_free, NULL);
@@ -567,6 +613,8 @@
 void http_exchange_reply(struct http_exchange *x, unsigned int status,
 			 const char *content_type, const char *body, size_t len)
 {
+	struct http_server *s = x->server;
+
 	x->status = status;
 	x->response = MHD_create_response_from_buffer(len, (void *)body,
 						      MHD_RESPMEM_MUST_COPY);
@@ -578,8 +626,9 @@
 		MHD_add_response_header(x->response, x->reply_headers->pdata[i],
 					x->reply_headers->pdata[i + 1]);
 	MHD_resume_connection(x->connection);
-	__atomic_sub_fetch(&x->server->unanswered_count, 1, __ATOMIC_SEQ_CST);
 	exchange_unref(x);
+	/* Once the count is 0, the server may be freed. */
+	__atomic_sub_fetch(&s->unanswered_count, 1, __ATOMIC_SEQ_CST);
 }
 
 void http_exchange_drop(struct http_exchange *x)
