router: follow storms of large versions

Cause: a watch returns every version since the last one. Above 8 MiB the call ended, counted as a loss of the store, and was repeated from the same revision, for more still, until the store dropped its history. Of several changes of a key the last one is decoded and sent on. Followers get changes in pieces of 1 MiB, each of which states the revision up to which it is complete; before, one frame held all of them, and frames above 2 MB are refused. A list is sent on as the changes since the revision that its host had, not since 0. The version in force and the age of its last news are metrics. Ruled out: a larger bound; 40 versions of 1 MB take 56 MB. Reading the key of the configuration alone: the leaves' entries of the same watch are lost too.

--- a/include/nutmegpickd/registry_thread.h
+++ b/include/nutmegpickd/registry_thread.h
@@ -50,4 +50,10 @@
 /** Ends and joins the thread and frees it. */
 void registry_thread_stop(struct registry_thread *t);
 
+/**
+ * Returns the monotonic time at which the store last answered a list or watch;
+ * 0 if it never has. May be called from any thread.
+ */
+int64_t registry_thread_news_us(const struct registry_thread *t);
+
 #endif
--- a/include/nutmegpickd/route_metrics.h
+++ b/include/nutmegpickd/route_metrics.h
@@ -15,6 +15,12 @@
  */
 void route_metrics_note_leaf_rate(const struct leaf_rate_report *report);
 
+/**
+ * Sets the version of the routes in force, and the time since this host last
+ * heard from the store or from its feed; negative if it never has.
+ */
+void route_metrics_note_routes(uint64_t version, int64_t news_age_us);
+
 /** Returns all metrics as Prometheus text; free with g_free(). */
 char *route_metrics_render(void);
 
--- a/include/router/feed.h
+++ b/include/router/feed.h
@@ -91,4 +91,10 @@
 /** Returns whether this host follows another one. */
 bool feed_is_following(const struct feed *f);
 
+/**
+ * Returns when the followed host last told that it watches the store; 0 if none
+ * is followed.
+ */
+int64_t feed_news_us(const struct feed *f);
+
 #endif
--- a/include/store/mirror.h
+++ b/include/store/mirror.h
@@ -14,6 +14,8 @@
 	gsize value_len;
 	/** Store revision of the change. */
 	uint64_t revision;
+	/** Used within store_mirror_apply(). */
+	bool is_superseded;
 };
 
 /** Changes of the store between two revisions. */
@@ -32,6 +34,13 @@
 /** Adds a copy of an item. */
 void store_changes_add(struct store_changes *c, const struct store_item *i);
 
+/**
+ * Splits changes into pieces of at most max_bytes, or of one item. A mirror
+ * that has applied some of the pieces in order misses no change up to its
+ * revision. Returns an array of struct store_changes, which frees them.
+ */
+GPtrArray *store_changes_split(const struct store_changes *c, size_t max_bytes);
+
 /** Local copy of the store keys that hosts use, at one revision. */
 struct store_mirror {
 	/** Items by key, including tombstones. */
@@ -46,9 +55,9 @@
 
 /**
  * Applies changes to the mirror, and removes from the changes the items that
- * the mirror has already. Complete changes get a tombstone for each deleted
- * key. Returns false and applies nothing if changes between the mirror's
- * revision and these are missing.
+ * the mirror has already and those that a later item supersedes. Complete
+ * changes get a tombstone for each deleted key. Returns false and applies
+ * nothing if changes between the mirror's revision and these are missing.
  */
 bool store_mirror_apply(struct store_mirror *m, struct store_changes *c);
 
--- a/nutmegpickd/registry_thread.c
+++ b/nutmegpickd/registry_thread.c
@@ -57,6 +57,8 @@
 	CURL *curl;
 	GByteArray *body;
 	size_t header_bytes;
+	/** The reply exceeded REPLY_MAX_BYTES. */
+	bool is_reply_too_long;
 	struct reply_head head;
 	bool is_listed;
 	bool is_store_lost;
@@ -77,6 +79,8 @@
 	int64_t next_rare_watch_us;
 	bool is_withdrawn;
 	bool is_stopping;
+	/** When the store last answered a list or watch; read by any thread. */
+	int64_t news_us;
 };
 
 static bool read_flag(struct registry_thread *t, const bool *flag)
@@ -99,7 +103,8 @@
 {
 	struct registry_thread *t = ctx;
 
-	if (t->body->len + size * count > REPLY_MAX_BYTES)
+	t->is_reply_too_long = t->body->len + size * count > REPLY_MAX_BYTES;
+	if (t->is_reply_too_long)
 		return 0;
 	g_byte_array_append(t->body, (const guint8 *)data,
 			    (guint)(size * count));
@@ -160,6 +165,7 @@
 
 	g_byte_array_set_size(t->body, 0);
 	t->header_bytes = 0;
+	t->is_reply_too_long = false;
 	t->head = (struct reply_head){ 0 };
 	curl_easy_setopt(t->curl, CURLOPT_URL, url);
 	curl_easy_setopt(t->curl, CURLOPT_TIMEOUT_MS, timeout_ms);
@@ -261,6 +267,7 @@
 	    !platform_store_decode_changes((const char *)t->body->data,
 					   t->body->len, page, has_more)) {
 		note_store_returned(t);
+		__atomic_store_n(&t->news_us, now_us(t), __ATOMIC_RELAXED);
 		return 0;
 	}
 	note_store_lost(t, what, status);
@@ -366,6 +373,16 @@
 		t->is_listed = false;
 		return;
 	}
+	/*
+	 * A watch returns each version of a value since the revision, a list
+	 * only the last one. To ask again would return even more.
+	 */
+	if (t->is_reply_too_long) {
+		event_log(EV_WATCH_TOO_LONG, "revision=%llu bytes=%u",
+			  (unsigned long long)revision, t->body->len);
+		t->is_listed = false;
+		return;
+	}
 	/* A watch that handle_progress() aborted is no failure of the store. */
 	if (!status && handle_progress(t, 0, 0, 0, 0))
 		return;
@@ -563,3 +580,8 @@
 	pthread_cond_destroy(&t->changed);
 	g_free(t);
 }
+
+int64_t registry_thread_news_us(const struct registry_thread *t)
+{
+	return __atomic_load_n(&t->news_us, __ATOMIC_RELAXED);
+}
--- a/nutmegpickd/route_metrics.c
+++ b/nutmegpickd/route_metrics.c
@@ -49,6 +49,30 @@
 /* By id of the leaf; guarded by series_lock. */
 static GHashTable *leaf_rates;
 
+/* Routes in force; guarded by series_lock. */
+static uint64_t routes_version;
+static int64_t routes_news_age_us = -1;
+
+void route_metrics_note_routes(uint64_t version, int64_t news_age_us)
+{
+	pthread_mutex_lock(&series_lock);
+	routes_version = version;
+	routes_news_age_us = news_age_us;
+	pthread_mutex_unlock(&series_lock);
+}
+
+static void render_routes(GString *out)
+{
+	g_string_append_printf(out,
+			       "nutmegpick_routes_version %" G_GUINT64_FORMAT
+			       "\n",
+			       routes_version);
+	if (routes_news_age_us >= 0)
+		g_string_append_printf(out,
+				       "nutmegpick_routes_news_seconds %.3f\n",
+				       (double)routes_news_age_us / US_PER_S);
+}
+
 static void handle_free_leaf_rate(gpointer data)
 {
 	struct leaf_rate_series *s = data;
@@ -223,6 +247,7 @@
 			render_route(out, route, s);
 	}
 	render_leaf_rates(out);
+	render_routes(out);
 	pthread_mutex_unlock(&series_lock);
 	return g_string_free(out, FALSE);
 }
--- a/nutmegpickd/route_service.c
+++ b/nutmegpickd/route_service.c
@@ -209,6 +209,15 @@
 	http_server_close_expired(s->server);
 }
 
+static void report_routes(struct route_service *s, int64_t now)
+{
+	int64_t news = MAX(registry_thread_news_us(s->registry),
+			   feed_news_us(s->feed));
+
+	route_metrics_note_routes(router_version(s->router),
+				  news ? now - news : -1);
+}
+
 static void run_due_work(struct route_service *s)
 {
 	int64_t now = clock_now(&s->clock);
@@ -226,6 +235,7 @@
 	if (now >= s->next_callers_check_us) {
 		s->next_callers_check_us = now + CALLERS_CHECK_US;
 		check_callers(s);
+		report_routes(s, now);
 	}
 	if (s->transport) {
 		route_check_forwards(s);
--- a/router/feed.c
+++ b/router/feed.c
@@ -28,6 +28,12 @@
  */
 #define START_DELAY_US (700 * US_PER_MS)
 
+/*
+ * Changes are sent to a follower in pieces of this size. The largest value of
+ * the store takes 1 MB, and a frame at most 2 MB.
+ */
+#define PIECE_MAX_BYTES (1024u * 1024)
+
 struct feed {
 	struct feed_options options;
 	/** Address of the host to which this one has subscribed, or NULL. */
@@ -294,16 +300,28 @@
 	send_heartbeats(f);
 }
 
+/* Sends changes in pieces that fit into a frame between hosts. */
+static void send_changes(struct feed *f, const char *address,
+			 const GPtrArray *pieces)
+{
+	for (guint i = 0; i < pieces->len; i++)
+		f->options.ops->send_changes(f->options.ctx, address,
+					     pieces->pdata[i]);
+}
+
 void feed_publish(struct feed *f, const struct store_changes *c)
 {
 	GHashTableIter iter;
+	GPtrArray *pieces;
 	gpointer address;
 
-	if (f->is_following)
+	if (f->is_following || !g_hash_table_size(f->subscribers))
 		return;
+	pieces = store_changes_split(c, PIECE_MAX_BYTES);
 	g_hash_table_iter_init(&iter, f->subscribers);
 	while (g_hash_table_iter_next(&iter, &address, NULL))
-		f->options.ops->send_changes(f->options.ctx, address, c);
+		send_changes(f, address, pieces);
+	g_ptr_array_free(pieces, TRUE);
 }
 
 void feed_handle_subscribe(struct feed *f, const char *address,
@@ -318,8 +336,12 @@
 		return;
 	}
 	g_hash_table_add(f->subscribers, g_strdup(address));
-	if (c->items->len)
-		f->options.ops->send_changes(f->options.ctx, address, c);
+	if (c->items->len) {
+		GPtrArray *pieces = store_changes_split(c, PIECE_MAX_BYTES);
+
+		send_changes(f, address, pieces);
+		g_ptr_array_free(pieces, TRUE);
+	}
 	store_changes_free(c);
 	send_feed_heartbeat(f, address);
 }
@@ -400,3 +422,8 @@
 {
 	return f->is_following;
 }
+
+int64_t feed_news_us(const struct feed *f)
+{
+	return f->is_following ? f->last_contact_us : 0;
+}
--- a/store/mirror.c
+++ b/store/mirror.c
@@ -128,14 +128,46 @@
 	}
 }
 
+/* Drops the changes of a key that later ones of the same changes supersede. */
+static void drop_superseded(struct store_changes *c)
+{
+	GHashTable *newest = g_hash_table_new(g_str_hash, g_str_equal);
+
+	for (guint i = 0; i < c->items->len; i++) {
+		struct store_item *item =
+			&g_array_index(c->items, struct store_item, i);
+		const struct store_item *other =
+			g_hash_table_lookup(newest, item->key);
+
+		if (!other || item->revision >= other->revision)
+			g_hash_table_replace(newest, item->key, item);
+	}
+	for (guint i = c->items->len; i-- > 0;) {
+		struct store_item *item =
+			&g_array_index(c->items, struct store_item, i);
+
+		if (g_hash_table_lookup(newest, item->key) != item)
+			item->is_superseded = true;
+	}
+	g_hash_table_destroy(newest);
+	for (guint i = c->items->len; i-- > 0;) {
+		if (g_array_index(c->items, struct store_item, i).is_superseded)
+			g_array_remove_index(c->items, i);
+	}
+}
+
 bool store_mirror_apply(struct store_mirror *m, struct store_changes *c)
 {
 	if (!c->is_complete && c->from > m->revision)
 		return false;
-	if (c->is_complete && c->to < m->revision)
+	drop_superseded(c);
+	if (c->is_complete && c->to < m->revision) {
 		g_array_set_size(c->items, 0);
-	else if (c->is_complete)
+	} else if (c->is_complete) {
 		add_tombstones(m, c);
+		/* What the mirror has already is removed below. */
+		c->from = m->revision;
+	}
 	for (guint i = 0; i < c->items->len;) {
 		const struct store_item *item =
 			&g_array_index(c->items, struct store_item, i);
@@ -173,3 +205,60 @@
 	}
 	return c;
 }
+
+static gint compare_revisions(gconstpointer a, gconstpointer b)
+{
+	const struct store_item *x = *(const struct store_item *const *)a;
+	const struct store_item *y = *(const struct store_item *const *)b;
+
+	return x->revision < y->revision ? -1 : x->revision > y->revision;
+}
+
+static size_t item_bytes(const struct store_item *i)
+{
+	return strlen(i->key) + i->value_len + sizeof(*i);
+}
+
+static struct store_changes *begin_piece(GPtrArray *pieces, uint64_t from,
+					 uint64_t to)
+{
+	struct store_changes *c = store_changes_create();
+
+	c->from = from;
+	c->to = to;
+	g_ptr_array_add(pieces, c);
+	return c;
+}
+
+static void handle_free_changes(gpointer changes)
+{
+	store_changes_free(changes);
+}
+
+GPtrArray *store_changes_split(const struct store_changes *c, size_t max_bytes)
+{
+	GPtrArray *pieces = g_ptr_array_new_with_free_func(handle_free_changes);
+	GPtrArray *items = g_ptr_array_new();
+	struct store_changes *piece = begin_piece(pieces, c->from, c->to);
+	size_t bytes = 0;
+
+	for (guint i = 0; i < c->items->len; i++)
+		g_ptr_array_add(items,
+				&g_array_index(c->items, struct store_item, i));
+	g_ptr_array_sort(items, compare_revisions);
+	for (guint i = 0; i < items->len; i++) {
+		const struct store_item *item = items->pdata[i];
+
+		bytes += item_bytes(item);
+		if (bytes > max_bytes && piece->items->len) {
+			/* One revision may have changed several keys. */
+			piece->to = MIN(MAX(item->revision, 1) - 1, c->to);
+			piece->to = MAX(piece->to, piece->from);
+			piece = begin_piece(pieces, piece->to, c->to);
+			bytes = item_bytes(item);
+		}
+		store_changes_add(piece, item);
+	}
+	g_ptr_array_free(items, TRUE);
+	return pieces;
+}
--- a/test/unit/main.c
+++ b/test/unit/main.c
@@ -39,6 +39,7 @@
 	{ "router feed", NULL, NULL, NULL, NULL, router_feed_tests },
 	{ "upstream", NULL, NULL, NULL, NULL, upstream_tests },
 	{ "peer", NULL, NULL, NULL, NULL, peer_tests },
+	{ "store changes", NULL, NULL, NULL, NULL, store_change_tests },
 	{ "store etcd", NULL, NULL, NULL, NULL, store_etcd_tests },
 	{ "store follow", NULL, NULL, NULL, NULL, store_follow_tests },
 	{ "store gateway", NULL, NULL, NULL, NULL, store_gateway_tests },
--- a/test/unit/suites.h
+++ b/test/unit/suites.h
@@ -39,6 +39,7 @@
 extern CU_TestInfo start_hold_tests[];
 extern CU_TestInfo upstream_tests[];
 extern CU_TestInfo peer_tests[];
+extern CU_TestInfo store_change_tests[];
 extern CU_TestInfo store_etcd_tests[];
 extern CU_TestInfo store_follow_tests[];
 extern CU_TestInfo store_gateway_tests[];
