router: let leaves without told load recover from refusals

Seen by a review: a service whose leaves tell no load stays at a fifth of its service after some seconds of refusals, with idle leaves and true 503s. Cause: a refusal lowers the concurrency limit of a leaf, and only a reply that tells a load raised it again. Change: an answer of a leaf that tells no load, at its limit, raises it by half a call for each round of calls, up to what the limit began with. Beyond that the queue at the leaf would not be known. Ruled out: growing on as with a told load; the limit would pass the slots of the leaf and fill its queue until it refuses. Time alone: it would raise the limit of a leaf that still refuses.

--- a/include/router/leaf_set.h
+++ b/include/router/leaf_set.h
@@ -174,4 +174,7 @@
 /** Returns whether new calls may be sent to the leaf. */
 bool route_leaf_is_usable(const struct route_leaf *leaf, int64_t now_us);
 
+/** Returns the concurrency limit of a leaf of which no reply is known yet. */
+double leaf_set_initial_concurrency(const struct route_leaf *leaf);
+
 #endif
--- a/router/choice.c
+++ b/router/choice.c
@@ -46,6 +46,8 @@
 #define SHRINK_QUEUE_FACTOR 0.8
 #define SHRINK_REFUSED_FACTOR 0.6
 #define GROW_STEP 0.5
+/* The same for each round of calls at a leaf that tells no load. */
+#define GROW_ROUND_STEP 0.5
 /* A leaf that refused a call as full gets no calls for this time. */
 #define FULL_PAUSE_US (40 * US_PER_MS)
 /* Duration assumed for a call without a reply, as a factor on its age. */
@@ -389,6 +391,24 @@
 		1, MIN(leaf->concurrency_limit, leaf->calls.length) * factor);
 }
 
+/*
+ * Lets the limit of a leaf that tells no load return to what it began with: the
+ * queue at such a leaf is not known, so refusals alone do not raise it again.
+ */
+static void grow_without_load(struct route_leaf *leaf)
+{
+	double most =
+		MIN(leaf_set_initial_concurrency(leaf), max_concurrency(leaf));
+
+	if (leaf->concurrency_limit >= most ||
+	    leaf->calls.length < leaf->concurrency_limit)
+		return;
+	leaf->concurrency_limit =
+		MIN(leaf->concurrency_limit +
+			    GROW_ROUND_STEP / MAX(leaf->concurrency_limit, 1),
+		    most);
+}
+
 /*
  * Keeps the queue of a leaf short: calls that wait in it are late for all hosts
  * and cannot move to another leaf.
@@ -401,7 +421,8 @@
 		leaf->full_until_us = now + FULL_PAUSE_US;
 		shrink_concurrency_limit(leaf, SHRINK_REFUSED_FACTOR, now);
 	} else if (!result->load.is_known) {
-		return;
+		if (result->outcome == CALL_ANSWERED)
+			grow_without_load(leaf);
 	} else if (2 * result->load.waiting > leaf->entry.slots) {
 		shrink_concurrency_limit(leaf, SHRINK_QUEUE_FACTOR, now);
 	} else if (!result->load.waiting &&
--- a/router/leaf_set.c
+++ b/router/leaf_set.c
@@ -161,6 +161,11 @@
 	return (double)(hash >> 11) / (double)(1ULL << 53);
 }
 
+double leaf_set_initial_concurrency(const struct route_leaf *leaf)
+{
+	return MAX(leaf->entry.slots, CONCURRENCY_START_MIN);
+}
+
 static void add_leaf(struct leaf_set *s, struct leaf_entry *e)
 {
 	struct route_leaf *leaf = g_new0(struct route_leaf, 1);
@@ -169,7 +174,7 @@
 	leaf->entry = *e;
 	memset(e, 0, sizeof(*e));
 	g_queue_init(&leaf->calls);
-	leaf->concurrency_limit = MAX(leaf->entry.slots, CONCURRENCY_START_MIN);
+	leaf->concurrency_limit = leaf_set_initial_concurrency(leaf);
 	leaf->pool = leaf_set_get_pool(s, leaf->entry.service);
 	leaf->distance = leaf_set_distance(s, leaf->entry.domain);
 	leaf->preference = preference_for(s, leaf->entry.id);
--- a/test/unit/test_router.c
+++ b/test/unit/test_router.c
@@ -621,6 +621,46 @@
 	fake_router_destroy(f);
 }
 
+/*
+ * Guards against a service whose leaves tell no load and which, after some
+ * seconds of refusals, stays at a part of its capacity with idle leaves.
+ */
+static void test_recovery_without_load(void)
+{
+	for (guint32 seed = 1; seed <= 50; seed++) {
+		struct fake_router *f = fake_router_create_seeded(1, seed);
+		GRand *rand = g_rand_new_with_seed(seed);
+		int64_t duration = g_rand_int_range(rand, 5, 60) * US_PER_MS;
+		int refusals = g_rand_int_range(rand, 20, 400);
+		uint32_t before;
+
+		for (int i = 0; i < refusals; i++) {
+			fake_router_start_request(f, "/put/x", 0);
+			fake_router_end_call(f, f->call_count - 1, CALL_NOT_RUN,
+					     503, NULL);
+			fake_router_end_call(f, f->call_count - 1, CALL_NOT_RUN,
+					     503, NULL);
+			fake_router_advance(f, g_rand_int_range(rand, 1, 80) *
+						       US_PER_MS);
+		}
+		/* Load beyond what the three leaves take: 4 slots each. */
+		for (int i = 0; i < 60; i++) {
+			for (int k = 0; k < 12; k++)
+				fake_router_start_request(f, "/put/x", 0);
+			fake_router_advance(f, duration);
+			fake_router_answer_all(f);
+		}
+		fake_router_advance(f, 2000 * US_PER_MS);
+		fake_router_answer_all(f);
+		before = f->call_count;
+		for (int k = 0; k < 12; k++)
+			fake_router_start_request(f, "/put/x", 0);
+		CU_ASSERT_EQUAL(f->call_count, before + 12);
+		g_rand_free(rand);
+		fake_router_destroy(f);
+	}
+}
+
 CU_TestInfo router_tests[] = {
 	{ "gather merge", test_gather_merge },
 	{ "gather goal", test_gather_goal },
@@ -644,5 +684,6 @@
 	{ "batch", test_batch },
 	{ "batch overlap", test_batch_overlap },
 	{ "batch remote", test_batch_remote },
+	{ "recovery without load", test_recovery_without_load },
 	CU_TEST_INFO_NULL,
 };
