router: take news after a lost feed for old

Change: a watch waits for 1.3 s instead of 2 s. What arrives within a second after a feed was lost counts as old: leaves that it takes away get no call. Ruled out: a shorter grace without a lost feed. News is fresh then, and the grace serves requests where all other leaves are busy.

--- a/include/nutmegpickd/catalog.h
+++ b/include/nutmegpickd/catalog.h
@@ -13,6 +13,8 @@
 	struct store_mirror mirror;
 	/** Time at which the store was last regained; 0 if never lost. */
 	int64_t store_back_at_us;
+	/** When this host lost the feed that it followed, or 0. */
+	int64_t feed_lost_at_us;
 };
 
 /**
--- a/include/router/feed.h
+++ b/include/router/feed.h
@@ -48,6 +48,11 @@
 	 * it: the leases of leaf entries may have expired in between.
 	 */
 	void (*note_store_back)(void *ctx);
+	/**
+	 * Notes that the followed host has failed or lost the store. Changes
+	 * that arrive next may be old.
+	 */
+	void (*note_feed_lost)(void *ctx);
 };
 
 struct feed_options {
--- a/include/router/leaf_set.h
+++ b/include/router/leaf_set.h
@@ -14,6 +14,12 @@
 /** Maximum number of routes whose call durations are kept for a leaf. */
 #define LEAF_ROUTES_MAX 4
 
+/**
+ * A draining leaf still serves for the drain time of the platform, which is at
+ * least 3 s. It gets calls for this time if there is no other leaf.
+ */
+#define LEAVING_GRACE_US (1200 * US_PER_MS)
+
 /** Entry of one leaf in the service registry. */
 struct leaf_entry {
 	char *id;
@@ -113,6 +119,8 @@
 
 /** All leaves of the registry. */
 struct leaf_set {
+	/** Time for which a leaf that begins to drain is called if need be. */
+	int64_t leaving_grace_us;
 	char *host;
 	char *domain;
 	/** Region by failure domain. */
--- a/nutmegpickd/catalog.c
+++ b/nutmegpickd/catalog.c
@@ -19,6 +19,13 @@
  */
 #define RETURN_GRACE_US (2300 * US_PER_MS)
 
+/*
+ * Changes that arrive so soon after a feed was lost were made up to 2.5 s ago:
+ * a watch that the store does not answer fails after 2.1 s. The leaves that
+ * they take away serve for 3 s since then, and are not called any more.
+ */
+#define FEED_CHANGE_US (1 * US_PER_S)
+
 static void apply_routes(struct catalog *c, const struct store_item *i)
 {
 	struct route_table *table;
@@ -36,8 +43,15 @@
 		router_apply_table(c->router, table);
 }
 
+static bool is_old_news(const struct catalog *c, int64_t now)
+{
+	return c->feed_lost_at_us && now - c->feed_lost_at_us < FEED_CHANGE_US;
+}
+
 static int64_t removal_grace(const struct catalog *c, int64_t now)
 {
+	if (is_old_news(c, now))
+		return 0;
 	if (c->store_back_at_us && now - c->store_back_at_us < RETURN_GRACE_US)
 		return RETURN_GRACE_US;
 	return REMOVED_GRACE_US;
@@ -50,6 +64,7 @@
 	int64_t now = clock_now(&c->clock);
 	struct leaf_entry entry;
 
+	leaves->leaving_grace_us = is_old_news(c, now) ? 0 : LEAVING_GRACE_US;
 	if (i->value && !platform_decode_leaf(id, (const char *)i->value,
 					      i->value_len, &entry)) {
 		leaf_set_put(leaves, &entry, now);
--- a/nutmegpickd/registry_thread.c
+++ b/nutmegpickd/registry_thread.c
@@ -13,11 +13,12 @@
 
 /*
  * Longest wait of one watch, and the time beyond it until the call fails. A
- * store that accepts a watch and never answers it is detected in less than 3 s,
- * the shortest time permitted for putting a configuration in force. A shorter
- * wait needs more calls to the store, and each of them is charged.
+ * store that accepts a watch and never answers it is detected soon enough for
+ * the followers of this host to learn within 3 s from another one what they
+ * missed. A shorter wait needs more calls to the store, and each of them is
+ * charged.
  */
-#define WATCH_WAIT_US (2 * US_PER_S)
+#define WATCH_WAIT_US (1300 * US_PER_MS)
 #define WATCH_TIMEOUT_MS 800
 #define WATCH_WAIT_MIN_US (500 * US_PER_MS)
 #define CALL_TIMEOUT_MS 1500
--- a/nutmegpickd/route_hosts.c
+++ b/nutmegpickd/route_hosts.c
@@ -83,6 +83,13 @@
 	s->catalog.store_back_at_us = clock_now(&s->clock);
 }
 
+static void note_feed_lost(void *ctx)
+{
+	struct route_service *s = ctx;
+
+	s->catalog.feed_lost_at_us = clock_now(&s->clock);
+}
+
 const struct feed_ops route_feed_ops = {
 	.subscribe = send_subscribe,
 	.unsubscribe = send_unsubscribe,
@@ -90,6 +97,7 @@
 	.send_feed_heartbeat = send_feed_heartbeat,
 	.set_watch = set_registry_watch,
 	.note_store_back = note_store_back,
+	.note_feed_lost = note_feed_lost,
 };
 
 /*
--- a/router/feed.c
+++ b/router/feed.c
@@ -146,6 +146,7 @@
 
 	if (h)
 		h->suspect_until_us = now_us(f) + AVOID_US;
+	f->options.ops->note_feed_lost(f->options.ctx);
 	stop_following(f, reason);
 }
 
@@ -160,6 +161,7 @@
 	if (h)
 		h->no_feed_until_us = now_us(f) + AVOID_US;
 	f->is_store_lost = f->is_store_lost || f->is_following;
+	f->options.ops->note_feed_lost(f->options.ctx);
 	stop_following(f, "store_lost");
 }
 
--- a/router/leaf_set.c
+++ b/router/leaf_set.c
@@ -6,12 +6,6 @@
 #include "common/events.h"
 #include "common/hash.h"
 
-/*
- * A draining leaf still serves for the drain time of the platform, which is at
- * least 3 s. It gets calls for this time if there is no other leaf.
- */
-#define LEAVING_GRACE_US (1200 * US_PER_MS)
-
 /*
  * The store may carry a leaf's write out seconds late, after newer ones. An
  * older entry that comes later than this is no late write: another writer has
@@ -60,6 +54,7 @@
 	s->pools = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					 handle_free_pool);
 	s->leaves = g_hash_table_new(g_str_hash, g_str_equal);
+	s->leaving_grace_us = LEAVING_GRACE_US;
 }
 
 struct route_leaf *route_leaf_ref(struct route_leaf *leaf)
@@ -182,8 +177,8 @@
 	g_hash_table_insert(s->leaves, leaf->entry.id, leaf);
 }
 
-static void update_leaf(struct route_leaf *leaf, const struct leaf_entry *e,
-			int64_t now_us)
+static void update_leaf(const struct leaf_set *s, struct route_leaf *leaf,
+			const struct leaf_entry *e, int64_t now_us)
 {
 	enum leaf_phase phase = e->is_draining ? LEAF_LEAVING : LEAF_IN_SERVICE;
 
@@ -198,7 +193,7 @@
 			  phase == LEAF_LEAVING ? "leaving" : "in_service",
 			  (long long)e->sequence);
 	if (phase == LEAF_LEAVING && leaf->phase == LEAF_IN_SERVICE)
-		leaf->usable_until_us = now_us + LEAVING_GRACE_US;
+		leaf->usable_until_us = now_us + s->leaving_grace_us;
 	leaf->phase = phase;
 }
 
@@ -215,7 +210,7 @@
 		return false;
 	}
 	if (leaf && is_same_leaf(e, &leaf->entry)) {
-		update_leaf(leaf, e, now_us);
+		update_leaf(s, leaf, e, now_us);
 		leaf_entry_clear(e);
 		return true;
 	}
--- a/test/unit/main.c
+++ b/test/unit/main.c
@@ -26,6 +26,7 @@
 	{ "leaf client", NULL, NULL, NULL, NULL, leaf_client_tests },
 	{ "merge", NULL, NULL, NULL, NULL, merge_tests },
 	{ "odd entries", NULL, NULL, NULL, NULL, odd_entry_tests },
+	{ "old news", NULL, NULL, NULL, NULL, old_news_tests },
 	{ "rate exchange", NULL, NULL, NULL, NULL, rate_exchange_tests },
 	{ "rate limit", NULL, NULL, NULL, NULL, rate_limit_tests },
 	{ "rate shares", NULL, NULL, NULL, NULL, rate_shares_tests },
--- a/test/unit/test_router_feed.c
+++ b/test/unit/test_router_feed.c
@@ -21,6 +21,8 @@
 	char heartbeat_receiver[32];
 	bool is_watching;
 	enum feed_watch watch;
+	/** Calls of note_feed_lost(). */
+	uint32_t feed_lost_count;
 	/** Calls of note_store_back(). */
 	uint32_t store_back_count;
 };
@@ -73,6 +75,13 @@
 	f->store_back_count++;
 }
 
+static void handle_feed_lost(void *ctx)
+{
+	struct fake_feed *f = ctx;
+
+	f->feed_lost_count++;
+}
+
 static const struct feed_ops ops = {
 	.subscribe = handle_subscribe,
 	.unsubscribe = handle_unsubscribe,
@@ -80,6 +89,7 @@
 	.send_feed_heartbeat = handle_send_heartbeat,
 	.set_watch = handle_set_watch,
 	.note_store_back = handle_store_back,
+	.note_feed_lost = handle_feed_lost,
 };
 
 static void add_host(struct fake_feed *f, const char *name, const char *domain,
@@ -177,10 +187,13 @@
 	advance_feed(f, 2 * US_PER_S);
 	CU_ASSERT_TRUE(f->is_watching);
 	CU_ASSERT_STRING_EQUAL(f->subscribed, "standby");
+	/* Changes that come next may be old. */
+	CU_ASSERT_EQUAL(f->feed_lost_count, 1);
 	feed_handle_heartbeat(f->feed, "standby", 10, true);
 	CU_ASSERT_FALSE(f->is_watching);
 	feed_handle_heartbeat(f->feed, "standby", 10, false);
 	CU_ASSERT_TRUE(f->is_watching);
+	CU_ASSERT_EQUAL(f->feed_lost_count, 2);
 	destroy_feed(f);
 }
 
