--- a/include/store/mirror.h
+++ b/include/store/mirror.h
@@ -14,8 +14,6 @@
 	gsize value_len;
 	/** Store revision of the change. */
 	uint64_t revision;
-	/** Used within store_mirror_apply(). */
-	bool is_superseded;
 };
 
 /** Changes of the store between two revisions. */
--- a/store/mirror.c
+++ b/store/mirror.c
@@ -131,29 +131,30 @@
 /* Drops the changes of a key that later ones of the same changes supersede. */
 static void drop_superseded(struct store_changes *c)
 {
+	/* Index of the newest change by key, plus one. */
 	GHashTable *newest = g_hash_table_new(g_str_hash, g_str_equal);
 
 	for (guint i = 0; i < c->items->len; i++) {
-		struct store_item *item =
+		const struct store_item *item =
 			&g_array_index(c->items, struct store_item, i);
-		const struct store_item *other =
-			g_hash_table_lookup(newest, item->key);
-
-		if (!other || item->revision >= other->revision)
-			g_hash_table_replace(newest, item->key, item);
+		guint at = GPOINTER_TO_UINT(
+			g_hash_table_lookup(newest, item->key));
+
+		if (!at ||
+		    item->revision >=
+			    g_array_index(c->items, struct store_item, at - 1)
+				    .revision)
+			g_hash_table_replace(newest, item->key,
+					     GUINT_TO_POINTER(i + 1));
 	}
 	for (guint i = c->items->len; i-- > 0;) {
-		struct store_item *item =
-			&g_array_index(c->items, struct store_item, i);
+		const char *key =
+			g_array_index(c->items, struct store_item, i).key;
 
-		if (g_hash_table_lookup(newest, item->key) != item)
-			item->is_superseded = true;
-	}
-	g_hash_table_destroy(newest);
-	for (guint i = c->items->len; i-- > 0;) {
-		if (g_array_index(c->items, struct store_item, i).is_superseded)
+		if (GPOINTER_TO_UINT(g_hash_table_lookup(newest, key)) != i + 1)
 			g_array_remove_index(c->items, i);
 	}
+	g_hash_table_destroy(newest);
 }
 
 bool store_mirror_apply(struct store_mirror *m, struct store_changes *c)
