net: answer or refuse requests on connections that are closed as idle

What callers saw: a request was taken on a kept connection that the host was closing as idle, passed on, possibly run by a leaf, and the connection ended without an answer. It happens on a stop and, without one, when a connection goes over its idle limit.

Cause: an idle connection was closed by shutdown() for receiving, as a request that has arrived can still be read then. That is so, but the HTTP library reads once more after the answering thread has resumed the connection, finds the end of the stream and closes without sending the response (strace: recvfrom() = 0, shutdown(), close()). The expiry of idle connections shut down both directions, so that an answer could not be sent in any case. The slower the server's thread is against the one that shuts down, the wider the window.

A refusal is sent without a further read.

Tests: "request before close" and "request after close" block the thread of the server. With the code before, both got no answer; the second was handled all the same.

Ruled out: shutdown() for sending as well, which loses the refusal.

--- a/net/http_server.c
+++ b/net/http_server.c
@@ -35,7 +35,6 @@
  * a request may be on its way when the listening socket closes.
  */
 #define STOP_IDLE_US 1000000
-
 /* Connection of a caller, from its acceptance to its end. */
 struct http_connection {
 	int fd;
@@ -220,20 +219,32 @@
 				  x);
 }
 
+static bool is_shut_down(const struct http_connection *c)
+{
+	return c && __atomic_load_n(&c->is_shut_down, __ATOMIC_RELAXED);
+}
+
 static void add_close_header(const struct http_server *s,
+			     const struct http_connection *c,
 			     struct MHD_Response *r)
 {
-	if (__atomic_load_n(&s->is_draining, __ATOMIC_ACQUIRE))
+	if (__atomic_load_n(&s->is_draining, __ATOMIC_ACQUIRE) ||
+	    is_shut_down(c))
 		MHD_add_response_header(r, "Connection", "close");
 }
 
+static char *refusal_body(int code)
+{
+	return g_strdup_printf("{\"error\":\"E%d\",\"message\":\"%s\","
+			       "\"run\":\"not_run\"}",
+			       code, error_text(code));
+}
+
 static enum MHD_Result queue_refusal(const struct http_server *s,
 				     struct MHD_Connection *connection,
 				     unsigned int status, int code)
 {
-	char *body = g_strdup_printf("{\"error\":\"E%d\",\"message\":\"%s\","
-				     "\"run\":\"not_run\"}",
-				     code, error_text(code));
+	char *body = refusal_body(code);
 	struct MHD_Response *r = MHD_create_response_from_buffer(
 		strlen(body), body, MHD_RESPMEM_MUST_COPY);
 	enum MHD_Result ret;
@@ -242,7 +253,7 @@
 	if (status == 503)
 		MHD_add_response_header(r, "Retry-After",
 					REFUSED_RETRY_AFTER_S);
-	add_close_header(s, r);
+	add_close_header(s, get_caller(connection), r);
 	ret = MHD_queue_response(connection, status, r);
 	MHD_destroy_response(r);
 	g_free(body);
@@ -309,6 +320,9 @@
 
 	if (!x->method) {
 		exchange_begin(x, method, url);
+		if (is_shut_down(x->caller))
+			return queue_refusal(s, connection, 503,
+					     ERR_NET_CLOSING);
 		return MHD_YES;
 	}
 	if (*size) {
@@ -316,12 +330,12 @@
 		*size = 0;
 		return MHD_YES;
 	}
+	if (x->is_submitted)
+		return MHD_queue_response(connection, x->status, x->response);
 	if (x->is_without_room)
 		return queue_refusal(s, connection, 503, ERR_NET_NO_ROOM);
 	if (x->is_too_large)
 		return queue_refusal(s, connection, 413, ERR_NET_BODY_SIZE);
-	if (x->is_submitted)
-		return MHD_queue_response(connection, x->status, x->response);
 	return submit_request(s, x);
 }
 
@@ -399,6 +413,23 @@
 	       now - c->idle_since_us > max;
 }
 
+/*
+ * Shuts down a connection and returns true, or returns false if a request is
+ * being received on one that was idle. One that arrives later is refused: the
+ * library ends such a connection when it reads the end of the stream, even if a
+ * request waits for its answer.
+ */
+static bool shut_down(struct http_connection *c)
+{
+	struct pollfd p = { .fd = c->fd, .events = POLLIN };
+
+	if (!c->is_busy && poll(&p, 1, 0) > 0)
+		return false;
+	__atomic_store_n(&c->is_shut_down, true, __ATOMIC_RELAXED);
+	shutdown(c->fd, c->is_busy ? SHUT_RDWR : SHUT_RD);
+	return true;
+}
+
 void http_server_close_expired(struct http_server *s)
 {
 	int64_t now = g_get_monotonic_time();
@@ -411,9 +442,7 @@
 	while (g_hash_table_iter_next(&iter, (gpointer *)&c, NULL)) {
 		if (!is_expired(s, c, now))
 			continue;
-		c->is_shut_down = true;
-		closed++;
-		shutdown(c->fd, SHUT_RDWR);
+		closed += shut_down(c);
 	}
 	pthread_mutex_unlock(&s->lock);
 	if (closed)
@@ -494,11 +523,7 @@
 	close(fd);
 }
 
-/*
- * Shuts down only the receiving side: a request that has arrived is still read
- * and answered before the server sees the end of the stream.
- */
-static void shut_down_idle_connections(struct http_server *s)
+static void shut_down_idle_connections(struct http_server *s, int64_t idle_us)
 {
 	int64_t now = g_get_monotonic_time();
 	struct http_connection *c;
@@ -507,11 +532,9 @@
 	pthread_mutex_lock(&s->lock);
 	g_hash_table_iter_init(&iter, s->connections);
 	while (g_hash_table_iter_next(&iter, (gpointer *)&c, NULL)) {
-		if (c->is_busy || c->is_shut_down ||
-		    now - c->idle_since_us < STOP_IDLE_US)
-			continue;
-		c->is_shut_down = true;
-		shutdown(c->fd, SHUT_RD);
+		if (!c->is_busy && !c->is_shut_down &&
+		    now - c->idle_since_us >= idle_us)
+			shut_down(c);
 	}
 	pthread_mutex_unlock(&s->lock);
 }
@@ -524,7 +547,7 @@
 	stop_listening(s);
 	while (http_server_connection_count(s) &&
 	       g_get_monotonic_time() < end) {
-		shut_down_idle_connections(s);
+		shut_down_idle_connections(s, STOP_IDLE_US);
 		g_usleep(STOP_POLL_US);
 	}
 	return http_server_connection_count(s);
@@ -586,8 +609,7 @@
 	struct pollfd p = { .fd = x->caller ? x->caller->fd : -1 };
 
 	/* After the server's own shutdown, POLLRDHUP is always set. */
-	if (x->caller &&
-	    !__atomic_load_n(&x->caller->is_shut_down, __ATOMIC_RELAXED))
+	if (x->caller && !is_shut_down(x->caller))
 		p.events = POLLRDHUP;
 	return poll(&p, 1, 0) > 0 &&
 	       (p.revents & (POLLRDHUP | POLLHUP | POLLERR));
@@ -621,7 +643,7 @@
 	if (content_type)
 		MHD_add_response_header(x->response, "Content-Type",
 					content_type);
-	add_close_header(x->server, x->response);
+	add_close_header(s, x->caller, x->response);
 	for (guint i = 0; i < x->reply_headers->len; i += 2)
 		MHD_add_response_header(x->response, x->reply_headers->pdata[i],
 					x->reply_headers->pdata[i + 1]);
--- a/test/unit/test_http_server.c
+++ b/test/unit/test_http_server.c
@@ -227,7 +227,125 @@
 	}
 }
 
+static int open_connection(uint16_t port)
+{
+	struct sockaddr_in address = {
+		.sin_family = AF_INET,
+		.sin_port = htons(port),
+		.sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+	};
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+	CU_ASSERT_EQUAL_FATAL(
+		connect(fd, (struct sockaddr *)&address, sizeof(address)), 0);
+	return fd;
+}
+
+/* Reads one short reply; returns its length, 0 if the connection has ended. */
+static size_t read_reply(int fd, char *reply, size_t size)
+{
+	size_t len = 0;
+	ssize_t n;
+
+	reply[0] = '\0';
+	while (len < size - 1 && !strstr(reply, "\r\n\r\nok") &&
+	       (n = recv(fd, reply + len, size - 1 - len, 0)) > 0) {
+		len += (size_t)n;
+		reply[len] = '\0';
+	}
+	return len;
+}
+
+#define KEPT_REQUEST "GET / HTTP/1.1\r\nHost: test\r\n\r\n"
+static void handle_slow_request(void *ctx, struct http_exchange *x)
+{
+	uint32_t *count = ctx;
+
+	/* Blocks the thread of the server. */
+	if (!strcmp(http_exchange_path(x), "/block"))
+		g_usleep(2 * LOAD_US);
+	else
+		(*count)++;
+	http_exchange_reply(x, 200, "text/plain", "ok", 2);
+}
+
+#define BLOCK_REQUEST "GET /block HTTP/1.1\r\nHost: test\r\n\r\n"
+
+/** Server whose thread is blocked, and a connection that is over its limit. */
+struct blocked_server {
+	struct http_server *server;
+	uint32_t handled;
+	int blocker;
+	int idle;
+};
+
+static void block_server(struct blocked_server *b)
+{
+	struct http_server_options options = {
+		.address = "127.0.0.1:0",
+		.handle_request = handle_slow_request,
+		.ctx = &b->handled,
+	};
+	struct http_limits limits = { .max_body = 100, .idle_us = LOAD_US };
+
+	b->handled = 0;
+	CU_ASSERT_EQUAL_FATAL(http_server_create(&b->server, &options), 0);
+	http_server_set_limits(b->server, &limits);
+	b->idle = open_connection(http_server_port(b->server));
+	b->blocker = open_connection(http_server_port(b->server));
+	g_usleep(2 * LOAD_US);
+	send(b->blocker, BLOCK_REQUEST, strlen(BLOCK_REQUEST), MSG_NOSIGNAL);
+	g_usleep(LOAD_US / 2);
+}
+
+static void destroy_blocked_server(struct blocked_server *b)
+{
+	close(b->idle);
+	close(b->blocker);
+	http_server_destroy(b->server, US_PER_S);
+}
+
+/*
+ * Guards against a connection that is closed as idle while a request on it
+ * waits to be read: the request was passed on, and its answer was lost.
+ */
+static void test_request_before_close(void)
+{
+	struct blocked_server b;
+	char reply[512];
+
+	block_server(&b);
+	send(b.idle, KEPT_REQUEST, strlen(KEPT_REQUEST), MSG_NOSIGNAL);
+	http_server_close_expired(b.server);
+	CU_ASSERT(read_reply(b.idle, reply, sizeof(reply)) > 0);
+	CU_ASSERT_TRUE(g_str_has_prefix(reply, "HTTP/1.1 200"));
+	CU_ASSERT_EQUAL(b.handled, 1);
+	destroy_blocked_server(&b);
+}
+
+/*
+ * Guards against a request that is passed on although its connection has been
+ * shut down: the answer could not be sent any more.
+ */
+static void test_request_after_close(void)
+{
+	struct blocked_server b;
+	char reply[512];
+
+	block_server(&b);
+	http_server_close_expired(b.server);
+	send(b.idle, KEPT_REQUEST, strlen(KEPT_REQUEST), MSG_NOSIGNAL);
+	CU_ASSERT(read_reply(b.idle, reply, sizeof(reply)) > 0);
+	CU_ASSERT_TRUE(g_str_has_prefix(reply, "HTTP/1.1 503"));
+	CU_ASSERT_PTR_NOT_NULL(strstr(reply, "Connection: close\r\n"));
+	CU_ASSERT_PTR_NOT_NULL(strstr(reply, "Retry-After: "));
+	CU_ASSERT_EQUAL(b.handled, 0);
+	destroy_blocked_server(&b);
+}
+
 CU_TestInfo http_server_tests[] = {
+	{ "request before close", test_request_before_close },
+	{ "request after close", test_request_after_close },
 	{ "stop under load", test_stop_under_load },
 	{ "bodies of all", test_bodies_of_all },
 	CU_TEST_INFO_NULL,
