net: refuse requests whose bodies are unread at the end of a stop

What callers saw: a request whose body was still on its way when a host stopped ended without an answer. The host had passed nothing on, but the caller could not know that.

Change: http_server_stop() has two parts, one in which requests are served, and one for sending answers. At the begin of the second one, the server writes a 503 with E1313 to the sockets of requests without a whole body and drops what still arrives of them; they are not handled. Closing at once would reset the connection and lose the refusal. The time of the exit is the same as before.

--- a/include/net/http_server.h
+++ b/include/net/http_server.h
@@ -69,16 +69,18 @@
 void http_server_drain(struct http_server *s);
 
 /**
- * Stops listening and waits up to timeout_us until all connections are closed.
- * Requests in flight, and requests that callers have already sent on open
- * connections, are still answered. Connections that stay idle are closed.
- * Returns the number of connections left.
+ * Stops listening and waits until all connections are closed. Requests in
+ * flight, and requests that callers send on open connections, are still
+ * answered for up to serve_us. Then idle connections are closed and requests
+ * whose bodies are not whole are refused as not run; up to flush_us further are
+ * left for sending answers. Returns the number of connections left.
  */
-unsigned int http_server_stop(struct http_server *s, int64_t timeout_us);
+unsigned int http_server_stop(struct http_server *s, int64_t serve_us,
+			      int64_t flush_us);
 
 /**
  * Stops and frees the server. Waits without limit for exchanges that are not
- * answered yet, and up to timeout_us for replies to be sent.
+ * answered yet, and up to timeout_us for connections to end by themselves.
  */
 void http_server_destroy(struct http_server *s, int64_t timeout_us);
 
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -1,5 +1,6 @@
 #include "net/http_server.h"
 
+#include <errno.h>
 #include <fcntl.h>
 #include <linux/filter.h>
 #include <microhttpd.h>
@@ -26,6 +27,8 @@
 #define STOP_POLL_US 5000
 /* Time in which a handshake that has begun ends: a round trip to callers. */
 #define STOP_HANDSHAKE_US 50000
+/* Time for sending the last answers when a server is destroyed. */
+#define DESTROY_FLUSH_US 400000
 /* Offset of the flags in a TCP header, and the flags of a first packet. */
 #define TCP_FLAGS_OFFSET 13
 #define TCP_FLAG_SYN_ONLY 0x02
@@ -35,6 +38,9 @@
  * a request may be on its way when the listening socket closes.
  */
 #define STOP_IDLE_US 1000000
+/* A body that has begun this recently may still come whole at the last moment. */
+#define STOP_BODY_US 100000
+
 /* Connection of a caller, from its acceptance to its end. */
 struct http_connection {
 	int fd;
@@ -45,6 +51,8 @@
 	bool is_used;
 	/* The server has shut the socket down, fully or for receiving. */
 	bool is_shut_down;
+	/* The request was refused on the socket before its body was whole. */
+	bool is_refused;
 	/* Time of the accept, or of the last begin or end of a request. */
 	int64_t idle_since_us;
 };
@@ -149,13 +157,18 @@
 	pthread_mutex_unlock(&s->lock);
 }
 
-static void mark_request_read(struct http_server *s, struct http_connection *c)
+/* Returns false if the request was already refused by the stop. */
+static bool mark_request_read(struct http_server *s, struct http_connection *c)
 {
+	bool is_refused;
+
 	if (!c)
-		return;
+		return true;
 	pthread_mutex_lock(&s->lock);
-	c->is_request_read = true;
+	is_refused = c->is_refused;
+	c->is_request_read = !is_refused;
 	pthread_mutex_unlock(&s->lock);
+	return !is_refused;
 }
 
 static void handle_connection(void *ctx, struct MHD_Connection *connection,
@@ -302,7 +315,6 @@
 		return queue_refusal(s, x->connection, 503, ERR_STOPPING);
 	}
 	x->is_submitted = true;
-	mark_request_read(s, x->caller);
 	x->refs++;
 	MHD_suspend_connection(x->connection);
 	s->options.handle_request(s->options.ctx, x);
@@ -332,6 +344,8 @@
 	}
 	if (x->is_submitted)
 		return MHD_queue_response(connection, x->status, x->response);
+	if (!mark_request_read(s, x->caller))
+		return MHD_NO;
 	if (x->is_without_room)
 		return queue_refusal(s, connection, 503, ERR_NET_NO_ROOM);
 	if (x->is_too_large)
@@ -539,23 +553,78 @@
 	pthread_mutex_unlock(&s->lock);
 }
 
-unsigned int http_server_stop(struct http_server *s, int64_t timeout_us)
+/*
+ * Answers on the socket, since the library takes no response before a body has
+ * ended. The rest of the body is read and dropped: to close with unread bytes
+ * would reset the connection and lose the answer.
+ */
+static void refuse_on_socket(struct http_connection *c)
+{
+	char *body = refusal_body(ERR_STOPPING);
+	char *text = g_strdup_printf("HTTP/1.1 503 Service Unavailable\r\n"
+				     "Connection: close\r\n"
+				     "Content-Type: application/json\r\n"
+				     "Content-Length: %zu\r\n"
+				     "Retry-After: " REFUSED_RETRY_AFTER_S
+				     "\r\n\r\n%s",
+				     strlen(body), body);
+
+	if (send(c->fd, text, strlen(text), MSG_NOSIGNAL | MSG_DONTWAIT) < 0)
+		event_log(EV_HTTP_REFUSE, "code=E%d error=%s", ERR_STOPPING,
+			  g_strerror(errno));
+	else
+		event_log(EV_HTTP_REFUSE, "code=E%d", ERR_STOPPING);
+	shutdown(c->fd, SHUT_WR);
+	g_free(text);
+	g_free(body);
+}
+
+/* Refuses the requests whose bodies have not been read whole. */
+static void refuse_unread_bodies(struct http_server *s)
 {
-	int64_t end = g_get_monotonic_time() + timeout_us;
+	int64_t now = g_get_monotonic_time();
+	struct http_connection *c;
+	GHashTableIter iter;
 
-	http_server_drain(s);
-	stop_listening(s);
+	pthread_mutex_lock(&s->lock);
+	g_hash_table_iter_init(&iter, s->connections);
+	while (g_hash_table_iter_next(&iter, (gpointer *)&c, NULL)) {
+		if (!c->is_busy || c->is_request_read || c->is_refused ||
+		    now - c->idle_since_us < STOP_BODY_US)
+			continue;
+		c->is_refused = true;
+		refuse_on_socket(c);
+	}
+	pthread_mutex_unlock(&s->lock);
+}
+
+static void wait_for_connections(struct http_server *s, int64_t end_us,
+				 int64_t idle_us, bool is_last)
+{
 	while (http_server_connection_count(s) &&
-	       g_get_monotonic_time() < end) {
-		shut_down_idle_connections(s, STOP_IDLE_US);
+	       g_get_monotonic_time() < end_us) {
+		shut_down_idle_connections(s, idle_us);
+		if (is_last)
+			refuse_unread_bodies(s);
 		g_usleep(STOP_POLL_US);
 	}
+}
+
+unsigned int http_server_stop(struct http_server *s, int64_t serve_us,
+			      int64_t flush_us)
+{
+	int64_t serve_end = g_get_monotonic_time() + serve_us;
+
+	http_server_drain(s);
+	stop_listening(s);
+	wait_for_connections(s, serve_end, STOP_IDLE_US, false);
+	wait_for_connections(s, serve_end + flush_us, 0, true);
 	return http_server_connection_count(s);
 }
 
 void http_server_destroy(struct http_server *s, int64_t timeout_us)
 {
-	http_server_stop(s, timeout_us);
+	http_server_stop(s, timeout_us, DESTROY_FLUSH_US);
 	__atomic_store_n(&s->is_closed, true, __ATOMIC_SEQ_CST);
 	while (__atomic_load_n(&s->unanswered_count, __ATOMIC_SEQ_CST))
 		g_usleep(STOP_POLL_US);
--- a/nutmegpickd/main.c
+++ b/nutmegpickd/main.c
@@ -189,7 +189,7 @@
 	send_until_queued(h, HOST_DRAIN);
 	http_server_drain(h->server);
 	g_usleep((gulong)h->settings.drain_delay_us);
-	left = http_server_stop(h->server, h->settings.stop_timeout_us);
+	left = http_server_stop(h->server, h->settings.stop_timeout_us, 0);
 	if (left)
 		event_log(EV_STOP_TIMEOUT, "host=%s connections=%u",
 			  h->settings.host_id, left);
--- a/nutmegpickd/route_service.c
+++ b/nutmegpickd/route_service.c
@@ -479,7 +479,6 @@
 {
 	int64_t stop_us = clock_now(&s->clock) + s->settings.drain_delay_us +
 			  s->settings.stop_timeout_us;
-	int64_t exit_us = stop_us + flush_time(&s->settings);
 	unsigned int left;
 
 	__atomic_store_n(&s->is_listening, false, __ATOMIC_RELEASE);
@@ -496,7 +495,8 @@
 	 */
 	registry_thread_request_stop(s->registry);
 	left = http_server_stop(s->server,
-				MAX(exit_us - clock_now(&s->clock), 0));
+				MAX(stop_us - clock_now(&s->clock), 0),
+				flush_time(&s->settings));
 	if (left)
 		event_log(EV_STOP_TIMEOUT, "host=%s connections=%u",
 			  s->settings.host_id, left);
--- a/test/unit/test_http_server.c
+++ b/test/unit/test_http_server.c
@@ -343,9 +343,43 @@
 	destroy_blocked_server(&b);
 }
 
+/*
+ * Guards against a stop that cuts a request whose body is still being read: it
+ * has not run, so its caller may repeat it elsewhere.
+ */
+static void test_body_at_stop(void)
+{
+	uint32_t handled = 0;
+	struct http_server_options options = {
+		.address = "127.0.0.1:0",
+		.handle_request = handle_slow_request,
+		.ctx = &handled,
+	};
+	struct http_server *server;
+	struct slow_caller whole;
+	struct slow_caller slow;
+	int64_t start;
+
+	CU_ASSERT_EQUAL_FATAL(http_server_create(&server, &options), 0);
+	open_caller(&whole, http_server_port(server), BODY_BYTES);
+	open_caller(&slow, http_server_port(server), BODY_BYTES);
+	send_part(&whole, BODY_BYTES);
+	send_part(&slow, BODY_BYTES / 2);
+	start = g_get_monotonic_time();
+	/* What is left of the body arrives after the answer. */
+	CU_ASSERT_EQUAL(http_server_stop(server, 4 * LOAD_US, 4 * LOAD_US), 1);
+	CU_ASSERT(g_get_monotonic_time() - start < 10 * LOAD_US);
+	CU_ASSERT_EQUAL(finish_caller(&whole), 1);
+	CU_ASSERT_EQUAL(finish_caller(&slow), 0);
+	CU_ASSERT_EQUAL(handled, 1);
+	http_server_destroy(server, US_PER_S);
+	CU_ASSERT_EQUAL(handled, 1);
+}
+
 CU_TestInfo http_server_tests[] = {
 	{ "request before close", test_request_before_close },
 	{ "request after close", test_request_after_close },
+	{ "body at stop", test_body_at_stop },
 	{ "stop under load", test_stop_under_load },
 	{ "bodies of all", test_bodies_of_all },
 	CU_TEST_INFO_NULL,
