net: keep connections open that callers may still use on a stop

Cause: from drain_delay on, a stop closed each connection that had been idle for a second.

Change: replies tell callers in Keep-Alive how long they may reuse the connection: a second less than drain_delay and stop_timeout together, 5 s at most, and never more than the idle limit of the configuration. A stop keeps an idle connection for that time and a second more, so every request of a caller that heeds it is read and answered, with "Connection: close". What is still open when the stop ends is closed then.

--- a/include/net/http_server.h
+++ b/include/net/http_server.h
@@ -59,6 +59,14 @@
  */
 void http_server_set_limits(struct http_server *s, const struct http_limits *l);
 
+/**
+ * Tells callers in each reply for how long they may reuse an idle connection,
+ * in whole seconds and at most the idle limit; 0 tells nothing. A stop keeps
+ * idle connections open for this time and a second more, as far as its own time
+ * allows. May be called from any thread.
+ */
+void http_server_set_keep_alive(struct http_server *s, int64_t keep_alive_us);
+
 /** Closes connections over their time limits. May be called from any thread. */
 void http_server_close_expired(struct http_server *s);
 
--- a/include/nutmegpickd/settings.h
+++ b/include/nutmegpickd/settings.h
@@ -58,6 +58,13 @@
 int settings_load(const char *path, struct settings *out,
 		  struct fault_list *faults);
 
+/**
+ * Returns the idle time for which callers may reuse a connection, in us: a stop
+ * outlasts it, so it closes no connection on which a request is on its way.
+ * 0 if the stop is too short for that.
+ */
+int64_t settings_keep_alive(const struct settings *s);
+
 /**
  * Returns the name of a string or address setting that differs, or NULL. Such a
  * setting cannot change while the process runs.
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -15,6 +15,7 @@
 #include <glib.h>
 
 #include "common/address.h"
+#include "common/clock.h"
 #include "common/errors.h"
 #include "common/events.h"
 
@@ -34,8 +35,9 @@
 #define TCP_FLAG_SYN_ONLY 0x02
 #define TCP_FLAG_SYN_ACK 0x12
 /*
- * On a stop, a connection is closed only after it has been idle for this long:
- * a request may be on its way when the listening socket closes.
+ * On a stop, a connection is closed only after it has been idle for this long
+ * beyond the time for which callers may reuse it: a request may be on its way,
+ * and callers notice the end of a connection late.
  */
 #define STOP_IDLE_US 1000000
 /* A body that has begun this recently may still come whole at the last moment. */
@@ -62,8 +64,15 @@
 	struct http_server_options options;
 	size_t max_body;
 	/* Time limits, guarded by the lock; 0 sets no limit. */
+	int64_t idle_us;
 	int64_t idle_and_head_us;
 	int64_t body_us;
+	/* Idle time for which callers may reuse a connection; 0 tells none. */
+	int64_t keep_alive_us;
+	/* The same within the idle limit, in seconds, as replies tell it. */
+	unsigned int keep_alive_s;
+	/* Longest time that callers were told. */
+	int64_t kept_us;
 	uint16_t port;
 	bool is_draining;
 	/* New requests are refused: the server is being destroyed. */
@@ -237,13 +246,24 @@
 	return c && __atomic_load_n(&c->is_shut_down, __ATOMIC_RELAXED);
 }
 
-static void add_close_header(const struct http_server *s,
-			     const struct http_connection *c,
-			     struct MHD_Response *r)
+/* Tells the caller whether, and for how long, it may reuse its connection. */
+static void add_connection_headers(const struct http_server *s,
+				   const struct http_connection *c,
+				   struct MHD_Response *r)
 {
+	unsigned int keep_alive_s =
+		__atomic_load_n(&s->keep_alive_s, __ATOMIC_RELAXED);
+	char text[32];
+
 	if (__atomic_load_n(&s->is_draining, __ATOMIC_ACQUIRE) ||
-	    is_shut_down(c))
+	    is_shut_down(c)) {
 		MHD_add_response_header(r, "Connection", "close");
+		return;
+	}
+	if (!keep_alive_s)
+		return;
+	g_snprintf(text, sizeof(text), "timeout=%u", keep_alive_s);
+	MHD_add_response_header(r, "Keep-Alive", text);
 }
 
 static char *refusal_body(int code)
@@ -266,7 +286,7 @@
 	if (status == 503)
 		MHD_add_response_header(r, "Retry-After",
 					REFUSED_RETRY_AFTER_S);
-	add_close_header(s, get_caller(connection), r);
+	add_connection_headers(s, get_caller(connection), r);
 	ret = MHD_queue_response(connection, status, r);
 	MHD_destroy_response(r);
 	g_free(body);
@@ -405,12 +425,26 @@
 	return 0;
 }
 
+/* The caller holds the lock. */
+static void apply_keep_alive(struct http_server *s)
+{
+	int64_t us = s->keep_alive_us;
+
+	if (s->idle_us)
+		us = MIN(us, s->idle_us);
+	s->kept_us = MAX(s->kept_us, us);
+	__atomic_store_n(&s->keep_alive_s, (unsigned int)(us / US_PER_S),
+			 __ATOMIC_RELAXED);
+}
+
 void http_server_set_limits(struct http_server *s, const struct http_limits *l)
 {
 	__atomic_store_n(&s->max_body, l->max_body, __ATOMIC_RELAXED);
 	pthread_mutex_lock(&s->lock);
+	s->idle_us = l->idle_us;
 	s->idle_and_head_us = l->idle_us + l->head_us;
 	s->body_us = l->body_us;
+	apply_keep_alive(s);
 	pthread_mutex_unlock(&s->lock);
 }
 
@@ -463,6 +497,14 @@
 		event_log(EV_HTTP_SLOW, "connections=%u", closed);
 }
 
+void http_server_set_keep_alive(struct http_server *s, int64_t keep_alive_us)
+{
+	pthread_mutex_lock(&s->lock);
+	s->keep_alive_us = keep_alive_us;
+	apply_keep_alive(s);
+	pthread_mutex_unlock(&s->lock);
+}
+
 uint16_t http_server_port(const struct http_server *s)
 {
 	return s->port;
@@ -610,6 +652,16 @@
 	}
 }
 
+static int64_t kept_time(struct http_server *s)
+{
+	int64_t us;
+
+	pthread_mutex_lock(&s->lock);
+	us = s->kept_us;
+	pthread_mutex_unlock(&s->lock);
+	return us;
+}
+
 unsigned int http_server_stop(struct http_server *s, int64_t serve_us,
 			      int64_t flush_us)
 {
@@ -617,7 +669,7 @@
 
 	http_server_drain(s);
 	stop_listening(s);
-	wait_for_connections(s, serve_end, STOP_IDLE_US, false);
+	wait_for_connections(s, serve_end, kept_time(s) + STOP_IDLE_US, false);
 	wait_for_connections(s, serve_end + flush_us, 0, true);
 	return http_server_connection_count(s);
 }
@@ -712,7 +764,7 @@
 	if (content_type)
 		MHD_add_response_header(x->response, "Content-Type",
 					content_type);
-	add_close_header(s, x->caller, x->response);
+	add_connection_headers(s, x->caller, x->response);
 	for (guint i = 0; i < x->reply_headers->len; i += 2)
 		MHD_add_response_header(x->response, x->reply_headers->pdata[i],
 					x->reply_headers->pdata[i + 1]);
--- a/nutmegpickd/main.c
+++ b/nutmegpickd/main.c
@@ -169,9 +169,12 @@
 		return ret;
 	pthread_create(&h->engine_thread, NULL, host_run_engine, h);
 	ret = http_server_create(&h->server, &server_options);
-	if (!ret)
+	if (!ret) {
+		http_server_set_keep_alive(h->server,
+					   settings_keep_alive(&h->settings));
 		event_log(EV_LISTEN, "address=%s port=%u",
 			  h->settings.listen_http, http_server_port(h->server));
+	}
 	return ret;
 }
 
--- a/nutmegpickd/route_service.c
+++ b/nutmegpickd/route_service.c
@@ -346,6 +346,8 @@
 	const struct settings *o = &s->settings;
 	int ret = start_server(s, o->listen_http, handle_request, &s->server);
 
+	if (!ret)
+		http_server_set_keep_alive(s->server, settings_keep_alive(o));
 	if (!ret)
 		ret = start_server(s, o->listen_ready, handle_ready_check,
 				   &s->ready_server);
@@ -461,6 +463,7 @@
 {
 	s->settings.drain_delay_us = settings->drain_delay_us;
 	s->settings.stop_timeout_us = settings->stop_timeout_us;
+	http_server_set_keep_alive(s->server, settings_keep_alive(settings));
 	route_service_send_event(
 		s,
 		(struct route_event){ .type = ROUTE_EVENT_SETTINGS,
--- a/nutmegpickd/settings.c
+++ b/nutmegpickd/settings.c
@@ -321,6 +321,20 @@
 	s->stop_timeout_us = MIN(s->stop_timeout_us, used - s->drain_delay_us);
 }
 
+/*
+ * Longest time for which callers may reuse an idle connection, and what a stop
+ * needs beyond it: for a request on its way and for its answer.
+ */
+#define KEEP_ALIVE_MAX_US (5 * US_PER_S)
+#define KEEP_ALIVE_MARGIN_US (1 * US_PER_S)
+
+int64_t settings_keep_alive(const struct settings *s)
+{
+	return CLAMP(s->drain_delay_us + s->stop_timeout_us -
+			     KEEP_ALIVE_MARGIN_US,
+		     0, KEEP_ALIVE_MAX_US);
+}
+
 const char *settings_fixed_difference(const struct settings *a,
 				      const struct settings *b)
 {
--- a/test/soak/planned_stop.py
+++ b/test/soak/planned_stop.py
@@ -20,11 +20,7 @@
 # A host ends at most this much later.
 EXIT_S = 1.0
 DEADLINE_MS = 12000
-# A request that crosses the end of its connection may stay unanswered.
-CROSSING_S = 0.2
 CALLERS = 60
-# Shorter than the idle time after which a stop closes a connection.
-PAUSE_MAX_S = 0.95
 WARM_UP_S = 4
 # Requests learn how long a route takes; the slow one outlasts a late stop.
 ROUTES = {"fast": (0.01, 0.05), "slow": (1.0, 1.4), "lasting": (5.0, 6.0)}
@@ -59,6 +55,13 @@
 
 
 class PlannedStop(Soak):
+    # A request that crosses the end of its connection may stay unanswered.
+    crossing_s = 0.2
+    # Shorter than the idle time after which a stop closes a connection.
+    pause_max_s = 0.95
+    # Time between a request and the look at its connection.
+    notice_s = 0
+
     def __init__(self, program, seed):
         super().__init__(argparse.Namespace(program=program, seed=seed,
                                             hosts=1, port=18500 + seed % 50))
@@ -89,16 +92,21 @@
                 f"Nutmegpick-Request-Id: {request_id}\r\n"
                 f"Nutmegpick-Request-Deadline: {DEADLINE_MS}\r\n"
                 f"Content-Length: 4\r\n\r\nbody").encode())
+            await asyncio.sleep(self.notice_s)
             reply = await read_message(reader)
+            self.note_reply(reply)
         except (OSError, asyncio.IncompleteReadError):
             pass
         self.check(kind, request_id, sent_at, reply and reply.status)
         return reply and reply.headers.get("connection") != "close"
 
+    def note_reply(self, reply):
+        pass
+
     def check(self, kind, request_id, sent_at, status):
         self.count(f"{kind}_{status}")
         has_run = request_id in self.ran
-        is_crossing = time.monotonic() < sent_at + CROSSING_S
+        is_crossing = time.monotonic() < sent_at + self.crossing_s
         if status is None and (has_run or not is_crossing):
             self.fail(f"{kind} request without an answer, sent "
                       f"{sent_at - self.stopped_at:.3f} s after the stop, "
@@ -113,14 +121,19 @@
                       f"{self.ran[request_id] - self.stopped_at:.3f} s after "
                       "the stop")
 
+    async def pause(self, is_new):
+        await asyncio.sleep(self.random.uniform(0, self.pause_max_s))
+
     async def run_connection(self, n, k):
         """Sends requests until the connection ends; returns their number."""
         reader, writer = await asyncio.open_connection(
             self.host_address(0), self.args.port)
         kind = "slow" if n % 2 else "fast"
         is_open = True
+        is_new = True
         while is_open:
-            await asyncio.sleep(self.random.uniform(0, PAUSE_MAX_S))
+            await self.pause(is_new)
+            is_new = False
             if self.stopped_at:
                 kind = self.random.choice(self.kinds)
             k += 1
@@ -175,4 +188,5 @@
         print(stop.counts, file=sys.stderr)
 
 
-asyncio.run(main())
+if __name__ == "__main__":
+    asyncio.run(main())
--- a/test/unit/test_http_server.c
+++ b/test/unit/test_http_server.c
@@ -257,6 +257,82 @@
 }
 
 #define KEPT_REQUEST "GET / HTTP/1.1\r\nHost: test\r\n\r\n"
+#define KEPT_CALLERS 32
+#define KEPT_S 2
+#define KEPT_STOP_US (3 * US_PER_S)
+
+/** Caller that sends a second request while the server stops. */
+struct kept_caller {
+	pthread_t thread;
+	int fd;
+	/** Pause before the second request. */
+	gulong pause_us;
+	bool is_told;
+	bool is_answered;
+	bool is_told_close;
+};
+
+static void *run_kept_caller(void *ctx)
+{
+	struct kept_caller *c = ctx;
+	char reply[512];
+
+	g_usleep(c->pause_us);
+	if (send(c->fd, KEPT_REQUEST, strlen(KEPT_REQUEST), MSG_NOSIGNAL) > 0)
+		c->is_answered = read_reply(c->fd, reply, sizeof(reply)) > 0;
+	c->is_told_close = c->is_answered &&
+			   strstr(reply, "Connection: close\r\n") != NULL;
+	close(c->fd);
+	return NULL;
+}
+
+/*
+ * Guards against a stop that closes idle connections which callers may still
+ * use: their requests crossed the close and got no answer.
+ */
+static void test_kept_connections(void)
+{
+	struct http_server_options options = {
+		.address = "127.0.0.1:0",
+		.handle_request = handle_request,
+	};
+	static struct kept_caller callers[KEPT_CALLERS];
+	GRand *rand = g_rand_new_with_seed(35);
+	struct http_server *server;
+	char reply[512];
+
+	CU_ASSERT_EQUAL_FATAL(http_server_create(&server, &options), 0);
+	http_server_set_keep_alive(server, KEPT_S * US_PER_S);
+	for (int i = 0; i < KEPT_CALLERS; i++) {
+		struct kept_caller *c = &callers[i];
+
+		*c = (struct kept_caller){
+			.fd = open_connection(http_server_port(server)),
+			.pause_us = (gulong)g_rand_int_range(rand, 0,
+							     KEPT_S * US_PER_S),
+		};
+		/* Half of the callers have not sent anything yet. */
+		c->is_told = i % 2;
+		if (!c->is_told)
+			continue;
+		send(c->fd, KEPT_REQUEST, strlen(KEPT_REQUEST), MSG_NOSIGNAL);
+		read_reply(c->fd, reply, sizeof(reply));
+		CU_ASSERT_PTR_NOT_NULL(
+			strstr(reply, "Keep-Alive: timeout=2\r\n"));
+	}
+	for (int i = 0; i < KEPT_CALLERS; i++)
+		pthread_create(&callers[i].thread, NULL, run_kept_caller,
+			       &callers[i]);
+	CU_ASSERT_EQUAL(http_server_stop(server, KEPT_STOP_US, 0), 0);
+	for (int i = 0; i < KEPT_CALLERS; i++) {
+		pthread_join(callers[i].thread, NULL);
+		CU_ASSERT_TRUE(callers[i].is_answered);
+		CU_ASSERT_TRUE(callers[i].is_told_close);
+	}
+	http_server_destroy(server, US_PER_S);
+	g_rand_free(rand);
+}
+
 static void handle_slow_request(void *ctx, struct http_exchange *x)
 {
 	uint32_t *count = ctx;
@@ -377,6 +453,7 @@
 }
 
 CU_TestInfo http_server_tests[] = {
+	{ "kept connections", test_kept_connections },
 	{ "request before close", test_request_before_close },
 	{ "request after close", test_request_after_close },
 	{ "body at stop", test_body_at_stop },
