net: send the queued frames of a link before a transport ends

A result that a stopping host queues for another host last is not sent, and the other host takes the end of the link for a failure of its request.

Cause: a frame waits for the socket to be writable, so that the frames of a batch go together, and the thread of the transport ended on its stop command without that.

Change: the thread sends what the sockets take before it ends.

--- a/net/transport.c
+++ b/net/transport.c
@@ -393,6 +393,19 @@
 	g_ptr_array_free(expired, TRUE);
 }
 
+/* Sends what the sockets take of the frames that are still queued. */
+static void flush_links(struct transport *t)
+{
+	GHashTableIter iter;
+	struct link *l;
+
+	g_hash_table_iter_init(&iter, t->links);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&l)) {
+		if (!l->is_connecting)
+			write_link(t, l);
+	}
+}
+
 static void *run_thread(void *ctx)
 {
 	struct transport *t = ctx;
@@ -416,6 +429,7 @@
 				     SWEEP_MS * US_PER_MS;
 		}
 	}
+	flush_links(t);
 	return NULL;
 }
 
--- a/test/unit/test_peer.c
+++ b/test/unit/test_peer.c
@@ -200,7 +200,31 @@
 	stop_side(&b);
 }
 
+#define LAST_FRAME_ROUNDS 20
+
+/* Guards against results that a stopping host has queued and does not send. */
+static void test_last_frames(void)
+{
+	struct side b = { 0 };
+
+	start_side(&b, "b");
+	for (unsigned int i = 0; i < LAST_FRAME_ROUNDS; i++) {
+		struct side a = { 0 };
+
+		g_string_truncate(b.frames, 0);
+		start_side(&a, "a");
+		transport_send(a.transport, b.address, "first", 5);
+		wait_frames(&b, "first");
+		transport_send(a.transport, b.address, "last", 4);
+		stop_side(&a);
+		wait_closed(&b, i + 1);
+		CU_ASSERT_STRING_EQUAL(b.frames->str, "firstlast");
+	}
+	stop_side(&b);
+}
+
 CU_TestInfo peer_tests[] = {
+	{ "last frames", test_last_frames },
 	{ "frames in order", test_frames_in_order },
 	{ "refused hello", test_refused_hello },
 	{ "unreachable", test_unreachable },
