route service: finish the requests of other hosts before a stop ends

What callers saw: a request at a host that did not stop ended with 502, when another host that gathered for it, or for a batch of its shards, was stopped in a planned way.

Cause: the stop waited for the connections of callers alone. Requests of other hosts hold none, so a host without callers ended right after drain_delay with such requests in its router. The host that had sent them cannot tell what leaves have run and must not call them again.

Two hosts, all leaves in the domain of one, work of 0.6 to 2.2 s; one or both stop, and further signals come meanwhile.

Ruled out: refusing such requests from the signal on, which the code did already; those that were cut had been accepted before.

--- a/include/nutmegpickd/route_internal.h
+++ b/include/nutmegpickd/route_internal.h
@@ -117,6 +117,8 @@
 	struct transport *transport;
 	/** Requests in flight. */
 	GQueue requests;
+	/** Their number, as the thread that stops the service reads it. */
+	guint request_count;
 	struct start_hold hold;
 	struct work_share work;
 	/** Time at which the router thread last returned from its wait. */
--- a/nutmegpickd/route_service.c
+++ b/nutmegpickd/route_service.c
@@ -27,6 +27,8 @@
 #define RATES_SWEEP_US (5 * US_PER_S)
 /* Time between the last answers of a stop and the exit, for sending them. */
 #define STOP_FLUSH_US (400 * US_PER_MS)
+/* Interval at which a stop checks for requests of other hosts. */
+#define STOP_POLL_US (5 * US_PER_MS)
 
 void route_service_send_event(struct route_service *s, struct route_event event)
 {
@@ -281,6 +283,8 @@
 		}
 		s->woke_us = leaf_client_wakeup_us(s->client);
 		run_due_work(s);
+		__atomic_store_n(&s->request_count, s->requests.length,
+				 __ATOMIC_RELEASE);
 	}
 	return NULL;
 }
@@ -478,6 +482,17 @@
 	return o->grace_us ? CLAMP(rest / 2, 0, STOP_FLUSH_US) : STOP_FLUSH_US;
 }
 
+/*
+ * Waits for the requests that other hosts have sent, which hold no connection
+ * of a caller. The router answers each of them by the end of the stop.
+ */
+static void wait_for_requests(const struct route_service *s, int64_t end_us)
+{
+	while (__atomic_load_n(&s->request_count, __ATOMIC_ACQUIRE) &&
+	       clock_now(&s->clock) < end_us)
+		g_usleep(STOP_POLL_US);
+}
+
 void route_service_stop(struct route_service *s)
 {
 	int64_t stop_us = clock_now(&s->clock) + s->settings.drain_delay_us +
@@ -500,6 +515,7 @@
 	left = http_server_stop(s->server,
 				MAX(stop_us - clock_now(&s->clock), 0),
 				flush_time(&s->settings));
+	wait_for_requests(s, stop_us + flush_time(&s->settings));
 	if (left)
 		event_log(EV_STOP_TIMEOUT, "host=%s connections=%u",
 			  s->settings.host_id, left);
