net: count connections that a stop has accepted before it ends

When a stop ends to listen, it accepts what the kernel holds and hands it to the thread of the HTTP library. Until that thread takes a connection, the library does not count it, so a stop that asked right then found none and ended.

Change: the server counts its connections itself, from the moment in which a stop accepts them.

Test: "accepted by stop" blocks the thread; the stop counted 2 connections of 3 before.

--- a/include/net/http_server.h
+++ b/include/net/http_server.h
@@ -92,8 +92,8 @@
  */
 void http_server_destroy(struct http_server *s, int64_t timeout_us);
 
-/** Returns the number of connections. */
-unsigned int http_server_connection_count(const struct http_server *s);
+/** Returns the number of connections, also of those that no thread serves yet. */
+unsigned int http_server_connection_count(struct http_server *s);
 
 const char *http_exchange_method(const struct http_exchange *x);
 const char *http_exchange_path(const struct http_exchange *x);
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -84,6 +84,8 @@
 	/* Guards the connections, which other threads also read. */
 	pthread_mutex_t lock;
 	GHashTable *connections;
+	/* Sockets that a stop has accepted and the library has not taken yet. */
+	GHashTable *queued_fds;
 };
 
 struct http_exchange {
@@ -195,6 +197,7 @@
 		c->fd = info ? info->connect_fd : -1;
 		c->idle_since_us = g_get_monotonic_time();
 		g_hash_table_add(s->connections, c);
+		g_hash_table_remove(s->queued_fds, GINT_TO_POINTER(c->fd));
 		*state = c;
 	} else if (c) {
 		g_hash_table_remove(s->connections, c);
@@ -403,6 +406,7 @@
 	s->max_body = options->max_body ? options->max_body : DEFAULT_MAX_BODY;
 	pthread_mutex_init(&s->lock, NULL);
 	s->connections = g_hash_table_new_full(NULL, NULL, g_free, NULL);
+	s->queued_fds = g_hash_table_new(NULL, NULL);
 	s->daemon = MHD_start_daemon(
 		flags, 0, NULL, NULL, handle_access, s, MHD_OPTION_SOCK_ADDR,
 		&addr, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u,
@@ -416,6 +420,7 @@
 		MHD_OPTION_END);
 	if (!s->daemon) {
 		g_hash_table_destroy(s->connections);
+		g_hash_table_destroy(s->queued_fds);
 		g_free(s);
 		return -ERR_NET_LISTEN;
 	}
@@ -510,12 +515,15 @@
 	return s->port;
 }
 
-unsigned int http_server_connection_count(const struct http_server *s)
+unsigned int http_server_connection_count(struct http_server *s)
 {
-	const union MHD_DaemonInfo *info = MHD_get_daemon_info(
-		s->daemon, MHD_DAEMON_INFO_CURRENT_CONNECTIONS);
+	unsigned int count;
 
-	return info ? info->num_connections : 0;
+	pthread_mutex_lock(&s->lock);
+	count = g_hash_table_size(s->connections) +
+		g_hash_table_size(s->queued_fds);
+	pthread_mutex_unlock(&s->lock);
+	return count;
 }
 
 void http_server_drain(struct http_server *s)
@@ -545,6 +553,16 @@
 	setsockopt(fd, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof(program));
 }
 
+static void set_queued(struct http_server *s, int fd, bool is_queued)
+{
+	pthread_mutex_lock(&s->lock);
+	if (is_queued)
+		g_hash_table_add(s->queued_fds, GINT_TO_POINTER(fd));
+	else
+		g_hash_table_remove(s->queued_fds, GINT_TO_POINTER(fd));
+	pthread_mutex_unlock(&s->lock);
+}
+
 static void accept_queued(struct http_server *s, int fd)
 {
 	struct sockaddr_in addr;
@@ -553,7 +571,10 @@
 
 	while ((c = accept4(fd, (struct sockaddr *)&addr, &len,
 			    SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0) {
-		MHD_add_connection(s->daemon, c, (struct sockaddr *)&addr, len);
+		set_queued(s, c, true);
+		if (MHD_add_connection(s->daemon, c, (struct sockaddr *)&addr,
+				       len) != MHD_YES)
+			set_queued(s, c, false);
 		len = sizeof(addr);
 	}
 }
@@ -682,6 +703,7 @@
 		g_usleep(STOP_POLL_US);
 	MHD_stop_daemon(s->daemon);
 	g_hash_table_destroy(s->connections);
+	g_hash_table_destroy(s->queued_fds);
 	pthread_mutex_destroy(&s->lock);
 	g_free(s);
 }
--- a/test/unit/test_http_server.c
+++ b/test/unit/test_http_server.c
@@ -339,7 +339,7 @@
 
 	/* Blocks the thread of the server. */
 	if (!strcmp(http_exchange_path(x), "/block"))
-		g_usleep(2 * LOAD_US);
+		g_usleep(4 * LOAD_US);
 	else
 		(*count)++;
 	http_exchange_reply(x, 200, "text/plain", "ok", 2);
@@ -419,6 +419,26 @@
 	destroy_blocked_server(&b);
 }
 
+/*
+ * Guards against a stop that ends while a connection which it has accepted
+ * itself waits for the thread of the server.
+ */
+static void test_accepted_by_stop(void)
+{
+	struct blocked_server b;
+	char reply[512];
+	int fd;
+
+	block_server(&b);
+	fd = open_connection(http_server_port(b.server));
+	send(fd, KEPT_REQUEST, strlen(KEPT_REQUEST), MSG_NOSIGNAL);
+	CU_ASSERT_EQUAL(http_server_stop(b.server, 0, 0), 3);
+	CU_ASSERT(read_reply(fd, reply, sizeof(reply)) > 0);
+	CU_ASSERT_TRUE(g_str_has_prefix(reply, "HTTP/1.1 200"));
+	close(fd);
+	destroy_blocked_server(&b);
+}
+
 /*
  * Guards against a stop that cuts a request whose body is still being read: it
  * has not run, so its caller may repeat it elsewhere.
@@ -456,6 +476,7 @@
 	{ "kept connections", test_kept_connections },
 	{ "request before close", test_request_before_close },
 	{ "request after close", test_request_after_close },
+	{ "accepted by stop", test_accepted_by_stop },
 	{ "body at stop", test_body_at_stop },
 	{ "stop under load", test_stop_under_load },
 	{ "bodies of all", test_bodies_of_all },
