route service: refuse held requests at once when the host stops

What callers saw: a request that a host held for its first routes was refused only when the hold ended, up to 0.4 s after the host's start, also if the host was stopped meanwhile and its stop was over before that.

Cause: the hold knows the store and the clock, not the stop, and held requests are not in the router, which bounds the others.

--- a/router/start_hold.c
+++ b/router/start_hold.c
@@ -19,8 +19,14 @@
 	h->is_store_lost = true;
 }
 
+void start_hold_note_stop(struct start_hold *h)
+{
+	h->is_stopping = true;
+}
+
 bool start_hold_is_open(const struct start_hold *h, bool has_routes,
 			int64_t now_us)
 {
-	return !has_routes && !h->is_store_lost && now_us < h->until_us;
+	return !has_routes && !h->is_store_lost && !h->is_stopping &&
+	       now_us < h->until_us;
 }
--- a/test/unit/test_start_hold.c
+++ b/test/unit/test_start_hold.c
@@ -23,7 +23,19 @@
 	CU_ASSERT_FALSE(start_hold_is_open(&h, false, US_PER_S));
 }
 
+/* Guards against requests that wait for routes at a host that stops. */
+static void test_stop_while_held(void)
+{
+	struct start_hold h;
+
+	start_hold_init(&h, US_PER_S);
+	CU_ASSERT_TRUE(start_hold_is_open(&h, false, US_PER_S));
+	start_hold_note_stop(&h);
+	CU_ASSERT_FALSE(start_hold_is_open(&h, false, US_PER_S));
+}
+
 CU_TestInfo start_hold_tests[] = {
 	{ "hold", test_hold },
+	{ "stop while held", test_stop_while_held },
 	CU_TEST_INFO_NULL,
 };
