router: log the figures behind the refusals of a stopping host

Change: left_ms and expected_ms in these lines. The names of the other fields and their order stay.

Test: router stop "refusal line"; the line had neither before.

--- a/include/router/internal.h
+++ b/include/router/internal.h
@@ -274,6 +274,9 @@
  * Returns the time left for answers; INT64_MAX if the host does not stop.
  */
 int64_t stop_time_left(const struct router *r);
+/** Returns how long a request of a route may take, as far as is known. */
+int64_t stop_expected_duration(struct route_stats *s,
+			       const struct route *route);
 /** Returns whether a call that starts now is expected to end before the stop. */
 bool stop_may_start(const struct router *r, struct route_stats *s,
 		    const struct route *route);
--- a/router/request.c
+++ b/router/request.c
@@ -21,6 +21,9 @@
 /* Callers accept a backoff of up to a third of the time to their deadline. */
 #define RETRY_AFTER_SHARE 0.32
 
+/* Length of the figures of a stop in a log line. */
+#define STOP_TEXT_MAX 96
+
 static int64_t retry_after(struct router *r)
 {
 	return RETRY_AFTER_MIN_US +
@@ -54,6 +57,19 @@
 	return q->route->shape == ROUTE_GATHER ? "" : q->parts[0].pool->name;
 }
 
+/* Writes the figures behind a refusal of a host that stops. */
+static void describe_stop(const struct router *r, const struct route_request *q,
+			  const struct router_answer *a, char *out, size_t size)
+{
+	out[0] = '\0';
+	if (a->code != -ERR_ROUTE_STOPPING)
+		return;
+	g_snprintf(out, size, " left_ms=%lld expected_ms=%lld",
+		   (long long)(stop_time_left(r) / US_PER_MS),
+		   (long long)(stop_expected_duration(q->stats, q->route) /
+			       US_PER_MS));
+}
+
 static void log_request_end(const struct router *r,
 			    const struct route_request *q,
 			    const struct router_answer *a)
@@ -62,17 +78,19 @@
 	enum event_id id = is_ok	      ? EV_REQUEST_DONE
 			   : a->status == 503 ? EV_REQUEST_REFUSED
 					      : EV_REQUEST_FAILED;
+	char stop[STOP_TEXT_MAX];
 
+	describe_stop(r, q, a, stop, sizeof(stop));
 	event_log(id,
 		  "request=%s route=%s upstream=%s version=%llu status=%u "
 		  "code=E%d parts=%u of=%u failed=%u extra=%u ms=%lld "
-		  "goal_ms=%lld",
+		  "goal_ms=%lld%s",
 		  q->request_id, q->route->name, upstream_name(q),
 		  (unsigned long long)q->table->version, a->status, -a->code,
 		  q->answered_count, q->part_count, q->failed_count,
 		  q->extra_call_count,
 		  (long long)((router_now(r) - q->start_us) / US_PER_MS),
-		  (long long)(q->route->goal_us / US_PER_MS));
+		  (long long)(q->route->goal_us / US_PER_MS), stop);
 }
 
 static void release_request(struct router *r, struct route_request *q,
--- a/router/stop.c
+++ b/router/stop.c
@@ -5,8 +5,7 @@
 /* Reserved for sending an answer before the host ends. */
 #define ANSWER_MARGIN_US (20 * US_PER_MS)
 
-/* Returns how long a request may take from its call on, as far as is known. */
-static int64_t long_duration(struct route_stats *s, const struct route *route)
+int64_t stop_expected_duration(struct route_stats *s, const struct route *route)
 {
 	int64_t us = latency_quantile(&s->call_latency, DURATION_QUANTILE);
 
@@ -31,7 +30,7 @@
 		    const struct route *route)
 {
 	return !router_is_stopping(r) ||
-	       long_duration(s, route) <= stop_time_left(r);
+	       stop_expected_duration(s, route) <= stop_time_left(r);
 }
 
 void stop_limit_request(struct router *r, struct route_request *q)
--- a/test/unit/test_router_stop.c
+++ b/test/unit/test_router_stop.c
@@ -1,12 +1,16 @@
 #include "suites.h"
 
+#include <string.h>
+
 #include "common/errors.h"
+#include "common/events.h"
 #include "fake_router.h"
 #include "router/internal.h"
 
 #define SEEDS 400
 /* Calls after which the duration of a route is known. */
 #define LEARNED_CALLS 40
+#define REFUSAL_MAX 1024
 /* Largest amount by which a duration may be taken for longer than it is. */
 #define BIN_GROWTH 1.2
 
@@ -256,7 +260,30 @@
 	}
 }
 
+static void handle_event(void *ctx, enum event_id id, const char *fields)
+{
+	if (id == EV_REQUEST_REFUSED)
+		g_strlcpy(ctx, fields, REFUSAL_MAX);
+}
+
+/* Guards against a refusal whose line does not tell what it was decided by. */
+static void test_refusal_line(void)
+{
+	struct fake_router *f = fake_router_create(1);
+	char line[REFUSAL_MAX] = "";
+
+	learn(f, "/put/x", 300 * US_PER_MS);
+	router_stop_at(f->router, f->time.now_us + 220 * US_PER_MS);
+	event_set_sink(handle_event, line);
+	fake_router_start_request(f, "/put/x", 0);
+	event_set_sink(NULL, NULL);
+	/* 20 ms are reserved for the answer; durations are kept in bins. */
+	CU_ASSERT_PTR_NOT_NULL(strstr(line, " left_ms=200 expected_ms=3"));
+	fake_router_destroy(f);
+}
+
 CU_TestInfo router_stop_tests[] = {
+	{ "refusal line", test_refusal_line },
 	{ "late request", test_late_request },
 	{ "unknown duration", test_unknown_duration },
 	{ "running at stop", test_running_at_stop },
