soak: let callers keep their connections until hosts tell them to close

The soak opened a connection for each request and took any end without an answer as allowed, so it could not see what a stop does with connections in use.

Change: callers reuse a connection for as long as the host has told them, now and then pause for up to 1.5 s, and a host that was neither killed nor paused since the request was sent has to answer it.

--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -28,6 +28,8 @@
 RATE_EXCUSED_S = 3
 STOP_GRACE_S = 6
 START_S = 0.5
+# Longest pause of a caller; its connections stay open meanwhile.
+PAUSE_MAX_S = 1.5
 
 
 def records(service, request_id):
@@ -51,6 +53,8 @@
         self.seen_versions = {}
         self.started = {}
         self.faulty_hosts = set()
+        # Last time at which a host was killed or paused, by its number.
+        self.harmed = {}
         # End of the last fault of a host, by its number as text.
         self.excused = {}
         self.all_processes = []
@@ -173,13 +177,19 @@
         self.all_processes.append(self.processes[i])
         log.close()
 
+    def harm(self, i):
+        self.harmed[i] = time.monotonic()
+
     async def stop_host(self, i, sig):
         process = self.processes[i]
+        if sig != signal.SIGTERM:
+            self.harm(i)
         process.send_signal(sig)
         try:
             await asyncio.wait_for(process.wait(), STOP_GRACE_S)
         except asyncio.TimeoutError:
             self.count("stop_too_long")
+            self.harm(i)
             process.kill()
             await process.wait()
         # Until main() blocks SIGTERM, the signal kills the process.
@@ -190,16 +200,51 @@
 
     async def pause_host(self, i, seconds):
         process = self.processes[i]
+        self.harm(i)
         process.send_signal(signal.SIGSTOP)
         await asyncio.sleep(seconds)
+        self.harm(i)
         if process.returncode is None:
             process.send_signal(signal.SIGCONT)
 
     # Callers
 
-    async def call(self, i, method, path, request_id):
-        reader, writer = await asyncio.wait_for(
+    async def connect(self, i, kept):
+        """Returns the connection that a caller has kept, or a new one."""
+        connection = kept.pop(i, None)
+        if connection and connection[2] is self.processes[i] and \
+                time.monotonic() < connection[3]:
+            self.count("reused")
+            return connection[:2]
+        if connection:
+            connection[1].close()
+        return await asyncio.wait_for(
             asyncio.open_connection(self.host_address(i), self.args.port), 1)
+
+    def keep(self, i, kept, process, connection, sent_at, reply):
+        """Keeps a connection for as long as the host has told the caller."""
+        told = reply.headers.get("keep-alive", "")
+        if reply.headers.get("connection") == "close" or \
+                not told.startswith("timeout="):
+            connection[1].close()
+            return
+        kept[i] = (*connection, process,
+                   sent_at + float(told[len("timeout="):]))
+
+    def note_no_answer(self, i, process, request_id, sent_at):
+        """A host that was not harmed answers what callers send it."""
+        # An exit that was not noticed yet: run_faults() reports it.
+        if process.returncode not in (None, 0) or \
+                self.harmed.get(i, 0) >= sent_at:
+            return
+        self.fail(f"{request_id}: no answer from host {i}")
+
+    async def call(self, i, method, path, request_id, kept=None):
+        process = self.processes[i]
+        connection = await self.connect(i, {} if kept is None else kept)
+        reader, writer = connection
+        sent_at = time.monotonic()
+        reply = None
         try:
             body = b"x" * 20 if method == "POST" else b""
             writer.write((
@@ -207,10 +252,17 @@
                 f"Nutmegpick-Request-Id: {request_id}\r\n"
                 f"Nutmegpick-Request-Deadline: {WAIT_MS}\r\n"
                 f"Content-Length: {len(body)}\r\n\r\n").encode() + body)
-            return await asyncio.wait_for(read_message(reader),
-                                          WAIT_MS / 1000 + 1)
+            reply = await asyncio.wait_for(read_message(reader),
+                                           WAIT_MS / 1000 + 1)
+            return reply
+        except (OSError, asyncio.IncompleteReadError):
+            self.note_no_answer(i, process, request_id, sent_at)
+            raise
         finally:
-            writer.close()
+            if reply and kept is not None:
+                self.keep(i, kept, process, connection, sent_at, reply)
+            else:
+                writer.close()
 
     def check_gather(self, request_id, reply):
         stamps = reply.headers.get("nutmegpick-part-stamps", "")
@@ -246,6 +298,8 @@
             self.seen_versions[i] = max(self.seen_versions[i], version)
 
     async def run_caller(self, n):
+        # Open connections, by the number of the host.
+        kept = {}
         while not self.ended:
             i = self.random.randrange(self.args.hosts)
             request_id = (f"{i}-{self.args.seed:x}-{n}-"
@@ -256,7 +310,7 @@
             method = "POST" if kind == "b" else "GET"
             process = self.processes[i]
             try:
-                reply = await self.call(i, method, path, request_id)
+                reply = await self.call(i, method, path, request_id, kept)
             except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError,
                     ValueError):
                 self.count("no_answer")
@@ -273,7 +327,10 @@
                 self.refused.add(request_id)
                 if self.runs.get((request_id, "book")):
                     self.fail(f"{request_id} refused, but had run")
-            await asyncio.sleep(self.random.uniform(0, 0.02))
+            await asyncio.sleep(self.random.uniform(
+                0, self.random.choice([0.02] * 9 + [PAUSE_MAX_S])))
+        for connection in kept.values():
+            connection[1].close()
 
     # Faults
 
