--- a/test/unit/test_http_server.c
+++ b/test/unit/test_http_server.c
@@ -275,7 +275,7 @@
 static void *run_kept_caller(void *ctx)
 {
 	struct kept_caller *c = ctx;
-	char reply[512];
+	char reply[512] = "";
 
 	g_usleep(c->pause_us);
 	if (send(c->fd, KEPT_REQUEST, strlen(KEPT_REQUEST), MSG_NOSIGNAL) > 0)
