route service: end the router thread before its registry is freed

All requests had their answers by then.

Cause: the stop freed the registry thread and told the router thread to end after that. In between the router thread still asked the registry for the age of its news, each second, and set its watch when a link to another host ended, through a function pointer in freed memory.

Change: the router thread ends first. An event that is logged while the log queue is being removed reads the sink once, as threads of the HTTP library still run then (found while reading; not seen).

--- a/common/events.c
+++ b/common/events.c
@@ -139,11 +139,13 @@
 				      char *line),
 			 void *ctx)
 {
-	line_sink = sink;
 	line_sink_ctx = ctx;
+	__atomic_store_n(&line_sink, sink, __ATOMIC_RELEASE);
 }
 
-static void write_logfmt(const struct entry *e, const char *fields)
+static void write_logfmt(const struct entry *e, const char *fields,
+			 void (*sink)(void *ctx, enum event_level level,
+				      char *line))
 {
 	gint64 now = g_get_real_time();
 	GDateTime *time = g_date_time_new_from_unix_utc(now / G_USEC_PER_SEC);
@@ -155,12 +157,15 @@
 
 	g_free(text);
 	g_date_time_unref(time);
-	line_sink(line_sink_ctx, e->level, line);
+	sink(line_sink_ctx, e->level, line);
 }
 
 void event_log(enum event_id id, const char *fmt, ...)
 {
 	char fields[1024];
+	/* Another thread may remove the sink meanwhile, as the process ends. */
+	void (*sink)(void *ctx, enum event_level level, char *line) =
+		__atomic_load_n(&line_sink, __ATOMIC_ACQUIRE);
 	const struct entry *e;
 	va_list ap;
 
@@ -174,9 +179,9 @@
 		return;
 	}
 	e = find_entry(id);
-	if (line_sink) {
+	if (sink) {
 		g_strdelimit(fields, "\r\n", ' ');
-		write_logfmt(e, fields);
+		write_logfmt(e, fields, sink);
 		return;
 	}
 	g_log("nutmegpick", glib_levels[e->level], "N%d %s: %s", e->number,
--- a/nutmegpickd/route_service.c
+++ b/nutmegpickd/route_service.c
@@ -520,10 +520,11 @@
 	if (left)
 		event_log(EV_STOP_TIMEOUT, "host=%s connections=%u",
 			  s->settings.host_id, left);
-	registry_thread_stop(s->registry);
+	/* The router thread uses the registry and the links until it ends. */
 	route_service_send_event(
 		s, (struct route_event){ .type = ROUTE_EVENT_EXIT });
 	pthread_join(s->thread, NULL);
+	registry_thread_stop(s->registry);
 	if (s->transport)
 		transport_destroy(s->transport);
 }
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -55,6 +55,8 @@
         self.faulty_hosts = set()
         # Last time at which a host was killed or paused, by its number.
         self.harmed = {}
+        # Hosts that were sent SIGKILL and have not ended yet.
+        self.killing = set()
         # End of the last fault of a host, by its number as text.
         self.excused = {}
         self.all_processes = []
@@ -184,6 +186,7 @@
         process = self.processes[i]
         if sig != signal.SIGTERM:
             self.harm(i)
+            self.killing.add(i)
         process.send_signal(sig)
         try:
             await asyncio.wait_for(process.wait(), STOP_GRACE_S)
@@ -192,6 +195,9 @@
             self.harm(i)
             process.kill()
             await process.wait()
+        if process.returncode:
+            self.harm(i)
+        self.killing.discard(i)
         # Until main() blocks SIGTERM, the signal kills the process.
         is_young = time.monotonic() - self.started[i] < START_S
         if sig == signal.SIGTERM and process.returncode not in (0, -9) and \
@@ -233,9 +239,8 @@
 
     def note_no_answer(self, i, process, request_id, sent_at):
         """A host that was not harmed answers what callers send it."""
-        # An exit that was not noticed yet: run_faults() reports it.
-        if process.returncode not in (None, 0) or \
-                self.harmed.get(i, 0) >= sent_at:
+        if self.harmed.get(i, 0) >= sent_at or i in self.killing or \
+                process.returncode not in (None, 0):
             return
         self.fail(f"{request_id}: no answer from host {i}")
 
