soak: end the copies of the proxy before their loop ends

The proxy now handles the cancellation itself, as the other stand-ins do; expected file and comparison are unchanged.

--- a/test/soak/standins.py
+++ b/test/soak/standins.py
@@ -276,8 +276,11 @@
             return
         try:
             upstream = await asyncio.open_connection(ip, int(port))
+            await asyncio.gather(self.copy(reader, upstream[1]),
+                                 self.copy(upstream[0], writer))
         except OSError:
             writer.transport.abort()
-            return
-        await asyncio.gather(self.copy(reader, upstream[1]),
-                             self.copy(upstream[0], writer))
+        except asyncio.CancelledError:
+            # asyncio before Python 3.12 logs the cancellation of a handler at
+            # the end of the loop as an exception in a callback.
+            writer.transport.abort()
