--- a/include/router/internal.h
+++ b/include/router/internal.h
@@ -138,6 +138,10 @@
 	char request_id[REQUEST_ID_MAX];
 	struct route_table *table;
 	const struct route *route;
+	/** Organisation of the caller, in the table; NULL if there is none. */
+	const struct organisation *organisation;
+	/** That of the organisation, or else of the route; 0 is first. */
+	uint32_t priority;
 	struct route_stats *stats;
 	int64_t start_us;
 	/** Deadline of the caller, or the stop of this host if that is first. */
--- a/include/router/router.h
+++ b/include/router/router.h
@@ -27,6 +27,8 @@
 	char id[REQUEST_ID_MAX];
 	const char *host;
 	const char *path;
+	/** Name of the organisation of the caller, or NULL. */
+	const char *organisation;
 	/** Timeout set by the caller; 0 if none. */
 	int64_t wait_us;
 	/** Time left until the latency goal; 0 selects that of the route. */
--- a/include/router/table.h
+++ b/include/router/table.h
@@ -13,6 +13,23 @@
 	char *health_path;
 	/** Connections that a leaf accepts from all hosts together. */
 	uint32_t max_connections;
+	/** Time for which a leaf is cold after its start. */
+	int64_t warm_up_us;
+	/** Calls a second that a cold leaf takes from all hosts; 0: no limit. */
+	double warm_up_per_s;
+};
+
+/** Tenant whose callers are known by their keys. */
+struct organisation {
+	char *name;
+	/** The priority replaces that of the routes. */
+	bool has_priority;
+	uint32_t priority;
+	/** Quota of all hosts together; no limit if both are 0. */
+	double rate_per_s;
+	double burst;
+	/** Regions in which its requests may be served; NULL for all. */
+	char **regions;
 };
 
 /** Destination of a route: a shard, or one upstream of a weighted split. */
@@ -50,6 +67,10 @@
 	uint32_t top_k;
 	/** Minimum share of the shards in a gathered answer. */
 	double min_coverage;
+	/** Requests need no key. */
+	bool is_public;
+	/** Regions in which requests may be served; NULL for all. */
+	char **regions;
 	struct route_target *targets;
 	uint32_t target_count;
 };
@@ -70,6 +91,12 @@
 	uint32_t route_count;
 	struct route_upstream *upstreams;
 	uint32_t upstream_count;
+	/** Callers need a key of an organisation. */
+	bool has_organisations;
+	struct organisation *organisations;
+	uint32_t organisation_count;
+	/** Organisations by name. */
+	GHashTable *organisation_names;
 	struct caller_limits limits;
 	/** Routes of each host, longest prefix first. */
 	GHashTable *hosts;
@@ -77,6 +104,8 @@
 
 /** Creates an empty table with one reference; fill it, then seal it. */
 struct route_table *route_table_create(uint32_t routes, uint32_t upstreams);
+/** Makes room for organisations. Callers need a key from now on. */
+void route_table_add_organisations(struct route_table *t, uint32_t count);
 struct route_table *route_table_ref(struct route_table *t);
 void route_table_unref(struct route_table *t);
 
@@ -93,4 +122,8 @@
 const struct route *route_table_match(const struct route_table *t,
 				      const char *host, const char *path);
 
+/** Returns the organisation with a name, or NULL. The name may be NULL. */
+const struct organisation *
+route_table_find_organisation(const struct route_table *t, const char *name);
+
 #endif
--- a/router/choice.c
+++ b/router/choice.c
@@ -188,7 +188,7 @@
 		     struct route_leaf *leaf, int64_t now)
 {
 	return !leaf->rate.is_limited || may_join_batch(r, p, leaf) ||
-	       leaf_rate_has_room(&leaf->rate, p->request->route->priority,
+	       leaf_rate_has_room(&leaf->rate, p->request->priority,
 				  r->host_count, now);
 }
 
@@ -206,8 +206,8 @@
 		    struct route_leaf *leaf, bool is_extra)
 {
 	leaf->probed_at_us = router_now(r);
-	leaf_rate_note_call(&leaf->rate, part->request->route->priority,
-			    is_extra, r->host_count, router_now(r));
+	leaf_rate_note_call(&leaf->rate, part->request->priority, is_extra,
+			    r->host_count, router_now(r));
 }
 
 /* What leaf_choose() learns of the leaves that it passes over. */
@@ -240,13 +240,13 @@
 			 struct passed_over *o, struct route_leaf *leaf,
 			 double expected, int64_t now)
 {
-	int64_t wait = leaf_rate_wait(&leaf->rate, p->request->route->priority,
+	int64_t wait = leaf_rate_wait(&leaf->rate, p->request->priority,
 				      r->host_count, now);
 
 	if (wait == INT64_MAX)
 		return false;
 	o->limited_per_s += leaf_rate_share_of(
-		&leaf->rate, p->request->route->priority, r->host_count, now);
+		&leaf->rate, p->request->priority, r->host_count, now);
 	if (wait >= o->limited_wait_us)
 		return true;
 	o->limited_wait_us = wait;
--- a/router/part.c
+++ b/router/part.c
@@ -338,8 +338,8 @@
 		p->phase = PART_RUNNING;
 		arm_hedge(r, p, now + BATCH_MARGIN_US);
 	} else if (p->planned_leaf &&
-		   leaf_rate_has_room(&p->planned_leaf->rate,
-				      q->route->priority, r->host_count, now)) {
+		   leaf_rate_has_room(&p->planned_leaf->rate, q->priority,
+				      r->host_count, now)) {
 		send_call(r, p, p->planned_leaf, false);
 	} else if (p->planned_leaf) {
 		start_without_batch(r, p);
--- a/router/rates.c
+++ b/router/rates.c
@@ -72,8 +72,7 @@
 void rates_note_wanted(struct router *r, const struct route_part *p,
 		       struct route_leaf *leaf)
 {
-	leaf_rate_note_wanted(&leaf->rate, p->request->route->priority,
-			      router_now(r));
+	leaf_rate_note_wanted(&leaf->rate, p->request->priority, router_now(r));
 	schedule_claims(r, leaf->rate.claim_at_us);
 }
 
--- a/router/request.c
+++ b/router/request.c
@@ -332,6 +332,11 @@
 	g_strlcpy(q->request_id, in->id, sizeof(q->request_id));
 	q->table = route_table_ref(r->table);
 	q->route = route;
+	q->organisation =
+		route_table_find_organisation(r->table, in->organisation);
+	q->priority = q->organisation && q->organisation->has_priority
+			      ? q->organisation->priority
+			      : route->priority;
 	q->stats = route_stats_ref(route_stats_get(r, route));
 	q->user = in->user;
 	q->start_us = now;
--- a/router/table.c
+++ b/router/table.c
@@ -20,6 +20,13 @@
 	return t;
 }
 
+void route_table_add_organisations(struct route_table *t, uint32_t count)
+{
+	t->has_organisations = true;
+	t->organisations = g_new0(struct organisation, count);
+	t->organisation_count = count;
+}
+
 struct route_table *route_table_ref(struct route_table *t)
 {
 	__atomic_add_fetch(&t->refs, 1, __ATOMIC_RELAXED);
@@ -31,6 +38,7 @@
 	g_free(r->name);
 	g_free(r->host);
 	g_free(r->prefix);
+	g_strfreev(r->regions);
 	g_free(r->targets);
 }
 
@@ -44,8 +52,15 @@
 		g_free(t->upstreams[i].name);
 		g_free(t->upstreams[i].health_path);
 	}
+	for (uint32_t i = 0; i < t->organisation_count; i++) {
+		g_free(t->organisations[i].name);
+		g_strfreev(t->organisations[i].regions);
+	}
 	if (t->hosts)
 		g_hash_table_destroy(t->hosts);
+	if (t->organisation_names)
+		g_hash_table_destroy(t->organisation_names);
+	g_free(t->organisations);
 	g_free(t->routes);
 	g_free(t->upstreams);
 	g_free(t);
@@ -98,6 +113,34 @@
 	return check_targets(t, r);
 }
 
+static const char *check_organisation(const struct organisation *o)
+{
+	if (!o->name || !*o->name)
+		return "lacks a name";
+	if (!(o->rate_per_s >= 0 && isfinite(o->rate_per_s)) ||
+	    !(o->burst >= 0 && isfinite(o->burst)))
+		return "has a rate or burst that is not 0 or more";
+	return NULL;
+}
+
+/* Returns a fault of the organisations, and the faulty one, or NULL. */
+static const char *index_organisations(struct route_table *t,
+				       const struct organisation **faulty)
+{
+	t->organisation_names = g_hash_table_new(g_str_hash, g_str_equal);
+	for (uint32_t i = 0; i < t->organisation_count; i++) {
+		struct organisation *o = &t->organisations[i];
+		const char *fault = check_organisation(o);
+
+		*faulty = o;
+		if (fault)
+			return fault;
+		if (!g_hash_table_insert(t->organisation_names, o->name, o))
+			return "is defined twice";
+	}
+	return NULL;
+}
+
 static gint compare_prefixes(gconstpointer a, gconstpointer b)
 {
 	const struct route *x = *(const struct route *const *)a;
@@ -138,10 +181,18 @@
 
 int route_table_seal(struct route_table *t, char *message, size_t len)
 {
+	const struct organisation *faulty;
+	const char *fault = index_organisations(t, &faulty);
+
+	if (fault) {
+		snprintf(message, len, "organisation %s %s",
+			 faulty->name ? faulty->name : "?", fault);
+		return -ERR_ROUTE_TABLE;
+	}
 	for (uint32_t i = 0; i < t->route_count; i++) {
-		const char *fault = check_route(t, &t->routes[i]);
 		const char *name = t->routes[i].name;
 
+		fault = check_route(t, &t->routes[i]);
 		if (!fault)
 			continue;
 		snprintf(message, len, "route %s %s", name ? name : "?", fault);
@@ -182,3 +233,9 @@
 	}
 	return NULL;
 }
+
+const struct organisation *
+route_table_find_organisation(const struct route_table *t, const char *name)
+{
+	return name ? g_hash_table_lookup(t->organisation_names, name) : NULL;
+}
