router: allowed regions, evacuated failure domains, one check for leaves

Whether a call may go to a leaf now is decided in leaf_access.c alone: first calls, retries, hedges, probes of ejected leaves, parts that wait and shard counts ask it. Requests keep to the regions that their route and organisation allow in the table in force; nothing is sent to the leaves of a failure domain that the store names as evacuated. An entry that moves a leaf to another failure domain replaces the leaf.

--- a/include/net/leaf_client.h
+++ b/include/net/leaf_client.h
@@ -114,12 +114,21 @@
 /** Closes all connections; calls in flight end without a callback. */
 void leaf_endpoint_destroy(struct leaf_endpoint *e);
 
+/** Closes the connections that carry no call. */
+void leaf_endpoint_close_idle(struct leaf_endpoint *e);
+
 /** Sends a request; copies the head and body. The call ends in handle_end(). */
 void leaf_client_send(struct leaf_endpoint *e, const struct leaf_request *r);
 
 /** Cancels a call without a callback and closes its connection. */
 void leaf_client_cancel(struct leaf_client *c, uint64_t call_id);
 
+/**
+ * Cancels a call without a callback and returns true if nothing of the request
+ * has been sent; otherwise the call goes on.
+ */
+bool leaf_client_withdraw_call(struct leaf_client *c, uint64_t call_id);
+
 /**
  * Detaches a call whose result is no longer needed. If nothing of the request
  * has been sent, the call is cancelled and true is returned. Otherwise it goes
--- a/include/platform/store.h
+++ b/include/platform/store.h
@@ -12,6 +12,8 @@
 #define PLATFORM_CONFIG_KEY "op/config"
 /** Prefix of the keys of leaf entries. */
 #define PLATFORM_LEAF_PREFIX "servers/"
+/** Prefix of the keys that name evacuated failure domains. */
+#define PLATFORM_EVACUATION_PREFIX "op/evacuate/"
 /** Prefix of the keys under which hosts publish their records. */
 #define PLATFORM_HOST_PREFIX "nutmegpick/hosts/"
 
--- a/include/router/internal.h
+++ b/include/router/internal.h
@@ -4,6 +4,7 @@
 #include "engine/heap.h"
 #include "engine/latency.h"
 #include "engine/query.h"
+#include "router/leaf_access.h"
 #include "router/router.h"
 
 /** Maximum number of calls in flight for one part. */
@@ -142,6 +143,12 @@
 	const struct organisation *organisation;
 	/** That of the organisation, or else of the route; 0 is first. */
 	uint32_t priority;
+	/**
+	 * Regions in which leaves may be called, and the version of the table
+	 * that allows them; leaf_access.c updates both.
+	 */
+	uint64_t regions;
+	uint64_t regions_version;
 	struct route_stats *stats;
 	int64_t start_us;
 	/** Deadline of the caller, or the stop of this host if that is first. */
@@ -314,10 +321,6 @@
 void leaf_note_wanted(struct router *r, const struct route_part *part,
 		      const struct leaf_choice *choice);
 
-/** Notes that a call is sent to a leaf. */
-void leaf_note_sent(struct router *r, const struct route_part *part,
-		    struct route_leaf *leaf, bool is_extra);
-
 /**
  * Notes that the planned leaf of a part in a batch has not answered in time;
  * other leaves are preferred for a while.
@@ -349,6 +352,11 @@
 void part_start(struct router *r, struct route_part *p);
 void part_handle_result(struct router *r, struct leaf_call *c,
 			const struct router_result *result);
+/**
+ * Sends a call to another leaf if nothing of it has been sent, without counting
+ * as an extra call. Returns whether the call was taken back.
+ */
+bool part_move_call(struct router *r, struct leaf_call *c);
 /** Tries to send the first calls of the parts that wait for a leaf. */
 void part_retry_waiting(struct router *r);
 /**
--- a/include/router/leaf_set.h
+++ b/include/router/leaf_set.h
@@ -78,6 +78,10 @@
 	/** Slow start: calls are expected to take longer until this time. */
 	int64_t warm_at_us;
 	enum leaf_distance distance;
+	/** Bit of the region; 0 if the region is not known. */
+	uint64_t region;
+	/** Nothing may be sent to the leaf: its failure domain is evacuated. */
+	bool is_evacuated;
 	/** Constant between 0 and 1 for each pair of host and leaf. */
 	double preference;
 	/** Calls of this host in flight, oldest first. */
@@ -125,6 +129,10 @@
 	char *domain;
 	/** Region by failure domain. */
 	GHashTable *regions;
+	/** Bit number plus one by region. */
+	GHashTable *region_bits;
+	/** Failure domains that are evacuated. */
+	GHashTable *evacuated;
 	GHashTable *pools;
 	GHashTable *leaves;
 	/** Called before the memory of a leaf is freed. */
@@ -146,6 +154,25 @@
 enum leaf_distance leaf_set_distance(const struct leaf_set *s,
 				     const char *domain);
 
+/**
+ * Returns the bit of the region of a failure domain, or 0 if the region is not
+ * known.
+ */
+uint64_t leaf_set_region(const struct leaf_set *s, const char *domain);
+
+/**
+ * Returns the bits of the regions in a list, or UINT64_MAX for NULL: no limit.
+ * Names of unknown regions have no bit.
+ */
+uint64_t leaf_set_regions(const struct leaf_set *s, char *const *regions);
+
+/**
+ * Notes whether a failure domain is evacuated, also for leaves that are added
+ * later. Returns whether that is a change.
+ */
+bool leaf_set_set_evacuated(struct leaf_set *s, const char *domain,
+			    bool is_evacuated);
+
 /** Returns the pool of a service; creates it on first use. */
 struct upstream_pool *leaf_set_get_pool(struct leaf_set *s,
 					const char *service);
--- a/include/router/router.h
+++ b/include/router/router.h
@@ -194,6 +194,12 @@
 	 * delivers its result.
 	 */
 	bool (*detach_call)(void *ctx, uint64_t call_id);
+	/**
+	 * Cancels a call of which no byte has been sent and returns true; its
+	 * result must not be delivered. Otherwise returns false and lets the
+	 * call go on. NULL if the adapter sends calls at once.
+	 */
+	bool (*withdraw_call)(void *ctx, uint64_t call_id);
 	/**
 	 * Sends a batch to a host of its failure domain; returns false if there
 	 * is none. The results come through router_handle_batch_result(). NULL
@@ -222,6 +228,8 @@
 	 * and the end of its limit. NULL if the adapter has no metrics.
 	 */
 	void (*report_rate)(void *ctx, const struct leaf_rate_report *report);
+	/** Closes the idle connections to a leaf; NULL if there are none. */
+	void (*close_idle)(void *ctx, struct route_leaf *leaf);
 	/** Frees the adapter's state of a leaf, leaf->endpoint. */
 	void (*free_endpoint)(void *ctx, struct route_leaf *leaf);
 };
@@ -281,6 +289,22 @@
  */
 GHashTable *router_shard_counts(struct router *r, const struct route *route);
 
+/**
+ * Returns whether a request may be forwarded whole to another host of this
+ * region: not if the route or the organisation is limited to other regions. The
+ * organisation may be NULL.
+ */
+bool router_may_forward(const struct router *r, const struct route *route,
+			const char *organisation);
+
+/**
+ * Sets whether a failure domain is evacuated. No call is sent to the leaves of
+ * an evacuated one; calls of which nothing was sent move to other leaves, and
+ * idle connections are closed.
+ */
+void router_set_evacuated(struct router *r, const char *domain,
+			  bool is_evacuated);
+
 /** Returns the time until the latency goal of a request that arrives now. */
 int64_t router_goal_left(const struct route *route);
 
--- a/net/leaf_client.c
+++ b/net/leaf_client.c
@@ -455,6 +455,19 @@
 	g_free(e);
 }
 
+void leaf_endpoint_close_idle(struct leaf_endpoint *e)
+{
+	GList *next;
+
+	for (GList *i = e->connections.head; i; i = next) {
+		struct leaf_connection *n = i->data;
+
+		next = i->next;
+		if (n->phase == CONNECTION_IDLE)
+			close_connection(n);
+	}
+}
+
 void leaf_client_destroy(struct leaf_client *c)
 {
 	GList *endpoints = g_hash_table_get_keys(c->endpoints);
@@ -581,6 +594,16 @@
 		close_connection(n);
 }
 
+bool leaf_client_withdraw_call(struct leaf_client *c, uint64_t call_id)
+{
+	struct leaf_connection *n = g_hash_table_lookup(c->calls, &call_id);
+
+	if (!n || n->is_request_begun)
+		return false;
+	close_connection(n);
+	return true;
+}
+
 bool leaf_client_detach_call(struct leaf_client *c, uint64_t call_id)
 {
 	struct leaf_connection *n = g_hash_table_lookup(c->calls, &call_id);
--- a/nutmegpickd/catalog.c
+++ b/nutmegpickd/catalog.c
@@ -4,6 +4,7 @@
 
 #include "common/errors.h"
 #include "common/events.h"
+#include "platform/names.h"
 #include "platform/routes.h"
 #include "platform/store.h"
 
@@ -91,10 +92,21 @@
 			  (unsigned long long)i->revision);
 }
 
+/* The value of the key says nothing: the domain is evacuated while it exists. */
+static void apply_evacuation(struct catalog *c, const struct store_item *i)
+{
+	const char *domain = i->key + strlen(PLATFORM_EVACUATION_PREFIX);
+
+	/* No leaf can be in a domain of another name. */
+	if (platform_is_name(domain))
+		router_set_evacuated(c->router, domain, i->value != NULL);
+}
+
 static bool is_catalog_key(const struct store_item *i)
 {
 	return !strcmp(i->key, PLATFORM_CONFIG_KEY) ||
 	       g_str_has_prefix(i->key, PLATFORM_LEAF_PREFIX) ||
+	       g_str_has_prefix(i->key, PLATFORM_EVACUATION_PREFIX) ||
 	       g_str_has_prefix(i->key, PLATFORM_HOST_PREFIX);
 }
 
@@ -120,6 +132,9 @@
 			apply_leaf(c, item);
 		else if (g_str_has_prefix(item->key, PLATFORM_HOST_PREFIX))
 			apply_host(c, item);
+		else if (g_str_has_prefix(item->key,
+					  PLATFORM_EVACUATION_PREFIX))
+			apply_evacuation(c, item);
 		else
 			apply_routes(c, item);
 	}
--- a/nutmegpickd/route_callers.c
+++ b/nutmegpickd/route_callers.c
@@ -87,6 +87,19 @@
 	leaf->endpoint = NULL;
 }
 
+static bool handle_withdraw_call(void *ctx, uint64_t call_id)
+{
+	struct route_service *s = ctx;
+
+	return leaf_client_withdraw_call(s->client, call_id);
+}
+
+static void handle_close_idle(void *ctx, struct route_leaf *leaf)
+{
+	if (leaf->endpoint)
+		leaf_endpoint_close_idle(leaf->endpoint);
+}
+
 static bool handle_start_batch(void *ctx, const struct router_batch *b)
 {
 	return route_start_batch(ctx, b);
@@ -126,12 +139,14 @@
 	.start_call = handle_start_call,
 	.cancel_call = handle_cancel_call,
 	.detach_call = handle_detach_call,
+	.withdraw_call = handle_withdraw_call,
 	.start_batch = handle_start_batch,
 	.cancel_batch = handle_cancel_batch,
 	.answer_part = handle_answer_part,
 	.answer = handle_router_answer,
 	.claim_rates = handle_claim_rates,
 	.report_rate = handle_report_rate,
+	.close_idle = handle_close_idle,
 	.free_endpoint = handle_free_endpoint,
 };
 
--- a/nutmegpickd/route_hosts.c
+++ b/nutmegpickd/route_hosts.c
@@ -232,6 +232,12 @@
 	if (!s->transport || !id || !route || route->shape != ROUTE_GATHER ||
 	    !router_may_start(s->router, route))
 		return false;
+	if (!router_may_forward(s->router, route, NULL)) {
+		event_log(EV_FORWARD_BARRED, "request=%s route=%s version=%llu",
+			  id, route->name,
+			  (unsigned long long)router_version(s->router));
+		return false;
+	}
 	h = choose_gatherer(s, q, route);
 	if (!h)
 		return false;
--- a/router/choice.c
+++ b/router/choice.c
@@ -55,12 +55,6 @@
 #define EJECT_FAILURES 3
 #define EJECT_FIRST_US (400 * US_PER_MS)
 #define EJECT_MAX_US (3 * US_PER_S)
-/*
- * Interval at which an ejected leaf may be called if there is no other leaf.
- * Requests in between are refused at once: most of them would fail after other
- * leaves have done their work.
- */
-#define PROBE_INTERVAL_US (150 * US_PER_MS)
 /* Minimum of the concurrent calls that the leaves of a pool take together. */
 #define CAPACITY_MIN 0.01
 
@@ -138,78 +132,6 @@
 	return cost;
 }
 
-static bool is_tried(const struct route_part *p, const struct route_leaf *leaf)
-{
-	for (uint32_t i = 0; i < p->tried_count; i++) {
-		if (p->tried[i] == leaf)
-			return true;
-	}
-	return false;
-}
-
-/*
- * Returns the maximum of this host's concurrency limit at a leaf: a share of
- * the connections that the leaf accepts from all hosts.
- */
-static double max_concurrency(const struct route_leaf *leaf)
-{
-	uint32_t share = leaf->pool->max_connections / 8;
-
-	return CLAMP(share, 2, 64);
-}
-
-static bool is_busy(const struct route_leaf *leaf, int64_t now)
-{
-	return now < leaf->full_until_us ||
-	       leaf->calls.length >=
-		       MIN(leaf->concurrency_limit, max_concurrency(leaf));
-}
-
-static bool is_ejected(const struct route_leaf *leaf, int64_t now)
-{
-	return now < leaf->ejected_until_us;
-}
-
-/*
- * Returns whether a planned part may go to a leaf in a batch. The host that
- * takes the batch has its own share of the leaf's limit.
- */
-static bool may_join_batch(const struct router *r, const struct route_part *p,
-			   const struct route_leaf *leaf)
-{
-	const struct route_request *q = p->request;
-
-	return !p->is_planned && r->options.ops->start_batch &&
-	       q->route->shape == ROUTE_GATHER && !q->is_partial &&
-	       !q->is_repeat && leaf->distance == LEAF_SAME_REGION;
-}
-
-static bool has_room(const struct router *r, const struct route_part *p,
-		     struct route_leaf *leaf, int64_t now)
-{
-	return !leaf->rate.is_limited || may_join_batch(r, p, leaf) ||
-	       leaf_rate_has_room(&leaf->rate, p->request->priority,
-				  r->host_count, now);
-}
-
-static bool may_choose(const struct route_part *p,
-		       const struct route_leaf *leaf, int64_t now)
-{
-	if (!route_leaf_is_usable(leaf, now) ||
-	    (p->request->is_partial && leaf->distance != LEAF_SAME_DOMAIN))
-		return false;
-	return !is_ejected(leaf, now) ||
-	       now - leaf->probed_at_us >= PROBE_INTERVAL_US;
-}
-
-void leaf_note_sent(struct router *r, const struct route_part *part,
-		    struct route_leaf *leaf, bool is_extra)
-{
-	leaf->probed_at_us = router_now(r);
-	leaf_rate_note_call(&leaf->rate, part->request->priority, is_extra,
-			    r->host_count, router_now(r));
-}
-
 /* What leaf_choose() learns of the leaves that it passes over. */
 struct passed_over {
 	/** Concurrent calls that the usable leaves take together. */
@@ -224,32 +146,31 @@
 };
 
 /* Returns the concurrent calls at a leaf that its limits allow. */
-static double leaf_capacity(const struct router *r, struct route_leaf *leaf,
-			    double expected, int64_t now)
+static double leaf_capacity(const struct router *r,
+			    const struct route_leaf *leaf, double expected,
+			    int64_t now)
 {
-	double per_s;
+	double per_s = leaf_access_rate_share(r, leaf, now);
 
-	if (!leaf->rate.is_limited)
-		return leaf->concurrency_limit;
-	per_s = leaf_rate_share(&leaf->rate, r->host_count, now);
 	return MIN(leaf->concurrency_limit, per_s * expected / US_PER_S);
 }
 
-/* Notes a leaf whose rate limit leaves no room; false if it never will. */
+/*
+ * Notes a leaf whose shared rates leave no room until a time; false if they are
+ * not known to leave any.
+ */
 static bool note_limited(const struct router *r, const struct route_part *p,
-			 struct passed_over *o, struct route_leaf *leaf,
-			 double expected, int64_t now)
+			 struct passed_over *o, const struct route_leaf *leaf,
+			 double expected, int64_t until_us)
 {
-	int64_t wait = leaf_rate_wait(&leaf->rate, p->request->priority,
-				      r->host_count, now);
+	int64_t now = router_now(r);
 
-	if (wait == INT64_MAX)
+	if (until_us == INT64_MAX)
 		return false;
-	o->limited_per_s += leaf_rate_share_of(
-		&leaf->rate, p->request->priority, r->host_count, now);
-	if (wait >= o->limited_wait_us)
+	o->limited_per_s += leaf_access_rate_share_of(r, p, leaf, now);
+	if (until_us - now >= o->limited_wait_us)
 		return true;
-	o->limited_wait_us = wait;
+	o->limited_wait_us = until_us - now;
 	o->limited_us = expected;
 	return true;
 }
@@ -292,37 +213,33 @@
 
 	for (guint i = 0; i < part->pool->leaves->len; i++) {
 		struct route_leaf *leaf = part->pool->leaves->pdata[i];
-		bool is_last_resort = is_ejected(leaf, now) ||
-				      leaf->phase != LEAF_IN_SERVICE;
+		struct leaf_access a = leaf_access_check(r, part, leaf, now);
 		double expected;
 		double cost;
 
-		if (!may_choose(part, leaf, now))
+		if (leaf_access_is_barred(a.reason))
 			continue;
 		expected = expected_us(leaf, stats, typical, now);
-		if (!has_room(r, part, leaf, now)) {
-			if (!is_tried(part, leaf) &&
-			    note_limited(r, part, &over, leaf, expected, now))
+		if (!a.has_room) {
+			if (a.reason != ACCESS_TRIED &&
+			    note_limited(r, part, &over, leaf, expected,
+					 a.until_us))
 				choice.usable_count++;
 			continue;
 		}
 		choice.usable_count++;
 		over.capacity += leaf_capacity(r, leaf, expected, now);
-		if (is_tried(part, leaf))
-			continue;
-		if (is_busy(leaf, now)) {
+		if (a.reason == ACCESS_FULL)
 			over.least_busy_us = MIN(over.least_busy_us, expected);
-			continue;
-		}
-		/* Ejected, draining and removed leaves are a last resort. */
-		if (is_last_resort && !is_best_last_resort)
+		if (a.reason != ACCESS_ALLOWED ||
+		    (a.is_last_resort && !is_best_last_resort))
 			continue;
 		cost = cost_us(leaf, expected, now);
-		if (is_best_last_resort == is_last_resort &&
+		if (is_best_last_resort == a.is_last_resort &&
 		    cost >= choice.cost)
 			continue;
 		choice.cost = cost;
-		is_best_last_resort = is_last_resort;
+		is_best_last_resort = a.is_last_resort;
 		choice.leaf = leaf;
 		choice.expected_us = (int64_t)expected;
 	}
@@ -344,10 +261,13 @@
 						       part->request->route);
 	for (guint i = 0; i < part->pool->leaves->len; i++) {
 		struct route_leaf *leaf = part->pool->leaves->pdata[i];
+		struct leaf_access a;
 		double expected;
 
-		if (!leaf->rate.is_limited || !may_choose(part, leaf, now) ||
-		    may_join_batch(r, part, leaf))
+		if (!leaf->rate.is_limited)
+			continue;
+		a = leaf_access_check(r, part, leaf, now);
+		if (leaf_access_is_barred(a.reason) || a.may_join_batch)
 			continue;
 		expected = expected_us(leaf, stats, typical, now);
 		if (cost_us(leaf, expected, now) <= choice->cost)
@@ -397,8 +317,8 @@
  */
 static void grow_without_load(struct route_leaf *leaf)
 {
-	double most =
-		MIN(leaf_set_initial_concurrency(leaf), max_concurrency(leaf));
+	double most = MIN(leaf_set_initial_concurrency(leaf),
+			  leaf_access_max_calls(leaf));
 
 	if (leaf->concurrency_limit >= most ||
 	    leaf->calls.length < leaf->concurrency_limit)
@@ -429,7 +349,7 @@
 		   leaf->calls.length >= leaf->concurrency_limit) {
 		leaf->concurrency_limit =
 			MIN(leaf->concurrency_limit + GROW_STEP,
-			    max_concurrency(leaf));
+			    leaf_access_max_calls(leaf));
 	}
 }
 
--- /dev/null
+++ b/router/leaf_access.c
@@ -0,0 +1,291 @@
+#include "router/internal.h"
+
+#include <math.h>
+#include <string.h>
+
+#include "common/errors.h"
+#include "common/events.h"
+
+/*
+ * Interval at which an ejected leaf may be called if there is no other leaf.
+ * Requests in between are refused at once: most of them would fail after other
+ * leaves have done their work.
+ */
+#define PROBE_INTERVAL_US (150 * US_PER_MS)
+/*
+ * Part of the connections that a leaf accepts from all hosts which one host may
+ * use, and bounds of the result.
+ */
+#define CONNECTIONS_DIVISOR 8
+#define CALLS_MIN 2
+#define CALLS_MAX 64
+
+/*
+ * Rates of a leaf that all hosts share. Only the functions of this section ask
+ * for them, so a further rate of a leaf is added here.
+ */
+
+static bool rate_has_room(const struct router *r, const struct route_part *p,
+			  struct route_leaf *leaf, int64_t now)
+{
+	return leaf_rate_has_room(&leaf->rate, p->request->priority,
+				  r->host_count, now);
+}
+
+/* Returns the time until there is room; INT64_MAX if that is not known. */
+static int64_t rate_wait(const struct router *r, const struct route_part *p,
+			 struct route_leaf *leaf, int64_t now)
+{
+	return leaf_rate_wait(&leaf->rate, p->request->priority, r->host_count,
+			      now);
+}
+
+double leaf_access_rate_share(const struct router *r,
+			      const struct route_leaf *leaf, int64_t now_us)
+{
+	if (!leaf->rate.is_limited)
+		return INFINITY;
+	return leaf_rate_share(&leaf->rate, r->host_count, now_us);
+}
+
+double leaf_access_rate_share_of(const struct router *r,
+				 const struct route_part *p,
+				 const struct route_leaf *leaf, int64_t now_us)
+{
+	if (!leaf->rate.is_limited)
+		return INFINITY;
+	return leaf_rate_share_of(&leaf->rate, p->request->priority,
+				  r->host_count, now_us);
+}
+
+void leaf_access_note_call(struct router *r, const struct route_part *p,
+			   struct route_leaf *leaf, bool is_extra)
+{
+	int64_t now = router_now(r);
+
+	leaf->probed_at_us = now;
+	leaf_rate_note_call(&leaf->rate, p->request->priority, is_extra,
+			    r->host_count, now);
+}
+
+/* Regions and failure domains */
+
+uint64_t leaf_access_regions(const struct router *r, const struct route *route,
+			     const struct organisation *organisation)
+{
+	uint64_t regions = leaf_set_regions(&r->leaves, route->regions);
+
+	if (organisation)
+		regions &= leaf_set_regions(&r->leaves, organisation->regions);
+	return regions;
+}
+
+static const struct route *find_route(const struct route_table *t,
+				      const char *name)
+{
+	for (uint32_t i = 0; i < t->route_count; i++) {
+		if (!strcmp(t->routes[i].name, name))
+			return &t->routes[i];
+	}
+	return NULL;
+}
+
+/*
+ * Returns the regions that the table in force allows a request, which may be
+ * newer than the table with which the request began. Limits of a route or
+ * organisation that it no longer has remain.
+ */
+static uint64_t request_regions(const struct router *r, struct route_request *q)
+{
+	const struct organisation *o = q->organisation;
+	const struct route *route = q->route;
+
+	if (q->regions_version == r->table->version)
+		return q->regions;
+	if (q->table != r->table) {
+		route = find_route(r->table, q->route->name);
+		if (o)
+			o = route_table_find_organisation(r->table, o->name);
+	}
+	q->regions = leaf_access_regions(r, route ? route : q->route,
+					 o ? o : q->organisation);
+	q->regions_version = r->table->version;
+	return q->regions;
+}
+
+enum leaf_access_reason leaf_access_check_place(const struct route_leaf *leaf,
+						uint64_t regions,
+						int64_t now_us)
+{
+	if (regions != REGIONS_ALL && !(leaf->region & regions))
+		return ACCESS_OTHER_REGION;
+	if (leaf->is_evacuated)
+		return ACCESS_EVACUATED;
+	if (route_leaf_is_usable(leaf, now_us))
+		return ACCESS_ALLOWED;
+	return leaf->phase == LEAF_LEAVING ? ACCESS_LEAVING : ACCESS_REMOVED;
+}
+
+/* State of the leaf and its calls */
+
+static bool is_ejected(const struct route_leaf *leaf, int64_t now)
+{
+	return now < leaf->ejected_until_us;
+}
+
+static bool may_probe(const struct route_leaf *leaf, int64_t now)
+{
+	return now - leaf->probed_at_us >= PROBE_INTERVAL_US;
+}
+
+double leaf_access_max_calls(const struct route_leaf *leaf)
+{
+	uint32_t share = leaf->pool->max_connections / CONNECTIONS_DIVISOR;
+
+	return CLAMP(share, CALLS_MIN, CALLS_MAX);
+}
+
+static bool is_full(const struct route_leaf *leaf, int64_t now)
+{
+	return now < leaf->full_until_us ||
+	       leaf->calls.length >= MIN(leaf->concurrency_limit,
+					 leaf_access_max_calls(leaf));
+}
+
+static bool is_tried(const struct route_part *p, const struct route_leaf *leaf)
+{
+	for (uint32_t i = 0; i < p->tried_count; i++) {
+		if (p->tried[i] == leaf)
+			return true;
+	}
+	return false;
+}
+
+static bool may_join_batch(const struct router *r, const struct route_part *p,
+			   const struct route_leaf *leaf)
+{
+	const struct route_request *q = p->request;
+
+	return !p->is_planned && r->options.ops->start_batch &&
+	       q->route->shape == ROUTE_GATHER && !q->is_partial &&
+	       !q->is_repeat && leaf->distance == LEAF_SAME_REGION;
+}
+
+/* Fills in the answer for a leaf whose place and state allow calls. */
+static void check_calls(const struct router *r, const struct route_part *p,
+			struct route_leaf *leaf, int64_t now,
+			struct leaf_access *a)
+{
+	int64_t wait;
+
+	a->may_join_batch = may_join_batch(r, p, leaf);
+	a->has_room = a->may_join_batch || rate_has_room(r, p, leaf, now);
+	if (is_tried(p, leaf)) {
+		a->reason = ACCESS_TRIED;
+	} else if (!a->has_room) {
+		wait = rate_wait(r, p, leaf, now);
+		a->reason = ACCESS_RATE_LIMIT;
+		if (wait < INT64_MAX)
+			a->until_us = now + wait;
+	} else if (is_full(leaf, now)) {
+		a->reason = ACCESS_FULL;
+		if (now < leaf->full_until_us)
+			a->until_us = leaf->full_until_us;
+	}
+}
+
+struct leaf_access leaf_access_check(struct router *r,
+				     const struct route_part *p,
+				     struct route_leaf *leaf, int64_t now_us)
+{
+	struct route_request *q = p->request;
+	struct leaf_access a = {
+		.reason = leaf_access_check_place(leaf, request_regions(r, q),
+						  now_us),
+		.until_us = INT64_MAX,
+		.is_last_resort = is_ejected(leaf, now_us) ||
+				  leaf->phase != LEAF_IN_SERVICE,
+	};
+
+	if (a.reason != ACCESS_ALLOWED)
+		return a;
+	if (q->is_partial && leaf->distance != LEAF_SAME_DOMAIN) {
+		a.reason = ACCESS_OTHER_DOMAIN;
+	} else if (is_ejected(leaf, now_us) && !may_probe(leaf, now_us)) {
+		a.reason = ACCESS_EJECTED;
+		a.until_us = MIN(leaf->ejected_until_us,
+				 leaf->probed_at_us + PROBE_INTERVAL_US);
+	} else {
+		check_calls(r, p, leaf, now_us, &a);
+	}
+	return a;
+}
+
+/* Leaves of a part that its limits exclude. */
+struct excluded_leaves {
+	uint32_t other_region;
+	uint32_t evacuated;
+	/** Leaves that are neither excluded nor gone. */
+	uint32_t usable;
+};
+
+static struct excluded_leaves count_excluded(struct router *r,
+					     const struct route_part *p)
+{
+	uint64_t regions = request_regions(r, p->request);
+	int64_t now = router_now(r);
+	struct excluded_leaves n = { 0 };
+
+	for (guint i = 0; i < p->pool->leaves->len; i++) {
+		switch (leaf_access_check_place(p->pool->leaves->pdata[i],
+						regions, now)) {
+		case ACCESS_ALLOWED:
+			n.usable++;
+			break;
+		case ACCESS_OTHER_REGION:
+			n.other_region++;
+			break;
+		case ACCESS_EVACUATED:
+			n.evacuated++;
+			break;
+		default:
+			break;
+		}
+	}
+	return n;
+}
+
+void leaf_access_log_none(struct router *r, const struct route_part *p)
+{
+	struct excluded_leaves n = count_excluded(r, p);
+
+	rates_log_no_room(r, p);
+	if (n.other_region || n.evacuated)
+		event_log(EV_PART_EXCLUDED,
+			  "request=%s service=%s leaves=%u other_region=%u "
+			  "evacuated=%u usable=%u",
+			  p->request->request_id, p->pool->name,
+			  p->pool->leaves->len, n.other_region, n.evacuated,
+			  n.usable);
+}
+
+int leaf_access_refusal_code(struct router *r, struct route_request *q,
+			     int code)
+{
+	bool is_evacuated = false;
+
+	for (uint32_t i = 0; i < q->part_count; i++) {
+		const struct route_part *p = &q->parts[i];
+		struct excluded_leaves n;
+
+		if (p->phase != PART_FAILED && !p->is_infeasible)
+			continue;
+		n = count_excluded(r, p);
+		if (n.usable)
+			continue;
+		if (n.other_region)
+			return -ERR_ROUTE_REGION;
+		is_evacuated = is_evacuated || n.evacuated;
+	}
+	return is_evacuated ? -ERR_ROUTE_EVACUATED : code;
+}
--- a/router/leaf_set.c
+++ b/router/leaf_set.c
@@ -13,6 +13,12 @@
  */
 #define LATE_WRITE_MAX_US (10 * US_PER_S)
 
+/*
+ * Regions beyond this number have no bit, so requests that are limited to them
+ * reach no leaf. A set of all bits stands for no limit.
+ */
+#define REGIONS_MAX 63
+
 /* Minimum of the initial concurrency limit of a leaf. */
 #define CONCURRENCY_START_MIN 2
 
@@ -33,6 +39,18 @@
 	g_free(p);
 }
 
+static void add_region(struct leaf_set *s, const char *domain,
+		       const char *region)
+{
+	guint count = g_hash_table_size(s->region_bits);
+	char *name = g_strdup(region);
+
+	g_hash_table_insert(s->regions, g_strdup(domain), name);
+	if (count < REGIONS_MAX && !g_hash_table_contains(s->region_bits, name))
+		g_hash_table_insert(s->region_bits, g_strdup(name),
+				    GUINT_TO_POINTER(count + 1));
+}
+
 void leaf_set_init(struct leaf_set *s, const char *host, const char *domain,
 		   char *const *domains)
 {
@@ -41,15 +59,16 @@
 	s->domain = g_strdup(domain ? domain : "");
 	s->regions =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	s->region_bits =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	s->evacuated =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	for (size_t i = 0; domains && domains[i]; i++) {
-		const char *sign = strchr(domains[i], '=');
-
-		if (sign)
-			g_hash_table_insert(
-				s->regions,
-				g_strndup(domains[i],
-					  (gsize)(sign - domains[i])),
-				g_strdup(sign + 1));
+		char **pair = g_strsplit(domains[i], "=", 2);
+
+		if (pair[0] && pair[1])
+			add_region(s, pair[0], pair[1]);
+		g_strfreev(pair);
 	}
 	s->pools = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					 handle_free_pool);
@@ -87,6 +106,8 @@
 	g_hash_table_destroy(s->leaves);
 	g_hash_table_destroy(s->pools);
 	g_hash_table_destroy(s->regions);
+	g_hash_table_destroy(s->region_bits);
+	g_hash_table_destroy(s->evacuated);
 	g_free(s->host);
 	g_free(s->domain);
 }
@@ -127,12 +148,13 @@
 
 /*
  * Returns whether two entries are of the same leaf. After a restart or a change
- * of its address or service, a leaf is replaced by a new one.
+ * of its address, service or failure domain, a leaf is replaced by a new one.
  */
 static bool is_same_leaf(const struct leaf_entry *a, const struct leaf_entry *b)
 {
 	return a->started_ms == b->started_ms &&
 	       !strcmp(a->service, b->service) &&
+	       !strcmp(a->domain, b->domain) &&
 	       a->address.sin_port == b->address.sin_port &&
 	       a->address.sin_addr.s_addr == b->address.sin_addr.s_addr;
 }
@@ -149,6 +171,55 @@
 						     : LEAF_OTHER_REGION;
 }
 
+uint64_t leaf_set_region(const struct leaf_set *s, const char *domain)
+{
+	const char *region = g_hash_table_lookup(s->regions, domain);
+	guint bit;
+
+	if (!region)
+		return 0;
+	bit = GPOINTER_TO_UINT(g_hash_table_lookup(s->region_bits, region));
+	return bit ? 1ULL << (bit - 1) : 0;
+}
+
+uint64_t leaf_set_regions(const struct leaf_set *s, char *const *regions)
+{
+	uint64_t bits = 0;
+
+	if (!regions)
+		return UINT64_MAX;
+	for (; *regions; regions++) {
+		guint bit = GPOINTER_TO_UINT(
+			g_hash_table_lookup(s->region_bits, *regions));
+
+		if (bit)
+			bits |= 1ULL << (bit - 1);
+	}
+	return bits;
+}
+
+bool leaf_set_set_evacuated(struct leaf_set *s, const char *domain,
+			    bool is_evacuated)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	if (is_evacuated == g_hash_table_contains(s->evacuated, domain))
+		return false;
+	if (is_evacuated)
+		g_hash_table_add(s->evacuated, g_strdup(domain));
+	else
+		g_hash_table_remove(s->evacuated, domain);
+	g_hash_table_iter_init(&iter, s->leaves);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct route_leaf *leaf = value;
+
+		if (!strcmp(leaf->entry.domain, domain))
+			leaf->is_evacuated = is_evacuated;
+	}
+	return true;
+}
+
 static double preference_for(const struct leaf_set *s, const char *id)
 {
 	uint64_t hash = hash_pair(hash_string(s->host, 0), hash_string(id, 0));
@@ -172,6 +243,9 @@
 	leaf->concurrency_limit = leaf_set_initial_concurrency(leaf);
 	leaf->pool = leaf_set_get_pool(s, leaf->entry.service);
 	leaf->distance = leaf_set_distance(s, leaf->entry.domain);
+	leaf->region = leaf_set_region(s, leaf->entry.domain);
+	leaf->is_evacuated =
+		g_hash_table_contains(s->evacuated, leaf->entry.domain);
 	leaf->preference = preference_for(s, leaf->entry.id);
 	g_ptr_array_add(leaf->pool->leaves, leaf);
 	g_hash_table_insert(s->leaves, leaf->entry.id, leaf);
--- a/router/part.c
+++ b/router/part.c
@@ -131,7 +131,7 @@
 	c->start_us = now;
 	c->late_after_us = route_stats_late_threshold(q->stats, q->route);
 	c->is_extra = is_extra;
-	leaf_note_sent(r, p, leaf, is_extra);
+	leaf_access_note_call(r, p, leaf, is_extra);
 	g_queue_push_tail(&leaf->calls, c);
 	c->link = leaf->calls.tail;
 	p->calls[p->call_count++] = c;
@@ -281,7 +281,7 @@
 			   (!choice.usable_count ||
 			    choice.wait_us + choice.expected_us > left_us);
 	if (p->is_infeasible)
-		rates_log_no_room(r, p);
+		leaf_access_log_none(r, p);
 	return !p->is_infeasible;
 }
 
@@ -292,6 +292,11 @@
 	g_queue_push_tail(&r->waiting, p);
 }
 
+static bool is_in_open_batch(const struct route_part *p)
+{
+	return p->batch && p->batch->is_open;
+}
+
 /*
  * Sends the first call of a part that was planned for a batch which was not
  * sent: the rate limit of the planned leaf may leave no room for it.
@@ -307,7 +312,7 @@
 	} else if (is_worth_waiting(&choice, q->goal_at_us - router_now(r))) {
 		wait_for_leaf(r, p);
 	} else {
-		rates_log_no_room(r, p);
+		leaf_access_log_none(r, p);
 		p->phase = PART_FAILED;
 	}
 }
@@ -338,8 +343,8 @@
 		p->phase = PART_RUNNING;
 		arm_hedge(r, p, now + BATCH_MARGIN_US);
 	} else if (p->planned_leaf &&
-		   leaf_rate_has_room(&p->planned_leaf->rate, q->priority,
-				      r->host_count, now)) {
+		   leaf_access_check(r, p, p->planned_leaf, now).reason ==
+			   ACCESS_ALLOWED) {
 		send_call(r, p, p->planned_leaf, false);
 	} else if (p->planned_leaf) {
 		start_without_batch(r, p);
@@ -348,6 +353,27 @@
 	}
 }
 
+bool part_move_call(struct router *r, struct leaf_call *c)
+{
+	struct route_part *p = c->part;
+
+	if (!r->options.ops->withdraw_call(r->options.ctx, c->id))
+		return false;
+	if (p)
+		unlink_call(c);
+	release_call(r, c);
+	if (!p)
+		return true;
+	p->run_count--;
+	if (p->call_count || is_in_open_batch(p))
+		return true;
+	router_timer_disarm(r, &p->timer);
+	start_without_batch(r, p);
+	if (p->phase == PART_FAILED)
+		request_handle_part_end(r, p->request);
+	return true;
+}
+
 void part_retry_waiting(struct router *r)
 {
 	guint count = r->waiting.length;
@@ -387,11 +413,6 @@
 	request_handle_part_end(r, p->request);
 }
 
-static bool is_in_open_batch(const struct route_part *p)
-{
-	return p->batch && p->batch->is_open;
-}
-
 static bool may_retry(const struct route_part *p, enum call_outcome outcome)
 {
 	const struct route *route = p->request->route;
--- a/router/request.c
+++ b/router/request.c
@@ -131,7 +131,10 @@
 
 	if (!may_have_run(q)) {
 		a.status = 503;
-		if (code == -ERR_ROUTE_LATE)
+		code = leaf_access_refusal_code(r, q, code);
+		a.code = code;
+		if (code == -ERR_ROUTE_LATE || code == -ERR_ROUTE_REGION ||
+		    code == -ERR_ROUTE_EVACUATED)
 			a.retry_after_us = retry_after_outage(r, q);
 		else if (code == -ERR_ROUTE_STOPPING)
 			a.retry_after_us = retry_after_stop(r);
--- a/router/router.c
+++ b/router/router.c
@@ -1,5 +1,7 @@
 #include "router/internal.h"
 
+#include <string.h>
+
 #include "common/errors.h"
 #include "common/events.h"
 
@@ -139,7 +141,7 @@
 }
 
 static void count_domains(GHashTable *counts, struct upstream_pool *pool,
-			  int64_t now)
+			  uint64_t regions, int64_t now)
 {
 	GHashTable *seen = g_hash_table_new(g_str_hash, g_str_equal);
 
@@ -147,7 +149,8 @@
 		const struct route_leaf *leaf = pool->leaves->pdata[i];
 		gpointer count;
 
-		if (!route_leaf_is_usable(leaf, now) ||
+		if (leaf_access_check_place(leaf, regions, now) !=
+			    ACCESS_ALLOWED ||
 		    !g_hash_table_add(seen, leaf->entry.domain))
 			continue;
 		count = g_hash_table_lookup(counts, leaf->entry.domain);
@@ -161,6 +164,7 @@
 GHashTable *router_shard_counts(struct router *r, const struct route *route)
 {
 	struct route_stats *s = route_stats_get(r, route);
+	uint64_t regions = leaf_access_regions(r, route, NULL);
 	int64_t now = router_now(r);
 
 	if (s->shard_counts &&
@@ -176,11 +180,116 @@
 			&r->table->upstreams[route->targets[i].upstream];
 
 		count_domains(s->shard_counts,
-			      leaf_set_get_pool(&r->leaves, u->name), now);
+			      leaf_set_get_pool(&r->leaves, u->name), regions,
+			      now);
 	}
 	return s->shard_counts;
 }
 
+bool router_may_forward(const struct router *r, const struct route *route,
+			const char *organisation)
+{
+	uint64_t regions = leaf_access_regions(
+		r, route,
+		route_table_find_organisation(r->table, organisation));
+
+	return regions == REGIONS_ALL ||
+	       (regions & leaf_set_region(&r->leaves, r->leaves.domain));
+}
+
+/* Lists the ids of the calls in flight to the leaves of a failure domain. */
+static GArray *list_calls(struct router *r, const char *domain)
+{
+	GArray *ids = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, r->leaves.leaves);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct route_leaf *leaf = value;
+
+		if (strcmp(leaf->entry.domain, domain))
+			continue;
+		for (GList *i = leaf->calls.head; i; i = i->next) {
+			const struct leaf_call *c = i->data;
+
+			g_array_append_val(ids, c->id);
+		}
+	}
+	return ids;
+}
+
+/* Moves the calls that are not sent yet to other leaves. */
+static uint32_t move_unsent_calls(struct router *r, const char *domain)
+{
+	GArray *ids;
+	uint32_t count = 0;
+
+	if (!r->options.ops->withdraw_call)
+		return 0;
+	ids = list_calls(r, domain);
+	for (guint i = 0; i < ids->len; i++) {
+		struct leaf_call *c = id_table_find(
+			&r->calls, g_array_index(ids, uint64_t, i));
+
+		/* The end of a request also ends its other calls. */
+		if (c)
+			count += part_move_call(r, c);
+	}
+	g_array_free(ids, TRUE);
+	return count;
+}
+
+/* Closes the idle connections to a domain and returns the number of leaves. */
+static uint32_t close_idle(struct router *r, const char *domain)
+{
+	uint32_t count = 0;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, r->leaves.leaves);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct route_leaf *leaf = value;
+
+		if (strcmp(leaf->entry.domain, domain))
+			continue;
+		count++;
+		if (leaf->is_evacuated && r->options.ops->close_idle)
+			r->options.ops->close_idle(r->options.ctx, leaf);
+	}
+	return count;
+}
+
+static void drop_shard_counts(struct router *r)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, r->stats);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct route_stats *s = value;
+
+		s->shard_counts_at_us = -SHARD_COUNTS_MAX_AGE_US;
+	}
+}
+
+void router_set_evacuated(struct router *r, const char *domain,
+			  bool is_evacuated)
+{
+	uint32_t moved = 0;
+	uint32_t leaves;
+
+	if (!leaf_set_set_evacuated(&r->leaves, domain, is_evacuated))
+		return;
+	drop_shard_counts(r);
+	leaves = close_idle(r, domain);
+	if (is_evacuated)
+		moved = move_unsent_calls(r, domain);
+	event_log(EV_EVACUATION, "domain=%s state=%s leaves=%u moved_calls=%u",
+		  domain, is_evacuated ? "evacuated" : "in_use", leaves, moved);
+	part_retry_waiting(r);
+}
+
 uint64_t router_version(const struct router *r)
 {
 	return r->table ? r->table->version : 0;
--- a/test/unit/fake_router.c
+++ b/test/unit/fake_router.c
@@ -60,6 +60,22 @@
 	return false;
 }
 
+static bool handle_withdraw_call(void *ctx, uint64_t call_id)
+{
+	struct fake_router *f = ctx;
+
+	if (f->has_unsent_calls)
+		handle_cancel_call(ctx, call_id);
+	return f->has_unsent_calls;
+}
+
+static void handle_close_idle(void *ctx, struct route_leaf *leaf)
+{
+	struct fake_router *f = ctx;
+
+	f->idle_close_count++;
+}
+
 static void handle_free_endpoint(void *ctx, struct route_leaf *leaf)
 {
 }
@@ -103,11 +119,13 @@
 	.start_call = handle_start_call,
 	.cancel_call = handle_cancel_call,
 	.detach_call = handle_detach_call,
+	.withdraw_call = handle_withdraw_call,
 	.start_batch = handle_start_batch,
 	.cancel_batch = handle_cancel_batch,
 	.answer_part = handle_answer_part,
 	.answer = handle_answer,
 	.claim_rates = handle_claim_rates,
+	.close_idle = handle_close_idle,
 	.free_endpoint = handle_free_endpoint,
 };
 
@@ -127,12 +145,12 @@
 	r->target_count = 1;
 }
 
-static struct route_table *create_table(uint32_t shards)
+struct route_table *fake_router_create_table(uint32_t shards, uint64_t version)
 {
 	struct route_table *t = route_table_create(3, shards);
 	char message[128];
 
-	t->version = 1;
+	t->version = version;
 	for (uint32_t i = 0; i < shards; i++) {
 		t->upstreams[i].name = g_strdup_printf("s%u", i);
 		t->upstreams[i].max_connections = 64;
@@ -193,7 +211,7 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	f->claims = g_array_new(FALSE, FALSE, sizeof(struct rate_claim));
 	router_create(&f->router, &options);
-	router_apply_table(f->router, create_table(shards));
+	router_apply_table(f->router, fake_router_create_table(shards, 1));
 	for (uint32_t i = 0; i < 3 * shards; i++) {
 		char *service = g_strdup_printf("s%u", i / 3);
 		char *id = g_strdup_printf("%s-%s", service, domains[i % 3]);
--- a/test/unit/fake_router.h
+++ b/test/unit/fake_router.h
@@ -46,6 +46,10 @@
 	uint32_t batch_shard_count;
 	uint32_t batch_count;
 	uint32_t batch_cancel_count;
+	/** Nothing has been sent yet of any open call. */
+	bool has_unsent_calls;
+	/** Leaves whose idle connections were closed. */
+	uint32_t idle_close_count;
 	/** Stamps sent by answer_part(), before the end of a request. */
 	uint32_t sent_stamp_count;
 	/** Rate limits that leaves name in their replies, as text by leaf. */
@@ -60,6 +64,8 @@
  * gathers all shards, /get/ and /put/ go to s0, and /put/ is not idempotent.
  */
 struct fake_router *fake_router_create(uint32_t shards);
+/** Creates such a route table; that of a new router has version 1. */
+struct route_table *fake_router_create_table(uint32_t shards, uint64_t version);
 /** The same with a seed; the seed is 1 otherwise. */
 struct fake_router *fake_router_create_seeded(uint32_t shards, uint64_t seed);
 void fake_router_destroy(struct fake_router *f);
