router: use the work factor that leaves report

A fourth figure of the load header tells how long work takes on the leaf's machine, in percent of the usual time. It scales the expected duration there and decays within 200 ms; durations are kept without it, so that it counts once. A call counts as stalled after the threshold times the factor.

--- a/include/router/internal.h
+++ b/include/router/internal.h
@@ -310,6 +310,11 @@
 };
 
 struct leaf_choice leaf_choose(struct router *r, const struct route_part *part);
+/**
+ * Returns the time that work is expected to take at a leaf now, as a factor on
+ * the usual time.
+ */
+double leaf_work_factor(const struct route_leaf *leaf, int64_t now_us);
 /** Updates the state of a leaf with the result of a call. */
 void leaf_note_result(struct router *r, struct leaf_call *c,
 		      const struct router_result *result);
--- a/include/router/leaf_set.h
+++ b/include/router/leaf_set.h
@@ -94,6 +94,12 @@
 	/** Calls of other hosts at the leaf, when it last reported its load. */
 	double other_host_calls;
 	int64_t reported_at_us;
+	/**
+	 * Time that work took at the leaf when it last told, as a factor on the
+	 * usual time; 0 if it has never told.
+	 */
+	double work_factor;
+	int64_t work_factor_at_us;
 	/** Moving average of the share of failed calls, and its last update. */
 	double failure_rate;
 	int64_t failure_rate_at_us;
--- a/include/router/router.h
+++ b/include/router/router.h
@@ -88,6 +88,11 @@
 	bool is_known;
 	uint32_t running;
 	uint32_t waiting;
+	/**
+	 * Time that work takes on the leaf's machine at present, as a factor on
+	 * the usual time; 0 if the leaf does not tell.
+	 */
+	double work_factor;
 };
 
 struct router_result {
--- a/router/choice.c
+++ b/router/choice.c
@@ -19,6 +19,8 @@
 #define FAILURE_HALF_LIFE_US (2 * US_PER_S)
 /* Half-life of the load that a leaf has reported. */
 #define LOAD_HALF_LIFE_US (200 * US_PER_MS)
+/* Half-life of the work factor: it changes many times a second. */
+#define WORK_FACTOR_HALF_LIFE_US (200 * US_PER_MS)
 /*
  * Added to the cost of a leaf in another failure domain or region: traffic
  * between them is charged by the byte.
@@ -96,6 +98,15 @@
 		       STALL_FACTOR * (double)c->late_after_us;
 }
 
+double leaf_work_factor(const struct route_leaf *leaf, int64_t now_us)
+{
+	if (!leaf->work_factor)
+		return 1;
+	return 1 +
+	       (leaf->work_factor - 1) * decay(now_us - leaf->work_factor_at_us,
+					       WORK_FACTOR_HALF_LIFE_US);
+}
+
 /*
  * Returns the expected duration of a call, with the wait for a slot and up to
  * 30 % more as the slots fill up.
@@ -115,6 +126,7 @@
 			decay(now - d->at_us, DURATION_HALF_LIFE_US);
 	if (now < leaf->warm_at_us)
 		work *= WARM_UP_COST;
+	work *= leaf_work_factor(leaf, now);
 	return work * (1 + wait + 0.3 * pow(MIN(busy / slots, 1), 2));
 }
 
@@ -366,6 +378,33 @@
 		  (long long)(time / US_PER_MS));
 }
 
+/*
+ * Returns how long a call would have taken at the usual pace. The duration at a
+ * leaf is kept without its work factor, which expected_us() applies anew.
+ */
+static int64_t usual_duration(const struct router_result *result, int64_t us)
+{
+	double factor = result->load.work_factor;
+
+	return factor > 0 ? (int64_t)((double)us / factor) : us;
+}
+
+static void note_load(struct route_leaf *leaf, const struct leaf_load *load,
+		      int64_t now)
+{
+	double others = (double)load->running + (double)load->waiting -
+			(double)leaf->calls.length;
+
+	if (!load->is_known)
+		return;
+	leaf->other_host_calls = MAX(0, others);
+	leaf->reported_at_us = now;
+	if (load->work_factor <= 0)
+		return;
+	leaf->work_factor = load->work_factor;
+	leaf->work_factor_at_us = now;
+}
+
 void leaf_note_result(struct router *r, struct leaf_call *c,
 		      const struct router_result *result)
 {
@@ -373,20 +412,14 @@
 	int64_t now = router_now(r);
 	bool is_failure = false;
 
-	if (result->load.is_known) {
-		double others = (double)result->load.running +
-				(double)result->load.waiting -
-				(double)leaf->calls.length;
-
-		leaf->other_host_calls = MAX(0, others);
-		leaf->reported_at_us = now;
-	}
+	note_load(leaf, &result->load, now);
 	adapt_concurrency_limit(leaf, result, now);
 	rates_note_result(r, c, result);
 	switch (result->outcome) {
 	case CALL_ANSWERED:
 	case CALL_DECLINED:
-		update_duration(leaf, c->stats, now - c->start_us, now);
+		update_duration(leaf, c->stats,
+				usual_duration(result, now - c->start_us), now);
 		leaf->consecutive_failures = 0;
 		leaf->ejected_until_us = 0;
 		break;
--- a/router/part.c
+++ b/router/part.c
@@ -117,6 +117,15 @@
 			 handle_late_call);
 }
 
+/* Calls to a leaf on a slow machine are late only after a longer time. */
+static int64_t late_threshold_at(const struct route_request *q,
+				 const struct route_leaf *leaf, int64_t now)
+{
+	double usual = (double)route_stats_late_threshold(q->stats, q->route);
+
+	return (int64_t)(usual * MAX(leaf_work_factor(leaf, now), 1));
+}
+
 static void send_call(struct router *r, struct route_part *p,
 		      struct route_leaf *leaf, bool is_extra)
 {
@@ -129,7 +138,7 @@
 	c->stats = route_stats_ref(q->stats);
 	c->leaf = route_leaf_ref(leaf);
 	c->start_us = now;
-	c->late_after_us = route_stats_late_threshold(q->stats, q->route);
+	c->late_after_us = late_threshold_at(q, leaf, now);
 	c->is_extra = is_extra;
 	leaf_access_note_call(r, p, leaf, is_extra);
 	g_queue_push_tail(&leaf->calls, c);
--- a/test/unit/fake_router.c
+++ b/test/unit/fake_router.c
@@ -290,6 +290,7 @@
 		result.reply->status = status;
 		result.stamp = "stamp";
 		result.rate_limit = get_rate_limit(f, c->leaf_id);
+		result.load = f->load;
 		if (body)
 			g_byte_array_append(result.reply->body,
 					    (const guint8 *)body,
--- a/test/unit/fake_router.h
+++ b/test/unit/fake_router.h
@@ -48,6 +48,8 @@
 	uint32_t batch_cancel_count;
 	/** Nothing has been sent yet of any open call. */
 	bool has_unsent_calls;
+	/** Load in every reply. */
+	struct leaf_load load;
 	/** Leaves whose idle connections were closed. */
 	uint32_t idle_close_count;
 	/** Stamps sent by answer_part(), before the end of a request. */
--- a/test/unit/main.c
+++ b/test/unit/main.c
@@ -24,6 +24,7 @@
 	{ "host frame", NULL, NULL, NULL, NULL, host_frame_tests },
 	{ "http server", NULL, NULL, NULL, NULL, http_server_tests },
 	{ "leaf client", NULL, NULL, NULL, NULL, leaf_client_tests },
+	{ "load figures", NULL, NULL, NULL, NULL, load_figure_tests },
 	{ "merge", NULL, NULL, NULL, NULL, merge_tests },
 	{ "odd entries", NULL, NULL, NULL, NULL, odd_entry_tests },
 	{ "old news", NULL, NULL, NULL, NULL, old_news_tests },
--- a/test/unit/suites.h
+++ b/test/unit/suites.h
@@ -25,6 +25,7 @@
 extern CU_TestInfo http_server_tests[];
 extern CU_TestInfo leaf_client_tests[];
 extern CU_TestInfo merge_tests[];
+extern CU_TestInfo load_figure_tests[];
 extern CU_TestInfo odd_entry_tests[];
 extern CU_TestInfo old_news_tests[];
 extern CU_TestInfo place_tests[];
