router: cold leaves of upstreams with a warm-up rate

The registry's entry and the replies of a leaf state until when it is cold; the time may rise again, and an entry that may be older than a reply does not lower it. While the leaf is cold and its upstream has a warm-up rate, a host without a share of that rate sends nothing. leaf_access.c asks the rates of a leaf in one section.

Feeds send evacuations with the first piece of their changes: a host that starts puts each piece in force as it arrives.

--- a/include/nutmegpickd/catalog.h
+++ b/include/nutmegpickd/catalog.h
@@ -24,4 +24,10 @@
  */
 bool catalog_apply(struct catalog *c, struct store_changes *changes);
 
+/**
+ * Returns whether a key limits the use of the leaves, so that no host may know
+ * leaves without it.
+ */
+bool catalog_is_restriction(const char *key);
+
 #endif
--- a/include/router/feed.h
+++ b/include/router/feed.h
@@ -59,6 +59,11 @@
 	struct np_clock clock;
 	struct host_directory *directory;
 	const struct store_mirror *mirror;
+	/**
+	 * Returns whether a key limits the use of what others hold, so that no
+	 * host may know these without it. NULL if there are no such keys.
+	 */
+	bool (*is_restriction)(const char *key);
 	const struct feed_ops *ops;
 	void *ctx;
 };
--- a/include/router/leaf_access.h
+++ b/include/router/leaf_access.h
@@ -52,7 +52,8 @@
 	bool has_room;
 	/**
 	 * The call may be sent in a batch. The host that takes the batch has
-	 * shares of its own, so the rates have room here.
+	 * shares of its own, so the rates have room here. Cold leaves are
+	 * called directly, since few hosts have a share of their low rates.
 	 */
 	bool may_join_batch;
 };
@@ -97,6 +98,14 @@
 				 const struct route_part *p,
 				 const struct route_leaf *leaf, int64_t now_us);
 
+/** Returns whether a leaf has a shared rate now, or any leaf may have one. */
+bool leaf_access_has_rate(const struct route_leaf *leaf, int64_t now_us);
+bool leaf_access_has_rates(const struct router *r, int64_t now_us);
+
+/** Notes that a call to a leaf with a rate is wanted, sent or not. */
+void leaf_access_note_wanted(struct router *r, const struct route_part *p,
+			     struct route_leaf *leaf);
+
 /** Counts a call to a leaf against its limits. */
 void leaf_access_note_call(struct router *r, const struct route_part *p,
 			   struct route_leaf *leaf, bool is_extra);
--- a/include/router/leaf_set.h
+++ b/include/router/leaf_set.h
@@ -75,8 +75,14 @@
 	 * other.
 	 */
 	int64_t usable_until_us;
-	/** Slow start: calls are expected to take longer until this time. */
-	int64_t warm_at_us;
+	/**
+	 * The leaf is cold until this time, as its entry or a reply stated
+	 * last: calls are expected to take longer, and the warm-up rate of its
+	 * upstream applies.
+	 */
+	int64_t cold_until_us;
+	/** When a reply last stated that time, or 0. */
+	int64_t cold_told_us;
 	enum leaf_distance distance;
 	/** Bit of the region; 0 if the region is not known. */
 	uint64_t region;
@@ -125,6 +131,8 @@
 	uint32_t waiting_count;
 	/** Connections that a leaf accepts from all hosts together. */
 	uint32_t max_connections;
+	/** Calls a second that a cold leaf takes from all hosts; 0: no limit. */
+	double warm_up_per_s;
 };
 
 /** All leaves of the registry. */
@@ -141,6 +149,8 @@
 	GHashTable *evacuated;
 	GHashTable *pools;
 	GHashTable *leaves;
+	/** Latest cold_until_us of all leaves. */
+	int64_t cold_until_us;
 	/** Called before the memory of a leaf is freed. */
 	void (*handle_leaf_free)(void *ctx, struct route_leaf *leaf);
 	void *ctx;
@@ -202,6 +212,10 @@
  */
 void route_leaf_lose_address(struct route_leaf *leaf, int64_t now_us);
 
+/** Notes that a reply of a leaf states for how long it remains cold. */
+void leaf_set_note_warm_up(struct leaf_set *s, struct route_leaf *leaf,
+			   int64_t left_us, int64_t now_us);
+
 /** Like leaf_set_remove() for every leaf whose id is not in the table. */
 void leaf_set_retain(struct leaf_set *s, GHashTable *ids, int64_t grace_us,
 		     int64_t now_us);
@@ -212,6 +226,9 @@
 struct route_leaf *route_leaf_ref(struct route_leaf *leaf);
 void route_leaf_unref(struct leaf_set *s, struct route_leaf *leaf);
 
+/** Returns whether the warm-up rate of its upstream limits the leaf now. */
+bool route_leaf_is_cold(const struct route_leaf *leaf, int64_t now_us);
+
 /** Returns whether new calls may be sent to the leaf. */
 bool route_leaf_is_usable(const struct route_leaf *leaf, int64_t now_us);
 
--- a/include/router/router.h
+++ b/include/router/router.h
@@ -95,6 +95,12 @@
 	double work_factor;
 };
 
+/** How long a leaf remains cold, if its reply states that. */
+struct leaf_warm_up {
+	bool is_known;
+	int64_t left_us;
+};
+
 struct router_result {
 	uint64_t call_id;
 	enum call_outcome outcome;
@@ -106,6 +112,7 @@
 	const char *cause;
 	struct leaf_load load;
 	struct leaf_rate_limit rate_limit;
+	struct leaf_warm_up warm_up;
 };
 
 /**
--- a/nutmegpickd/catalog.c
+++ b/nutmegpickd/catalog.c
@@ -119,6 +119,11 @@
 	}
 }
 
+bool catalog_is_restriction(const char *key)
+{
+	return g_str_has_prefix(key, PLATFORM_EVACUATION_PREFIX);
+}
+
 bool catalog_apply(struct catalog *c, struct store_changes *changes)
 {
 	drop_other_keys(changes);
--- a/nutmegpickd/route_service.c
+++ b/nutmegpickd/route_service.c
@@ -384,6 +384,7 @@
 		.clock = s->clock,
 		.directory = &s->directory,
 		.mirror = &s->catalog.mirror,
+		.is_restriction = catalog_is_restriction,
 		.ops = &route_feed_ops,
 		.ctx = s,
 	};
--- a/router/batch.c
+++ b/router/batch.c
@@ -12,10 +12,12 @@
 /* Reserved before the goal for the round trip to the other failure domain. */
 #define BATCH_ROUND_TRIP_US (4 * US_PER_MS)
 
+/* Returns whether a part is to be sent in a batch; see struct leaf_access. */
 static bool is_planned_remotely(const struct route_part *p)
 {
 	return p->planned_leaf && !p->batch &&
-	       p->planned_leaf->distance == LEAF_SAME_REGION;
+	       p->planned_leaf->distance == LEAF_SAME_REGION &&
+	       !route_leaf_is_cold(p->planned_leaf, p->request->start_us);
 }
 
 /*
--- a/router/choice.c
+++ b/router/choice.c
@@ -124,7 +124,7 @@
 	if (d)
 		work += (d->mean_us - typical) *
 			decay(now - d->at_us, DURATION_HALF_LIFE_US);
-	if (now < leaf->warm_at_us)
+	if (now < leaf->cold_until_us)
 		work *= WARM_UP_COST;
 	work *= leaf_work_factor(leaf, now);
 	return work * (1 + wait + 0.3 * pow(MIN(busy / slots, 1), 2));
@@ -267,7 +267,7 @@
 	int64_t now = router_now(r);
 	double typical;
 
-	if (!r->limited_leaves->len)
+	if (!leaf_access_has_rates(r, now))
 		return;
 	typical = (double)route_stats_typical_duration(stats,
 						       part->request->route);
@@ -276,14 +276,14 @@
 		struct leaf_access a;
 		double expected;
 
-		if (!leaf->rate.is_limited)
+		if (!leaf_access_has_rate(leaf, now))
 			continue;
 		a = leaf_access_check(r, part, leaf, now);
 		if (leaf_access_is_barred(a.reason) || a.may_join_batch)
 			continue;
 		expected = expected_us(leaf, stats, typical, now);
 		if (cost_us(leaf, expected, now) <= choice->cost)
-			rates_note_wanted(r, part, leaf);
+			leaf_access_note_wanted(r, part, leaf);
 	}
 }
 
@@ -413,6 +413,9 @@
 	bool is_failure = false;
 
 	note_load(leaf, &result->load, now);
+	if (result->warm_up.is_known)
+		leaf_set_note_warm_up(&r->leaves, leaf, result->warm_up.left_us,
+				      now);
 	adapt_concurrency_limit(leaf, result, now);
 	rates_note_result(r, c, result);
 	switch (result->outcome) {
--- a/router/feed.c
+++ b/router/feed.c
@@ -34,6 +34,12 @@
  */
 #define PIECE_MAX_BYTES (1024u * 1024)
 
+/*
+ * Limit of the restrictions that are sent ahead: a first piece with them must
+ * fit into a frame.
+ */
+#define RESTRICTIONS_MAX_BYTES (64u * 1024)
+
 struct feed {
 	struct feed_options options;
 	/** Address of the host to which this one has subscribed, or NULL. */
@@ -302,6 +308,34 @@
 	send_heartbeats(f);
 }
 
+/*
+ * Splits changes into pieces that fit into a frame between hosts. Restrictions
+ * come with the first piece too: a host that starts puts each piece in force as
+ * it arrives, and must not call what a later one excludes.
+ */
+static GPtrArray *split_changes(const struct feed *f,
+				const struct store_changes *c)
+{
+	GPtrArray *pieces = store_changes_split(c, PIECE_MAX_BYTES);
+	size_t bytes = 0;
+
+	for (guint i = 1; i < pieces->len && f->options.is_restriction; i++) {
+		const struct store_changes *piece = pieces->pdata[i];
+
+		for (guint k = 0; k < piece->items->len; k++) {
+			const struct store_item *item = &g_array_index(
+				piece->items, struct store_item, k);
+
+			if (!f->options.is_restriction(item->key))
+				continue;
+			bytes += strlen(item->key) + item->value_len;
+			if (bytes <= RESTRICTIONS_MAX_BYTES)
+				store_changes_add(pieces->pdata[0], item);
+		}
+	}
+	return pieces;
+}
+
 /* Sends changes in pieces that fit into a frame between hosts. */
 static void send_changes(struct feed *f, const char *address,
 			 const GPtrArray *pieces)
@@ -319,7 +353,7 @@
 
 	if (f->is_following || !g_hash_table_size(f->subscribers))
 		return;
-	pieces = store_changes_split(c, PIECE_MAX_BYTES);
+	pieces = split_changes(f, c);
 	g_hash_table_iter_init(&iter, f->subscribers);
 	while (g_hash_table_iter_next(&iter, &address, NULL))
 		send_changes(f, address, pieces);
@@ -339,7 +373,7 @@
 	}
 	g_hash_table_add(f->subscribers, g_strdup(address));
 	if (c->items->len) {
-		GPtrArray *pieces = store_changes_split(c, PIECE_MAX_BYTES);
+		GPtrArray *pieces = split_changes(f, c);
 
 		send_changes(f, address, pieces);
 		g_ptr_array_free(pieces, TRUE);
--- a/router/leaf_access.c
+++ b/router/leaf_access.c
@@ -25,37 +25,79 @@
  * for them, so a further rate of a leaf is added here.
  */
 
-static bool rate_has_room(const struct router *r, const struct route_part *p,
-			  struct route_leaf *leaf, int64_t now)
+/*
+ * Returns this host's share of the warm-up rate of a cold leaf. A host without
+ * a share sends nothing before the leaf is warm: its calls and those of the
+ * other hosts together must keep within the rate.
+ */
+static double warm_up_share(const struct route_leaf *leaf)
+{
+	return 0;
+}
+
+static bool warm_up_has_room(const struct route_leaf *leaf, int64_t now)
+{
+	return !route_leaf_is_cold(leaf, now) || warm_up_share(leaf) > 0;
+}
+
+static bool limit_has_room(const struct router *r, const struct route_part *p,
+			   struct route_leaf *leaf, int64_t now)
 {
 	return leaf_rate_has_room(&leaf->rate, p->request->priority,
 				  r->host_count, now);
 }
 
-/* Returns the time until there is room; INT64_MAX if that is not known. */
-static int64_t rate_wait(const struct router *r, const struct route_part *p,
-			 struct route_leaf *leaf, int64_t now)
+/* Returns when there is room; INT64_MAX if that is not known. */
+static int64_t limit_room_at(const struct router *r, const struct route_part *p,
+			     struct route_leaf *leaf, int64_t now)
+{
+	int64_t wait = leaf_rate_wait(&leaf->rate, p->request->priority,
+				      r->host_count, now);
+
+	return wait < INT64_MAX ? now + wait : INT64_MAX;
+}
+
+bool leaf_access_has_rate(const struct route_leaf *leaf, int64_t now_us)
+{
+	return leaf->rate.is_limited || route_leaf_is_cold(leaf, now_us);
+}
+
+bool leaf_access_has_rates(const struct router *r, int64_t now_us)
 {
-	return leaf_rate_wait(&leaf->rate, p->request->priority, r->host_count,
-			      now);
+	return r->limited_leaves->len || now_us < r->leaves.cold_until_us;
+}
+
+void leaf_access_note_wanted(struct router *r, const struct route_part *p,
+			     struct route_leaf *leaf)
+{
+	if (leaf->rate.is_limited)
+		rates_note_wanted(r, p, leaf);
 }
 
 double leaf_access_rate_share(const struct router *r,
 			      const struct route_leaf *leaf, int64_t now_us)
 {
-	if (!leaf->rate.is_limited)
-		return INFINITY;
-	return leaf_rate_share(&leaf->rate, r->host_count, now_us);
+	double share = route_leaf_is_cold(leaf, now_us) ? warm_up_share(leaf)
+							: INFINITY;
+
+	if (leaf->rate.is_limited)
+		share = MIN(share, leaf_rate_share(&leaf->rate, r->host_count,
+						   now_us));
+	return share;
 }
 
 double leaf_access_rate_share_of(const struct router *r,
 				 const struct route_part *p,
 				 const struct route_leaf *leaf, int64_t now_us)
 {
-	if (!leaf->rate.is_limited)
-		return INFINITY;
-	return leaf_rate_share_of(&leaf->rate, p->request->priority,
-				  r->host_count, now_us);
+	double share = route_leaf_is_cold(leaf, now_us) ? warm_up_share(leaf)
+							: INFINITY;
+
+	if (leaf->rate.is_limited)
+		share = MIN(share, leaf_rate_share_of(&leaf->rate,
+						      p->request->priority,
+						      r->host_count, now_us));
+	return share;
 }
 
 void leaf_access_note_call(struct router *r, const struct route_part *p,
@@ -162,13 +204,14 @@
 }
 
 static bool may_join_batch(const struct router *r, const struct route_part *p,
-			   const struct route_leaf *leaf)
+			   const struct route_leaf *leaf, int64_t now)
 {
 	const struct route_request *q = p->request;
 
-	return !p->is_planned && r->options.ops->start_batch &&
-	       q->route->shape == ROUTE_GATHER && !q->is_partial &&
-	       !q->is_repeat && leaf->distance == LEAF_SAME_REGION;
+	return !p->is_planned && !route_leaf_is_cold(leaf, now) &&
+	       r->options.ops->start_batch && q->route->shape == ROUTE_GATHER &&
+	       !q->is_partial && !q->is_repeat &&
+	       leaf->distance == LEAF_SAME_REGION;
 }
 
 /* Fills in the answer for a leaf whose place and state allow calls. */
@@ -176,17 +219,19 @@
 			struct route_leaf *leaf, int64_t now,
 			struct leaf_access *a)
 {
-	int64_t wait;
+	bool is_warm_enough = warm_up_has_room(leaf, now);
 
-	a->may_join_batch = may_join_batch(r, p, leaf);
-	a->has_room = a->may_join_batch || rate_has_room(r, p, leaf, now);
+	a->may_join_batch = may_join_batch(r, p, leaf, now);
+	a->has_room = a->may_join_batch ||
+		      (is_warm_enough && limit_has_room(r, p, leaf, now));
 	if (is_tried(p, leaf)) {
 		a->reason = ACCESS_TRIED;
+	} else if (!is_warm_enough) {
+		a->reason = ACCESS_COLD;
+		a->until_us = leaf->cold_until_us;
 	} else if (!a->has_room) {
-		wait = rate_wait(r, p, leaf, now);
 		a->reason = ACCESS_RATE_LIMIT;
-		if (wait < INT64_MAX)
-			a->until_us = now + wait;
+		a->until_us = limit_room_at(r, p, leaf, now);
 	} else if (is_full(leaf, now)) {
 		a->reason = ACCESS_FULL;
 		if (now < leaf->full_until_us)
@@ -225,7 +270,8 @@
 struct excluded_leaves {
 	uint32_t other_region;
 	uint32_t evacuated;
-	/** Leaves that are neither excluded nor gone. */
+	uint32_t cold;
+	/** Leaves that are neither excluded nor gone, including cold ones. */
 	uint32_t usable;
 };
 
@@ -237,10 +283,12 @@
 	struct excluded_leaves n = { 0 };
 
 	for (guint i = 0; i < p->pool->leaves->len; i++) {
-		switch (leaf_access_check_place(p->pool->leaves->pdata[i],
-						regions, now)) {
+		const struct route_leaf *leaf = p->pool->leaves->pdata[i];
+
+		switch (leaf_access_check_place(leaf, regions, now)) {
 		case ACCESS_ALLOWED:
 			n.usable++;
+			n.cold += route_leaf_is_cold(leaf, now);
 			break;
 		case ACCESS_OTHER_REGION:
 			n.other_region++;
@@ -260,13 +308,13 @@
 	struct excluded_leaves n = count_excluded(r, p);
 
 	rates_log_no_room(r, p);
-	if (n.other_region || n.evacuated)
+	if (n.other_region || n.evacuated || n.cold)
 		event_log(EV_PART_EXCLUDED,
 			  "request=%s service=%s leaves=%u other_region=%u "
-			  "evacuated=%u usable=%u",
+			  "evacuated=%u cold=%u usable=%u",
 			  p->request->request_id, p->pool->name,
 			  p->pool->leaves->len, n.other_region, n.evacuated,
-			  n.usable);
+			  n.cold, n.usable);
 }
 
 int leaf_access_refusal_code(struct router *r, struct route_request *q,
--- a/router/leaf_set.c
+++ b/router/leaf_set.c
@@ -13,6 +13,14 @@
  */
 #define LATE_WRITE_MAX_US (10 * US_PER_S)
 
+/*
+ * An entry that states less time until a leaf is warm than a reply of the leaf
+ * did is ignored for this time: it may have been written before the reply.
+ */
+#define COLD_NEWS_US LATE_WRITE_MAX_US
+/* Changes of the time at which a leaf is warm are logged if they are larger. */
+#define COLD_LOG_CHANGE_US (1 * US_PER_S)
+
 /*
  * Regions beyond this number have no bit, so requests that are limited to them
  * reach no leaf. A set of all bits stands for no limit.
@@ -251,7 +259,54 @@
 	g_hash_table_insert(s->leaves, leaf->entry.id, leaf);
 }
 
-static void update_leaf(const struct leaf_set *s, struct route_leaf *leaf,
+static void log_cold(const struct route_leaf *leaf, int64_t previous_us,
+		     int64_t now_us, const char *source)
+{
+	int64_t change = leaf->cold_until_us - previous_us;
+	int64_t left = leaf->cold_until_us - now_us;
+
+	if (leaf->pool->warm_up_per_s <= 0 ||
+	    ABS(change) <= COLD_LOG_CHANGE_US ||
+	    (left <= 0 && previous_us <= now_us))
+		return;
+	event_log(EV_LEAF_COLD,
+		  "leaf=%s service=%s left_ms=%lld previous_ms=%lld "
+		  "per_s=%.3f source=%s",
+		  leaf->entry.id, leaf->entry.service,
+		  (long long)(MAX(left, 0) / US_PER_MS),
+		  (long long)(MAX(previous_us - now_us, 0) / US_PER_MS),
+		  leaf->pool->warm_up_per_s, source);
+}
+
+static void set_cold_until(struct leaf_set *s, struct route_leaf *leaf,
+			   int64_t until_us, int64_t now_us, const char *source)
+{
+	int64_t previous = leaf->cold_until_us;
+
+	leaf->cold_until_us = until_us;
+	s->cold_until_us = MAX(s->cold_until_us, until_us);
+	log_cold(leaf, previous, now_us, source);
+}
+
+static void note_entry_warm_up(struct leaf_set *s, struct route_leaf *leaf,
+			       int64_t left_us, int64_t now_us)
+{
+	bool is_told = leaf->cold_told_us &&
+		       now_us - leaf->cold_told_us < COLD_NEWS_US;
+
+	if (is_told && now_us + left_us < leaf->cold_until_us)
+		return;
+	set_cold_until(s, leaf, now_us + left_us, now_us, "entry");
+}
+
+void leaf_set_note_warm_up(struct leaf_set *s, struct route_leaf *leaf,
+			   int64_t left_us, int64_t now_us)
+{
+	leaf->cold_told_us = now_us;
+	set_cold_until(s, leaf, now_us + left_us, now_us, "reply");
+}
+
+static void update_leaf(struct leaf_set *s, struct route_leaf *leaf,
 			const struct leaf_entry *e, int64_t now_us)
 {
 	enum leaf_phase phase = e->is_draining ? LEAF_LEAVING : LEAF_IN_SERVICE;
@@ -260,7 +315,7 @@
 	leaf->entry.slots = e->slots;
 	leaf->entry.sequence = e->sequence;
 	leaf->entry.is_draining = e->is_draining;
-	leaf->warm_at_us = now_us + e->warm_up_us;
+	note_entry_warm_up(s, leaf, e->warm_up_us, now_us);
 	if (leaf->phase != phase)
 		event_log(EV_LEAF_STATE, "leaf=%s service=%s state=%s seq=%lld",
 			  leaf->entry.id, leaf->entry.service,
@@ -297,7 +352,7 @@
 	leaf = g_hash_table_lookup(s->leaves, id);
 	leaf->written_us = now_us;
 	leaf->phase = leaf->entry.is_draining ? LEAF_LEAVING : LEAF_IN_SERVICE;
-	leaf->warm_at_us = now_us + leaf->entry.warm_up_us;
+	note_entry_warm_up(s, leaf, leaf->entry.warm_up_us, now_us);
 	g_free(id);
 	return true;
 }
@@ -366,6 +421,11 @@
 	g_ptr_array_free(ended, TRUE);
 }
 
+bool route_leaf_is_cold(const struct route_leaf *leaf, int64_t now_us)
+{
+	return now_us < leaf->cold_until_us && leaf->pool->warm_up_per_s > 0;
+}
+
 bool route_leaf_is_usable(const struct route_leaf *leaf, int64_t now_us)
 {
 	return leaf->phase == LEAF_IN_SERVICE || now_us < leaf->usable_until_us;
--- a/router/router.c
+++ b/router/router.c
@@ -130,6 +130,9 @@
 		  t->upstream_count);
 	route_table_unref(r->table);
 	r->table = t;
+	for (uint32_t i = 0; i < t->upstream_count; i++)
+		leaf_set_get_pool(&r->leaves, t->upstreams[i].name)
+			->warm_up_per_s = t->upstreams[i].warm_up_per_s;
 	route_stats_apply_table(r);
 	return 0;
 }
--- a/test/unit/test_places.c
+++ b/test/unit/test_places.c
@@ -1,10 +1,12 @@
 #include "suites.h"
 
+#include <arpa/inet.h>
 #include <string.h>
 
 #include "common/errors.h"
 #include "fake_router.h"
 #include "nutmegpickd/catalog.h"
+#include "platform/headers.h"
 #include "router/internal.h"
 
 #define RECORD "aaaaaaaaaaaaaaaa"
@@ -325,6 +327,163 @@
 	fake_router_destroy(f);
 }
 
+/* Adds or updates a leaf of s1 with the time until it is warm. */
+static struct route_leaf *put_cold_leaf(struct fake_router *f, int64_t left_us,
+					int64_t sequence)
+{
+	struct leaf_entry e = {
+		.id = g_strdup("s1-cold"),
+		.service = g_strdup("s1"),
+		.domain = g_strdup("a"),
+		.slots = 4,
+		.warm_up_us = left_us,
+		.sequence = sequence,
+	};
+
+	e.address.sin_port = htons(80);
+	CU_ASSERT_TRUE(
+		leaf_set_put(router_leaves(f->router), &e, f->time.now_us));
+	router_leaves_changed(f->router);
+	return g_hash_table_lookup(router_leaves(f->router)->leaves, "s1-cold");
+}
+
+/* Creates a router without leaves of s1, which has a warm-up rate. */
+static struct fake_router *create_with_rate(double per_s)
+{
+	struct fake_router *f = fake_router_create(2);
+	struct route_table *t = fake_router_create_table(2, 2);
+
+	t->upstreams[1].warm_up_per_s = per_s;
+	t->routes[GET].targets[0].upstream = 1;
+	router_apply_table(f->router, t);
+	leaf_set_remove(router_leaves(f->router), "s1-a", 0, f->time.now_us);
+	leaf_set_remove(router_leaves(f->router), "s1-b", 0, f->time.now_us);
+	leaf_set_remove(router_leaves(f->router), "s1-c", 0, f->time.now_us);
+	return f;
+}
+
+/* Guards against a cold leaf that gets more than its share: here, none. */
+static void test_cold_leaf(void)
+{
+	struct fake_router *f = create_with_rate(5);
+
+	put_cold_leaf(f, 2 * US_PER_S, 1);
+	fake_router_start_request(f, "/get/x", 0);
+	CU_ASSERT_EQUAL(f->answers[0].status, 503);
+	fake_router_advance(f, 1900 * US_PER_MS);
+	/* It will be warm in time for this request. */
+	fake_router_start_request(f, "/get/x", 0);
+	CU_ASSERT_EQUAL(f->answer_count, 1);
+	CU_ASSERT_EQUAL(f->call_count, 0);
+	fake_router_advance(f, 150 * US_PER_MS);
+	CU_ASSERT_EQUAL(f->call_count, 1);
+	fake_router_destroy(f);
+}
+
+/* Guards against upstreams without a warm-up rate whose cold leaves idle. */
+static void test_cold_without_rate(void)
+{
+	struct fake_router *f = create_with_rate(0);
+
+	put_cold_leaf(f, 20 * US_PER_S, 1);
+	fake_router_start_request(f, "/get/x", 0);
+	CU_ASSERT_EQUAL(f->call_count, 1);
+	fake_router_destroy(f);
+}
+
+/* Guards against a gather that hands the part of a cold leaf to a batch. */
+static void test_cold_batch(void)
+{
+	struct fake_router *f = fake_router_create(5);
+	struct route_table *t = fake_router_create_table(5, 2);
+	struct leaf_set *leaves = router_leaves(f->router);
+
+	for (uint32_t i = 0; i < 5; i++) {
+		char *id = g_strdup_printf("s%u-a", i);
+
+		t->upstreams[i].warm_up_per_s = 5;
+		leaf_set_remove(leaves, id, 0, f->time.now_us);
+		g_free(id);
+	}
+	router_apply_table(f->router, t);
+	leaf_set_note_warm_up(leaves,
+			      g_hash_table_lookup(leaves->leaves, "s0-b"),
+			      10 * US_PER_S, f->time.now_us);
+	f->has_other_host = true;
+	fake_router_start_request(f, "/search/x", 0);
+	CU_ASSERT_EQUAL(f->batch_shard_count, 4);
+	CU_ASSERT_EQUAL(f->call_count, 1);
+	CU_ASSERT_STRING_EQUAL(f->calls[0].leaf_id, "s0-c");
+	fake_router_destroy(f);
+}
+
+/*
+ * Guards against a leaf that counts as warm too early: an entry that was
+ * written before the leaf became cold again must not undo what its replies
+ * state, but one that states more time counts at once.
+ */
+static void test_cold_news(void)
+{
+	struct fake_router *f = create_with_rate(5);
+	struct leaf_set *leaves = router_leaves(f->router);
+	struct route_leaf *leaf = put_cold_leaf(f, 0, 1);
+
+	CU_ASSERT_FALSE(route_leaf_is_cold(leaf, f->time.now_us));
+	leaf_set_note_warm_up(leaves, leaf, 30 * US_PER_S, f->time.now_us);
+	CU_ASSERT_TRUE(route_leaf_is_cold(leaf, f->time.now_us));
+	f->time.now_us += US_PER_S;
+	put_cold_leaf(f, 0, 2);
+	CU_ASSERT_TRUE(route_leaf_is_cold(leaf, f->time.now_us));
+	put_cold_leaf(f, 60 * US_PER_S, 3);
+	CU_ASSERT_TRUE(
+		route_leaf_is_cold(leaf, f->time.now_us + 50 * US_PER_S));
+	leaf_set_note_warm_up(leaves, leaf, 0, f->time.now_us);
+	CU_ASSERT_FALSE(route_leaf_is_cold(leaf, f->time.now_us));
+	put_cold_leaf(f, 40 * US_PER_S, 4);
+	f->time.now_us += 20 * US_PER_S;
+	put_cold_leaf(f, 0, 5);
+	CU_ASSERT_FALSE(route_leaf_is_cold(leaf, f->time.now_us));
+	fake_router_destroy(f);
+}
+
+struct warm_up_case {
+	unsigned int status;
+	const char *text;
+	bool is_known;
+	int64_t left_us;
+};
+
+/* Guards against odd values, and against what another leaf says of itself. */
+static void test_warm_up_header(void)
+{
+	static const struct warm_up_case cases[] = {
+		{ 200, "2500", true, 2500 * US_PER_MS },
+		{ 200, "0", true, 0 },
+		{ 503, "0.5", true, 500 },
+		{ 200, "99999999999999999999999", true, 24 * 3600 * US_PER_S },
+		{ 200, "-1", false, 0 },
+		{ 200, "1e3", false, 0 },
+		{ 200, "", false, 0 },
+		{ 421, "2500", false, 0 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct leaf_reply *reply = leaf_reply_create();
+		struct http_header h = {
+			.name = g_strdup("nutmegpick-warmup-ms"),
+			.value = g_strdup(cases[i].text),
+		};
+		struct router_result result = { 0 };
+
+		reply->status = cases[i].status;
+		g_array_append_val(reply->headers, h);
+		platform_read_reply(reply, &result);
+		CU_ASSERT_EQUAL(result.warm_up.is_known, cases[i].is_known);
+		CU_ASSERT_EQUAL(result.warm_up.left_us, cases[i].left_us);
+		leaf_reply_unref(reply);
+	}
+}
+
 CU_TestInfo place_tests[] = {
 	{ "regions", test_regions },
 	{ "both limits", test_both_limits },
@@ -337,5 +496,10 @@
 	{ "begun calls", test_begun_calls },
 	{ "shard left out", test_shard_left_out },
 	{ "evacuation keys", test_evacuation_keys },
+	{ "cold leaf", test_cold_leaf },
+	{ "cold without rate", test_cold_without_rate },
+	{ "cold batch", test_cold_batch },
+	{ "cold news", test_cold_news },
+	{ "warm-up header", test_warm_up_header },
 	CU_TEST_INFO_NULL,
 };
--- a/test/unit/test_router_feed.c
+++ b/test/unit/test_router_feed.c
@@ -15,6 +15,8 @@
 	uint32_t subscribe_count;
 	uint32_t unsubscribe_count;
 	uint32_t changes_sent;
+	/** Items of the first piece of changes that was sent. */
+	uint32_t first_items;
 	/** Heartbeats that allow the receiver to follow this host. */
 	uint32_t heartbeats_sent;
 	/** Receiver of the last heartbeat. */
@@ -47,7 +49,8 @@
 {
 	struct fake_feed *f = ctx;
 
-	f->changes_sent++;
+	if (!f->changes_sent++)
+		f->first_items = c->items->len;
 }
 
 static void handle_send_heartbeat(void *ctx, const char *address,
@@ -82,6 +85,11 @@
 	f->feed_lost_count++;
 }
 
+static bool is_restriction(const char *key)
+{
+	return g_str_has_prefix(key, "no/");
+}
+
 static const struct feed_ops ops = {
 	.subscribe = handle_subscribe,
 	.unsubscribe = handle_unsubscribe,
@@ -112,6 +120,7 @@
 		.clock = clock_virtual(&f->time),
 		.directory = &f->directory,
 		.mirror = &f->mirror,
+		.is_restriction = is_restriction,
 		.ops = &ops,
 		.ctx = f,
 	};
@@ -398,7 +407,45 @@
 	store_mirror_clear(&m);
 }
 
+static void add_value(struct store_changes *c, const char *key, gsize len,
+		      uint64_t revision)
+{
+	struct store_item i = {
+		.key = (char *)key,
+		.value = g_malloc0(len),
+		.value_len = len,
+		.revision = revision,
+	};
+
+	store_changes_add(c, &i);
+	g_free(i.value);
+}
+
+/*
+ * Guards against a host that starts, knows leaves from the first piece of the
+ * changes and calls one that a restriction of a later piece excludes.
+ */
+static void test_restrictions_first(void)
+{
+	struct fake_feed *f = create_feed("feed");
+	struct store_changes *c = store_changes_create();
+
+	c->from = 10;
+	c->to = 14;
+	add_value(c, "leaf", 700 * 1024, 11);
+	add_value(c, "other", 700 * 1024, 12);
+	add_value(c, "no/domain", 2, 13);
+	add_value(c, "no/large", 1024 * 1024, 14);
+	feed_handle_subscribe(f->feed, "weak-1", 10);
+	feed_publish(f->feed, c);
+	CU_ASSERT_EQUAL(f->changes_sent, 3);
+	CU_ASSERT_EQUAL(f->first_items, 2);
+	store_changes_free(c);
+	destroy_feed(f);
+}
+
 CU_TestInfo router_feed_tests[] = {
+	{ "restrictions first", test_restrictions_first },
 	{ "follow", test_follow },
 	{ "feed lost", test_feed_lost },
 	{ "store lost", test_store_lost },
