--- /dev/null
+++ b/test/unit/test_places.c
@@ -0,0 +1,505 @@
+#include "suites.h"
+
+#include <arpa/inet.h>
+#include <string.h>
+
+#include "common/errors.h"
+#include "fake_router.h"
+#include "nutmegpickd/catalog.h"
+#include "platform/headers.h"
+#include "router/internal.h"
+
+#define RECORD "aaaaaaaaaaaaaaaa"
+
+/* Routes of fake_router_create_table(). */
+enum { SEARCH, GET, PUT };
+
+static void set_regions(struct route_table *t, int route, const char *regions)
+{
+	g_strfreev(t->routes[route].regions);
+	t->routes[route].regions = g_strsplit(regions, ",", -1);
+}
+
+static void add_organisation(struct route_table *t, const char *name,
+			     const char *regions)
+{
+	route_table_add_organisations(t, 1);
+	t->organisations[0].name = g_strdup(name);
+	t->organisations[0].regions = g_strsplit(regions, ",", -1);
+	if (!t->organisation_names)
+		t->organisation_names =
+			g_hash_table_new(g_str_hash, g_str_equal);
+	g_hash_table_insert(t->organisation_names, t->organisations[0].name,
+			    &t->organisations[0]);
+}
+
+static void start_for(struct fake_router *f, const char *organisation)
+{
+	struct router_request in = {
+		.id = "r",
+		.host = "example",
+		.path = "/get/x",
+		.organisation = organisation,
+	};
+
+	router_start(f->router, &in);
+}
+
+static uint32_t calls_outside(const struct fake_router *f, const char *domains)
+{
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < f->call_count; i++)
+		count += !strchr(domains, f->calls[i].leaf->entry.domain[0]);
+	return count;
+}
+
+/*
+ * Guards against a first call, hedge or retry that reaches a leaf outside of
+ * the allowed regions, also if the leaf's region is not known.
+ */
+static void test_regions(void)
+{
+	struct fake_router *f = fake_router_create(2);
+
+	set_regions(f->router->table, SEARCH, "south");
+	fake_router_put_leaf(f, "s0-x", "s0", "unknown", false, 1);
+	for (int i = 0; i < 10; i++) {
+		fake_router_start_request(f, "/search/x", 0);
+		fake_router_advance(f, 250 * US_PER_MS);
+		fake_router_end_call(f, f->call_count - 1, CALL_NOT_RUN, 503,
+				     NULL);
+		fake_router_answer_all(f);
+		fake_router_advance(f, 250 * US_PER_MS);
+	}
+	CU_ASSERT(f->call_count >= 20);
+	CU_ASSERT_EQUAL(calls_outside(f, "c"), 0);
+	fake_router_destroy(f);
+}
+
+/* Guards against a limit of the route that lifts that of the organisation. */
+static void test_both_limits(void)
+{
+	struct fake_router *f = fake_router_create(1);
+
+	set_regions(f->router->table, GET, "north,south");
+	add_organisation(f->router->table, "o", "south,west");
+	start_for(f, "o");
+	CU_ASSERT_EQUAL(f->call_count, 1);
+	CU_ASSERT_EQUAL(calls_outside(f, "c"), 0);
+	set_regions(f->router->table, GET, "north");
+	start_for(f, "o");
+	CU_ASSERT_EQUAL(f->call_count, 1);
+	CU_ASSERT_EQUAL(f->answers[0].status, 503);
+	start_for(f, NULL);
+	CU_ASSERT_EQUAL(f->call_count, 2);
+	CU_ASSERT_STRING_EQUAL(f->calls[1].leaf_id, "s0-a");
+	fake_router_destroy(f);
+}
+
+/*
+ * Guards against a request that waits or fails late although no leaf may take
+ * it, or that is told to come back never.
+ */
+static void test_no_region(void)
+{
+	struct fake_router *f = fake_router_create(4);
+
+	set_regions(f->router->table, SEARCH, "west");
+	fake_router_start_request(f, "/search/x", 0);
+	CU_ASSERT_EQUAL(f->answer_count, 1);
+	CU_ASSERT_EQUAL(f->answers[0].status, 503);
+	CU_ASSERT_EQUAL(f->answers[0].code, -ERR_ROUTE_REGION);
+	CU_ASSERT(f->answers[0].retry_after_us > 0);
+	CU_ASSERT_EQUAL(f->call_count, 0);
+	fake_router_destroy(f);
+}
+
+/*
+ * Guards against retries and waiting calls that keep to the list with which
+ * their request began.
+ */
+static void test_changed_regions(void)
+{
+	struct fake_router *f = fake_router_create(1);
+	struct route_table *t = fake_router_create_table(1, 2);
+
+	set_regions(f->router->table, GET, "north");
+	fake_router_start_request(f, "/get/x", 0);
+	CU_ASSERT_STRING_EQUAL(f->calls[0].leaf_id, "s0-a");
+	set_regions(t, GET, "south");
+	router_apply_table(f->router, t);
+	CU_ASSERT_FALSE(f->calls[0].is_cancelled);
+	fake_router_end_call(f, 0, CALL_NOT_RUN, 503, NULL);
+	CU_ASSERT_EQUAL(f->call_count, 2);
+	CU_ASSERT_STRING_EQUAL(f->calls[1].leaf_id, "s0-c");
+	fake_router_destroy(f);
+}
+
+/* Guards against bodies that are handed to hosts outside of the regions. */
+static void test_may_forward(void)
+{
+	struct fake_router *f = fake_router_create(1);
+	struct route_table *t = f->router->table;
+
+	CU_ASSERT_TRUE(router_may_forward(f->router, &t->routes[SEARCH], NULL));
+	set_regions(t, SEARCH, "north,south");
+	CU_ASSERT_TRUE(router_may_forward(f->router, &t->routes[SEARCH], NULL));
+	add_organisation(t, "o", "south");
+	CU_ASSERT_FALSE(router_may_forward(f->router, &t->routes[SEARCH], "o"));
+	set_regions(t, SEARCH, "south");
+	CU_ASSERT_FALSE(
+		router_may_forward(f->router, &t->routes[SEARCH], NULL));
+	fake_router_destroy(f);
+}
+
+/*
+ * Guards against a host that gathers by the leaves it may not use: it would
+ * rank hosts by them.
+ */
+static void test_shard_counts(void)
+{
+	struct fake_router *f = fake_router_create(2);
+	struct route_table *t = f->router->table;
+	GHashTable *counts = router_shard_counts(f->router, &t->routes[SEARCH]);
+
+	CU_ASSERT_EQUAL(g_hash_table_size(counts), 3);
+	router_set_evacuated(f->router, "a", true);
+	counts = router_shard_counts(f->router, &t->routes[SEARCH]);
+	CU_ASSERT_FALSE(g_hash_table_contains(counts, "a"));
+	CU_ASSERT_EQUAL(g_hash_table_size(counts), 2);
+	fake_router_destroy(f);
+}
+
+/*
+ * Guards against calls to a leaf of an evacuated domain: first calls, hedges,
+ * probes of ejected leaves, and leaves that appear during the evacuation.
+ */
+static void test_evacuation(void)
+{
+	struct fake_router *f = fake_router_create(1);
+
+	router_set_evacuated(f->router, "unheard-of", true);
+	router_set_evacuated(f->router, "a", true);
+	router_set_evacuated(f->router, "b", true);
+	CU_ASSERT_EQUAL(f->idle_close_count, 2);
+	fake_router_put_leaf(f, "s0-a2", "s0", "a", false, 1);
+	for (int i = 0; i < 20; i++) {
+		fake_router_start_request(f, "/get/x", 0);
+		fake_router_advance(f, 200 * US_PER_MS);
+		fake_router_end_call(f, f->call_count - 1, CALL_BROKEN, 0,
+				     NULL);
+	}
+	CU_ASSERT(f->call_count > 3);
+	CU_ASSERT_EQUAL(calls_outside(f, "c"), 0);
+	router_set_evacuated(f->router, "a", false);
+	fake_router_start_request(f, "/get/x", 0);
+	CU_ASSERT_EQUAL(calls_outside(f, "c"), 1);
+	fake_router_destroy(f);
+}
+
+/*
+ * Guards against calls that are still on their way to an evacuated leaf, and
+ * against their moves being charged as retries.
+ */
+static void test_moved_calls(void)
+{
+	struct fake_router *f = fake_router_create(1);
+
+	f->has_unsent_calls = true;
+	fake_router_start_request(f, "/put/x", 0);
+	CU_ASSERT_STRING_EQUAL(f->calls[0].leaf_id, "s0-a");
+	router_set_evacuated(f->router, "a", true);
+	CU_ASSERT_TRUE(f->calls[0].is_cancelled);
+	CU_ASSERT_EQUAL(f->call_count, 2);
+	CU_ASSERT_STRING_EQUAL(f->calls[1].leaf_id, "s0-b");
+	CU_ASSERT_EQUAL(f->answer_count, 0);
+	router_set_evacuated(f->router, "b", true);
+	router_set_evacuated(f->router, "c", true);
+	CU_ASSERT_EQUAL(f->answer_count, 1);
+	CU_ASSERT_EQUAL(f->answers[0].status, 503);
+	CU_ASSERT_EQUAL(f->answers[0].code, -ERR_ROUTE_EVACUATED);
+	fake_router_destroy(f);
+}
+
+/* Guards against a call that a leaf has begun to read and that is repeated. */
+static void test_begun_calls(void)
+{
+	struct fake_router *f = fake_router_create(1);
+
+	fake_router_start_request(f, "/put/x", 0);
+	router_set_evacuated(f->router, "a", true);
+	CU_ASSERT_EQUAL(f->call_count, 1);
+	CU_ASSERT_FALSE(f->calls[0].is_cancelled);
+	fake_router_end_call(f, 0, CALL_ANSWERED, 200, RECORD);
+	CU_ASSERT_EQUAL(f->answers[0].status, 200);
+	fake_router_destroy(f);
+}
+
+/* Guards against a gather that fails for one shard whose leaves are excluded. */
+static void test_shard_left_out(void)
+{
+	struct fake_router *f = fake_router_create(4);
+
+	for (int i = 0; i < 3; i++) {
+		static const char *const ids[] = { "s0-a", "s0-b", "s0-c" };
+
+		leaf_set_remove(router_leaves(f->router), ids[i], 0,
+				f->time.now_us);
+	}
+	fake_router_put_leaf(f, "s0-e", "s0", "e", false, 1);
+	router_set_evacuated(f->router, "e", true);
+	fake_router_start_request(f, "/search/x", 0);
+	CU_ASSERT_EQUAL(f->call_count, 3);
+	fake_router_answer_all(f);
+	CU_ASSERT_EQUAL(f->answers[0].status, 200);
+	CU_ASSERT_EQUAL(f->answers[0].missing_count, 1);
+	fake_router_destroy(f);
+}
+
+static void add_item(struct store_changes *c, const char *key,
+		     const char *value, uint64_t revision)
+{
+	struct store_item i = {
+		.key = (char *)key,
+		.value = (guchar *)value,
+		.value_len = value ? strlen(value) : 0,
+		.revision = revision,
+	};
+
+	store_changes_add(c, &i);
+}
+
+/* Applies one change, or a whole listing that holds only it. */
+static void apply_change(struct catalog *c, const char *key, const char *value,
+			 uint64_t revision, bool is_complete)
+{
+	struct store_changes *changes = store_changes_create();
+
+	changes->from = is_complete ? 0 : c->mirror.revision;
+	changes->to = revision;
+	changes->is_complete = is_complete;
+	add_item(changes, key, value, revision);
+	CU_ASSERT_TRUE(catalog_apply(c, changes));
+	store_changes_free(changes);
+}
+
+static bool is_evacuated(struct fake_router *f, const char *leaf)
+{
+	const struct route_leaf *l =
+		g_hash_table_lookup(router_leaves(f->router)->leaves, leaf);
+
+	return l->is_evacuated;
+}
+
+/*
+ * Guards against evacuations that are missed or that never end: several keys,
+ * odd values, removal and reappearance, and a listing after the history of the
+ * watch was lost.
+ */
+static void test_evacuation_keys(void)
+{
+	struct fake_router *f = fake_router_create(1);
+	struct host_directory directory;
+	struct catalog c = {
+		.clock = clock_virtual(&f->time),
+		.router = f->router,
+		.directory = &directory,
+	};
+
+	host_directory_init(&directory, "self", router_leaves(f->router));
+	store_mirror_init(&c.mirror);
+	apply_change(&c, "op/evacuate/a", "{}", 1, false);
+	apply_change(&c, "op/evacuate/b", "not json", 2, false);
+	apply_change(&c, "op/evacuate/", "{}", 3, false);
+	CU_ASSERT_TRUE(is_evacuated(f, "s0-a") && is_evacuated(f, "s0-b"));
+	CU_ASSERT_FALSE(is_evacuated(f, "s0-c"));
+	apply_change(&c, "op/evacuate/a", NULL, 4, false);
+	CU_ASSERT_FALSE(is_evacuated(f, "s0-a"));
+	apply_change(&c, "op/evacuate/a", "{}", 5, false);
+	CU_ASSERT_TRUE(is_evacuated(f, "s0-a"));
+	/* The listing holds neither key any more. */
+	apply_change(&c, "op/evacuate/c", "{}", 9, true);
+	CU_ASSERT_FALSE(is_evacuated(f, "s0-a") || is_evacuated(f, "s0-b"));
+	CU_ASSERT_TRUE(is_evacuated(f, "s0-c"));
+	store_mirror_clear(&c.mirror);
+	host_directory_clear(&directory);
+	fake_router_destroy(f);
+}
+
+/* Adds or updates a leaf of s1 with the time until it is warm. */
+static struct route_leaf *put_cold_leaf(struct fake_router *f, int64_t left_us,
+					int64_t sequence)
+{
+	struct leaf_entry e = {
+		.id = g_strdup("s1-cold"),
+		.service = g_strdup("s1"),
+		.domain = g_strdup("a"),
+		.slots = 4,
+		.warm_up_us = left_us,
+		.sequence = sequence,
+	};
+
+	e.address.sin_port = htons(80);
+	CU_ASSERT_TRUE(
+		leaf_set_put(router_leaves(f->router), &e, f->time.now_us));
+	router_leaves_changed(f->router);
+	return g_hash_table_lookup(router_leaves(f->router)->leaves, "s1-cold");
+}
+
+/* Creates a router without leaves of s1, which has a warm-up rate. */
+static struct fake_router *create_with_rate(double per_s)
+{
+	struct fake_router *f = fake_router_create(2);
+	struct route_table *t = fake_router_create_table(2, 2);
+
+	t->upstreams[1].warm_up_per_s = per_s;
+	t->routes[GET].targets[0].upstream = 1;
+	router_apply_table(f->router, t);
+	leaf_set_remove(router_leaves(f->router), "s1-a", 0, f->time.now_us);
+	leaf_set_remove(router_leaves(f->router), "s1-b", 0, f->time.now_us);
+	leaf_set_remove(router_leaves(f->router), "s1-c", 0, f->time.now_us);
+	return f;
+}
+
+/* Guards against a cold leaf that gets more than its share: here, none. */
+static void test_cold_leaf(void)
+{
+	struct fake_router *f = create_with_rate(5);
+
+	put_cold_leaf(f, 2 * US_PER_S, 1);
+	fake_router_start_request(f, "/get/x", 0);
+	CU_ASSERT_EQUAL(f->answers[0].status, 503);
+	fake_router_advance(f, 1900 * US_PER_MS);
+	/* It will be warm in time for this request. */
+	fake_router_start_request(f, "/get/x", 0);
+	CU_ASSERT_EQUAL(f->answer_count, 1);
+	CU_ASSERT_EQUAL(f->call_count, 0);
+	fake_router_advance(f, 150 * US_PER_MS);
+	CU_ASSERT_EQUAL(f->call_count, 1);
+	fake_router_destroy(f);
+}
+
+/* Guards against upstreams without a warm-up rate whose cold leaves idle. */
+static void test_cold_without_rate(void)
+{
+	struct fake_router *f = create_with_rate(0);
+
+	put_cold_leaf(f, 20 * US_PER_S, 1);
+	fake_router_start_request(f, "/get/x", 0);
+	CU_ASSERT_EQUAL(f->call_count, 1);
+	fake_router_destroy(f);
+}
+
+/* Guards against a gather that hands the part of a cold leaf to a batch. */
+static void test_cold_batch(void)
+{
+	struct fake_router *f = fake_router_create(5);
+	struct route_table *t = fake_router_create_table(5, 2);
+	struct leaf_set *leaves = router_leaves(f->router);
+
+	for (uint32_t i = 0; i < 5; i++) {
+		char *id = g_strdup_printf("s%u-a", i);
+
+		t->upstreams[i].warm_up_per_s = 5;
+		leaf_set_remove(leaves, id, 0, f->time.now_us);
+		g_free(id);
+	}
+	router_apply_table(f->router, t);
+	leaf_set_note_warm_up(leaves,
+			      g_hash_table_lookup(leaves->leaves, "s0-b"),
+			      10 * US_PER_S, f->time.now_us);
+	f->has_other_host = true;
+	fake_router_start_request(f, "/search/x", 0);
+	CU_ASSERT_EQUAL(f->batch_shard_count, 4);
+	CU_ASSERT_EQUAL(f->call_count, 1);
+	CU_ASSERT_STRING_EQUAL(f->calls[0].leaf_id, "s0-c");
+	fake_router_destroy(f);
+}
+
+/*
+ * Guards against a leaf that counts as warm too early: an entry that was
+ * written before the leaf became cold again must not undo what its replies
+ * state, but one that states more time counts at once.
+ */
+static void test_cold_news(void)
+{
+	struct fake_router *f = create_with_rate(5);
+	struct leaf_set *leaves = router_leaves(f->router);
+	struct route_leaf *leaf = put_cold_leaf(f, 0, 1);
+
+	CU_ASSERT_FALSE(route_leaf_is_cold(leaf, f->time.now_us));
+	leaf_set_note_warm_up(leaves, leaf, 30 * US_PER_S, f->time.now_us);
+	CU_ASSERT_TRUE(route_leaf_is_cold(leaf, f->time.now_us));
+	f->time.now_us += US_PER_S;
+	put_cold_leaf(f, 0, 2);
+	CU_ASSERT_TRUE(route_leaf_is_cold(leaf, f->time.now_us));
+	put_cold_leaf(f, 60 * US_PER_S, 3);
+	CU_ASSERT_TRUE(
+		route_leaf_is_cold(leaf, f->time.now_us + 50 * US_PER_S));
+	leaf_set_note_warm_up(leaves, leaf, 0, f->time.now_us);
+	CU_ASSERT_FALSE(route_leaf_is_cold(leaf, f->time.now_us));
+	put_cold_leaf(f, 40 * US_PER_S, 4);
+	f->time.now_us += 20 * US_PER_S;
+	put_cold_leaf(f, 0, 5);
+	CU_ASSERT_FALSE(route_leaf_is_cold(leaf, f->time.now_us));
+	fake_router_destroy(f);
+}
+
+struct warm_up_case {
+	unsigned int status;
+	const char *text;
+	bool is_known;
+	int64_t left_us;
+};
+
+/* Guards against odd values, and against what another leaf says of itself. */
+static void test_warm_up_header(void)
+{
+	static const struct warm_up_case cases[] = {
+		{ 200, "2500", true, 2500 * US_PER_MS },
+		{ 200, "0", true, 0 },
+		{ 503, "0.5", true, 500 },
+		{ 200, "99999999999999999999999", true, 24 * 3600 * US_PER_S },
+		{ 200, "-1", false, 0 },
+		{ 200, "1e3", false, 0 },
+		{ 200, "", false, 0 },
+		{ 421, "2500", false, 0 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct leaf_reply *reply = leaf_reply_create();
+		struct http_header h = {
+			.name = g_strdup("nutmegpick-warmup-ms"),
+			.value = g_strdup(cases[i].text),
+		};
+		struct router_result result = { 0 };
+
+		reply->status = cases[i].status;
+		g_array_append_val(reply->headers, h);
+		platform_read_reply(reply, &result);
+		CU_ASSERT_EQUAL(result.warm_up.is_known, cases[i].is_known);
+		CU_ASSERT_EQUAL(result.warm_up.left_us, cases[i].left_us);
+		leaf_reply_unref(reply);
+	}
+}
+
+CU_TestInfo place_tests[] = {
+	{ "regions", test_regions },
+	{ "both limits", test_both_limits },
+	{ "no region", test_no_region },
+	{ "changed regions", test_changed_regions },
+	{ "may forward", test_may_forward },
+	{ "shard counts", test_shard_counts },
+	{ "evacuation", test_evacuation },
+	{ "moved calls", test_moved_calls },
+	{ "begun calls", test_begun_calls },
+	{ "shard left out", test_shard_left_out },
+	{ "evacuation keys", test_evacuation_keys },
+	{ "cold leaf", test_cold_leaf },
+	{ "cold without rate", test_cold_without_rate },
+	{ "cold batch", test_cold_batch },
+	{ "cold news", test_cold_news },
+	{ "warm-up header", test_warm_up_header },
+	CU_TEST_INFO_NULL,
+};
