organisations: callers are known by their keys

Keys of the configuration are kept as keyed digests. Every request is checked when it arrives, and again before a call if the table in force has changed since. Leaves and other hosts get the name of the organisation and not the key; HOST_GATHER carries the name, so the protocol version goes from 2 to 3.

--- a/include/net/host_frame.h
+++ b/include/net/host_frame.h
@@ -32,7 +32,7 @@
 	HOST_RATE_GRANTS = 90,
 };
 
-#define HOST_PROTOCOL 2
+#define HOST_PROTOCOL 3
 
 /** Request that a host forwards for gathering. Pointers are borrowed. */
 struct gather_request {
@@ -56,6 +56,11 @@
 	uint32_t shard_count;
 	/** Number of hosts in all regions that gather; 0 if unknown. */
 	uint32_t gatherers;
+	/**
+	 * Organisation of the caller, whose key the sender has checked; empty
+	 * if there is none. NULL is sent as empty.
+	 */
+	const char *organisation;
 };
 
 /** Answer of the host that gathered. Pointers are borrowed. */
--- a/include/net/http_server.h
+++ b/include/net/http_server.h
@@ -1,6 +1,7 @@
 #ifndef NET_HTTP_SERVER_H
 #define NET_HTTP_SERVER_H
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -104,6 +105,10 @@
 /** Returns the headers, of struct http_header, in the order of arrival. */
 const GArray *http_exchange_headers(const struct http_exchange *x);
 
+/** Removes the request headers whose names the callback selects. */
+void http_exchange_remove_headers(struct http_exchange *x,
+				  bool (*is_removed)(const char *name));
+
 /** Returns a request header's value, or NULL. */
 const char *http_exchange_header(const struct http_exchange *x,
 				 const char *name);
--- a/include/nutmegpickd/route_internal.h
+++ b/include/nutmegpickd/route_internal.h
@@ -76,6 +76,13 @@
 	 * them.
 	 */
 	uint32_t gatherers;
+	/** What a caller of this host has told about itself. */
+	struct credentials credentials;
+	/**
+	 * Organisation of a caller of this host when the request was last
+	 * checked; NULL if there is none.
+	 */
+	char *organisation;
 	/** The request waits until this host has its first routes. */
 	bool is_held;
 	struct gather_forward forward;
@@ -176,6 +183,12 @@
  */
 void route_run_locally(struct route_service *s, struct caller_request *q,
 		       bool is_repeat);
+/**
+ * Finds the organisation of the caller of a request that may go to another
+ * host, and removes from the request what that host must not see. Returns false
+ * if the caller is not accepted; running the request here answers it.
+ */
+bool route_identify_caller(struct route_service *s, struct caller_request *q);
 /** Sends the answer to a request and frees the request. */
 void route_answer(struct route_service *s, struct caller_request *q,
 		  const struct router_answer *a);
--- a/include/platform/headers.h
+++ b/include/platform/headers.h
@@ -5,6 +5,7 @@
 
 #include <glib.h>
 
+#include "router/identity.h"
 #include "router/router.h"
 
 /** Header with the id of a request; leaves repeat it in their replies. */
@@ -32,6 +33,18 @@
 /** Parses a PLATFORM_REQUEST_DEADLINE value to microseconds; 0 if unusable. */
 int64_t platform_parse_deadline(const char *text);
 
+/**
+ * Returns what a request tells about its caller. Of a key, only the digest is
+ * returned. headers is of struct http_header.
+ */
+struct credentials platform_read_credentials(const GArray *headers);
+
+/**
+ * Returns whether a header of a request tells who its caller is. Where
+ * organisations are in force it goes neither to a leaf nor to another host.
+ */
+bool platform_is_identity_header(const char *name);
+
 /** Sets the fields of a result that the leaf's whole reply tells. */
 void platform_read_reply(struct leaf_reply *reply,
 			 struct router_result *result);
--- a/include/router/internal.h
+++ b/include/router/internal.h
@@ -4,6 +4,7 @@
 #include "engine/heap.h"
 #include "engine/latency.h"
 #include "engine/query.h"
+#include "router/identity.h"
 #include "router/router.h"
 
 /** Maximum number of calls in flight for one part. */
@@ -138,8 +139,23 @@
 	char request_id[REQUEST_ID_MAX];
 	struct route_table *table;
 	const struct route *route;
-	/** Organisation of the caller, in the table; NULL if there is none. */
+	/** What the caller has told, as in struct router_request. */
+	struct credentials credentials;
+	char *claimed_organisation;
+	/**
+	 * Organisation of the caller, in identity_table; NULL if there is none.
+	 */
 	const struct organisation *organisation;
+	/** Newest table by which the caller was accepted. */
+	struct route_table *identity_table;
+	/** Value of router.identity_epoch when the caller was checked. */
+	uint64_t identity_epoch;
+	/**
+	 * Result code and status of a request whose caller is not accepted any
+	 * more, for the case that no leaf has run it; 0 otherwise.
+	 */
+	int denied_code;
+	unsigned int denied_status;
 	/** That of the organisation, or else of the route; 0 is first. */
 	uint32_t priority;
 	struct route_stats *stats;
@@ -205,6 +221,10 @@
 	struct router_options options;
 	struct leaf_set leaves;
 	struct route_table *table;
+	/** Increases when the callers of requests have to be checked again. */
+	uint64_t identity_epoch;
+	/** Keys are not to be trusted, see router_set_keys_stale(). */
+	bool are_keys_stale;
 	/** struct route_stats by route name. */
 	GHashTable *stats;
 	uint64_t last_stats_id;
@@ -339,6 +359,13 @@
 void rates_log_no_room(struct router *r, const struct route_part *p);
 void rates_clear(struct router *r);
 
+/* recheck.c */
+/**
+ * Checks the caller of a request again, before a call, if the table in force or
+ * the trust in its keys has changed. Returns whether the request may run.
+ */
+bool recheck_caller(struct router *r, struct route_request *q);
+
 /* part.c */
 /**
  * Chooses the leaf of the first call. Returns false if no leaf can answer the
--- a/include/router/router.h
+++ b/include/router/router.h
@@ -7,6 +7,7 @@
 
 #include "common/clock.h"
 #include "net/leaf_reply.h"
+#include "router/identity.h"
 #include "router/leaf_rate.h"
 #include "router/leaf_set.h"
 #include "router/table.h"
@@ -27,7 +28,12 @@
 	char id[REQUEST_ID_MAX];
 	const char *host;
 	const char *path;
-	/** Name of the organisation of the caller, or NULL. */
+	/** What the caller has told about itself. */
+	struct credentials credentials;
+	/**
+	 * Name of the organisation of the caller, if another host has checked
+	 * the credentials and sent it; otherwise NULL.
+	 */
 	const char *organisation;
 	/** Timeout set by the caller; 0 if none. */
 	int64_t wait_us;
@@ -62,6 +68,13 @@
 	int64_t remaining_us;
 	/** The request may be run more than once. */
 	bool is_idempotent;
+	/**
+	 * Organisations are in force: what the request tells about its caller
+	 * is not passed on.
+	 */
+	bool has_organisations;
+	/** Name of the organisation of the caller, or NULL. */
+	const char *organisation;
 	void *user;
 };
 
@@ -140,6 +153,9 @@
 	int64_t wait_us;
 	/** Time until the other host sends the results that it has. */
 	int64_t goal_us;
+	/** As in struct router_call. */
+	bool has_organisations;
+	const char *organisation;
 	void *user;
 };
 
@@ -275,6 +291,23 @@
 const struct route *router_match(const struct router *r, const char *host,
 				 const char *path);
 
+/**
+ * Returns who sends a request, and whether it may run, by the table in force.
+ * Every request that is started is checked; this is for requests that another
+ * host is to run.
+ */
+struct identity router_identify(const struct router *r,
+				const struct router_request *request);
+
+/**
+ * States whether keys must not be trusted, because this host may have missed
+ * that some were revoked. Requests with a key are refused meanwhile.
+ */
+void router_set_keys_stale(struct router *r, bool are_stale);
+
+/** Returns whether organisations are in force. */
+bool router_has_organisations(const struct router *r);
+
 /**
  * Returns the number of shards of a gathered route that have a usable leaf, by
  * failure domain. Valid until the next call.
--- a/include/router/table.h
+++ b/include/router/table.h
@@ -7,6 +7,8 @@
 
 #include <glib.h>
 
+struct key_index;
+
 /** Upstream service to which routes refer. */
 struct route_upstream {
 	char *name;
@@ -97,6 +99,8 @@
 	uint32_t organisation_count;
 	/** Organisations by name. */
 	GHashTable *organisation_names;
+	/** Indexes of organisations by the digests of their keys. */
+	struct key_index *keys;
 	struct caller_limits limits;
 	/** Routes of each host, longest prefix first. */
 	GHashTable *hosts;
@@ -106,6 +110,14 @@
 struct route_table *route_table_create(uint32_t routes, uint32_t upstreams);
 /** Makes room for organisations. Callers need a key from now on. */
 void route_table_add_organisations(struct route_table *t, uint32_t count);
+/**
+ * Adds a key of an organisation, given by its index. Only a digest is kept.
+ * Returns the index of the organisation that has the key: another one if the
+ * key was added for it before, which makes the table invalid. An empty key is
+ * ignored, since requests cannot have it.
+ */
+uint32_t route_table_add_key(struct route_table *t, uint32_t organisation,
+			     const char *key);
 struct route_table *route_table_ref(struct route_table *t);
 void route_table_unref(struct route_table *t);
 
--- a/net/host_frame.c
+++ b/net/host_frame.c
@@ -137,7 +137,7 @@
 GByteArray *host_frame_gather(const struct gather_request *r)
 {
 	msgpack_packer pk;
-	GByteArray *out = begin_frame(&pk, HOST_GATHER, 12);
+	GByteArray *out = begin_frame(&pk, HOST_GATHER, 13);
 
 	msgpack_pack_uint64(&pk, r->id);
 	pack_text(&pk, r->request_id);
@@ -158,6 +158,7 @@
 	pack_bytes(&pk, r->body, r->body_len);
 	pack_texts(&pk, r->shards, r->shard_count);
 	msgpack_pack_uint32(&pk, r->gatherers);
+	pack_text(&pk, r->organisation);
 	return out;
 }
 
@@ -390,9 +391,9 @@
 	q->headers = r->frame->headers;
 	q->body = read_bytes(r, &q->body_len);
 	q->shards = read_texts(r, &q->shard_count);
-	/* Hosts of the previous release do not send this field. */
-	gatherers = r->next < r->fields->size ? read_number(r) : 0;
+	gatherers = read_number(r);
 	q->gatherers = (uint32_t)MIN(gatherers, UINT32_MAX);
+	q->organisation = read_text(r);
 }
 
 static void read_gather_result(struct reader *r)
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -722,6 +722,18 @@
 	return x->path;
 }
 
+void http_exchange_remove_headers(struct http_exchange *x,
+				  bool (*is_removed)(const char *name))
+{
+	for (guint i = x->headers->len; i-- > 0;) {
+		const struct http_header *h =
+			&g_array_index(x->headers, struct http_header, i);
+
+		if (is_removed(h->name))
+			g_array_remove_index(x->headers, i);
+	}
+}
+
 const char *http_exchange_header(const struct http_exchange *x,
 				 const char *name)
 {
--- a/nutmegpickd/route_callers.c
+++ b/nutmegpickd/route_callers.c
@@ -180,6 +180,7 @@
 	if (q->frame)
 		host_frame_clear(q->frame);
 	g_free(q->frame);
+	g_free(q->organisation);
 	g_free(q);
 }
 
@@ -235,6 +236,7 @@
 		in.host = g->host;
 		in.path = g->target;
 		in.gatherers = g->gatherers;
+		in.organisation = *g->organisation ? g->organisation : NULL;
 		in.goal_us = MAX(g->goal_left_us, 1);
 		in.hedge_min_us = REMOTE_HEDGE_MIN_US;
 		if (g->shard_count) {
@@ -245,6 +247,7 @@
 		id = http_exchange_header(q->exchange, PLATFORM_REQUEST_ID);
 		in.host = http_exchange_header(q->exchange, "Host");
 		in.path = http_exchange_target(q->exchange);
+		in.credentials = q->credentials;
 		route = router_match(s->router, in.host, in.path);
 		if (route)
 			in.goal_us =
@@ -258,9 +261,27 @@
 		q->id = request_id;
 }
 
+bool route_identify_caller(struct route_service *s, struct caller_request *q)
+{
+	struct router_request in = {
+		.host = http_exchange_header(q->exchange, "Host"),
+		.path = http_exchange_target(q->exchange),
+		.credentials = q->credentials,
+	};
+	struct identity who = router_identify(s->router, &in);
+
+	g_free(q->organisation);
+	q->organisation = who.organisation ? g_strdup(who.organisation->name)
+					   : NULL;
+	if (router_has_organisations(s->router))
+		http_exchange_remove_headers(q->exchange,
+					     platform_is_identity_header);
+	return who.verdict == IDENTITY_ACCEPTED;
+}
+
 static void start_request(struct route_service *s, struct caller_request *q)
 {
-	if (!route_forward_request(s, q))
+	if (!route_identify_caller(s, q) || !route_forward_request(s, q))
 		route_run_locally(s, q, false);
 }
 
@@ -308,6 +329,7 @@
 	}
 	q->wait_us = platform_parse_deadline(
 		http_exchange_header(x, PLATFORM_REQUEST_DEADLINE));
+	q->credentials = platform_read_credentials(http_exchange_headers(x));
 	if (!is_hold_open(s)) {
 		start_request(s, q);
 		return;
--- a/nutmegpickd/route_hosts.c
+++ b/nutmegpickd/route_hosts.c
@@ -210,6 +210,7 @@
 		.host = http_exchange_header(x, "Host"),
 		.target = http_exchange_target(x),
 		.headers = http_exchange_headers(x),
+		.organisation = q->organisation,
 	};
 
 	g.body = http_exchange_body(x, &g.body_len);
@@ -412,6 +413,10 @@
 		};
 	if (!q->frame)
 		g.body = http_exchange_body(q->exchange, &g.body_len);
+	if (!q->frame && b->has_organisations)
+		http_exchange_remove_headers(q->exchange,
+					     platform_is_identity_header);
+	g.organisation = b->organisation;
 	g.id = b->id | BATCH_BIT;
 	g.version = router_version(s->router);
 	g.wait_us = b->wait_us;
@@ -514,7 +519,7 @@
 		  q->forward.address);
 	end_forward(s, q);
 	q->forward.was_busy = true;
-	if (!route_forward_request(s, q))
+	if (!route_identify_caller(s, q) || !route_forward_request(s, q))
 		route_run_locally(s, q, false);
 }
 
@@ -593,6 +598,30 @@
 	route_reply_frame(s, q->link, host_frame_gather_result(&g));
 }
 
+/*
+ * Returns whether the caller of a request of another host is accepted here. The
+ * other host has checked the key, which it does not pass on.
+ */
+static bool is_caller_accepted(const struct route_service *s,
+			       const struct gather_request *g)
+{
+	struct router_request in = {
+		.host = g->host,
+		.path = g->target,
+		.organisation = *g->organisation ? g->organisation : NULL,
+	};
+	struct identity who = router_identify(s->router, &in);
+
+	if (who.verdict == IDENTITY_ACCEPTED)
+		return true;
+	event_log(EV_GATHER_REFUSED,
+		  "request=%s organisation=\"%s\" verdict=%s version=%llu",
+		  g->request_id, g->organisation,
+		  identity_verdict_name(who.verdict),
+		  (unsigned long long)router_version(s->router));
+	return false;
+}
+
 /* Returns whether the request was started, which then owns the frame. */
 static bool handle_gather_from_sender(struct route_service *s, link_id link,
 				      struct host_frame *f)
@@ -607,7 +636,8 @@
 	 * the next request.
 	 */
 	if (s->is_draining || !route || route->shape != ROUTE_GATHER ||
-	    f->request.version != router_version(s->router)) {
+	    f->request.version != router_version(s->router) ||
+	    !is_caller_accepted(s, &f->request)) {
 		route_reply_frame(s, link, host_frame_gather_result(&refused));
 		return false;
 	}
--- a/router/batch.c
+++ b/router/batch.c
@@ -79,6 +79,8 @@
 		.shards = shards,
 		.wait_us = q->deadline_us - q->start_us,
 		.goal_us = MAX(after - BATCH_ROUND_TRIP_US, 1),
+		.has_organisations = q->identity_table->has_organisations,
+		.organisation = q->organisation ? q->organisation->name : NULL,
 		.user = q->user,
 	};
 	bool is_sent;
--- a/router/part.c
+++ b/router/part.c
@@ -148,6 +148,8 @@
 		.request_id = q->request_id,
 		.remaining_us = q->deadline_us - now,
 		.is_idempotent = q->route->is_idempotent,
+		.has_organisations = q->identity_table->has_organisations,
+		.organisation = q->organisation ? q->organisation->name : NULL,
 		.user = q->user,
 	};
 	r->options.ops->start_call(r->options.ctx, &call);
@@ -181,7 +183,7 @@
 	struct leaf_choice choice;
 
 	if (q->deadline_us - now < CALL_TIME_MIN_US ||
-	    !stop_may_start(r, q->stats, q->route))
+	    !stop_may_start(r, q->stats, q->route) || !recheck_caller(r, q))
 		return EXTRA_NO_LEAF;
 	choice = leaf_choose(r, p);
 	if (!choice.leaf)
@@ -256,7 +258,8 @@
 	const struct route_request *q = p->request;
 	struct leaf_choice choice;
 
-	if (!stop_may_start(r, q->stats, q->route)) {
+	if (!stop_may_start(r, q->stats, q->route) ||
+	    !recheck_caller(r, p->request)) {
 		p->phase = PART_FAILED;
 		return true;
 	}
--- a/router/request.c
+++ b/router/request.c
@@ -75,22 +75,26 @@
 			    const struct router_answer *a)
 {
 	bool is_ok = a->status < 400;
-	enum event_id id = is_ok	      ? EV_REQUEST_DONE
-			   : a->status == 503 ? EV_REQUEST_REFUSED
-					      : EV_REQUEST_FAILED;
+	bool is_denied = a->status == 401 && a->code;
+	enum event_id id = is_ok			   ? EV_REQUEST_DONE
+			   : a->status == 503 || is_denied ? EV_REQUEST_REFUSED
+							   : EV_REQUEST_FAILED;
+	const char *organisation = q->organisation ? q->organisation->name : "";
 	char stop[STOP_TEXT_MAX];
 
 	describe_stop(r, q, a, stop, sizeof(stop));
 	event_log(id,
 		  "request=%s route=%s upstream=%s version=%llu status=%u "
 		  "code=E%d parts=%u of=%u failed=%u extra=%u ms=%lld "
-		  "goal_ms=%lld%s",
+		  "goal_ms=%lld%s%s%s%s",
 		  q->request_id, q->route->name, upstream_name(q),
 		  (unsigned long long)q->table->version, a->status, -a->code,
 		  q->answered_count, q->part_count, q->failed_count,
 		  q->extra_call_count,
 		  (long long)((router_now(r) - q->start_us) / US_PER_MS),
-		  (long long)(q->route->goal_us / US_PER_MS), stop);
+		  (long long)(q->route->goal_us / US_PER_MS), stop,
+		  *organisation ? " organisation=\"" : "", organisation,
+		  *organisation ? "\"" : "");
 }
 
 static void release_request(struct router *r, struct route_request *q,
@@ -102,6 +106,8 @@
 	batch_clear_all(r, q);
 	g_free(q->parts);
 	route_stats_unref(q->stats);
+	g_free(q->claimed_organisation);
+	route_table_unref(q->identity_table);
 	route_table_unref(q->table);
 	id_table_release(&r->requests, q);
 }
@@ -123,12 +129,29 @@
 	return false;
 }
 
+/* Answers a request that no leaf has run and whose caller is not accepted. */
+static void finish_denied_request(struct router *r, struct route_request *q)
+{
+	struct router_answer a = {
+		.code = q->denied_code,
+		.status = q->denied_status,
+	};
+
+	if (a.status == 503)
+		a.retry_after_us = retry_after(r);
+	finish_request(r, q, &a);
+}
+
 /* Answers a failed request, with status 503 only if no leaf may have run it. */
 static void finish_failed_request(struct router *r, struct route_request *q,
 				  int code)
 {
 	struct router_answer a = { .code = code, .status = 502 };
 
+	if (q->denied_code && !may_have_run(q)) {
+		finish_denied_request(r, q);
+		return;
+	}
 	if (!may_have_run(q)) {
 		a.status = 503;
 		if (code == -ERR_ROUTE_LATE)
@@ -320,7 +343,8 @@
 
 static struct route_request *create_request(struct router *r,
 					    const struct router_request *in,
-					    const struct route *route)
+					    const struct route *route,
+					    const struct organisation *o)
 {
 	struct route_request *q = id_table_take(&r->requests);
 	int64_t now = router_now(r);
@@ -332,11 +356,12 @@
 	g_strlcpy(q->request_id, in->id, sizeof(q->request_id));
 	q->table = route_table_ref(r->table);
 	q->route = route;
-	q->organisation =
-		route_table_find_organisation(r->table, in->organisation);
-	q->priority = q->organisation && q->organisation->has_priority
-			      ? q->organisation->priority
-			      : route->priority;
+	q->credentials = in->credentials;
+	q->claimed_organisation = g_strdup(in->organisation);
+	q->identity_table = route_table_ref(r->table);
+	q->identity_epoch = r->identity_epoch;
+	q->organisation = o;
+	q->priority = o && o->has_priority ? o->priority : route->priority;
 	q->stats = route_stats_ref(route_stats_get(r, route));
 	q->user = in->user;
 	q->start_us = now;
@@ -370,6 +395,15 @@
 	return 0;
 }
 
+/* Another host may have run a repeat before its key was revoked. */
+static uint64_t refuse_caller(struct router *r, const struct router_request *in,
+			      enum identity_verdict verdict)
+{
+	return refuse_request(r, in,
+			      in->is_repeat ? 502 : identity_status(verdict),
+			      identity_code(verdict));
+}
+
 /*
  * Returns whether a request can be answered, before any leaf is called. If one
  * shard is overloaded, the work of the other shards would be wasted.
@@ -392,6 +426,7 @@
 uint64_t router_start(struct router *r, const struct router_request *in)
 {
 	const struct route *route;
+	struct identity who;
 	struct route_request *q;
 	uint64_t id;
 
@@ -400,7 +435,10 @@
 	route = route_table_match(r->table, in->host, in->path);
 	if (!route)
 		return refuse_request(r, in, 404, -ERR_ROUTE_NONE);
-	q = create_request(r, in, route);
+	who = router_identify(r, in);
+	if (who.verdict != IDENTITY_ACCEPTED)
+		return refuse_caller(r, in, who.verdict);
+	q = create_request(r, in, route, who.organisation);
 	id = q->id;
 	add_parts(r, q, in);
 	request_arm_timer(r, q);
--- a/router/router.c
+++ b/router/router.c
@@ -128,6 +128,7 @@
 		  t->upstream_count);
 	route_table_unref(r->table);
 	r->table = t;
+	r->identity_epoch++;
 	route_stats_apply_table(r);
 	return 0;
 }
@@ -138,6 +139,33 @@
 	return r->table ? route_table_match(r->table, host, path) : NULL;
 }
 
+struct identity router_identify(const struct router *r,
+				const struct router_request *request)
+{
+	struct identity_claim claim = {
+		.credentials = request->credentials,
+		.organisation = request->organisation,
+		.are_keys_stale = r->are_keys_stale,
+	};
+
+	return identity_check(r->table,
+			      router_match(r, request->host, request->path),
+			      &claim);
+}
+
+void router_set_keys_stale(struct router *r, bool are_stale)
+{
+	if (r->are_keys_stale == are_stale)
+		return;
+	r->are_keys_stale = are_stale;
+	r->identity_epoch++;
+}
+
+bool router_has_organisations(const struct router *r)
+{
+	return r->table && r->table->has_organisations;
+}
+
 static void count_domains(GHashTable *counts, struct upstream_pool *pool,
 			  int64_t now)
 {
--- a/router/table.c
+++ b/router/table.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "common/errors.h"
+#include "router/key_index.h"
 
 #define HOST_NAME_MAX_BYTES 256
 
@@ -25,6 +26,18 @@
 	t->has_organisations = true;
 	t->organisations = g_new0(struct organisation, count);
 	t->organisation_count = count;
+	t->keys = key_index_create();
+}
+
+uint32_t route_table_add_key(struct route_table *t, uint32_t organisation,
+			     const char *key)
+{
+	struct key_digest d;
+
+	if (!*key)
+		return organisation;
+	d = key_digest_create(key, strlen(key));
+	return key_index_add(t->keys, &d, organisation);
 }
 
 struct route_table *route_table_ref(struct route_table *t)
@@ -60,6 +73,7 @@
 		g_hash_table_destroy(t->hosts);
 	if (t->organisation_names)
 		g_hash_table_destroy(t->organisation_names);
+	key_index_free(t->keys);
 	g_free(t->organisations);
 	g_free(t->routes);
 	g_free(t->upstreams);
@@ -113,10 +127,20 @@
 	return check_targets(t, r);
 }
 
+static bool has_control_character(const char *text)
+{
+	while (*text && !g_ascii_iscntrl(*text))
+		text++;
+	return *text;
+}
+
 static const char *check_organisation(const struct organisation *o)
 {
 	if (!o->name || !*o->name)
 		return "lacks a name";
+	/* The name becomes the value of a header. */
+	if (has_control_character(o->name))
+		return "has a name with control characters";
 	if (!(o->rate_per_s >= 0 && isfinite(o->rate_per_s)) ||
 	    !(o->burst >= 0 && isfinite(o->burst)))
 		return "has a rate or burst that is not 0 or more";
--- a/test/unit/fake_router.c
+++ b/test/unit/fake_router.c
@@ -14,8 +14,12 @@
 		.leaf = call->leaf,
 		.sent_us = f->time.now_us,
 		.remaining_us = call->remaining_us,
+		.has_organisations = call->has_organisations,
 		.is_open = true,
 	};
+	if (call->organisation)
+		g_strlcpy(c->organisation, call->organisation,
+			  sizeof(c->organisation));
 	g_strlcpy(c->leaf_id, call->leaf->entry.id, sizeof(c->leaf_id));
 	g_strlcpy(c->service, call->leaf->entry.service, sizeof(c->service));
 	g_strlcpy(c->request_id, call->request_id, sizeof(c->request_id));
--- a/test/unit/fake_router.h
+++ b/test/unit/fake_router.h
@@ -13,6 +13,9 @@
 	char leaf_id[16];
 	char service[16];
 	char request_id[16];
+	/** Empty if the request has none. */
+	char organisation[16];
+	bool has_organisations;
 	int64_t sent_us;
 	int64_t remaining_us;
 	bool is_open;
--- a/test/unit/main.c
+++ b/test/unit/main.c
@@ -23,6 +23,7 @@
 	{ "fleet placement", NULL, NULL, NULL, NULL, fleet_placement_tests },
 	{ "host frame", NULL, NULL, NULL, NULL, host_frame_tests },
 	{ "http server", NULL, NULL, NULL, NULL, http_server_tests },
+	{ "identity", NULL, NULL, NULL, NULL, identity_tests },
 	{ "leaf client", NULL, NULL, NULL, NULL, leaf_client_tests },
 	{ "merge", NULL, NULL, NULL, NULL, merge_tests },
 	{ "odd entries", NULL, NULL, NULL, NULL, odd_entry_tests },
--- a/test/unit/suites.h
+++ b/test/unit/suites.h
@@ -23,6 +23,7 @@
 extern CU_TestInfo fleet_seat_tests[];
 extern CU_TestInfo host_frame_tests[];
 extern CU_TestInfo http_server_tests[];
+extern CU_TestInfo identity_tests[];
 extern CU_TestInfo leaf_client_tests[];
 extern CU_TestInfo merge_tests[];
 extern CU_TestInfo odd_entry_tests[];
--- a/test/unit/test_host_frame.c
+++ b/test/unit/test_host_frame.c
@@ -41,6 +41,7 @@
 		.body = "x\0y",
 		.body_len = 3,
 		.gatherers = 6,
+		.organisation = "acme",
 	};
 	struct host_frame f;
 
@@ -51,6 +52,7 @@
 	CU_ASSERT_EQUAL(f.request.version, g.version);
 	CU_ASSERT_EQUAL(f.request.wait_us, g.wait_us);
 	CU_ASSERT_EQUAL(f.request.gatherers, 6);
+	CU_ASSERT_STRING_EQUAL(f.request.organisation, "acme");
 	CU_ASSERT_EQUAL(f.request.goal_left_us, g.goal_left_us);
 	CU_ASSERT_STRING_EQUAL(f.request.target, g.target);
 	CU_ASSERT_EQUAL(f.request.headers->len, 2);
