--- a/test/unit/test_identity.c
+++ b/test/unit/test_identity.c
@@ -252,6 +252,157 @@
 	fake_router_destroy(f);
 }
 
+#define NO_TENANTS ""
+#define REVOKED                                                      \
+	TENANTS(TENANT("acme", "\"" KEY_OLD "\"") "," TENANT("bolt", \
+							     "\"" KEY_B "\""))
+#define MOVED                                                        \
+	TENANTS(TENANT("acme", "\"" KEY_OLD "\"") "," TENANT("bolt", \
+							     "\"" KEY_A "\""))
+
+/* Starts requests until one waits for a leaf. Returns the number of calls. */
+static uint32_t fill_leaves(struct fake_router *f, const char *path,
+			    struct credentials credentials,
+			    const char *organisation)
+{
+	uint32_t calls;
+
+	do {
+		calls = f->call_count;
+		CU_ASSERT_NOT_EQUAL_FATAL(
+			start(f, path, credentials, organisation), 0);
+	} while (f->call_count > calls);
+	return calls;
+}
+
+struct waiting_case {
+	const char *before;
+	const char *after;
+	bool has_key;
+	/** Name sent by another host, in place of a key. */
+	const char *name;
+	bool are_keys_stale;
+	/** Answer to a request that waits; 0 if it is sent to a leaf. */
+	unsigned int status;
+	int code;
+	const char *organisation;
+};
+
+#define BEFORE CONFIGURATION("2", TWO_TENANTS)
+
+static const struct waiting_case waiting_cases[] = {
+	{ BEFORE, BEFORE, true, NULL, false, 0, 0, "acme" },
+	{ BEFORE, CONFIGURATION("3", REVOKED), true, NULL, false, 401,
+	  -ERR_ROUTE_KEY_REVOKED },
+	{ BEFORE, CONFIGURATION("3", MOVED), true, NULL, false, 0, 0, "bolt" },
+	{ BEFORE, CONFIGURATION("3", REVOKED), false, "acme", false, 0, 0,
+	  "acme" },
+	{ BEFORE, CONFIGURATION("3", TENANTS("")), false, "acme", false, 401,
+	  -ERR_ROUTE_KEY_REVOKED },
+	{ BEFORE, CONFIGURATION("3", NO_TENANTS), true, NULL, false, 0, 0, "" },
+	{ CONFIGURATION("2", NO_TENANTS), CONFIGURATION("3", TWO_TENANTS), true,
+	  NULL, false, 0, 0, "acme" },
+	{ CONFIGURATION("2", NO_TENANTS), CONFIGURATION("3", TWO_TENANTS),
+	  false, NULL, false, 401, -ERR_ROUTE_KEY_MISSING },
+	{ BEFORE, BEFORE, true, NULL, true, 503, -ERR_ROUTE_KEYS_STALE },
+	{ CONFIGURATION("2", NO_TENANTS), BEFORE, true, NULL, true, 0, 0, "" },
+};
+
+static void run_waiting_case(const struct waiting_case *c)
+{
+	struct fake_router *f = fake_router_create(1);
+	struct credentials key = bearer(KEY_A);
+	uint32_t calls;
+
+	apply(f, c->before);
+	if (!c->has_key)
+		key.kind = CREDENTIALS_NONE;
+	calls = fill_leaves(f, "/get/", key, c->name);
+	if (c->after != c->before)
+		router_apply_table(f->router, decode_table(c->after));
+	router_set_keys_stale(f->router, c->are_keys_stale);
+	router_leaves_changed(f->router);
+	/* Calls in flight go on. */
+	CU_ASSERT_EQUAL(f->answer_count, c->status ? 1 : 0);
+	if (c->status) {
+		CU_ASSERT_EQUAL(f->answers[0].status, c->status);
+		CU_ASSERT_EQUAL(f->answers[0].code, c->code);
+		CU_ASSERT_EQUAL(f->answers[0].retry_after_us > 0,
+				c->status == 503);
+	}
+	fake_router_end_call(f, 0, CALL_ANSWERED, 200, "0123456789abcdef");
+	fake_router_advance(f, 25 * US_PER_MS);
+	CU_ASSERT_EQUAL_FATAL(f->call_count, calls + (c->status ? 0 : 1));
+	if (!c->status)
+		CU_ASSERT_STRING_EQUAL(f->calls[calls].organisation,
+				       c->organisation);
+	fake_router_answer_all(f);
+	CU_ASSERT_EQUAL(f->answer_count, calls + 1);
+	fake_router_destroy(f);
+}
+
+/* Guards against a revoked key that still runs a request which waits. */
+static void test_waiting(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(waiting_cases); i++)
+		run_waiting_case(&waiting_cases[i]);
+}
+
+/* Guards against a retry or a hedge with a key that was revoked. */
+static void test_extra_calls(void)
+{
+	static const struct {
+		enum call_outcome outcome;
+		unsigned int reply;
+		unsigned int status;
+		int code;
+	} cases[] = {
+		{ CALL_NOT_RUN, 503, 401, -ERR_ROUTE_KEY_REVOKED },
+		{ CALL_NOT_SENT, 0, 401, -ERR_ROUTE_KEY_REVOKED },
+		{ CALL_BROKEN, 0, 502, -ERR_ROUTE_REPLY },
+		{ CALL_ANSWERED, 200, 200, 0 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct fake_router *f = fake_router_create(1);
+
+		apply(f, BEFORE);
+		start(f, "/get/", bearer(KEY_A), NULL);
+		apply(f, CONFIGURATION("3", REVOKED));
+		fake_router_advance(f, 400 * US_PER_MS);
+		CU_ASSERT_EQUAL(f->call_count, 1);
+		fake_router_end_call(f, 0, cases[i].outcome, cases[i].reply,
+				     NULL);
+		CU_ASSERT_EQUAL(f->call_count, 1);
+		CU_ASSERT_EQUAL_FATAL(f->answer_count, 1);
+		CU_ASSERT_EQUAL(f->answers[0].status, cases[i].status);
+		CU_ASSERT_EQUAL(f->answers[0].code, cases[i].code);
+		fake_router_destroy(f);
+	}
+}
+
+/*
+ * Guards against 401 for a request that another host may have run before it was
+ * taken back: its caller would take it as not run.
+ */
+static void test_repeat(void)
+{
+	struct fake_router *f = fake_router_create(1);
+	struct router_request in = {
+		.id = "r",
+		.host = "example",
+		.path = "/get/",
+		.credentials = bearer("k3y"),
+		.is_repeat = true,
+	};
+
+	apply(f, BEFORE);
+	CU_ASSERT_EQUAL(router_start(f->router, &in), 0);
+	CU_ASSERT_EQUAL(f->answers[0].status, 502);
+	CU_ASSERT_EQUAL(f->call_count, 0);
+	fake_router_destroy(f);
+}
+
 static char *write_call_head(bool has_organisations, const char *organisation)
 {
 	struct http_header list[] = {
@@ -306,6 +457,9 @@
 	{ "headers", test_headers },
 	{ "configurations", test_configurations },
 	{ "arrival", test_arrival },
+	{ "waiting", test_waiting },
+	{ "extra calls", test_extra_calls },
+	{ "repeat", test_repeat },
 	{ "call head", test_call_head },
 	CU_TEST_INFO_NULL,
 };
