router: keep the decisions of leaves without limits

A call duration of 0 times an unlimited share was no number, so that a gather gave up parts which wait for a busy leaf. Calls that move off an evacuated leaf take the path of waiting parts, and a refusal names a limit only if the parts it excludes are those that the request needs.

--- a/include/router/internal.h
+++ b/include/router/internal.h
@@ -404,6 +404,8 @@
 void gather_build_answer(struct router *r, struct route_request *q,
 			 struct router_answer *a, GPtrArray *stamps,
 			 GPtrArray *shards, GByteArray *body);
+/** Returns whether a number of parts reaches the minimum coverage. */
+bool gather_reaches_coverage(const struct route_request *q, uint32_t parts);
 /** Returns whether the answered parts reach the minimum coverage. */
 bool gather_has_coverage(const struct route_request *q);
 /** Returns whether the parts that have not failed reach that coverage. */
--- a/include/router/leaf_access.h
+++ b/include/router/leaf_access.h
@@ -118,7 +118,8 @@
 
 /**
  * Returns the result code of a request that no leaf has run: that of the limit
- * which excludes all leaves of a failed part, or else the one that is passed.
+ * which excludes all leaves of the parts without which the request fails, or
+ * else the code that is passed.
  */
 int leaf_access_refusal_code(struct router *r, struct route_request *q,
 			     int code);
--- a/router/choice.c
+++ b/router/choice.c
@@ -164,6 +164,9 @@
 {
 	double per_s = leaf_access_rate_share(r, leaf, now);
 
+	/* A duration of 0 must not be multiplied by infinity. */
+	if (isinf(per_s))
+		return leaf->concurrency_limit;
 	return MIN(leaf->concurrency_limit, per_s * expected / US_PER_S);
 }
 
--- a/router/gather.c
+++ b/router/gather.c
@@ -143,7 +143,7 @@
 	a->body_len = body->len;
 }
 
-static bool reaches_coverage(const struct route_request *q, uint32_t parts)
+bool gather_reaches_coverage(const struct route_request *q, uint32_t parts)
 {
 	/* The margin absorbs rounding, such as in 0.9 times 10. */
 	return parts && (double)parts + 1e-9 >=
@@ -152,10 +152,10 @@
 
 bool gather_has_coverage(const struct route_request *q)
 {
-	return reaches_coverage(q, q->answered_count);
+	return gather_reaches_coverage(q, q->answered_count);
 }
 
 bool gather_can_reach_coverage(const struct route_request *q)
 {
-	return reaches_coverage(q, q->part_count - q->failed_count);
+	return gather_reaches_coverage(q, q->part_count - q->failed_count);
 }
--- a/router/leaf_access.c
+++ b/router/leaf_access.c
@@ -317,11 +317,20 @@
 			  n.cold, n.usable);
 }
 
+static bool can_do_without(const struct route_request *q, uint32_t parts)
+{
+	return !parts || (q->route->shape == ROUTE_GATHER &&
+			  gather_reaches_coverage(q, q->part_count - parts));
+}
+
 int leaf_access_refusal_code(struct router *r, struct route_request *q,
 			     int code)
 {
-	bool is_evacuated = false;
+	uint32_t other_region = 0;
+	uint32_t evacuated = 0;
 
+	if (code == -ERR_ROUTE_STOPPING)
+		return code;
 	for (uint32_t i = 0; i < q->part_count; i++) {
 		const struct route_part *p = &q->parts[i];
 		struct excluded_leaves n;
@@ -329,11 +338,10 @@
 		if (p->phase != PART_FAILED && !p->is_infeasible)
 			continue;
 		n = count_excluded(r, p);
-		if (n.usable)
-			continue;
-		if (n.other_region)
-			return -ERR_ROUTE_REGION;
-		is_evacuated = is_evacuated || n.evacuated;
+		other_region += !n.usable && n.other_region;
+		evacuated += !n.usable && !n.other_region && n.evacuated;
 	}
-	return is_evacuated ? -ERR_ROUTE_EVACUATED : code;
+	if (can_do_without(q, other_region + evacuated))
+		return code;
+	return other_region ? -ERR_ROUTE_REGION : -ERR_ROUTE_EVACUATED;
 }
--- a/router/part.c
+++ b/router/part.c
@@ -274,9 +274,11 @@
 		send_call(r, p, choice.leaf, false);
 		return true;
 	}
-	if (!choice.usable_count)
-		p->phase = PART_FAILED;
-	return !choice.usable_count;
+	if (choice.usable_count)
+		return false;
+	leaf_access_log_none(r, p);
+	p->phase = PART_FAILED;
+	return true;
 }
 
 bool part_plan(struct router *r, struct route_part *p, int64_t left_us)
@@ -377,8 +379,9 @@
 	if (p->call_count || is_in_open_batch(p))
 		return true;
 	router_timer_disarm(r, &p->timer);
-	start_without_batch(r, p);
-	if (p->phase == PART_FAILED)
+	if (!try_send_first(r, p))
+		wait_for_leaf(r, p);
+	else if (p->phase == PART_FAILED)
 		request_handle_part_end(r, p->request);
 	return true;
 }
