--- a/test/soak/standins.py
+++ b/test/soak/standins.py
@@ -90,6 +90,9 @@
         self.items[key] = item
         self.record_event(item)
 
+    def read(self, key):
+        return json.loads(base64.b64decode(self.items[key]["value"]))
+
     def remove(self, key):
         if self.items.pop(key, None):
             self.revision += 1
@@ -177,6 +180,7 @@
         self.owner = owner
         self.mode = "ok"
         self.sequence = 0
+        self.warm_up_ms = 0
         self.key = f"servers/{name}"
         # Calls a second from all hosts that the leaf names as its limit.
         self.limit = None
@@ -190,7 +194,7 @@
         store.put(self.key, {
             "service": self.service, "address": self.address,
             "zone": self.domain, "version": "v1", "slots": 4,
-            "state": "ready", "warmup_left_ms": 0,
+            "state": "ready", "warmup_left_ms": self.warm_up_ms,
             "sequence": self.sequence, "born": 1})
 
     def write_cut_head(self, writer, body, headers):
--- a/test/unit/test_leaf_client.c
+++ b/test/unit/test_leaf_client.c
@@ -524,7 +524,59 @@
 		     "4\r\nbody\r\n");
 }
 
+/*
+ * Guards against a call that is taken back although a leaf may have read it,
+ * and against one that reaches the leaf after it was taken back.
+ */
+static void test_withdrawn_call(void)
+{
+	static const char head[] = "GET /x HTTP/1.1\r\n\r\n";
+	struct leaf_request r = {
+		.call_id = 1,
+		.head = head,
+		.head_len = sizeof(head) - 1,
+		.request_id = "r1",
+		.is_idempotent = true,
+		.deadline_us = 9 * US_PER_S,
+	};
+	struct rig g = { 0 };
+	char byte;
+
+	rig_init(&g);
+	leaf_client_send(g.endpoint, &r);
+	CU_ASSERT_TRUE(leaf_client_withdraw_call(g.client, 1));
+	CU_ASSERT_FALSE(leaf_client_withdraw_call(g.client, 1));
+	for (int i = 0; i < STEPS_MAX && !g.peer_count; i++)
+		run_client_step(&g);
+	CU_ASSERT_EQUAL(recv(g.peers[0], &byte, 1, 0), 0);
+	send_request(&g, 2, 1);
+	CU_ASSERT_FALSE(leaf_client_withdraw_call(g.client, 2));
+	CU_ASSERT_EQUAL(g.end_count, 0);
+	rig_clear(&g);
+}
+
+/* Guards against idle connections to a leaf that must not be called. */
+static void test_close_idle(void)
+{
+	static const char reply[] = OK_HEAD "Content-Length: 0\r\n\r\n";
+	struct rig g = { 0 };
+
+	rig_init(&g);
+	send_request(&g, 1, 0);
+	leaf_endpoint_close_idle(g.endpoint);
+	CU_ASSERT_EQUAL(leaf_client_get_counts(g.client).open, 1);
+	send_bytes(&g, 0, reply, sizeof(reply) - 1);
+	wait_end(&g);
+	CU_ASSERT_EQUAL(g.ends[0].end, LEAF_CALL_DONE);
+	CU_ASSERT_EQUAL(leaf_client_get_counts(g.client).open, 1);
+	leaf_endpoint_close_idle(g.endpoint);
+	CU_ASSERT_EQUAL(leaf_client_get_counts(g.client).open, 0);
+	rig_clear(&g);
+}
+
 CU_TestInfo leaf_client_tests[] = {
+	{ "withdrawn call", test_withdrawn_call },
+	{ "close idle", test_close_idle },
 	{ "endless reply", test_endless_reply },
 	{ "declared length", test_declared_length },
 	{ "late copy", test_late_copy },
--- a/test/unit/test_places.c
+++ b/test/unit/test_places.c
@@ -257,6 +257,69 @@
 	fake_router_destroy(f);
 }
 
+/*
+ * Guards against a batch of a host that has not heard of an evacuation: the
+ * host that receives it checks again.
+ */
+static void test_received_batch(void)
+{
+	static const char *const shards[] = { "s0", "s1" };
+	struct fake_router *f = fake_router_create(2);
+	struct router_request in = {
+		.id = "r",
+		.host = "example",
+		.path = "/search/x",
+		.shards = shards,
+		.shard_count = 2,
+	};
+
+	router_set_evacuated(f->router, "a", true);
+	router_start(f->router, &in);
+	CU_ASSERT_EQUAL(f->call_count, 0);
+	CU_ASSERT_EQUAL(f->answer_count, 1);
+	CU_ASSERT_EQUAL(f->answers[0].missing_count, 2);
+	router_set_evacuated(f->router, "a", false);
+	set_regions(f->router->table, SEARCH, "south");
+	router_start(f->router, &in);
+	CU_ASSERT_EQUAL(f->call_count, 0);
+	CU_ASSERT_EQUAL(f->answer_count, 2);
+	fake_router_destroy(f);
+}
+
+/*
+ * Guards against a gather whose refusal names the region of one shard, which it
+ * could do without, as the cause.
+ */
+static void test_refusal_code(void)
+{
+	struct fake_router *f = fake_router_create(4);
+	struct leaf_set *leaves = router_leaves(f->router);
+
+	leaf_set_remove(leaves, "s0-c", 0, f->time.now_us);
+	set_regions(f->router->table, SEARCH, "south");
+	fake_router_start_request(f, "/search/x", 0);
+	CU_ASSERT_EQUAL(f->call_count, 3);
+	leaf_set_remove(leaves, "s1-c", 0, f->time.now_us);
+	fake_router_start_request(f, "/search/x", 0);
+	CU_ASSERT_EQUAL(f->answers[0].status, 503);
+	CU_ASSERT_EQUAL(f->answers[0].code, -ERR_ROUTE_REGION);
+	set_regions(f->router->table, SEARCH, "north,south");
+	for (int i = 1; i < 4; i++) {
+		char *id = g_strdup_printf("s%d-a", i);
+		char *id_b = g_strdup_printf("s%d-b", i);
+
+		leaf_set_remove(leaves, id, 0, f->time.now_us);
+		leaf_set_remove(leaves, id_b, 0, f->time.now_us);
+		leaf_set_remove(leaves, "s2-c", 0, f->time.now_us);
+		g_free(id);
+		g_free(id_b);
+	}
+	fake_router_put_leaf(f, "s3-x", "s3", "unknown", false, 1);
+	fake_router_start_request(f, "/search/x", 0);
+	CU_ASSERT_EQUAL(f->answers[1].code, -ERR_ROUTE_LATE);
+	fake_router_destroy(f);
+}
+
 static void add_item(struct store_changes *c, const char *key,
 		     const char *value, uint64_t revision)
 {
@@ -317,6 +380,9 @@
 	apply_change(&c, "op/evacuate/a", NULL, 4, false);
 	CU_ASSERT_FALSE(is_evacuated(f, "s0-a"));
 	apply_change(&c, "op/evacuate/a", "{}", 5, false);
+	/* Without any news the last state remains in force. */
+	f->time.now_us += 5 * 3600 * US_PER_S;
+	router_advance(f->router);
 	CU_ASSERT_TRUE(is_evacuated(f, "s0-a"));
 	/* The listing holds neither key any more. */
 	apply_change(&c, "op/evacuate/c", "{}", 9, true);
@@ -495,6 +561,8 @@
 	{ "moved calls", test_moved_calls },
 	{ "begun calls", test_begun_calls },
 	{ "shard left out", test_shard_left_out },
+	{ "received batch", test_received_batch },
+	{ "refusal code", test_refusal_code },
 	{ "evacuation keys", test_evacuation_keys },
 	{ "cold leaf", test_cold_leaf },
 	{ "cold without rate", test_cold_without_rate },
