rates: know a key, a limit and an owner, and no leaf

The division of rates, the claims and the host's own state of a rate are used for the limits of leaves alone so far. Quotas and cold leaves need them too. router/shared_rate.c is the former leaf_rate.c without the leaf; rates.c is the only place that connects leaves with shared rates.

--- a/bench/rate_cost.c
+++ b/bench/rate_cost.c
@@ -27,9 +27,9 @@
 static struct rate_claim create_claim(void)
 {
 	return (struct rate_claim){
-		.leaf = "i-18ca9fbafc",
-		.leaf_started_ms = 1700000000000,
-		.leaf_domain = "a",
+		.key = "i-18ca9fbafc",
+		.epoch = 1700000000000,
+		.domain = "a",
 		.news = { true, LIMIT_PER_S, 100000 },
 		.wanted_per_s = 12.5,
 	};
--- a/include/router/directory.h
+++ b/include/router/directory.h
@@ -109,7 +109,7 @@
 uint32_t host_directory_count_gatherers(struct host_directory *d,
 					int64_t now_us);
 
-/** Hosts that divide the rate limit of a leaf; NULL where none is known. */
+/** Hosts that divide the rate of a key; NULL where none is known. */
 struct rate_owners {
 	struct known_host *first;
 	/** Stands in for the first while it is silent. */
@@ -117,11 +117,11 @@
 };
 
 /**
- * Returns the owners of a leaf's rate limit: the first two hosts by a hash,
- * those of the region of the leaf's failure domain before others.
+ * Returns the owners of a key: the first two hosts by a hash, those of the
+ * region of a failure domain before others.
  */
 struct rate_owners host_directory_rate_owners(struct host_directory *d,
-					      const char *leaf,
+					      const char *key,
 					      const char *domain);
 
 /** Notes that a gathering host was busy: more hosts gather for a while. */
--- a/include/router/internal.h
+++ b/include/router/internal.h
@@ -324,7 +324,26 @@
  */
 void leaf_note_late(struct router *r, const struct route_part *p);
 
-/* rates.c */
+/*
+ * rates.c: the rates that hosts share at one leaf.
+ *
+ * Returns whether a rate limits the calls to a leaf.
+ */
+bool rates_is_limited(struct router *r, struct route_leaf *leaf);
+/** Returns whether the limits allow a call of a priority now. */
+bool rates_has_room(struct router *r, struct route_leaf *leaf,
+		    uint32_t priority);
+/** Returns the time until they allow one; INT64_MAX if never. */
+int64_t rates_wait(struct router *r, struct route_leaf *leaf,
+		   uint32_t priority);
+/** Returns the calls a second that this host may send to a limited leaf. */
+double rates_share(struct router *r, const struct route_leaf *leaf);
+/** Returns the part of that which calls of a priority may use. */
+double rates_share_of(struct router *r, const struct route_leaf *leaf,
+		      uint32_t priority);
+/** Counts a call to a leaf. */
+void rates_note_call(struct router *r, struct route_leaf *leaf,
+		     uint32_t priority, bool is_extra);
 /** Notes the rate limit in the result of a call. */
 void rates_note_result(struct router *r, const struct leaf_call *c,
 		       const struct router_result *result);
--- a/include/router/leaf_set.h
+++ b/include/router/leaf_set.h
@@ -9,7 +9,7 @@
 
 #include "engine/latency.h"
 #include "router/extra_calls.h"
-#include "router/leaf_rate.h"
+#include "router/shared_rate.h"
 
 /** Maximum number of routes whose call durations are kept for a leaf. */
 #define LEAF_ROUTES_MAX 4
@@ -101,7 +101,7 @@
 	uint32_t duration_count;
 	/** Entries added so far; the next index modulo LEAF_ROUTES_MAX. */
 	uint32_t duration_next;
-	struct leaf_rate rate;
+	struct shared_rate rate;
 	/** State of the adapter that holds the connections. */
 	void *endpoint;
 };
--- a/include/router/rate_exchange.h
+++ b/include/router/rate_exchange.h
@@ -61,7 +61,7 @@
 void rate_exchange_note_closed(struct rate_exchange *x, const char *address,
 			       bool is_undelivered);
 
-/** Frees what is kept of leaves without claims. */
+/** Frees what is kept of keys without claims. */
 void rate_exchange_sweep(struct rate_exchange *x);
 
 #endif
--- a/net/host_frame.c
+++ b/net/host_frame.c
@@ -202,9 +202,9 @@
 		const struct rate_claim *c =
 			&g_array_index(claims, struct rate_claim, i);
 
-		pack_text(&pk, c->leaf);
-		msgpack_pack_uint64(&pk, (uint64_t)c->leaf_started_ms);
-		pack_text(&pk, c->leaf_domain);
+		pack_text(&pk, c->key);
+		msgpack_pack_uint64(&pk, (uint64_t)c->epoch);
+		pack_text(&pk, c->domain);
 		pack_rate_news(&pk, &c->news);
 		pack_rate(&pk, c->wanted_per_s);
 	}
@@ -221,8 +221,8 @@
 		const struct rate_grant *g =
 			&g_array_index(grants, struct rate_grant, i);
 
-		pack_text(&pk, g->leaf);
-		msgpack_pack_uint64(&pk, (uint64_t)g->leaf_started_ms);
+		pack_text(&pk, g->key);
+		msgpack_pack_uint64(&pk, (uint64_t)g->epoch);
 		pack_rate_news(&pk, &g->news);
 		pack_rate(&pk, g->share_per_s);
 		msgpack_pack_uint64(&pk, (uint64_t)MAX(g->valid_us, 0));
@@ -425,10 +425,10 @@
 		g_array_new(FALSE, TRUE, sizeof(struct rate_claim));
 	items.fields = read_array(r);
 	while (items.next < items.fields->size && !items.is_broken) {
-		struct rate_claim c = { .leaf = read_text(&items) };
+		struct rate_claim c = { .key = read_text(&items) };
 
-		c.leaf_started_ms = read_duration(&items);
-		c.leaf_domain = read_text(&items);
+		c.epoch = read_duration(&items);
+		c.domain = read_text(&items);
 		read_rate_news(&items, &c.news);
 		c.wanted_per_s = read_rate(&items);
 		if (!items.is_broken)
@@ -445,9 +445,9 @@
 		g_array_new(FALSE, TRUE, sizeof(struct rate_grant));
 	items.fields = read_array(r);
 	while (items.next < items.fields->size && !items.is_broken) {
-		struct rate_grant g = { .leaf = read_text(&items) };
+		struct rate_grant g = { .key = read_text(&items) };
 
-		g.leaf_started_ms = read_duration(&items);
+		g.epoch = read_duration(&items);
 		read_rate_news(&items, &g.news);
 		g.share_per_s = read_rate(&items);
 		g.valid_us = read_duration(&items);
--- a/router/choice.c
+++ b/router/choice.c
@@ -184,12 +184,11 @@
 	       !q->is_repeat && leaf->distance == LEAF_SAME_REGION;
 }
 
-static bool has_room(const struct router *r, const struct route_part *p,
+static bool has_room(struct router *r, const struct route_part *p,
 		     struct route_leaf *leaf, int64_t now)
 {
-	return !leaf->rate.is_limited || may_join_batch(r, p, leaf) ||
-	       leaf_rate_has_room(&leaf->rate, p->request->priority,
-				  r->host_count, now);
+	return !rates_is_limited(r, leaf) || may_join_batch(r, p, leaf) ||
+	       rates_has_room(r, leaf, p->request->priority);
 }
 
 static bool may_choose(const struct route_part *p,
@@ -206,8 +205,7 @@
 		    struct route_leaf *leaf, bool is_extra)
 {
 	leaf->probed_at_us = router_now(r);
-	leaf_rate_note_call(&leaf->rate, part->request->priority, is_extra,
-			    r->host_count, router_now(r));
+	rates_note_call(r, leaf, part->request->priority, is_extra);
 }
 
 /* What leaf_choose() learns of the leaves that it passes over. */
@@ -224,29 +222,27 @@
 };
 
 /* Returns the concurrent calls at a leaf that its limits allow. */
-static double leaf_capacity(const struct router *r, struct route_leaf *leaf,
+static double leaf_capacity(struct router *r, struct route_leaf *leaf,
 			    double expected, int64_t now)
 {
 	double per_s;
 
-	if (!leaf->rate.is_limited)
+	if (!rates_is_limited(r, leaf))
 		return leaf->concurrency_limit;
-	per_s = leaf_rate_share(&leaf->rate, r->host_count, now);
+	per_s = rates_share(r, leaf);
 	return MIN(leaf->concurrency_limit, per_s * expected / US_PER_S);
 }
 
 /* Notes a leaf whose rate limit leaves no room; false if it never will. */
-static bool note_limited(const struct router *r, const struct route_part *p,
+static bool note_limited(struct router *r, const struct route_part *p,
 			 struct passed_over *o, struct route_leaf *leaf,
 			 double expected, int64_t now)
 {
-	int64_t wait = leaf_rate_wait(&leaf->rate, p->request->priority,
-				      r->host_count, now);
+	int64_t wait = rates_wait(r, leaf, p->request->priority);
 
 	if (wait == INT64_MAX)
 		return false;
-	o->limited_per_s += leaf_rate_share_of(
-		&leaf->rate, p->request->priority, r->host_count, now);
+	o->limited_per_s += rates_share_of(r, leaf, p->request->priority);
 	if (wait >= o->limited_wait_us)
 		return true;
 	o->limited_wait_us = wait;
@@ -346,7 +342,8 @@
 		struct route_leaf *leaf = part->pool->leaves->pdata[i];
 		double expected;
 
-		if (!leaf->rate.is_limited || !may_choose(part, leaf, now) ||
+		if (!rates_is_limited(r, leaf) ||
+		    !may_choose(part, leaf, now) ||
 		    may_join_batch(r, part, leaf))
 			continue;
 		expected = expected_us(leaf, stats, typical, now);
--- a/router/directory.c
+++ b/router/directory.c
@@ -349,7 +349,7 @@
 	return chosen;
 }
 
-/* Order of a host among those that may divide the rate limit of a leaf. */
+/* Order of a host among those that may divide a rate. */
 struct rate_rank {
 	bool is_remote;
 	uint64_t hash;
@@ -361,11 +361,11 @@
 }
 
 struct rate_owners host_directory_rate_owners(struct host_directory *d,
-					      const char *leaf,
+					      const char *key,
 					      const char *domain)
 {
 	const char *region = region_of_domain(d, domain);
-	uint64_t leaf_hash = hash_string(leaf, 0);
+	uint64_t key_hash = hash_string(key, 0);
 	struct rate_owners owners = { NULL, NULL };
 	struct rate_rank first = { true, UINT64_MAX };
 	struct rate_rank second = first;
@@ -377,7 +377,7 @@
 		struct known_host *h = value;
 		struct rate_rank rank = {
 			.is_remote = strcmp(region_of(d, h), region) != 0,
-			.hash = hash_pair(h->name_hash, leaf_hash),
+			.hash = hash_pair(h->name_hash, key_hash),
 		};
 
 		if (!owners.first || is_rank_before(&rank, &first)) {
--- a/router/part.c
+++ b/router/part.c
@@ -338,8 +338,7 @@
 		p->phase = PART_RUNNING;
 		arm_hedge(r, p, now + BATCH_MARGIN_US);
 	} else if (p->planned_leaf &&
-		   leaf_rate_has_room(&p->planned_leaf->rate, q->priority,
-				      r->host_count, now)) {
+		   rates_has_room(r, p->planned_leaf, q->priority)) {
 		send_call(r, p, p->planned_leaf, false);
 	} else if (p->planned_leaf) {
 		start_without_batch(r, p);
--- a/router/rate_exchange.c
+++ b/router/rate_exchange.c
@@ -16,7 +16,7 @@
  */
 #define SECOND_OWNER_PART 0.25
 
-/* Leaves whose owners are kept; the table is emptied beyond that. */
+/* Keys whose owners are kept; the table is emptied beyond that. */
 #define OWNERS_MAX 1024
 
 struct rate_exchange {
@@ -24,11 +24,11 @@
 	/** Division of the limits that this host owns. */
 	struct rate_shares *shares;
 	/**
-	 * Of struct rate_grant: answers to this host's own claims. Their leaf
+	 * Of struct rate_grant: answers to this host's own claims. Their key
 	 * is a copy.
 	 */
 	GArray *own_grants;
-	/** Of struct rate_owners by leaf, for one generation of the directory. */
+	/** Of struct rate_owners by key, for one generation of the directory. */
 	GHashTable *owners;
 	uint64_t owners_generation;
 };
@@ -38,7 +38,7 @@
 	return host_directory_is_self(x->options.directory, h);
 }
 
-/* Returns the owners of a leaf's limit, computed once while no host changes. */
+/* Returns the owners of a key, computed once while no host changes. */
 static struct rate_owners get_owners(struct rate_exchange *x,
 				     const struct rate_claim *c)
 {
@@ -49,12 +49,12 @@
 		g_hash_table_remove_all(x->owners);
 		x->owners_generation = d->generation;
 	}
-	known = g_hash_table_lookup(x->owners, c->leaf);
+	known = g_hash_table_lookup(x->owners, c->key);
 	if (known)
 		return *known;
 	known = g_new(struct rate_owners, 1);
-	*known = host_directory_rate_owners(d, c->leaf, c->leaf_domain);
-	g_hash_table_insert(x->owners, g_strdup(c->leaf), known);
+	*known = host_directory_rate_owners(d, c->key, c->domain);
+	g_hash_table_insert(x->owners, g_strdup(c->key), known);
 	return *known;
 }
 
@@ -123,21 +123,21 @@
 	return g;
 }
 
-/* The leaf may be freed before the grant is delivered. */
+/* The key may be freed before the grant is delivered. */
 static void queue_own_grant(struct rate_exchange *x, const struct rate_claim *c)
 {
 	struct rate_grant g = answer_claim(x, x->options.directory->self, c);
 
-	g.leaf = g_strdup(g.leaf);
+	g.key = g_strdup(g.key);
 	g_array_append_val(x->own_grants, g);
 }
 
-static void log_silence(struct known_host *h, const char *leaf, int64_t now)
+static void log_silence(struct known_host *h, const char *key, int64_t now)
 {
 	if (h->is_silence_logged)
 		return;
 	h->is_silence_logged = true;
-	event_log(EV_RATE_OWNER_LOST, "leaf=%s host=%s silent_ms=%lld", leaf,
+	event_log(EV_RATE_OWNER_LOST, "key=%s host=%s silent_ms=%lld", key,
 		  h->record.name,
 		  (long long)((now - h->rates_asked_us) / US_PER_MS));
 }
@@ -153,7 +153,7 @@
 	for (size_t i = 0; i < G_N_ELEMENTS(list) && list[i]; i++) {
 		if (is_self(x, list[i]) || !is_silent(list[i], SILENT_US, now))
 			return list[i];
-		log_silence(list[i], c->leaf, now);
+		log_silence(list[i], c->key, now);
 		probe_owner(x, list[i]);
 	}
 	return NULL;
@@ -238,7 +238,7 @@
 static void free_own_grants(GArray *grants)
 {
 	for (guint i = 0; i < grants->len; i++)
-		g_free((char *)g_array_index(grants, struct rate_grant, i).leaf);
+		g_free((char *)g_array_index(grants, struct rate_grant, i).key);
 	g_array_free(grants, TRUE);
 }
 
--- a/router/rates.c
+++ b/router/rates.c
@@ -25,7 +25,7 @@
 static void log_share(const struct route_leaf *leaf, double previous,
 		      int64_t now)
 {
-	const struct leaf_rate *rate = &leaf->rate;
+	const struct shared_rate *rate = &leaf->rate;
 
 	if (fabs(rate->share_per_s - previous) <=
 	    SHARE_LOG_CHANGE * MAX(previous, rate->share_per_s))
@@ -34,7 +34,7 @@
 		  "leaf=%s service=%s limit=%.3f share=%.3f previous=%.3f "
 		  "wanted=%.3f news_ms=%lld",
 		  leaf->entry.id, leaf->entry.service, rate->limit_per_s,
-		  rate->share_per_s, previous, leaf_rate_wanted(rate, now),
+		  rate->share_per_s, previous, shared_rate_wanted(rate, now),
 		  (long long)((now - rate->news_at_us) / US_PER_MS));
 }
 
@@ -53,11 +53,48 @@
 	leaf->rate.extra_calls = 0;
 }
 
+bool rates_is_limited(struct router *r, struct route_leaf *leaf)
+{
+	return leaf->rate.is_limited;
+}
+
+bool rates_has_room(struct router *r, struct route_leaf *leaf,
+		    uint32_t priority)
+{
+	return shared_rate_has_room(&leaf->rate, priority, r->host_count,
+				    router_now(r));
+}
+
+int64_t rates_wait(struct router *r, struct route_leaf *leaf, uint32_t priority)
+{
+	return shared_rate_wait(&leaf->rate, priority, r->host_count,
+				router_now(r));
+}
+
+double rates_share(struct router *r, const struct route_leaf *leaf)
+{
+	return shared_rate_share(&leaf->rate, r->host_count, router_now(r));
+}
+
+double rates_share_of(struct router *r, const struct route_leaf *leaf,
+		      uint32_t priority)
+{
+	return shared_rate_share_of(&leaf->rate, priority, r->host_count,
+				    router_now(r));
+}
+
+void rates_note_call(struct router *r, struct route_leaf *leaf,
+		     uint32_t priority, bool is_extra)
+{
+	shared_rate_note_call(&leaf->rate, priority, is_extra, r->host_count,
+			      router_now(r));
+}
+
 void rates_note_result(struct router *r, const struct leaf_call *c,
 		       const struct router_result *result)
 {
 	struct route_leaf *leaf = c->leaf;
-	struct leaf_rate *rate = &leaf->rate;
+	struct shared_rate *rate = &leaf->rate;
 	double previous = rate->is_limited ? rate->limit_per_s : 0;
 
 	if (!leaf_rate_note_reply(rate, &result->rate_limit, c->start_us,
@@ -72,7 +109,8 @@
 void rates_note_wanted(struct router *r, const struct route_part *p,
 		       struct route_leaf *leaf)
 {
-	leaf_rate_note_wanted(&leaf->rate, p->request->priority, router_now(r));
+	shared_rate_note_wanted(&leaf->rate, p->request->priority,
+				router_now(r));
 	schedule_claims(r, leaf->rate.claim_at_us);
 }
 
@@ -98,26 +136,25 @@
 		  p->request->request_id, p->pool->name, count,
 		  p->pool->leaves->len, first->entry.id,
 		  first->rate.limit_per_s,
-		  leaf_rate_share(&first->rate, r->host_count, now),
+		  shared_rate_share(&first->rate, r->host_count, now),
 		  (long long)((now - first->rate.news_at_us) / US_PER_MS));
 }
 
 void router_handle_grant(struct router *r, const struct rate_grant *g)
 {
-	struct route_leaf *leaf =
-		g_hash_table_lookup(r->leaves.leaves, g->leaf);
+	struct route_leaf *leaf = g_hash_table_lookup(r->leaves.leaves, g->key);
 	int64_t now = router_now(r);
-	struct leaf_rate *rate;
+	struct shared_rate *rate;
 	double limit;
 	double share;
 
-	if (!leaf || leaf->entry.started_ms != g->leaf_started_ms ||
+	if (!leaf || leaf->entry.started_ms != g->epoch ||
 	    !leaf->rate.is_limited)
 		return;
 	rate = &leaf->rate;
 	limit = rate->limit_per_s;
 	share = now < rate->share_until_us ? rate->share_per_s : 0;
-	if (leaf_rate_apply_grant(rate, g, r->host_count, now))
+	if (shared_rate_apply_grant(rate, g, r->host_count, now))
 		log_limit(leaf, limit, "host");
 	log_share(leaf, share, now);
 	schedule_claims(r, rate->claim_at_us);
@@ -137,12 +174,12 @@
 	for (guint i = 0; i < r->limited_leaves->len; i++) {
 		struct route_leaf *leaf = r->limited_leaves->pdata[i];
 		struct rate_claim claim = {
-			.leaf = leaf->entry.id,
-			.leaf_started_ms = leaf->entry.started_ms,
-			.leaf_domain = leaf->entry.domain,
+			.key = leaf->entry.id,
+			.epoch = leaf->entry.started_ms,
+			.domain = leaf->entry.domain,
 		};
 
-		if (leaf_rate_take_claim(&leaf->rate, now, &claim))
+		if (shared_rate_take_claim(&leaf->rate, now, &claim))
 			g_array_append_val(claims, claim);
 		schedule_claims(r, leaf->rate.claim_at_us);
 	}
@@ -156,15 +193,15 @@
 /* Reports the calls since the last report and starts to count anew. */
 static void report_calls(struct router *r, struct route_leaf *leaf)
 {
-	struct leaf_rate *rate = &leaf->rate;
+	struct shared_rate *rate = &leaf->rate;
 	int64_t now = router_now(r);
 	struct leaf_rate_report report = {
 		.leaf = leaf->entry.id,
 		.service = leaf->entry.service,
 		.is_limited = rate->is_limited,
 		.limit_per_s = rate->limit_per_s,
-		.share_per_s = leaf_rate_share(rate, r->host_count, now),
-		.wanted_per_s = leaf_rate_wanted(rate, now),
+		.share_per_s = shared_rate_share(rate, r->host_count, now),
+		.wanted_per_s = shared_rate_wanted(rate, now),
 		.news_age_us = now - rate->news_at_us,
 		.first_calls = rate->first_calls,
 		.extra_calls = rate->extra_calls,
--- a/test/unit/test_host_frame.c
+++ b/test/unit/test_host_frame.c
@@ -120,15 +120,15 @@
 static void test_rates(void)
 {
 	struct rate_claim claim = {
-		.leaf = "leaf-1",
-		.leaf_started_ms = 1700000000000,
-		.leaf_domain = "a",
+		.key = "leaf-1",
+		.epoch = 1700000000000,
+		.domain = "a",
 		.news = { true, 31.5, 2000 },
 		.wanted_per_s = 60.25,
 	};
 	struct rate_grant grant = {
-		.leaf = "leaf-1",
-		.leaf_started_ms = 1700000000000,
+		.key = "leaf-1",
+		.epoch = 1700000000000,
 		.news = { false, 0, 10 },
 		.share_per_s = 4.5,
 		.valid_us = 1000000,
@@ -145,9 +145,9 @@
 			      0);
 	CU_ASSERT_EQUAL_FATAL(f.rate_claims->len, 2);
 	c = &g_array_index(f.rate_claims, struct rate_claim, 1);
-	CU_ASSERT_STRING_EQUAL(c->leaf, "leaf-1");
-	CU_ASSERT_EQUAL(c->leaf_started_ms, 1700000000000);
-	CU_ASSERT_STRING_EQUAL(c->leaf_domain, "a");
+	CU_ASSERT_STRING_EQUAL(c->key, "leaf-1");
+	CU_ASSERT_EQUAL(c->epoch, 1700000000000);
+	CU_ASSERT_STRING_EQUAL(c->domain, "a");
 	CU_ASSERT_TRUE(c->news.is_limited);
 	CU_ASSERT_DOUBLE_EQUAL(c->news.per_s, 31.5, 0);
 	CU_ASSERT_EQUAL(c->news.age_us, 2000);
--- a/test/unit/test_rate_exchange.c
+++ b/test/unit/test_rate_exchange.c
@@ -41,7 +41,7 @@
 	struct leaf_set leaves;
 	struct host_directory directory;
 	struct rate_exchange *exchange;
-	struct leaf_rate rate;
+	struct shared_rate rate;
 	int64_t frozen_until_us;
 	int64_t cut_until_us;
 	int64_t excused_until_us;
@@ -117,8 +117,8 @@
 {
 	struct sim_host *h = ctx;
 
-	leaf_rate_apply_grant(&h->rate, grant, h->sim->count,
-			      h->sim->time.now_us);
+	shared_rate_apply_grant(&h->rate, grant, h->sim->count,
+				h->sim->time.now_us);
 }
 
 static const struct rate_exchange_ops ops = {
@@ -249,10 +249,10 @@
 	struct leaf_rate_limit limit = { RATE_LIMITED, s->limit };
 
 	if (h->rate.is_limited)
-		leaf_rate_note_wanted(&h->rate, 1, now);
-	if (!leaf_rate_has_room(&h->rate, 1, s->count, now))
+		shared_rate_note_wanted(&h->rate, 1, now);
+	if (!shared_rate_has_room(&h->rate, 1, s->count, now))
 		return;
-	leaf_rate_note_call(&h->rate, 1, false, s->count, now);
+	shared_rate_note_call(&h->rate, 1, false, s->count, now);
 	leaf_rate_note_reply(&h->rate, &limit, now, now);
 	s->all_calls++;
 	if (now >= h->excused_until_us)
@@ -261,10 +261,10 @@
 
 static void claim_share(struct sim_host *h)
 {
-	struct rate_claim claim = { .leaf = LEAF, .leaf_domain = DOMAIN };
+	struct rate_claim claim = { .key = LEAF, .domain = DOMAIN };
 
 	if (h->rate.is_limited &&
-	    leaf_rate_take_claim(&h->rate, h->sim->time.now_us, &claim))
+	    shared_rate_take_claim(&h->rate, h->sim->time.now_us, &claim))
 		rate_exchange_claim(h->exchange, &claim, 1);
 	rate_exchange_deliver_own(h->exchange);
 }
--- a/test/unit/test_rate_limit.c
+++ b/test/unit/test_rate_limit.c
@@ -310,7 +310,7 @@
 {
 	struct fake_router *f = fake_router_create(1);
 	struct rate_grant grant = {
-		.leaf = "s0-a",
+		.key = "s0-a",
 		.news = { true, 100, 0 },
 		.share_per_s = 100,
 		.valid_us = US_PER_S,
@@ -410,7 +410,7 @@
  */
 static void test_overtaken_reply(void)
 {
-	struct leaf_rate rate = { 0 };
+	struct shared_rate rate = { 0 };
 	struct leaf_rate_limit limited = { RATE_LIMITED, 10 };
 	struct leaf_rate_limit none = { RATE_UNLIMITED, 0 };
 	struct leaf_rate_limit unusable = { RATE_UNKNOWN, 0 };
@@ -428,12 +428,13 @@
 #define LOWER 2
 
 /* Sends a call if the share has room for it; returns how many were sent. */
-static uint32_t try_call(struct leaf_rate *rate, uint32_t priority, int64_t now)
+static uint32_t try_call(struct shared_rate *rate, uint32_t priority,
+			 int64_t now)
 {
-	leaf_rate_note_wanted(rate, priority, now);
-	if (!leaf_rate_has_room(rate, priority, 7, now))
+	shared_rate_note_wanted(rate, priority, now);
+	if (!shared_rate_has_room(rate, priority, 7, now))
 		return 0;
-	leaf_rate_note_call(rate, priority, false, 7, now);
+	shared_rate_note_call(rate, priority, false, 7, now);
 	return 1;
 }
 
@@ -450,7 +451,7 @@
 	} cases[] = { { 40, 190, 10 }, { 10, 95, 110 }, { 0, 0, 205 } };
 
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
-		struct leaf_rate rate = { 0 };
+		struct shared_rate rate = { 0 };
 		struct leaf_rate_limit limit = { RATE_LIMITED, 20 };
 		struct rate_grant grant = { .news = { true, 20, 0 },
 					    .share_per_s = 20,
@@ -460,7 +461,7 @@
 		uint32_t lower = 0;
 
 		leaf_rate_note_reply(&rate, &limit, 0, 1);
-		leaf_rate_apply_grant(&rate, &grant, 7, 2);
+		shared_rate_apply_grant(&rate, &grant, 7, 2);
 		for (int64_t t = 0; t < 1000; t++) {
 			int64_t now = t * 10 * US_PER_MS + 3;
 
--- a/test/unit/test_rate_shares.c
+++ b/test/unit/test_rate_shares.c
@@ -31,8 +31,8 @@
 			       double wanted)
 {
 	struct rate_claim c = {
-		.leaf = LEAF,
-		.leaf_started_ms = 1,
+		.key = LEAF,
+		.epoch = 1,
 		.news = { .is_limited = true, .per_s = f->limit },
 		.wanted_per_s = wanted,
 	};
@@ -140,7 +140,7 @@
 static void test_news(void)
 {
 	struct fixture f = fixture_create(30);
-	struct rate_claim c = { .leaf = LEAF, .leaf_started_ms = 1 };
+	struct rate_claim c = { .key = LEAF, .epoch = 1 };
 	struct rate_grant g;
 
 	claim(&f, "a", 10);
@@ -160,17 +160,17 @@
 	rate_shares_claim(f.shares, "c", &c, 1, f.now_us, &g);
 	CU_ASSERT_FALSE(g.news.is_limited);
 	/* A restarted leaf begins anew; claims for the old one get nothing. */
-	c.leaf_started_ms = 2;
+	c.epoch = 2;
 	rate_shares_claim(f.shares, "b", &c, 1, f.now_us, &g);
 	CU_ASSERT_TRUE(g.news.is_limited);
 	CU_ASSERT_DOUBLE_EQUAL(g.share_per_s, 10, EPSILON);
-	c.leaf_started_ms = 1;
+	c.epoch = 1;
 	rate_shares_claim(f.shares, "c", &c, 1, f.now_us, &g);
 	CU_ASSERT_DOUBLE_EQUAL(g.share_per_s, 0, EPSILON);
 	/* Leaves without claims are forgotten. */
-	CU_ASSERT_EQUAL(rate_shares_leaf_count(f.shares), 1);
+	CU_ASSERT_EQUAL(rate_shares_key_count(f.shares), 1);
 	rate_shares_sweep(f.shares, f.now_us + 11 * US_PER_S);
-	CU_ASSERT_EQUAL(rate_shares_leaf_count(f.shares), 0);
+	CU_ASSERT_EQUAL(rate_shares_key_count(f.shares), 0);
 	rate_shares_free(f.shares);
 }
 
@@ -195,7 +195,7 @@
 	for (int i = 0; i < 50; i++) {
 		char leaf[16];
 		struct rate_claim c = {
-			.leaf = leaf,
+			.key = leaf,
 			.news = { .is_limited = true, .per_s = 30 },
 			.wanted_per_s = 10,
 		};
