--- a/include/router/leaf_access.h
+++ b/include/router/leaf_access.h
@@ -92,10 +92,9 @@
  * for calls of all priorities or only those of the part; INFINITY if the leaf
  * has no rate.
  */
-double leaf_access_rate_share(const struct router *r,
-			      const struct route_leaf *leaf, int64_t now_us);
-double leaf_access_rate_share_of(const struct router *r,
-				 const struct route_part *p,
+double leaf_access_rate_share(struct router *r, const struct route_leaf *leaf,
+			      int64_t now_us);
+double leaf_access_rate_share_of(struct router *r, const struct route_part *p,
 				 const struct route_leaf *leaf, int64_t now_us);
 
 /** Returns whether a leaf has a shared rate now, or any leaf may have one. */
--- a/router/choice.c
+++ b/router/choice.c
@@ -158,9 +158,8 @@
 };
 
 /* Returns the concurrent calls at a leaf that its limits allow. */
-static double leaf_capacity(const struct router *r,
-			    const struct route_leaf *leaf, double expected,
-			    int64_t now)
+static double leaf_capacity(struct router *r, const struct route_leaf *leaf,
+			    double expected, int64_t now)
 {
 	double per_s = leaf_access_rate_share(r, leaf, now);
 
@@ -174,7 +173,7 @@
  * Notes a leaf whose shared rates leave no room until a time; false if they are
  * not known to leave any.
  */
-static bool note_limited(const struct router *r, const struct route_part *p,
+static bool note_limited(struct router *r, const struct route_part *p,
 			 struct passed_over *o, const struct route_leaf *leaf,
 			 double expected, int64_t until_us)
 {
--- a/router/leaf_access.c
+++ b/router/leaf_access.c
@@ -40,19 +40,17 @@
 	return !route_leaf_is_cold(leaf, now) || warm_up_share(leaf) > 0;
 }
 
-static bool limit_has_room(const struct router *r, const struct route_part *p,
-			   struct route_leaf *leaf, int64_t now)
+static bool limit_has_room(struct router *r, const struct route_part *p,
+			   struct route_leaf *leaf)
 {
-	return leaf_rate_has_room(&leaf->rate, p->request->priority,
-				  r->host_count, now);
+	return rates_has_room(r, leaf, p->request->priority);
 }
 
 /* Returns when there is room; INT64_MAX if that is not known. */
-static int64_t limit_room_at(const struct router *r, const struct route_part *p,
+static int64_t limit_room_at(struct router *r, const struct route_part *p,
 			     struct route_leaf *leaf, int64_t now)
 {
-	int64_t wait = leaf_rate_wait(&leaf->rate, p->request->priority,
-				      r->host_count, now);
+	int64_t wait = rates_wait(r, leaf, p->request->priority);
 
 	return wait < INT64_MAX ? now + wait : INT64_MAX;
 }
@@ -74,40 +72,34 @@
 		rates_note_wanted(r, p, leaf);
 }
 
-double leaf_access_rate_share(const struct router *r,
-			      const struct route_leaf *leaf, int64_t now_us)
+double leaf_access_rate_share(struct router *r, const struct route_leaf *leaf,
+			      int64_t now_us)
 {
 	double share = route_leaf_is_cold(leaf, now_us) ? warm_up_share(leaf)
 							: INFINITY;
 
 	if (leaf->rate.is_limited)
-		share = MIN(share, leaf_rate_share(&leaf->rate, r->host_count,
-						   now_us));
+		share = MIN(share, rates_share(r, leaf));
 	return share;
 }
 
-double leaf_access_rate_share_of(const struct router *r,
-				 const struct route_part *p,
+double leaf_access_rate_share_of(struct router *r, const struct route_part *p,
 				 const struct route_leaf *leaf, int64_t now_us)
 {
 	double share = route_leaf_is_cold(leaf, now_us) ? warm_up_share(leaf)
 							: INFINITY;
 
 	if (leaf->rate.is_limited)
-		share = MIN(share, leaf_rate_share_of(&leaf->rate,
-						      p->request->priority,
-						      r->host_count, now_us));
+		share = MIN(share,
+			    rates_share_of(r, leaf, p->request->priority));
 	return share;
 }
 
 void leaf_access_note_call(struct router *r, const struct route_part *p,
 			   struct route_leaf *leaf, bool is_extra)
 {
-	int64_t now = router_now(r);
-
-	leaf->probed_at_us = now;
-	leaf_rate_note_call(&leaf->rate, p->request->priority, is_extra,
-			    r->host_count, now);
+	leaf->probed_at_us = router_now(r);
+	rates_note_call(r, leaf, p->request->priority, is_extra);
 }
 
 /* Regions and failure domains */
@@ -215,7 +207,7 @@
 }
 
 /* Fills in the answer for a leaf whose place and state allow calls. */
-static void check_calls(const struct router *r, const struct route_part *p,
+static void check_calls(struct router *r, const struct route_part *p,
 			struct route_leaf *leaf, int64_t now,
 			struct leaf_access *a)
 {
@@ -223,7 +215,7 @@
 
 	a->may_join_batch = may_join_batch(r, p, leaf, now);
 	a->has_room = a->may_join_batch ||
-		      (is_warm_enough && limit_has_room(r, p, leaf, now));
+		      (is_warm_enough && limit_has_room(r, p, leaf));
 	if (is_tried(p, leaf)) {
 		a->reason = ACCESS_TRIED;
 	} else if (!is_warm_enough) {
