--- a/include/nutmegpickd/route_internal.h
+++ b/include/nutmegpickd/route_internal.h
@@ -40,6 +40,8 @@
 	struct host_frame *frame;
 	/** Of ROUTE_EVENT_SETTINGS. */
 	uint32_t extra_calls;
+	bool revoke_strict;
+	int64_t revoke_after_us;
 	/** Of ROUTE_EVENT_DRAIN: when the last request is answered. */
 	int64_t stop_us;
 	/** Of ROUTE_EVENT_LINK_CLOSED: no frame on it reached the peer. */
@@ -133,6 +135,10 @@
 	/** The last wait ended more than STALL_US too late. */
 	bool is_stalled;
 	uint32_t held_count;
+	/** When this host last heard from the store or from its feed. */
+	int64_t news_us;
+	/** The keys of the table are not trusted. */
+	bool are_keys_stale;
 	/** Requests of callers that another host gathers, by forward id. */
 	GHashTable *forwards;
 	uint64_t last_forward_id;
--- a/include/nutmegpickd/settings.h
+++ b/include/nutmegpickd/settings.h
@@ -1,6 +1,7 @@
 #ifndef NUTMEGPICKD_SETTINGS_H
 #define NUTMEGPICKD_SETTINGS_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 #include "common/events.h"
@@ -38,6 +39,9 @@
 	 * in addition to those that the ratio permits.
 	 */
 	uint32_t extra_calls;
+	/** Refuse keys when the store was not heard for revoke_after_us. */
+	bool revoke_strict;
+	int64_t revoke_after_us;
 	enum event_level log_level;
 	/** Time from the negative readiness check to the end of listening. */
 	int64_t drain_delay_us;
--- a/include/router/key_index.h
+++ b/include/router/key_index.h
@@ -38,6 +38,9 @@
 /** Returns the owner of a digest, or KEY_OWNER_NONE. The index may be NULL. */
 uint32_t key_index_find(const struct key_index *x, const struct key_digest *d);
 
+/** Returns the memory of the index. */
+size_t key_index_bytes(const struct key_index *x);
+
 /** Returns the number of digests. The index may be NULL. */
 uint32_t key_index_count(const struct key_index *x);
 
--- a/nutmegpickd/route_callers.c
+++ b/nutmegpickd/route_callers.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "common/errors.h"
+#include "nutmegpickd/organisation_metrics.h"
 #include "nutmegpickd/route_internal.h"
 #include "nutmegpickd/route_metrics.h"
 #include "platform/headers.h"
@@ -194,6 +195,8 @@
 
 		route_metrics_note_answer(route ? route->name : "", a->status,
 					  clock_now(&s->clock) - q->start_us);
+		organisation_metrics_note_answer(q->organisation, a->status,
+						 a->code);
 		send_answer(q->exchange, a);
 	} else {
 		route_send_result_to_sender(s, q, a, false);
--- a/nutmegpickd/route_hosts.c
+++ b/nutmegpickd/route_hosts.c
@@ -663,6 +663,7 @@
 		feed_handle_gap(s->feed, address);
 	else
 		feed_publish(s->feed, c);
+	s->news_us = clock_now(&s->clock);
 }
 
 void route_handle_link_frame(struct route_service *s, struct route_event *e)
--- a/nutmegpickd/route_metrics.c
+++ b/nutmegpickd/route_metrics.c
@@ -5,6 +5,7 @@
 
 #include "common/clock.h"
 #include "common/counter.h"
+#include "nutmegpickd/organisation_metrics.h"
 
 /* Bounds double from 1 ms; the last bucket holds all above 16.384 s. */
 #define BUCKET_COUNT 16
@@ -249,5 +250,6 @@
 	render_leaf_rates(out);
 	render_routes(out);
 	pthread_mutex_unlock(&series_lock);
+	organisation_metrics_render(out);
 	return g_string_free(out, FALSE);
 }
--- a/nutmegpickd/route_service.c
+++ b/nutmegpickd/route_service.c
@@ -98,6 +98,39 @@
 	feed_note_store(s->feed, is_up);
 }
 
+static int64_t last_news(const struct route_service *s)
+{
+	int64_t news = MAX(registry_thread_news_us(s->registry),
+			   feed_news_us(s->feed));
+
+	/* The feed that is followed may have been lost since. */
+	return MAX(news, s->news_us);
+}
+
+/*
+ * Keys may have been revoked since this host last heard from the store. It then
+ * refuses them if the operator asks for that.
+ */
+static void check_keys_age(struct route_service *s)
+{
+	int64_t now = clock_now(&s->clock);
+	bool are_stale;
+
+	s->news_us = last_news(s);
+	are_stale = s->settings.revoke_strict &&
+		    router_has_organisations(s->router) &&
+		    now - s->news_us > s->settings.revoke_after_us;
+	if (are_stale == s->are_keys_stale)
+		return;
+	s->are_keys_stale = are_stale;
+	event_log(are_stale ? EV_KEYS_STALE : EV_KEYS_TRUSTED,
+		  "version=%llu age_ms=%lld limit_ms=%lld",
+		  (unsigned long long)router_version(s->router),
+		  (long long)((now - s->news_us) / US_PER_MS),
+		  (long long)(s->settings.revoke_after_us / US_PER_MS));
+	router_set_keys_stale(s->router, are_stale);
+}
+
 static void process_event(struct route_service *s, struct route_event *e)
 {
 	switch (e->type) {
@@ -118,6 +151,8 @@
 		return;
 	case ROUTE_EVENT_SETTINGS:
 		router_set_extra_calls(s->router, e->extra_calls);
+		s->settings.revoke_strict = e->revoke_strict;
+		s->settings.revoke_after_us = e->revoke_after_us;
 		return;
 	case ROUTE_EVENT_DRAIN:
 		s->is_draining = true;
@@ -229,6 +264,7 @@
 		s->next_sweep_us = now + SWEEP_US;
 		leaf_client_sweep(s->client);
 	}
+	check_keys_age(s);
 	deliver_results(s);
 	route_release_held(s);
 	if (now >= s->next_gone_check_us) {
@@ -279,6 +315,7 @@
 			work_share_note(&s->work, s->woke_us, now);
 		if (leaf_client_poll(s->client, wait)) {
 			s->is_stalled = is_stalled(s, now + wait);
+			check_keys_age(s);
 			process_events(s);
 			update_ready(s);
 		}
@@ -470,9 +507,12 @@
 	s->settings.stop_timeout_us = settings->stop_timeout_us;
 	http_server_set_keep_alive(s->server, settings_keep_alive(settings));
 	route_service_send_event(
-		s,
-		(struct route_event){ .type = ROUTE_EVENT_SETTINGS,
-				      .extra_calls = settings->extra_calls });
+		s, (struct route_event){
+			   .type = ROUTE_EVENT_SETTINGS,
+			   .extra_calls = settings->extra_calls,
+			   .revoke_strict = settings->revoke_strict,
+			   .revoke_after_us = settings->revoke_after_us,
+		   });
 }
 
 /* Returns the time for sending answers, out of the rest of the grace time. */
--- a/nutmegpickd/settings.c
+++ b/nutmegpickd/settings.c
@@ -25,6 +25,10 @@
 	SETTING_SEAT,
 	SETTING_CAPACITY,
 	SETTING_COUNT,
+	/** true or false; the default if it is empty. */
+	SETTING_FLAG,
+	/** Number of ms; the default if it is empty. */
+	SETTING_MS,
 };
 
 struct setting_spec {
@@ -35,7 +39,7 @@
 	/** Default; NULL if there is none. */
 	const char *fallback;
 	bool is_required;
-	/** Bounds of a duration. */
+	/** Bounds of a duration or a number of ms. */
 	int64_t min_us;
 	int64_t max_us;
 };
@@ -71,6 +75,11 @@
 	  offsetof(struct settings, store_endpoints), NULL, false },
 	{ "budget", "extra_calls", SETTING_COUNT,
 	  offsetof(struct settings, extra_calls), "0", false },
+	{ "organisations", "revoke_strict", SETTING_FLAG,
+	  offsetof(struct settings, revoke_strict), "false", false },
+	{ "organisations", "revoke_ms", SETTING_MS,
+	  offsetof(struct settings, revoke_after_us), "5000", false, US_PER_MS,
+	  3600 * US_PER_S },
 	{ "log", "level", SETTING_LEVEL, offsetof(struct settings, log_level),
 	  "info", false },
 	{ "lifecycle", "drain_delay", SETTING_DURATION,
@@ -160,6 +169,24 @@
 	return true;
 }
 
+static bool parse_flag(const char *text, bool *out)
+{
+	*out = !strcmp(text, "true");
+	return *out || !strcmp(text, "false");
+}
+
+/* Parses a number of ms, which may have a fraction. */
+static bool parse_ms(const char *text, int64_t *out_us)
+{
+	char *end;
+	double ms = g_ascii_strtod(text, &end);
+
+	if (end == text || *end || !(ms >= 0 && ms < 1e12))
+		return false;
+	*out_us = (int64_t)(ms * US_PER_MS);
+	return true;
+}
+
 static const char *parse_value(const struct setting_spec *s, const char *text,
 			       void *out)
 {
@@ -203,6 +230,14 @@
 		if (!parse_capacity(text, out))
 			return "must be a number of cores up to 1024";
 		return NULL;
+	case SETTING_FLAG:
+		return parse_flag(text, out) ? NULL : "must be true or false";
+	case SETTING_MS:
+		if (!parse_ms(text, out))
+			return "must be a number of ms";
+		if (*(int64_t *)out < s->min_us || *(int64_t *)out > s->max_us)
+			return "is out of range (docs/operating.md)";
+		return NULL;
 	}
 	return NULL;
 }
@@ -239,6 +274,12 @@
 	*out = (char **)g_ptr_array_free(list, FALSE);
 }
 
+/* The platform's template leaves these empty where it has no value. */
+static bool may_be_empty(enum setting_type type)
+{
+	return type == SETTING_FLAG || type == SETTING_MS;
+}
+
 static void read_setting(struct reader *r, const struct tree_node *root,
 			 const struct setting_spec *s, struct settings *out)
 {
@@ -258,7 +299,7 @@
 		add_fault(r, n->line, s->section, s->name, "must be a string");
 		return;
 	}
-	if (n)
+	if (n && (*n->text || !may_be_empty(s->type)))
 		text = n->text;
 	if (!text) {
 		if (s->is_required)
@@ -427,6 +468,14 @@
 		case SETTING_CAPACITY:
 			printf("\"%g\"\n", *(const uint32_t *)field / 1000.0);
 			break;
+		case SETTING_FLAG:
+			printf("\"%s\"\n",
+			       *(const bool *)field ? "true" : "false");
+			break;
+		case SETTING_MS:
+			printf("\"%g\"\n",
+			       (double)*(const int64_t *)field / US_PER_MS);
+			break;
 		case SETTING_LEVEL:
 			printf("\"%s\"\n",
 			       level_names[*(const enum event_level *)field]);
--- a/router/key_index.c
+++ b/router/key_index.c
@@ -131,6 +131,11 @@
 	return x ? find_slot(x, d)->owner : KEY_OWNER_NONE;
 }
 
+size_t key_index_bytes(const struct key_index *x)
+{
+	return sizeof(*x) + x->slot_count * sizeof(struct slot);
+}
+
 uint32_t key_index_count(const struct key_index *x)
 {
 	return x ? x->count : 0;
--- a/router/router.c
+++ b/router/router.c
@@ -115,17 +115,27 @@
 		   EXTRA_GATHERER_MAX);
 }
 
+static void log_table(const struct router *r, const struct route_table *t)
+{
+	char counts[64] = "";
+
+	if (t->has_organisations)
+		g_snprintf(counts, sizeof(counts), " organisations=%u keys=%u",
+			   t->organisation_count, key_index_count(t->keys));
+	event_log(EV_ROUTES_IN_FORCE,
+		  "version=%llu previous=%llu routes=%u upstreams=%u%s",
+		  (unsigned long long)t->version,
+		  (unsigned long long)router_version(r), t->route_count,
+		  t->upstream_count, counts);
+}
+
 int router_apply_table(struct router *r, struct route_table *t)
 {
 	if (r->table && t->version <= r->table->version) {
 		route_table_unref(t);
 		return -ERR_ROUTE_VERSION;
 	}
-	event_log(EV_ROUTES_IN_FORCE,
-		  "version=%llu previous=%llu routes=%u upstreams=%u",
-		  (unsigned long long)t->version,
-		  (unsigned long long)router_version(r), t->route_count,
-		  t->upstream_count);
+	log_table(r, t);
 	route_table_unref(r->table);
 	r->table = t;
 	r->identity_epoch++;
--- a/test/unit/test_broken.c
+++ b/test/unit/test_broken.c
@@ -155,6 +155,42 @@
 	run_cases("sets.tsv", "base-set.toml", load_set);
 }
 
+/*
+ * Guards against a host that does not start because the platform has no value
+ * for a placeholder of its settings.
+ */
+static void test_empty_settings(void)
+{
+	static const char *const head = "[host]\nid = \"h\"\ndomain = \"d\"\n"
+					"[listen]\nhttp = \"127.0.0.1:1\"\n"
+					"[organisations]\n";
+	static const struct {
+		const char *text;
+		bool is_strict;
+		int64_t after_us;
+	} cases[] = {
+		{ "revoke_strict = \"\"\nrevoke_ms = \"\"\n", false,
+		  5 * US_PER_S },
+		{ "revoke_strict = \"true\"\nrevoke_ms = \"2500\"\n", true,
+		  2500 * US_PER_MS },
+		{ "revoke_strict = \"false\"\nrevoke_ms = \"5000.0\"\n", false,
+		  5 * US_PER_S },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct fault_list faults = { 0 };
+		struct settings s;
+		char *text = g_strconcat(head, cases[i].text, NULL);
+
+		CU_ASSERT_EQUAL(read_settings(text, &s, &faults), 0);
+		CU_ASSERT_EQUAL(s.revoke_strict, cases[i].is_strict);
+		CU_ASSERT_EQUAL(s.revoke_after_us, cases[i].after_us);
+		settings_clear(&s);
+		fault_list_clear(&faults);
+		g_free(text);
+	}
+}
+
 /* Guards against a stop that takes longer than the platform's grace time. */
 static void test_grace(void)
 {
@@ -265,6 +301,7 @@
 CU_TestInfo broken_tests[] = {
 	{ "sets", test_sets },
 	{ "settings", test_settings },
+	{ "empty settings", test_empty_settings },
 	{ "grace", test_grace },
 	{ "fixed settings", test_fixed_settings },
 	{ "documents", test_documents },
