--- a/test/unit/test_places.c
+++ b/test/unit/test_places.c
@@ -173,7 +173,7 @@
 
 /*
  * Guards against calls to a leaf of an evacuated domain: first calls, hedges,
- * probes of ejected leaves, and leaves that appear during the evacuation.
+ * probes of ejected leaves, and leaves that appear in or move to it meanwhile.
  */
 static void test_evacuation(void)
 {
@@ -193,6 +193,12 @@
 	CU_ASSERT(f->call_count > 3);
 	CU_ASSERT_EQUAL(calls_outside(f, "c"), 0);
 	router_set_evacuated(f->router, "a", false);
+	/* An entry moves the leaf, which was the best one, to the domain b. */
+	fake_router_put_leaf(f, "s0-a", "s0", "b", false, 2);
+	fake_router_put_leaf(f, "s0-a2", "s0", "b", false, 2);
+	fake_router_start_request(f, "/get/x", 0);
+	CU_ASSERT_EQUAL(calls_outside(f, "c"), 0);
+	router_set_evacuated(f->router, "b", false);
 	fake_router_start_request(f, "/get/x", 0);
 	CU_ASSERT_EQUAL(calls_outside(f, "c"), 1);
 	fake_router_destroy(f);
@@ -314,6 +320,7 @@
 		g_free(id);
 		g_free(id_b);
 	}
+	leaf_set_remove(leaves, "s3-c", 0, f->time.now_us);
 	fake_router_put_leaf(f, "s3-x", "s3", "unknown", false, 1);
 	fake_router_start_request(f, "/search/x", 0);
 	CU_ASSERT_EQUAL(f->answers[1].code, -ERR_ROUTE_LATE);
