--- a/include/common/clock.h
+++ b/include/common/clock.h
@@ -13,12 +13,18 @@
 	/** Returns wall time in microseconds since the epoch. */
 	int64_t (*wall_us)(void *ctx);
 	void *ctx;
+	/**
+	 * Returns monotonic time that includes the time for which the machine
+	 * was suspended, in microseconds; NULL if it never is.
+	 */
+	int64_t (*boot_us)(void *ctx);
 };
 
 /** Clock that advances only when its fields are set. */
 struct virtual_clock {
 	int64_t now_us;
 	int64_t wall_offset_us;
+	int64_t boot_offset_us;
 };
 
 /** Returns the operating system's clock. */
@@ -39,4 +45,13 @@
 	return c->wall_us(c->ctx);
 }
 
+/**
+ * Returns monotonic time in microseconds, with the time for which the machine
+ * was suspended.
+ */
+static inline int64_t clock_boot(const struct np_clock *c)
+{
+	return c->boot_us ? c->boot_us(c->ctx) : c->monotonic_us(c->ctx);
+}
+
 #endif
--- a/include/net/host_frame.h
+++ b/include/net/host_frame.h
@@ -8,6 +8,7 @@
 #include <glib.h>
 
 #include "router/rate_shares.h"
+#include "router/token_pool.h"
 #include "store/mirror.h"
 
 /** Types of the frames between hosts that serve the platform's routes. */
@@ -30,6 +31,10 @@
 	HOST_RATE_CLAIMS = 89,
 	/** Answers claims. */
 	HOST_RATE_GRANTS = 90,
+	/** Claims tokens of rates that all hosts share. */
+	HOST_TOKEN_CLAIMS = 91,
+	/** Answers claims of tokens. */
+	HOST_TOKEN_GRANTS = 92,
 };
 
 #define HOST_PROTOCOL 2
@@ -98,6 +103,10 @@
 	GArray *rate_claims;
 	/** Set for HOST_RATE_GRANTS, of struct rate_grant. */
 	GArray *rate_grants;
+	/** Set for HOST_TOKEN_CLAIMS, of struct token_claim. */
+	GArray *token_claims;
+	/** Set for HOST_TOKEN_GRANTS, of struct token_grant. */
+	GArray *token_grants;
 	/** Memory of the strings, bodies and arrays of the other fields. */
 	GPtrArray *allocations;
 	/** Headers of the request; the strings are in allocations. */
@@ -117,6 +126,9 @@
 /** claims is of struct rate_claim, grants of struct rate_grant. */
 GByteArray *host_frame_rate_claims(const GArray *claims);
 GByteArray *host_frame_rate_grants(const GArray *grants);
+/** claims is of struct token_claim, grants of struct token_grant. */
+GByteArray *host_frame_token_claims(const GArray *claims);
+GByteArray *host_frame_token_grants(const GArray *grants);
 
 /** Decodes a frame. Returns 0, or -ERR_FRAME with out already cleared. */
 int host_frame_decode(const void *data, size_t len, struct host_frame *out);
--- a/include/nutmegpickd/route_internal.h
+++ b/include/nutmegpickd/route_internal.h
@@ -12,9 +12,11 @@
 #include "nutmegpickd/registry_thread.h"
 #include "nutmegpickd/route_service.h"
 #include "router/feed.h"
+#include "router/quota.h"
 #include "router/rate_exchange.h"
 #include "router/router.h"
 #include "router/start_hold.h"
+#include "router/token_exchange.h"
 #include "router/work_share.h"
 
 enum route_event_type {
@@ -76,6 +78,12 @@
 	 * them.
 	 */
 	uint32_t gatherers;
+	/** Name of the caller's organisation; NULL if there is none. */
+	char *organisation;
+	/** The request waits for a token of the organisation's quota. */
+	bool is_quota_waiting;
+	/** Of the token that the request has taken; 0 if it needed none. */
+	uint64_t quota_ticket;
 	/** The request waits until this host has its first routes. */
 	bool is_held;
 	struct gather_forward forward;
@@ -134,6 +142,8 @@
 	/** Of struct pending_result. */
 	GArray *pending_results;
 	struct rate_exchange *rates;
+	struct quota *quota;
+	struct token_exchange *tokens;
 	GRand *random;
 	bool is_draining;
 	/** Every request is answered by this time; INT64_MAX before a stop. */
@@ -179,6 +189,8 @@
 /** Sends the answer to a request and frees the request. */
 void route_answer(struct route_service *s, struct caller_request *q,
 		  const struct router_answer *a);
+/** Starts a request whose quota was charged: forwards it or runs it here. */
+void route_start_charged(struct route_service *s, struct caller_request *q);
 /** Drops requests whose callers have closed their connections. */
 void route_drop_gone_callers(struct route_service *s);
 
@@ -188,6 +200,25 @@
 void route_answer_claims(struct route_service *s, link_id link,
 			 const char *address, const GArray *claims);
 
+/* route_quotas.c */
+void route_create_quotas(struct route_service *s);
+/**
+ * Charges a request of a caller to the quota of its organisation. Returns
+ * whether it may start now; otherwise it waits, or is answered and freed.
+ */
+bool route_charge_quota(struct route_service *s, struct caller_request *q);
+/** Lets a request that waits for its quota wait no longer. */
+void route_cancel_quota(struct route_service *s, struct caller_request *q);
+/** Returns the charge of a request that was refused and did not run. */
+void route_return_quota(struct route_service *s, struct caller_request *q);
+/** Answers the claims of tokens of another host. */
+void route_answer_token_claims(struct route_service *s, link_id link,
+			       const GArray *claims);
+/** Sends the claims that are due and ends waits. */
+void route_advance_quotas(struct route_service *s);
+/** Tells the owner of rates when this host last heard from the store. */
+void route_note_token_contact(struct route_service *s);
+
 /* route_hosts.c */
 extern const struct feed_ops route_feed_ops;
 /** Starts the links to other hosts. Returns 0 or a negative result code. */
--- a/include/router/directory.h
+++ b/include/router/directory.h
@@ -32,6 +32,11 @@
 	int64_t rates_probed_us;
 	/** Last claim of a third host for a limit that this one should divide. */
 	int64_t rates_missed_us;
+	/** First claim of tokens that the host has not answered, or 0. */
+	int64_t tokens_asked_us;
+	/** Last empty claim, sent to find out whether the host answers. */
+	int64_t tokens_probed_us;
+	bool is_token_silence_logged;
 	/** Its silence has been logged. */
 	bool is_silence_logged;
 	/** Not used. */
@@ -40,6 +45,13 @@
 	uint64_t name_hash;
 };
 
+/** Host whose record was removed. */
+struct gone_host {
+	uint64_t name_hash;
+	/** Region of the host; borrowed from the names of regions or domains. */
+	const char *region;
+};
+
 /**
  * Hosts of the fleet. All hosts compute the same ranks from the same records.
  * So they agree, without messages, on which hosts watch the store and which
@@ -51,6 +63,8 @@
 	GHashTable *hosts;
 	/** Grows when a host is added, replaced or removed. */
 	uint64_t generation;
+	/** Of struct gone_host, until they are taken out; the latest last. */
+	GArray *gone;
 	/**
 	 * Number of hosts in the region that gather, as of gatherers_at_us. It
 	 * grows when a gathering host is busy and decays exponentially.
@@ -124,6 +138,18 @@
 					      const char *key,
 					      const char *domain);
 
+/** Returns the hosts removed since the last call; free the array. */
+GArray *host_directory_take_gone(struct host_directory *d);
+
+/**
+ * Returns whether a host that is gone came before a present host among the
+ * owners of a key.
+ */
+bool host_directory_was_before(const struct host_directory *d,
+			       const struct gone_host *gone,
+			       const struct known_host *h, const char *key,
+			       const char *domain);
+
 /** Notes that a gathering host was busy: more hosts gather for a while. */
 void host_directory_note_busy(struct host_directory *d, int64_t now_us);
 
--- a/include/router/router.h
+++ b/include/router/router.h
@@ -275,6 +275,10 @@
 const struct route *router_match(const struct router *r, const char *host,
 				 const char *path);
 
+/** Returns the organisation with a name in the table in force, or NULL. */
+const struct organisation *router_find_organisation(const struct router *r,
+						    const char *name);
+
 /**
  * Returns the number of shards of a gathered route that have a usable leaf, by
  * failure domain. Valid until the next call.
--- /dev/null
+++ b/include/router/token_exchange.h
@@ -0,0 +1,99 @@
+#ifndef ROUTER_TOKEN_EXCHANGE_H
+#define ROUTER_TOKEN_EXCHANGE_H
+
+#include <glib.h>
+
+#include "router/directory.h"
+#include "router/token_lease.h"
+
+/**
+ * Claims and grants of tokens between hosts. Claims go to the first owner of a
+ * key, and to the second one while the first is silent. As an owner this host
+ * answers claims, and decides what it may grant: at no time do two hosts grant
+ * all of a rate.
+ *
+ * A host grants all if it is the first host by hash in its own mirror of the
+ * host records, and has been in contact with the store or with other failure
+ * domains for TOKEN_JOIN_US without a break, and no host before it has left
+ * within that time. A host that has lost contact grants nothing.
+ */
+struct token_exchange;
+
+/** A host without contact for this time grants nothing. */
+#define TOKEN_CONTACT_US (3 * US_PER_S)
+/**
+ * Time from the start of a host, or from the record of an earlier owner being
+ * gone, until this host grants. It exceeds the time within which a host that
+ * grants learns of a change of the records: a watch of 2.1 s, TOKEN_CONTACT_US
+ * and TOKEN_PAUSE_US.
+ */
+#define TOKEN_JOIN_US (7 * US_PER_S)
+/** A host that was paused for longer has lost contact meanwhile. */
+#define TOKEN_PAUSE_US (1500 * US_PER_MS)
+
+/** Operations of the adapter. They must not call the exchange. */
+struct token_exchange_ops {
+	/** Sends claims, of struct token_claim, to another host. */
+	void (*send_claims)(void *ctx, const char *address,
+			    const GArray *claims);
+	/** Delivers a grant to the claimant of its key on this host. */
+	void (*deliver_grant)(void *ctx, const struct token_grant *grant);
+	/**
+	 * Replaces the limit in a claim by this host's if that is newer; NULL
+	 * if claims are to be taken as they are.
+	 */
+	void (*update_limit)(void *ctx, const char *key,
+			     struct token_limit *limit);
+};
+
+struct token_exchange_options {
+	struct np_clock clock;
+	struct host_directory *directory;
+	/** Distinguishes this process from others. */
+	uint32_t seed;
+	/** This host has no links: it owns all keys. */
+	bool is_alone;
+	const struct token_exchange_ops *ops;
+	void *ctx;
+};
+
+struct token_exchange *
+token_exchange_create(const struct token_exchange_options *options);
+void token_exchange_free(struct token_exchange *x);
+
+/**
+ * Notes the changes of the host records and pauses of this process. To be
+ * called at least every TOKEN_PAUSE_US, before claims are handled.
+ */
+void token_exchange_advance(struct token_exchange *x);
+
+/** Notes that this host was in contact with the store or other domains. */
+void token_exchange_note_contact(struct token_exchange *x, int64_t at_us);
+
+/** Notes a frame of another host; one of another domain shows contact. */
+void token_exchange_note_frame(struct token_exchange *x, const char *address);
+
+/** Sends claims, of struct token_claim, to the owners. */
+void token_exchange_claim(struct token_exchange *x, const GArray *claims);
+
+/**
+ * Answers the claims of another host. Returns the grants, of struct
+ * token_grant, which borrow from the claims; free with g_array_free().
+ */
+GArray *token_exchange_answer(struct token_exchange *x, const GArray *claims);
+
+/** Handles the answer of another host to claims. */
+void token_exchange_handle_grants(struct token_exchange *x, const char *address,
+				  const GArray *grants);
+
+/** Delivers the answers to claims that this host owed to itself. */
+void token_exchange_deliver_own(struct token_exchange *x);
+
+/** Handles the end of a link. */
+void token_exchange_note_closed(struct token_exchange *x, const char *address,
+				bool is_undelivered);
+
+/** Frees what is kept of keys without claims. */
+void token_exchange_sweep(struct token_exchange *x);
+
+#endif
--- /dev/null
+++ b/include/router/token_pool.h
@@ -0,0 +1,85 @@
+#ifndef ROUTER_TOKEN_POOL_H
+#define ROUTER_TOKEN_POOL_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "common/clock.h"
+
+/**
+ * Tokens of rates that all hosts share, at the host that owns them. Each rate
+ * has a token bucket. A grant takes tokens out of the bucket; the host that
+ * claimed them may use them for TOKEN_VALID_US, counted from its claim.
+ */
+struct token_pool;
+
+/** Time for which a token may be used after it was claimed. */
+#define TOKEN_VALID_US (300 * US_PER_MS)
+
+/** What an owner grants; the sum of both parts stays within the bounds. */
+enum token_part {
+	/** This host must not grant: another host may do so. */
+	TOKEN_PART_NONE,
+	/** A small part, beside a first owner that grants all. */
+	TOKEN_PART_SECOND,
+	TOKEN_PART_ALL,
+};
+
+/** Bounds on the requests of all hosts together that a rate permits. */
+struct token_limit {
+	double rate_per_s;
+	double burst;
+	/** Bound on the cold calls of a leaf rather than on a quota. */
+	bool is_cold_leaf;
+	/** Version of the configuration that sets the limit. */
+	uint64_t version;
+};
+
+/** Claim of a host. Pointers are borrowed. */
+struct token_claim {
+	const char *key;
+	/** The owners are hosts of its region; empty for all hosts. */
+	const char *domain;
+	struct token_limit limit;
+	/** Repeated in the grant. */
+	uint32_t sequence;
+	uint32_t wanted;
+	/** Tokens of an earlier grant that will not be used. */
+	uint32_t returned;
+	/** Ticket of that grant. */
+	uint64_t returned_ticket;
+};
+
+/** Answer to a claim. Pointers are borrowed. */
+struct token_grant {
+	const char *key;
+	uint32_t sequence;
+	uint32_t tokens;
+	/** Identifies the grant, for the return of its tokens. */
+	uint64_t ticket;
+	/** The owner has no more tokens: time until the next claim. */
+	int64_t retry_us;
+	/** The host does not own the key. */
+	bool is_elsewhere;
+};
+
+/** seed distinguishes the tickets of this pool from those of other hosts. */
+struct token_pool *token_pool_create(uint32_t seed);
+void token_pool_free(struct token_pool *p);
+
+/**
+ * Handles a claim. part is what this host may grant, and since_us the time from
+ * which it has been allowed to do so without a break; the bucket was empty
+ * then. The grant borrows the claim's key.
+ */
+void token_pool_claim(struct token_pool *p, const struct token_claim *claim,
+		      enum token_part part, int64_t since_us, int64_t now_us,
+		      struct token_grant *out);
+
+/** Frees the buckets that are full and were not used lately. */
+void token_pool_sweep(struct token_pool *p, int64_t now_us);
+
+/** Returns the number of keys with a bucket. */
+uint32_t token_pool_count(const struct token_pool *p);
+
+#endif
--- a/net/host_frame.c
+++ b/net/host_frame.c
@@ -14,6 +14,8 @@
 /* Number of fields of a claim and of a grant in their lists. */
 #define RATE_CLAIM_FIELDS 7
 #define RATE_GRANT_FIELDS 8
+#define TOKEN_CLAIM_FIELDS 10
+#define TOKEN_GRANT_FIELDS 6
 
 static int handle_write(void *ctx, const char *data, size_t len)
 {
@@ -231,6 +233,50 @@
 	return out;
 }
 
+GByteArray *host_frame_token_claims(const GArray *claims)
+{
+	msgpack_packer pk;
+	GByteArray *out = begin_frame(&pk, HOST_TOKEN_CLAIMS, 1);
+
+	msgpack_pack_array(&pk, (size_t)claims->len * TOKEN_CLAIM_FIELDS);
+	for (guint i = 0; i < claims->len; i++) {
+		const struct token_claim *c =
+			&g_array_index(claims, struct token_claim, i);
+
+		pack_text(&pk, c->key);
+		pack_text(&pk, c->domain);
+		pack_rate(&pk, c->limit.rate_per_s);
+		pack_rate(&pk, c->limit.burst);
+		pack_flag(&pk, c->limit.is_cold_leaf);
+		msgpack_pack_uint64(&pk, c->limit.version);
+		msgpack_pack_uint32(&pk, c->sequence);
+		msgpack_pack_uint32(&pk, c->wanted);
+		msgpack_pack_uint32(&pk, c->returned);
+		msgpack_pack_uint64(&pk, c->returned ? c->returned_ticket : 0);
+	}
+	return out;
+}
+
+GByteArray *host_frame_token_grants(const GArray *grants)
+{
+	msgpack_packer pk;
+	GByteArray *out = begin_frame(&pk, HOST_TOKEN_GRANTS, 1);
+
+	msgpack_pack_array(&pk, (size_t)grants->len * TOKEN_GRANT_FIELDS);
+	for (guint i = 0; i < grants->len; i++) {
+		const struct token_grant *g =
+			&g_array_index(grants, struct token_grant, i);
+
+		pack_text(&pk, g->key);
+		msgpack_pack_uint32(&pk, g->sequence);
+		msgpack_pack_uint32(&pk, g->tokens);
+		msgpack_pack_uint64(&pk, g->tokens ? g->ticket : 0);
+		msgpack_pack_uint64(&pk, (uint64_t)MAX(g->retry_us, 0));
+		pack_flag(&pk, g->is_elsewhere);
+	}
+	return out;
+}
+
 /**
  * Reads the fields of an array in order. A field that is missing or of another
  * type sets is_broken and reads as empty.
@@ -458,6 +504,61 @@
 	r->is_broken = r->is_broken || items.is_broken;
 }
 
+static uint32_t read_count(struct reader *r)
+{
+	uint64_t n = read_number(r);
+
+	if (n > UINT32_MAX)
+		r->is_broken = true;
+	return (uint32_t)n;
+}
+
+static void read_token_claims(struct reader *r)
+{
+	struct reader items = { .frame = r->frame };
+
+	r->frame->token_claims =
+		g_array_new(FALSE, TRUE, sizeof(struct token_claim));
+	items.fields = read_array(r);
+	while (items.next < items.fields->size && !items.is_broken) {
+		struct token_claim c = { .key = read_text(&items) };
+
+		c.domain = read_text(&items);
+		c.limit.rate_per_s = read_rate(&items);
+		c.limit.burst = read_rate(&items);
+		c.limit.is_cold_leaf = read_flag(&items);
+		c.limit.version = read_number(&items);
+		c.sequence = read_count(&items);
+		c.wanted = read_count(&items);
+		c.returned = read_count(&items);
+		c.returned_ticket = read_number(&items);
+		if (!items.is_broken)
+			g_array_append_val(r->frame->token_claims, c);
+	}
+	r->is_broken = r->is_broken || items.is_broken;
+}
+
+static void read_token_grants(struct reader *r)
+{
+	struct reader items = { .frame = r->frame };
+
+	r->frame->token_grants =
+		g_array_new(FALSE, TRUE, sizeof(struct token_grant));
+	items.fields = read_array(r);
+	while (items.next < items.fields->size && !items.is_broken) {
+		struct token_grant g = { .key = read_text(&items) };
+
+		g.sequence = read_count(&items);
+		g.tokens = read_count(&items);
+		g.ticket = read_number(&items);
+		g.retry_us = read_duration(&items);
+		g.is_elsewhere = read_flag(&items);
+		if (!items.is_broken)
+			g_array_append_val(r->frame->token_grants, g);
+	}
+	r->is_broken = r->is_broken || items.is_broken;
+}
+
 static void read_hello(struct reader *r)
 {
 	if (read_number(r) != HOST_PROTOCOL)
@@ -499,6 +600,12 @@
 	case HOST_RATE_GRANTS:
 		read_rate_grants(r);
 		return;
+	case HOST_TOKEN_CLAIMS:
+		read_token_claims(r);
+		return;
+	case HOST_TOKEN_GRANTS:
+		read_token_grants(r);
+		return;
 	}
 	r->is_broken = true;
 }
@@ -512,6 +619,10 @@
 		g_array_free(f->rate_claims, TRUE);
 	if (f->rate_grants)
 		g_array_free(f->rate_grants, TRUE);
+	if (f->token_claims)
+		g_array_free(f->token_claims, TRUE);
+	if (f->token_grants)
+		g_array_free(f->token_grants, TRUE);
 	if (f->allocations)
 		g_ptr_array_free(f->allocations, TRUE);
 	memset(f, 0, sizeof(*f));
--- a/nutmegpickd/route_callers.c
+++ b/nutmegpickd/route_callers.c
@@ -174,6 +174,7 @@
 static void release_request(struct route_service *s, struct caller_request *q)
 {
 	g_queue_unlink(&s->requests, &q->link_node);
+	g_free(q->organisation);
 	s->held_count -= q->is_held;
 	if (q->forward.id)
 		g_hash_table_remove(s->forwards, &q->forward.id);
@@ -193,6 +194,9 @@
 
 		route_metrics_note_answer(route ? route->name : "", a->status,
 					  clock_now(&s->clock) - q->start_us);
+		/* This host answers 503 itself only if nothing has run. */
+		if (a->status == 503 && !a->reply)
+			route_return_quota(s, q);
 		send_answer(q->exchange, a);
 	} else {
 		route_send_result_to_sender(s, q, a, false);
@@ -243,6 +247,7 @@
 		}
 	} else {
 		id = http_exchange_header(q->exchange, PLATFORM_REQUEST_ID);
+		in.organisation = q->organisation;
 		in.host = http_exchange_header(q->exchange, "Host");
 		in.path = http_exchange_target(q->exchange);
 		route = router_match(s->router, in.host, in.path);
@@ -258,14 +263,21 @@
 		q->id = request_id;
 }
 
-static void start_request(struct route_service *s, struct caller_request *q)
+void route_start_charged(struct route_service *s, struct caller_request *q)
 {
 	if (!route_forward_request(s, q))
 		route_run_locally(s, q, false);
 }
 
+static void start_request(struct route_service *s, struct caller_request *q)
+{
+	if (route_charge_quota(s, q))
+		route_start_charged(s, q);
+}
+
 static void drop_request(struct route_service *s, struct caller_request *q)
 {
+	route_cancel_quota(s, q);
 	route_cancel_forward(s, q);
 	if (q->id)
 		router_cancel(s->router, q->id);
--- a/nutmegpickd/route_hosts.c
+++ b/nutmegpickd/route_hosts.c
@@ -640,6 +640,7 @@
 	struct host_frame *f = e->frame;
 	bool is_kept = false;
 
+	token_exchange_note_frame(s->tokens, e->address);
 	switch (f->type) {
 	case HOST_HELLO:
 		break;
@@ -675,6 +676,13 @@
 		rate_exchange_handle_grants(s->rates, e->address,
 					    f->rate_grants);
 		break;
+	case HOST_TOKEN_CLAIMS:
+		route_answer_token_claims(s, e->link, f->token_claims);
+		break;
+	case HOST_TOKEN_GRANTS:
+		token_exchange_handle_grants(s->tokens, e->address,
+					     f->token_grants);
+		break;
 	}
 	if (is_kept)
 		return;
@@ -709,6 +717,7 @@
 		route_cancel_link_requests(s, e->link);
 	avoid_host(s, e->address);
 	rate_exchange_note_closed(s->rates, e->address, e->is_undelivered);
+	token_exchange_note_closed(s->tokens, e->address, e->is_undelivered);
 	fail_batches(s, e->address, e->is_undelivered);
 	for (guint i = 0; i < list->len; i++) {
 		struct caller_request *q = list->pdata[i];
--- a/nutmegpickd/route_metrics.c
+++ b/nutmegpickd/route_metrics.c
@@ -35,7 +35,7 @@
 #define LIMITED_LEAVES_MAX 256
 
 /** Leaf that names a rate limit. */
-struct shared_rate_series {
+struct leaf_rate_series {
 	char *service;
 	/** Calls a second: of all hosts, of this one, and wanted by this one. */
 	double limit_per_s;
@@ -75,16 +75,16 @@
 
 static void handle_free_leaf_rate(gpointer data)
 {
-	struct shared_rate_series *s = data;
+	struct leaf_rate_series *s = data;
 
 	g_free(s->service);
 	g_free(s);
 }
 
-static struct shared_rate_series *
+static struct leaf_rate_series *
 find_leaf_rate(const struct leaf_rate_report *report)
 {
-	struct shared_rate_series *s;
+	struct leaf_rate_series *s;
 
 	if (!leaf_rates)
 		leaf_rates = g_hash_table_new_full(
@@ -92,7 +92,7 @@
 	s = g_hash_table_lookup(leaf_rates, report->leaf);
 	if (s || g_hash_table_size(leaf_rates) >= LIMITED_LEAVES_MAX)
 		return s;
-	s = g_new0(struct shared_rate_series, 1);
+	s = g_new0(struct leaf_rate_series, 1);
 	s->service = g_strdup(report->service);
 	g_hash_table_insert(leaf_rates, g_strdup(report->leaf), s);
 	return s;
@@ -100,7 +100,7 @@
 
 void route_metrics_note_leaf_rate(const struct leaf_rate_report *report)
 {
-	struct shared_rate_series *s;
+	struct leaf_rate_series *s;
 
 	pthread_mutex_lock(&series_lock);
 	s = find_leaf_rate(report);
@@ -118,7 +118,7 @@
 }
 
 static void render_leaf_rate(GString *out, const char *leaf,
-			     const struct shared_rate_series *s)
+			     const struct leaf_rate_series *s)
 {
 	char *labels =
 		g_strdup_printf("leaf=\"%s\",service=\"%s\"", leaf, s->service);
--- /dev/null
+++ b/nutmegpickd/route_quotas.c
@@ -0,0 +1,196 @@
+#include "common/errors.h"
+#include "common/events.h"
+#include "nutmegpickd/route_internal.h"
+#include "nutmegpickd/route_metrics.h"
+#include "platform/headers.h"
+
+static struct lease_time lease_now(const struct route_service *s)
+{
+	return (struct lease_time){ clock_now(&s->clock),
+				    clock_boot(&s->clock) };
+}
+
+static void handle_send_claims(void *ctx, const char *address,
+			       const GArray *claims)
+{
+	route_send_frame(ctx, address, host_frame_token_claims(claims));
+}
+
+static void handle_deliver_grant(void *ctx, const struct token_grant *grant)
+{
+	struct route_service *s = ctx;
+
+	if (quota_key_organisation(grant->key))
+		quota_handle_grant(s->quota, grant, lease_now(s));
+}
+
+/*
+ * Replaces the limit of a quota if this host has a newer table. A quota that
+ * has no limit any more stays as it is for hosts with the older table.
+ */
+static void handle_update_limit(void *ctx, const char *key,
+				struct token_limit *limit)
+{
+	struct route_service *s = ctx;
+	const char *name = quota_key_organisation(key);
+	uint64_t version = router_version(s->router);
+	const struct organisation *o;
+
+	if (!name || version <= limit->version)
+		return;
+	o = router_find_organisation(s->router, name);
+	if (o && o->rate_per_s <= 0)
+		return;
+	*limit = (struct token_limit){
+		.rate_per_s = o ? o->rate_per_s : 0,
+		.burst = o ? o->burst : 0,
+		.version = version,
+	};
+}
+
+const struct token_exchange_ops route_token_ops = {
+	.send_claims = handle_send_claims,
+	.deliver_grant = handle_deliver_grant,
+	.update_limit = handle_update_limit,
+};
+
+static void refuse_request(struct route_service *s, struct caller_request *q,
+			   int64_t retry_after_us)
+{
+	struct router_answer a = {
+		.status = 429,
+		.code = -ERR_ROUTE_QUOTA,
+		.retry_after_us = retry_after_us,
+	};
+	const char *id = http_exchange_header(q->exchange, PLATFORM_REQUEST_ID);
+
+	event_log(EV_REQUEST_REFUSED,
+		  "request=%s version=%llu status=429 code=E%d organisation=%s "
+		  "ms=%lld retry_ms=%lld",
+		  id ? id : "", (unsigned long long)router_version(s->router),
+		  ERR_ROUTE_QUOTA, q->organisation,
+		  (long long)((clock_now(&s->clock) - q->start_us) / US_PER_MS),
+		  (long long)(retry_after_us / US_PER_MS));
+	route_answer(s, q, &a);
+}
+
+static void handle_admit(void *ctx, void *user, uint64_t ticket)
+{
+	struct caller_request *q = user;
+
+	q->is_quota_waiting = false;
+	q->quota_ticket = ticket;
+	route_start_charged(ctx, q);
+}
+
+static void handle_refuse(void *ctx, void *user, int64_t retry_after_us)
+{
+	struct caller_request *q = user;
+
+	q->is_quota_waiting = false;
+	refuse_request(ctx, q, retry_after_us);
+}
+
+const struct quota_ops route_quota_ops = {
+	.admit = handle_admit,
+	.refuse = handle_refuse,
+};
+
+bool route_charge_quota(struct route_service *s, struct caller_request *q)
+{
+	int64_t elapsed = clock_now(&s->clock) - q->start_us;
+	const struct route *route = router_match(
+		s->router, http_exchange_header(q->exchange, "Host"),
+		http_exchange_target(q->exchange));
+	struct quota_request in = {
+		.user = q,
+		.organisation =
+			router_find_organisation(s->router, q->organisation),
+		.version = router_version(s->router),
+	};
+	int64_t retry_after_us = 0;
+
+	if (!in.organisation || !route)
+		return true;
+	in.goal_us = router_goal_left(route) - elapsed;
+	in.left_us = route->timeout_us - elapsed;
+	if (q->wait_us > 0)
+		in.left_us = MIN(in.left_us, q->wait_us - elapsed);
+	switch (quota_ask(s->quota, &in, lease_now(s), &q->quota_ticket,
+			  &retry_after_us)) {
+	case QUOTA_ADMITTED:
+		return true;
+	case QUOTA_WAITS:
+		q->is_quota_waiting = true;
+		return false;
+	case QUOTA_EXCEEDED:
+		refuse_request(s, q, retry_after_us);
+		return false;
+	}
+	return true;
+}
+
+void route_cancel_quota(struct route_service *s, struct caller_request *q)
+{
+	if (q->is_quota_waiting)
+		quota_cancel(s->quota, q->organisation, q);
+	q->is_quota_waiting = false;
+}
+
+void route_return_quota(struct route_service *s, struct caller_request *q)
+{
+	if (q->quota_ticket)
+		quota_give_back(s->quota, q->organisation, q->quota_ticket,
+				lease_now(s));
+	q->quota_ticket = 0;
+}
+
+void route_answer_token_claims(struct route_service *s, link_id link,
+			       const GArray *claims)
+{
+	GArray *grants = token_exchange_answer(s->tokens, claims);
+
+	route_reply_frame(s, link, host_frame_token_grants(grants));
+	g_array_free(grants, TRUE);
+}
+
+void route_advance_quotas(struct route_service *s)
+{
+	GArray *claims = quota_advance(s->quota, lease_now(s));
+
+	if (claims) {
+		token_exchange_claim(s->tokens, claims);
+		g_array_free(claims, TRUE);
+	}
+	token_exchange_deliver_own(s->tokens);
+}
+
+void route_note_token_contact(struct route_service *s)
+{
+	int64_t news = MAX(registry_thread_news_us(s->registry),
+			   feed_news_us(s->feed));
+
+	if (news)
+		token_exchange_note_contact(s->tokens, news);
+	token_exchange_advance(s->tokens);
+}
+
+void route_create_quotas(struct route_service *s)
+{
+	struct quota_options options = {
+		.seed = g_rand_int(s->random),
+		.ops = &route_quota_ops,
+		.ctx = s,
+	};
+	struct token_exchange_options exchange_options = {
+		.clock = s->clock,
+		.directory = &s->directory,
+		.seed = g_rand_int(s->random),
+		.is_alone = !s->settings.listen_peer,
+		.ops = &route_token_ops,
+		.ctx = s,
+	};
+
+	s->quota = quota_create(&options);
+	s->tokens = token_exchange_create(&exchange_options);
+}
--- a/nutmegpickd/route_service.c
+++ b/nutmegpickd/route_service.c
@@ -187,6 +187,7 @@
 	int64_t next = MIN(router_next_timer(s->router), now + IDLE_WAIT_US);
 
 	next = MIN(next, route_next_forward_check(s));
+	next = MIN(next, quota_next_timer(s->quota));
 	next = MIN(next, s->next_feed_us);
 	if (leaf_client_get_counts(s->client).open)
 		next = MIN(next, s->next_sweep_us);
@@ -246,9 +247,12 @@
 	}
 	router_advance(s->router);
 	rate_exchange_deliver_own(s->rates);
+	route_note_token_contact(s);
+	route_advance_quotas(s);
 	if (now >= s->next_rates_sweep_us) {
 		s->next_rates_sweep_us = now + RATES_SWEEP_US;
 		rate_exchange_sweep(s->rates);
+		token_exchange_sweep(s->tokens);
 	}
 	deliver_results(s);
 }
@@ -412,6 +416,7 @@
 	store_mirror_init(&s->catalog.mirror);
 	feed_create(&s->feed, &feed_options);
 	s->rates = rate_exchange_create(&rate_options);
+	route_create_quotas(s);
 	return 0;
 }
 
--- a/router/directory.c
+++ b/router/directory.c
@@ -29,6 +29,8 @@
  * a forward would cost more than it saves.
  */
 #define GATHERERS_ALL_MAX_HOSTS 4
+/* Removed hosts that are kept until they are taken out. */
+#define GONE_MAX 65536
 
 void host_record_clear(struct host_record *r)
 {
@@ -51,6 +53,7 @@
 {
 	d->leaves = leaves;
 	d->self = g_strdup(self);
+	d->gone = g_array_new(FALSE, FALSE, sizeof(struct gone_host));
 	d->hosts = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					 handle_free_host);
 }
@@ -58,6 +61,7 @@
 void host_directory_clear(struct host_directory *d)
 {
 	g_hash_table_destroy(d->hosts);
+	g_array_free(d->gone, TRUE);
 	g_free(d->self);
 }
 
@@ -79,10 +83,36 @@
 	d->generation++;
 }
 
+/* Region names outlive the hosts: those of the set, or interned domains. */
+static const char *lasting_region(const struct host_directory *d,
+				  const struct known_host *h)
+{
+	const char *region =
+		g_hash_table_lookup(d->leaves->regions, h->record.domain);
+
+	return region ? region : g_intern_string(h->record.domain);
+}
+
 void host_directory_remove(struct host_directory *d, const char *name)
 {
-	if (g_hash_table_remove(d->hosts, name))
-		d->generation++;
+	const struct known_host *h = g_hash_table_lookup(d->hosts, name);
+	struct gone_host gone;
+
+	if (!h)
+		return;
+	gone = (struct gone_host){ h->name_hash, lasting_region(d, h) };
+	if (d->gone->len < GONE_MAX)
+		g_array_append_val(d->gone, gone);
+	g_hash_table_remove(d->hosts, name);
+	d->generation++;
+}
+
+GArray *host_directory_take_gone(struct host_directory *d)
+{
+	GArray *gone = d->gone;
+
+	d->gone = g_array_new(FALSE, FALSE, sizeof(struct gone_host));
+	return gone;
 }
 
 struct known_host *host_directory_find(struct host_directory *d,
@@ -360,6 +390,29 @@
 	return a->is_remote != b->is_remote ? b->is_remote : a->hash < b->hash;
 }
 
+static struct rate_rank rank_of(uint64_t name_hash, const char *region,
+				const char *key, const char *key_region)
+{
+	return (struct rate_rank){
+		.is_remote = strcmp(region, key_region) != 0,
+		.hash = hash_pair(name_hash, hash_string(key, 0)),
+	};
+}
+
+bool host_directory_was_before(const struct host_directory *d,
+			       const struct gone_host *gone,
+			       const struct known_host *h, const char *key,
+			       const char *domain)
+{
+	const char *region = region_of_domain(d, domain);
+	struct rate_rank a =
+		rank_of(gone->name_hash, gone->region, key, region);
+	struct rate_rank b =
+		rank_of(h->name_hash, region_of(d, h), key, region);
+
+	return is_rank_before(&a, &b);
+}
+
 struct rate_owners host_directory_rate_owners(struct host_directory *d,
 					      const char *key,
 					      const char *domain)
--- a/router/router.c
+++ b/router/router.c
@@ -138,6 +138,12 @@
 	return r->table ? route_table_match(r->table, host, path) : NULL;
 }
 
+const struct organisation *router_find_organisation(const struct router *r,
+						    const char *name)
+{
+	return r->table ? route_table_find_organisation(r->table, name) : NULL;
+}
+
 static void count_domains(GHashTable *counts, struct upstream_pool *pool,
 			  int64_t now)
 {
--- /dev/null
+++ b/router/token_exchange.c
@@ -0,0 +1,443 @@
+#include "router/token_exchange.h"
+
+#include <string.h>
+
+#include "common/events.h"
+
+/* A host that has not answered a claim for this time counts as silent. */
+#define SILENT_US (400 * US_PER_MS)
+/* Interval of the empty claims that find out whether a host answers. */
+#define PROBE_INTERVAL_US (250 * US_PER_MS)
+/* A host that does not own a key is asked for it again after this time. */
+#define ELSEWHERE_US (500 * US_PER_MS)
+/* Keys whose owners are kept; the table is emptied beyond that. */
+#define OWNERS_MAX 16384
+/*
+ * Hosts that are gone are kept for this time: a bucket that is created later
+ * was not filled before they had gone.
+ */
+#define GONE_KEPT_US (60 * US_PER_S)
+
+struct key_owners {
+	struct rate_owners hosts;
+	/** The first owner has answered that it may not grant. */
+	int64_t avoid_first_until_us;
+};
+
+struct dated_host {
+	struct gone_host host;
+	int64_t at_us;
+};
+
+struct token_exchange {
+	struct token_exchange_options options;
+	/** Tokens of the keys that this host owns. */
+	struct token_pool *pool;
+	/** Of struct token_grant; their keys are copies. */
+	GArray *own_grants;
+	/** Of struct key_owners by key, for one generation of the directory. */
+	GHashTable *owners;
+	uint64_t owners_generation;
+	/** Of struct dated_host, the earliest first. */
+	GArray *gone;
+	/** This host has had contact and its record since then. */
+	int64_t joined_us;
+	int64_t contact_us;
+	/** Last call of token_exchange_advance(). */
+	struct lease_time advanced;
+};
+
+static int64_t now_us(const struct token_exchange *x)
+{
+	return clock_now(&x->options.clock);
+}
+
+static bool is_self(const struct token_exchange *x, const struct known_host *h)
+{
+	return host_directory_is_self(x->options.directory, h);
+}
+
+static void join_anew(struct token_exchange *x, int64_t now, const char *reason)
+{
+	/* A host that has not joined yet does not repeat it in the log. */
+	if (now - x->joined_us >= TOKEN_JOIN_US)
+		event_log(EV_TOKEN_OWNER_JOINS,
+			  "host=%s reason=%s contact_ms=%lld",
+			  x->options.directory->self, reason,
+			  (long long)((now - x->contact_us) / US_PER_MS));
+	x->joined_us = now;
+}
+
+static void note_gone_hosts(struct token_exchange *x, int64_t now)
+{
+	GArray *gone;
+	guint old = 0;
+
+	while (old < x->gone->len &&
+	       now - g_array_index(x->gone, struct dated_host, old).at_us >=
+		       GONE_KEPT_US)
+		old++;
+	if (old)
+		g_array_remove_range(x->gone, 0, old);
+	if (!x->options.directory->gone->len)
+		return;
+	gone = host_directory_take_gone(x->options.directory);
+	for (guint i = 0; i < gone->len; i++) {
+		struct dated_host d = {
+			g_array_index(gone, struct gone_host, i), now
+		};
+
+		g_array_append_val(x->gone, d);
+	}
+	g_array_free(gone, TRUE);
+}
+
+void token_exchange_advance(struct token_exchange *x)
+{
+	const struct host_directory *d = x->options.directory;
+	struct lease_time now = { now_us(x), clock_boot(&x->options.clock) };
+
+	note_gone_hosts(x, now.monotonic_us);
+	if (!g_hash_table_contains(d->hosts, d->self))
+		join_anew(x, now.monotonic_us, "no_record");
+	else if (now.boot_us - x->advanced.boot_us > TOKEN_PAUSE_US)
+		join_anew(x, now.monotonic_us, "paused");
+	else if (now.monotonic_us - x->contact_us > TOKEN_CONTACT_US)
+		join_anew(x, now.monotonic_us, "no_contact");
+	x->advanced = now;
+}
+
+void token_exchange_note_contact(struct token_exchange *x, int64_t at_us)
+{
+	if (at_us - x->contact_us > TOKEN_CONTACT_US)
+		join_anew(x, at_us, "no_contact");
+	x->contact_us = MAX(x->contact_us, at_us);
+}
+
+/* Returns whether there is a host in another failure domain than this one's. */
+static bool has_other_domain(const struct token_exchange *x, const char *domain)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, x->options.directory->hosts);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct known_host *h = value;
+
+		if (strcmp(h->record.domain, domain))
+			return true;
+	}
+	return false;
+}
+
+void token_exchange_note_frame(struct token_exchange *x, const char *address)
+{
+	struct host_directory *d = x->options.directory;
+	const struct known_host *self = g_hash_table_lookup(d->hosts, d->self);
+	const struct known_host *h;
+	int64_t now = now_us(x);
+
+	/* The frames of a moment show the same contact. */
+	if (now - x->contact_us < TOKEN_CONTACT_US / 8)
+		return;
+	h = host_directory_find(d, address);
+	if (!self || !h || is_self(x, h))
+		return;
+	if (strcmp(h->record.domain, self->record.domain) ||
+	    !has_other_domain(x, self->record.domain))
+		token_exchange_note_contact(x, now);
+}
+
+static struct key_owners *get_owners(struct token_exchange *x,
+				     const struct token_claim *c)
+{
+	struct host_directory *d = x->options.directory;
+	struct key_owners *known;
+
+	if (x->owners_generation != d->generation) {
+		g_hash_table_remove_all(x->owners);
+		x->owners_generation = d->generation;
+	}
+	known = g_hash_table_lookup(x->owners, c->key);
+	if (known)
+		return known;
+	known = g_new0(struct key_owners, 1);
+	known->hosts = host_directory_rate_owners(d, c->key, c->domain);
+	g_hash_table_insert(x->owners, g_strdup(c->key), known);
+	return known;
+}
+
+/* Returns the time from which no host before this one can grant any more. */
+static int64_t charge_time(const struct token_exchange *x,
+			   const struct token_claim *c,
+			   const struct known_host *self)
+{
+	int64_t from = x->joined_us;
+
+	for (guint i = 0; i < x->gone->len; i++) {
+		const struct dated_host *d =
+			&g_array_index(x->gone, struct dated_host, i);
+
+		if (host_directory_was_before(x->options.directory, &d->host,
+					      self, c->key, c->domain))
+			from = MAX(from, d->at_us);
+	}
+	return from + TOKEN_JOIN_US;
+}
+
+/* Returns what this host may grant, and since when. */
+static enum token_part own_part(struct token_exchange *x,
+				const struct token_claim *c, int64_t *since)
+{
+	const struct key_owners *owners;
+	const struct known_host *first;
+	const struct known_host *second;
+	int64_t now = now_us(x);
+
+	*since = x->joined_us;
+	if (x->options.is_alone)
+		return TOKEN_PART_ALL;
+	owners = get_owners(x, c);
+	first = owners->hosts.first;
+	second = owners->hosts.second;
+	if (now - x->contact_us > TOKEN_CONTACT_US || !first)
+		return TOKEN_PART_NONE;
+	if (is_self(x, first)) {
+		*since = charge_time(x, c, first);
+		return now >= *since ? TOKEN_PART_ALL : TOKEN_PART_NONE;
+	}
+	if (!second || !is_self(x, second))
+		return TOKEN_PART_NONE;
+	*since = charge_time(x, c, second);
+	return now >= *since ? TOKEN_PART_SECOND : TOKEN_PART_NONE;
+}
+
+static struct token_grant answer_claim(struct token_exchange *x,
+				       const struct token_claim *c)
+{
+	struct token_claim claim = *c;
+	struct token_grant g;
+	enum token_part part;
+	int64_t since;
+
+	if (x->options.ops->update_limit)
+		x->options.ops->update_limit(x->options.ctx, c->key,
+					     &claim.limit);
+	part = own_part(x, &claim, &since);
+	token_pool_claim(x->pool, &claim, part, since, now_us(x), &g);
+	return g;
+}
+
+static void queue_own_grant(struct token_exchange *x,
+			    const struct token_claim *c)
+{
+	struct token_grant g = answer_claim(x, c);
+
+	g.key = g_strdup(g.key);
+	g_array_append_val(x->own_grants, g);
+}
+
+static bool is_silent(const struct known_host *h, int64_t now)
+{
+	return h->tokens_asked_us && now - h->tokens_asked_us >= SILENT_US;
+}
+
+static void send_claims(struct token_exchange *x, struct known_host *h,
+			const GArray *claims)
+{
+	if (!h->tokens_asked_us)
+		h->tokens_asked_us = now_us(x);
+	x->options.ops->send_claims(x->options.ctx, h->record.address, claims);
+}
+
+/* Sends an empty list of claims to learn whether a host answers. */
+static void probe_owner(struct token_exchange *x, struct known_host *h)
+{
+	int64_t now = now_us(x);
+	GArray *claims;
+
+	if (now - h->tokens_probed_us < PROBE_INTERVAL_US)
+		return;
+	h->tokens_probed_us = now;
+	claims = g_array_new(FALSE, FALSE, sizeof(struct token_claim));
+	send_claims(x, h, claims);
+	g_array_free(claims, TRUE);
+}
+
+/* Returns the host from which to claim, or NULL if none is known. */
+static struct known_host *choose_owner(struct token_exchange *x,
+				       const struct token_claim *c)
+{
+	const struct key_owners *o = get_owners(x, c);
+	struct known_host *first = o->hosts.first;
+	int64_t now = now_us(x);
+
+	if (!first || !o->hosts.second)
+		return first;
+	if (now < o->avoid_first_until_us)
+		return o->hosts.second;
+	if (is_self(x, first) || !is_silent(first, now))
+		return first;
+	if (!first->is_token_silence_logged)
+		event_log(EV_TOKEN_OWNER_LOST, "key=%s host=%s silent_ms=%lld",
+			  c->key, first->record.name,
+			  (long long)((now - first->tokens_asked_us) /
+				      US_PER_MS));
+	first->is_token_silence_logged = true;
+	probe_owner(x, first);
+	return o->hosts.second;
+}
+
+static void handle_free_claims(gpointer data)
+{
+	g_array_free(data, TRUE);
+}
+
+void token_exchange_claim(struct token_exchange *x, const GArray *claims)
+{
+	GHashTable *by_host =
+		g_hash_table_new_full(NULL, NULL, NULL, handle_free_claims);
+	GHashTableIter iter;
+	gpointer host;
+	gpointer list;
+
+	token_exchange_advance(x);
+	for (guint i = 0; i < claims->len; i++) {
+		const struct token_claim *c =
+			&g_array_index(claims, struct token_claim, i);
+		struct known_host *h = x->options.is_alone ? NULL
+							   : choose_owner(x, c);
+		GArray *of_host;
+
+		if (!h || is_self(x, h)) {
+			queue_own_grant(x, c);
+			continue;
+		}
+		of_host = g_hash_table_lookup(by_host, h);
+		if (!of_host) {
+			of_host = g_array_new(FALSE, FALSE, sizeof(*c));
+			g_hash_table_insert(by_host, h, of_host);
+		}
+		g_array_append_vals(of_host, c, 1);
+	}
+	g_hash_table_iter_init(&iter, by_host);
+	while (g_hash_table_iter_next(&iter, &host, &list))
+		send_claims(x, host, list);
+	g_hash_table_destroy(by_host);
+}
+
+GArray *token_exchange_answer(struct token_exchange *x, const GArray *claims)
+{
+	GArray *grants = g_array_new(FALSE, FALSE, sizeof(struct token_grant));
+
+	token_exchange_advance(x);
+	for (guint i = 0; i < claims->len; i++) {
+		struct token_grant g = answer_claim(
+			x, &g_array_index(claims, struct token_claim, i));
+
+		g_array_append_val(grants, g);
+	}
+	return grants;
+}
+
+/*
+ * If the first owner may not grant, the next claim goes to the second one at
+ * once. If that is this host or may not grant either, it waits.
+ */
+static void deliver(struct token_exchange *x, const struct known_host *from,
+		    struct token_grant g)
+{
+	struct key_owners *o = NULL;
+	int64_t now = now_us(x);
+
+	if (x->owners_generation == x->options.directory->generation)
+		o = g_hash_table_lookup(x->owners, g.key);
+	if (g.is_elsewhere && o && from && from == o->hosts.first &&
+	    o->hosts.second && now >= o->avoid_first_until_us) {
+		o->avoid_first_until_us = now + ELSEWHERE_US;
+		g.retry_us = 0;
+	}
+	x->options.ops->deliver_grant(x->options.ctx, &g);
+}
+
+void token_exchange_handle_grants(struct token_exchange *x, const char *address,
+				  const GArray *grants)
+{
+	struct known_host *h =
+		host_directory_find(x->options.directory, address);
+
+	if (h) {
+		h->tokens_asked_us = 0;
+		h->is_token_silence_logged = false;
+	}
+	for (guint i = 0; i < grants->len; i++)
+		deliver(x, h, g_array_index(grants, struct token_grant, i));
+}
+
+static void free_own_grants(GArray *grants)
+{
+	for (guint i = 0; i < grants->len; i++)
+		g_free((char *)g_array_index(grants, struct token_grant, i).key);
+	g_array_free(grants, TRUE);
+}
+
+void token_exchange_deliver_own(struct token_exchange *x)
+{
+	const struct host_directory *d = x->options.directory;
+	GArray *grants = x->own_grants;
+
+	if (!grants->len)
+		return;
+	x->own_grants = g_array_new(FALSE, FALSE, sizeof(struct token_grant));
+	for (guint i = 0; i < grants->len; i++)
+		deliver(x, g_hash_table_lookup(d->hosts, d->self),
+			g_array_index(grants, struct token_grant, i));
+	free_own_grants(grants);
+}
+
+void token_exchange_note_closed(struct token_exchange *x, const char *address,
+				bool is_undelivered)
+{
+	struct known_host *h =
+		host_directory_find(x->options.directory, address);
+
+	if (!h || !h->tokens_asked_us)
+		return;
+	h->tokens_asked_us =
+		is_undelivered ? MIN(h->tokens_asked_us, now_us(x) - SILENT_US)
+			       : 0;
+}
+
+void token_exchange_sweep(struct token_exchange *x)
+{
+	token_pool_sweep(x->pool, now_us(x));
+	if (g_hash_table_size(x->owners) > OWNERS_MAX)
+		g_hash_table_remove_all(x->owners);
+}
+
+struct token_exchange *
+token_exchange_create(const struct token_exchange_options *options)
+{
+	struct token_exchange *x = g_new0(struct token_exchange, 1);
+
+	x->options = *options;
+	x->pool = token_pool_create(options->seed);
+	x->owners =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	x->own_grants = g_array_new(FALSE, FALSE, sizeof(struct token_grant));
+	x->gone = g_array_new(FALSE, FALSE, sizeof(struct dated_host));
+	x->joined_us = now_us(x);
+	x->contact_us = x->joined_us;
+	x->advanced = (struct lease_time){ x->joined_us,
+					   clock_boot(&options->clock) };
+	return x;
+}
+
+void token_exchange_free(struct token_exchange *x)
+{
+	token_pool_free(x->pool);
+	g_hash_table_destroy(x->owners);
+	free_own_grants(x->own_grants);
+	g_array_free(x->gone, TRUE);
+	g_free(x);
+}
--- /dev/null
+++ b/router/token_pool.c
@@ -0,0 +1,327 @@
+#include "router/token_pool.h"
+
+#include <math.h>
+
+#include <glib.h>
+
+/*
+ * Tokens granted before a window of the bound may be used in it, so a rate r
+ * and a bucket of b allow r * (window + TOKEN_VALID_US) + b requests in it. The
+ * parts of both owners are chosen so that their sum stays within the bounds.
+ *
+ * Quota, 5 s: (0.98 + 0.04) * 5.3 * rate + 0.08 * rate + 1.05 * burst + 18, at
+ * most (5 * rate + burst) * 1.1 + 20.
+ *
+ * Cold leaf, 1 s: (0.98 + 0.04) * 1.3 * rate + 0.14 * rate + 5, at most
+ * 1.5 * rate + 5.
+ */
+struct part_limits {
+	/** Factor on the rate. */
+	double rate;
+	/** The bucket holds these factors of the rate and burst, and this. */
+	double rate_s;
+	double burst;
+	double tokens;
+};
+
+static const struct part_limits quota_limits[] = {
+	[TOKEN_PART_NONE] = { 0, 0, 0, 0 },
+	[TOKEN_PART_SECOND] = { 0.04, 0.03, 0.05, 4 },
+	[TOKEN_PART_ALL] = { 0.98, 0.05, 1, 14 },
+};
+
+static const struct part_limits cold_limits[] = {
+	[TOKEN_PART_NONE] = { 0, 0, 0, 0 },
+	[TOKEN_PART_SECOND] = { 0.04, 0.02, 0, 1 },
+	[TOKEN_PART_ALL] = { 0.98, 0.12, 0, 4 },
+};
+
+/* Grants are counted by the time of the owner, in slots of this length. */
+#define SLOT_US (25 * US_PER_MS)
+/* Slots of which tokens may still be in use, the current one included. */
+#define SLOTS ((int)(TOKEN_VALID_US / SLOT_US) + 1)
+#define UNMET_HALF_LIFE_US (500 * US_PER_MS)
+/* Bounds of the time until the next claim of a host that got too little. */
+#define RETRY_FLOOR_US (20 * US_PER_MS)
+#define RETRY_MIN_US (150 * US_PER_MS)
+/*
+ * The same for a bucket that few hosts empty: this part of the time in which it
+ * fills up, for each host. Claims of several hosts may come at the same time.
+ */
+#define RETRY_SIZE 0.15
+#define RETRY_MAX_US (1 * US_PER_S)
+/* Time until a host that asked the wrong one claims again. */
+#define RETRY_ELSEWHERE_US (250 * US_PER_MS)
+/* A full bucket without claims is forgotten after this time. */
+#define FORGET_US (10 * US_PER_S)
+
+struct token_bucket {
+	char *key;
+	struct token_limit limit;
+	enum token_part part;
+	int64_t since_us;
+	double tokens;
+	int64_t tokens_at_us;
+	int64_t claimed_at_us;
+	/** Tokens granted by slot, at the slot's number modulo SLOTS. */
+	uint32_t granted[SLOTS];
+	int64_t slot;
+	/** Claims that got too little and what they wanted, decaying. */
+	double unmet_claims;
+	double unmet_wanted;
+	int64_t unmet_at_us;
+	/** Time until the next claim, as last told to a host. */
+	int64_t retry_us;
+};
+
+struct token_pool {
+	/** Of struct token_bucket, by key. */
+	GHashTable *buckets;
+	uint32_t seed;
+};
+
+static void handle_free_bucket(gpointer data)
+{
+	struct token_bucket *b = data;
+
+	g_free(b->key);
+	g_free(b);
+}
+
+struct token_pool *token_pool_create(uint32_t seed)
+{
+	struct token_pool *p = g_new0(struct token_pool, 1);
+
+	p->seed = seed;
+	p->buckets = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					   handle_free_bucket);
+	return p;
+}
+
+void token_pool_free(struct token_pool *p)
+{
+	g_hash_table_destroy(p->buckets);
+	g_free(p);
+}
+
+static const struct part_limits *part_limits(const struct token_bucket *b)
+{
+	return b->limit.is_cold_leaf ? &cold_limits[b->part]
+				     : &quota_limits[b->part];
+}
+
+static double bucket_rate(const struct token_bucket *b)
+{
+	return b->limit.rate_per_s * part_limits(b)->rate;
+}
+
+static double bucket_size(const struct token_bucket *b)
+{
+	const struct part_limits *l = part_limits(b);
+
+	return b->limit.rate_per_s * l->rate_s + b->limit.burst * l->burst +
+	       l->tokens;
+}
+
+static void clear_old_slots(struct token_bucket *b, int64_t now)
+{
+	int64_t slot = now / SLOT_US;
+
+	if (slot - b->slot >= SLOTS)
+		b->slot = slot - SLOTS;
+	while (b->slot < slot)
+		b->granted[++b->slot % SLOTS] = 0;
+}
+
+/* Returns the tokens that hosts may still use. */
+static double outstanding(const struct token_bucket *b)
+{
+	double sum = 0;
+
+	for (int i = 0; i < SLOTS; i++)
+		sum += b->granted[i];
+	return sum;
+}
+
+/*
+ * Adds the tokens that have become available. Those in use count as if they
+ * were in the bucket, so that a return of many tokens cannot exceed its size.
+ */
+static void refill(struct token_bucket *b, int64_t now)
+{
+	double rate = bucket_rate(b);
+	double most = bucket_size(b) +
+		      rate * (double)TOKEN_VALID_US / US_PER_S - outstanding(b);
+
+	most = MIN(most, bucket_size(b));
+	if (now > b->tokens_at_us && b->tokens < most)
+		b->tokens =
+			MIN(b->tokens + rate * (double)(now - b->tokens_at_us) /
+						US_PER_S,
+			    most);
+	b->tokens_at_us = MAX(b->tokens_at_us, now);
+}
+
+static struct token_bucket *get_bucket(struct token_pool *p,
+				       const struct token_claim *claim,
+				       enum token_part part, int64_t since)
+{
+	struct token_bucket *b = g_hash_table_lookup(p->buckets, claim->key);
+
+	if (b)
+		return b;
+	b = g_new0(struct token_bucket, 1);
+	b->key = g_strdup(claim->key);
+	b->limit = claim->limit;
+	b->part = part;
+	b->since_us = since;
+	b->tokens_at_us = since;
+	g_hash_table_insert(p->buckets, b->key, b);
+	return b;
+}
+
+/* A host that was not allowed to grant for a time starts with no tokens. */
+static void set_part(struct token_bucket *b, enum token_part part,
+		     int64_t since)
+{
+	if (b->part == part && b->since_us >= since)
+		return;
+	b->part = part;
+	b->since_us = since;
+	b->tokens = 0;
+	b->tokens_at_us = MAX(b->tokens_at_us, since);
+}
+
+static void set_limit(struct token_bucket *b, const struct token_limit *limit)
+{
+	if (limit->version <= b->limit.version)
+		return;
+	b->limit = *limit;
+	b->tokens = MIN(b->tokens, bucket_size(b));
+}
+
+static void take_back(const struct token_pool *p, struct token_bucket *b,
+		      const struct token_claim *claim)
+{
+	int64_t slot = (int64_t)(claim->returned_ticket & UINT32_MAX);
+	int64_t age = (b->slot & UINT32_MAX) - slot;
+	uint32_t *granted;
+	uint32_t count;
+
+	/* Tokens of another process or that have lapsed are lost. */
+	if (claim->returned_ticket >> 32 != p->seed || age < 0 || age >= SLOTS)
+		return;
+	granted = &b->granted[(b->slot - age) % SLOTS];
+	count = MIN(claim->returned, *granted);
+	*granted -= count;
+	b->tokens += count;
+}
+
+static void decay_unmet(struct token_bucket *b, int64_t now)
+{
+	double factor = exp2(-(double)(now - b->unmet_at_us) /
+			     (double)UNMET_HALF_LIFE_US);
+
+	b->unmet_wanted *= factor;
+	b->unmet_claims *= factor;
+	b->unmet_at_us = now;
+}
+
+/* Converts a sum that decays to its growth in a second. */
+static double sum_to_rate(double sum)
+{
+	return sum * M_LN2 / ((double)UNMET_HALF_LIFE_US / US_PER_S);
+}
+
+/* Returns the time after which a host that gets too little claims again. */
+static int64_t retry_time(struct token_bucket *b, double fair)
+{
+	double retry = (double)RETRY_MIN_US / CLAMP(fair, 1e-3, 1);
+	double rate = bucket_rate(b);
+	double hosts;
+
+	if (rate <= 0)
+		return RETRY_MAX_US;
+	hosts = sum_to_rate(b->unmet_claims) * (double)b->retry_us / US_PER_S;
+	retry = MIN(retry, RETRY_SIZE * MAX(hosts, 1) * bucket_size(b) / rate *
+				   US_PER_S);
+	return (int64_t)CLAMP(retry, (double)RETRY_FLOOR_US,
+			      (double)RETRY_MAX_US);
+}
+
+/*
+ * Takes the tokens for a claim out of the bucket. If there are too few, a host
+ * gets the part of the rate that it has of the tokens that are claimed in vain
+ * in a second, and more while the bucket is full.
+ */
+static void allot(struct token_bucket *b, uint32_t wanted, int64_t now,
+		  struct token_grant *out)
+{
+	double fair;
+
+	out->tokens = wanted;
+	if (b->tokens < wanted) {
+		decay_unmet(b, now);
+		b->unmet_wanted += wanted;
+		b->unmet_claims += 1;
+		fair = bucket_rate(b) * wanted / sum_to_rate(b->unmet_wanted) *
+		       (1 + b->tokens / MAX(bucket_size(b), 1));
+		b->retry_us = retry_time(b, fair);
+		out->retry_us = b->retry_us;
+		out->tokens = (uint32_t)MIN(ceil(fair), b->tokens);
+	}
+	b->tokens -= out->tokens;
+}
+
+void token_pool_claim(struct token_pool *p, const struct token_claim *claim,
+		      enum token_part part, int64_t since_us, int64_t now_us,
+		      struct token_grant *out)
+{
+	struct token_bucket *b;
+
+	*out = (struct token_grant){
+		.key = claim->key,
+		.sequence = claim->sequence,
+		.is_elsewhere = part == TOKEN_PART_NONE,
+		.retry_us = part == TOKEN_PART_NONE ? RETRY_ELSEWHERE_US : 0,
+	};
+	if (part == TOKEN_PART_NONE)
+		return;
+	b = get_bucket(p, claim, part, since_us);
+	clear_old_slots(b, now_us);
+	set_part(b, part, since_us);
+	take_back(p, b, claim);
+	refill(b, now_us);
+	set_limit(b, &claim->limit);
+	b->claimed_at_us = now_us;
+	allot(b, claim->wanted, now_us, out);
+	b->granted[b->slot % SLOTS] += out->tokens;
+	out->ticket = (uint64_t)p->seed << 32 |
+		      (uint64_t)(b->slot & UINT32_MAX);
+}
+
+static bool is_forgettable(struct token_bucket *b, int64_t now)
+{
+	double full_us = bucket_size(b) / MAX(bucket_rate(b), 1e-6) * US_PER_S;
+
+	/* A new bucket is filled from since_us. */
+	return now - b->claimed_at_us >= MAX((double)FORGET_US, full_us) &&
+	       (double)(now - b->since_us) >= full_us;
+}
+
+void token_pool_sweep(struct token_pool *p, int64_t now_us)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, p->buckets);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		if (is_forgettable(value, now_us))
+			g_hash_table_iter_remove(&iter);
+	}
+}
+
+uint32_t token_pool_count(const struct token_pool *p)
+{
+	return g_hash_table_size(p->buckets);
+}
--- a/test/fuzz/targets.c
+++ b/test/fuzz/targets.c
@@ -184,6 +184,10 @@
 		return host_frame_rate_claims(f->rate_claims);
 	case HOST_RATE_GRANTS:
 		return host_frame_rate_grants(f->rate_grants);
+	case HOST_TOKEN_CLAIMS:
+		return host_frame_token_claims(f->token_claims);
+	case HOST_TOKEN_GRANTS:
+		return host_frame_token_grants(f->token_grants);
 	}
 	return NULL;
 }
--- a/test/unit/main.c
+++ b/test/unit/main.c
@@ -27,6 +27,8 @@
 	{ "merge", NULL, NULL, NULL, NULL, merge_tests },
 	{ "odd entries", NULL, NULL, NULL, NULL, odd_entry_tests },
 	{ "old news", NULL, NULL, NULL, NULL, old_news_tests },
+	{ "quota", NULL, NULL, NULL, NULL, quota_tests },
+	{ "quota schedules", NULL, NULL, NULL, NULL, quota_schedule_tests },
 	{ "rate exchange", NULL, NULL, NULL, NULL, rate_exchange_tests },
 	{ "rate limit", NULL, NULL, NULL, NULL, rate_limit_tests },
 	{ "rate shares", NULL, NULL, NULL, NULL, rate_shares_tests },
--- /dev/null
+++ b/test/unit/quota_sim.h
@@ -0,0 +1,106 @@
+#ifndef TEST_UNIT_QUOTA_SIM_H
+#define TEST_UNIT_QUOTA_SIM_H
+
+#include <glib.h>
+
+#include "router/quota.h"
+#include "router/token_exchange.h"
+
+/*
+ * Hosts in three domains and two regions that share the quotas of some
+ * organisations. Each has its own clocks, its own mirror of the host records
+ * and its own process, which can be frozen, suspended, killed or cut off. The
+ * records are kept by a store with leases, which can be away.
+ */
+
+#define QSIM_HOSTS_MAX 12
+#define QSIM_ORGANISATIONS_MAX 8
+#define QSIM_STEP_US (5 * US_PER_MS)
+
+struct quota_sim;
+
+struct qsim_host {
+	struct quota_sim *sim;
+	uint32_t index;
+	bool is_running;
+	struct virtual_clock time;
+	struct leaf_set leaves;
+	struct host_directory directory;
+	struct token_exchange *exchange;
+	struct quota *quota;
+	/** When the process reads the store for the first time. */
+	int64_t listed_at_us;
+	bool is_listed;
+	/** The process does not run before. */
+	int64_t frozen_until_us;
+	int64_t cut_from_hosts_until_us;
+	int64_t cut_from_store_until_us;
+	/** Of struct record_event: changes that have not arrived yet. */
+	GQueue events;
+	int64_t last_event_us;
+	/** After a pause or a cut, events arrive late, but not frames. */
+	int64_t events_from_us;
+	/** The record in the store. */
+	bool has_record;
+	int64_t lease_until_us;
+	int64_t next_renewal_us;
+	/** When a process that has withdrawn its record ends; 0 if it goes on. */
+	int64_t stop_at_us;
+	int64_t next_news_us;
+	double per_s[QSIM_ORGANISATIONS_MAX];
+	/** Version of the table of the process, an index to limits. */
+	uint32_t version;
+};
+
+struct quota_sim {
+	int64_t now_us;
+	uint32_t count;
+	uint32_t organisation_count;
+	struct qsim_host hosts[QSIM_HOSTS_MAX];
+	struct organisation organisations[2][QSIM_ORGANISATIONS_MAX];
+	int64_t store_away_until_us;
+	/** Between hosts, one way; events of the store take longer. */
+	int64_t link_us;
+	/** Longest delay of an event of the store to a host in contact. */
+	int64_t event_delay_us;
+	/** Of struct sim_frame. */
+	GQueue frames;
+	int lost_link[2];
+	/** Times of the requests that were admitted, by organisation. */
+	GArray *admitted[QSIM_ORGANISATIONS_MAX];
+	uint64_t asked[QSIM_ORGANISATIONS_MAX];
+	uint64_t refused[QSIM_ORGANISATIONS_MAX];
+	/** Frames sent, and the claims in them. */
+	uint64_t frame_count;
+	uint64_t claim_count;
+	uint32_t seed;
+	GRand *random;
+};
+
+/** Creates hosts of which the first `running` run; all have settled. */
+struct quota_sim *quota_sim_create(uint32_t count, uint32_t running,
+				   uint32_t organisations, double rate,
+				   double burst, guint32 seed);
+void quota_sim_destroy(struct quota_sim *s);
+
+/** Advances the time; each host sends requests at its rates. */
+void quota_sim_run(struct quota_sim *s, int64_t us);
+
+void quota_sim_start_host(struct quota_sim *s, uint32_t i);
+/** Ends a process without notice. */
+void quota_sim_kill_host(struct quota_sim *s, uint32_t i);
+/** Withdraws the record of a process, which ends 6 s later. */
+void quota_sim_stop_host(struct quota_sim *s, uint32_t i);
+/** Stops a process; its clocks go on, or only the one of the machine. */
+void quota_sim_freeze_host(struct quota_sim *s, uint32_t i, int64_t us,
+			   bool is_suspended);
+
+/** Sets the rates of all hosts for an organisation. */
+void quota_sim_set_rates(struct quota_sim *s, uint32_t organisation,
+			 double per_s);
+void quota_sim_clear_counts(struct quota_sim *s);
+
+/** Returns the most requests in any window of 5 s that were admitted. */
+uint32_t quota_sim_most_in_window(const struct quota_sim *s, uint32_t o);
+
+#endif
--- a/test/unit/suites.h
+++ b/test/unit/suites.h
@@ -27,6 +27,8 @@
 extern CU_TestInfo merge_tests[];
 extern CU_TestInfo odd_entry_tests[];
 extern CU_TestInfo old_news_tests[];
+extern CU_TestInfo quota_schedule_tests[];
+extern CU_TestInfo quota_tests[];
 extern CU_TestInfo rate_exchange_tests[];
 extern CU_TestInfo rate_limit_tests[];
 extern CU_TestInfo rate_shares_tests[];
--- /dev/null
+++ b/test/unit/test_quota.c
@@ -0,0 +1,415 @@
+#include "suites.h"
+
+#include <string.h>
+
+#include "net/host_frame.h"
+#include "router/quota.h"
+
+#define START_US (100 * US_PER_S)
+#define GOAL_US (400 * US_PER_MS)
+
+/** One host; the test answers its claims. */
+struct fixture {
+	struct quota *quota;
+	struct lease_time now;
+	struct organisation organisation;
+	uint32_t admitted;
+	uint32_t refused;
+	int64_t retry_after_us;
+	uint64_t ticket;
+};
+
+static void handle_admit(void *ctx, void *user, uint64_t ticket)
+{
+	struct fixture *f = ctx;
+
+	f->admitted++;
+	f->ticket = ticket;
+}
+
+static void handle_refuse(void *ctx, void *user, int64_t retry_after_us)
+{
+	struct fixture *f = ctx;
+
+	f->refused++;
+	f->retry_after_us = retry_after_us;
+}
+
+static const struct quota_ops ops = {
+	.admit = handle_admit,
+	.refuse = handle_refuse,
+};
+
+static void fixture_init(struct fixture *f)
+{
+	struct quota_options options = { .seed = 1, .ops = &ops, .ctx = f };
+
+	memset(f, 0, sizeof(*f));
+	f->now = (struct lease_time){ START_US, 2 * START_US };
+	f->organisation = (struct organisation){
+		.name = "acme",
+		.rate_per_s = 10,
+		.burst = 5,
+	};
+	f->quota = quota_create(&options);
+}
+
+static void advance(struct fixture *f, int64_t us)
+{
+	f->now.monotonic_us += us;
+	f->now.boot_us += us;
+}
+
+static enum quota_decision ask(struct fixture *f, int64_t goal_us)
+{
+	struct quota_request in = {
+		.user = f,
+		.organisation = &f->organisation,
+		.version = 1,
+		.goal_us = goal_us,
+		.left_us = 2 * US_PER_S,
+	};
+
+	return quota_ask(f->quota, &in, f->now, &f->ticket, &f->retry_after_us);
+}
+
+/* Returns the claim that is due; fails the test if it is not exactly one. */
+static struct token_claim take_claim(struct fixture *f)
+{
+	GArray *claims = quota_advance(f->quota, f->now);
+	struct token_claim c;
+
+	CU_ASSERT_PTR_NOT_NULL_FATAL(claims);
+	CU_ASSERT_EQUAL(claims->len, 1);
+	c = g_array_index(claims, struct token_claim, 0);
+	g_array_free(claims, TRUE);
+	return c;
+}
+
+static void grant(struct fixture *f, const struct token_claim *c,
+		  uint32_t tokens, int64_t retry_us)
+{
+	struct token_grant g = {
+		.key = c->key,
+		.sequence = c->sequence,
+		.tokens = tokens,
+		.ticket = 7,
+		.retry_us = retry_us,
+	};
+
+	quota_handle_grant(f->quota, &g, f->now);
+}
+
+/* Guards against claims and waits of callers that have no quota. */
+static void test_no_quota(void)
+{
+	struct fixture f;
+	struct quota_request in = { .goal_us = GOAL_US };
+
+	fixture_init(&f);
+	CU_ASSERT_EQUAL(quota_ask(f.quota, &in, f.now, &f.ticket,
+				  &f.retry_after_us),
+			QUOTA_ADMITTED);
+	f.organisation.rate_per_s = 0;
+	CU_ASSERT_EQUAL(ask(&f, GOAL_US), QUOTA_ADMITTED);
+	CU_ASSERT_PTR_NULL(quota_advance(f.quota, f.now));
+	CU_ASSERT_EQUAL(quota_next_timer(f.quota), INT64_MAX);
+	quota_free(f.quota);
+}
+
+/* Guards against a first request that is refused while its claim is answered.
+ */
+static void test_first_request(void)
+{
+	struct fixture f;
+	struct token_claim c;
+
+	fixture_init(&f);
+	CU_ASSERT_EQUAL(ask(&f, GOAL_US), QUOTA_WAITS);
+	CU_ASSERT_EQUAL(ask(&f, GOAL_US), QUOTA_WAITS);
+	c = take_claim(&f);
+	CU_ASSERT_EQUAL(c.wanted, 2);
+	advance(&f, 24 * US_PER_MS);
+	grant(&f, &c, 3, 0);
+	CU_ASSERT_EQUAL(f.admitted, 2);
+	CU_ASSERT_EQUAL(ask(&f, GOAL_US), QUOTA_ADMITTED);
+	CU_ASSERT_EQUAL(f.ticket, 7);
+	CU_ASSERT_EQUAL(f.refused, 0);
+	quota_free(f.quota);
+}
+
+/*
+ * Guards against requests that wait longer than 60 ms, or than a quarter of
+ * their latency goal, for an owner that does not answer.
+ */
+static void test_wait_ends(void)
+{
+	static const int64_t goals[] = { 400 * US_PER_MS, 120 * US_PER_MS };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(goals); i++) {
+		int64_t longest = MIN(60 * US_PER_MS, goals[i] / 4);
+		struct fixture f;
+
+		fixture_init(&f);
+		CU_ASSERT_EQUAL(ask(&f, goals[i]), QUOTA_WAITS);
+		take_claim(&f);
+		advance(&f, 24 * US_PER_MS);
+		g_clear_pointer(&(GArray *){ quota_advance(f.quota, f.now) },
+				g_array_unref);
+		CU_ASSERT_EQUAL(f.refused, 0);
+		CU_ASSERT_TRUE(quota_next_timer(f.quota) <= START_US + longest);
+		advance(&f, longest - 24 * US_PER_MS);
+		g_clear_pointer(&(GArray *){ quota_advance(f.quota, f.now) },
+				g_array_unref);
+		CU_ASSERT_EQUAL(f.refused, 1);
+		CU_ASSERT_TRUE(f.retry_after_us > 0);
+		quota_free(f.quota);
+	}
+}
+
+/* Guards against the use of tokens that have lapsed, by either clock. */
+static void test_lapsed(void)
+{
+	for (int suspended = 0; suspended < 2; suspended++) {
+		struct fixture f;
+		struct token_claim c;
+
+		fixture_init(&f);
+		ask(&f, GOAL_US);
+		c = take_claim(&f);
+		grant(&f, &c, 5, 0);
+		CU_ASSERT_EQUAL(ask(&f, GOAL_US), QUOTA_ADMITTED);
+		if (suspended)
+			f.now.boot_us += TOKEN_VALID_US;
+		else
+			advance(&f, TOKEN_VALID_US);
+		CU_ASSERT_EQUAL(ask(&f, GOAL_US), QUOTA_WAITS);
+		quota_free(f.quota);
+	}
+}
+
+/* Guards against the use of a grant that answers an older claim. */
+static void test_late_grant(void)
+{
+	struct fixture f;
+	struct token_claim old;
+	struct token_claim c;
+
+	fixture_init(&f);
+	ask(&f, GOAL_US);
+	old = take_claim(&f);
+	advance(&f, 150 * US_PER_MS);
+	ask(&f, GOAL_US);
+	c = take_claim(&f);
+	CU_ASSERT_NOT_EQUAL(old.sequence, c.sequence);
+	grant(&f, &old, 5, 0);
+	CU_ASSERT_EQUAL(f.admitted, 0);
+	grant(&f, &c, 5, 0);
+	CU_ASSERT_EQUAL(f.admitted, 1);
+	/* A grant that took too long has lapsed on arrival. */
+	advance(&f, TOKEN_VALID_US);
+	ask(&f, GOAL_US);
+	c = take_claim(&f);
+	advance(&f, TOKEN_VALID_US);
+	grant(&f, &c, 5, 0);
+	CU_ASSERT_EQUAL(f.admitted, 1);
+	quota_free(f.quota);
+}
+
+/*
+ * Guards against refusals that wait, and against refused callers that return
+ * all at once.
+ */
+static void test_refused_at_once(void)
+{
+	int64_t least = INT64_MAX;
+	int64_t most = 0;
+	struct fixture f;
+	struct token_claim c;
+
+	fixture_init(&f);
+	ask(&f, GOAL_US);
+	c = take_claim(&f);
+	grant(&f, &c, 0, 200 * US_PER_MS);
+	CU_ASSERT_EQUAL(f.refused, 1);
+	for (int i = 0; i < 100; i++) {
+		CU_ASSERT_EQUAL(ask(&f, GOAL_US), QUOTA_EXCEEDED);
+		least = MIN(least, f.retry_after_us);
+		most = MAX(most, f.retry_after_us);
+	}
+	CU_ASSERT_TRUE(least >= 100 * US_PER_MS);
+	CU_ASSERT_TRUE(most >= 400 * US_PER_MS);
+	/* Callers wait at most a third of the time that they have left. */
+	CU_ASSERT_TRUE(most <= 2 * US_PER_S / 3);
+	CU_ASSERT_PTR_NULL(quota_advance(f.quota, f.now));
+	advance(&f, 200 * US_PER_MS);
+	c = take_claim(&f);
+	CU_ASSERT_TRUE(c.wanted >= 1);
+	quota_free(f.quota);
+}
+
+/* Guards against charges of requests that were refused without having run. */
+static void test_give_back(void)
+{
+	struct fixture f;
+	struct token_claim c;
+
+	fixture_init(&f);
+	ask(&f, GOAL_US);
+	c = take_claim(&f);
+	grant(&f, &c, 1, 0);
+	quota_give_back(f.quota, "acme", f.ticket, f.now);
+	CU_ASSERT_EQUAL(ask(&f, GOAL_US), QUOTA_ADMITTED);
+	CU_ASSERT_EQUAL(ask(&f, GOAL_US), QUOTA_WAITS);
+	/* A token that has lapsed is not used again. */
+	advance(&f, TOKEN_VALID_US);
+	quota_give_back(f.quota, "acme", f.ticket, f.now);
+	CU_ASSERT_EQUAL(ask(&f, GOAL_US), QUOTA_WAITS);
+	quota_cancel(f.quota, "acme", &f);
+	quota_free(f.quota);
+}
+
+static struct token_claim pool_claim(uint32_t wanted)
+{
+	return (struct token_claim){
+		.key = "q:acme",
+		.domain = "",
+		.limit = { .rate_per_s = 100, .burst = 50, .version = 1 },
+		.wanted = wanted,
+	};
+}
+
+/* Guards against tokens that a new owner has before it may grant. */
+static void test_pool_starts_empty(void)
+{
+	struct token_pool *p = token_pool_create(1);
+	struct token_claim c = pool_claim(1000);
+	struct token_grant g;
+
+	token_pool_claim(p, &c, TOKEN_PART_ALL, START_US, START_US, &g);
+	CU_ASSERT_EQUAL(g.tokens, 0);
+	CU_ASSERT_TRUE(g.retry_us > 0);
+	token_pool_claim(p, &c, TOKEN_PART_ALL, START_US, START_US + US_PER_S,
+			 &g);
+	CU_ASSERT_TRUE(g.tokens >= 60 && g.tokens <= 69);
+	/* The same after a time in which another host may have granted. */
+	token_pool_claim(p, &c, TOKEN_PART_ALL, START_US + 9 * US_PER_S,
+			 START_US + 9 * US_PER_S, &g);
+	CU_ASSERT_EQUAL(g.tokens, 0);
+	token_pool_claim(p, &c, TOKEN_PART_NONE, 0, START_US + 10 * US_PER_S,
+			 &g);
+	CU_ASSERT_TRUE(g.is_elsewhere);
+	token_pool_free(p);
+}
+
+/* Guards against returned tokens that raise the sum of all beyond the bucket.
+ */
+static void test_pool_returns(void)
+{
+	struct token_pool *p = token_pool_create(1);
+	int64_t now = START_US + 10 * US_PER_S;
+	struct token_claim c = pool_claim(40);
+	struct token_grant g;
+
+	token_pool_claim(p, &c, TOKEN_PART_ALL, START_US, now, &g);
+	CU_ASSERT_EQUAL(g.tokens, 40);
+	c.wanted = 1000;
+	c.returned = 500;
+	c.returned_ticket = g.ticket;
+	token_pool_claim(p, &c, TOKEN_PART_ALL, START_US, now, &g);
+	CU_ASSERT_TRUE(g.tokens <= 69);
+	/* Tokens that have lapsed are not taken back. */
+	now += US_PER_MS;
+	c.returned = g.tokens;
+	c.returned_ticket = g.ticket;
+	token_pool_claim(p, &c, TOKEN_PART_ALL, START_US, now + US_PER_S, &g);
+	CU_ASSERT_TRUE(g.tokens <= 69);
+	token_pool_free(p);
+}
+
+/* Guards against buckets that are kept for ever, or forgotten while in use. */
+static void test_pool_sweep(void)
+{
+	struct token_pool *p = token_pool_create(1);
+	struct token_claim c = pool_claim(1000);
+	int64_t now = START_US + US_PER_S;
+	struct token_grant g;
+
+	token_pool_claim(p, &c, TOKEN_PART_ALL, START_US, now, &g);
+	token_pool_sweep(p, now + 5 * US_PER_S);
+	CU_ASSERT_EQUAL(token_pool_count(p), 1);
+	token_pool_sweep(p, now + 11 * US_PER_S);
+	CU_ASSERT_EQUAL(token_pool_count(p), 0);
+	token_pool_free(p);
+}
+
+/* Guards against fields that are lost between hosts, and large frames. */
+static void test_frames(void)
+{
+	struct token_claim claim = pool_claim(3);
+	struct token_grant grant = {
+		.key = "q:acme",
+		.sequence = 70000,
+		.tokens = 12,
+		.ticket = UINT64_MAX,
+		.retry_us = 150000,
+		.is_elsewhere = true,
+	};
+	GArray *list = g_array_new(FALSE, FALSE, sizeof(claim));
+	struct host_frame f;
+	GByteArray *frame;
+
+	claim.sequence = 70000;
+	claim.returned = 2;
+	claim.returned_ticket = UINT64_MAX - 1;
+	g_array_append_val(list, claim);
+	frame = host_frame_token_claims(list);
+	CU_ASSERT_TRUE(frame->len < 64);
+	CU_ASSERT_EQUAL_FATAL(host_frame_decode(frame->data, frame->len, &f),
+			      0);
+	CU_ASSERT_EQUAL_FATAL(f.token_claims->len, 1);
+	claim = g_array_index(f.token_claims, struct token_claim, 0);
+	CU_ASSERT_STRING_EQUAL(claim.key, "q:acme");
+	CU_ASSERT_STRING_EQUAL(claim.domain, "");
+	CU_ASSERT_DOUBLE_EQUAL(claim.limit.rate_per_s, 100, 0);
+	CU_ASSERT_DOUBLE_EQUAL(claim.limit.burst, 50, 0);
+	CU_ASSERT_EQUAL(claim.limit.version, 1);
+	CU_ASSERT_EQUAL(claim.sequence, 70000);
+	CU_ASSERT_EQUAL(claim.wanted, 3);
+	CU_ASSERT_EQUAL(claim.returned, 2);
+	CU_ASSERT_EQUAL(claim.returned_ticket, UINT64_MAX - 1);
+	host_frame_clear(&f);
+	g_byte_array_free(frame, TRUE);
+	g_array_free(list, TRUE);
+	list = g_array_new(FALSE, FALSE, sizeof(grant));
+	g_array_append_val(list, grant);
+	frame = host_frame_token_grants(list);
+	CU_ASSERT_TRUE(frame->len < 64);
+	CU_ASSERT_EQUAL_FATAL(host_frame_decode(frame->data, frame->len, &f),
+			      0);
+	CU_ASSERT_EQUAL_FATAL(f.token_grants->len, 1);
+	grant = g_array_index(f.token_grants, struct token_grant, 0);
+	CU_ASSERT_EQUAL(grant.sequence, 70000);
+	CU_ASSERT_EQUAL(grant.tokens, 12);
+	CU_ASSERT_EQUAL(grant.ticket, UINT64_MAX);
+	CU_ASSERT_EQUAL(grant.retry_us, 150000);
+	CU_ASSERT_TRUE(grant.is_elsewhere);
+	host_frame_clear(&f);
+	g_byte_array_free(frame, TRUE);
+	g_array_free(list, TRUE);
+}
+
+CU_TestInfo quota_tests[] = {
+	{ "no quota", test_no_quota },
+	{ "first request", test_first_request },
+	{ "wait ends", test_wait_ends },
+	{ "lapsed", test_lapsed },
+	{ "late grant", test_late_grant },
+	{ "refused at once", test_refused_at_once },
+	{ "give back", test_give_back },
+	{ "pool starts empty", test_pool_starts_empty },
+	{ "pool returns", test_pool_returns },
+	{ "pool sweep", test_pool_sweep },
+	{ "frames", test_frames },
+	CU_TEST_INFO_NULL,
+};
