--- a/include/router/router.h
+++ b/include/router/router.h
@@ -311,6 +311,10 @@
 const struct route *router_match(const struct router *r, const char *host,
 				 const char *path);
 
+/** Returns the organisation with a name in the table in force, or NULL. */
+const struct organisation *router_find_organisation(const struct router *r,
+						    const char *name);
+
 /**
  * Returns who sends a request, and whether it may run, by the table in force.
  * Every request that is started is checked; this is for requests that another
--- a/nutmegpickd/route_callers.c
+++ b/nutmegpickd/route_callers.c
@@ -212,6 +212,9 @@
 					  clock_now(&s->clock) - q->start_us);
 		organisation_metrics_note_answer(q->organisation, a->status,
 						 a->code);
+		/* This host answers 401 and 503 only if nothing has run. */
+		if ((a->status == 401 || a->status == 503) && !a->reply)
+			route_return_quota(s, q);
 		send_answer(q->exchange, a);
 	} else {
 		route_send_result_to_sender(s, q, a, false);
@@ -297,14 +300,23 @@
 	return who.verdict == IDENTITY_ACCEPTED;
 }
 
-static void start_request(struct route_service *s, struct caller_request *q)
+void route_start_charged(struct route_service *s, struct caller_request *q)
 {
 	if (!route_identify_caller(s, q) || !route_forward_request(s, q))
 		route_run_locally(s, q, false);
 }
 
+static void start_request(struct route_service *s, struct caller_request *q)
+{
+	if (!route_identify_caller(s, q))
+		route_run_locally(s, q, false);
+	else if (route_charge_quota(s, q))
+		route_start_charged(s, q);
+}
+
 static void drop_request(struct route_service *s, struct caller_request *q)
 {
+	route_cancel_quota(s, q);
 	route_cancel_forward(s, q);
 	if (q->id)
 		router_cancel(s->router, q->id);
--- a/router/router.c
+++ b/router/router.c
@@ -181,6 +181,12 @@
 	return r->table && r->table->has_organisations;
 }
 
+const struct organisation *router_find_organisation(const struct router *r,
+						    const char *name)
+{
+	return r->table ? route_table_find_organisation(r->table, name) : NULL;
+}
+
 static void count_domains(GHashTable *counts, struct upstream_pool *pool,
 			  uint64_t regions, int64_t now)
 {
--- a/test/unit/main.c
+++ b/test/unit/main.c
@@ -30,6 +30,8 @@
 	{ "odd entries", NULL, NULL, NULL, NULL, odd_entry_tests },
 	{ "old news", NULL, NULL, NULL, NULL, old_news_tests },
 	{ "places", NULL, NULL, NULL, NULL, place_tests },
+	{ "quota", NULL, NULL, NULL, NULL, quota_tests },
+	{ "quota schedules", NULL, NULL, NULL, NULL, quota_schedule_tests },
 	{ "rate exchange", NULL, NULL, NULL, NULL, rate_exchange_tests },
 	{ "rate limit", NULL, NULL, NULL, NULL, rate_limit_tests },
 	{ "rate shares", NULL, NULL, NULL, NULL, rate_shares_tests },
--- a/test/unit/suites.h
+++ b/test/unit/suites.h
@@ -30,6 +30,8 @@
 extern CU_TestInfo odd_entry_tests[];
 extern CU_TestInfo old_news_tests[];
 extern CU_TestInfo place_tests[];
+extern CU_TestInfo quota_schedule_tests[];
+extern CU_TestInfo quota_tests[];
 extern CU_TestInfo rate_exchange_tests[];
 extern CU_TestInfo rate_limit_tests[];
 extern CU_TestInfo rate_shares_tests[];
