quotas: limit the calls to cold leaves by tokens

A cold leaf must not get more than warmup_per_s * 1.5 + 5 requests in any second from all hosts in any state. Shares of rates exceed that while two hosts divide a rate, so cold leaves draw tokens, as quotas do.

--- a/include/router/internal.h
+++ b/include/router/internal.h
@@ -218,6 +218,8 @@
 	GQueue waiting;
 	/** Leaves that name a rate limit; each holds a reference. */
 	GPtrArray *limited_leaves;
+	/** Leaves whose calls need tokens; each holds a reference. */
+	GPtrArray *cold_leaves;
 	/** When the next claim of a share of their limits is due. */
 	int64_t next_claims_us;
 	int64_t next_sweep_us;
@@ -330,6 +332,8 @@
  * Returns whether a rate limits the calls to a leaf.
  */
 bool rates_is_limited(struct router *r, struct route_leaf *leaf);
+/** Returns whether a rate limits the calls to any leaf. */
+bool rates_has_limits(const struct router *r);
 /** Returns whether the limits allow a call of a priority now. */
 bool rates_has_room(struct router *r, struct route_leaf *leaf,
 		    uint32_t priority);
@@ -337,9 +341,9 @@
 int64_t rates_wait(struct router *r, struct route_leaf *leaf,
 		   uint32_t priority);
 /** Returns the calls a second that this host may send to a limited leaf. */
-double rates_share(struct router *r, const struct route_leaf *leaf);
+double rates_share(struct router *r, struct route_leaf *leaf);
 /** Returns the part of that which calls of a priority may use. */
-double rates_share_of(struct router *r, const struct route_leaf *leaf,
+double rates_share_of(struct router *r, struct route_leaf *leaf,
 		      uint32_t priority);
 /** Counts a call to a leaf. */
 void rates_note_call(struct router *r, struct route_leaf *leaf,
--- a/include/router/leaf_set.h
+++ b/include/router/leaf_set.h
@@ -10,6 +10,7 @@
 #include "engine/latency.h"
 #include "router/extra_calls.h"
 #include "router/shared_rate.h"
+#include "router/token_lease.h"
 
 /** Maximum number of routes whose call durations are kept for a leaf. */
 #define LEAF_ROUTES_MAX 4
@@ -102,6 +103,12 @@
 	/** Entries added so far; the next index modulo LEAF_ROUTES_MAX. */
 	uint32_t duration_next;
 	struct shared_rate rate;
+	/** Tokens for calls while the leaf is cold. */
+	struct token_lease cold;
+	/** Calls wanted since the last claim that had no token. */
+	uint32_t cold_wanted;
+	/** The leaf is in the list of cold leaves. */
+	bool is_listed_cold;
 	/** State of the adapter that holds the connections. */
 	void *endpoint;
 };
@@ -115,6 +122,10 @@
 	uint32_t waiting_count;
 	/** Connections that a leaf accepts from all hosts together. */
 	uint32_t max_connections;
+	/** Calls a second that a cold leaf takes from all hosts; 0: no limit. */
+	double warm_up_per_s;
+	/** Version of the table that says so. */
+	uint64_t warm_up_version;
 };
 
 /** All leaves of the registry. */
--- a/include/router/router.h
+++ b/include/router/router.h
@@ -217,6 +217,12 @@
 	 */
 	void (*claim_rates)(void *ctx, const struct rate_claim *claims,
 			    uint32_t count);
+	/**
+	 * Claims tokens for calls to cold leaves, as an array of struct
+	 * token_claim. Grants come through router_handle_token_grant(). NULL if
+	 * cold leaves are called like others.
+	 */
+	void (*claim_tokens)(void *ctx, const GArray *claims);
 	/**
 	 * Reports the calls to a leaf with a rate limit, about once a second,
 	 * and the end of its limit. NULL if the adapter has no metrics.
@@ -326,6 +332,9 @@
 /** Handles the answer to a claim. */
 void router_handle_grant(struct router *r, const struct rate_grant *g);
 
+/** Handles the answer to a claim of tokens; ignored if of no cold leaf. */
+void router_handle_token_grant(struct router *r, const struct token_grant *g);
+
 /** Returns the monotonic time of the next timer, or INT64_MAX. */
 int64_t router_next_timer(const struct router *r);
 
--- a/nutmegpickd/route_callers.c
+++ b/nutmegpickd/route_callers.c
@@ -111,6 +111,13 @@
 	rate_exchange_claim(s->rates, claims, count);
 }
 
+static void handle_claim_tokens(void *ctx, const GArray *claims)
+{
+	struct route_service *s = ctx;
+
+	token_exchange_claim(s->tokens, claims);
+}
+
 static void handle_report_rate(void *ctx, const struct leaf_rate_report *report)
 {
 	route_metrics_note_leaf_rate(report);
@@ -131,6 +138,7 @@
 	.answer_part = handle_answer_part,
 	.answer = handle_router_answer,
 	.claim_rates = handle_claim_rates,
+	.claim_tokens = handle_claim_tokens,
 	.report_rate = handle_report_rate,
 	.free_endpoint = handle_free_endpoint,
 };
--- a/nutmegpickd/route_quotas.c
+++ b/nutmegpickd/route_quotas.c
@@ -22,6 +22,8 @@
 
 	if (quota_key_organisation(grant->key))
 		quota_handle_grant(s->quota, grant, lease_now(s));
+	else
+		router_handle_token_grant(s->router, grant);
 }
 
 /*
--- a/router/choice.c
+++ b/router/choice.c
@@ -334,7 +334,7 @@
 	int64_t now = router_now(r);
 	double typical;
 
-	if (!r->limited_leaves->len)
+	if (!rates_has_limits(r))
 		return;
 	typical = (double)route_stats_typical_duration(stats,
 						       part->request->route);
--- a/router/rates.c
+++ b/router/rates.c
@@ -8,6 +8,10 @@
 #define REPORT_INTERVAL_US (1 * US_PER_S)
 /* A share is logged if it changes by more than this part. */
 #define SHARE_LOG_CHANGE 0.2
+/* Keys of the tokens for cold leaves: no other user of tokens has them. */
+#define COLD_KEY_PREFIX "l:"
+/* Time in which a claim of tokens is mostly answered. */
+#define TOKEN_GRANT_US (30 * US_PER_MS)
 
 static void log_limit(const struct route_leaf *leaf, double previous,
 		      const char *source)
@@ -53,39 +57,118 @@
 	leaf->rate.extra_calls = 0;
 }
 
+static struct lease_time lease_now(const struct router *r)
+{
+	return (struct lease_time){ router_now(r),
+				    clock_boot(&r->options.clock) };
+}
+
+static bool is_cold(const struct router *r, const struct route_leaf *leaf)
+{
+	return leaf->pool->warm_up_per_s > 0 &&
+	       router_now(r) < leaf->warm_at_us && r->options.ops->claim_tokens;
+}
+
+static void add_cold_leaf(struct router *r, struct route_leaf *leaf)
+{
+	if (leaf->is_listed_cold)
+		return;
+	leaf->is_listed_cold = true;
+	leaf->cold_wanted = 0;
+	token_lease_init(&leaf->cold);
+	g_ptr_array_add(r->cold_leaves, route_leaf_ref(leaf));
+	event_log(EV_LEAF_COLD,
+		  "leaf=%s service=%s per_s=%.3f warm_in_ms=%lld version=%llu",
+		  leaf->entry.id, leaf->entry.service,
+		  leaf->pool->warm_up_per_s,
+		  (long long)((leaf->warm_at_us - router_now(r)) / US_PER_MS),
+		  (unsigned long long)leaf->pool->warm_up_version);
+}
+
+bool rates_has_limits(const struct router *r)
+{
+	return r->limited_leaves->len || r->cold_leaves->len;
+}
+
 bool rates_is_limited(struct router *r, struct route_leaf *leaf)
 {
-	return leaf->rate.is_limited;
+	if (!is_cold(r, leaf))
+		return leaf->rate.is_limited;
+	add_cold_leaf(r, leaf);
+	return true;
 }
 
 bool rates_has_room(struct router *r, struct route_leaf *leaf,
 		    uint32_t priority)
 {
+	if (rates_is_limited(r, leaf) && is_cold(r, leaf) &&
+	    !token_lease_has_token(&leaf->cold, lease_now(r)))
+		return false;
 	return shared_rate_has_room(&leaf->rate, priority, r->host_count,
 				    router_now(r));
 }
 
+/* Returns the time until a token for a call to a cold leaf may be there. */
+static int64_t cold_wait(const struct router *r, const struct route_leaf *leaf)
+{
+	int64_t now = router_now(r);
+
+	if (!is_cold(r, leaf) ||
+	    token_lease_has_token(&leaf->cold, lease_now(r)))
+		return 0;
+	return MAX(leaf->cold.dry_until_us - now, 0) + TOKEN_GRANT_US;
+}
+
 int64_t rates_wait(struct router *r, struct route_leaf *leaf, uint32_t priority)
 {
-	return shared_rate_wait(&leaf->rate, priority, r->host_count,
-				router_now(r));
+	int64_t wait = leaf->rate.is_limited
+			       ? shared_rate_wait(&leaf->rate, priority,
+						  r->host_count, router_now(r))
+			       : 0;
+
+	return MAX(wait, cold_wait(r, leaf));
 }
 
-double rates_share(struct router *r, const struct route_leaf *leaf)
+/* Returns the calls a second that this host may get tokens for. */
+static double cold_share(const struct router *r, const struct route_leaf *leaf)
 {
-	return shared_rate_share(&leaf->rate, r->host_count, router_now(r));
+	double all = leaf->pool->warm_up_per_s;
+	double equal = all / MAX(r->host_count, 1);
+
+	if (!is_cold(r, leaf))
+		return INFINITY;
+	return MIN(MAX(token_lease_wanted(&leaf->cold, router_now(r)), equal),
+		   all);
 }
 
-double rates_share_of(struct router *r, const struct route_leaf *leaf,
+double rates_share(struct router *r, struct route_leaf *leaf)
+{
+	double share = INFINITY;
+
+	if (leaf->rate.is_limited)
+		share = shared_rate_share(&leaf->rate, r->host_count,
+					  router_now(r));
+	return MIN(share, cold_share(r, leaf));
+}
+
+double rates_share_of(struct router *r, struct route_leaf *leaf,
 		      uint32_t priority)
 {
-	return shared_rate_share_of(&leaf->rate, priority, r->host_count,
-				    router_now(r));
+	double share = INFINITY;
+
+	if (leaf->rate.is_limited)
+		share = shared_rate_share_of(&leaf->rate, priority,
+					     r->host_count, router_now(r));
+	return MIN(share, cold_share(r, leaf));
 }
 
 void rates_note_call(struct router *r, struct route_leaf *leaf,
 		     uint32_t priority, bool is_extra)
 {
+	uint64_t ticket;
+
+	if (is_cold(r, leaf))
+		token_lease_use(&leaf->cold, lease_now(r), &ticket);
 	shared_rate_note_call(&leaf->rate, priority, is_extra, r->host_count,
 			      router_now(r));
 }
@@ -106,12 +189,26 @@
 	schedule_claims(r, rate->claim_at_us);
 }
 
+static void note_cold_wanted(struct router *r, struct route_leaf *leaf)
+{
+	struct lease_time now = lease_now(r);
+
+	if (!token_lease_has_token(&leaf->cold, now))
+		leaf->cold_wanted++;
+	token_lease_note_wanted(&leaf->cold, now);
+	schedule_claims(r, leaf->cold.claim_at_us);
+}
+
 void rates_note_wanted(struct router *r, const struct route_part *p,
 		       struct route_leaf *leaf)
 {
-	shared_rate_note_wanted(&leaf->rate, p->request->priority,
-				router_now(r));
-	schedule_claims(r, leaf->rate.claim_at_us);
+	if (leaf->rate.is_limited) {
+		shared_rate_note_wanted(&leaf->rate, p->request->priority,
+					router_now(r));
+		schedule_claims(r, leaf->rate.claim_at_us);
+	}
+	if (is_cold(r, leaf))
+		note_cold_wanted(r, leaf);
 }
 
 void rates_log_no_room(struct router *r, const struct route_part *p)
@@ -162,15 +259,11 @@
 		part_retry_waiting(r);
 }
 
-void rates_claim(struct router *r)
+static void claim_shares(struct router *r)
 {
+	GArray *claims = g_array_new(FALSE, TRUE, sizeof(struct rate_claim));
 	int64_t now = router_now(r);
-	GArray *claims;
 
-	if (now < r->next_claims_us || !r->options.ops->claim_rates)
-		return;
-	claims = g_array_new(FALSE, TRUE, sizeof(struct rate_claim));
-	r->next_claims_us = INT64_MAX;
 	for (guint i = 0; i < r->limited_leaves->len; i++) {
 		struct route_leaf *leaf = r->limited_leaves->pdata[i];
 		struct rate_claim claim = {
@@ -190,6 +283,67 @@
 	g_array_free(claims, TRUE);
 }
 
+static bool take_cold_claim(struct router *r, struct route_leaf *leaf,
+			    struct token_claim *out)
+{
+	*out = (struct token_claim){
+		.domain = leaf->entry.domain,
+		.limit = { .rate_per_s = leaf->pool->warm_up_per_s,
+			   .is_cold_leaf = true,
+			   .version = leaf->pool->warm_up_version },
+	};
+	if (!token_lease_take_claim(&leaf->cold, leaf->cold_wanted,
+				    lease_now(r), out))
+		return false;
+	leaf->cold_wanted = 0;
+	out->key = g_strconcat(COLD_KEY_PREFIX, leaf->entry.id, NULL);
+	return true;
+}
+
+static void claim_cold_tokens(struct router *r)
+{
+	GArray *claims = g_array_new(FALSE, TRUE, sizeof(struct token_claim));
+
+	for (guint i = 0; i < r->cold_leaves->len; i++) {
+		struct route_leaf *leaf = r->cold_leaves->pdata[i];
+		struct token_claim claim;
+
+		if (take_cold_claim(r, leaf, &claim))
+			g_array_append_val(claims, claim);
+		schedule_claims(r, leaf->cold.claim_at_us);
+	}
+	if (claims->len)
+		r->options.ops->claim_tokens(r->options.ctx, claims);
+	for (guint i = 0; i < claims->len; i++)
+		g_free((char *)g_array_index(claims, struct token_claim, i).key);
+	g_array_free(claims, TRUE);
+}
+
+void rates_claim(struct router *r)
+{
+	if (router_now(r) < r->next_claims_us)
+		return;
+	r->next_claims_us = INT64_MAX;
+	if (r->options.ops->claim_rates)
+		claim_shares(r);
+	if (r->cold_leaves->len)
+		claim_cold_tokens(r);
+}
+
+void router_handle_token_grant(struct router *r, const struct token_grant *g)
+{
+	struct route_leaf *leaf = NULL;
+
+	if (g_str_has_prefix(g->key, COLD_KEY_PREFIX))
+		leaf = g_hash_table_lookup(r->leaves.leaves,
+					   g->key + strlen(COLD_KEY_PREFIX));
+	if (!leaf || !leaf->is_listed_cold ||
+	    !token_lease_apply_grant(&leaf->cold, g, lease_now(r)))
+		return;
+	if (r->waiting.length)
+		part_retry_waiting(r);
+}
+
 /* Reports the calls since the last report and starts to count anew. */
 static void report_calls(struct router *r, struct route_leaf *leaf)
 {
@@ -228,10 +382,25 @@
 	       (leaf->rate.is_limited || leaf->rate.claim_at_us != INT64_MAX);
 }
 
+static void sweep_cold_leaves(struct router *r)
+{
+	for (guint i = r->cold_leaves->len; i-- > 0;) {
+		struct route_leaf *leaf = r->cold_leaves->pdata[i];
+
+		if (is_cold(r, leaf) &&
+		    route_leaf_is_usable(leaf, router_now(r)))
+			continue;
+		leaf->is_listed_cold = false;
+		g_ptr_array_remove_index_fast(r->cold_leaves, i);
+		route_leaf_unref(&r->leaves, leaf);
+	}
+}
+
 void rates_sweep(struct router *r)
 {
 	int64_t now = router_now(r);
 
+	sweep_cold_leaves(r);
 	for (guint i = r->limited_leaves->len; i-- > 0;) {
 		struct route_leaf *leaf = r->limited_leaves->pdata[i];
 
@@ -253,4 +422,7 @@
 	for (guint i = 0; i < r->limited_leaves->len; i++)
 		route_leaf_unref(&r->leaves, r->limited_leaves->pdata[i]);
 	g_ptr_array_free(r->limited_leaves, TRUE);
+	for (guint i = 0; i < r->cold_leaves->len; i++)
+		route_leaf_unref(&r->leaves, r->cold_leaves->pdata[i]);
+	g_ptr_array_free(r->cold_leaves, TRUE);
 }
--- a/router/request.c
+++ b/router/request.c
@@ -300,6 +300,8 @@
 		}
 		q->parts[n].request = q;
 		q->parts[n].pool = leaf_set_get_pool(&r->leaves, u->name);
+		q->parts[n].pool->warm_up_per_s = u->warm_up_per_s;
+		q->parts[n].pool->warm_up_version = q->table->version;
 		q->parts[n++].pool->max_connections = u->max_connections;
 	}
 }
--- a/router/router.c
+++ b/router/router.c
@@ -64,6 +64,7 @@
 	id_table_init(&r->calls, sizeof(struct leaf_call));
 	g_queue_init(&r->waiting);
 	r->limited_leaves = g_ptr_array_new();
+	r->cold_leaves = g_ptr_array_new();
 	r->next_claims_us = INT64_MAX;
 	r->stop_us = INT64_MAX;
 	router_set_host_count(r, 0);
@@ -225,8 +226,7 @@
 
 	if (r->waiting.length)
 		next = MIN(next, r->next_retry_us);
-	if (r->options.ops->claim_rates)
-		next = MIN(next, r->next_claims_us);
+	next = MIN(next, r->next_claims_us);
 	return next;
 }
 
--- a/test/unit/fake_router.c
+++ b/test/unit/fake_router.c
@@ -99,6 +99,19 @@
 	g_array_append_vals(f->claims, claims, count);
 }
 
+static void handle_claim_tokens(void *ctx, const GArray *claims)
+{
+	struct fake_router *f = ctx;
+
+	for (guint i = 0; i < claims->len; i++) {
+		struct token_claim c =
+			g_array_index(claims, struct token_claim, i);
+
+		c.key = g_intern_string(c.key);
+		g_array_append_val(f->token_claims, c);
+	}
+}
+
 static const struct router_ops ops = {
 	.start_call = handle_start_call,
 	.cancel_call = handle_cancel_call,
@@ -108,6 +121,7 @@
 	.answer_part = handle_answer_part,
 	.answer = handle_answer,
 	.claim_rates = handle_claim_rates,
+	.claim_tokens = handle_claim_tokens,
 	.free_endpoint = handle_free_endpoint,
 };
 
@@ -192,6 +206,8 @@
 	f->rate_limits =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	f->claims = g_array_new(FALSE, FALSE, sizeof(struct rate_claim));
+	f->token_claims = g_array_new(FALSE, FALSE, sizeof(struct token_claim));
+	f->shards = shards;
 	router_create(&f->router, &options);
 	router_apply_table(f->router, create_table(shards));
 	for (uint32_t i = 0; i < 3 * shards; i++) {
@@ -210,6 +226,7 @@
 	router_destroy(f->router);
 	g_hash_table_destroy(f->rate_limits);
 	g_array_free(f->claims, TRUE);
+	g_array_free(f->token_claims, TRUE);
 	g_free(f);
 }
 
@@ -247,6 +264,24 @@
 				    g_memdup2(&per_s, sizeof(per_s)));
 }
 
+void fake_router_set_warm_up(struct fake_router *f, double per_s)
+{
+	struct route_table *t = create_table(f->shards);
+
+	t->version = router_version(f->router) + 1;
+	for (uint32_t i = 0; i < f->shards; i++)
+		t->upstreams[i].warm_up_per_s = per_s;
+	router_apply_table(f->router, t);
+}
+
+void fake_router_set_cold(struct fake_router *f, const char *leaf, int64_t us)
+{
+	struct route_leaf *l =
+		g_hash_table_lookup(router_leaves(f->router)->leaves, leaf);
+
+	l->warm_at_us = f->time.now_us + us;
+}
+
 static struct leaf_rate_limit get_rate_limit(const struct fake_router *f,
 					     const char *leaf)
 {
--- a/test/unit/fake_router.h
+++ b/test/unit/fake_router.h
@@ -52,6 +52,9 @@
 	GHashTable *rate_limits;
 	/** Of struct rate_claim: claims that were not answered yet. */
 	GArray *claims;
+	/** Of struct token_claim, the same; their keys are interned. */
+	GArray *token_claims;
+	uint32_t shards;
 };
 
 /**
@@ -83,6 +86,12 @@
 void fake_router_set_rate_limit(struct fake_router *f, const char *leaf,
 				double per_s);
 
+/** Puts a table in force with a limit on the calls to cold leaves. */
+void fake_router_set_warm_up(struct fake_router *f, double per_s);
+
+/** Lets a leaf be cold for a time from now on. */
+void fake_router_set_cold(struct fake_router *f, const char *leaf, int64_t us);
+
 /** Ends a call. Returns false if it is not open. */
 bool fake_router_end_call(struct fake_router *f, uint32_t call,
 			  enum call_outcome outcome, unsigned int status,
--- a/test/unit/main.c
+++ b/test/unit/main.c
@@ -4,6 +4,7 @@
 
 static CU_SuiteInfo suites[] = {
 	{ "broken inputs", NULL, NULL, NULL, NULL, broken_tests },
+	{ "cold leaf", NULL, NULL, NULL, NULL, cold_leaf_tests },
 	{ "common", NULL, NULL, NULL, NULL, common_tests },
 	{ "cut reply", NULL, NULL, NULL, NULL, cut_reply_tests },
 	{ "directory", NULL, NULL, NULL, NULL, directory_tests },
--- a/test/unit/suites.h
+++ b/test/unit/suites.h
@@ -5,6 +5,7 @@
 
 /** Suites, one per test file; each is a NULL-terminated list of tests. */
 extern CU_TestInfo broken_tests[];
+extern CU_TestInfo cold_leaf_tests[];
 extern CU_TestInfo common_tests[];
 extern CU_TestInfo cut_reply_tests[];
 extern CU_TestInfo directory_tests[];
--- a/test/unit/test_quota.c
+++ b/test/unit/test_quota.c
@@ -327,6 +327,115 @@
 	token_pool_free(p);
 }
 
+#define USERS 6
+
+/** Tokens of one grant that a host has not used. */
+struct held_tokens {
+	uint32_t count;
+	uint64_t ticket;
+	int64_t until_us;
+	int owner;
+};
+
+struct usage {
+	struct token_pool *pools[2];
+	struct held_tokens held[USERS];
+	/** Of int64_t: when tokens were used. */
+	GArray *used;
+	GRand *random;
+	int64_t now_us;
+};
+
+static void use_tokens(struct usage *u, struct held_tokens *h, uint32_t count)
+{
+	if (u->now_us >= h->until_us)
+		h->count = 0;
+	for (count = MIN(count, h->count); count; count--, h->count--)
+		g_array_append_val(u->used, u->now_us);
+}
+
+/* Claims of one of two owners, returns tokens to it and uses the others. */
+static void use_pool(struct usage *u, const struct token_limit *limit)
+{
+	struct held_tokens *h = &u->held[g_rand_int_range(u->random, 0, USERS)];
+	int owner = g_rand_int_range(u->random, 0, 2);
+	struct token_claim c =
+		pool_claim((uint32_t)g_rand_int_range(u->random, 0, 200));
+	struct token_grant g;
+
+	use_tokens(u, h, (uint32_t)g_rand_int_range(u->random, 0, 100));
+	c.limit = *limit;
+	if (owner == h->owner) {
+		c.returned = h->count;
+		c.returned_ticket = h->ticket;
+	}
+	token_pool_claim(u->pools[owner], &c,
+			 owner ? TOKEN_PART_SECOND : TOKEN_PART_ALL, 0,
+			 u->now_us, &g);
+	*h = (struct held_tokens){ g.tokens, g.ticket,
+				   u->now_us + TOKEN_VALID_US, owner };
+	if (g_rand_boolean(u->random))
+		use_tokens(u, h, g.tokens);
+}
+
+static uint32_t most_used(const struct usage *u, int64_t window)
+{
+	const int64_t *times = (const int64_t *)(void *)u->used->data;
+	guint first = 0;
+	guint most = 0;
+
+	for (guint last = 0; last < u->used->len; last++) {
+		while (times[last] - times[first] >= window)
+			first++;
+		most = MAX(most, last - first + 1);
+	}
+	return most;
+}
+
+/*
+ * Guards against more tokens in use in a window than the rule of quotas or of
+ * cold leaves allows, with both owners active and tokens that are returned,
+ * lapse or are kept until the end.
+ */
+static void test_pool_bound(void)
+{
+	static const double rates[] = { 0, 1, 10, 100, 1000 };
+
+	for (guint32 seed = 1; seed <= 60; seed++) {
+		struct token_limit limit = {
+			.rate_per_s = rates[seed % G_N_ELEMENTS(rates)],
+			.burst = seed % 3 * 40,
+			.is_cold_leaf = seed % 2,
+			.version = 1,
+		};
+		int64_t window = (limit.is_cold_leaf ? 1 : 5) * US_PER_S;
+		double bound = limit.is_cold_leaf ? 1.5 * limit.rate_per_s + 5
+						  : (5 * limit.rate_per_s +
+						     limit.burst) * 1.1 +
+							    20;
+		struct usage u = {
+			.pools = { token_pool_create(1), token_pool_create(2) },
+			.used = g_array_new(FALSE, FALSE, sizeof(int64_t)),
+			.random = g_rand_new_with_seed(seed),
+			.now_us = START_US,
+		};
+
+		for (int i = 0; i < 4000; i++) {
+			/* A break now and then fills the buckets. */
+			u.now_us +=
+				g_rand_int_range(u.random, 0, 100)
+					? g_rand_int_range(u.random, 0, 20000)
+					: 5 * US_PER_S;
+			use_pool(&u, &limit);
+		}
+		CU_ASSERT_TRUE(most_used(&u, window) <= bound);
+		token_pool_free(u.pools[0]);
+		token_pool_free(u.pools[1]);
+		g_array_free(u.used, TRUE);
+		g_rand_free(u.random);
+	}
+}
+
 /* Guards against buckets that are kept for ever, or forgotten while in use. */
 static void test_pool_sweep(void)
 {
@@ -409,6 +518,7 @@
 	{ "give back", test_give_back },
 	{ "pool starts empty", test_pool_starts_empty },
 	{ "pool returns", test_pool_returns },
+	{ "pool bound", test_pool_bound },
 	{ "pool sweep", test_pool_sweep },
 	{ "frames", test_frames },
 	CU_TEST_INFO_NULL,
