--- a/router/choice.c
+++ b/router/choice.c
@@ -158,10 +158,10 @@
 };
 
 /* Returns the concurrent calls at a leaf that its limits allow. */
-static double leaf_capacity(struct router *r, const struct route_leaf *leaf,
+static double leaf_capacity(struct router *r, struct route_leaf *leaf,
 			    double expected, int64_t now)
 {
-	double per_s = leaf_access_rate_share(r, leaf, now);
+	double per_s = leaf_access_rate_share(r, leaf);
 
 	/* A duration of 0 must not be multiplied by infinity. */
 	if (isinf(per_s))
@@ -174,14 +174,14 @@
  * not known to leave any.
  */
 static bool note_limited(struct router *r, const struct route_part *p,
-			 struct passed_over *o, const struct route_leaf *leaf,
+			 struct passed_over *o, struct route_leaf *leaf,
 			 double expected, int64_t until_us)
 {
 	int64_t now = router_now(r);
 
 	if (until_us == INT64_MAX)
 		return false;
-	o->limited_per_s += leaf_access_rate_share_of(r, p, leaf, now);
+	o->limited_per_s += leaf_access_rate_share_of(r, p, leaf);
 	if (until_us - now >= o->limited_wait_us)
 		return true;
 	o->limited_wait_us = until_us - now;
@@ -269,7 +269,7 @@
 	int64_t now = router_now(r);
 	double typical;
 
-	if (!leaf_access_has_rates(r, now))
+	if (!leaf_access_has_rates(r))
 		return;
 	typical = (double)route_stats_typical_duration(stats,
 						       part->request->route);
@@ -278,7 +278,7 @@
 		struct leaf_access a;
 		double expected;
 
-		if (!leaf_access_has_rate(leaf, now))
+		if (!leaf_access_has_rate(r, leaf))
 			continue;
 		a = leaf_access_check(r, part, leaf, now);
 		if (leaf_access_is_barred(a.reason) || a.may_join_batch)
--- a/router/leaf_access.c
+++ b/router/leaf_access.c
@@ -21,78 +21,44 @@
 #define CALLS_MAX 64
 
 /*
- * Rates of a leaf that all hosts share. Only the functions of this section ask
- * for them, so a further rate of a leaf is added here.
+ * Rates of a leaf that all hosts share: its own limit, and that of its upstream
+ * for cold leaves. Only the functions of this section ask for them.
  */
 
-/*
- * Returns this host's share of the warm-up rate of a cold leaf. A host without
- * a share sends nothing before the leaf is warm: its calls and those of the
- * other hosts together must keep within the rate.
- */
-static double warm_up_share(const struct route_leaf *leaf)
-{
-	return 0;
-}
-
-static bool warm_up_has_room(const struct route_leaf *leaf, int64_t now)
-{
-	return !route_leaf_is_cold(leaf, now) || warm_up_share(leaf) > 0;
-}
-
-static bool limit_has_room(struct router *r, const struct route_part *p,
-			   struct route_leaf *leaf)
-{
-	return rates_has_room(r, leaf, p->request->priority);
-}
-
 /* Returns when there is room; INT64_MAX if that is not known. */
-static int64_t limit_room_at(struct router *r, const struct route_part *p,
-			     struct route_leaf *leaf, int64_t now)
+static int64_t room_at(struct router *r, const struct route_part *p,
+		       struct route_leaf *leaf, int64_t now)
 {
 	int64_t wait = rates_wait(r, leaf, p->request->priority);
 
 	return wait < INT64_MAX ? now + wait : INT64_MAX;
 }
 
-bool leaf_access_has_rate(const struct route_leaf *leaf, int64_t now_us)
+bool leaf_access_has_rate(struct router *r, struct route_leaf *leaf)
 {
-	return leaf->rate.is_limited || route_leaf_is_cold(leaf, now_us);
+	return rates_is_limited(r, leaf);
 }
 
-bool leaf_access_has_rates(const struct router *r, int64_t now_us)
+bool leaf_access_has_rates(const struct router *r)
 {
-	return r->limited_leaves->len || now_us < r->leaves.cold_until_us;
+	return rates_has_limits(r);
 }
 
 void leaf_access_note_wanted(struct router *r, const struct route_part *p,
 			     struct route_leaf *leaf)
 {
-	if (leaf->rate.is_limited)
-		rates_note_wanted(r, p, leaf);
+	rates_note_wanted(r, p, leaf);
 }
 
-double leaf_access_rate_share(struct router *r, const struct route_leaf *leaf,
-			      int64_t now_us)
+double leaf_access_rate_share(struct router *r, struct route_leaf *leaf)
 {
-	double share = route_leaf_is_cold(leaf, now_us) ? warm_up_share(leaf)
-							: INFINITY;
-
-	if (leaf->rate.is_limited)
-		share = MIN(share, rates_share(r, leaf));
-	return share;
+	return rates_share(r, leaf);
 }
 
 double leaf_access_rate_share_of(struct router *r, const struct route_part *p,
-				 const struct route_leaf *leaf, int64_t now_us)
+				 struct route_leaf *leaf)
 {
-	double share = route_leaf_is_cold(leaf, now_us) ? warm_up_share(leaf)
-							: INFINITY;
-
-	if (leaf->rate.is_limited)
-		share = MIN(share,
-			    rates_share_of(r, leaf, p->request->priority));
-	return share;
+	return rates_share_of(r, leaf, p->request->priority);
 }
 
 void leaf_access_note_call(struct router *r, const struct route_part *p,
@@ -211,19 +177,15 @@
 			struct route_leaf *leaf, int64_t now,
 			struct leaf_access *a)
 {
-	bool is_warm_enough = warm_up_has_room(leaf, now);
-
 	a->may_join_batch = may_join_batch(r, p, leaf, now);
 	a->has_room = a->may_join_batch ||
-		      (is_warm_enough && limit_has_room(r, p, leaf));
+		      rates_has_room(r, leaf, p->request->priority);
 	if (is_tried(p, leaf)) {
 		a->reason = ACCESS_TRIED;
-	} else if (!is_warm_enough) {
-		a->reason = ACCESS_COLD;
-		a->until_us = leaf->cold_until_us;
 	} else if (!a->has_room) {
-		a->reason = ACCESS_RATE_LIMIT;
-		a->until_us = limit_room_at(r, p, leaf, now);
+		a->reason = route_leaf_is_cold(leaf, now) ? ACCESS_COLD
+							  : ACCESS_RATE_LIMIT;
+		a->until_us = room_at(r, p, leaf, now);
 	} else if (is_full(leaf, now)) {
 		a->reason = ACCESS_FULL;
 		if (now < leaf->full_until_us)
--- a/router/router.c
+++ b/router/router.c
@@ -66,6 +66,7 @@
 	id_table_init(&r->calls, sizeof(struct leaf_call));
 	g_queue_init(&r->waiting);
 	r->limited_leaves = g_ptr_array_new();
+	r->cold_leaves = g_ptr_array_new();
 	r->next_claims_us = INT64_MAX;
 	r->stop_us = INT64_MAX;
 	router_set_host_count(r, 0);
@@ -140,9 +141,13 @@
 	log_table(r, t);
 	route_table_unref(r->table);
 	r->table = t;
-	for (uint32_t i = 0; i < t->upstream_count; i++)
-		leaf_set_get_pool(&r->leaves, t->upstreams[i].name)
-			->warm_up_per_s = t->upstreams[i].warm_up_per_s;
+	for (uint32_t i = 0; i < t->upstream_count; i++) {
+		struct upstream_pool *pool =
+			leaf_set_get_pool(&r->leaves, t->upstreams[i].name);
+
+		pool->warm_up_per_s = t->upstreams[i].warm_up_per_s;
+		pool->warm_up_version = t->version;
+	}
 	r->identity_epoch++;
 	route_stats_apply_table(r);
 	return 0;
@@ -375,8 +380,7 @@
 
 	if (r->waiting.length)
 		next = MIN(next, r->next_retry_us);
-	if (r->options.ops->claim_rates)
-		next = MIN(next, r->next_claims_us);
+	next = MIN(next, r->next_claims_us);
 	return next;
 }
 
