--- a/include/router/internal.h
+++ b/include/router/internal.h
@@ -265,6 +265,11 @@
 double router_extra_allowance(const struct router *r,
 			      const struct route_request *q);
 
+/** Checks the caller of a request on a route by the table in force. */
+struct identity identify_caller(const struct router *r,
+				const struct router_request *request,
+				const struct route *route);
+
 /* stats.c */
 struct route_stats *route_stats_get(struct router *r,
 				    const struct route *route);
--- a/router/request.c
+++ b/router/request.c
@@ -435,7 +435,7 @@
 	route = route_table_match(r->table, in->host, in->path);
 	if (!route)
 		return refuse_request(r, in, 404, -ERR_ROUTE_NONE);
-	who = router_identify(r, in);
+	who = identify_caller(r, in, route);
 	if (who.verdict != IDENTITY_ACCEPTED)
 		return refuse_caller(r, in, who.verdict);
 	q = create_request(r, in, route, who.organisation);
--- a/router/router.c
+++ b/router/router.c
@@ -149,8 +149,9 @@
 	return r->table ? route_table_match(r->table, host, path) : NULL;
 }
 
-struct identity router_identify(const struct router *r,
-				const struct router_request *request)
+struct identity identify_caller(const struct router *r,
+				const struct router_request *request,
+				const struct route *route)
 {
 	struct identity_claim claim = {
 		.credentials = request->credentials,
@@ -158,9 +159,17 @@
 		.are_keys_stale = r->are_keys_stale,
 	};
 
-	return identity_check(r->table,
-			      router_match(r, request->host, request->path),
-			      &claim);
+	return identity_check(r->table, route, &claim);
+}
+
+struct identity router_identify(const struct router *r,
+				const struct router_request *request)
+{
+	const struct route *route = NULL;
+
+	if (router_has_organisations(r))
+		route = router_match(r, request->host, request->path);
+	return identify_caller(r, request, route);
 }
 
 void router_set_keys_stale(struct router *r, bool are_stale)
--- a/test/soak/organisations.py
+++ b/test/soak/organisations.py
@@ -122,10 +122,10 @@
             await asyncio.start_server(self.record, self.tap_ip(i),
                                        self.args.port)
 
-    def register_taps(self, numbers):
+    def register_taps(self, numbers, capacity):
         """Leaves the region with these taps.
 
-        Hosts with a capacity as large as theirs gather for the others.
+        The hosts with the largest capacity gather for the others.
         """
         for i in range(TAPS):
             if i not in numbers:
@@ -133,7 +133,7 @@
                 continue
             self.store.put(f"nutmegpick/hosts/tap-{i}", {
                 "address": f"{self.tap_ip(i)}:{self.args.port}",
-                "domain": f"d{i % 2}", "capacity": 1000000})
+                "domain": f"d{i % 2}", "capacity": capacity})
 
     def keep_to_domain(self, domain):
         """Leaves the shards with leaves of one failure domain only."""
@@ -173,21 +173,33 @@
     print("unknown key:", await soak.send_to_all("open", UNKNOWN))
 
 
+async def check_forwarded(soak):
+    """Lets two of the hosts gather for the others."""
+    await soak.start_taps()
+    soak.register_taps(range(TAPS), 0)
+    await asyncio.sleep(APPLY_S)
+    for _ in range(5):
+        result = await soak.send_to_all("g", ACME)
+        await asyncio.sleep(0.2)
+    log = soak.logs()
+    print("forwarded:", result, "handed on", "N721" in log,
+          "refused", log.count("N740"), log.count("reason=refused"))
+
+
 async def check_frames(soak):
     """Lets hosts hand requests to hosts that record them."""
-    await soak.start_taps()
-    soak.register_taps(range(TAPS))
+    soak.register_taps(range(TAPS), 1000000)
     await asyncio.sleep(APPLY_S)
     for _ in range(8):
         await soak.send_to_all("g", ACME)
         await asyncio.sleep(0.5)
-    soak.register_taps([TAP_BATCH])
+    soak.register_taps([TAP_BATCH], 1000000)
     soak.keep_to_domain("d1")
     await asyncio.sleep(APPLY_S + 3)
     for _ in range(8):
         await soak.send_to_all("g", ACME)
         await asyncio.sleep(0.5)
-    soak.register_taps([])
+    soak.register_taps([], 0)
     for leaf in soak.leaves:
         leaf.register(soak.store)
     ids = soak.recorded_ids()
@@ -240,6 +252,7 @@
     await soak.start()
     await asyncio.sleep(APPLY_S)
     await check_callers(soak)
+    await check_forwarded(soak)
     await check_frames(soak)
     await check_revoked(soak)
     await check_refused(soak)
