--- a/test/soak/places.py
+++ b/test/soak/places.py
@@ -103,7 +103,7 @@
     await soak.publish_with([], WARM_UP_PER_S)
     await asyncio.sleep(SETTLE_S)
     cold = [leaf for leaf in soak.leaves if leaf.service == "book"][0]
-    cold.warm_up_ms = WARM_UP_MS
+    cold.cold_until = time.monotonic() + WARM_UP_MS / 1000
     cold.register(soak.store)
     await asyncio.sleep(SETTLE_S)
     since = time.monotonic()
@@ -111,7 +111,7 @@
     await test.press(path, seconds=WARM_UP_MS / 1000)
     print("cold leaf: slow enough:", is_slow_enough(cold, since),
           "all answered:", test.all_answered())
-    cold.warm_up_ms = 0
+    cold.cold_until = 0
     cold.register(soak.store)
     await asyncio.sleep(SETTLE_S)
     cold.arrivals = []
