--- a/include/nutmegpickd/route_metrics.h
+++ b/include/nutmegpickd/route_metrics.h
@@ -21,6 +21,9 @@
  */
 void route_metrics_note_routes(uint64_t version, int64_t news_age_us);
 
+/** Sets the metrics of the limits on places. */
+void route_metrics_note_places(const struct router_place_counts *c);
+
 /** Returns all metrics as Prometheus text; free with g_free(). */
 char *route_metrics_render(void);
 
--- a/include/router/internal.h
+++ b/include/router/internal.h
@@ -228,6 +228,8 @@
 	/** When the next claim of a share of their limits is due. */
 	int64_t next_claims_us;
 	int64_t next_sweep_us;
+	/** Effects of the limits on places; the rest is not filled in. */
+	struct router_place_counts place_counts;
 	int64_t next_retry_us;
 	uint32_t host_count;
 	/** When this host stops, at the latest; INT64_MAX if it does not. */
--- a/include/router/leaf_set.h
+++ b/include/router/leaf_set.h
@@ -151,6 +151,9 @@
 	GHashTable *leaves;
 	/** Latest cold_until_us of all leaves. */
 	int64_t cold_until_us;
+	/** Counts of the last sweep. */
+	uint32_t evacuated_count;
+	uint32_t cold_count;
 	/** Called before the memory of a leaf is freed. */
 	void (*handle_leaf_free)(void *ctx, struct route_leaf *leaf);
 	void *ctx;
@@ -220,7 +223,10 @@
 void leaf_set_retain(struct leaf_set *s, GHashTable *ids, int64_t grace_us,
 		     int64_t now_us);
 
-/** Frees removed leaves that are not usable and have no calls in flight. */
+/**
+ * Frees removed leaves that are not usable and have no calls in flight, and
+ * counts the evacuated and cold ones.
+ */
 void leaf_set_sweep(struct leaf_set *s, int64_t now_us);
 
 struct route_leaf *route_leaf_ref(struct route_leaf *leaf);
--- a/include/router/router.h
+++ b/include/router/router.h
@@ -317,6 +317,22 @@
 void router_set_evacuated(struct router *r, const char *domain,
 			  bool is_evacuated);
 
+/** Limits on places that are in force, and their effects so far. */
+struct router_place_counts {
+	uint32_t evacuated_domains;
+	/** As of the last sweep of the leaves, at most 0.25 s ago. */
+	uint32_t evacuated_leaves;
+	uint32_t cold_leaves;
+	/** Parts that no leaf could take while each limit excluded leaves. */
+	uint64_t other_region_parts;
+	uint64_t evacuated_parts;
+	uint64_t cold_parts;
+	/** Calls that moved off evacuated leaves. */
+	uint64_t moved_calls;
+};
+
+struct router_place_counts router_place_counts(const struct router *r);
+
 /** Returns the time until the latency goal of a request that arrives now. */
 int64_t router_goal_left(const struct route *route);
 
--- a/nutmegpick/explain.c
+++ b/nutmegpick/explain.c
@@ -132,14 +132,15 @@
 
 /*
  * Returns whether a line may explain the outcome of a request: a change of a
- * leaf, its rate limit or this host's share of it, of the routes, or of the
- * connection to the platform's store or to the feed of another host.
+ * leaf, its rate limit, this host's share of it or its warm-up, of the routes
+ * or evacuations, or of the connection to the platform's store or to the feed
+ * of another host.
  */
 static bool is_context_event(const struct log_line *l)
 {
-	static const char *const events[] = { "N701", "N704", "N707",
-					      "N714", "N715", "N719",
-					      "N725", "N727", "N729" };
+	static const char *const events[] = { "N701", "N704", "N707", "N714",
+					      "N715", "N719", "N725", "N727",
+					      "N729", "N740", "N743" };
 
 	for (size_t i = 0; i < G_N_ELEMENTS(events); i++) {
 		if (!strcmp(l->event, events[i]))
--- a/nutmegpickd/route_metrics.c
+++ b/nutmegpickd/route_metrics.c
@@ -53,6 +53,9 @@
 static uint64_t routes_version;
 static int64_t routes_news_age_us = -1;
 
+/* Guarded by series_lock. */
+static struct router_place_counts places;
+
 void route_metrics_note_routes(uint64_t version, int64_t news_age_us)
 {
 	pthread_mutex_lock(&series_lock);
@@ -73,6 +76,37 @@
 				       (double)routes_news_age_us / US_PER_S);
 }
 
+void route_metrics_note_places(const struct router_place_counts *c)
+{
+	pthread_mutex_lock(&series_lock);
+	places = *c;
+	pthread_mutex_unlock(&series_lock);
+}
+
+static void render_places(GString *out)
+{
+	g_string_append_printf(
+		out,
+		"# TYPE nutmegpick_domains_evacuated gauge\n"
+		"nutmegpick_domains_evacuated %u\n"
+		"# TYPE nutmegpick_leaves_evacuated gauge\n"
+		"nutmegpick_leaves_evacuated %u\n"
+		"# TYPE nutmegpick_leaves_cold gauge\n"
+		"nutmegpick_leaves_cold %u\n"
+		"# TYPE nutmegpick_parts_excluded_total counter\n"
+		"nutmegpick_parts_excluded_total{cause=\"region\"} "
+		"%" G_GUINT64_FORMAT "\n"
+		"nutmegpick_parts_excluded_total{cause=\"evacuated\"} "
+		"%" G_GUINT64_FORMAT "\n"
+		"nutmegpick_parts_excluded_total{cause=\"cold\"} "
+		"%" G_GUINT64_FORMAT "\n"
+		"# TYPE nutmegpick_calls_moved_total counter\n"
+		"nutmegpick_calls_moved_total %" G_GUINT64_FORMAT "\n",
+		places.evacuated_domains, places.evacuated_leaves,
+		places.cold_leaves, places.other_region_parts,
+		places.evacuated_parts, places.cold_parts, places.moved_calls);
+}
+
 static void handle_free_leaf_rate(gpointer data)
 {
 	struct leaf_rate_series *s = data;
@@ -248,6 +282,7 @@
 	}
 	render_leaf_rates(out);
 	render_routes(out);
+	render_places(out);
 	pthread_mutex_unlock(&series_lock);
 	return g_string_free(out, FALSE);
 }
--- a/nutmegpickd/route_service.c
+++ b/nutmegpickd/route_service.c
@@ -214,11 +214,13 @@
 
 static void report_routes(struct route_service *s, int64_t now)
 {
+	struct router_place_counts places = router_place_counts(s->router);
 	int64_t news = MAX(registry_thread_news_us(s->registry),
 			   feed_news_us(s->feed));
 
 	route_metrics_note_routes(router_version(s->router),
 				  news ? now - news : -1);
+	route_metrics_note_places(&places);
 }
 
 static void run_due_work(struct route_service *s)
--- a/router/leaf_access.c
+++ b/router/leaf_access.c
@@ -122,14 +122,26 @@
 	return regions;
 }
 
-static const struct route *find_route(const struct route_table *t,
-				      const char *name)
+/* Returns the route of the same name in the table in force, or the one given. */
+static const struct route *current_route(const struct router *r,
+					 const struct route *route)
 {
+	const struct route_table *t = r->table;
+
 	for (uint32_t i = 0; i < t->route_count; i++) {
-		if (!strcmp(t->routes[i].name, name))
+		if (!strcmp(t->routes[i].name, route->name))
 			return &t->routes[i];
 	}
-	return NULL;
+	return route;
+}
+
+static const struct organisation *
+current_organisation(const struct router *r, const struct organisation *o)
+{
+	const struct organisation *current =
+		o ? route_table_find_organisation(r->table, o->name) : NULL;
+
+	return current ? current : o;
 }
 
 /*
@@ -139,18 +151,14 @@
  */
 static uint64_t request_regions(const struct router *r, struct route_request *q)
 {
-	const struct organisation *o = q->organisation;
-	const struct route *route = q->route;
-
 	if (q->regions_version == r->table->version)
 		return q->regions;
-	if (q->table != r->table) {
-		route = find_route(r->table, q->route->name);
-		if (o)
-			o = route_table_find_organisation(r->table, o->name);
-	}
-	q->regions = leaf_access_regions(r, route ? route : q->route,
-					 o ? o : q->organisation);
+	if (q->table == r->table)
+		q->regions = leaf_access_regions(r, q->route, q->organisation);
+	else
+		q->regions = leaf_access_regions(
+			r, current_route(r, q->route),
+			current_organisation(r, q->organisation));
 	q->regions_version = r->table->version;
 	return q->regions;
 }
@@ -308,6 +316,9 @@
 	struct excluded_leaves n = count_excluded(r, p);
 
 	rates_log_no_room(r, p);
+	r->place_counts.other_region_parts += n.other_region > 0;
+	r->place_counts.evacuated_parts += n.evacuated > 0;
+	r->place_counts.cold_parts += n.cold > 0;
 	if (n.other_region || n.evacuated || n.cold)
 		event_log(EV_PART_EXCLUDED,
 			  "request=%s service=%s leaves=%u other_region=%u "
--- a/router/leaf_set.c
+++ b/router/leaf_set.c
@@ -401,16 +401,25 @@
 	}
 }
 
+bool route_leaf_is_cold(const struct route_leaf *leaf, int64_t now_us)
+{
+	return now_us < leaf->cold_until_us && leaf->pool->warm_up_per_s > 0;
+}
+
 void leaf_set_sweep(struct leaf_set *s, int64_t now_us)
 {
 	GPtrArray *ended = g_ptr_array_new();
 	GHashTableIter iter;
 	gpointer data;
 
+	s->evacuated_count = 0;
+	s->cold_count = 0;
 	g_hash_table_iter_init(&iter, s->leaves);
 	while (g_hash_table_iter_next(&iter, NULL, &data)) {
 		const struct route_leaf *leaf = data;
 
+		s->evacuated_count += leaf->is_evacuated;
+		s->cold_count += route_leaf_is_cold(leaf, now_us);
 		if (leaf->phase == LEAF_REMOVED &&
 		    now_us >= leaf->usable_until_us &&
 		    g_queue_is_empty((GQueue *)&leaf->calls))
@@ -421,11 +430,6 @@
 	g_ptr_array_free(ended, TRUE);
 }
 
-bool route_leaf_is_cold(const struct route_leaf *leaf, int64_t now_us)
-{
-	return now_us < leaf->cold_until_us && leaf->pool->warm_up_per_s > 0;
-}
-
 bool route_leaf_is_usable(const struct route_leaf *leaf, int64_t now_us)
 {
 	return leaf->phase == LEAF_IN_SERVICE || now_us < leaf->usable_until_us;
--- a/router/router.c
+++ b/router/router.c
@@ -288,11 +288,22 @@
 	leaves = close_idle(r, domain);
 	if (is_evacuated)
 		moved = move_unsent_calls(r, domain);
+	r->place_counts.moved_calls += moved;
 	event_log(EV_EVACUATION, "domain=%s state=%s leaves=%u moved_calls=%u",
 		  domain, is_evacuated ? "evacuated" : "in_use", leaves, moved);
 	part_retry_waiting(r);
 }
 
+struct router_place_counts router_place_counts(const struct router *r)
+{
+	struct router_place_counts c = r->place_counts;
+
+	c.evacuated_domains = g_hash_table_size(r->leaves.evacuated);
+	c.evacuated_leaves = r->leaves.evacuated_count;
+	c.cold_leaves = r->leaves.cold_count;
+	return c;
+}
+
 uint64_t router_version(const struct router *r)
 {
 	return r->table ? r->table->version : 0;
