router: order waiting parts by what their requests are worth

Parts that wait for a leaf were served first in, first out, and their expected wait was compared with the time left only once. They now wait in a queue for each upstream, ordered by priority and by the latest start within the goal. One function answers whether a request can still end in time; arrival, queue, first calls, extra calls, batches and the stop of the host ask it. Requests that lost their place are refused at once, and gathers as a whole.

The work of a call is learned without the wait in the queue of the leaf.

--- a/include/router/internal.h
+++ b/include/router/internal.h
@@ -5,6 +5,7 @@
 #include "engine/latency.h"
 #include "engine/query.h"
 #include "router/router.h"
+#include "router/triage.h"
 
 /** Maximum number of calls in flight for one part. */
 #define PART_CALLS_MAX 3
@@ -27,6 +28,10 @@
 	uint64_t upstreams_hash;
 	/** Durations of answered calls. */
 	struct latency call_latency;
+	/** The same without the wait in the queues of the leaves. */
+	struct latency call_work;
+	struct work_estimate work;
+	struct triage_class class;
 	/** Not used. */
 	int64_t longest_wait_us;
 	/**
@@ -43,6 +48,12 @@
 	uint64_t split_position;
 };
 
+/** What is known of an organisation by its name. */
+struct organisation_stats {
+	struct triage_class class;
+	struct triage_demand demand;
+};
+
 struct router_timer {
 	struct heap_node node;
 	void (*fire)(struct router *r, struct router_timer *t);
@@ -114,6 +125,10 @@
 	uint32_t tried_count;
 	/** Next hedge, or next attempt to replace a failed call. */
 	struct router_timer timer;
+	/** Entry in the queue of the pool while the part waits. */
+	struct triage_entry entry;
+	/** A leaf is expected to be free only too late. */
+	bool is_crowded;
 	struct leaf_reply *reply;
 	/** Stamp of the reply; points into the reply. */
 	const char *stamp;
@@ -132,6 +147,16 @@
 	struct leaf_reply *failure_reply;
 };
 
+/** Why a request was refused, with the figures; for the log. */
+struct triage_refusal {
+	/** NULL if capacity was not the reason. */
+	const char *reason;
+	int64_t wait_us;
+	int64_t work_us;
+	int64_t left_us;
+	uint32_t waiting_count;
+};
+
 /** Request in flight. */
 struct route_request {
 	uint64_t id;
@@ -143,6 +168,12 @@
 	/** That of the organisation, or else of the route; 0 is first. */
 	uint32_t priority;
 	struct route_stats *stats;
+	/** Of the organisation, or NULL; owned by the router. */
+	struct organisation_stats *organisation_stats;
+	struct triage_value value;
+	struct triage_refusal refusal;
+	/** Next review while parts wait and no call was sent. */
+	struct router_timer review_timer;
 	int64_t start_us;
 	/** Deadline of the caller, or the stop of this host if that is first. */
 	int64_t deadline_us;
@@ -199,6 +230,10 @@
 	/** Duration above which the call is late; 0 if not known. */
 	int64_t late_after_us;
 	bool is_extra;
+	/** Calls expected to wait at the leaf when the call was sent. */
+	double queued;
+	/** Duration without the wait at the leaf, once the call has ended. */
+	int64_t work_us;
 };
 
 struct router {
@@ -214,8 +249,13 @@
 	GHashTable *batches;
 	uint64_t last_batch_id;
 	struct heap timers;
-	/** Parts that wait for a leaf, oldest first. */
-	GQueue waiting;
+	/** Pools with parts that wait for a leaf. */
+	GPtrArray *waiting_pools;
+	/** Requests of all routes. */
+	struct triage_class class;
+	struct triage_demand demand;
+	/** struct organisation_stats by name. */
+	GHashTable *organisations;
 	/** Leaves that name a rate limit; each holds a reference. */
 	GPtrArray *limited_leaves;
 	/** When the next claim of a share of their limits is due. */
@@ -278,6 +318,8 @@
  * Returns the time left for answers; INT64_MAX if the host does not stop.
  */
 int64_t stop_time_left(const struct router *r);
+/** Returns the last moment for an answer; INT64_MAX if the host does not stop. */
+int64_t stop_last_answer(const struct router *r);
 /** Returns how long a request of a route may take, as far as is known. */
 int64_t stop_expected_duration(struct route_stats *s,
 			       const struct route *route);
@@ -306,6 +348,8 @@
 /** Updates the state of a leaf with the result of a call. */
 void leaf_note_result(struct router *r, struct leaf_call *c,
 		      const struct router_result *result);
+/** Estimates the calls of all hosts that wait at a leaf. */
+double leaf_queued_calls(const struct route_leaf *leaf, int64_t now_us);
 
 /**
  * Notes that the part wants calls to the limited leaves that are as good as the
@@ -339,18 +383,71 @@
 void rates_log_no_room(struct router *r, const struct route_part *p);
 void rates_clear(struct router *r);
 
+/* waiting.c: parts that wait for a leaf, and the requests that they are of. */
+/** Returns when a part would end if it starts after a wait. */
+enum triage_end request_end_of(struct router *r, const struct route_request *q,
+			       int64_t wait_us, int64_t work_us);
+/** Determines how much a request that arrives matters. */
+void request_classify(struct router *r, struct route_request *q);
+/** Notes that a leaf or another host is given a part of the request. */
+void request_note_begun(struct router *r, struct route_request *q);
+/** Returns the work that a part of a request usually takes. */
+int64_t request_typical_work(const struct route_request *q);
+/** Returns the work of a request that counts when it is refused. */
+int64_t request_whole_work(const struct route_request *q);
+
+void waiting_add(struct router *r, struct route_part *p);
+void waiting_remove(struct router *r, struct route_part *p);
+bool waiting_is_empty(const struct router *r);
+/** Returns the work that starts before a part which is not in the queue. */
+int64_t waiting_work_before(const struct route_part *p);
+/** Returns the remaining wait of a part in the queue. */
+int64_t waiting_time(const struct route_part *p);
+/**
+ * Returns whether enough parts of a request can be answered within the goal;
+ * otherwise notes the figures.
+ */
+bool waiting_has_room(struct router *r, struct route_request *q);
+/**
+ * Refuses requests that matter less than one that has no room. Returns whether
+ * any was refused.
+ */
+bool waiting_displace(struct router *r, const struct route_part *p);
+/** Refuses requests that lost their place to others. */
+void waiting_shed(struct router *r, struct upstream_pool *pool);
+/** Tries to send the first calls of the parts that wait for a pool. */
+void waiting_start_pool(struct router *r, struct upstream_pool *pool);
+void waiting_start_all(struct router *r);
+/**
+ * Returns whether a first call that waits for the pool goes before an extra
+ * call of a part.
+ */
+bool waiting_precedes_extra(const struct route_part *p);
+/** Drops organisations that are not in the table in force. */
+void waiting_apply_table(struct router *r);
+
 /* part.c */
 /**
  * Chooses the leaf of the first call. Returns false if no leaf can answer the
- * part within left_us.
+ * part in time.
  */
-bool part_plan(struct router *r, struct route_part *p, int64_t left_us);
+bool part_plan(struct router *r, struct route_part *p);
 /** Sends the first call of a planned part, or queues the part for a leaf. */
 void part_start(struct router *r, struct route_part *p);
 void part_handle_result(struct router *r, struct leaf_call *c,
 			const struct router_result *result);
-/** Tries to send the first calls of the parts that wait for a leaf. */
-void part_retry_waiting(struct router *r);
+enum part_start_result {
+	PART_STARTED,
+	/** No leaf is free. */
+	PART_BLOCKED,
+	/** The part has failed; the request has not been told. */
+	PART_HOPELESS,
+	/** The request was refused and is gone. */
+	PART_REFUSED,
+};
+
+/** Tries to send the first call of a part that waits. */
+enum part_start_result part_try_first(struct router *r, struct route_part *p);
 /**
  * Cancels or detaches the calls of a part and releases its replies. The calls
  * of a request that its caller has cancelled are always cancelled.
@@ -379,6 +476,16 @@
 /* request.c */
 /** Arms the timer of a request for its goal or its deadline. */
 void request_arm_timer(struct router *r, struct route_request *q);
+/**
+ * Refuses a request that no leaf has run, for lack of capacity or time; the
+ * reason is for the log.
+ */
+void request_refuse(struct router *r, struct route_request *q,
+		    const char *reason);
+/** Notes the figures of a part behind a refusal. */
+void request_note_figures(struct router *r, struct route_request *q,
+			  const struct route_part *p, int64_t wait_us,
+			  int64_t work_us);
 /** Counts the ended parts; ends the request if its outcome is certain. */
 void request_handle_part_end(struct router *r, struct route_request *q);
 
@@ -395,5 +502,7 @@
 bool gather_has_coverage(const struct route_request *q);
 /** Returns whether the parts that have not failed reach that coverage. */
 bool gather_can_reach_coverage(const struct route_request *q);
+/** Returns whether they do if that many more parts fail. */
+bool gather_can_do_without(const struct route_request *q, uint32_t parts);
 
 #endif
--- a/include/router/leaf_set.h
+++ b/include/router/leaf_set.h
@@ -10,6 +10,7 @@
 #include "engine/latency.h"
 #include "router/extra_calls.h"
 #include "router/leaf_rate.h"
+#include "router/triage.h"
 
 /** Maximum number of routes whose call durations are kept for a leaf. */
 #define LEAF_ROUTES_MAX 4
@@ -112,7 +113,13 @@
 	GPtrArray *leaves;
 	struct extra_calls extra;
 	/** Parts that wait for a leaf of the pool. */
-	uint32_t waiting_count;
+	struct triage_queue waiting;
+	/** One-based index among the pools with such parts, or 0. */
+	guint waiting_position;
+	/** Work of waiting parts that starts in each microsecond. */
+	double drain;
+	/** Work of a call of any route. */
+	struct work_estimate work;
 	/** Connections that a leaf accepts from all hosts together. */
 	uint32_t max_connections;
 };
--- a/router/batch.c
+++ b/router/batch.c
@@ -62,6 +62,7 @@
 	p->sent_count++;
 	route_leaf_ref(p->planned_leaf);
 	p->holds_planned_leaf = true;
+	request_note_begun(r, p->request);
 	/* A hedge must not call the same leaf. */
 	p->tried[p->tried_count++] = p->planned_leaf;
 }
@@ -113,10 +114,19 @@
 	return true;
 }
 
+/* Without time for the way to another host, the leaves are called directly. */
+static bool has_time_for_batch(struct router *r, const struct route_request *q)
+{
+	enum triage_end end = request_end_of(r, q, BATCH_ROUND_TRIP_US,
+					     request_typical_work(q));
+
+	return end == TRIAGE_IN_GOAL || end == TRIAGE_LATE;
+}
+
 void batch_start_all(struct router *r, struct route_request *q)
 {
 	if (!r->options.ops->start_batch || q->route->shape != ROUTE_GATHER ||
-	    q->is_partial || q->is_repeat)
+	    q->is_partial || q->is_repeat || !has_time_for_batch(r, q))
 		return;
 	while (q->batch_count < REQUEST_BATCHES_MAX) {
 		uint32_t count;
--- a/router/choice.c
+++ b/router/choice.c
@@ -93,6 +93,13 @@
 		       decay(now - leaf->reported_at_us, LOAD_HALF_LIFE_US);
 }
 
+double leaf_queued_calls(const struct route_leaf *leaf, int64_t now_us)
+{
+	double slots = MAX(leaf->entry.slots, 1);
+
+	return MAX(estimated_load(leaf, now_us) - slots, 0);
+}
+
 static bool is_stalled(const struct route_leaf *leaf, int64_t now)
 {
 	const struct leaf_call *c = g_queue_peek_head((GQueue *)&leaf->calls);
@@ -255,11 +262,11 @@
 }
 
 /* Fills in the wait for the first of the leaves that were passed over. */
-static void set_wait(struct leaf_choice *choice,
-		     const struct upstream_pool *pool,
+static void set_wait(struct leaf_choice *choice, const struct route_part *part,
 		     const struct passed_over *o)
 {
-	double turn = pool->waiting_count + 1;
+	double own = (double)request_typical_work(part->request);
+	double turn = 1 + (double)waiting_work_before(part) / own;
 	double busy = o->least_busy_us * turn / MAX(o->capacity, CAPACITY_MIN);
 	double limited = (double)o->limited_wait_us;
 
@@ -273,8 +280,10 @@
 	    (o->limited_wait_us == INT64_MAX || busy <= limited)) {
 		choice->wait_us = (int64_t)busy;
 		choice->expected_us = (int64_t)o->least_busy_us;
+		part->pool->drain = own * turn / busy;
 		return;
 	}
+	part->pool->drain = own * turn / MAX(limited, 1);
 	choice->wait_us = (int64_t)MIN(limited, (double)INT64_MAX / 4);
 	choice->expected_us = (int64_t)o->limited_us;
 }
@@ -327,7 +336,7 @@
 		choice.expected_us = (int64_t)expected;
 	}
 	if (!choice.leaf)
-		set_wait(&choice, part->pool, &over);
+		set_wait(&choice, part, &over);
 	return choice;
 }
 
@@ -466,7 +475,7 @@
 	switch (result->outcome) {
 	case CALL_ANSWERED:
 	case CALL_DECLINED:
-		update_duration(leaf, c->stats, now - c->start_us, now);
+		update_duration(leaf, c->stats, c->work_us, now);
 		leaf->consecutive_failures = 0;
 		leaf->ejected_until_us = 0;
 		break;
--- a/router/gather.c
+++ b/router/gather.c
@@ -159,3 +159,13 @@
 {
 	return reaches_coverage(q, q->part_count - q->failed_count);
 }
+
+bool gather_can_do_without(const struct route_request *q, uint32_t parts)
+{
+	uint32_t failed = 0;
+
+	for (uint32_t i = 0; i < q->part_count; i++)
+		failed += q->parts[i].phase == PART_FAILED;
+	return failed + parts <= q->part_count &&
+	       reaches_coverage(q, q->part_count - failed - parts);
+}
--- a/router/leaf_set.c
+++ b/router/leaf_set.c
@@ -29,6 +29,7 @@
 	struct upstream_pool *p = data;
 
 	g_ptr_array_free(p->leaves, TRUE);
+	triage_queue_clear(&p->waiting);
 	g_free(p->name);
 	g_free(p);
 }
--- a/router/part.c
+++ b/router/part.c
@@ -10,8 +10,6 @@
  * arrives up to this long after the time that was requested.
  */
 #define BATCH_MARGIN_US (12 * US_PER_MS)
-/* No extra call is sent with less time than this until the deadline. */
-#define CALL_TIME_MIN_US (10 * US_PER_MS)
 /*
  * Leaves that refused a call are tried again until the part has sent this many
  * calls.
@@ -82,8 +80,7 @@
 void part_clear(struct router *r, struct route_part *p, bool is_cancelled)
 {
 	router_timer_disarm(r, &p->timer);
-	if (p->phase == PART_WAITING && g_queue_remove(&r->waiting, p))
-		p->pool->waiting_count--;
+	waiting_remove(r, p);
 	while (p->call_count) {
 		if (is_cancelled || p->request->route->shape != ROUTE_GATHER)
 			cancel_call(r, p->calls[0]);
@@ -134,12 +131,14 @@
 	leaf_note_sent(r, p, leaf, is_extra);
 	g_queue_push_tail(&leaf->calls, c);
 	c->link = leaf->calls.tail;
+	c->queued = leaf_queued_calls(leaf, now);
 	p->calls[p->call_count++] = c;
 	p->run_count++;
 	p->sent_count++;
 	if (p->tried_count < PART_TRIED_MAX)
 		p->tried[p->tried_count++] = leaf;
 	p->phase = PART_RUNNING;
+	request_note_begun(r, q);
 	if (may_hedge(p))
 		arm_hedge(r, p, now);
 	call = (struct router_call){
@@ -162,10 +161,27 @@
 	EXTRA_NO_BUDGET,
 };
 
-static bool is_worth_waiting(const struct leaf_choice *choice, int64_t left_us)
+static bool can_end(enum triage_end end)
 {
-	return choice->is_busy &&
-	       choice->wait_us + choice->expected_us <= left_us;
+	return end == TRIAGE_IN_GOAL || end == TRIAGE_LATE;
+}
+
+/* Returns whether a call that starts now would be of use. */
+static bool is_extra_useful(struct router *r, const struct route_request *q)
+{
+	enum triage_end end = request_end_of(r, q, 0, request_typical_work(q));
+
+	/* A gather with enough answers ends at the goal. */
+	if (end == TRIAGE_LATE && q->route->shape == ROUTE_GATHER)
+		return !gather_has_coverage(q);
+	return can_end(end);
+}
+
+static enum triage_end end_of_choice(struct router *r,
+				     const struct route_request *q,
+				     const struct leaf_choice *choice)
+{
+	return request_end_of(r, q, choice->wait_us, choice->expected_us);
 }
 
 /*
@@ -180,12 +196,13 @@
 	int64_t now = router_now(r);
 	struct leaf_choice choice;
 
-	if (q->deadline_us - now < CALL_TIME_MIN_US ||
-	    !stop_may_start(r, q->stats, q->route))
+	if (!is_extra_useful(r, q))
 		return EXTRA_NO_LEAF;
+	if (!is_uncharged && waiting_precedes_extra(p))
+		return EXTRA_BUSY;
 	choice = leaf_choose(r, p);
 	if (!choice.leaf)
-		return is_worth_waiting(&choice, q->deadline_us - now)
+		return choice.is_busy && can_end(end_of_choice(r, q, &choice))
 			       ? EXTRA_BUSY
 			       : EXTRA_NO_LEAF;
 	if (!is_uncharged &&
@@ -251,45 +268,95 @@
 		router_timer_arm(r, &p->timer, router_now(r), handle_late_call);
 }
 
-static bool try_send_first(struct router *r, struct route_part *p)
+/* Takes a part out of the queue that no call can answer any more. */
+static enum part_start_result
+give_up_waiting(struct router *r, struct route_part *p, const char *reason)
 {
-	const struct route_request *q = p->request;
-	struct leaf_choice choice;
+	struct route_request *q = p->request;
 
-	if (!stop_may_start(r, q->stats, q->route)) {
-		p->phase = PART_FAILED;
-		return true;
+	if (reason && !q->value.is_begun && !q->is_partial) {
+		request_refuse(r, q, reason);
+		return PART_REFUSED;
 	}
+	waiting_remove(r, p);
+	p->phase = PART_FAILED;
+	return PART_HOPELESS;
+}
+
+enum part_start_result part_try_first(struct router *r, struct route_part *p)
+{
+	struct route_request *q = p->request;
+	struct leaf_choice choice;
+
+	if (!can_end(request_end_of(r, q, 0, request_typical_work(q))))
+		return give_up_waiting(r, p, "deadline");
 	choice = leaf_choose(r, p);
-	if (choice.leaf) {
-		send_call(r, p, choice.leaf, false);
+	if (!choice.leaf)
+		return choice.usable_count ? PART_BLOCKED
+					   : give_up_waiting(r, p, NULL);
+	if (!q->value.is_begun && !waiting_has_room(r, q))
+		return give_up_waiting(r, p, "room");
+	waiting_remove(r, p);
+	send_call(r, p, choice.leaf, false);
+	return PART_STARTED;
+}
+
+/*
+ * Returns whether a part that no free leaf is expected to answer within the
+ * goal starts nevertheless.
+ */
+static bool may_be_late(struct router *r, const struct route_part *p,
+			const struct leaf_choice *choice)
+{
+	const struct route_request *q = p->request;
+	int64_t end = router_now(r) + choice->wait_us + choice->expected_us;
+
+	if (!choice->leaf)
+		return q->value.is_late && !q->is_partial &&
+		       end <= q->plan_until_us;
+	/* Without a queue at the leaf, only the estimate is against the call. */
+	return q->value.is_late || q->is_partial ||
+	       leaf_queued_calls(choice->leaf, router_now(r)) <= 0;
+}
+
+static bool is_feasible(struct router *r, struct route_part *p,
+			const struct leaf_choice *choice)
+{
+	struct route_request *q = p->request;
+
+	if (!choice->leaf && !choice->usable_count)
+		return false;
+	switch (end_of_choice(r, q, choice)) {
+	case TRIAGE_IN_GOAL:
 		return true;
+	case TRIAGE_LATE:
+		p->is_crowded = !may_be_late(r, p, choice);
+		return !p->is_crowded;
+	case TRIAGE_TOO_LATE:
+		p->is_crowded = true;
+		return choice->leaf &&
+		       work_estimate_may_try(&q->stats->work, router_now(r));
+	case TRIAGE_STOPPED:
+		break;
 	}
-	if (!choice.usable_count)
-		p->phase = PART_FAILED;
-	return !choice.usable_count;
+	return choice->leaf != NULL;
 }
 
-bool part_plan(struct router *r, struct route_part *p, int64_t left_us)
+bool part_plan(struct router *r, struct route_part *p)
 {
 	struct leaf_choice choice = leaf_choose(r, p);
 
 	leaf_note_wanted(r, p, &choice);
 	p->is_planned = true;
 	p->planned_leaf = choice.leaf;
-	p->is_infeasible = !choice.leaf &&
-			   (!choice.usable_count ||
-			    choice.wait_us + choice.expected_us > left_us);
-	if (p->is_infeasible)
-		rates_log_no_room(r, p);
-	return !p->is_infeasible;
-}
-
-static void wait_for_leaf(struct router *r, struct route_part *p)
-{
-	p->phase = PART_WAITING;
-	p->pool->waiting_count++;
-	g_queue_push_tail(&r->waiting, p);
+	p->is_crowded = false;
+	p->is_infeasible = !is_feasible(r, p, &choice);
+	if (!p->is_infeasible)
+		return true;
+	request_note_figures(r, p->request, p, choice.wait_us,
+			     choice.expected_us);
+	rates_log_no_room(r, p);
+	return false;
 }
 
 /*
@@ -304,8 +371,9 @@
 	leaf_note_wanted(r, p, &choice);
 	if (choice.leaf) {
 		send_call(r, p, choice.leaf, false);
-	} else if (is_worth_waiting(&choice, q->goal_at_us - router_now(r))) {
-		wait_for_leaf(r, p);
+	} else if (choice.is_busy &&
+		   end_of_choice(r, q, &choice) == TRIAGE_IN_GOAL) {
+		waiting_add(r, p);
 	} else {
 		rates_log_no_room(r, p);
 		p->phase = PART_FAILED;
@@ -344,25 +412,8 @@
 	} else if (p->planned_leaf) {
 		start_without_batch(r, p);
 	} else {
-		wait_for_leaf(r, p);
-	}
-}
-
-void part_retry_waiting(struct router *r)
-{
-	guint count = r->waiting.length;
-
-	while (count--) {
-		struct route_part *p = g_queue_pop_head(&r->waiting);
-
-		/* The end of a request also dequeues its other parts. */
-		if (!p)
-			return;
-		p->pool->waiting_count--;
-		if (!try_send_first(r, p))
-			wait_for_leaf(r, p);
-		else if (p->phase == PART_FAILED)
-			request_handle_part_end(r, p->request);
+		waiting_add(r, p);
+		waiting_shed(r, p->pool);
 	}
 }
 
@@ -377,6 +428,27 @@
 	}
 }
 
+/* Learns the work of a call from its duration and the load of the leaf. */
+static void note_work(struct router *r, struct leaf_call *c,
+		      const struct router_result *result)
+{
+	struct upstream_pool *pool = c->leaf->pool;
+	int64_t now = router_now(r);
+	int64_t duration = now - c->start_us;
+	double queued = c->queued;
+
+	if (result->load.is_known)
+		queued = (queued + result->load.waiting) / 2;
+	c->work_us = triage_work_of_call(duration, queued, c->leaf->entry.slots,
+					 work_estimate_typical(&pool->work));
+	if (result->outcome != CALL_ANSWERED)
+		return;
+	latency_add(&c->stats->call_latency, duration);
+	latency_add(&c->stats->call_work, c->work_us);
+	work_estimate_add(&c->stats->work, c->work_us, now);
+	work_estimate_add(&pool->work, c->work_us, now);
+}
+
 static void accept_reply(struct router *r, struct route_part *p,
 			 const struct router_result *result)
 {
@@ -496,9 +568,7 @@
 	struct route_part *p = c->part;
 	const struct route_leaf *leaf = c->leaf;
 
-	if (result->outcome == CALL_ANSWERED)
-		latency_add(&c->stats->call_latency,
-			    router_now(r) - c->start_us);
+	note_work(r, c, result);
 	leaf_note_result(r, c, result);
 	if (p)
 		unlink_call(c);
--- a/router/rates.c
+++ b/router/rates.c
@@ -121,8 +121,7 @@
 		log_limit(leaf, limit, "host");
 	log_share(leaf, share, now);
 	schedule_claims(r, rate->claim_at_us);
-	if (r->waiting.length)
-		part_retry_waiting(r);
+	waiting_start_all(r);
 }
 
 void rates_claim(struct router *r)
--- a/router/request.c
+++ b/router/request.c
@@ -21,8 +21,8 @@
 /* Callers accept a backoff of up to a third of the time to their deadline. */
 #define RETRY_AFTER_SHARE 0.32
 
-/* Length of the figures of a stop in a log line. */
-#define STOP_TEXT_MAX 96
+/* Length of the figures of a refusal in a log line. */
+#define REFUSAL_TEXT_MAX 160
 
 static int64_t retry_after(struct router *r)
 {
@@ -57,17 +57,30 @@
 	return q->route->shape == ROUTE_GATHER ? "" : q->parts[0].pool->name;
 }
 
-/* Writes the figures behind a refusal of a host that stops. */
-static void describe_stop(const struct router *r, const struct route_request *q,
-			  const struct router_answer *a, char *out, size_t size)
+/* Writes the figures behind a refusal for lack of time or capacity. */
+static void describe_refusal(const struct router *r,
+			     const struct route_request *q,
+			     const struct router_answer *a, char *out,
+			     size_t size)
 {
+	const struct triage_refusal *f = &q->refusal;
+
 	out[0] = '\0';
-	if (a->code != -ERR_ROUTE_STOPPING)
-		return;
-	g_snprintf(out, size, " left_ms=%lld expected_ms=%lld",
-		   (long long)(stop_time_left(r) / US_PER_MS),
-		   (long long)(stop_expected_duration(q->stats, q->route) /
-			       US_PER_MS));
+	if (a->code == -ERR_ROUTE_STOPPING)
+		g_snprintf(
+			out, size, " left_ms=%lld expected_ms=%lld",
+			(long long)(stop_time_left(r) / US_PER_MS),
+			(long long)(stop_expected_duration(q->stats, q->route) /
+				    US_PER_MS));
+	else if (a->code == -ERR_ROUTE_LATE && f->reason)
+		g_snprintf(out, size,
+			   " reason=%s rank=%u wait_ms=%lld work_ms=%lld "
+			   "left_ms=%lld waiting=%u",
+			   f->reason, triage_rank(&q->value),
+			   (long long)(f->wait_us / US_PER_MS),
+			   (long long)(f->work_us / US_PER_MS),
+			   (long long)(f->left_us / US_PER_MS),
+			   f->waiting_count);
 }
 
 static void log_request_end(const struct router *r,
@@ -78,9 +91,9 @@
 	enum event_id id = is_ok	      ? EV_REQUEST_DONE
 			   : a->status == 503 ? EV_REQUEST_REFUSED
 					      : EV_REQUEST_FAILED;
-	char stop[STOP_TEXT_MAX];
+	char refusal[REFUSAL_TEXT_MAX];
 
-	describe_stop(r, q, a, stop, sizeof(stop));
+	describe_refusal(r, q, a, refusal, sizeof(refusal));
 	event_log(id,
 		  "request=%s route=%s upstream=%s version=%llu status=%u "
 		  "code=E%d parts=%u of=%u failed=%u extra=%u ms=%lld "
@@ -90,13 +103,14 @@
 		  q->answered_count, q->part_count, q->failed_count,
 		  q->extra_call_count,
 		  (long long)((router_now(r) - q->start_us) / US_PER_MS),
-		  (long long)(q->route->goal_us / US_PER_MS), stop);
+		  (long long)(q->route->goal_us / US_PER_MS), refusal);
 }
 
 static void release_request(struct router *r, struct route_request *q,
 			    bool is_cancelled)
 {
 	router_timer_disarm(r, &q->timer);
+	router_timer_disarm(r, &q->review_timer);
 	for (uint32_t i = 0; i < q->part_count; i++)
 		part_clear(r, &q->parts[i], is_cancelled);
 	batch_clear_all(r, q);
@@ -143,6 +157,42 @@
 	finish_request(r, q, &a);
 }
 
+void request_note_figures(struct router *r, struct route_request *q,
+			  const struct route_part *p, int64_t wait_us,
+			  int64_t work_us)
+{
+	q->refusal = (struct triage_refusal){
+		.reason = "room",
+		.wait_us = wait_us,
+		.work_us = work_us,
+		.left_us = q->goal_at_us - router_now(r),
+		.waiting_count = triage_queue_count(&p->pool->waiting),
+	};
+}
+
+static const struct route_part *find_waiting_part(const struct route_request *q)
+{
+	for (uint32_t i = 0; i < q->part_count; i++) {
+		if (q->parts[i].phase == PART_WAITING)
+			return &q->parts[i];
+	}
+	return NULL;
+}
+
+void request_refuse(struct router *r, struct route_request *q,
+		    const char *reason)
+{
+	const struct route_part *p = find_waiting_part(q);
+
+	if (p)
+		request_note_figures(r, q, p, waiting_time(p),
+				     request_typical_work(q));
+	q->refusal.reason = reason;
+	finish_failed_request(r, q,
+			      router_is_stopping(r) ? -ERR_ROUTE_STOPPING
+						    : -ERR_ROUTE_LATE);
+}
+
 static void finish_gathered(struct router *r, struct route_request *q)
 {
 	GPtrArray *stamps = g_ptr_array_sized_new(q->part_count);
@@ -370,23 +420,36 @@
 	return 0;
 }
 
+static bool can_be_answered(const struct route_request *q)
+{
+	if (q->is_partial)
+		return true;
+	return q->route->shape == ROUTE_GATHER ? gather_can_reach_coverage(q)
+					       : !q->failed_count;
+}
+
+/* Plans a part for which there was no room again, after others were refused. */
+static bool make_room(struct router *r, struct route_part *p)
+{
+	return p->is_infeasible && p->is_crowded && !p->planned_leaf &&
+	       waiting_displace(r, p) && part_plan(r, p);
+}
+
 /*
  * Returns whether a request can be answered, before any leaf is called. If one
  * shard is overloaded, the work of the other shards would be wasted.
  */
 static bool plan_parts(struct router *r, struct route_request *q)
 {
-	bool is_gather = q->route->shape == ROUTE_GATHER;
-	int64_t until = is_gather ? q->goal_at_us : q->plan_until_us;
-	int64_t left = MIN(until - q->start_us, stop_time_left(r));
-
 	for (uint32_t i = 0; i < q->part_count; i++) {
-		if (!part_plan(r, &q->parts[i], left))
+		if (!part_plan(r, &q->parts[i]))
 			q->failed_count++;
 	}
-	if (q->is_partial)
-		return true;
-	return is_gather ? gather_can_reach_coverage(q) : !q->failed_count;
+	for (uint32_t i = 0; i < q->part_count && !can_be_answered(q); i++) {
+		if (make_room(r, &q->parts[i]))
+			q->failed_count--;
+	}
+	return can_be_answered(q);
 }
 
 uint64_t router_start(struct router *r, const struct router_request *in)
@@ -404,6 +467,7 @@
 	id = q->id;
 	add_parts(r, q, in);
 	request_arm_timer(r, q);
+	request_classify(r, q);
 	/* A batch of another host ends with the results that it has. */
 	if (!q->is_partial && !stop_may_start(r, q->stats, route)) {
 		finish_failed_request(r, q, -ERR_ROUTE_STOPPING);
--- a/router/router.c
+++ b/router/router.c
@@ -62,7 +62,9 @@
 	r->batches = g_hash_table_new(g_int64_hash, g_int64_equal);
 	id_table_init(&r->requests, sizeof(struct route_request));
 	id_table_init(&r->calls, sizeof(struct leaf_call));
-	g_queue_init(&r->waiting);
+	r->waiting_pools = g_ptr_array_new();
+	r->organisations =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	r->limited_leaves = g_ptr_array_new();
 	r->next_claims_us = INT64_MAX;
 	r->stop_us = INT64_MAX;
@@ -81,7 +83,8 @@
 	id_table_clear(&r->requests);
 	id_table_clear(&r->calls);
 	heap_clear(&r->timers);
-	g_queue_clear(&r->waiting);
+	g_ptr_array_free(r->waiting_pools, TRUE);
+	g_hash_table_destroy(r->organisations);
 	route_table_unref(r->table);
 	g_rand_free(r->random);
 	g_free(r);
@@ -129,6 +132,7 @@
 	route_table_unref(r->table);
 	r->table = t;
 	route_stats_apply_table(r);
+	waiting_apply_table(r);
 	return 0;
 }
 
@@ -198,18 +202,19 @@
 
 void router_leaves_changed(struct router *r)
 {
-	part_retry_waiting(r);
+	waiting_start_all(r);
 }
 
 void router_call_result(struct router *r, const struct router_result *result)
 {
 	struct leaf_call *c = id_table_find(&r->calls, result->call_id);
+	struct upstream_pool *pool;
 
 	if (!c)
 		return;
+	pool = c->leaf->pool;
 	part_handle_result(r, c, result);
-	if (r->waiting.length)
-		part_retry_waiting(r);
+	waiting_start_pool(r, pool);
 }
 
 int64_t router_next_timer(const struct router *r)
@@ -217,7 +222,7 @@
 	const struct heap_node *top = heap_top(&r->timers);
 	int64_t next = top ? top->key : INT64_MAX;
 
-	if (r->waiting.length)
+	if (!waiting_is_empty(r))
 		next = MIN(next, r->next_retry_us);
 	if (r->options.ops->claim_rates)
 		next = MIN(next, r->next_claims_us);
@@ -236,9 +241,9 @@
 		heap_remove(&r->timers, top);
 		t->fire(r, t);
 	}
-	if (r->waiting.length && now >= r->next_retry_us) {
+	if (!waiting_is_empty(r) && now >= r->next_retry_us) {
 		r->next_retry_us = now + WAITING_RETRY_US;
-		part_retry_waiting(r);
+		waiting_start_all(r);
 	}
 	rates_claim(r);
 	if (now >= r->next_sweep_us) {
--- a/router/stats.c
+++ b/router/stats.c
@@ -8,6 +8,8 @@
 #define LATE_QUANTILE 0.92
 /* Time reserved for the hedge, as a factor on the duration of a late call. */
 #define SECOND_CALL_FACTOR 2.2
+/* Recent calls that differ by this factor show that the work has changed. */
+#define CHANGE_FACTOR 2
 /* Minimum duration of a late call, so that noise causes no hedges. */
 #define LATE_MIN_US 12000
 /*
@@ -69,6 +71,7 @@
 	if (--s->refs)
 		return;
 	latency_clear(&s->call_latency);
+	latency_clear(&s->call_work);
 	clear_shard_counts(s);
 	g_free(s->name);
 	g_free(s);
@@ -120,8 +123,12 @@
 int64_t route_stats_typical_duration(struct route_stats *s,
 				     const struct route *route)
 {
-	int64_t us = latency_quantile(&s->call_latency, 0.5);
+	int64_t us = latency_quantile(&s->call_work, 0.5);
+	int64_t recent = work_estimate_typical(&s->work);
 
+	/* The histogram follows a change of the work only after many calls. */
+	if (us && recent && MAX(us, recent) > CHANGE_FACTOR * MIN(us, recent))
+		return recent;
 	return us ? us : (int64_t)(TYPICAL_GOAL_SHARE * (double)route->goal_us);
 }
 
--- a/router/stop.c
+++ b/router/stop.c
@@ -19,18 +19,31 @@
 	return r->stop_us != INT64_MAX;
 }
 
+int64_t stop_last_answer(const struct router *r)
+{
+	return router_is_stopping(r) ? r->stop_us - ANSWER_MARGIN_US
+				     : INT64_MAX;
+}
+
 int64_t stop_time_left(const struct router *r)
 {
 	if (!router_is_stopping(r))
 		return INT64_MAX;
-	return r->stop_us - ANSWER_MARGIN_US - router_now(r);
+	return stop_last_answer(r) - router_now(r);
 }
 
 bool stop_may_start(const struct router *r, struct route_stats *s,
 		    const struct route *route)
 {
-	return !router_is_stopping(r) ||
-	       stop_expected_duration(s, route) <= stop_time_left(r);
+	struct triage_limits limits = { .goal_at_us = INT64_MAX,
+					.deadline_us = INT64_MAX,
+					.stop_us = stop_last_answer(r) };
+	struct triage_work work = { 0 };
+
+	if (!router_is_stopping(r))
+		return true;
+	work.stop_work_us = stop_expected_duration(s, route);
+	return triage_end_of(&limits, &work, router_now(r)) != TRIAGE_STOPPED;
 }
 
 void stop_limit_request(struct router *r, struct route_request *q)
@@ -43,8 +56,7 @@
 
 bool router_may_start(struct router *r, const struct route *route)
 {
-	return !router_is_stopping(r) ||
-	       stop_may_start(r, route_stats_get(r, route), route);
+	return stop_may_start(r, route_stats_get(r, route), route);
 }
 
 void router_stop_at(struct router *r, int64_t stop_us)
--- /dev/null
+++ b/router/waiting.c
@@ -0,0 +1,457 @@
+#include "router/internal.h"
+
+#include "common/events.h"
+
+/* Interval at which a request that waits is reviewed. */
+#define REVIEW_INTERVAL_US (50 * US_PER_MS)
+/* Requests that are refused at most to make room for one. */
+#define DISPLACED_MAX 4
+/*
+ * Parts at the front of a queue that are tried at most if some of them may not
+ * be sent to all leaves.
+ */
+#define FRONT_MAX 8
+
+int64_t request_typical_work(const struct route_request *q)
+{
+	return MAX(route_stats_typical_duration(q->stats, q->route), 1);
+}
+
+int64_t request_whole_work(const struct route_request *q)
+{
+	return request_typical_work(q) * q->part_count;
+}
+
+enum triage_end request_end_of(struct router *r, const struct route_request *q,
+			       int64_t wait_us, int64_t work_us)
+{
+	struct triage_limits limits = {
+		.goal_at_us = q->goal_at_us,
+		.deadline_us = q->deadline_us,
+		.stop_us = stop_last_answer(r),
+	};
+	struct triage_work work = {
+		.wait_us = wait_us,
+		.work_us = work_us,
+		.least_us = MIN(work_estimate_low(&q->stats->work), work_us),
+	};
+
+	if (router_is_stopping(r))
+		work.stop_work_us = stop_expected_duration(q->stats, q->route);
+	return triage_end_of(&limits, &work, router_now(r));
+}
+
+static struct organisation_stats *
+find_organisation(struct router *r, const struct organisation *organisation)
+{
+	struct organisation_stats *s;
+
+	if (!organisation)
+		return NULL;
+	s = g_hash_table_lookup(r->organisations, organisation->name);
+	if (s)
+		return s;
+	s = g_new0(struct organisation_stats, 1);
+	g_hash_table_insert(r->organisations, g_strdup(organisation->name), s);
+	return s;
+}
+
+void request_classify(struct router *r, struct route_request *q)
+{
+	int64_t now = router_now(r);
+	struct triage_value *v = &q->value;
+	struct triage_class unused = r->class;
+
+	v->priority = q->priority;
+	v->is_late = request_end_of(r, q, 0,
+				    work_estimate_typical(&q->stats->work)) ==
+		     TRIAGE_LATE;
+	/* The host that sent a batch has counted its request. */
+	if (q->is_partial)
+		return;
+	q->organisation_stats = find_organisation(r, q->organisation);
+	v->is_neglected =
+		triage_class_note_offered(&q->stats->class, &r->class, now);
+	if (!q->organisation_stats)
+		return;
+	/* The request is already counted among all. */
+	if (triage_class_note_offered(&q->organisation_stats->class, &unused,
+				      now))
+		v->is_neglected = true;
+	v->is_excess = triage_demand_note(&q->organisation_stats->demand,
+					  &r->demand,
+					  (double)request_whole_work(q), now);
+}
+
+void waiting_apply_table(struct router *r)
+{
+	GHashTableIter iter;
+	gpointer name;
+
+	g_hash_table_iter_init(&iter, r->organisations);
+	while (g_hash_table_iter_next(&iter, &name, NULL)) {
+		if (!route_table_find_organisation(r->table, name))
+			g_hash_table_iter_remove(&iter);
+	}
+}
+
+static uint32_t rank_of(const struct route_request *q)
+{
+	return triage_rank(&q->value);
+}
+
+bool waiting_is_empty(const struct router *r)
+{
+	return !r->waiting_pools->len;
+}
+
+int64_t waiting_work_before(const struct route_part *p)
+{
+	if (p->entry.order.position)
+		return triage_queue_work_ahead(&p->pool->waiting, &p->entry);
+	return triage_queue_work_before(&p->pool->waiting, rank_of(p->request));
+}
+
+int64_t waiting_time(const struct route_part *p)
+{
+	int64_t own = request_typical_work(p->request);
+
+	if (p->pool->drain <= 0)
+		return 0;
+	return (int64_t)((double)(waiting_work_before(p) + own) /
+			 p->pool->drain);
+}
+
+static void note_waiting_pool(struct router *r, struct upstream_pool *pool)
+{
+	guint last = r->waiting_pools->len;
+	bool is_waiting = triage_queue_count(&pool->waiting) > 0;
+
+	if (is_waiting && !pool->waiting_position) {
+		g_ptr_array_add(r->waiting_pools, pool);
+		pool->waiting_position = last + 1;
+	} else if (!is_waiting && pool->waiting_position) {
+		struct upstream_pool *moved = r->waiting_pools->pdata[last - 1];
+
+		moved->waiting_position = pool->waiting_position;
+		g_ptr_array_remove_index_fast(r->waiting_pools,
+					      pool->waiting_position - 1);
+		pool->waiting_position = 0;
+	}
+}
+
+static void enqueue(struct router *r, struct route_part *p)
+{
+	const struct route_request *q = p->request;
+	struct triage_limits limits = { .goal_at_us = q->goal_at_us,
+					.deadline_us = q->deadline_us };
+	int64_t work = request_typical_work(q);
+	struct triage_request in = {
+		.rank = rank_of(q),
+		.now_us = router_now(r),
+		.latest_start_us = triage_latest_start(&limits, work),
+		.work_us = work,
+		.request_work_us = request_whole_work(q),
+		.is_kept = q->value.is_begun || q->is_partial,
+	};
+
+	triage_queue_add(&p->pool->waiting, &p->entry, &in);
+	note_waiting_pool(r, p->pool);
+}
+
+static void handle_review(struct router *r, struct router_timer *t);
+
+static int64_t latest_start(const struct route_request *q)
+{
+	struct triage_limits limits = { .goal_at_us = q->goal_at_us,
+					.deadline_us = q->deadline_us };
+
+	return triage_latest_start(&limits, request_typical_work(q));
+}
+
+/* Arms the review for the first moment at which its result may differ. */
+static void arm_review(struct router *r, struct route_request *q)
+{
+	int64_t now = router_now(r);
+	int64_t hold = triage_hold_until(q->start_us, q->route->goal_us);
+	int64_t latest = latest_start(q);
+	int64_t at = now + REVIEW_INTERVAL_US;
+
+	if (now < hold)
+		at = MIN(at, hold);
+	if (now <= latest)
+		at = MIN(at, latest + 1);
+	router_timer_arm(r, &q->review_timer, at, handle_review);
+}
+
+void waiting_add(struct router *r, struct route_part *p)
+{
+	p->phase = PART_WAITING;
+	enqueue(r, p);
+	if (!p->request->review_timer.node.position)
+		arm_review(r, p->request);
+}
+
+void waiting_remove(struct router *r, struct route_part *p)
+{
+	triage_queue_remove(&p->pool->waiting, &p->entry);
+	note_waiting_pool(r, p->pool);
+}
+
+void request_note_begun(struct router *r, struct route_request *q)
+{
+	int64_t now = router_now(r);
+
+	if (q->value.is_begun)
+		return;
+	q->value.is_begun = true;
+	if (!q->is_partial) {
+		triage_class_note_started(&q->stats->class, now);
+		triage_class_note_started(&r->class, now);
+		if (q->organisation_stats)
+			triage_class_note_started(&q->organisation_stats->class,
+						  now);
+	}
+	for (uint32_t i = 0; i < q->part_count; i++) {
+		struct route_part *p = &q->parts[i];
+
+		if (p->phase != PART_WAITING || !p->entry.order.position)
+			continue;
+		triage_queue_keep(&p->pool->waiting, &p->entry);
+		if (p->entry.rank != rank_of(q))
+			enqueue(r, p);
+	}
+}
+
+static bool may_do_without(const struct route_request *q, uint32_t parts)
+{
+	return q->route->shape == ROUTE_GATHER &&
+	       gather_can_do_without(q, parts);
+}
+
+bool waiting_has_room(struct router *r, struct route_request *q)
+{
+	int64_t work = request_typical_work(q);
+	uint32_t late = 0;
+
+	if (q->value.is_late || q->is_partial)
+		return true;
+	for (uint32_t i = 0; i < q->part_count; i++) {
+		struct route_part *p = &q->parts[i];
+		int64_t wait;
+
+		if (p->phase != PART_WAITING || !p->entry.order.position)
+			continue;
+		wait = waiting_time(p);
+		if (request_end_of(r, q, wait, work) == TRIAGE_IN_GOAL)
+			continue;
+		if (!late++)
+			request_note_figures(r, q, p, wait, work);
+	}
+	return !late || may_do_without(q, late);
+}
+
+/* Leaves out the parts that can no longer be answered within the goal. */
+static void drop_late_parts(struct router *r, struct route_request *q)
+{
+	uint32_t late = 0;
+
+	for (uint32_t i = 0; i < q->part_count; i++)
+		late += q->parts[i].phase == PART_WAITING;
+	if (!late || !may_do_without(q, late))
+		return;
+	q->is_updating_parts = true;
+	for (uint32_t i = 0; i < q->part_count; i++) {
+		struct route_part *p = &q->parts[i];
+
+		if (p->phase != PART_WAITING)
+			continue;
+		waiting_remove(r, p);
+		p->phase = PART_FAILED;
+	}
+	q->is_updating_parts = false;
+}
+
+static void demote(struct router *r, struct route_request *q)
+{
+	q->value.is_late = true;
+	for (uint32_t i = 0; i < q->part_count; i++) {
+		if (q->parts[i].phase == PART_WAITING)
+			enqueue(r, &q->parts[i]);
+	}
+}
+
+/* Returns whether parts of other requests wait with those of a request. */
+static bool has_competitors(const struct route_request *q)
+{
+	for (uint32_t i = 0; i < q->part_count; i++) {
+		const struct route_part *p = &q->parts[i];
+
+		if (p->phase == PART_WAITING &&
+		    triage_queue_count(&p->pool->waiting) > 1)
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Reviews a request that can no longer start and meet its goal. Returns false
+ * if it is gone.
+ */
+static bool review_late(struct router *r, struct route_request *q)
+{
+	uint64_t id = q->id;
+
+	if (q->value.is_begun || q->is_partial) {
+		drop_late_parts(r, q);
+		if (!q->value.is_late)
+			demote(r, q);
+		request_handle_part_end(r, q);
+		return id_table_find(&r->requests, id) == q;
+	}
+	if (!q->value.is_late && has_competitors(q)) {
+		request_refuse(r, q, "goal");
+		return false;
+	}
+	if (!q->value.is_late)
+		demote(r, q);
+	if (router_now(r) <= q->plan_until_us)
+		return true;
+	request_refuse(r, q, "deadline");
+	return false;
+}
+
+static bool has_waiting_parts(const struct route_request *q)
+{
+	for (uint32_t i = 0; i < q->part_count; i++) {
+		if (q->parts[i].phase == PART_WAITING)
+			return true;
+	}
+	return false;
+}
+
+static void handle_review(struct router *r, struct router_timer *t)
+{
+	struct route_request *q =
+		HEAP_OWNER(t, struct route_request, review_timer);
+
+	if (!has_waiting_parts(q))
+		return;
+	if (router_now(r) > latest_start(q)) {
+		if (!review_late(r, q))
+			return;
+	} else if (!q->value.is_begun && !waiting_has_room(r, q)) {
+		request_refuse(r, q, "room");
+		return;
+	}
+	arm_review(r, q);
+}
+
+static struct route_part *part_of_entry(struct triage_entry *e)
+{
+	return HEAP_OWNER(e, struct route_part, entry);
+}
+
+static struct route_part *part_of_refusal(const struct upstream_pool *pool)
+{
+	struct triage_entry *e = triage_queue_cheapest(&pool->waiting);
+
+	return e ? part_of_entry(e) : NULL;
+}
+
+bool waiting_displace(struct router *r, const struct route_part *p)
+{
+	const struct route_request *q = p->request;
+	int64_t work = request_typical_work(q);
+	uint32_t count = 0;
+
+	while (count < DISPLACED_MAX &&
+	       request_end_of(r, q, waiting_time(p), work) != TRIAGE_IN_GOAL) {
+		struct route_part *v = part_of_refusal(p->pool);
+
+		/* The refusal of a lower rank makes no room. */
+		if (!v || v->request == q || v->entry.rank > rank_of(q) ||
+		    !triage_is_cheaper(&v->entry, rank_of(q),
+				       request_whole_work(q)))
+			break;
+		request_refuse(r, v->request, "displaced");
+		count++;
+	}
+	return count > 0;
+}
+
+void waiting_shed(struct router *r, struct upstream_pool *pool)
+{
+	for (uint32_t i = 0; i < DISPLACED_MAX; i++) {
+		struct route_part *v = part_of_refusal(pool);
+		int64_t work;
+		int64_t wait;
+
+		if (!v || v->request->value.is_late)
+			return;
+		work = request_typical_work(v->request);
+		wait = waiting_time(v);
+		if (v->request->is_updating_parts ||
+		    request_end_of(r, v->request, wait, work) == TRIAGE_IN_GOAL)
+			return;
+		if (waiting_has_room(r, v->request))
+			return;
+		request_refuse(r, v->request, "displaced");
+	}
+}
+
+static bool is_restricted(const struct route_part *p)
+{
+	const struct route_request *q = p->request;
+
+	return q->is_partial || q->route->regions ||
+	       (q->organisation && q->organisation->regions);
+}
+
+void waiting_start_pool(struct router *r, struct upstream_pool *pool)
+{
+	uint32_t at = 0;
+
+	while (at < FRONT_MAX) {
+		struct triage_entry *e = triage_queue_at(&pool->waiting, at);
+		struct route_part *p;
+
+		if (!e)
+			return;
+		p = part_of_entry(e);
+		switch (part_try_first(r, p)) {
+		case PART_BLOCKED:
+			if (!is_restricted(p))
+				return;
+			at++;
+			break;
+		case PART_HOPELESS:
+			request_handle_part_end(r, p->request);
+			at = 0;
+			break;
+		case PART_STARTED:
+		case PART_REFUSED:
+			at = 0;
+			break;
+		}
+	}
+}
+
+void waiting_start_all(struct router *r)
+{
+	/* The end of a request may take several pools out of the list. */
+	for (guint i = r->waiting_pools->len; i > 0; i--) {
+		if (i <= r->waiting_pools->len)
+			waiting_start_pool(r, r->waiting_pools->pdata[i - 1]);
+	}
+}
+
+bool waiting_precedes_extra(const struct route_part *p)
+{
+	const struct triage_entry *first =
+		triage_queue_first(&p->pool->waiting);
+	struct triage_value value = p->request->value;
+
+	value.is_begun = false;
+	return first && first->rank <= triage_rank(&value);
+}
