--- a/router/part.c
+++ b/router/part.c
@@ -353,8 +353,9 @@
 	p->is_infeasible = !is_feasible(r, p, &choice);
 	if (!p->is_infeasible)
 		return true;
-	request_note_figures(r, p->request, p, choice.wait_us,
-			     choice.expected_us);
+	if (p->is_crowded)
+		request_note_figures(r, p->request, p, choice.wait_us,
+				     choice.expected_us);
 	rates_log_no_room(r, p);
 	return false;
 }
--- a/router/triage.c
+++ b/router/triage.c
@@ -241,10 +241,7 @@
 		return LATE_RANK;
 	if (v->is_neglected)
 		return v->is_excess ? rank : 0;
-	if (v->is_excess)
-		return PRIORITY_RANKS + rank;
-	/* The work of the other parts would be wasted. */
-	return v->is_begun && rank ? rank - 1 : rank;
+	return v->is_excess ? PRIORITY_RANKS + rank : rank;
 }
 
 static int64_t refusal_key(uint32_t rank, int64_t request_work_us)
