router: give gathers room for enough parts or none, and refuse early

A gather is admitted only if the waits of its parts, with the more urgent requests that are expected meanwhile, leave it enough of its goal. Work of less cost goes first within a priority, and requests that are nearly done before all others. A refusal for lack of capacity names a backoff after which the goal of the caller can still be met.

--- a/include/router/internal.h
+++ b/include/router/internal.h
@@ -393,16 +393,24 @@
 void request_note_begun(struct router *r, struct route_request *q);
 /** Returns the work that a part of a request usually takes. */
 int64_t request_typical_work(const struct route_request *q);
+/** Returns the work that the slowest part of a request is expected to take. */
+int64_t request_slowest_work(const struct route_request *q);
 /** Returns the work of a request that counts when it is refused. */
 int64_t request_whole_work(const struct route_request *q);
 
 void waiting_add(struct router *r, struct route_part *p);
 void waiting_remove(struct router *r, struct route_part *p);
+/** Raises the rank of a request of which few parts still wait. */
+void waiting_note_sent(struct router *r, struct route_request *q);
 bool waiting_is_empty(const struct router *r);
 /** Returns the work that starts before a part which is not in the queue. */
 int64_t waiting_work_before(const struct route_part *p);
 /** Returns the remaining wait of a part in the queue. */
-int64_t waiting_time(const struct route_part *p);
+int64_t waiting_time(const struct router *r, const struct route_part *p);
+/** Returns the factor on a wait for the more urgent parts that will arrive. */
+double waiting_slowdown(const struct router *r, const struct route_part *p);
+/** Notes that a part is started or queued for its first call. */
+void waiting_note_taken(struct router *r, const struct route_part *p);
 /**
  * Returns whether enough parts of a request can be answered within the goal;
  * otherwise notes the figures.
--- a/include/router/triage.h
+++ b/include/router/triage.h
@@ -125,21 +125,29 @@
 /* Queue of the parts that wait for the leaves of an upstream. */
 
 /** Ranks of a queue; entries of a lower one go first. */
-#define TRIAGE_RANKS 16
+#define TRIAGE_RANKS 32
+/** Classes of work; requests of less work use less capacity for their worth. */
+#define TRIAGE_WEIGHTS 3
 
 /** How much a request matters. */
 struct triage_value {
 	uint32_t priority;
+	/** Class of its work, below TRIAGE_WEIGHTS. */
+	uint32_t weight;
 	/** The organisation asks for more than usual. */
 	bool is_excess;
 	/** The answer would be late. */
 	bool is_late;
 	/** The class of the request has been refused too often. */
 	bool is_neglected;
-	/** Leaves have run other parts of the request. */
+	/** Leaves have been given parts of the request. */
 	bool is_begun;
+	/** Only a small part of the work of the request has not begun. */
+	bool is_nearly_done;
 };
 
+/** Returns the class of the work of a call, compared with a typical one. */
+uint32_t triage_weight(int64_t work_us, int64_t typical_us);
 uint32_t triage_rank(const struct triage_value *v);
 
 /** Entry of a queue, embedded in its owner. */
@@ -160,6 +168,9 @@
 	/** Work of the entries of each rank that were ever added and removed. */
 	int64_t added_us[TRIAGE_RANKS];
 	int64_t removed_us[TRIAGE_RANKS];
+	/** Decayed sums of the work that was started or queued. */
+	double taken_us[TRIAGE_RANKS];
+	int64_t taken_at_us;
 };
 
 /** What is known of an entry when it is queued. */
@@ -186,6 +197,15 @@
 struct triage_entry *triage_queue_cheapest(const struct triage_queue *q);
 /** Returns the work of the entries that start before a new one of a rank. */
 int64_t triage_queue_work_before(const struct triage_queue *q, uint32_t rank);
+/** Notes work of a rank that is started or queued. */
+void triage_queue_note_taken(struct triage_queue *q, uint32_t rank,
+			     int64_t work_us, int64_t now_us);
+/**
+ * Returns the factor by which a wait grows because entries of better ranks keep
+ * arriving, if work_per_us is the work that starts in each microsecond.
+ */
+double triage_queue_slowdown(const struct triage_queue *q, uint32_t rank,
+			     double work_per_us, int64_t now_us);
 /** Estimates the work of the entries that start before an entry. */
 int64_t triage_queue_work_ahead(const struct triage_queue *q,
 				const struct triage_entry *e);
--- a/router/part.c
+++ b/router/part.c
@@ -16,6 +16,12 @@
  */
 #define RETRY_REFUSED_MAX 4
 
+/*
+ * Factor on the expected wait of a part that arrives: more urgent requests may
+ * arrive while it waits, and a gather waits for the slowest of its parts.
+ */
+#define WAIT_MARGIN 1.5
+
 static const char *outcome_name(enum call_outcome outcome)
 {
 	switch (outcome) {
@@ -178,10 +184,14 @@
 }
 
 static enum triage_end end_of_choice(struct router *r,
-				     const struct route_request *q,
+				     const struct route_part *p,
 				     const struct leaf_choice *choice)
 {
-	return request_end_of(r, q, choice->wait_us, choice->expected_us);
+	double wait =
+		WAIT_MARGIN * waiting_slowdown(r, p) * (double)choice->wait_us;
+
+	return request_end_of(r, p->request, (int64_t)wait,
+			      choice->expected_us);
 }
 
 /*
@@ -202,7 +212,7 @@
 		return EXTRA_BUSY;
 	choice = leaf_choose(r, p);
 	if (!choice.leaf)
-		return choice.is_busy && can_end(end_of_choice(r, q, &choice))
+		return choice.is_busy && can_end(end_of_choice(r, p, &choice))
 			       ? EXTRA_BUSY
 			       : EXTRA_NO_LEAF;
 	if (!is_uncharged &&
@@ -298,6 +308,7 @@
 		return give_up_waiting(r, p, "room");
 	waiting_remove(r, p);
 	send_call(r, p, choice.leaf, false);
+	waiting_note_sent(r, q);
 	return PART_STARTED;
 }
 
@@ -326,7 +337,7 @@
 
 	if (!choice->leaf && !choice->usable_count)
 		return false;
-	switch (end_of_choice(r, q, choice)) {
+	switch (end_of_choice(r, p, choice)) {
 	case TRIAGE_IN_GOAL:
 		return true;
 	case TRIAGE_LATE:
@@ -366,14 +377,13 @@
  */
 static void start_without_batch(struct router *r, struct route_part *p)
 {
-	const struct route_request *q = p->request;
 	struct leaf_choice choice = leaf_choose(r, p);
 
 	leaf_note_wanted(r, p, &choice);
 	if (choice.leaf) {
 		send_call(r, p, choice.leaf, false);
 	} else if (choice.is_busy &&
-		   end_of_choice(r, q, &choice) == TRIAGE_IN_GOAL) {
+		   end_of_choice(r, p, &choice) == TRIAGE_IN_GOAL) {
 		waiting_add(r, p);
 	} else {
 		rates_log_no_room(r, p);
@@ -409,6 +419,7 @@
 	} else if (p->planned_leaf &&
 		   leaf_rate_has_room(&p->planned_leaf->rate, q->priority,
 				      r->host_count, now)) {
+		waiting_note_taken(r, p);
 		send_call(r, p, p->planned_leaf, false);
 	} else if (p->planned_leaf) {
 		start_without_batch(r, p);
--- a/router/request.c
+++ b/router/request.c
@@ -18,6 +18,13 @@
 /* Backoff after a refusal by a host that stops: other hosts have room. */
 #define RETRY_AFTER_STOP_MIN_US (10 * US_PER_MS)
 #define RETRY_AFTER_STOP_SPREAD_US (90 * US_PER_MS)
+/*
+ * Backoff after a refusal for lack of capacity, as a share of the time in which
+ * the repetition can start and meet the goal, and the least such time.
+ */
+#define REPEAT_SHARE_MIN 0.25
+#define REPEAT_SHARE_MAX 0.5
+#define RETRY_AFTER_CROWD_MIN_US (40 * US_PER_MS)
 /* Callers accept a backoff of up to a third of the time to their deadline. */
 #define RETRY_AFTER_SHARE 0.32
 
@@ -51,6 +58,26 @@
 	return MAX(RETRY_AFTER_MIN_US, (int64_t)(share * longest));
 }
 
+/*
+ * Returns the backoff after a refusal for lack of capacity. The goal of the
+ * caller counts from its first attempt: the repetition comes while it can still
+ * be met, if there is time for that.
+ */
+static int64_t retry_after_crowd(struct router *r,
+				 const struct route_request *q)
+{
+	int64_t left =
+		q->goal_at_us - router_now(r) - 2 * request_slowest_work(q);
+	double share = g_rand_double_range(r->random, REPEAT_SHARE_MIN,
+					   REPEAT_SHARE_MAX);
+
+	/* A wait beyond the goal shows that there will be no room by then. */
+	if (left < RETRY_AFTER_CROWD_MIN_US ||
+	    q->refusal.wait_us > q->refusal.left_us)
+		return retry_after_outage(r, q);
+	return (int64_t)(share * (double)left);
+}
+
 /* Returns the upstream that a request was sent to; empty for a gather. */
 static const char *upstream_name(const struct route_request *q)
 {
@@ -145,7 +172,9 @@
 
 	if (!may_have_run(q)) {
 		a.status = 503;
-		if (code == -ERR_ROUTE_LATE)
+		if (code == -ERR_ROUTE_LATE && q->refusal.reason)
+			a.retry_after_us = retry_after_crowd(r, q);
+		else if (code == -ERR_ROUTE_LATE)
 			a.retry_after_us = retry_after_outage(r, q);
 		else if (code == -ERR_ROUTE_STOPPING)
 			a.retry_after_us = retry_after_stop(r);
@@ -185,7 +214,7 @@
 	const struct route_part *p = find_waiting_part(q);
 
 	if (p)
-		request_note_figures(r, q, p, waiting_time(p),
+		request_note_figures(r, q, p, waiting_time(r, p),
 				     request_typical_work(q));
 	q->refusal.reason = reason;
 	finish_failed_request(r, q,
--- a/router/triage.c
+++ b/router/triage.c
@@ -40,6 +40,10 @@
 #define CLASS_FLOOR 0.3
 #define CREDIT_MAX 2.0
 
+/* Half-life of the work that each rank takes, and its largest share. */
+#define TAKEN_HALF_LIFE_US (500 * US_PER_MS)
+#define TAKEN_SHARE_MAX 0.8
+
 #define RECENT_HALF_LIFE_US (2 * US_PER_S)
 #define USUAL_HALF_LIFE_US (300 * US_PER_S)
 /* An organisation may exceed its usual share by this factor. */
@@ -49,9 +53,13 @@
 /* No history is long enough to tell what is usual. */
 #define USUAL_MIN_US (10 * US_PER_S)
 
-/* Ranks of the priorities, of excess, and of late answers. */
-#define PRIORITY_RANKS 7
+/* Priorities beyond this number share a rank. */
+#define PRIORITIES_MAX 5
+/* Ranks of the requests within their usual demand, without late ones. */
+#define USUAL_RANKS (PRIORITIES_MAX * TRIAGE_WEIGHTS)
 #define LATE_RANK (TRIAGE_RANKS - 1)
+/* Work that is this much above or below that of a typical call. */
+#define WEIGHT_FACTOR 1.5
 /*
  * An entry that has waited for this time goes before newer entries of the next
  * better rank.
@@ -233,15 +241,29 @@
 	return is_excess;
 }
 
+uint32_t triage_weight(int64_t work_us, int64_t typical_us)
+{
+	double work = (double)work_us;
+	double typical = (double)typical_us;
+
+	if (work * WEIGHT_FACTOR <= typical)
+		return 0;
+	return work < typical * WEIGHT_FACTOR ? 1 : 2;
+}
+
 uint32_t triage_rank(const struct triage_value *v)
 {
-	uint32_t rank = MIN(v->priority, PRIORITY_RANKS - 1);
+	uint32_t rank = MIN(v->priority, PRIORITIES_MAX - 1) * TRIAGE_WEIGHTS +
+			MIN(v->weight, TRIAGE_WEIGHTS - 1);
 
+	/* Little capacity is needed for the worth of a whole request. */
+	if (v->is_nearly_done)
+		return 0;
 	if (v->is_late)
 		return LATE_RANK;
 	if (v->is_neglected)
 		return v->is_excess ? rank : 0;
-	return v->is_excess ? PRIORITY_RANKS + rank : rank;
+	return v->is_excess ? USUAL_RANKS + rank : rank;
 }
 
 static int64_t refusal_key(uint32_t rank, int64_t request_work_us)
@@ -346,6 +368,31 @@
 	return e->refusal.key < refusal_key(rank, request_work_us);
 }
 
+void triage_queue_note_taken(struct triage_queue *q, uint32_t rank,
+			     int64_t work_us, int64_t now_us)
+{
+	double factor = decay(now_us - q->taken_at_us, TAKEN_HALF_LIFE_US);
+
+	for (uint32_t i = 0; i < TRIAGE_RANKS; i++)
+		q->taken_us[i] *= factor;
+	q->taken_us[rank] += (double)work_us;
+	q->taken_at_us = now_us;
+}
+
+double triage_queue_slowdown(const struct triage_queue *q, uint32_t rank,
+			     double work_per_us, int64_t now_us)
+{
+	double taken = 0;
+
+	for (uint32_t i = 0; i < rank; i++)
+		taken += q->taken_us[i];
+	if (taken <= 0 || work_per_us <= 0)
+		return 1;
+	taken *= decay(now_us - q->taken_at_us, TAKEN_HALF_LIFE_US) * G_LN2 /
+		 (double)TAKEN_HALF_LIFE_US;
+	return 1 / (1 - MIN(taken / work_per_us, TAKEN_SHARE_MAX));
+}
+
 uint32_t triage_queue_count(const struct triage_queue *q)
 {
 	return q->order.count;
--- a/router/waiting.c
+++ b/router/waiting.c
@@ -4,6 +4,11 @@
 
 /* Interval at which a request that waits is reviewed. */
 #define REVIEW_INTERVAL_US (50 * US_PER_MS)
+/*
+ * Share of the parts of a request that wait, up to which its worth in relation
+ * to their work exceeds that of any other request.
+ */
+#define NEARLY_DONE_SHARE 0.25
 /* Requests that are refused at most to make room for one. */
 #define DISPLACED_MAX 4
 /*
@@ -63,6 +68,10 @@
 	struct triage_class unused = r->class;
 
 	v->priority = q->priority;
+	if (q->part_count)
+		v->weight = triage_weight(
+			request_typical_work(q),
+			work_estimate_typical(&q->parts[0].pool->work));
 	v->is_late = request_end_of(r, q, 0,
 				    work_estimate_typical(&q->stats->work)) ==
 		     TRIAGE_LATE;
@@ -112,14 +121,20 @@
 	return triage_queue_work_before(&p->pool->waiting, rank_of(p->request));
 }
 
-int64_t waiting_time(const struct route_part *p)
+double waiting_slowdown(const struct router *r, const struct route_part *p)
+{
+	return triage_queue_slowdown(&p->pool->waiting, rank_of(p->request),
+				     p->pool->drain, router_now(r));
+}
+
+int64_t waiting_time(const struct router *r, const struct route_part *p)
 {
 	int64_t own = request_typical_work(p->request);
 
 	if (p->pool->drain <= 0)
 		return 0;
 	return (int64_t)((double)(waiting_work_before(p) + own) /
-			 p->pool->drain);
+			 p->pool->drain * waiting_slowdown(r, p));
 }
 
 static void note_waiting_pool(struct router *r, struct upstream_pool *pool)
@@ -184,9 +199,17 @@
 	router_timer_arm(r, &q->review_timer, at, handle_review);
 }
 
+void waiting_note_taken(struct router *r, const struct route_part *p)
+{
+	triage_queue_note_taken(&p->pool->waiting, rank_of(p->request),
+				request_typical_work(p->request),
+				router_now(r));
+}
+
 void waiting_add(struct router *r, struct route_part *p)
 {
 	p->phase = PART_WAITING;
+	waiting_note_taken(r, p);
 	enqueue(r, p);
 	if (!p->request->review_timer.node.position)
 		arm_review(r, p->request);
@@ -223,12 +246,44 @@
 	}
 }
 
+static uint32_t count_waiting(const struct route_request *q)
+{
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < q->part_count; i++)
+		count += q->parts[i].entry.order.position != 0;
+	return count;
+}
+
+static void enqueue_again(struct router *r, struct route_request *q)
+{
+	for (uint32_t i = 0; i < q->part_count; i++) {
+		if (q->parts[i].entry.order.position)
+			enqueue(r, &q->parts[i]);
+	}
+}
+
+void waiting_note_sent(struct router *r, struct route_request *q)
+{
+	if (q->value.is_nearly_done || q->is_partial ||
+	    count_waiting(q) > NEARLY_DONE_SHARE * q->part_count)
+		return;
+	q->value.is_nearly_done = true;
+	enqueue_again(r, q);
+}
+
 static bool may_do_without(const struct route_request *q, uint32_t parts)
 {
 	return q->route->shape == ROUTE_GATHER &&
 	       gather_can_do_without(q, parts);
 }
 
+int64_t request_slowest_work(const struct route_request *q)
+{
+	return MAX(work_estimate_slowest(&q->stats->work, q->part_count),
+		   request_typical_work(q));
+}
+
 bool waiting_has_room(struct router *r, struct route_request *q)
 {
 	int64_t work = request_typical_work(q);
@@ -242,7 +297,7 @@
 
 		if (p->phase != PART_WAITING || !p->entry.order.position)
 			continue;
-		wait = waiting_time(p);
+		wait = waiting_time(r, p);
 		if (request_end_of(r, q, wait, work) == TRIAGE_IN_GOAL)
 			continue;
 		if (!late++)
@@ -275,10 +330,7 @@
 static void demote(struct router *r, struct route_request *q)
 {
 	q->value.is_late = true;
-	for (uint32_t i = 0; i < q->part_count; i++) {
-		if (q->parts[i].phase == PART_WAITING)
-			enqueue(r, &q->parts[i]);
-	}
+	enqueue_again(r, q);
 }
 
 /* Returns whether parts of other requests wait with those of a request. */
@@ -366,7 +418,8 @@
 	uint32_t count = 0;
 
 	while (count < DISPLACED_MAX &&
-	       request_end_of(r, q, waiting_time(p), work) != TRIAGE_IN_GOAL) {
+	       request_end_of(r, q, waiting_time(r, p), work) !=
+		       TRIAGE_IN_GOAL) {
 		struct route_part *v = part_of_refusal(p->pool);
 
 		/* The refusal of a lower rank makes no room. */
@@ -390,7 +443,7 @@
 		if (!v || v->request->value.is_late)
 			return;
 		work = request_typical_work(v->request);
-		wait = waiting_time(v);
+		wait = waiting_time(r, v);
 		if (v->request->is_updating_parts ||
 		    request_end_of(r, v->request, wait, work) == TRIAGE_IN_GOAL)
 			return;
@@ -452,6 +505,6 @@
 		triage_queue_first(&p->pool->waiting);
 	struct triage_value value = p->request->value;
 
-	value.is_begun = false;
+	value.is_nearly_done = false;
 	return first && first->rank <= triage_rank(&value);
 }
