--- a/include/router/triage.h
+++ b/include/router/triage.h
@@ -101,7 +101,9 @@
  */
 bool triage_class_note_offered(struct triage_class *c, struct triage_class *all,
 			       int64_t now_us);
-void triage_class_note_started(struct triage_class *c, int64_t now_us);
+/** Notes that a request was started; was_first if it went first. */
+void triage_class_note_started(struct triage_class *c, bool was_first,
+			       int64_t now_us);
 
 /** Work that an organisation asks for. */
 struct triage_demand {
--- a/router/request.c
+++ b/router/request.c
@@ -24,7 +24,7 @@
  */
 #define REPEAT_SHARE_MIN 0.25
 #define REPEAT_SHARE_MAX 0.5
-#define RETRY_AFTER_CROWD_MIN_US (40 * US_PER_MS)
+#define RETRY_AFTER_CROWD_MIN_US (15 * US_PER_MS)
 /* Callers accept a backoff of up to a third of the time to their deadline. */
 #define RETRY_AFTER_SHARE 0.32
 
--- a/router/triage.c
+++ b/router/triage.c
@@ -34,10 +34,10 @@
 
 #define CLASS_HALF_LIFE_US (5 * US_PER_S)
 /*
- * Share of the success of all requests that each class reaches; less than a
- * quarter is not permitted.
+ * Share of the success of all requests that each class reaches. Less than a
+ * quarter is not permitted; repetitions by callers raise what they see.
  */
-#define CLASS_FLOOR 0.3
+#define CLASS_FLOOR 0.25
 #define CREDIT_MAX 2.0
 
 /* Half-life of the work that each rank takes, and its largest share. */
@@ -48,6 +48,8 @@
 #define USUAL_HALF_LIFE_US (300 * US_PER_S)
 /* An organisation may exceed its usual share by this factor. */
 #define EXCESS_FACTOR 1.5
+/* Share of the excess that counts as usual demand. */
+#define EXCESS_WEIGHT 0.1
 /* Time for which the allowed work accumulates. */
 #define ALLOWED_TIME_US (2 * US_PER_S)
 /* No history is long enough to tell what is usual. */
@@ -175,14 +177,20 @@
 	c->credit = MIN(c->credit, CREDIT_MAX);
 	c->offered++;
 	all->offered++;
-	return c->credit >= 1;
+	if (c->credit < 1)
+		return false;
+	/* Also spent if the request is refused, so that few go first. */
+	c->credit--;
+	return true;
 }
 
-void triage_class_note_started(struct triage_class *c, int64_t now_us)
+void triage_class_note_started(struct triage_class *c, bool was_first,
+			       int64_t now_us)
 {
 	decay_class(c, now_us);
 	c->started++;
-	c->credit = MAX(c->credit - 1, 0);
+	if (!was_first)
+		c->credit = MAX(c->credit - 1, 0);
 }
 
 static void decay_demand(struct triage_demand *d, int64_t now_us)
@@ -235,8 +243,11 @@
 	if (!is_excess)
 		d->allowed = MAX(d->allowed - work, 0);
 	d->recent += work;
-	d->usual += work;
 	all->recent += work;
+	/* Excess must not soon become usual. */
+	if (is_excess)
+		work *= EXCESS_WEIGHT;
+	d->usual += work;
 	all->usual += work;
 	return is_excess;
 }
--- a/router/waiting.c
+++ b/router/waiting.c
@@ -229,11 +229,13 @@
 		return;
 	q->value.is_begun = true;
 	if (!q->is_partial) {
-		triage_class_note_started(&q->stats->class, now);
-		triage_class_note_started(&r->class, now);
+		bool was_first = q->value.is_neglected;
+
+		triage_class_note_started(&q->stats->class, was_first, now);
+		triage_class_note_started(&r->class, was_first, now);
 		if (q->organisation_stats)
 			triage_class_note_started(&q->organisation_stats->class,
-						  now);
+						  was_first, now);
 	}
 	for (uint32_t i = 0; i < q->part_count; i++) {
 		struct route_part *p = &q->parts[i];
