--- a/include/router/internal.h
+++ b/include/router/internal.h
@@ -427,10 +427,10 @@
 void waiting_start_pool(struct router *r, struct upstream_pool *pool);
 void waiting_start_all(struct router *r);
 /**
- * Returns whether a first call that waits for the pool goes before an extra
- * call of a part.
+ * Returns whether a first call of the same or a better rank than that of a part
+ * waits for its pool.
  */
-bool waiting_precedes_extra(const struct route_part *p);
+bool waiting_has_rival(const struct route_part *p);
 /** Drops organisations that are not in the table in force. */
 void waiting_apply_table(struct router *r);
 
--- a/router/part.c
+++ b/router/part.c
@@ -208,7 +208,7 @@
 
 	if (!is_extra_useful(r, q))
 		return EXTRA_NO_LEAF;
-	if (!is_uncharged && waiting_precedes_extra(p))
+	if (!is_uncharged && waiting_has_rival(p))
 		return EXTRA_BUSY;
 	choice = leaf_choose(r, p);
 	if (!choice.leaf)
--- a/router/request.c
+++ b/router/request.c
@@ -28,6 +28,8 @@
 /* Callers accept a backoff of up to a third of the time to their deadline. */
 #define RETRY_AFTER_SHARE 0.32
 
+/* Share of the parts that may wait if others are left out of a gather. */
+#define BUSY_SHARE_MAX 0.25
 /* Length of the figures of a refusal in a log line. */
 #define REFUSAL_TEXT_MAX 160
 
@@ -449,12 +451,32 @@
 	return 0;
 }
 
+/*
+ * Returns whether parts without room are left out. If requests of the same rank
+ * wait for many shards, the capacity is better used for those that all shards
+ * can answer.
+ */
+static bool may_leave_out(const struct route_request *q)
+{
+	uint32_t crowded = 0;
+	uint32_t waiting = 0;
+
+	for (uint32_t i = 0; i < q->part_count; i++) {
+		const struct route_part *p = &q->parts[i];
+
+		crowded += p->is_infeasible && p->is_crowded;
+		waiting += !p->is_infeasible && waiting_has_rival(p);
+	}
+	return !crowded || waiting <= BUSY_SHARE_MAX * q->part_count;
+}
+
 static bool can_be_answered(const struct route_request *q)
 {
 	if (q->is_partial)
 		return true;
-	return q->route->shape == ROUTE_GATHER ? gather_can_reach_coverage(q)
-					       : !q->failed_count;
+	if (q->route->shape != ROUTE_GATHER)
+		return !q->failed_count;
+	return gather_can_reach_coverage(q) && may_leave_out(q);
 }
 
 /* Plans a part for which there was no room again, after others were refused. */
--- a/router/waiting.c
+++ b/router/waiting.c
@@ -501,7 +501,7 @@
 	}
 }
 
-bool waiting_precedes_extra(const struct route_part *p)
+bool waiting_has_rival(const struct route_part *p)
 {
 	const struct triage_entry *first =
 		triage_queue_first(&p->pool->waiting);
