--- a/include/router/internal.h
+++ b/include/router/internal.h
@@ -391,6 +391,11 @@
 void request_classify(struct router *r, struct route_request *q);
 /** Notes that a leaf or another host is given a part of the request. */
 void request_note_begun(struct router *r, struct route_request *q);
+/** Returns whether a request gives way to more urgent ones. */
+bool request_gives_way(struct router *r, const struct route_request *q);
+/** Notes a request that was started or refused for lack of capacity. */
+void request_note_class(struct router *r, const struct route_request *q,
+			bool is_started);
 /** Returns the work that a part of a request usually takes. */
 int64_t request_typical_work(const struct route_request *q);
 /** Returns the work that the slowest part of a request is expected to take. */
--- a/include/router/leaf_set.h
+++ b/include/router/leaf_set.h
@@ -118,6 +118,8 @@
 	guint waiting_position;
 	/** Work of waiting parts that starts in each microsecond. */
 	double drain;
+	/** Requests that were started or refused for lack of capacity. */
+	struct triage_class classes[TRIAGE_PRIORITIES];
 	/** Work of a call of any route. */
 	struct work_estimate work;
 	/** Connections that a leaf accepts from all hosts together. */
--- a/include/router/triage.h
+++ b/include/router/triage.h
@@ -105,6 +105,19 @@
 void triage_class_note_started(struct triage_class *c, bool was_first,
 			       int64_t now_us);
 
+/** Priorities beyond this number are treated alike. */
+#define TRIAGE_PRIORITIES 5
+
+/** Notes a request that was started, or refused for lack of capacity. */
+void triage_class_note_end(struct triage_class *c, bool is_started,
+			   int64_t now_us);
+/**
+ * Returns whether a request gives way to more urgent ones: of those, a smaller
+ * share was started. classes are those of an upstream by priority.
+ */
+bool triage_class_gives_way(const struct triage_class *classes,
+			    uint32_t priority, int64_t now_us);
+
 /** Work that an organisation asks for. */
 struct triage_demand {
 	/** Decayed sums of the work, over seconds and over minutes. */
@@ -144,6 +157,8 @@
 	bool is_neglected;
 	/** Leaves have been given parts of the request. */
 	bool is_begun;
+	/** The request has waited so long that it is no longer displaced. */
+	bool is_certain;
 	/** Only a small part of the work of the request has not begun. */
 	bool is_nearly_done;
 };
--- a/router/part.c
+++ b/router/part.c
@@ -304,7 +304,7 @@
 	if (!choice.leaf)
 		return choice.usable_count ? PART_BLOCKED
 					   : give_up_waiting(r, p, NULL);
-	if (!q->value.is_begun && !waiting_has_room(r, q))
+	if (!waiting_has_room(r, q))
 		return give_up_waiting(r, p, "room");
 	waiting_remove(r, p);
 	send_call(r, p, choice.leaf, false);
--- a/router/request.c
+++ b/router/request.c
@@ -174,6 +174,8 @@
 
 	if (!may_have_run(q)) {
 		a.status = 503;
+		if (q->refusal.reason)
+			request_note_class(r, q, false);
 		if (code == -ERR_ROUTE_LATE && q->refusal.reason)
 			a.retry_after_us = retry_after_crowd(r, q);
 		else if (code == -ERR_ROUTE_LATE)
@@ -524,6 +526,10 @@
 		finish_failed_request(r, q, -ERR_ROUTE_STOPPING);
 		return 0;
 	}
+	if (request_gives_way(r, q)) {
+		request_refuse(r, q, "urgent");
+		return 0;
+	}
 	if (!plan_parts(r, q)) {
 		finish_failed_request(r, q,
 				      router_is_stopping(r)
--- a/router/triage.c
+++ b/router/triage.c
@@ -39,6 +39,13 @@
  */
 #define CLASS_FLOOR 0.25
 #define CREDIT_MAX 2.0
+/*
+ * Requests of a more urgent class that must be known to give way to it, and the
+ * difference between the shares of started requests that is tolerated: 0.05 is
+ * not permitted.
+ */
+#define CLASS_KNOWN_MIN 5.0
+#define CLASS_TOLERANCE 0.02
 
 /* Half-life of the work that each rank takes, and its largest share. */
 #define TAKEN_HALF_LIFE_US (500 * US_PER_MS)
@@ -55,10 +62,8 @@
 /* No history is long enough to tell what is usual. */
 #define USUAL_MIN_US (10 * US_PER_S)
 
-/* Priorities beyond this number share a rank. */
-#define PRIORITIES_MAX 5
 /* Ranks of the requests within their usual demand, without late ones. */
-#define USUAL_RANKS (PRIORITIES_MAX * TRIAGE_WEIGHTS)
+#define USUAL_RANKS (TRIAGE_PRIORITIES * TRIAGE_WEIGHTS)
 #define LATE_RANK (TRIAGE_RANKS - 1)
 /* Work that is this much above or below that of a typical call. */
 #define WEIGHT_FACTOR 1.5
@@ -193,6 +198,34 @@
 		c->credit = MAX(c->credit - 1, 0);
 }
 
+void triage_class_note_end(struct triage_class *c, bool is_started,
+			   int64_t now_us)
+{
+	decay_class(c, now_us);
+	c->offered++;
+	c->started += is_started;
+}
+
+bool triage_class_gives_way(const struct triage_class *classes,
+			    uint32_t priority, int64_t now_us)
+{
+	const struct triage_class *own =
+		&classes[MIN(priority, TRIAGE_PRIORITIES - 1)];
+
+	if (own->offered <= 0)
+		return false;
+	for (const struct triage_class *c = classes; c < own; c++) {
+		double known = c->offered *
+			       decay(now_us - c->at_us, CLASS_HALF_LIFE_US);
+
+		if (known >= CLASS_KNOWN_MIN &&
+		    c->started / c->offered + CLASS_TOLERANCE <
+			    own->started / own->offered)
+			return true;
+	}
+	return false;
+}
+
 static void decay_demand(struct triage_demand *d, int64_t now_us)
 {
 	int64_t age = now_us - d->at_us;
@@ -264,8 +297,9 @@
 
 uint32_t triage_rank(const struct triage_value *v)
 {
-	uint32_t rank = MIN(v->priority, PRIORITIES_MAX - 1) * TRIAGE_WEIGHTS +
-			MIN(v->weight, TRIAGE_WEIGHTS - 1);
+	uint32_t rank =
+		MIN(v->priority, TRIAGE_PRIORITIES - 1) * TRIAGE_WEIGHTS +
+		MIN(v->weight, TRIAGE_WEIGHTS - 1);
 
 	/* Little capacity is needed for the worth of a whole request. */
 	if (v->is_nearly_done)
--- a/router/waiting.c
+++ b/router/waiting.c
@@ -92,6 +92,24 @@
 					  (double)request_whole_work(q), now);
 }
 
+bool request_gives_way(struct router *r, const struct route_request *q)
+{
+	/* The shards of a gather are mostly those of other gathers too. */
+	return !q->is_partial && q->part_count && !q->value.is_neglected &&
+	       triage_class_gives_way(q->parts[0].pool->classes, q->priority,
+				      router_now(r));
+}
+
+void request_note_class(struct router *r, const struct route_request *q,
+			bool is_started)
+{
+	uint32_t priority = MIN(q->priority, TRIAGE_PRIORITIES - 1);
+
+	if (!q->is_partial && q->part_count)
+		triage_class_note_end(&q->parts[0].pool->classes[priority],
+				      is_started, router_now(r));
+}
+
 void waiting_apply_table(struct router *r)
 {
 	GHashTableIter iter;
@@ -167,7 +185,8 @@
 		.latest_start_us = triage_latest_start(&limits, work),
 		.work_us = work,
 		.request_work_us = request_whole_work(q),
-		.is_kept = q->value.is_begun || q->is_partial,
+		.is_kept = q->value.is_begun || q->value.is_certain ||
+			   q->is_partial,
 	};
 
 	triage_queue_add(&p->pool->waiting, &p->entry, &in);
@@ -228,6 +247,7 @@
 	if (q->value.is_begun)
 		return;
 	q->value.is_begun = true;
+	request_note_class(r, q, true);
 	if (!q->is_partial) {
 		bool was_first = q->value.is_neglected;
 
@@ -291,7 +311,8 @@
 	int64_t work = request_typical_work(q);
 	uint32_t late = 0;
 
-	if (q->value.is_late || q->is_partial)
+	if (q->value.is_late || q->is_partial || q->value.is_begun ||
+	    q->value.is_certain)
 		return true;
 	for (uint32_t i = 0; i < q->part_count; i++) {
 		struct route_part *p = &q->parts[i];
@@ -384,6 +405,17 @@
 	return false;
 }
 
+/* A later refusal would cost the caller too much of its goal. */
+static void note_certain(struct route_request *q)
+{
+	if (q->value.is_certain)
+		return;
+	q->value.is_certain = true;
+	for (uint32_t i = 0; i < q->part_count; i++)
+		triage_queue_keep(&q->parts[i].pool->waiting,
+				  &q->parts[i].entry);
+}
+
 static void handle_review(struct router *r, struct router_timer *t)
 {
 	struct route_request *q =
@@ -394,10 +426,12 @@
 	if (router_now(r) > latest_start(q)) {
 		if (!review_late(r, q))
 			return;
-	} else if (!q->value.is_begun && !waiting_has_room(r, q)) {
+	} else if (!waiting_has_room(r, q)) {
 		request_refuse(r, q, "room");
 		return;
 	}
+	if (router_now(r) >= triage_hold_until(q->start_us, q->route->goal_us))
+		note_certain(q);
 	arm_review(r, q);
 }
 
