--- a/include/router/internal.h
+++ b/include/router/internal.h
@@ -149,8 +149,7 @@
 
 /** Why a request was refused, with the figures; for the log. */
 struct triage_refusal {
-	/** NULL if capacity was not the reason. */
-	const char *reason;
+	enum triage_reason reason;
 	int64_t wait_us;
 	int64_t work_us;
 	int64_t left_us;
@@ -403,6 +402,8 @@
 /** Returns the work of a request that counts when it is refused. */
 int64_t request_whole_work(const struct route_request *q);
 
+/** Logs a request of which parts wait. */
+void waiting_log(const struct router *r, const struct route_request *q);
 void waiting_add(struct router *r, struct route_part *p);
 void waiting_remove(struct router *r, struct route_part *p);
 /** Raises the rank of a request of which few parts still wait. */
@@ -494,7 +495,7 @@
  * reason is for the log.
  */
 void request_refuse(struct router *r, struct route_request *q,
-		    const char *reason);
+		    enum triage_reason reason);
 /** Notes the figures of a part behind a refusal. */
 void request_note_figures(struct router *r, struct route_request *q,
 			  const struct route_part *p, int64_t wait_us,
--- a/include/router/router.h
+++ b/include/router/router.h
@@ -265,6 +265,22 @@
  */
 bool router_may_start(struct router *r, const struct route *route);
 
+/** Times of a request that may be forwarded to another host. */
+struct router_way {
+	/** Time left until the latency goal and until the deadline. */
+	int64_t goal_us;
+	int64_t wait_us;
+	/** Time to the other host and back. */
+	int64_t way_us;
+};
+
+/**
+ * Returns whether a forwarded request can still end in time; otherwise this
+ * host decides on it.
+ */
+bool router_may_forward(struct router *r, const struct route *route,
+			const struct router_way *way);
+
 /**
  * Puts a newer table in force and takes over the reference. Requests in flight
  * keep the table with which they began. Returns 0 or -ERR_ROUTE_VERSION.
--- a/include/router/triage.h
+++ b/include/router/triage.h
@@ -62,6 +62,25 @@
 	TRIAGE_STOPPED,
 };
 
+/** Why a request is refused although leaves are in service. */
+enum triage_reason {
+	TRIAGE_NOT_REFUSED,
+	/** The wait for leaves is too long. */
+	TRIAGE_NO_ROOM,
+	/** Requests that matter more took its place. */
+	TRIAGE_DISPLACED,
+	/** It has not started in time to meet the goal. */
+	TRIAGE_GOAL_MISSED,
+	/** It can no longer end before the deadline. */
+	TRIAGE_DEADLINE_MISSED,
+	/** A smaller share of the more urgent requests was started. */
+	TRIAGE_GAVE_WAY,
+	TRIAGE_REASONS,
+};
+
+/** Returns the name of a reason, for logs and metrics. */
+const char *triage_reason_name(enum triage_reason reason);
+
 /** Work that a request starts once a wait is over. */
 struct triage_work {
 	int64_t wait_us;
--- a/nutmegpickd/route_hosts.c
+++ b/nutmegpickd/route_hosts.c
@@ -189,14 +189,35 @@
 	return h;
 }
 
+static int64_t hop_time(const struct known_host *h)
+{
+	return h->distance == LEAF_SAME_DOMAIN ? HOP_DOMAIN_US : HOP_REGION_US;
+}
+
+static bool has_time_to_forward(struct route_service *s,
+				const struct caller_request *q,
+				const struct known_host *h,
+				const struct route *route)
+{
+	int64_t elapsed = clock_now(&s->clock) - q->start_us;
+	int64_t wait = q->wait_us > 0 ? MIN(q->wait_us, route->timeout_us)
+				      : route->timeout_us;
+	struct router_way way = {
+		.goal_us = router_goal_left(route) - elapsed,
+		.wait_us = wait - elapsed,
+		.way_us = hop_time(h),
+	};
+
+	return router_may_forward(s->router, route, &way);
+}
+
 static void send_request_to_gatherer(struct route_service *s,
 				     struct caller_request *q,
 				     const struct known_host *h,
 				     const struct route *route)
 {
 	struct http_exchange *x = q->exchange;
-	int64_t hop = h->distance == LEAF_SAME_DOMAIN ? HOP_DOMAIN_US
-						      : HOP_REGION_US;
+	int64_t hop = hop_time(h);
 	int64_t elapsed = clock_now(&s->clock) - q->start_us;
 	struct gather_request g = {
 		.id = q->forward.id,
@@ -233,7 +254,7 @@
 	    !router_may_start(s->router, route))
 		return false;
 	h = choose_gatherer(s, q, route);
-	if (!h)
+	if (!h || !has_time_to_forward(s, q, h, route))
 		return false;
 	q->wait_us = q->wait_us > 0 ? MIN(q->wait_us, route->timeout_us)
 				    : route->timeout_us;
--- a/router/part.c
+++ b/router/part.c
@@ -279,8 +279,9 @@
 }
 
 /* Takes a part out of the queue that no call can answer any more. */
-static enum part_start_result
-give_up_waiting(struct router *r, struct route_part *p, const char *reason)
+static enum part_start_result give_up_waiting(struct router *r,
+					      struct route_part *p,
+					      enum triage_reason reason)
 {
 	struct route_request *q = p->request;
 
@@ -299,13 +300,14 @@
 	struct leaf_choice choice;
 
 	if (!can_end(request_end_of(r, q, 0, request_typical_work(q))))
-		return give_up_waiting(r, p, "deadline");
+		return give_up_waiting(r, p, TRIAGE_DEADLINE_MISSED);
 	choice = leaf_choose(r, p);
 	if (!choice.leaf)
-		return choice.usable_count ? PART_BLOCKED
-					   : give_up_waiting(r, p, NULL);
+		return choice.usable_count
+			       ? PART_BLOCKED
+			       : give_up_waiting(r, p, TRIAGE_NOT_REFUSED);
 	if (!waiting_has_room(r, q))
-		return give_up_waiting(r, p, "room");
+		return give_up_waiting(r, p, TRIAGE_NO_ROOM);
 	waiting_remove(r, p);
 	send_call(r, p, choice.leaf, false);
 	waiting_note_sent(r, q);
--- a/router/request.c
+++ b/router/request.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "common/counter.h"
 #include "common/errors.h"
 #include "common/events.h"
 
@@ -105,7 +106,8 @@
 		g_snprintf(out, size,
 			   " reason=%s rank=%u wait_ms=%lld work_ms=%lld "
 			   "left_ms=%lld waiting=%u",
-			   f->reason, triage_rank(&q->value),
+			   triage_reason_name(f->reason),
+			   triage_rank(&q->value),
 			   (long long)(f->wait_us / US_PER_MS),
 			   (long long)(f->work_us / US_PER_MS),
 			   (long long)(f->left_us / US_PER_MS),
@@ -166,6 +168,33 @@
 	return false;
 }
 
+#define REFUSAL_COUNTER(text)                                     \
+	{                                                         \
+		.name = "nutmegpick_triage_refusals_total",       \
+		.help = "Requests refused for lack of capacity.", \
+		.label = "reason=\"" text "\"",                   \
+	}
+
+static struct counter refusals[TRIAGE_REASONS] = {
+	[TRIAGE_NO_ROOM] = REFUSAL_COUNTER("room"),
+	[TRIAGE_DISPLACED] = REFUSAL_COUNTER("displaced"),
+	[TRIAGE_GOAL_MISSED] = REFUSAL_COUNTER("goal"),
+	[TRIAGE_DEADLINE_MISSED] = REFUSAL_COUNTER("deadline"),
+	[TRIAGE_GAVE_WAY] = REFUSAL_COUNTER("urgent"),
+};
+
+__attribute__((constructor)) static void register_counters(void)
+{
+	for (int i = TRIAGE_NO_ROOM; i < TRIAGE_REASONS; i++)
+		counter_register(&refusals[i]);
+}
+
+static void note_refusal(struct router *r, const struct route_request *q)
+{
+	counter_add(&refusals[q->refusal.reason], 1);
+	request_note_class(r, q, false);
+}
+
 /* Answers a failed request, with status 503 only if no leaf may have run it. */
 static void finish_failed_request(struct router *r, struct route_request *q,
 				  int code)
@@ -174,8 +203,8 @@
 
 	if (!may_have_run(q)) {
 		a.status = 503;
-		if (q->refusal.reason)
-			request_note_class(r, q, false);
+		if (code == -ERR_ROUTE_LATE && q->refusal.reason)
+			note_refusal(r, q);
 		if (code == -ERR_ROUTE_LATE && q->refusal.reason)
 			a.retry_after_us = retry_after_crowd(r, q);
 		else if (code == -ERR_ROUTE_LATE)
@@ -195,7 +224,7 @@
 			  int64_t work_us)
 {
 	q->refusal = (struct triage_refusal){
-		.reason = "room",
+		.reason = TRIAGE_NO_ROOM,
 		.wait_us = wait_us,
 		.work_us = work_us,
 		.left_us = q->goal_at_us - router_now(r),
@@ -213,7 +242,7 @@
 }
 
 void request_refuse(struct router *r, struct route_request *q,
-		    const char *reason)
+		    enum triage_reason reason)
 {
 	const struct route_part *p = find_waiting_part(q);
 
@@ -527,7 +556,7 @@
 		return 0;
 	}
 	if (request_gives_way(r, q)) {
-		request_refuse(r, q, "urgent");
+		request_refuse(r, q, TRIAGE_GAVE_WAY);
 		return 0;
 	}
 	if (!plan_parts(r, q)) {
@@ -542,6 +571,7 @@
 	for (uint32_t i = 0; i < q->part_count; i++)
 		part_start(r, &q->parts[i]);
 	q->is_updating_parts = false;
+	waiting_log(r, q);
 	request_handle_part_end(r, q);
 	return id_table_find(&r->requests, id) ? id : 0;
 }
--- a/router/triage.c
+++ b/router/triage.c
@@ -152,6 +152,20 @@
 						  : TRIAGE_IN_GOAL;
 }
 
+const char *triage_reason_name(enum triage_reason reason)
+{
+	static const char *const names[TRIAGE_REASONS] = {
+		[TRIAGE_NOT_REFUSED] = "none",
+		[TRIAGE_NO_ROOM] = "room",
+		[TRIAGE_DISPLACED] = "displaced",
+		[TRIAGE_GOAL_MISSED] = "goal",
+		[TRIAGE_DEADLINE_MISSED] = "deadline",
+		[TRIAGE_GAVE_WAY] = "urgent",
+	};
+
+	return names[reason];
+}
+
 int64_t triage_latest_start(const struct triage_limits *l, int64_t work_us)
 {
 	return MIN(l->goal_at_us, l->deadline_us) - work_us;
--- a/router/waiting.c
+++ b/router/waiting.c
@@ -294,6 +294,36 @@
 	enqueue_again(r, q);
 }
 
+void waiting_log(const struct router *r, const struct route_request *q)
+{
+	const struct route_part *worst = NULL;
+	int64_t longest = -1;
+
+	for (uint32_t i = 0; i < q->part_count; i++) {
+		const struct route_part *p = &q->parts[i];
+		int64_t wait;
+
+		if (!p->entry.order.position)
+			continue;
+		wait = waiting_time(r, p);
+		if (wait <= longest)
+			continue;
+		longest = wait;
+		worst = p;
+	}
+	if (!worst)
+		return;
+	event_log(EV_REQUEST_WAITS,
+		  "request=%s route=%s parts=%u of=%u service=%s rank=%u "
+		  "wait_ms=%lld work_ms=%lld left_ms=%lld waiting=%u",
+		  q->request_id, q->route->name, count_waiting(q),
+		  q->part_count, worst->pool->name, worst->entry.rank,
+		  (long long)(longest / US_PER_MS),
+		  (long long)(request_typical_work(q) / US_PER_MS),
+		  (long long)((q->goal_at_us - router_now(r)) / US_PER_MS),
+		  triage_queue_count(&worst->pool->waiting));
+}
+
 static bool may_do_without(const struct route_request *q, uint32_t parts)
 {
 	return q->route->shape == ROUTE_GATHER &&
@@ -338,7 +368,8 @@
 		late += q->parts[i].phase == PART_WAITING;
 	if (!late || !may_do_without(q, late))
 		return;
-	q->is_updating_parts = true;
+	event_log(EV_PARTS_LEFT_OUT, "request=%s route=%s parts=%u of=%u",
+		  q->request_id, q->route->name, late, q->part_count);
 	for (uint32_t i = 0; i < q->part_count; i++) {
 		struct route_part *p = &q->parts[i];
 
@@ -347,7 +378,6 @@
 		waiting_remove(r, p);
 		p->phase = PART_FAILED;
 	}
-	q->is_updating_parts = false;
 }
 
 static void demote(struct router *r, struct route_request *q)
@@ -385,14 +415,14 @@
 		return id_table_find(&r->requests, id) == q;
 	}
 	if (!q->value.is_late && has_competitors(q)) {
-		request_refuse(r, q, "goal");
+		request_refuse(r, q, TRIAGE_GOAL_MISSED);
 		return false;
 	}
 	if (!q->value.is_late)
 		demote(r, q);
 	if (router_now(r) <= q->plan_until_us)
 		return true;
-	request_refuse(r, q, "deadline");
+	request_refuse(r, q, TRIAGE_DEADLINE_MISSED);
 	return false;
 }
 
@@ -427,7 +457,7 @@
 		if (!review_late(r, q))
 			return;
 	} else if (!waiting_has_room(r, q)) {
-		request_refuse(r, q, "room");
+		request_refuse(r, q, TRIAGE_NO_ROOM);
 		return;
 	}
 	if (router_now(r) >= triage_hold_until(q->start_us, q->route->goal_us))
@@ -463,7 +493,7 @@
 		    !triage_is_cheaper(&v->entry, rank_of(q),
 				       request_whole_work(q)))
 			break;
-		request_refuse(r, v->request, "displaced");
+		request_refuse(r, v->request, TRIAGE_DISPLACED);
 		count++;
 	}
 	return count > 0;
@@ -485,7 +515,7 @@
 			return;
 		if (waiting_has_room(r, v->request))
 			return;
-		request_refuse(r, v->request, "displaced");
+		request_refuse(r, v->request, TRIAGE_DISPLACED);
 	}
 }
 
@@ -544,3 +574,30 @@
 	value.is_nearly_done = false;
 	return first && first->rank <= triage_rank(&value);
 }
+
+bool router_may_forward(struct router *r, const struct route *route,
+			const struct router_way *way)
+{
+	int64_t now = router_now(r);
+	struct route_stats *s = route_stats_get(r, route);
+	struct triage_limits limits = {
+		.goal_at_us = now + way->goal_us,
+		.deadline_us = now + way->wait_us,
+		.stop_us = stop_last_answer(r),
+	};
+	struct triage_work work = {
+		.wait_us = way->way_us,
+		.work_us = work_estimate_typical(&s->work),
+		.least_us = work_estimate_low(&s->work),
+	};
+	enum triage_end end;
+
+	if (router_is_stopping(r))
+		work.stop_work_us = stop_expected_duration(s, route);
+	end = triage_end_of(&limits, &work, now);
+	if (end != TRIAGE_LATE)
+		return end == TRIAGE_IN_GOAL;
+	/* Without the way the request may still meet its goal. */
+	work.wait_us = 0;
+	return triage_end_of(&limits, &work, now) == TRIAGE_LATE;
+}
--- a/test/unit/main.c
+++ b/test/unit/main.c
@@ -37,6 +37,8 @@
 	{ "router schedules", NULL, NULL, NULL, NULL, router_schedule_tests },
 	{ "router stop", NULL, NULL, NULL, NULL, router_stop_tests },
 	{ "start hold", NULL, NULL, NULL, NULL, start_hold_tests },
+	{ "triage", NULL, NULL, NULL, NULL, triage_tests },
+	{ "triage load", NULL, NULL, NULL, NULL, triage_load_tests },
 	{ "router feed", NULL, NULL, NULL, NULL, router_feed_tests },
 	{ "upstream", NULL, NULL, NULL, NULL, upstream_tests },
 	{ "peer", NULL, NULL, NULL, NULL, peer_tests },
