--- a/include/router/triage.h
+++ b/include/router/triage.h
@@ -16,6 +16,8 @@
 	double mean_log;
 	/** Mean absolute difference between a sample and mean_log. */
 	double spread_log;
+	/** The work that mean_log stands for. */
+	int64_t mean_us;
 	int64_t at_us;
 	uint64_t count;
 	/** Earliest time of the next request that is admitted to learn. */
--- a/router/part.c
+++ b/router/part.c
@@ -165,6 +165,8 @@
 	/** All leaves are busy, but one is expected to be free in time. */
 	EXTRA_BUSY,
 	EXTRA_NO_BUDGET,
+	/** First calls of the same or a better rank wait. */
+	EXTRA_GIVES_WAY,
 };
 
 static bool can_end(enum triage_end end)
@@ -209,7 +211,7 @@
 	if (!is_extra_useful(r, q))
 		return EXTRA_NO_LEAF;
 	if (!is_uncharged && waiting_has_rival(p))
-		return EXTRA_BUSY;
+		return EXTRA_GIVES_WAY;
 	choice = leaf_choose(r, p);
 	if (!choice.leaf)
 		return choice.is_busy && can_end(end_of_choice(r, p, &choice))
@@ -234,17 +236,22 @@
 /*
  * Sends a call in place of one that failed. If there is no free leaf or no
  * budget, a part of a gather retries later; a request without a gather fails at
- * once, so that its caller can retry. Returns false if the part has failed.
+ * once, so that its caller can retry. If first calls go before it, it retries
+ * while it can meet its goal. Returns false if the part has failed.
  */
 static bool replace_call(struct router *r, struct route_part *p,
 			 bool is_uncharged, const char *log_cause)
 {
+	const struct route_request *q = p->request;
 	enum extra_result ret =
 		send_extra(r, p, EXTRA_CAUSE_FAILED, is_uncharged, log_cause);
 
 	if (ret == EXTRA_SENT || ret == EXTRA_NO_LEAF)
 		return ret == EXTRA_SENT;
-	if (p->request->route->shape != ROUTE_GATHER)
+	if (q->route->shape != ROUTE_GATHER &&
+	    (ret != EXTRA_GIVES_WAY ||
+	     request_end_of(r, q, 0, request_typical_work(q)) !=
+		     TRIAGE_IN_GOAL))
 		return false;
 	router_timer_arm(r, &p->timer, router_now(r) + HEDGE_RETRY_US,
 			 handle_failed_call);
--- a/router/triage.c
+++ b/router/triage.c
@@ -96,6 +96,7 @@
 			weight * (fabs(sample - e->mean_log) - e->spread_log);
 		e->mean_log += weight * (sample - e->mean_log);
 	}
+	e->mean_us = (int64_t)exp(e->mean_log);
 	e->at_us = now_us;
 }
 
@@ -113,7 +114,7 @@
 
 int64_t work_estimate_typical(const struct work_estimate *e)
 {
-	return estimate_at(e, 0);
+	return e->count < WORK_SAMPLES_MIN ? 0 : e->mean_us;
 }
 
 int64_t work_estimate_slowest(const struct work_estimate *e, uint32_t calls)
@@ -148,8 +149,9 @@
 		return TRIAGE_STOPPED;
 	if (start + MAX(w->least_us, CALL_TIME_MIN_US) > l->deadline_us)
 		return TRIAGE_TOO_LATE;
-	return start + w->work_us > l->goal_at_us ? TRIAGE_LATE
-						  : TRIAGE_IN_GOAL;
+	return start + w->work_us > MIN(l->goal_at_us, l->deadline_us)
+		       ? TRIAGE_LATE
+		       : TRIAGE_IN_GOAL;
 }
 
 const char *triage_reason_name(enum triage_reason reason)
