--- a/router/request.c
+++ b/router/request.c
@@ -69,8 +69,7 @@
 static int64_t retry_after_crowd(struct router *r,
 				 const struct route_request *q)
 {
-	int64_t left =
-		q->goal_at_us - router_now(r) - 2 * request_slowest_work(q);
+	int64_t left = q->goal_at_us - router_now(r) - request_slowest_work(q);
 	double share = g_rand_double_range(r->random, REPEAT_SHARE_MIN,
 					   REPEAT_SHARE_MAX);
 
