--- a/include/router/leaf_set.h
+++ b/include/router/leaf_set.h
@@ -122,6 +122,8 @@
 	struct triage_class classes[TRIAGE_PRIORITIES];
 	/** Work of a call of any route. */
 	struct work_estimate work;
+	/** Shortest latency goal of the routes to the pool; 0 if none. */
+	int64_t shortest_goal_us;
 	/** Connections that a leaf accepts from all hosts together. */
 	uint32_t max_connections;
 };
--- a/router/choice.c
+++ b/router/choice.c
@@ -48,6 +48,12 @@
 #define GROW_STEP 0.5
 /* The same for each round of calls at a leaf that tells no load. */
 #define GROW_ROUND_STEP 0.5
+/*
+ * Share of the shortest goal that less urgent calls may add to the queue of a
+ * leaf, and the least slowdown by urgent ones for which this holds.
+ */
+#define QUEUE_GOAL_SHARE 0.15
+#define URGENT_SLOWDOWN 1.05
 /* A leaf that refused a call as full gets no calls for this time. */
 #define FULL_PAUSE_US (40 * US_PER_MS)
 /* Duration assumed for a call without a reply, as a factor on its age. */
@@ -172,6 +178,23 @@
 		       MIN(leaf->concurrency_limit, max_concurrency(leaf));
 }
 
+/*
+ * Returns whether a part keeps out of the queue of a leaf, because more urgent
+ * calls of any host behind it would miss their goals.
+ */
+static bool leaves_room(const struct router *r, const struct route_part *p,
+			const struct route_leaf *leaf, int64_t now)
+{
+	const struct upstream_pool *pool = leaf->pool;
+	double slots = MAX(leaf->entry.slots, 1);
+	double queued = estimated_load(leaf, now) + 1 - slots;
+	double wait =
+		queued * (double)work_estimate_typical(&pool->work) / slots;
+
+	return wait > QUEUE_GOAL_SHARE * (double)pool->shortest_goal_us &&
+	       waiting_slowdown(r, p) > URGENT_SLOWDOWN;
+}
+
 static bool is_ejected(const struct route_leaf *leaf, int64_t now)
 {
 	return now < leaf->ejected_until_us;
@@ -319,7 +342,7 @@
 		over.capacity += leaf_capacity(r, leaf, expected, now);
 		if (is_tried(part, leaf))
 			continue;
-		if (is_busy(leaf, now)) {
+		if (is_busy(leaf, now) || leaves_room(r, part, leaf, now)) {
 			over.least_busy_us = MIN(over.least_busy_us, expected);
 			continue;
 		}
--- a/router/waiting.c
+++ b/router/waiting.c
@@ -110,11 +110,37 @@
 				      is_started, router_now(r));
 }
 
+static void note_shortest_goals(struct router *r)
+{
+	const struct route_table *t = r->table;
+	GHashTableIter iter;
+	gpointer pool;
+
+	g_hash_table_iter_init(&iter, r->leaves.pools);
+	while (g_hash_table_iter_next(&iter, NULL, &pool))
+		((struct upstream_pool *)pool)->shortest_goal_us = 0;
+	for (uint32_t i = 0; i < t->route_count; i++) {
+		const struct route *route = &t->routes[i];
+
+		for (uint32_t k = 0; k < route->target_count; k++) {
+			uint32_t at = route->targets[k].upstream;
+			struct upstream_pool *p = leaf_set_get_pool(
+				&r->leaves, t->upstreams[at].name);
+
+			if (!p->shortest_goal_us ||
+			    p->shortest_goal_us > route->goal_us)
+				p->shortest_goal_us = route->goal_us;
+		}
+	}
+}
+
 void waiting_apply_table(struct router *r)
 {
 	GHashTableIter iter;
 	gpointer name;
 
+	note_shortest_goals(r);
+
 	g_hash_table_iter_init(&iter, r->organisations);
 	while (g_hash_table_iter_next(&iter, &name, NULL)) {
 		if (!route_table_find_organisation(r->table, name))
