--- a/router/part.c
+++ b/router/part.c
@@ -51,10 +51,8 @@
 	id_table_release(&r->calls, c);
 }
 
-static void unlink_call(struct leaf_call *c)
+static void unlink_call(struct route_part *p, struct leaf_call *c)
 {
-	struct route_part *p = c->part;
-
 	for (uint32_t i = 0; i < p->call_count; i++) {
 		if (p->calls[i] != c)
 			continue;
@@ -64,9 +62,10 @@
 	c->part = NULL;
 }
 
-static void cancel_call(struct router *r, struct leaf_call *c)
+static void cancel_call(struct router *r, struct route_part *p,
+			struct leaf_call *c)
 {
-	unlink_call(c);
+	unlink_call(p, c);
 	r->options.ops->cancel_call(r->options.ctx, c->id);
 	release_call(r, c);
 }
@@ -76,9 +75,10 @@
  * cancel it would close its connection, which costs more than reading the reply
  * to the end.
  */
-static void detach_running_call(struct router *r, struct leaf_call *c)
+static void detach_running_call(struct router *r, struct route_part *p,
+				struct leaf_call *c)
 {
-	unlink_call(c);
+	unlink_call(p, c);
 	if (r->options.ops->detach_call(r->options.ctx, c->id))
 		release_call(r, c);
 }
@@ -89,9 +89,9 @@
 	waiting_remove(r, p);
 	while (p->call_count) {
 		if (is_cancelled || p->request->route->shape != ROUTE_GATHER)
-			cancel_call(r, p->calls[0]);
+			cancel_call(r, p, p->calls[0]);
 		else
-			detach_running_call(r, p->calls[0]);
+			detach_running_call(r, p, p->calls[0]);
 	}
 	if (p->holds_planned_leaf)
 		route_leaf_unref(&r->leaves, p->planned_leaf);
@@ -443,9 +443,9 @@
 	router_timer_disarm(r, &p->timer);
 	while (p->call_count) {
 		if (p->request->route->shape == ROUTE_GATHER)
-			detach_running_call(r, p->calls[0]);
+			detach_running_call(r, p, p->calls[0]);
 		else
-			cancel_call(r, p->calls[0]);
+			cancel_call(r, p, p->calls[0]);
 	}
 }
 
@@ -592,7 +592,7 @@
 	note_work(r, c, result);
 	leaf_note_result(r, c, result);
 	if (p)
-		unlink_call(c);
+		unlink_call(p, c);
 	release_call(r, c);
 	if (!p)
 		return;
--- a/test/unit/fake_load.c
+++ b/test/unit/fake_load.c
@@ -384,8 +384,10 @@
 					0, run->time.now_us);
 	}
 	/* A gather needs the shards with the fewest leaves. */
-	run->capacity -=
-		SLOTS * (double)((count + LOAD_SHARDS - 1) / LOAD_SHARDS);
+	while (count > 0) {
+		run->capacity -= SLOTS;
+		count -= MIN(count, LOAD_SHARDS);
+	}
 }
 
 static void tick(struct load_run *run)
@@ -466,11 +468,14 @@
 	out->in_goal_by_route[q->route] += is_in_goal;
 	out->in_goal_by_organisation[is_other] += is_in_goal;
 	out->late += q->worth > 0 && !is_in_goal;
+	out->unanswered += !q->end_us;
 	out->failed += !q->worth && !q->is_refused;
 	if (!is_in_goal)
 		out->wasted_us += q->done_us;
 	if (q->is_refused) {
 		out->refused++;
+		out->refused_held += q->end_us - q->at_us >
+				     goals_us[q->route] / 4;
 		out->refused_soon += q->end_us - q->at_us <= 100 * US_PER_MS;
 	}
 	if (q->first_at_us >= (WARM_UP_US + RUN_US) / 2)
--- a/test/unit/fake_load.h
+++ b/test/unit/fake_load.h
@@ -42,6 +42,9 @@
 	uint32_t late;
 	uint32_t refused;
 	uint32_t refused_soon;
+	/** Refused after more than a quarter of the goal. */
+	uint32_t refused_held;
+	uint32_t unanswered;
 	uint32_t failed;
 	/** Work of the leaves, and the part that was of no use. */
 	double work_us;
--- a/test/unit/test_triage_load.c
+++ b/test/unit/test_triage_load.c
@@ -21,7 +21,7 @@
 {
 	fprintf(stderr,
 		"load %s: worth=%.3f large=%.3f small=%.3f first=%.3f "
-		"others=%.3f late=%u refused=%u soon=%u failed=%u "
+		"others=%.3f late=%u refused=%u soon=%u held=%u failed=%u "
 		"wasted=%.3f end=%.3f\n",
 		p->name, f->worth / f->oracle,
 		(double)f->in_goal_by_route[0] / f->offered_by_route[0],
@@ -30,8 +30,8 @@
 			f->offered_by_organisation[0],
 		(double)f->in_goal_by_organisation[1] /
 			MAX(f->offered_by_organisation[1], 1),
-		f->late, f->refused, f->refused_soon, f->failed,
-		f->wasted_us / f->work_us,
+		f->late, f->refused, f->refused_soon, f->refused_held,
+		f->failed, f->wasted_us / f->work_us,
 		(double)f->in_goal_at_end / f->offered_at_end);
 }
 
@@ -45,6 +45,8 @@
 		CU_ASSERT_TRUE(f->wasted_us <= b->wasted * f->work_us);
 		CU_ASSERT_TRUE(f->in_goal_by_route[1] >=
 			       b->urgent * f->offered_by_route[1]);
+		CU_ASSERT_EQUAL(f->unanswered, 0);
+		CU_ASSERT_TRUE(f->refused_held <= 0.03 * f->refused);
 		CU_ASSERT_TRUE(f->refused_soon >= 0.9 * f->refused);
 	}
 }
