--- a/include/router/internal.h
+++ b/include/router/internal.h
@@ -406,8 +406,6 @@
 void waiting_log(const struct router *r, const struct route_request *q);
 void waiting_add(struct router *r, struct route_part *p);
 void waiting_remove(struct router *r, struct route_part *p);
-/** Raises the rank of a request of which few parts still wait. */
-void waiting_note_sent(struct router *r, struct route_request *q);
 bool waiting_is_empty(const struct router *r);
 /** Returns the work that starts before a part which is not in the queue. */
 int64_t waiting_work_before(const struct route_part *p);
--- a/router/part.c
+++ b/router/part.c
@@ -20,7 +20,7 @@
  * Factor on the expected wait of a part that arrives: more urgent requests may
  * arrive while it waits, and a gather waits for the slowest of its parts.
  */
-#define WAIT_MARGIN 1.5
+#define WAIT_MARGIN 2.0
 
 static const char *outcome_name(enum call_outcome outcome)
 {
@@ -317,7 +317,6 @@
 		return give_up_waiting(r, p, TRIAGE_NO_ROOM);
 	waiting_remove(r, p);
 	send_call(r, p, choice.leaf, false);
-	waiting_note_sent(r, q);
 	return PART_STARTED;
 }
 
--- a/router/waiting.c
+++ b/router/waiting.c
@@ -9,6 +9,8 @@
  * to their work exceeds that of any other request.
  */
 #define NEARLY_DONE_SHARE 0.25
+/* Share of the goal before their latest start in which such requests go first. */
+#define LAST_CHANCE_SHARE 0.5
 /* Requests that are refused at most to make room for one. */
 #define DISPLACED_MAX 4
 /*
@@ -311,9 +313,15 @@
 	}
 }
 
-void waiting_note_sent(struct router *r, struct route_request *q)
+/*
+ * Raises the rank of a request of which few parts still wait, when they must
+ * start soon for an answer within the goal.
+ */
+static void raise_nearly_done(struct router *r, struct route_request *q)
 {
-	if (q->value.is_nearly_done || q->is_partial ||
+	if (q->value.is_nearly_done || q->is_partial || !q->value.is_begun ||
+	    (double)(latest_start(q) - router_now(r)) >
+		    LAST_CHANCE_SHARE * (double)q->route->goal_us ||
 	    count_waiting(q) > NEARLY_DONE_SHARE * q->part_count)
 		return;
 	q->value.is_nearly_done = true;
@@ -486,6 +494,7 @@
 		request_refuse(r, q, TRIAGE_NO_ROOM);
 		return;
 	}
+	raise_nearly_done(r, q);
 	if (router_now(r) >= triage_hold_until(q->start_us, q->route->goal_us))
 		note_certain(q);
 	arm_review(r, q);
