--- a/include/router/internal.h
+++ b/include/router/internal.h
@@ -7,6 +7,7 @@
 #include "router/leaf_access.h"
 #include "router/identity.h"
 #include "router/router.h"
+#include "router/triage.h"
 
 /** Maximum number of calls in flight for one part. */
 #define PART_CALLS_MAX 3
@@ -29,6 +30,10 @@
 	uint64_t upstreams_hash;
 	/** Durations of answered calls. */
 	struct latency call_latency;
+	/** The same without the wait in the queues of the leaves. */
+	struct latency call_work;
+	struct work_estimate work;
+	struct triage_class class;
 	/** Not used. */
 	int64_t longest_wait_us;
 	/**
@@ -45,6 +50,12 @@
 	uint64_t split_position;
 };
 
+/** What is known of an organisation by its name. */
+struct organisation_stats {
+	struct triage_class class;
+	struct triage_demand demand;
+};
+
 struct router_timer {
 	struct heap_node node;
 	void (*fire)(struct router *r, struct router_timer *t);
@@ -116,6 +127,10 @@
 	uint32_t tried_count;
 	/** Next hedge, or next attempt to replace a failed call. */
 	struct router_timer timer;
+	/** Entry in the queue of the pool while the part waits. */
+	struct triage_entry entry;
+	/** A leaf is expected to be free only too late. */
+	bool is_crowded;
 	struct leaf_reply *reply;
 	/** Stamp of the reply; points into the reply. */
 	const char *stamp;
@@ -134,6 +149,15 @@
 	struct leaf_reply *failure_reply;
 };
 
+/** Why a request was refused, with the figures; for the log. */
+struct triage_refusal {
+	enum triage_reason reason;
+	int64_t wait_us;
+	int64_t work_us;
+	int64_t left_us;
+	uint32_t waiting_count;
+};
+
 /** Request in flight. */
 struct route_request {
 	uint64_t id;
@@ -166,6 +190,12 @@
 	uint64_t regions;
 	uint64_t regions_version;
 	struct route_stats *stats;
+	/** Of the organisation, or NULL; owned by the router. */
+	struct organisation_stats *organisation_stats;
+	struct triage_value value;
+	struct triage_refusal refusal;
+	/** Next review while parts wait and no call was sent. */
+	struct router_timer review_timer;
 	int64_t start_us;
 	/** Deadline of the caller, or the stop of this host if that is first. */
 	int64_t deadline_us;
@@ -222,6 +252,10 @@
 	/** Duration above which the call is late; 0 if not known. */
 	int64_t late_after_us;
 	bool is_extra;
+	/** Calls expected to wait at the leaf when the call was sent. */
+	double queued;
+	/** Duration without the wait at the leaf, once the call has ended. */
+	int64_t work_us;
 };
 
 struct router {
@@ -241,8 +275,13 @@
 	GHashTable *batches;
 	uint64_t last_batch_id;
 	struct heap timers;
-	/** Parts that wait for a leaf, oldest first. */
-	GQueue waiting;
+	/** Pools with parts that wait for a leaf. */
+	GPtrArray *waiting_pools;
+	/** Requests of all routes. */
+	struct triage_class class;
+	struct triage_demand demand;
+	/** struct organisation_stats by name. */
+	GHashTable *organisations;
 	/** Leaves that name a rate limit; each holds a reference. */
 	GPtrArray *limited_leaves;
 	/** Leaves whose calls need tokens; each holds a reference. */
@@ -314,6 +353,8 @@
  * Returns the time left for answers; INT64_MAX if the host does not stop.
  */
 int64_t stop_time_left(const struct router *r);
+/** Returns the last moment for an answer; INT64_MAX if the host does not stop. */
+int64_t stop_last_answer(const struct router *r);
 /** Returns how long a request of a route may take, as far as is known. */
 int64_t stop_expected_duration(struct route_stats *s,
 			       const struct route *route);
@@ -347,6 +388,8 @@
 /** Updates the state of a leaf with the result of a call. */
 void leaf_note_result(struct router *r, struct leaf_call *c,
 		      const struct router_result *result);
+/** Estimates the calls of all hosts that wait at a leaf. */
+double leaf_queued_calls(const struct route_leaf *leaf, int64_t now_us);
 
 /**
  * Notes that the part wants calls to the limited leaves that are as good as the
@@ -404,12 +447,68 @@
  */
 bool recheck_caller(struct router *r, struct route_request *q);
 
+/* waiting.c: parts that wait for a leaf, and the requests that they are of. */
+/** Returns when a part would end if it starts after a wait. */
+enum triage_end request_end_of(struct router *r, const struct route_request *q,
+			       int64_t wait_us, int64_t work_us);
+/** Determines how much a request that arrives matters. */
+void request_classify(struct router *r, struct route_request *q);
+/** Notes that a leaf or another host is given a part of the request. */
+void request_note_begun(struct router *r, struct route_request *q);
+/** Returns whether a request gives way to more urgent ones. */
+bool request_gives_way(struct router *r, const struct route_request *q);
+/** Notes a request that was started or refused for lack of capacity. */
+void request_note_class(struct router *r, const struct route_request *q,
+			bool is_started);
+/** Returns the work that a part of a request usually takes. */
+int64_t request_typical_work(const struct route_request *q);
+/** Returns the work that the slowest part of a request is expected to take. */
+int64_t request_slowest_work(const struct route_request *q);
+/** Returns the work of a request that counts when it is refused. */
+int64_t request_whole_work(const struct route_request *q);
+
+/** Logs a request of which parts wait. */
+void waiting_log(const struct router *r, const struct route_request *q);
+void waiting_add(struct router *r, struct route_part *p);
+void waiting_remove(struct router *r, struct route_part *p);
+bool waiting_is_empty(const struct router *r);
+/** Returns the work that starts before a part which is not in the queue. */
+int64_t waiting_work_before(const struct route_part *p);
+/** Returns the remaining wait of a part in the queue. */
+int64_t waiting_time(const struct router *r, const struct route_part *p);
+/** Returns the factor on a wait for the more urgent parts that will arrive. */
+double waiting_slowdown(const struct router *r, const struct route_part *p);
+/** Notes that a part is started or queued for its first call. */
+void waiting_note_taken(struct router *r, const struct route_part *p);
+/**
+ * Returns whether enough parts of a request can be answered within the goal;
+ * otherwise notes the figures.
+ */
+bool waiting_has_room(struct router *r, struct route_request *q);
+/**
+ * Refuses requests that matter less than one that has no room. Returns whether
+ * any was refused.
+ */
+bool waiting_displace(struct router *r, const struct route_part *p);
+/** Refuses requests that lost their place to others. */
+void waiting_shed(struct router *r, struct upstream_pool *pool);
+/** Tries to send the first calls of the parts that wait for a pool. */
+void waiting_start_pool(struct router *r, struct upstream_pool *pool);
+void waiting_start_all(struct router *r);
+/**
+ * Returns whether a first call of the same or a better rank than that of a part
+ * waits for its pool.
+ */
+bool waiting_has_rival(const struct route_part *p);
+/** Drops organisations that are not in the table in force. */
+void waiting_apply_table(struct router *r);
+
 /* part.c */
 /**
  * Chooses the leaf of the first call. Returns false if no leaf can answer the
- * part within left_us.
+ * part in time.
  */
-bool part_plan(struct router *r, struct route_part *p, int64_t left_us);
+bool part_plan(struct router *r, struct route_part *p);
 /** Sends the first call of a planned part, or queues the part for a leaf. */
 void part_start(struct router *r, struct route_part *p);
 void part_handle_result(struct router *r, struct leaf_call *c,
@@ -419,8 +518,18 @@
  * as an extra call. Returns whether the call was taken back.
  */
 bool part_move_call(struct router *r, struct leaf_call *c);
-/** Tries to send the first calls of the parts that wait for a leaf. */
-void part_retry_waiting(struct router *r);
+enum part_start_result {
+	PART_STARTED,
+	/** No leaf is free. */
+	PART_BLOCKED,
+	/** The part has failed; the request has not been told. */
+	PART_HOPELESS,
+	/** The request was refused and is gone. */
+	PART_REFUSED,
+};
+
+/** Tries to send the first call of a part that waits. */
+enum part_start_result part_try_first(struct router *r, struct route_part *p);
 /**
  * Cancels or detaches the calls of a part and releases its replies. The calls
  * of a request that its caller has cancelled are always cancelled.
@@ -449,6 +558,16 @@
 /* request.c */
 /** Arms the timer of a request for its goal or its deadline. */
 void request_arm_timer(struct router *r, struct route_request *q);
+/**
+ * Refuses a request that no leaf has run, for lack of capacity or time; the
+ * reason is for the log.
+ */
+void request_refuse(struct router *r, struct route_request *q,
+		    enum triage_reason reason);
+/** Notes the figures of a part behind a refusal. */
+void request_note_figures(struct router *r, struct route_request *q,
+			  const struct route_part *p, int64_t wait_us,
+			  int64_t work_us);
 /** Counts the ended parts; ends the request if its outcome is certain. */
 void request_handle_part_end(struct router *r, struct route_request *q);
 
@@ -467,5 +586,7 @@
 bool gather_has_coverage(const struct route_request *q);
 /** Returns whether the parts that have not failed reach that coverage. */
 bool gather_can_reach_coverage(const struct route_request *q);
+/** Returns whether they do if that many more parts fail. */
+bool gather_can_do_without(const struct route_request *q, uint32_t parts);
 
 #endif
--- a/include/router/leaf_set.h
+++ b/include/router/leaf_set.h
@@ -11,6 +11,7 @@
 #include "router/extra_calls.h"
 #include "router/shared_rate.h"
 #include "router/token_lease.h"
+#include "router/triage.h"
 
 /** Maximum number of routes whose call durations are kept for a leaf. */
 #define LEAF_ROUTES_MAX 4
@@ -135,7 +136,17 @@
 	GPtrArray *leaves;
 	struct extra_calls extra;
 	/** Parts that wait for a leaf of the pool. */
-	uint32_t waiting_count;
+	struct triage_queue waiting;
+	/** One-based index among the pools with such parts, or 0. */
+	guint waiting_position;
+	/** Work of waiting parts that starts in each microsecond. */
+	double drain;
+	/** Requests that were started or refused for lack of capacity. */
+	struct triage_class classes[TRIAGE_PRIORITIES];
+	/** Work of a call of any route. */
+	struct work_estimate work;
+	/** Shortest latency goal of the routes to the pool; 0 if none. */
+	int64_t shortest_goal_us;
 	/** Connections that a leaf accepts from all hosts together. */
 	uint32_t max_connections;
 	/** Calls a second that a cold leaf takes from all hosts; 0: no limit. */
--- a/router/choice.c
+++ b/router/choice.c
@@ -50,6 +50,12 @@
 #define GROW_STEP 0.5
 /* The same for each round of calls at a leaf that tells no load. */
 #define GROW_ROUND_STEP 0.5
+/*
+ * Share of the shortest goal that less urgent calls may add to the queue of a
+ * leaf, and the least slowdown by urgent ones for which this holds.
+ */
+#define QUEUE_GOAL_SHARE 0.15
+#define URGENT_SLOWDOWN 1.05
 /* A leaf that refused a call as full gets no calls for this time. */
 #define FULL_PAUSE_US (40 * US_PER_MS)
 /* Duration assumed for a call without a reply, as a factor on its age. */
@@ -89,6 +95,13 @@
 		       decay(now - leaf->reported_at_us, LOAD_HALF_LIFE_US);
 }
 
+double leaf_queued_calls(const struct route_leaf *leaf, int64_t now_us)
+{
+	double slots = MAX(leaf->entry.slots, 1);
+
+	return MAX(estimated_load(leaf, now_us) - slots, 0);
+}
+
 static bool is_stalled(const struct route_leaf *leaf, int64_t now)
 {
 	const struct leaf_call *c = g_queue_peek_head((GQueue *)&leaf->calls);
@@ -144,6 +157,23 @@
 	return cost;
 }
 
+/*
+ * Returns whether a part keeps out of the queue of a leaf, because more urgent
+ * calls of any host behind it would miss their goals.
+ */
+static bool leaves_room(const struct router *r, const struct route_part *p,
+			const struct route_leaf *leaf, int64_t now)
+{
+	const struct upstream_pool *pool = leaf->pool;
+	double slots = MAX(leaf->entry.slots, 1);
+	double queued = estimated_load(leaf, now) + 1 - slots;
+	double wait =
+		queued * (double)work_estimate_typical(&pool->work) / slots;
+
+	return wait > QUEUE_GOAL_SHARE * (double)pool->shortest_goal_us &&
+	       waiting_slowdown(r, p) > URGENT_SLOWDOWN;
+}
+
 /* What leaf_choose() learns of the leaves that it passes over. */
 struct passed_over {
 	/** Concurrent calls that the usable leaves take together. */
@@ -155,6 +185,8 @@
 	/** Shortest wait for a limited leaf, and the duration of a call there. */
 	int64_t limited_wait_us;
 	double limited_us;
+	/** Shortest time after which one of them is warm and not limited. */
+	int64_t limited_end_us;
 };
 
 /* Returns the concurrent calls at a leaf that its limits allow. */
@@ -182,6 +214,9 @@
 	if (until_us == INT64_MAX)
 		return false;
 	o->limited_per_s += leaf_access_rate_share_of(r, p, leaf);
+	if (!leaf->rate.is_limited)
+		o->limited_end_us = MIN(o->limited_end_us,
+					MAX(leaf->cold_until_us - now, 0));
 	if (until_us - now >= o->limited_wait_us)
 		return true;
 	o->limited_wait_us = until_us - now;
@@ -190,16 +225,17 @@
 }
 
 /* Fills in the wait for the first of the leaves that were passed over. */
-static void set_wait(struct leaf_choice *choice,
-		     const struct upstream_pool *pool,
+static void set_wait(struct leaf_choice *choice, const struct route_part *part,
 		     const struct passed_over *o)
 {
-	double turn = pool->waiting_count + 1;
+	double own = (double)request_typical_work(part->request);
+	double turn = 1 + (double)waiting_work_before(part) / own;
 	double busy = o->least_busy_us * turn / MAX(o->capacity, CAPACITY_MIN);
 	double limited = (double)o->limited_wait_us;
 
 	if (o->limited_per_s > 0)
 		limited = MAX(limited, turn / o->limited_per_s * US_PER_S);
+	limited = MIN(limited, (double)o->limited_end_us);
 	choice->is_busy = o->least_busy_us < INFINITY ||
 			  o->limited_wait_us < INT64_MAX;
 	if (!choice->is_busy)
@@ -208,8 +244,10 @@
 	    (o->limited_wait_us == INT64_MAX || busy <= limited)) {
 		choice->wait_us = (int64_t)busy;
 		choice->expected_us = (int64_t)o->least_busy_us;
+		part->pool->drain = own * turn / busy;
 		return;
 	}
+	part->pool->drain = own * turn / MAX(limited, 1);
 	choice->wait_us = (int64_t)MIN(limited, (double)INT64_MAX / 4);
 	choice->expected_us = (int64_t)o->limited_us;
 }
@@ -222,7 +260,8 @@
 	int64_t now = router_now(r);
 	struct leaf_choice choice = { .cost = INFINITY };
 	struct passed_over over = { .least_busy_us = INFINITY,
-				    .limited_wait_us = INT64_MAX };
+				    .limited_wait_us = INT64_MAX,
+				    .limited_end_us = INT64_MAX };
 	bool is_best_last_resort = true;
 
 	for (guint i = 0; i < part->pool->leaves->len; i++) {
@@ -243,8 +282,12 @@
 		}
 		choice.usable_count++;
 		over.capacity += leaf_capacity(r, leaf, expected, now);
-		if (a.reason == ACCESS_FULL)
+		if (a.reason == ACCESS_FULL ||
+		    (a.reason == ACCESS_ALLOWED &&
+		     leaves_room(r, part, leaf, now))) {
 			over.least_busy_us = MIN(over.least_busy_us, expected);
+			continue;
+		}
 		if (a.reason != ACCESS_ALLOWED ||
 		    (a.is_last_resort && !is_best_last_resort))
 			continue;
@@ -258,7 +301,7 @@
 		choice.expected_us = (int64_t)expected;
 	}
 	if (!choice.leaf)
-		set_wait(&choice, part->pool, &over);
+		set_wait(&choice, part, &over);
 	return choice;
 }
 
@@ -424,7 +467,7 @@
 	case CALL_ANSWERED:
 	case CALL_DECLINED:
 		update_duration(leaf, c->stats,
-				usual_duration(result, now - c->start_us), now);
+				usual_duration(result, c->work_us), now);
 		leaf->consecutive_failures = 0;
 		leaf->ejected_until_us = 0;
 		break;
--- a/router/part.c
+++ b/router/part.c
@@ -10,14 +10,18 @@
  * arrives up to this long after the time that was requested.
  */
 #define BATCH_MARGIN_US (12 * US_PER_MS)
-/* No extra call is sent with less time than this until the deadline. */
-#define CALL_TIME_MIN_US (10 * US_PER_MS)
 /*
  * Leaves that refused a call are tried again until the part has sent this many
  * calls.
  */
 #define RETRY_REFUSED_MAX 4
 
+/*
+ * Factor on the expected wait of a part that arrives: more urgent requests may
+ * arrive while it waits, and a gather waits for the slowest of its parts.
+ */
+#define WAIT_MARGIN 2.0
+
 static const char *outcome_name(enum call_outcome outcome)
 {
 	switch (outcome) {
@@ -47,10 +51,8 @@
 	id_table_release(&r->calls, c);
 }
 
-static void unlink_call(struct leaf_call *c)
+static void unlink_call(struct route_part *p, struct leaf_call *c)
 {
-	struct route_part *p = c->part;
-
 	for (uint32_t i = 0; i < p->call_count; i++) {
 		if (p->calls[i] != c)
 			continue;
@@ -60,9 +62,10 @@
 	c->part = NULL;
 }
 
-static void cancel_call(struct router *r, struct leaf_call *c)
+static void cancel_call(struct router *r, struct route_part *p,
+			struct leaf_call *c)
 {
-	unlink_call(c);
+	unlink_call(p, c);
 	r->options.ops->cancel_call(r->options.ctx, c->id);
 	release_call(r, c);
 }
@@ -72,9 +75,10 @@
  * cancel it would close its connection, which costs more than reading the reply
  * to the end.
  */
-static void detach_running_call(struct router *r, struct leaf_call *c)
+static void detach_running_call(struct router *r, struct route_part *p,
+				struct leaf_call *c)
 {
-	unlink_call(c);
+	unlink_call(p, c);
 	if (r->options.ops->detach_call(r->options.ctx, c->id))
 		release_call(r, c);
 }
@@ -82,13 +86,12 @@
 void part_clear(struct router *r, struct route_part *p, bool is_cancelled)
 {
 	router_timer_disarm(r, &p->timer);
-	if (p->phase == PART_WAITING && g_queue_remove(&r->waiting, p))
-		p->pool->waiting_count--;
+	waiting_remove(r, p);
 	while (p->call_count) {
 		if (is_cancelled || p->request->route->shape != ROUTE_GATHER)
-			cancel_call(r, p->calls[0]);
+			cancel_call(r, p, p->calls[0]);
 		else
-			detach_running_call(r, p->calls[0]);
+			detach_running_call(r, p, p->calls[0]);
 	}
 	if (p->holds_planned_leaf)
 		route_leaf_unref(&r->leaves, p->planned_leaf);
@@ -143,12 +146,14 @@
 	leaf_access_note_call(r, p, leaf, is_extra);
 	g_queue_push_tail(&leaf->calls, c);
 	c->link = leaf->calls.tail;
+	c->queued = leaf_queued_calls(leaf, now);
 	p->calls[p->call_count++] = c;
 	p->run_count++;
 	p->sent_count++;
 	if (p->tried_count < PART_TRIED_MAX)
 		p->tried[p->tried_count++] = leaf;
 	p->phase = PART_RUNNING;
+	request_note_begun(r, q);
 	if (may_hedge(p))
 		arm_hedge(r, p, now);
 	call = (struct router_call){
@@ -171,12 +176,35 @@
 	/** All leaves are busy, but one is expected to be free in time. */
 	EXTRA_BUSY,
 	EXTRA_NO_BUDGET,
+	/** First calls of the same or a better rank wait. */
+	EXTRA_GIVES_WAY,
 };
 
-static bool is_worth_waiting(const struct leaf_choice *choice, int64_t left_us)
+static bool can_end(enum triage_end end)
+{
+	return end == TRIAGE_IN_GOAL || end == TRIAGE_LATE;
+}
+
+/* Returns whether a call that starts now would be of use. */
+static bool is_extra_useful(struct router *r, const struct route_request *q)
+{
+	enum triage_end end = request_end_of(r, q, 0, request_typical_work(q));
+
+	/* A gather with enough answers ends at the goal. */
+	if (end == TRIAGE_LATE && q->route->shape == ROUTE_GATHER)
+		return !gather_has_coverage(q);
+	return can_end(end);
+}
+
+static enum triage_end end_of_choice(struct router *r,
+				     const struct route_part *p,
+				     const struct leaf_choice *choice)
 {
-	return choice->is_busy &&
-	       choice->wait_us + choice->expected_us <= left_us;
+	double wait =
+		WAIT_MARGIN * waiting_slowdown(r, p) * (double)choice->wait_us;
+
+	return request_end_of(r, p->request, (int64_t)wait,
+			      choice->expected_us);
 }
 
 /*
@@ -191,12 +219,13 @@
 	int64_t now = router_now(r);
 	struct leaf_choice choice;
 
-	if (q->deadline_us - now < CALL_TIME_MIN_US ||
-	    !stop_may_start(r, q->stats, q->route) || !recheck_caller(r, q))
+	if (!is_extra_useful(r, q) || !recheck_caller(r, q))
 		return EXTRA_NO_LEAF;
+	if (!is_uncharged && waiting_has_rival(p))
+		return EXTRA_GIVES_WAY;
 	choice = leaf_choose(r, p);
 	if (!choice.leaf)
-		return is_worth_waiting(&choice, q->deadline_us - now)
+		return choice.is_busy && can_end(end_of_choice(r, p, &choice))
 			       ? EXTRA_BUSY
 			       : EXTRA_NO_LEAF;
 	if (!is_uncharged &&
@@ -218,17 +247,22 @@
 /*
  * Sends a call in place of one that failed. If there is no free leaf or no
  * budget, a part of a gather retries later; a request without a gather fails at
- * once, so that its caller can retry. Returns false if the part has failed.
+ * once, so that its caller can retry. If first calls go before it, it retries
+ * while it can meet its goal. Returns false if the part has failed.
  */
 static bool replace_call(struct router *r, struct route_part *p,
 			 bool is_uncharged, const char *log_cause)
 {
+	const struct route_request *q = p->request;
 	enum extra_result ret =
 		send_extra(r, p, EXTRA_CAUSE_FAILED, is_uncharged, log_cause);
 
 	if (ret == EXTRA_SENT || ret == EXTRA_NO_LEAF)
 		return ret == EXTRA_SENT;
-	if (p->request->route->shape != ROUTE_GATHER)
+	if (q->route->shape != ROUTE_GATHER &&
+	    (ret != EXTRA_GIVES_WAY ||
+	     request_end_of(r, q, 0, request_typical_work(q)) !=
+		     TRIAGE_IN_GOAL))
 		return false;
 	router_timer_arm(r, &p->timer, router_now(r) + HEDGE_RETRY_US,
 			 handle_failed_call);
@@ -262,48 +296,102 @@
 		router_timer_arm(r, &p->timer, router_now(r), handle_late_call);
 }
 
-static bool try_send_first(struct router *r, struct route_part *p)
+/* Takes a part out of the queue that no call can answer any more. */
+static enum part_start_result give_up_waiting(struct router *r,
+					      struct route_part *p,
+					      enum triage_reason reason)
 {
-	const struct route_request *q = p->request;
-	struct leaf_choice choice;
+	struct route_request *q = p->request;
 
-	if (!stop_may_start(r, q->stats, q->route) ||
-	    !recheck_caller(r, p->request)) {
-		p->phase = PART_FAILED;
-		return true;
+	if (reason && !q->value.is_begun && !q->is_partial) {
+		request_refuse(r, q, reason);
+		return PART_REFUSED;
 	}
+	waiting_remove(r, p);
+	p->phase = PART_FAILED;
+	return PART_HOPELESS;
+}
+
+enum part_start_result part_try_first(struct router *r, struct route_part *p)
+{
+	struct route_request *q = p->request;
+	struct leaf_choice choice;
+
+	if (!can_end(request_end_of(r, q, 0, request_typical_work(q))))
+		return give_up_waiting(r, p, TRIAGE_DEADLINE_MISSED);
+	if (!recheck_caller(r, q))
+		return give_up_waiting(r, p, TRIAGE_NOT_REFUSED);
 	choice = leaf_choose(r, p);
-	if (choice.leaf) {
-		send_call(r, p, choice.leaf, false);
-		return true;
+	if (!choice.leaf && choice.usable_count)
+		return PART_BLOCKED;
+	if (!choice.leaf) {
+		leaf_access_log_none(r, p);
+		return give_up_waiting(r, p, TRIAGE_NOT_REFUSED);
 	}
-	if (choice.usable_count)
+	if (!waiting_has_room(r, q))
+		return give_up_waiting(r, p, TRIAGE_NO_ROOM);
+	waiting_remove(r, p);
+	send_call(r, p, choice.leaf, false);
+	return PART_STARTED;
+}
+
+/*
+ * Returns whether a part that no free leaf is expected to answer within the
+ * goal starts nevertheless.
+ */
+static bool may_be_late(struct router *r, const struct route_part *p,
+			const struct leaf_choice *choice)
+{
+	const struct route_request *q = p->request;
+	int64_t end = router_now(r) + choice->wait_us + choice->expected_us;
+
+	if (!choice->leaf)
+		return q->value.is_late && !q->is_partial &&
+		       end <= q->plan_until_us;
+	/* Without a queue at the leaf, only the estimate is against the call. */
+	return q->value.is_late || q->is_partial ||
+	       leaf_queued_calls(choice->leaf, router_now(r)) <= 0;
+}
+
+static bool is_feasible(struct router *r, struct route_part *p,
+			const struct leaf_choice *choice)
+{
+	struct route_request *q = p->request;
+
+	if (!choice->leaf && !choice->usable_count)
 		return false;
-	leaf_access_log_none(r, p);
-	p->phase = PART_FAILED;
-	return true;
+	switch (end_of_choice(r, p, choice)) {
+	case TRIAGE_IN_GOAL:
+		return true;
+	case TRIAGE_LATE:
+		p->is_crowded = !may_be_late(r, p, choice);
+		return !p->is_crowded;
+	case TRIAGE_TOO_LATE:
+		p->is_crowded = true;
+		return choice->leaf &&
+		       work_estimate_may_try(&q->stats->work, router_now(r));
+	case TRIAGE_STOPPED:
+		break;
+	}
+	return choice->leaf != NULL;
 }
 
-bool part_plan(struct router *r, struct route_part *p, int64_t left_us)
+bool part_plan(struct router *r, struct route_part *p)
 {
 	struct leaf_choice choice = leaf_choose(r, p);
 
 	leaf_note_wanted(r, p, &choice);
 	p->is_planned = true;
 	p->planned_leaf = choice.leaf;
-	p->is_infeasible = !choice.leaf &&
-			   (!choice.usable_count ||
-			    choice.wait_us + choice.expected_us > left_us);
-	if (p->is_infeasible)
-		leaf_access_log_none(r, p);
-	return !p->is_infeasible;
-}
-
-static void wait_for_leaf(struct router *r, struct route_part *p)
-{
-	p->phase = PART_WAITING;
-	p->pool->waiting_count++;
-	g_queue_push_tail(&r->waiting, p);
+	p->is_crowded = false;
+	p->is_infeasible = !is_feasible(r, p, &choice);
+	if (!p->is_infeasible)
+		return true;
+	if (p->is_crowded)
+		request_note_figures(r, p->request, p, choice.wait_us,
+				     choice.expected_us);
+	leaf_access_log_none(r, p);
+	return false;
 }
 
 static bool is_in_open_batch(const struct route_part *p)
@@ -317,14 +405,14 @@
  */
 static void start_without_batch(struct router *r, struct route_part *p)
 {
-	const struct route_request *q = p->request;
 	struct leaf_choice choice = leaf_choose(r, p);
 
 	leaf_note_wanted(r, p, &choice);
 	if (choice.leaf) {
 		send_call(r, p, choice.leaf, false);
-	} else if (is_worth_waiting(&choice, q->goal_at_us - router_now(r))) {
-		wait_for_leaf(r, p);
+	} else if (choice.is_busy &&
+		   end_of_choice(r, p, &choice) == TRIAGE_IN_GOAL) {
+		waiting_add(r, p);
 	} else {
 		leaf_access_log_none(r, p);
 		p->phase = PART_FAILED;
@@ -359,11 +447,13 @@
 	} else if (p->planned_leaf &&
 		   leaf_access_check(r, p, p->planned_leaf, now).reason ==
 			   ACCESS_ALLOWED) {
+		waiting_note_taken(r, p);
 		send_call(r, p, p->planned_leaf, false);
 	} else if (p->planned_leaf) {
 		start_without_batch(r, p);
 	} else {
-		wait_for_leaf(r, p);
+		waiting_add(r, p);
+		waiting_shed(r, p->pool);
 	}
 }
 
@@ -374,7 +464,7 @@
 	if (!r->options.ops->withdraw_call(r->options.ctx, c->id))
 		return false;
 	if (p)
-		unlink_call(c);
+		unlink_call(p, c);
 	release_call(r, c);
 	if (!p)
 		return true;
@@ -382,42 +472,44 @@
 	if (p->call_count || is_in_open_batch(p))
 		return true;
 	router_timer_disarm(r, &p->timer);
-	if (!try_send_first(r, p))
-		wait_for_leaf(r, p);
-	else if (p->phase == PART_FAILED)
+	waiting_add(r, p);
+	if (part_try_first(r, p) == PART_HOPELESS)
 		request_handle_part_end(r, p->request);
 	return true;
 }
 
-void part_retry_waiting(struct router *r)
-{
-	guint count = r->waiting.length;
-
-	while (count--) {
-		struct route_part *p = g_queue_pop_head(&r->waiting);
-
-		/* The end of a request also dequeues its other parts. */
-		if (!p)
-			return;
-		p->pool->waiting_count--;
-		if (!try_send_first(r, p))
-			wait_for_leaf(r, p);
-		else if (p->phase == PART_FAILED)
-			request_handle_part_end(r, p->request);
-	}
-}
-
 void part_end_calls(struct router *r, struct route_part *p)
 {
 	router_timer_disarm(r, &p->timer);
 	while (p->call_count) {
 		if (p->request->route->shape == ROUTE_GATHER)
-			detach_running_call(r, p->calls[0]);
+			detach_running_call(r, p, p->calls[0]);
 		else
-			cancel_call(r, p->calls[0]);
+			cancel_call(r, p, p->calls[0]);
 	}
 }
 
+/* Learns the work of a call from its duration and the load of the leaf. */
+static void note_work(struct router *r, struct leaf_call *c,
+		      const struct router_result *result)
+{
+	struct upstream_pool *pool = c->leaf->pool;
+	int64_t now = router_now(r);
+	int64_t duration = now - c->start_us;
+	double queued = c->queued;
+
+	if (result->load.is_known)
+		queued = (queued + result->load.waiting) / 2;
+	c->work_us = triage_work_of_call(duration, queued, c->leaf->entry.slots,
+					 work_estimate_typical(&pool->work));
+	if (result->outcome != CALL_ANSWERED)
+		return;
+	latency_add(&c->stats->call_latency, duration);
+	latency_add(&c->stats->call_work, c->work_us);
+	work_estimate_add(&c->stats->work, c->work_us, now);
+	work_estimate_add(&pool->work, c->work_us, now);
+}
+
 static void accept_reply(struct router *r, struct route_part *p,
 			 const struct router_result *result)
 {
@@ -532,12 +624,10 @@
 	struct route_part *p = c->part;
 	const struct route_leaf *leaf = c->leaf;
 
-	if (result->outcome == CALL_ANSWERED)
-		latency_add(&c->stats->call_latency,
-			    router_now(r) - c->start_us);
+	note_work(r, c, result);
 	leaf_note_result(r, c, result);
 	if (p)
-		unlink_call(c);
+		unlink_call(p, c);
 	release_call(r, c);
 	if (!p)
 		return;
--- a/router/rates.c
+++ b/router/rates.c
@@ -116,7 +116,8 @@
 	if (!is_cold(r, leaf) ||
 	    token_lease_has_token(&leaf->cold, lease_now(r)))
 		return 0;
-	return MAX(leaf->cold.dry_until_us - now, 0) + TOKEN_GRANT_US;
+	return MIN(MAX(leaf->cold.dry_until_us - now, 0) + TOKEN_GRANT_US,
+		   leaf->cold_until_us - now);
 }
 
 int64_t rates_wait(struct router *r, struct route_leaf *leaf, uint32_t priority)
@@ -255,8 +256,7 @@
 		log_limit(leaf, limit, "host");
 	log_share(leaf, share, now);
 	schedule_claims(r, rate->claim_at_us);
-	if (r->waiting.length)
-		part_retry_waiting(r);
+	waiting_start_all(r);
 }
 
 static void claim_shares(struct router *r)
@@ -340,8 +340,7 @@
 	if (!leaf || !leaf->is_listed_cold ||
 	    !token_lease_apply_grant(&leaf->cold, g, lease_now(r)))
 		return;
-	if (r->waiting.length)
-		part_retry_waiting(r);
+	waiting_start_all(r);
 }
 
 /* Reports the calls since the last report and starts to count anew. */
--- a/router/request.c
+++ b/router/request.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "common/counter.h"
 #include "common/errors.h"
 #include "common/events.h"
 
@@ -18,11 +19,20 @@
 /* Backoff after a refusal by a host that stops: other hosts have room. */
 #define RETRY_AFTER_STOP_MIN_US (10 * US_PER_MS)
 #define RETRY_AFTER_STOP_SPREAD_US (90 * US_PER_MS)
+/*
+ * Backoff after a refusal for lack of capacity, as a share of the time in which
+ * the repetition can start and meet the goal, and the least such time.
+ */
+#define REPEAT_SHARE_MIN 0.25
+#define REPEAT_SHARE_MAX 0.5
+#define RETRY_AFTER_CROWD_MIN_US (15 * US_PER_MS)
 /* Callers accept a backoff of up to a third of the time to their deadline. */
 #define RETRY_AFTER_SHARE 0.32
 
-/* Length of the figures of a stop in a log line. */
-#define STOP_TEXT_MAX 96
+/* Share of the parts that may wait if others are left out of a gather. */
+#define BUSY_SHARE_MAX 0.25
+/* Length of the figures of a refusal in a log line. */
+#define REFUSAL_TEXT_MAX 160
 
 static int64_t retry_after(struct router *r)
 {
@@ -51,23 +61,56 @@
 	return MAX(RETRY_AFTER_MIN_US, (int64_t)(share * longest));
 }
 
+/*
+ * Returns the backoff after a refusal for lack of capacity. The goal of the
+ * caller counts from its first attempt: the repetition comes while it can still
+ * be met, if there is time for that.
+ */
+static int64_t retry_after_crowd(struct router *r,
+				 const struct route_request *q)
+{
+	int64_t left = q->goal_at_us - router_now(r) - request_slowest_work(q);
+	double share = g_rand_double_range(r->random, REPEAT_SHARE_MIN,
+					   REPEAT_SHARE_MAX);
+
+	/* A wait beyond the goal shows that there will be no room by then. */
+	if (left < RETRY_AFTER_CROWD_MIN_US ||
+	    q->refusal.wait_us > q->refusal.left_us)
+		return retry_after_outage(r, q);
+	return (int64_t)(share * (double)left);
+}
+
 /* Returns the upstream that a request was sent to; empty for a gather. */
 static const char *upstream_name(const struct route_request *q)
 {
 	return q->route->shape == ROUTE_GATHER ? "" : q->parts[0].pool->name;
 }
 
-/* Writes the figures behind a refusal of a host that stops. */
-static void describe_stop(const struct router *r, const struct route_request *q,
-			  const struct router_answer *a, char *out, size_t size)
+/* Writes the figures behind a refusal for lack of time or capacity. */
+static void describe_refusal(const struct router *r,
+			     const struct route_request *q,
+			     const struct router_answer *a, char *out,
+			     size_t size)
 {
+	const struct triage_refusal *f = &q->refusal;
+
 	out[0] = '\0';
-	if (a->code != -ERR_ROUTE_STOPPING)
-		return;
-	g_snprintf(out, size, " left_ms=%lld expected_ms=%lld",
-		   (long long)(stop_time_left(r) / US_PER_MS),
-		   (long long)(stop_expected_duration(q->stats, q->route) /
-			       US_PER_MS));
+	if (a->code == -ERR_ROUTE_STOPPING)
+		g_snprintf(
+			out, size, " left_ms=%lld expected_ms=%lld",
+			(long long)(stop_time_left(r) / US_PER_MS),
+			(long long)(stop_expected_duration(q->stats, q->route) /
+				    US_PER_MS));
+	else if (a->code == -ERR_ROUTE_LATE && f->reason)
+		g_snprintf(out, size,
+			   " reason=%s rank=%u wait_ms=%lld work_ms=%lld "
+			   "left_ms=%lld waiting=%u",
+			   triage_reason_name(f->reason),
+			   triage_rank(&q->value),
+			   (long long)(f->wait_us / US_PER_MS),
+			   (long long)(f->work_us / US_PER_MS),
+			   (long long)(f->left_us / US_PER_MS),
+			   f->waiting_count);
 }
 
 static void log_request_end(const struct router *r,
@@ -80,9 +123,9 @@
 			   : a->status == 503 || is_denied ? EV_REQUEST_REFUSED
 							   : EV_REQUEST_FAILED;
 	const char *organisation = q->organisation ? q->organisation->name : "";
-	char stop[STOP_TEXT_MAX];
+	char refusal[REFUSAL_TEXT_MAX];
 
-	describe_stop(r, q, a, stop, sizeof(stop));
+	describe_refusal(r, q, a, refusal, sizeof(refusal));
 	event_log(id,
 		  "request=%s route=%s upstream=%s version=%llu status=%u "
 		  "code=E%d parts=%u of=%u failed=%u extra=%u ms=%lld "
@@ -92,7 +135,7 @@
 		  q->answered_count, q->part_count, q->failed_count,
 		  q->extra_call_count,
 		  (long long)((router_now(r) - q->start_us) / US_PER_MS),
-		  (long long)(q->route->goal_us / US_PER_MS), stop,
+		  (long long)(q->route->goal_us / US_PER_MS), refusal,
 		  *organisation ? " organisation=\"" : "", organisation,
 		  *organisation ? "\"" : "");
 }
@@ -101,6 +144,7 @@
 			    bool is_cancelled)
 {
 	router_timer_disarm(r, &q->timer);
+	router_timer_disarm(r, &q->review_timer);
 	for (uint32_t i = 0; i < q->part_count; i++)
 		part_clear(r, &q->parts[i], is_cancelled);
 	batch_clear_all(r, q);
@@ -142,6 +186,33 @@
 	finish_request(r, q, &a);
 }
 
+#define REFUSAL_COUNTER(text)                                     \
+	{                                                         \
+		.name = "nutmegpick_triage_refusals_total",       \
+		.help = "Requests refused for lack of capacity.", \
+		.label = "reason=\"" text "\"",                   \
+	}
+
+static struct counter refusals[TRIAGE_REASONS] = {
+	[TRIAGE_NO_ROOM] = REFUSAL_COUNTER("room"),
+	[TRIAGE_DISPLACED] = REFUSAL_COUNTER("displaced"),
+	[TRIAGE_GOAL_MISSED] = REFUSAL_COUNTER("goal"),
+	[TRIAGE_DEADLINE_MISSED] = REFUSAL_COUNTER("deadline"),
+	[TRIAGE_GAVE_WAY] = REFUSAL_COUNTER("urgent"),
+};
+
+__attribute__((constructor)) static void register_counters(void)
+{
+	for (int i = TRIAGE_NO_ROOM; i < TRIAGE_REASONS; i++)
+		counter_register(&refusals[i]);
+}
+
+static void note_refusal(struct router *r, const struct route_request *q)
+{
+	counter_add(&refusals[q->refusal.reason], 1);
+	request_note_class(r, q, false);
+}
+
 /* Answers a failed request, with status 503 only if no leaf may have run it. */
 static void finish_failed_request(struct router *r, struct route_request *q,
 				  int code)
@@ -156,8 +227,12 @@
 		a.status = 503;
 		code = leaf_access_refusal_code(r, q, code);
 		a.code = code;
-		if (code == -ERR_ROUTE_LATE || code == -ERR_ROUTE_REGION ||
-		    code == -ERR_ROUTE_EVACUATED)
+		if (code == -ERR_ROUTE_LATE && q->refusal.reason)
+			note_refusal(r, q);
+		if (code == -ERR_ROUTE_LATE && q->refusal.reason)
+			a.retry_after_us = retry_after_crowd(r, q);
+		else if (code == -ERR_ROUTE_LATE || code == -ERR_ROUTE_REGION ||
+			 code == -ERR_ROUTE_EVACUATED)
 			a.retry_after_us = retry_after_outage(r, q);
 		else if (code == -ERR_ROUTE_STOPPING)
 			a.retry_after_us = retry_after_stop(r);
@@ -169,6 +244,42 @@
 	finish_request(r, q, &a);
 }
 
+void request_note_figures(struct router *r, struct route_request *q,
+			  const struct route_part *p, int64_t wait_us,
+			  int64_t work_us)
+{
+	q->refusal = (struct triage_refusal){
+		.reason = TRIAGE_NO_ROOM,
+		.wait_us = wait_us,
+		.work_us = work_us,
+		.left_us = q->goal_at_us - router_now(r),
+		.waiting_count = triage_queue_count(&p->pool->waiting),
+	};
+}
+
+static const struct route_part *find_waiting_part(const struct route_request *q)
+{
+	for (uint32_t i = 0; i < q->part_count; i++) {
+		if (q->parts[i].phase == PART_WAITING)
+			return &q->parts[i];
+	}
+	return NULL;
+}
+
+void request_refuse(struct router *r, struct route_request *q,
+		    enum triage_reason reason)
+{
+	const struct route_part *p = find_waiting_part(q);
+
+	if (p)
+		request_note_figures(r, q, p, waiting_time(r, p),
+				     request_typical_work(q));
+	q->refusal.reason = reason;
+	finish_failed_request(r, q,
+			      router_is_stopping(r) ? -ERR_ROUTE_STOPPING
+						    : -ERR_ROUTE_LATE);
+}
+
 static void finish_gathered(struct router *r, struct route_request *q)
 {
 	GPtrArray *stamps = g_ptr_array_sized_new(q->part_count);
@@ -407,23 +518,56 @@
 			      identity_code(verdict));
 }
 
+/*
+ * Returns whether parts without room are left out. If requests of the same rank
+ * wait for many shards, the capacity is better used for those that all shards
+ * can answer.
+ */
+static bool may_leave_out(const struct route_request *q)
+{
+	uint32_t crowded = 0;
+	uint32_t waiting = 0;
+
+	for (uint32_t i = 0; i < q->part_count; i++) {
+		const struct route_part *p = &q->parts[i];
+
+		crowded += p->is_infeasible && p->is_crowded;
+		waiting += !p->is_infeasible && waiting_has_rival(p);
+	}
+	return !crowded || waiting <= BUSY_SHARE_MAX * q->part_count;
+}
+
+static bool can_be_answered(const struct route_request *q)
+{
+	if (q->is_partial)
+		return true;
+	if (q->route->shape != ROUTE_GATHER)
+		return !q->failed_count;
+	return gather_can_reach_coverage(q) && may_leave_out(q);
+}
+
+/* Plans a part for which there was no room again, after others were refused. */
+static bool make_room(struct router *r, struct route_part *p)
+{
+	return p->is_infeasible && p->is_crowded && !p->planned_leaf &&
+	       waiting_displace(r, p) && part_plan(r, p);
+}
+
 /*
  * Returns whether a request can be answered, before any leaf is called. If one
  * shard is overloaded, the work of the other shards would be wasted.
  */
 static bool plan_parts(struct router *r, struct route_request *q)
 {
-	bool is_gather = q->route->shape == ROUTE_GATHER;
-	int64_t until = is_gather ? q->goal_at_us : q->plan_until_us;
-	int64_t left = MIN(until - q->start_us, stop_time_left(r));
-
 	for (uint32_t i = 0; i < q->part_count; i++) {
-		if (!part_plan(r, &q->parts[i], left))
+		if (!part_plan(r, &q->parts[i]))
 			q->failed_count++;
 	}
-	if (q->is_partial)
-		return true;
-	return is_gather ? gather_can_reach_coverage(q) : !q->failed_count;
+	for (uint32_t i = 0; i < q->part_count && !can_be_answered(q); i++) {
+		if (make_room(r, &q->parts[i]))
+			q->failed_count--;
+	}
+	return can_be_answered(q);
 }
 
 uint64_t router_start(struct router *r, const struct router_request *in)
@@ -445,11 +589,16 @@
 	id = q->id;
 	add_parts(r, q, in);
 	request_arm_timer(r, q);
+	request_classify(r, q);
 	/* A batch of another host ends with the results that it has. */
 	if (!q->is_partial && !stop_may_start(r, q->stats, route)) {
 		finish_failed_request(r, q, -ERR_ROUTE_STOPPING);
 		return 0;
 	}
+	if (request_gives_way(r, q)) {
+		request_refuse(r, q, TRIAGE_GAVE_WAY);
+		return 0;
+	}
 	if (!plan_parts(r, q)) {
 		finish_failed_request(r, q,
 				      router_is_stopping(r)
@@ -462,6 +611,7 @@
 	for (uint32_t i = 0; i < q->part_count; i++)
 		part_start(r, &q->parts[i]);
 	q->is_updating_parts = false;
+	waiting_log(r, q);
 	request_handle_part_end(r, q);
 	return id_table_find(&r->requests, id) ? id : 0;
 }
--- a/test/unit/test_places.c
+++ b/test/unit/test_places.c
@@ -144,14 +144,17 @@
 	struct fake_router *f = fake_router_create(1);
 	struct route_table *t = f->router->table;
 
-	CU_ASSERT_TRUE(router_may_forward(f->router, &t->routes[SEARCH], NULL));
+	CU_ASSERT_TRUE(
+		router_region_allows(f->router, &t->routes[SEARCH], NULL));
 	set_regions(t, SEARCH, "north,south");
-	CU_ASSERT_TRUE(router_may_forward(f->router, &t->routes[SEARCH], NULL));
+	CU_ASSERT_TRUE(
+		router_region_allows(f->router, &t->routes[SEARCH], NULL));
 	add_organisation(t, "o", "south");
-	CU_ASSERT_FALSE(router_may_forward(f->router, &t->routes[SEARCH], "o"));
+	CU_ASSERT_FALSE(
+		router_region_allows(f->router, &t->routes[SEARCH], "o"));
 	set_regions(t, SEARCH, "south");
 	CU_ASSERT_FALSE(
-		router_may_forward(f->router, &t->routes[SEARCH], NULL));
+		router_region_allows(f->router, &t->routes[SEARCH], NULL));
 	fake_router_destroy(f);
 }
 
