--- a/include/router/leaf_access.h
+++ b/include/router/leaf_access.h
@@ -92,15 +92,13 @@
  * for calls of all priorities or only those of the part; INFINITY if the leaf
  * has no rate.
  */
-double leaf_access_rate_share(const struct router *r,
-			      const struct route_leaf *leaf, int64_t now_us);
-double leaf_access_rate_share_of(const struct router *r,
-				 const struct route_part *p,
-				 const struct route_leaf *leaf, int64_t now_us);
+double leaf_access_rate_share(struct router *r, struct route_leaf *leaf);
+double leaf_access_rate_share_of(struct router *r, const struct route_part *p,
+				 struct route_leaf *leaf);
 
 /** Returns whether a leaf has a shared rate now, or any leaf may have one. */
-bool leaf_access_has_rate(const struct route_leaf *leaf, int64_t now_us);
-bool leaf_access_has_rates(const struct router *r, int64_t now_us);
+bool leaf_access_has_rate(struct router *r, struct route_leaf *leaf);
+bool leaf_access_has_rates(const struct router *r);
 
 /** Notes that a call to a leaf with a rate is wanted, sent or not. */
 void leaf_access_note_wanted(struct router *r, const struct route_part *p,
--- a/router/router.c
+++ b/router/router.c
@@ -66,6 +66,7 @@
 	id_table_init(&r->calls, sizeof(struct leaf_call));
 	g_queue_init(&r->waiting);
 	r->limited_leaves = g_ptr_array_new();
+	r->cold_leaves = g_ptr_array_new();
 	r->next_claims_us = INT64_MAX;
 	r->stop_us = INT64_MAX;
 	router_set_host_count(r, 0);
@@ -117,22 +118,37 @@
 		   EXTRA_GATHERER_MAX);
 }
 
+static void log_table(const struct router *r, const struct route_table *t)
+{
+	char counts[64] = "";
+
+	if (t->has_organisations)
+		g_snprintf(counts, sizeof(counts), " organisations=%u keys=%u",
+			   t->organisation_count, key_index_count(t->keys));
+	event_log(EV_ROUTES_IN_FORCE,
+		  "version=%llu previous=%llu routes=%u upstreams=%u%s",
+		  (unsigned long long)t->version,
+		  (unsigned long long)router_version(r), t->route_count,
+		  t->upstream_count, counts);
+}
+
 int router_apply_table(struct router *r, struct route_table *t)
 {
 	if (r->table && t->version <= r->table->version) {
 		route_table_unref(t);
 		return -ERR_ROUTE_VERSION;
 	}
-	event_log(EV_ROUTES_IN_FORCE,
-		  "version=%llu previous=%llu routes=%u upstreams=%u",
-		  (unsigned long long)t->version,
-		  (unsigned long long)router_version(r), t->route_count,
-		  t->upstream_count);
+	log_table(r, t);
 	route_table_unref(r->table);
 	r->table = t;
-	for (uint32_t i = 0; i < t->upstream_count; i++)
-		leaf_set_get_pool(&r->leaves, t->upstreams[i].name)
-			->warm_up_per_s = t->upstreams[i].warm_up_per_s;
+	for (uint32_t i = 0; i < t->upstream_count; i++) {
+		struct upstream_pool *pool =
+			leaf_set_get_pool(&r->leaves, t->upstreams[i].name);
+
+		pool->warm_up_per_s = t->upstreams[i].warm_up_per_s;
+		pool->warm_up_version = t->version;
+	}
+	r->identity_epoch++;
 	route_stats_apply_table(r);
 	return 0;
 }
@@ -143,6 +159,48 @@
 	return r->table ? route_table_match(r->table, host, path) : NULL;
 }
 
+struct identity identify_caller(const struct router *r,
+				const struct router_request *request,
+				const struct route *route)
+{
+	struct identity_claim claim = {
+		.credentials = request->credentials,
+		.organisation = request->organisation,
+		.are_keys_stale = r->are_keys_stale,
+	};
+
+	return identity_check(r->table, route, &claim);
+}
+
+struct identity router_identify(const struct router *r,
+				const struct router_request *request)
+{
+	const struct route *route = NULL;
+
+	if (router_has_organisations(r))
+		route = router_match(r, request->host, request->path);
+	return identify_caller(r, request, route);
+}
+
+void router_set_keys_stale(struct router *r, bool are_stale)
+{
+	if (r->are_keys_stale == are_stale)
+		return;
+	r->are_keys_stale = are_stale;
+	r->identity_epoch++;
+}
+
+bool router_has_organisations(const struct router *r)
+{
+	return r->table && r->table->has_organisations;
+}
+
+const struct organisation *router_find_organisation(const struct router *r,
+						    const char *name)
+{
+	return r->table ? route_table_find_organisation(r->table, name) : NULL;
+}
+
 static void count_domains(GHashTable *counts, struct upstream_pool *pool,
 			  uint64_t regions, int64_t now)
 {
@@ -342,8 +400,7 @@
 
 	if (r->waiting.length)
 		next = MIN(next, r->next_retry_us);
-	if (r->options.ops->claim_rates)
-		next = MIN(next, r->next_claims_us);
+	next = MIN(next, r->next_claims_us);
 	return next;
 }
 
--- a/test/unit/fake_router.c
+++ b/test/unit/fake_router.c
@@ -14,8 +14,12 @@
 		.leaf = call->leaf,
 		.sent_us = f->time.now_us,
 		.remaining_us = call->remaining_us,
+		.has_organisations = call->has_organisations,
 		.is_open = true,
 	};
+	if (call->organisation)
+		g_strlcpy(c->organisation, call->organisation,
+			  sizeof(c->organisation));
 	g_strlcpy(c->leaf_id, call->leaf->entry.id, sizeof(c->leaf_id));
 	g_strlcpy(c->service, call->leaf->entry.service, sizeof(c->service));
 	g_strlcpy(c->request_id, call->request_id, sizeof(c->request_id));
@@ -115,6 +119,19 @@
 	g_array_append_vals(f->claims, claims, count);
 }
 
+static void handle_claim_tokens(void *ctx, const GArray *claims)
+{
+	struct fake_router *f = ctx;
+
+	for (guint i = 0; i < claims->len; i++) {
+		struct token_claim c =
+			g_array_index(claims, struct token_claim, i);
+
+		c.key = g_intern_string(c.key);
+		g_array_append_val(f->token_claims, c);
+	}
+}
+
 static const struct router_ops ops = {
 	.start_call = handle_start_call,
 	.cancel_call = handle_cancel_call,
@@ -126,6 +143,7 @@
 	.answer = handle_answer,
 	.claim_rates = handle_claim_rates,
 	.close_idle = handle_close_idle,
+	.claim_tokens = handle_claim_tokens,
 	.free_endpoint = handle_free_endpoint,
 };
 
@@ -210,6 +228,8 @@
 	f->rate_limits =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	f->claims = g_array_new(FALSE, FALSE, sizeof(struct rate_claim));
+	f->token_claims = g_array_new(FALSE, FALSE, sizeof(struct token_claim));
+	f->shards = shards;
 	router_create(&f->router, &options);
 	router_apply_table(f->router, fake_router_create_table(shards, 1));
 	for (uint32_t i = 0; i < 3 * shards; i++) {
@@ -228,6 +248,7 @@
 	router_destroy(f->router);
 	g_hash_table_destroy(f->rate_limits);
 	g_array_free(f->claims, TRUE);
+	g_array_free(f->token_claims, TRUE);
 	g_free(f);
 }
 
@@ -265,6 +286,24 @@
 				    g_memdup2(&per_s, sizeof(per_s)));
 }
 
+void fake_router_set_warm_up(struct fake_router *f, double per_s)
+{
+	struct route_table *t = fake_router_create_table(
+		f->shards, router_version(f->router) + 1);
+
+	for (uint32_t i = 0; i < f->shards; i++)
+		t->upstreams[i].warm_up_per_s = per_s;
+	router_apply_table(f->router, t);
+}
+
+void fake_router_set_cold(struct fake_router *f, const char *leaf, int64_t us)
+{
+	struct route_leaf *l =
+		g_hash_table_lookup(router_leaves(f->router)->leaves, leaf);
+
+	l->cold_until_us = f->time.now_us + us;
+}
+
 static struct leaf_rate_limit get_rate_limit(const struct fake_router *f,
 					     const char *leaf)
 {
--- a/test/unit/test_places.c
+++ b/test/unit/test_places.c
@@ -100,6 +100,8 @@
 	start_for(f, "o");
 	CU_ASSERT_EQUAL(f->call_count, 1);
 	CU_ASSERT_EQUAL(f->answers[0].status, 503);
+	/* Callers without an organisation need a public route. */
+	f->router->table->routes[GET].is_public = true;
 	start_for(f, NULL);
 	CU_ASSERT_STRING_EQUAL(f->calls[1].leaf_id, "s0-a");
 	fake_router_destroy(f);
@@ -363,8 +365,9 @@
 }
 
 /*
- * Guards against a cold leaf that gets more than the share of this host, here
- * none, and against cold leaves without a warm-up rate that idle.
+ * Guards against a cold leaf that gets more than the share of this host: here,
+ * none, since the claim of a token is never answered. Guards against cold
+ * leaves without a warm-up rate that idle.
  */
 static void test_cold_leaf(void)
 {
@@ -372,8 +375,10 @@
 
 	put_cold_leaf(f, 2 * US_PER_S, 1);
 	fake_router_start_request(f, "/get/x", 0);
-	CU_ASSERT_EQUAL(f->answers[0].status, 503);
 	fake_router_advance(f, 1900 * US_PER_MS);
+	CU_ASSERT_EQUAL(f->call_count, 0);
+	CU_ASSERT_EQUAL(f->answer_count, 1);
+	CU_ASSERT_EQUAL(f->answers[0].status, 503);
 	/* It will be warm in time for this request. */
 	fake_router_start_request(f, "/get/x", 0);
 	CU_ASSERT_EQUAL(f->answer_count, 1);
