--- a/include/router/internal.h
+++ b/include/router/internal.h
@@ -185,10 +185,11 @@
 	uint32_t priority;
 	/**
 	 * Regions in which leaves may be called, and the version of the table
-	 * that allows them; leaf_access.c updates both.
+	 * and the organisation that allow them; leaf_access.c updates them.
 	 */
 	uint64_t regions;
 	uint64_t regions_version;
+	const struct organisation *regions_organisation;
 	struct route_stats *stats;
 	/** Of the organisation, or NULL; owned by the router. */
 	struct organisation_stats *organisation_stats;
--- a/router/leaf_access.c
+++ b/router/leaf_access.c
@@ -109,7 +109,8 @@
  */
 static uint64_t request_regions(const struct router *r, struct route_request *q)
 {
-	if (q->regions_version == r->table->version)
+	if (q->regions_version == r->table->version &&
+	    q->regions_organisation == q->organisation)
 		return q->regions;
 	if (q->table == r->table)
 		q->regions = leaf_access_regions(r, q->route, q->organisation);
@@ -118,6 +119,7 @@
 			r, current_route(r, q->route),
 			current_organisation(r, q->organisation));
 	q->regions_version = r->table->version;
+	q->regions_organisation = q->organisation;
 	return q->regions;
 }
 
