--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -21,9 +21,9 @@
 import time
 
 import features
+from checks_organisations import Organisations, Quotas
+from checks_places import REGIONS, ColdLeaves, Evacuations, Regions
 from lives import Life, Load, Lost, find_socket
-from organisations import Organisations, Quotas
-from places import REGIONS, ColdLeaves, Evacuations, Regions
 from standins import HEALTH_PATH, Leaf, Proxy, Store, read_message
 
 SHARDS = 6
--- a/test/soak/standins.py
+++ b/test/soak/standins.py
@@ -194,7 +194,7 @@
         self.cold_known_at = 0
         self.cold_calls = []
 
-    def warm_up_ms(self):
+    def warm_up_left_ms(self):
         left = max(0, self.cold_until - time.monotonic())
         return math.ceil(left * 1000)
 
@@ -203,7 +203,7 @@
         store.put(self.key, {
             "service": self.service, "address": self.address,
             "zone": self.domain, "version": "v1", "slots": 4,
-            "state": "ready", "warmup_left_ms": self.warm_up_ms(),
+            "state": "ready", "warmup_left_ms": self.warm_up_left_ms(),
             "sequence": self.sequence, "born": 1})
 
     def write_cut_head(self, writer, body, headers):
@@ -217,7 +217,7 @@
     async def handle(self, request, writer):
         if request.target == HEALTH_PATH:
             write_reply(writer, 200, b"", [("Nutmegpick-Warmup-Ms",
-                                            self.warm_up_ms())])
+                                            self.warm_up_left_ms())])
             return True
         echo = [("Nutmegpick-Request-Id",
                  request.headers.get("nutmegpick-request-id", ""))]
@@ -229,7 +229,7 @@
                                  (writer.get_extra_info("peername"),
                                   writer.get_extra_info("sockname")))
         if self.cold_until:
-            echo.append(("Nutmegpick-Warmup-Ms", self.warm_up_ms()))
+            echo.append(("Nutmegpick-Warmup-Ms", self.warm_up_left_ms()))
         if self.limit is not None:
             self.owner.check_rate(self, request)
             echo.append(("Server-Limit", f"{self.limit:g}"))
