--- a/include/router/internal.h
+++ b/include/router/internal.h
@@ -4,6 +4,8 @@
 #include "engine/heap.h"
 #include "engine/latency.h"
 #include "engine/query.h"
+#include "router/leaf_access.h"
+#include "router/identity.h"
 #include "router/router.h"
 
 /** Maximum number of calls in flight for one part. */
@@ -138,10 +140,31 @@
 	char request_id[REQUEST_ID_MAX];
 	struct route_table *table;
 	const struct route *route;
-	/** Organisation of the caller, in the table; NULL if there is none. */
+	/** What the caller has told, as in struct router_request. */
+	struct credentials credentials;
+	char *claimed_organisation;
+	/**
+	 * Organisation of the caller, in identity_table; NULL if there is none.
+	 */
 	const struct organisation *organisation;
+	/** Newest table by which the caller was accepted. */
+	struct route_table *identity_table;
+	/** Value of router.identity_epoch when the caller was checked. */
+	uint64_t identity_epoch;
+	/**
+	 * Result code and status of a request whose caller is not accepted any
+	 * more, for the case that no leaf has run it; 0 otherwise.
+	 */
+	int denied_code;
+	unsigned int denied_status;
 	/** That of the organisation, or else of the route; 0 is first. */
 	uint32_t priority;
+	/**
+	 * Regions in which leaves may be called, and the version of the table
+	 * that allows them; leaf_access.c updates both.
+	 */
+	uint64_t regions;
+	uint64_t regions_version;
 	struct route_stats *stats;
 	int64_t start_us;
 	/** Deadline of the caller, or the stop of this host if that is first. */
@@ -205,6 +228,10 @@
 	struct router_options options;
 	struct leaf_set leaves;
 	struct route_table *table;
+	/** Increases when the callers of requests have to be checked again. */
+	uint64_t identity_epoch;
+	/** Keys are not to be trusted, see router_set_keys_stale(). */
+	bool are_keys_stale;
 	/** struct route_stats by route name. */
 	GHashTable *stats;
 	uint64_t last_stats_id;
@@ -218,6 +245,8 @@
 	GQueue waiting;
 	/** Leaves that name a rate limit; each holds a reference. */
 	GPtrArray *limited_leaves;
+	/** Leaves whose calls need tokens; each holds a reference. */
+	GPtrArray *cold_leaves;
 	/** When the next claim of a share of their limits is due. */
 	int64_t next_claims_us;
 	int64_t next_sweep_us;
@@ -245,6 +274,11 @@
 double router_extra_allowance(const struct router *r,
 			      const struct route_request *q);
 
+/** Checks the caller of a request on a route by the table in force. */
+struct identity identify_caller(const struct router *r,
+				const struct router_request *request,
+				const struct route *route);
+
 /* stats.c */
 struct route_stats *route_stats_get(struct router *r,
 				    const struct route *route);
@@ -303,6 +337,11 @@
 };
 
 struct leaf_choice leaf_choose(struct router *r, const struct route_part *part);
+/**
+ * Returns the time that work is expected to take at a leaf now, as a factor on
+ * the usual time.
+ */
+double leaf_work_factor(const struct route_leaf *leaf, int64_t now_us);
 /** Updates the state of a leaf with the result of a call. */
 void leaf_note_result(struct router *r, struct leaf_call *c,
 		      const struct router_result *result);
@@ -314,17 +353,34 @@
 void leaf_note_wanted(struct router *r, const struct route_part *part,
 		      const struct leaf_choice *choice);
 
-/** Notes that a call is sent to a leaf. */
-void leaf_note_sent(struct router *r, const struct route_part *part,
-		    struct route_leaf *leaf, bool is_extra);
-
 /**
  * Notes that the planned leaf of a part in a batch has not answered in time;
  * other leaves are preferred for a while.
  */
 void leaf_note_late(struct router *r, const struct route_part *p);
 
-/* rates.c */
+/*
+ * rates.c: the rates that hosts share at one leaf.
+ *
+ * Returns whether a rate limits the calls to a leaf.
+ */
+bool rates_is_limited(struct router *r, struct route_leaf *leaf);
+/** Returns whether a rate limits the calls to any leaf. */
+bool rates_has_limits(const struct router *r);
+/** Returns whether the limits allow a call of a priority now. */
+bool rates_has_room(struct router *r, struct route_leaf *leaf,
+		    uint32_t priority);
+/** Returns the time until they allow one; INT64_MAX if never. */
+int64_t rates_wait(struct router *r, struct route_leaf *leaf,
+		   uint32_t priority);
+/** Returns the calls a second that this host may send to a limited leaf. */
+double rates_share(struct router *r, struct route_leaf *leaf);
+/** Returns the part of that which calls of a priority may use. */
+double rates_share_of(struct router *r, struct route_leaf *leaf,
+		      uint32_t priority);
+/** Counts a call to a leaf. */
+void rates_note_call(struct router *r, struct route_leaf *leaf,
+		     uint32_t priority, bool is_extra);
 /** Notes the rate limit in the result of a call. */
 void rates_note_result(struct router *r, const struct leaf_call *c,
 		       const struct router_result *result);
@@ -339,6 +395,13 @@
 void rates_log_no_room(struct router *r, const struct route_part *p);
 void rates_clear(struct router *r);
 
+/* recheck.c */
+/**
+ * Checks the caller of a request again, before a call, if the table in force or
+ * the trust in its keys has changed. Returns whether the request may run.
+ */
+bool recheck_caller(struct router *r, struct route_request *q);
+
 /* part.c */
 /**
  * Chooses the leaf of the first call. Returns false if no leaf can answer the
@@ -349,6 +412,11 @@
 void part_start(struct router *r, struct route_part *p);
 void part_handle_result(struct router *r, struct leaf_call *c,
 			const struct router_result *result);
+/**
+ * Sends a call to another leaf if nothing of it has been sent, without counting
+ * as an extra call. Returns whether the call was taken back.
+ */
+bool part_move_call(struct router *r, struct leaf_call *c);
 /** Tries to send the first calls of the parts that wait for a leaf. */
 void part_retry_waiting(struct router *r);
 /**
@@ -391,6 +459,8 @@
 void gather_build_answer(struct router *r, struct route_request *q,
 			 struct router_answer *a, GPtrArray *stamps,
 			 GPtrArray *shards, GByteArray *body);
+/** Returns whether a number of parts reaches the minimum coverage. */
+bool gather_reaches_coverage(const struct route_request *q, uint32_t parts);
 /** Returns whether the answered parts reach the minimum coverage. */
 bool gather_has_coverage(const struct route_request *q);
 /** Returns whether the parts that have not failed reach that coverage. */
--- a/include/router/leaf_set.h
+++ b/include/router/leaf_set.h
@@ -9,7 +9,8 @@
 
 #include "engine/latency.h"
 #include "router/extra_calls.h"
-#include "router/leaf_rate.h"
+#include "router/shared_rate.h"
+#include "router/token_lease.h"
 
 /** Maximum number of routes whose call durations are kept for a leaf. */
 #define LEAF_ROUTES_MAX 4
@@ -75,9 +76,19 @@
 	 * other.
 	 */
 	int64_t usable_until_us;
-	/** Slow start: calls are expected to take longer until this time. */
-	int64_t warm_at_us;
+	/**
+	 * The leaf is cold until this time, as its entry or a reply stated
+	 * last: calls are expected to take longer, and the warm-up rate of its
+	 * upstream applies.
+	 */
+	int64_t cold_until_us;
+	/** When a reply last stated that time, or 0. */
+	int64_t cold_told_us;
 	enum leaf_distance distance;
+	/** Bit of the region; 0 if the region is not known. */
+	uint64_t region;
+	/** Nothing may be sent to the leaf: its failure domain is evacuated. */
+	bool is_evacuated;
 	/** Constant between 0 and 1 for each pair of host and leaf. */
 	double preference;
 	/** Calls of this host in flight, oldest first. */
@@ -90,6 +101,12 @@
 	/** Calls of other hosts at the leaf, when it last reported its load. */
 	double other_host_calls;
 	int64_t reported_at_us;
+	/**
+	 * Time that work took at the leaf when it last told, as a factor on the
+	 * usual time; 0 if it has never told.
+	 */
+	double work_factor;
+	int64_t work_factor_at_us;
 	/** Moving average of the share of failed calls, and its last update. */
 	double failure_rate;
 	int64_t failure_rate_at_us;
@@ -101,7 +118,13 @@
 	uint32_t duration_count;
 	/** Entries added so far; the next index modulo LEAF_ROUTES_MAX. */
 	uint32_t duration_next;
-	struct leaf_rate rate;
+	struct shared_rate rate;
+	/** Tokens for calls while the leaf is cold. */
+	struct token_lease cold;
+	/** Calls wanted since the last claim that had no token. */
+	uint32_t cold_wanted;
+	/** The leaf is in the list of cold leaves. */
+	bool is_listed_cold;
 	/** State of the adapter that holds the connections. */
 	void *endpoint;
 };
@@ -115,6 +138,10 @@
 	uint32_t waiting_count;
 	/** Connections that a leaf accepts from all hosts together. */
 	uint32_t max_connections;
+	/** Calls a second that a cold leaf takes from all hosts; 0: no limit. */
+	double warm_up_per_s;
+	/** Version of the table that says so. */
+	uint64_t warm_up_version;
 };
 
 /** All leaves of the registry. */
@@ -125,8 +152,14 @@
 	char *domain;
 	/** Region by failure domain. */
 	GHashTable *regions;
+	/** Bit number plus one by region. */
+	GHashTable *region_bits;
+	/** Failure domains that are evacuated. */
+	GHashTable *evacuated;
 	GHashTable *pools;
 	GHashTable *leaves;
+	/** Latest cold_until_us of all leaves. */
+	int64_t cold_until_us;
 	/** Called before the memory of a leaf is freed. */
 	void (*handle_leaf_free)(void *ctx, struct route_leaf *leaf);
 	void *ctx;
@@ -146,6 +179,25 @@
 enum leaf_distance leaf_set_distance(const struct leaf_set *s,
 				     const char *domain);
 
+/**
+ * Returns the bit of the region of a failure domain, or 0 if the region is not
+ * known.
+ */
+uint64_t leaf_set_region(const struct leaf_set *s, const char *domain);
+
+/**
+ * Returns the bits of the regions in a list, or UINT64_MAX for NULL: no limit.
+ * Names of unknown regions have no bit.
+ */
+uint64_t leaf_set_regions(const struct leaf_set *s, char *const *regions);
+
+/**
+ * Notes whether a failure domain is evacuated, also for leaves that are added
+ * later. Returns whether that is a change.
+ */
+bool leaf_set_set_evacuated(struct leaf_set *s, const char *domain,
+			    bool is_evacuated);
+
 /** Returns the pool of a service; creates it on first use. */
 struct upstream_pool *leaf_set_get_pool(struct leaf_set *s,
 					const char *service);
@@ -169,6 +221,10 @@
  */
 void route_leaf_lose_address(struct route_leaf *leaf, int64_t now_us);
 
+/** Notes that a reply of a leaf states for how long it remains cold. */
+void leaf_set_note_warm_up(struct leaf_set *s, struct route_leaf *leaf,
+			   int64_t left_us, int64_t now_us);
+
 /** Like leaf_set_remove() for every leaf whose id is not in the table. */
 void leaf_set_retain(struct leaf_set *s, GHashTable *ids, int64_t grace_us,
 		     int64_t now_us);
@@ -179,6 +235,9 @@
 struct route_leaf *route_leaf_ref(struct route_leaf *leaf);
 void route_leaf_unref(struct leaf_set *s, struct route_leaf *leaf);
 
+/** Returns whether the warm-up rate of its upstream limits the leaf now. */
+bool route_leaf_is_cold(const struct route_leaf *leaf, int64_t now_us);
+
 /** Returns whether new calls may be sent to the leaf. */
 bool route_leaf_is_usable(const struct route_leaf *leaf, int64_t now_us);
 
--- a/include/router/router.h
+++ b/include/router/router.h
@@ -7,6 +7,7 @@
 
 #include "common/clock.h"
 #include "net/leaf_reply.h"
+#include "router/identity.h"
 #include "router/leaf_rate.h"
 #include "router/leaf_set.h"
 #include "router/table.h"
@@ -27,7 +28,12 @@
 	char id[REQUEST_ID_MAX];
 	const char *host;
 	const char *path;
-	/** Name of the organisation of the caller, or NULL. */
+	/** What the caller has told about itself. */
+	struct credentials credentials;
+	/**
+	 * Name of the organisation of the caller, if another host has checked
+	 * the credentials and sent it; otherwise NULL.
+	 */
 	const char *organisation;
 	/** Timeout set by the caller; 0 if none. */
 	int64_t wait_us;
@@ -62,6 +68,13 @@
 	int64_t remaining_us;
 	/** The request may be run more than once. */
 	bool is_idempotent;
+	/**
+	 * Organisations are in force: what the request tells about its caller
+	 * is not passed on.
+	 */
+	bool has_organisations;
+	/** Name of the organisation of the caller, or NULL. */
+	const char *organisation;
 	void *user;
 };
 
@@ -88,6 +101,17 @@
 	bool is_known;
 	uint32_t running;
 	uint32_t waiting;
+	/**
+	 * Time that work takes on the leaf's machine at present, as a factor on
+	 * the usual time; 0 if the leaf does not tell.
+	 */
+	double work_factor;
+};
+
+/** How long a leaf remains cold, if its reply states that. */
+struct leaf_warm_up {
+	bool is_known;
+	int64_t left_us;
 };
 
 struct router_result {
@@ -101,6 +125,7 @@
 	const char *cause;
 	struct leaf_load load;
 	struct leaf_rate_limit rate_limit;
+	struct leaf_warm_up warm_up;
 };
 
 /**
@@ -140,6 +165,9 @@
 	int64_t wait_us;
 	/** Time until the other host sends the results that it has. */
 	int64_t goal_us;
+	/** As in struct router_call. */
+	bool has_organisations;
+	const char *organisation;
 	void *user;
 };
 
@@ -194,6 +222,12 @@
 	 * delivers its result.
 	 */
 	bool (*detach_call)(void *ctx, uint64_t call_id);
+	/**
+	 * Cancels a call of which no byte has been sent and returns true; its
+	 * result must not be delivered. Otherwise returns false and lets the
+	 * call go on. NULL if the adapter sends calls at once.
+	 */
+	bool (*withdraw_call)(void *ctx, uint64_t call_id);
 	/**
 	 * Sends a batch to a host of its failure domain; returns false if there
 	 * is none. The results come through router_handle_batch_result(). NULL
@@ -217,11 +251,19 @@
 	 */
 	void (*claim_rates)(void *ctx, const struct rate_claim *claims,
 			    uint32_t count);
+	/**
+	 * Claims tokens for calls to cold leaves, as an array of struct
+	 * token_claim. Grants come through router_handle_token_grant(). NULL if
+	 * cold leaves are called like others.
+	 */
+	void (*claim_tokens)(void *ctx, const GArray *claims);
 	/**
 	 * Reports the calls to a leaf with a rate limit, about once a second,
 	 * and the end of its limit. NULL if the adapter has no metrics.
 	 */
 	void (*report_rate)(void *ctx, const struct leaf_rate_report *report);
+	/** Closes the idle connections to a leaf; NULL if there are none. */
+	void (*close_idle)(void *ctx, struct route_leaf *leaf);
 	/** Frees the adapter's state of a leaf, leaf->endpoint. */
 	void (*free_endpoint)(void *ctx, struct route_leaf *leaf);
 };
@@ -275,12 +317,49 @@
 const struct route *router_match(const struct router *r, const char *host,
 				 const char *path);
 
+/** Returns the organisation with a name in the table in force, or NULL. */
+const struct organisation *router_find_organisation(const struct router *r,
+						    const char *name);
+
+/**
+ * Returns who sends a request, and whether it may run, by the table in force.
+ * Every request that is started is checked; this is for requests that another
+ * host is to run.
+ */
+struct identity router_identify(const struct router *r,
+				const struct router_request *request);
+
+/**
+ * States whether keys must not be trusted, because this host may have missed
+ * that some were revoked. Requests with a key are refused meanwhile.
+ */
+void router_set_keys_stale(struct router *r, bool are_stale);
+
+/** Returns whether organisations are in force. */
+bool router_has_organisations(const struct router *r);
+
 /**
  * Returns the number of shards of a gathered route that have a usable leaf, by
  * failure domain. Valid until the next call.
  */
 GHashTable *router_shard_counts(struct router *r, const struct route *route);
 
+/**
+ * Returns whether a request may be forwarded whole to another host of this
+ * region: not if the route or the organisation is limited to other regions. The
+ * organisation may be NULL.
+ */
+bool router_may_forward(const struct router *r, const struct route *route,
+			const char *organisation);
+
+/**
+ * Sets whether a failure domain is evacuated. No call is sent to the leaves of
+ * an evacuated one; calls of which nothing was sent move to other leaves, and
+ * idle connections are closed.
+ */
+void router_set_evacuated(struct router *r, const char *domain,
+			  bool is_evacuated);
+
 /** Returns the time until the latency goal of a request that arrives now. */
 int64_t router_goal_left(const struct route *route);
 
@@ -322,6 +401,9 @@
 /** Handles the answer to a claim. */
 void router_handle_grant(struct router *r, const struct rate_grant *g);
 
+/** Handles the answer to a claim of tokens; ignored if of no cold leaf. */
+void router_handle_token_grant(struct router *r, const struct token_grant *g);
+
 /** Returns the monotonic time of the next timer, or INT64_MAX. */
 int64_t router_next_timer(const struct router *r);
 
--- a/net/host_frame.c
+++ b/net/host_frame.c
@@ -14,6 +14,8 @@
 /* Number of fields of a claim and of a grant in their lists. */
 #define RATE_CLAIM_FIELDS 7
 #define RATE_GRANT_FIELDS 8
+#define TOKEN_CLAIM_FIELDS 10
+#define TOKEN_GRANT_FIELDS 6
 
 static int handle_write(void *ctx, const char *data, size_t len)
 {
@@ -137,7 +139,7 @@
 GByteArray *host_frame_gather(const struct gather_request *r)
 {
 	msgpack_packer pk;
-	GByteArray *out = begin_frame(&pk, HOST_GATHER, 12);
+	GByteArray *out = begin_frame(&pk, HOST_GATHER, 13);
 
 	msgpack_pack_uint64(&pk, r->id);
 	pack_text(&pk, r->request_id);
@@ -158,6 +160,7 @@
 	pack_bytes(&pk, r->body, r->body_len);
 	pack_texts(&pk, r->shards, r->shard_count);
 	msgpack_pack_uint32(&pk, r->gatherers);
+	pack_text(&pk, r->organisation);
 	return out;
 }
 
@@ -202,9 +205,9 @@
 		const struct rate_claim *c =
 			&g_array_index(claims, struct rate_claim, i);
 
-		pack_text(&pk, c->leaf);
-		msgpack_pack_uint64(&pk, (uint64_t)c->leaf_started_ms);
-		pack_text(&pk, c->leaf_domain);
+		pack_text(&pk, c->key);
+		msgpack_pack_uint64(&pk, (uint64_t)c->epoch);
+		pack_text(&pk, c->domain);
 		pack_rate_news(&pk, &c->news);
 		pack_rate(&pk, c->wanted_per_s);
 	}
@@ -221,8 +224,8 @@
 		const struct rate_grant *g =
 			&g_array_index(grants, struct rate_grant, i);
 
-		pack_text(&pk, g->leaf);
-		msgpack_pack_uint64(&pk, (uint64_t)g->leaf_started_ms);
+		pack_text(&pk, g->key);
+		msgpack_pack_uint64(&pk, (uint64_t)g->epoch);
 		pack_rate_news(&pk, &g->news);
 		pack_rate(&pk, g->share_per_s);
 		msgpack_pack_uint64(&pk, (uint64_t)MAX(g->valid_us, 0));
@@ -231,6 +234,50 @@
 	return out;
 }
 
+GByteArray *host_frame_token_claims(const GArray *claims)
+{
+	msgpack_packer pk;
+	GByteArray *out = begin_frame(&pk, HOST_TOKEN_CLAIMS, 1);
+
+	msgpack_pack_array(&pk, (size_t)claims->len * TOKEN_CLAIM_FIELDS);
+	for (guint i = 0; i < claims->len; i++) {
+		const struct token_claim *c =
+			&g_array_index(claims, struct token_claim, i);
+
+		pack_text(&pk, c->key);
+		pack_text(&pk, c->domain);
+		pack_rate(&pk, c->limit.rate_per_s);
+		pack_rate(&pk, c->limit.burst);
+		pack_flag(&pk, c->limit.is_cold_leaf);
+		msgpack_pack_uint64(&pk, c->limit.version);
+		msgpack_pack_uint32(&pk, c->sequence);
+		msgpack_pack_uint32(&pk, c->wanted);
+		msgpack_pack_uint32(&pk, c->returned);
+		msgpack_pack_uint64(&pk, c->returned ? c->returned_ticket : 0);
+	}
+	return out;
+}
+
+GByteArray *host_frame_token_grants(const GArray *grants)
+{
+	msgpack_packer pk;
+	GByteArray *out = begin_frame(&pk, HOST_TOKEN_GRANTS, 1);
+
+	msgpack_pack_array(&pk, (size_t)grants->len * TOKEN_GRANT_FIELDS);
+	for (guint i = 0; i < grants->len; i++) {
+		const struct token_grant *g =
+			&g_array_index(grants, struct token_grant, i);
+
+		pack_text(&pk, g->key);
+		msgpack_pack_uint32(&pk, g->sequence);
+		msgpack_pack_uint32(&pk, g->tokens);
+		msgpack_pack_uint64(&pk, g->tokens ? g->ticket : 0);
+		msgpack_pack_uint64(&pk, (uint64_t)MAX(g->retry_us, 0));
+		pack_flag(&pk, g->is_elsewhere);
+	}
+	return out;
+}
+
 /**
  * Reads the fields of an array in order. A field that is missing or of another
  * type sets is_broken and reads as empty.
@@ -390,9 +437,9 @@
 	q->headers = r->frame->headers;
 	q->body = read_bytes(r, &q->body_len);
 	q->shards = read_texts(r, &q->shard_count);
-	/* Hosts of the previous release do not send this field. */
-	gatherers = r->next < r->fields->size ? read_number(r) : 0;
+	gatherers = read_number(r);
 	q->gatherers = (uint32_t)MIN(gatherers, UINT32_MAX);
+	q->organisation = read_text(r);
 }
 
 static void read_gather_result(struct reader *r)
@@ -425,10 +472,10 @@
 		g_array_new(FALSE, TRUE, sizeof(struct rate_claim));
 	items.fields = read_array(r);
 	while (items.next < items.fields->size && !items.is_broken) {
-		struct rate_claim c = { .leaf = read_text(&items) };
+		struct rate_claim c = { .key = read_text(&items) };
 
-		c.leaf_started_ms = read_duration(&items);
-		c.leaf_domain = read_text(&items);
+		c.epoch = read_duration(&items);
+		c.domain = read_text(&items);
 		read_rate_news(&items, &c.news);
 		c.wanted_per_s = read_rate(&items);
 		if (!items.is_broken)
@@ -445,9 +492,9 @@
 		g_array_new(FALSE, TRUE, sizeof(struct rate_grant));
 	items.fields = read_array(r);
 	while (items.next < items.fields->size && !items.is_broken) {
-		struct rate_grant g = { .leaf = read_text(&items) };
+		struct rate_grant g = { .key = read_text(&items) };
 
-		g.leaf_started_ms = read_duration(&items);
+		g.epoch = read_duration(&items);
 		read_rate_news(&items, &g.news);
 		g.share_per_s = read_rate(&items);
 		g.valid_us = read_duration(&items);
@@ -458,6 +505,61 @@
 	r->is_broken = r->is_broken || items.is_broken;
 }
 
+static uint32_t read_count(struct reader *r)
+{
+	uint64_t n = read_number(r);
+
+	if (n > UINT32_MAX)
+		r->is_broken = true;
+	return (uint32_t)n;
+}
+
+static void read_token_claims(struct reader *r)
+{
+	struct reader items = { .frame = r->frame };
+
+	r->frame->token_claims =
+		g_array_new(FALSE, TRUE, sizeof(struct token_claim));
+	items.fields = read_array(r);
+	while (items.next < items.fields->size && !items.is_broken) {
+		struct token_claim c = { .key = read_text(&items) };
+
+		c.domain = read_text(&items);
+		c.limit.rate_per_s = read_rate(&items);
+		c.limit.burst = read_rate(&items);
+		c.limit.is_cold_leaf = read_flag(&items);
+		c.limit.version = read_number(&items);
+		c.sequence = read_count(&items);
+		c.wanted = read_count(&items);
+		c.returned = read_count(&items);
+		c.returned_ticket = read_number(&items);
+		if (!items.is_broken)
+			g_array_append_val(r->frame->token_claims, c);
+	}
+	r->is_broken = r->is_broken || items.is_broken;
+}
+
+static void read_token_grants(struct reader *r)
+{
+	struct reader items = { .frame = r->frame };
+
+	r->frame->token_grants =
+		g_array_new(FALSE, TRUE, sizeof(struct token_grant));
+	items.fields = read_array(r);
+	while (items.next < items.fields->size && !items.is_broken) {
+		struct token_grant g = { .key = read_text(&items) };
+
+		g.sequence = read_count(&items);
+		g.tokens = read_count(&items);
+		g.ticket = read_number(&items);
+		g.retry_us = read_duration(&items);
+		g.is_elsewhere = read_flag(&items);
+		if (!items.is_broken)
+			g_array_append_val(r->frame->token_grants, g);
+	}
+	r->is_broken = r->is_broken || items.is_broken;
+}
+
 static void read_hello(struct reader *r)
 {
 	if (read_number(r) != HOST_PROTOCOL)
@@ -499,6 +601,12 @@
 	case HOST_RATE_GRANTS:
 		read_rate_grants(r);
 		return;
+	case HOST_TOKEN_CLAIMS:
+		read_token_claims(r);
+		return;
+	case HOST_TOKEN_GRANTS:
+		read_token_grants(r);
+		return;
 	}
 	r->is_broken = true;
 }
@@ -512,6 +620,10 @@
 		g_array_free(f->rate_claims, TRUE);
 	if (f->rate_grants)
 		g_array_free(f->rate_grants, TRUE);
+	if (f->token_claims)
+		g_array_free(f->token_claims, TRUE);
+	if (f->token_grants)
+		g_array_free(f->token_grants, TRUE);
 	if (f->allocations)
 		g_ptr_array_free(f->allocations, TRUE);
 	memset(f, 0, sizeof(*f));
--- a/nutmegpickd/route_callers.c
+++ b/nutmegpickd/route_callers.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "common/errors.h"
+#include "nutmegpickd/organisation_metrics.h"
 #include "nutmegpickd/route_internal.h"
 #include "nutmegpickd/route_metrics.h"
 #include "platform/headers.h"
@@ -87,6 +88,19 @@
 	leaf->endpoint = NULL;
 }
 
+static bool handle_withdraw_call(void *ctx, uint64_t call_id)
+{
+	struct route_service *s = ctx;
+
+	return leaf_client_withdraw_call(s->client, call_id);
+}
+
+static void handle_close_idle(void *ctx, struct route_leaf *leaf)
+{
+	if (leaf->endpoint)
+		leaf_endpoint_close_idle(leaf->endpoint);
+}
+
 static bool handle_start_batch(void *ctx, const struct router_batch *b)
 {
 	return route_start_batch(ctx, b);
@@ -111,6 +125,13 @@
 	rate_exchange_claim(s->rates, claims, count);
 }
 
+static void handle_claim_tokens(void *ctx, const GArray *claims)
+{
+	struct route_service *s = ctx;
+
+	token_exchange_claim(s->tokens, claims);
+}
+
 static void handle_report_rate(void *ctx, const struct leaf_rate_report *report)
 {
 	route_metrics_note_leaf_rate(report);
@@ -126,12 +147,15 @@
 	.start_call = handle_start_call,
 	.cancel_call = handle_cancel_call,
 	.detach_call = handle_detach_call,
+	.withdraw_call = handle_withdraw_call,
 	.start_batch = handle_start_batch,
 	.cancel_batch = handle_cancel_batch,
 	.answer_part = handle_answer_part,
 	.answer = handle_router_answer,
 	.claim_rates = handle_claim_rates,
+	.claim_tokens = handle_claim_tokens,
 	.report_rate = handle_report_rate,
+	.close_idle = handle_close_idle,
 	.free_endpoint = handle_free_endpoint,
 };
 
@@ -180,6 +204,7 @@
 	if (q->frame)
 		host_frame_clear(q->frame);
 	g_free(q->frame);
+	g_free(q->organisation);
 	g_free(q);
 }
 
@@ -193,6 +218,11 @@
 
 		route_metrics_note_answer(route ? route->name : "", a->status,
 					  clock_now(&s->clock) - q->start_us);
+		organisation_metrics_note_answer(q->organisation, a->status,
+						 a->code);
+		/* This host answers 401 and 503 only if nothing has run. */
+		if ((a->status == 401 || a->status == 503) && !a->reply)
+			route_return_quota(s, q);
 		send_answer(q->exchange, a);
 	} else {
 		route_send_result_to_sender(s, q, a, false);
@@ -235,6 +265,7 @@
 		in.host = g->host;
 		in.path = g->target;
 		in.gatherers = g->gatherers;
+		in.organisation = *g->organisation ? g->organisation : NULL;
 		in.goal_us = MAX(g->goal_left_us, 1);
 		in.hedge_min_us = REMOTE_HEDGE_MIN_US;
 		if (g->shard_count) {
@@ -245,6 +276,7 @@
 		id = http_exchange_header(q->exchange, PLATFORM_REQUEST_ID);
 		in.host = http_exchange_header(q->exchange, "Host");
 		in.path = http_exchange_target(q->exchange);
+		in.credentials = q->credentials;
 		route = router_match(s->router, in.host, in.path);
 		if (route)
 			in.goal_us =
@@ -258,14 +290,41 @@
 		q->id = request_id;
 }
 
+bool route_identify_caller(struct route_service *s, struct caller_request *q)
+{
+	struct router_request in = {
+		.host = http_exchange_header(q->exchange, "Host"),
+		.path = http_exchange_target(q->exchange),
+		.credentials = q->credentials,
+	};
+	struct identity who = router_identify(s->router, &in);
+
+	g_free(q->organisation);
+	q->organisation = who.organisation ? g_strdup(who.organisation->name)
+					   : NULL;
+	if (router_has_organisations(s->router))
+		http_exchange_remove_headers(q->exchange,
+					     platform_is_identity_header);
+	return who.verdict == IDENTITY_ACCEPTED;
+}
+
+void route_start_charged(struct route_service *s, struct caller_request *q)
+{
+	if (!route_identify_caller(s, q) || !route_forward_request(s, q))
+		route_run_locally(s, q, false);
+}
+
 static void start_request(struct route_service *s, struct caller_request *q)
 {
-	if (!route_forward_request(s, q))
+	if (!route_identify_caller(s, q))
 		route_run_locally(s, q, false);
+	else if (route_charge_quota(s, q))
+		route_start_charged(s, q);
 }
 
 static void drop_request(struct route_service *s, struct caller_request *q)
 {
+	route_cancel_quota(s, q);
 	route_cancel_forward(s, q);
 	if (q->id)
 		router_cancel(s->router, q->id);
@@ -308,6 +367,7 @@
 	}
 	q->wait_us = platform_parse_deadline(
 		http_exchange_header(x, PLATFORM_REQUEST_DEADLINE));
+	q->credentials = platform_read_credentials(http_exchange_headers(x));
 	if (!is_hold_open(s)) {
 		start_request(s, q);
 		return;
--- a/test/unit/fake_router.c
+++ b/test/unit/fake_router.c
@@ -14,8 +14,12 @@
 		.leaf = call->leaf,
 		.sent_us = f->time.now_us,
 		.remaining_us = call->remaining_us,
+		.has_organisations = call->has_organisations,
 		.is_open = true,
 	};
+	if (call->organisation)
+		g_strlcpy(c->organisation, call->organisation,
+			  sizeof(c->organisation));
 	g_strlcpy(c->leaf_id, call->leaf->entry.id, sizeof(c->leaf_id));
 	g_strlcpy(c->service, call->leaf->entry.service, sizeof(c->service));
 	g_strlcpy(c->request_id, call->request_id, sizeof(c->request_id));
@@ -60,6 +64,22 @@
 	return false;
 }
 
+static bool handle_withdraw_call(void *ctx, uint64_t call_id)
+{
+	struct fake_router *f = ctx;
+
+	if (f->has_unsent_calls)
+		handle_cancel_call(ctx, call_id);
+	return f->has_unsent_calls;
+}
+
+static void handle_close_idle(void *ctx, struct route_leaf *leaf)
+{
+	struct fake_router *f = ctx;
+
+	f->idle_close_count++;
+}
+
 static void handle_free_endpoint(void *ctx, struct route_leaf *leaf)
 {
 }
@@ -99,15 +119,31 @@
 	g_array_append_vals(f->claims, claims, count);
 }
 
+static void handle_claim_tokens(void *ctx, const GArray *claims)
+{
+	struct fake_router *f = ctx;
+
+	for (guint i = 0; i < claims->len; i++) {
+		struct token_claim c =
+			g_array_index(claims, struct token_claim, i);
+
+		c.key = g_intern_string(c.key);
+		g_array_append_val(f->token_claims, c);
+	}
+}
+
 static const struct router_ops ops = {
 	.start_call = handle_start_call,
 	.cancel_call = handle_cancel_call,
 	.detach_call = handle_detach_call,
+	.withdraw_call = handle_withdraw_call,
 	.start_batch = handle_start_batch,
 	.cancel_batch = handle_cancel_batch,
 	.answer_part = handle_answer_part,
 	.answer = handle_answer,
 	.claim_rates = handle_claim_rates,
+	.close_idle = handle_close_idle,
+	.claim_tokens = handle_claim_tokens,
 	.free_endpoint = handle_free_endpoint,
 };
 
@@ -127,12 +163,12 @@
 	r->target_count = 1;
 }
 
-static struct route_table *create_table(uint32_t shards)
+struct route_table *fake_router_create_table(uint32_t shards, uint64_t version)
 {
 	struct route_table *t = route_table_create(3, shards);
 	char message[128];
 
-	t->version = 1;
+	t->version = version;
 	for (uint32_t i = 0; i < shards; i++) {
 		t->upstreams[i].name = g_strdup_printf("s%u", i);
 		t->upstreams[i].max_connections = 64;
@@ -192,8 +228,10 @@
 	f->rate_limits =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	f->claims = g_array_new(FALSE, FALSE, sizeof(struct rate_claim));
+	f->token_claims = g_array_new(FALSE, FALSE, sizeof(struct token_claim));
+	f->shards = shards;
 	router_create(&f->router, &options);
-	router_apply_table(f->router, create_table(shards));
+	router_apply_table(f->router, fake_router_create_table(shards, 1));
 	for (uint32_t i = 0; i < 3 * shards; i++) {
 		char *service = g_strdup_printf("s%u", i / 3);
 		char *id = g_strdup_printf("%s-%s", service, domains[i % 3]);
@@ -210,6 +248,7 @@
 	router_destroy(f->router);
 	g_hash_table_destroy(f->rate_limits);
 	g_array_free(f->claims, TRUE);
+	g_array_free(f->token_claims, TRUE);
 	g_free(f);
 }
 
@@ -247,6 +286,24 @@
 				    g_memdup2(&per_s, sizeof(per_s)));
 }
 
+void fake_router_set_warm_up(struct fake_router *f, double per_s)
+{
+	struct route_table *t = fake_router_create_table(
+		f->shards, router_version(f->router) + 1);
+
+	for (uint32_t i = 0; i < f->shards; i++)
+		t->upstreams[i].warm_up_per_s = per_s;
+	router_apply_table(f->router, t);
+}
+
+void fake_router_set_cold(struct fake_router *f, const char *leaf, int64_t us)
+{
+	struct route_leaf *l =
+		g_hash_table_lookup(router_leaves(f->router)->leaves, leaf);
+
+	l->cold_until_us = f->time.now_us + us;
+}
+
 static struct leaf_rate_limit get_rate_limit(const struct fake_router *f,
 					     const char *leaf)
 {
@@ -272,6 +329,7 @@
 		result.reply->status = status;
 		result.stamp = "stamp";
 		result.rate_limit = get_rate_limit(f, c->leaf_id);
+		result.load = f->load;
 		if (body)
 			g_byte_array_append(result.reply->body,
 					    (const guint8 *)body,
--- a/test/unit/fake_router.h
+++ b/test/unit/fake_router.h
@@ -13,6 +13,9 @@
 	char leaf_id[16];
 	char service[16];
 	char request_id[16];
+	/** Empty if the request has none. */
+	char organisation[16];
+	bool has_organisations;
 	int64_t sent_us;
 	int64_t remaining_us;
 	bool is_open;
@@ -46,12 +49,21 @@
 	uint32_t batch_shard_count;
 	uint32_t batch_count;
 	uint32_t batch_cancel_count;
+	/** Nothing has been sent yet of any open call. */
+	bool has_unsent_calls;
+	/** Load in every reply. */
+	struct leaf_load load;
+	/** Leaves whose idle connections were closed. */
+	uint32_t idle_close_count;
 	/** Stamps sent by answer_part(), before the end of a request. */
 	uint32_t sent_stamp_count;
 	/** Rate limits that leaves name in their replies, as text by leaf. */
 	GHashTable *rate_limits;
 	/** Of struct rate_claim: claims that were not answered yet. */
 	GArray *claims;
+	/** Of struct token_claim, the same; their keys are interned. */
+	GArray *token_claims;
+	uint32_t shards;
 };
 
 /**
@@ -60,6 +72,8 @@
  * gathers all shards, /get/ and /put/ go to s0, and /put/ is not idempotent.
  */
 struct fake_router *fake_router_create(uint32_t shards);
+/** Creates such a route table; that of a new router has version 1. */
+struct route_table *fake_router_create_table(uint32_t shards, uint64_t version);
 /** The same with a seed; the seed is 1 otherwise. */
 struct fake_router *fake_router_create_seeded(uint32_t shards, uint64_t seed);
 void fake_router_destroy(struct fake_router *f);
@@ -83,6 +97,12 @@
 void fake_router_set_rate_limit(struct fake_router *f, const char *leaf,
 				double per_s);
 
+/** Puts a table in force with a limit on the calls to cold leaves. */
+void fake_router_set_warm_up(struct fake_router *f, double per_s);
+
+/** Lets a leaf be cold for a time from now on. */
+void fake_router_set_cold(struct fake_router *f, const char *leaf, int64_t us);
+
 /** Ends a call. Returns false if it is not open. */
 bool fake_router_end_call(struct fake_router *f, uint32_t call,
 			  enum call_outcome outcome, unsigned int status,
--- a/test/unit/main.c
+++ b/test/unit/main.c
@@ -4,6 +4,7 @@
 
 static CU_SuiteInfo suites[] = {
 	{ "broken inputs", NULL, NULL, NULL, NULL, broken_tests },
+	{ "cold leaf", NULL, NULL, NULL, NULL, cold_leaf_tests },
 	{ "common", NULL, NULL, NULL, NULL, common_tests },
 	{ "cut reply", NULL, NULL, NULL, NULL, cut_reply_tests },
 	{ "directory", NULL, NULL, NULL, NULL, directory_tests },
@@ -23,10 +24,15 @@
 	{ "fleet placement", NULL, NULL, NULL, NULL, fleet_placement_tests },
 	{ "host frame", NULL, NULL, NULL, NULL, host_frame_tests },
 	{ "http server", NULL, NULL, NULL, NULL, http_server_tests },
+	{ "identity", NULL, NULL, NULL, NULL, identity_tests },
 	{ "leaf client", NULL, NULL, NULL, NULL, leaf_client_tests },
+	{ "load figures", NULL, NULL, NULL, NULL, load_figure_tests },
 	{ "merge", NULL, NULL, NULL, NULL, merge_tests },
 	{ "odd entries", NULL, NULL, NULL, NULL, odd_entry_tests },
 	{ "old news", NULL, NULL, NULL, NULL, old_news_tests },
+	{ "places", NULL, NULL, NULL, NULL, place_tests },
+	{ "quota", NULL, NULL, NULL, NULL, quota_tests },
+	{ "quota schedules", NULL, NULL, NULL, NULL, quota_schedule_tests },
 	{ "rate exchange", NULL, NULL, NULL, NULL, rate_exchange_tests },
 	{ "rate limit", NULL, NULL, NULL, NULL, rate_limit_tests },
 	{ "rate shares", NULL, NULL, NULL, NULL, rate_shares_tests },
--- a/test/unit/suites.h
+++ b/test/unit/suites.h
@@ -5,6 +5,7 @@
 
 /** Suites, one per test file; each is a NULL-terminated list of tests. */
 extern CU_TestInfo broken_tests[];
+extern CU_TestInfo cold_leaf_tests[];
 extern CU_TestInfo common_tests[];
 extern CU_TestInfo cut_reply_tests[];
 extern CU_TestInfo directory_tests[];
@@ -23,10 +24,15 @@
 extern CU_TestInfo fleet_seat_tests[];
 extern CU_TestInfo host_frame_tests[];
 extern CU_TestInfo http_server_tests[];
+extern CU_TestInfo identity_tests[];
 extern CU_TestInfo leaf_client_tests[];
 extern CU_TestInfo merge_tests[];
+extern CU_TestInfo load_figure_tests[];
 extern CU_TestInfo odd_entry_tests[];
 extern CU_TestInfo old_news_tests[];
+extern CU_TestInfo place_tests[];
+extern CU_TestInfo quota_schedule_tests[];
+extern CU_TestInfo quota_tests[];
 extern CU_TestInfo rate_exchange_tests[];
 extern CU_TestInfo rate_limit_tests[];
 extern CU_TestInfo rate_shares_tests[];
