--- a/test/soak/features.py
+++ b/test/soak/features.py
@@ -9,6 +9,10 @@
 CALM_S = 6
 # The bounds take seconds, so that a run with features lasts longer.
 RUN_S = 16
+# A host that begins to grant the tokens of a quota grants none for 8 s. With
+# shorter gaps between faults the quotas are hardly used at all.
+QUOTA_RUN_S = 40
+QUOTA_FAULT_GAP_S = 4
 
 
 class Call:
--- a/test/soak/organisations.py
+++ b/test/soak/organisations.py
@@ -84,7 +84,7 @@
                       f'revoke_ms = "{REVOKE_MS}"\n[log]\nlevel = "debug"\n')
         return path
 
-    async def send(self, i, path, headers):
+    async def send_request(self, i, path, headers):
         self.number += 1
         reader, writer = await asyncio.open_connection(self.host_address(i),
                                                        self.args.port)
@@ -104,7 +104,7 @@
         """Returns the statuses of all hosts, and what leaves were told."""
         self.requests = []
         headers = [f"Authorization: Bearer {key}"] if key else []
-        replies = await asyncio.gather(*[self.send(i, path, headers)
+        replies = await asyncio.gather(*[self.send_request(i, path, headers)
                                          for i in range(HOSTS)])
         told = {(r.get("authorization", "-"),
                  r.get("nutmegpick-tenant-id", "-")) for r in self.requests}
--- a/test/soak/standins.py
+++ b/test/soak/standins.py
@@ -185,8 +185,6 @@
         self.owner = owner
         self.mode = "ok"
         self.sequence = 0
-        # Warm-up time of the entry that does not fall; a test sets it.
-        self.warm_up_ms = 0
         self.key = f"servers/{name}"
         # Calls a second from all hosts that the leaf names as its limit.
         self.limit = None
@@ -199,7 +197,7 @@
         self.cold_known_at = 0
         self.cold_calls = []
 
-    def warm_up_left_ms(self):
+    def warm_up_ms(self):
         left = max(0, self.cold_until - time.monotonic())
         return math.ceil(left * 1000)
 
@@ -208,8 +206,7 @@
         store.put(self.key, {
             "service": self.service, "address": self.address,
             "zone": self.domain, "version": "v1", "slots": 4,
-            "state": "ready",
-            "warmup_left_ms": self.warm_up_ms or self.warm_up_left_ms(),
+            "state": "ready", "warmup_left_ms": self.warm_up_ms(),
             "sequence": self.sequence, "born": 1})
 
     def write_cut_head(self, writer, body, headers):
@@ -223,7 +220,7 @@
     async def handle(self, request, writer):
         if request.target == HEALTH_PATH:
             write_reply(writer, 200, b"", [("Nutmegpick-Warmup-Ms",
-                                            self.warm_up_left_ms())])
+                                            self.warm_up_ms())])
             return True
         echo = [("Nutmegpick-Request-Id",
                  request.headers.get("nutmegpick-request-id", ""))]
@@ -235,7 +232,7 @@
                                  (writer.get_extra_info("peername"),
                                   writer.get_extra_info("sockname")))
         if self.cold_until:
-            echo.append(("Nutmegpick-Warmup-Ms", self.warm_up_left_ms()))
+            echo.append(("Nutmegpick-Warmup-Ms", self.warm_up_ms()))
         if self.limit is not None:
             self.owner.check_rate(self, request)
             echo.append(("Server-Limit", f"{self.limit:g}"))
