--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -21,9 +21,9 @@
 import time
 
 import features
-from lives import Life, Load, Lost, find_socket
 from feature_organisations import Organisations, Quotas
 from feature_places import REGIONS, ColdLeaves, Evacuations, Regions
+from lives import Life, Load, Lost, find_socket
 from standins import HEALTH_PATH, Leaf, Proxy, Store, read_message
 
 SHARDS = 6
@@ -87,6 +87,12 @@
             else {"d0": "north", "d1": "north"}
         self.features = [FEATURES[name](self) for name in names]
         self.kinds = ["n", "s"] if "regions" in names else []
+        self.fault_gap_s = 0.4
+        if names:
+            args.seconds = max(args.seconds, features.RUN_S)
+        if "quotas" in names:
+            args.seconds = max(args.seconds, features.QUOTA_RUN_S)
+            self.fault_gap_s = features.QUOTA_FAULT_GAP_S
         self.calls = {}
         # Processes that have called leaves, by the ends of the connection.
         self.callers = {}
@@ -541,7 +547,7 @@
                  self.store.compact]
         while not self.ended:
             await self.random.choice(kinds)()
-            await asyncio.sleep(self.random.uniform(0, 0.4))
+            await asyncio.sleep(self.random.uniform(0, self.fault_gap_s))
 
     async def start_proxies(self):
         for i in range(self.args.hosts):
@@ -581,8 +587,7 @@
         changes = [asyncio.create_task(feature.run())
                    for feature in self.features]
         changes.append(asyncio.create_task(self.load.watch()))
-        await asyncio.sleep(max(self.args.seconds, features.RUN_S)
-                            if self.features else self.args.seconds)
+        await asyncio.sleep(self.args.seconds)
         self.ended = True
         results = await asyncio.gather(*tasks, return_exceptions=True)
         await asyncio.gather(*self.verdicts)
