--- a/include/router/triage.h
+++ b/include/router/triage.h
@@ -16,8 +16,9 @@
 	double mean_log;
 	/** Mean absolute difference between a sample and mean_log. */
 	double spread_log;
-	/** The work that mean_log stands for. */
+	/** The work that mean_log stands for, and the arithmetic mean. */
 	int64_t mean_us;
+	double average_us;
 	int64_t at_us;
 	uint64_t count;
 	/** Earliest time of the next request that is admitted to learn. */
@@ -29,6 +30,8 @@
 /** Each returns 0 if nothing is known. */
 int64_t work_estimate_low(const struct work_estimate *e);
 int64_t work_estimate_typical(const struct work_estimate *e);
+/** Returns the arithmetic mean, from which waits follow. */
+int64_t work_estimate_average(const struct work_estimate *e);
 /** Returns the work that the slowest of several calls is expected to take. */
 int64_t work_estimate_slowest(const struct work_estimate *e, uint32_t calls);
 /**
@@ -39,8 +42,8 @@
 
 /**
  * Returns the work of a call that took duration_us at a leaf where, on average,
- * `queued` calls waited for `slots` slots; pool_work_us is the work of a
- * typical call there.
+ * `queued` calls waited for `slots` slots; pool_work_us is the average work of
+ * a call there.
  */
 int64_t triage_work_of_call(int64_t duration_us, double queued, uint32_t slots,
 			    int64_t pool_work_us);
--- a/router/part.c
+++ b/router/part.c
@@ -460,7 +460,7 @@
 	if (result->load.is_known)
 		queued = (queued + result->load.waiting) / 2;
 	c->work_us = triage_work_of_call(duration, queued, c->leaf->entry.slots,
-					 work_estimate_typical(&pool->work));
+					 work_estimate_average(&pool->work));
 	if (result->outcome != CALL_ANSWERED)
 		return;
 	latency_add(&c->stats->call_latency, duration);
--- a/router/triage.c
+++ b/router/triage.c
@@ -21,6 +21,8 @@
  * of each further doubling, is expected.
  */
 #define SLOWEST_STEP 0.5
+/* Calls ahead may be longer than the call itself by this factor. */
+#define SHORTEST_FACTOR 3
 #define TRIAL_INTERVAL_US (250 * US_PER_MS)
 
 /* No call is sent with less time than this until the deadline. */
@@ -88,6 +90,7 @@
 	weight = CLAMP(weight, WORK_WEIGHT_MIN, WORK_WEIGHT_MAX);
 	if (!e->count++) {
 		e->mean_log = sample;
+		e->average_us = (double)work_us;
 		e->spread_log = WORK_FIRST_SPREAD;
 	} else {
 		/* The first samples have equal weights. */
@@ -95,6 +98,7 @@
 		e->spread_log +=
 			weight * (fabs(sample - e->mean_log) - e->spread_log);
 		e->mean_log += weight * (sample - e->mean_log);
+		e->average_us += weight * ((double)work_us - e->average_us);
 	}
 	e->mean_us = (int64_t)exp(e->mean_log);
 	e->at_us = now_us;
@@ -117,6 +121,11 @@
 	return e->count < WORK_SAMPLES_MIN ? 0 : e->mean_us;
 }
 
+int64_t work_estimate_average(const struct work_estimate *e)
+{
+	return e->count < WORK_SAMPLES_MIN ? 0 : (int64_t)e->average_us;
+}
+
 int64_t work_estimate_slowest(const struct work_estimate *e, uint32_t calls)
 {
 	return estimate_at(e, SLOWEST_STEP * log2(MAX(calls, 1)));
@@ -136,8 +145,9 @@
 	double duration = (double)duration_us;
 	double wait = queued * (double)pool_work_us / MAX(slots, 1);
 
-	/* The calls ahead may have been shorter than usual. */
-	return (int64_t)MAX(duration - wait, duration / (1 + queued));
+	/* The calls ahead may have been shorter than average. */
+	return (int64_t)MAX(duration - wait,
+			    duration / (1 + SHORTEST_FACTOR * queued));
 }
 
 enum triage_end triage_end_of(const struct triage_limits *l,
