--- a/include/nutmegpickd/route_internal.h
+++ b/include/nutmegpickd/route_internal.h
@@ -43,6 +43,7 @@
 	/** Of ROUTE_EVENT_SETTINGS. */
 	uint32_t extra_calls;
 	bool revoke_strict;
+	enum triage_mode triage;
 	int64_t revoke_after_us;
 	/** Of ROUTE_EVENT_DRAIN: when the last request is answered. */
 	int64_t stop_us;
--- a/include/nutmegpickd/settings.h
+++ b/include/nutmegpickd/settings.h
@@ -6,6 +6,7 @@
 
 #include "common/events.h"
 #include "objects/objects.h"
+#include "router/router.h"
 
 /** Settings of one host, read at the start and at a reload. */
 struct settings {
@@ -41,6 +42,7 @@
 	uint32_t extra_calls;
 	/** Refuse keys when the store was not heard for revoke_after_us. */
 	bool revoke_strict;
+	enum triage_mode triage;
 	int64_t revoke_after_us;
 	enum event_level log_level;
 	/** Time from the negative readiness check to the end of listening. */
--- a/include/router/internal.h
+++ b/include/router/internal.h
@@ -276,6 +276,8 @@
 	GHashTable *batches;
 	uint64_t last_batch_id;
 	struct heap timers;
+	/** options.triage applies to the table in force. */
+	bool has_triage;
 	/** Pools with parts that wait for a leaf. */
 	GPtrArray *waiting_pools;
 	/** Requests of all routes. */
@@ -500,7 +502,7 @@
  * Returns whether a first call of the same or a better rank than that of a part
  * waits for its pool.
  */
-bool waiting_has_rival(const struct route_part *p);
+bool waiting_has_rival(const struct router *r, const struct route_part *p);
 /** Drops organisations that are not in the table in force. */
 void waiting_apply_table(struct router *r);
 
--- a/include/router/router.h
+++ b/include/router/router.h
@@ -268,6 +268,15 @@
 	void (*free_endpoint)(void *ctx, struct route_leaf *leaf);
 };
 
+/** When requests are ordered and refused by what they are worth. */
+enum triage_mode {
+	/** If callers belong to organisations, which compete for capacity. */
+	TRIAGE_WITH_ORGANISATIONS,
+	TRIAGE_ALWAYS,
+	/** Requests are served in the order in which they arrive. */
+	TRIAGE_NEVER,
+};
+
 struct router_options {
 	struct np_clock clock;
 	uint64_t seed;
@@ -281,6 +290,7 @@
 	 * in addition to those that the ratio permits.
 	 */
 	uint32_t extra_calls;
+	enum triage_mode triage;
 	const struct router_ops *ops;
 	void *ctx;
 };
@@ -395,6 +405,9 @@
 /** Returns the time until the latency goal of a request that arrives now. */
 int64_t router_goal_left(const struct route *route);
 
+/** Changes options.triage. */
+void router_set_triage(struct router *r, enum triage_mode mode);
+
 /** Changes options.extra_calls. */
 void router_set_extra_calls(struct router *r, uint32_t extra_calls);
 
--- a/include/router/triage.h
+++ b/include/router/triage.h
@@ -6,6 +6,9 @@
 
 #include "engine/heap.h"
 
+/** No call is sent with less time than this until the deadline. */
+#define CALL_TIME_MIN_US (10 * US_PER_MS)
+
 /**
  * Decides whether a request can still end in time, and which request goes first
  * where capacity is short. Reads no clock; all figures are passed in.
--- a/nutmegpickd/route_service.c
+++ b/nutmegpickd/route_service.c
@@ -151,6 +151,7 @@
 		return;
 	case ROUTE_EVENT_SETTINGS:
 		router_set_extra_calls(s->router, e->extra_calls);
+		router_set_triage(s->router, e->triage);
 		s->settings.revoke_strict = e->revoke_strict;
 		s->settings.revoke_after_us = e->revoke_after_us;
 		return;
@@ -420,6 +421,7 @@
 		.domain = s->settings.domain,
 		.domains = s->settings.domains,
 		.extra_calls = s->settings.extra_calls,
+		.triage = s->settings.triage,
 		.ops = &route_router_ops,
 		.ctx = s,
 	};
@@ -518,6 +520,7 @@
 		s, (struct route_event){
 			   .type = ROUTE_EVENT_SETTINGS,
 			   .extra_calls = settings->extra_calls,
+			   .triage = settings->triage,
 			   .revoke_strict = settings->revoke_strict,
 			   .revoke_after_us = settings->revoke_after_us,
 		   });
--- a/nutmegpickd/settings.c
+++ b/nutmegpickd/settings.c
@@ -29,6 +29,7 @@
 	SETTING_FLAG,
 	/** Number of ms; the default if it is empty. */
 	SETTING_MS,
+	SETTING_TRIAGE,
 };
 
 struct setting_spec {
@@ -80,6 +81,8 @@
 	{ "organisations", "revoke_ms", SETTING_MS,
 	  offsetof(struct settings, revoke_after_us), "5000", false, US_PER_MS,
 	  3600 * US_PER_S },
+	{ "triage", "mode", SETTING_TRIAGE, offsetof(struct settings, triage),
+	  "organisations", false },
 	{ "log", "level", SETTING_LEVEL, offsetof(struct settings, log_level),
 	  "info", false },
 	{ "lifecycle", "drain_delay", SETTING_DURATION,
@@ -133,6 +136,23 @@
 	return ok;
 }
 
+static const char *const triage_names[] = {
+	[TRIAGE_WITH_ORGANISATIONS] = "organisations",
+	[TRIAGE_ALWAYS] = "always",
+	[TRIAGE_NEVER] = "never",
+};
+
+static bool parse_triage(const char *text, enum triage_mode *out)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(triage_names); i++) {
+		if (strcmp(text, triage_names[i]))
+			continue;
+		*out = (enum triage_mode)i;
+		return true;
+	}
+	return false;
+}
+
 static bool parse_level(const char *text, enum event_level *out)
 {
 	for (size_t i = 0; i < G_N_ELEMENTS(level_names); i++) {
@@ -216,6 +236,10 @@
 		if (!parse_level(text, out))
 			return "must be debug, info, warning or error";
 		return NULL;
+	case SETTING_TRIAGE:
+		if (!parse_triage(text, out))
+			return "must be organisations, always or never";
+		return NULL;
 	case SETTING_SEAT:
 		if (!parse_seat(text, out))
 			return "must be \"none\" or a number below 65536";
@@ -476,6 +500,10 @@
 			printf("\"%g\"\n",
 			       (double)*(const int64_t *)field / US_PER_MS);
 			break;
+		case SETTING_TRIAGE:
+			printf("\"%s\"\n",
+			       triage_names[*(const enum triage_mode *)field]);
+			break;
 		case SETTING_LEVEL:
 			printf("\"%s\"\n",
 			       level_names[*(const enum event_level *)field]);
--- a/router/choice.c
+++ b/router/choice.c
@@ -170,7 +170,8 @@
 	double wait =
 		queued * (double)work_estimate_typical(&pool->work) / slots;
 
-	return wait > QUEUE_GOAL_SHARE * (double)pool->shortest_goal_us &&
+	return r->has_triage &&
+	       wait > QUEUE_GOAL_SHARE * (double)pool->shortest_goal_us &&
 	       waiting_slowdown(r, p) > URGENT_SLOWDOWN;
 }
 
@@ -224,12 +225,21 @@
 	return true;
 }
 
+/* Returns the turn of a part among those that wait, in calls of its work. */
+static double part_turn(const struct router *r, const struct route_part *p,
+			double own)
+{
+	if (!r->has_triage)
+		return 1 + (double)triage_queue_count(&p->pool->waiting);
+	return 1 + (double)waiting_work_before(p) / own;
+}
+
 /* Fills in the wait for the first of the leaves that were passed over. */
-static void set_wait(struct leaf_choice *choice, const struct route_part *part,
-		     const struct passed_over *o)
+static void set_wait(const struct router *r, struct leaf_choice *choice,
+		     const struct route_part *part, const struct passed_over *o)
 {
 	double own = (double)request_typical_work(part->request);
-	double turn = 1 + (double)waiting_work_before(part) / own;
+	double turn = part_turn(r, part, own);
 	double busy = o->least_busy_us * turn / MAX(o->capacity, CAPACITY_MIN);
 	double limited = (double)o->limited_wait_us;
 
@@ -301,7 +311,7 @@
 		choice.expected_us = (int64_t)expected;
 	}
 	if (!choice.leaf)
-		set_wait(&choice, part, &over);
+		set_wait(r, &choice, part, &over);
 	return choice;
 }
 
--- a/router/part.c
+++ b/router/part.c
@@ -190,12 +190,23 @@
 {
 	enum triage_end end = request_end_of(r, q, 0, request_typical_work(q));
 
+	if (!r->has_triage && q->deadline_us - router_now(r) < CALL_TIME_MIN_US)
+		return false;
 	/* A gather with enough answers ends at the goal. */
 	if (end == TRIAGE_LATE && q->route->shape == ROUTE_GATHER)
 		return !gather_has_coverage(q);
 	return can_end(end);
 }
 
+/* Returns whether a wait for a busy leaf and the call there end in time. */
+static bool ends_until(const struct router *r, const struct leaf_choice *choice,
+		       int64_t until_us)
+{
+	return choice->is_busy &&
+	       router_now(r) + choice->wait_us + choice->expected_us <=
+		       until_us;
+}
+
 static enum triage_end end_of_choice(struct router *r,
 				     const struct route_part *p,
 				     const struct leaf_choice *choice)
@@ -221,9 +232,12 @@
 
 	if (!is_extra_useful(r, q) || !recheck_caller(r, q))
 		return EXTRA_NO_LEAF;
-	if (!is_uncharged && waiting_has_rival(p))
+	if (!is_uncharged && waiting_has_rival(r, p))
 		return EXTRA_GIVES_WAY;
 	choice = leaf_choose(r, p);
+	if (!choice.leaf && !r->has_triage)
+		return ends_until(r, &choice, q->deadline_us) ? EXTRA_BUSY
+							      : EXTRA_NO_LEAF;
 	if (!choice.leaf)
 		return choice.is_busy && can_end(end_of_choice(r, p, &choice))
 			       ? EXTRA_BUSY
@@ -318,7 +332,9 @@
 	struct leaf_choice choice;
 
 	if (!can_end(request_end_of(r, q, 0, request_typical_work(q))))
-		return give_up_waiting(r, p, TRIAGE_DEADLINE_MISSED);
+		return give_up_waiting(r, p,
+				       r->has_triage ? TRIAGE_DEADLINE_MISSED
+						     : TRIAGE_NOT_REFUSED);
 	if (!recheck_caller(r, q))
 		return give_up_waiting(r, p, TRIAGE_NOT_REFUSED);
 	choice = leaf_choose(r, p);
@@ -353,6 +369,15 @@
 	       leaf_queued_calls(choice->leaf, router_now(r)) <= 0;
 }
 
+/* Returns the latest end of a part that is planned without triage. */
+static int64_t plan_until(const struct router *r, const struct route_request *q)
+{
+	int64_t until = q->route->shape == ROUTE_GATHER ? q->goal_at_us
+							: q->plan_until_us;
+
+	return MIN(until, stop_last_answer(r));
+}
+
 static bool is_feasible(struct router *r, struct route_part *p,
 			const struct leaf_choice *choice)
 {
@@ -360,6 +385,8 @@
 
 	if (!choice->leaf && !choice->usable_count)
 		return false;
+	if (!r->has_triage)
+		return choice->leaf || ends_until(r, choice, plan_until(r, q));
 	switch (end_of_choice(r, p, choice)) {
 	case TRIAGE_IN_GOAL:
 		return true;
@@ -410,8 +437,10 @@
 	leaf_note_wanted(r, p, &choice);
 	if (choice.leaf) {
 		send_call(r, p, choice.leaf, false);
-	} else if (choice.is_busy &&
-		   end_of_choice(r, p, &choice) == TRIAGE_IN_GOAL) {
+	} else if (r->has_triage
+			   ? choice.is_busy && end_of_choice(r, p, &choice) ==
+						       TRIAGE_IN_GOAL
+			   : ends_until(r, &choice, p->request->goal_at_us)) {
 		waiting_add(r, p);
 	} else {
 		leaf_access_log_none(r, p);
@@ -498,14 +527,19 @@
 	int64_t duration = now - c->start_us;
 	double queued = c->queued;
 
+	c->work_us = duration;
 	if (result->load.is_known)
 		queued = (queued + result->load.waiting) / 2;
-	c->work_us = triage_work_of_call(duration, queued, c->leaf->entry.slots,
-					 work_estimate_average(&pool->work));
+	if (r->has_triage)
+		c->work_us = triage_work_of_call(
+			duration, queued, c->leaf->entry.slots,
+			work_estimate_average(&pool->work));
 	if (result->outcome != CALL_ANSWERED)
 		return;
 	latency_add(&c->stats->call_latency, duration);
 	latency_add(&c->stats->call_work, c->work_us);
+	if (!r->has_triage)
+		return;
 	work_estimate_add(&c->stats->work, c->work_us, now);
 	work_estimate_add(&pool->work, c->work_us, now);
 }
--- a/router/request.c
+++ b/router/request.c
@@ -523,7 +523,7 @@
  * wait for many shards, the capacity is better used for those that all shards
  * can answer.
  */
-static bool may_leave_out(const struct route_request *q)
+static bool may_leave_out(const struct router *r, const struct route_request *q)
 {
 	uint32_t crowded = 0;
 	uint32_t waiting = 0;
@@ -532,18 +532,19 @@
 		const struct route_part *p = &q->parts[i];
 
 		crowded += p->is_infeasible && p->is_crowded;
-		waiting += !p->is_infeasible && waiting_has_rival(p);
+		waiting += !p->is_infeasible && waiting_has_rival(r, p);
 	}
 	return !crowded || waiting <= BUSY_SHARE_MAX * q->part_count;
 }
 
-static bool can_be_answered(const struct route_request *q)
+static bool can_be_answered(const struct router *r,
+			    const struct route_request *q)
 {
 	if (q->is_partial)
 		return true;
 	if (q->route->shape != ROUTE_GATHER)
 		return !q->failed_count;
-	return gather_can_reach_coverage(q) && may_leave_out(q);
+	return gather_can_reach_coverage(q) && may_leave_out(r, q);
 }
 
 /* Plans a part for which there was no room again, after others were refused. */
@@ -563,11 +564,11 @@
 		if (!part_plan(r, &q->parts[i]))
 			q->failed_count++;
 	}
-	for (uint32_t i = 0; i < q->part_count && !can_be_answered(q); i++) {
+	for (uint32_t i = 0; i < q->part_count && !can_be_answered(r, q); i++) {
 		if (make_room(r, &q->parts[i]))
 			q->failed_count--;
 	}
-	return can_be_answered(q);
+	return can_be_answered(r, q);
 }
 
 uint64_t router_start(struct router *r, const struct router_request *in)
--- a/router/router.c
+++ b/router/router.c
@@ -98,6 +98,21 @@
 	r->host_count = hosts;
 }
 
+static void update_triage(struct router *r)
+{
+	enum triage_mode mode = r->options.triage;
+
+	r->has_triage = mode == TRIAGE_ALWAYS ||
+			(mode == TRIAGE_WITH_ORGANISATIONS &&
+			 router_has_organisations(r));
+}
+
+void router_set_triage(struct router *r, enum triage_mode mode)
+{
+	r->options.triage = mode;
+	update_triage(r);
+}
+
 void router_set_extra_calls(struct router *r, uint32_t extra_calls)
 {
 	r->options.extra_calls = extra_calls;
@@ -152,6 +167,7 @@
 		pool->warm_up_version = t->version;
 	}
 	r->identity_epoch++;
+	update_triage(r);
 	route_stats_apply_table(r);
 	waiting_apply_table(r);
 	return 0;
--- a/router/triage.c
+++ b/router/triage.c
@@ -25,8 +25,6 @@
 #define SHORTEST_FACTOR 3
 #define TRIAL_INTERVAL_US (250 * US_PER_MS)
 
-/* No call is sent with less time than this until the deadline. */
-#define CALL_TIME_MIN_US (10 * US_PER_MS)
 /*
  * Requests that end refused and were never offered to a leaf must not have been
  * held for a quarter of their goal; most refusals are due within 100 ms.
--- a/router/waiting.c
+++ b/router/waiting.c
@@ -43,6 +43,9 @@
 		.least_us = MIN(work_estimate_low(&q->stats->work), work_us),
 	};
 
+	if (!r->has_triage)
+		return stop_may_start(r, q->stats, q->route) ? TRIAGE_IN_GOAL
+							     : TRIAGE_STOPPED;
 	if (router_is_stopping(r))
 		work.stop_work_us = stop_expected_duration(q->stats, q->route);
 	return triage_end_of(&limits, &work, router_now(r));
@@ -69,6 +72,8 @@
 	struct triage_value *v = &q->value;
 	struct triage_class unused = r->class;
 
+	if (!r->has_triage)
+		return;
 	v->priority = q->priority;
 	if (q->part_count)
 		v->weight = triage_weight(
@@ -97,7 +102,8 @@
 bool request_gives_way(struct router *r, const struct route_request *q)
 {
 	/* The shards of a gather are mostly those of other gathers too. */
-	return !q->is_partial && q->part_count && !q->value.is_neglected &&
+	return r->has_triage && !q->is_partial && q->part_count &&
+	       !q->value.is_neglected &&
 	       triage_class_gives_way(q->parts[0].pool->classes, q->priority,
 				      router_now(r));
 }
@@ -107,7 +113,7 @@
 {
 	uint32_t priority = MIN(q->priority, TRIAGE_PRIORITIES - 1);
 
-	if (!q->is_partial && q->part_count)
+	if (r->has_triage && !q->is_partial && q->part_count)
 		triage_class_note_end(&q->parts[0].pool->classes[priority],
 				      is_started, router_now(r));
 }
@@ -210,7 +216,10 @@
 	struct triage_request in = {
 		.rank = rank_of(q),
 		.now_us = router_now(r),
-		.latest_start_us = triage_latest_start(&limits, work),
+		/* Without triage the earliest request goes first. */
+		.latest_start_us = r->has_triage
+					   ? triage_latest_start(&limits, work)
+					   : router_now(r),
 		.work_us = work,
 		.request_work_us = request_whole_work(q),
 		.is_kept = q->value.is_begun || q->value.is_certain ||
@@ -248,6 +257,8 @@
 
 void waiting_note_taken(struct router *r, const struct route_part *p)
 {
+	if (!r->has_triage)
+		return;
 	triage_queue_note_taken(&p->pool->waiting, rank_of(p->request),
 				request_typical_work(p->request),
 				router_now(r));
@@ -258,7 +269,7 @@
 	p->phase = PART_WAITING;
 	waiting_note_taken(r, p);
 	enqueue(r, p);
-	if (!p->request->review_timer.node.position)
+	if (r->has_triage && !p->request->review_timer.node.position)
 		arm_review(r, p->request);
 }
 
@@ -275,6 +286,8 @@
 	if (q->value.is_begun)
 		return;
 	q->value.is_begun = true;
+	if (!r->has_triage)
+		return;
 	request_note_class(r, q, true);
 	if (!q->is_partial) {
 		bool was_first = q->value.is_neglected;
@@ -333,6 +346,8 @@
 	const struct route_part *worst = NULL;
 	int64_t longest = -1;
 
+	if (!r->has_triage)
+		return;
 	for (uint32_t i = 0; i < q->part_count; i++) {
 		const struct route_part *p = &q->parts[i];
 		int64_t wait;
@@ -375,8 +390,8 @@
 	int64_t work = request_typical_work(q);
 	uint32_t late = 0;
 
-	if (q->value.is_late || q->is_partial || q->value.is_begun ||
-	    q->value.is_certain)
+	if (!r->has_triage || q->value.is_late || q->is_partial ||
+	    q->value.is_begun || q->value.is_certain)
 		return true;
 	for (uint32_t i = 0; i < q->part_count; i++) {
 		struct route_part *p = &q->parts[i];
@@ -536,7 +551,7 @@
 
 void waiting_shed(struct router *r, struct upstream_pool *pool)
 {
-	for (uint32_t i = 0; i < DISPLACED_MAX; i++) {
+	for (uint32_t i = 0; r->has_triage && i < DISPLACED_MAX; i++) {
 		struct route_part *v = part_of_refusal(pool);
 		int64_t work;
 		int64_t wait;
@@ -600,14 +615,14 @@
 	}
 }
 
-bool waiting_has_rival(const struct route_part *p)
+bool waiting_has_rival(const struct router *r, const struct route_part *p)
 {
 	const struct triage_entry *first =
 		triage_queue_first(&p->pool->waiting);
 	struct triage_value value = p->request->value;
 
 	value.is_nearly_done = false;
-	return first && first->rank <= triage_rank(&value);
+	return r->has_triage && first && first->rank <= triage_rank(&value);
 }
 
 bool router_may_forward(struct router *r, const struct route *route,
@@ -627,6 +642,8 @@
 	};
 	enum triage_end end;
 
+	if (!r->has_triage)
+		return true;
 	if (router_is_stopping(r))
 		work.stop_work_us = stop_expected_duration(s, route);
 	end = triage_end_of(&limits, &work, now);
--- a/test/unit/fake_load.c
+++ b/test/unit/fake_load.c
@@ -297,6 +297,7 @@
 			.domain = domains[i % 3],
 			.domains = regions,
 			.extra_calls = 400,
+			.triage = TRIAGE_ALWAYS,
 			.ops = &ops,
 			.ctx = h,
 		};
