quotas: answer claims of single tokens within the region

The owner of a quota may be in another region, a round trip of 24 ms away. A request with a latency goal of 120 ms cannot wait for that. A host of each region now keeps a few tokens of the quotas that its region asked for in the last minute. The owner counts them in its bucket until they are used or have lapsed, so the bound on a quota stays the same.

--- a/include/router/token_exchange.h
+++ b/include/router/token_exchange.h
@@ -4,7 +4,7 @@
 #include <glib.h>
 
 #include "router/directory.h"
-#include "router/token_lease.h"
+#include "router/token_cache.h"
 
 /**
  * Claims and grants of tokens between hosts. Claims go to the first owner of a
@@ -16,6 +16,9 @@
  * host records, and has been in contact with the store or with other failure
  * domains for TOKEN_JOIN_US without a break, and no host before it has left
  * within that time. A host that has lost contact grants nothing.
+ *
+ * Claims of single tokens go to a host of the claiming host's own region, which
+ * has a few tokens of each key that was asked for lately.
  */
 struct token_exchange;
 
@@ -86,6 +89,12 @@
 void token_exchange_handle_grants(struct token_exchange *x, const char *address,
 				  const GArray *grants);
 
+/** Claims tokens for the cache of this host, as far as they are due. */
+void token_exchange_fill_cache(struct token_exchange *x);
+
+/** Returns the time of the next such claim; INT64_MAX if none is due. */
+int64_t token_exchange_next_timer(const struct token_exchange *x);
+
 /** Delivers the answers to claims that this host owed to itself. */
 void token_exchange_deliver_own(struct token_exchange *x);
 
--- a/include/router/token_pool.h
+++ b/include/router/token_pool.h
@@ -9,13 +9,26 @@
 /**
  * Tokens of rates that all hosts share, at the host that owns them. Each rate
  * has a token bucket. A grant takes tokens out of the bucket; the host that
- * claimed them may use them for TOKEN_VALID_US, counted from its claim.
+ * claimed them may use them for TOKEN_VALID_US, counted from its claim. Caches
+ * of other regions hold a few tokens for TOKEN_STANDING_US.
  */
 struct token_pool;
 
 /** Time for which a token may be used after it was claimed. */
 #define TOKEN_VALID_US (300 * US_PER_MS)
 
+/** The same for the few tokens that a host keeps for its region. */
+#define TOKEN_STANDING_US (60 * US_PER_S)
+
+enum token_claim_kind {
+	/** For requests of the claiming host. */
+	TOKEN_CLAIM_USE,
+	/** The same, for single tokens out of the cache of another host. */
+	TOKEN_CLAIM_CACHED,
+	/** For the cache of the claiming host. */
+	TOKEN_CLAIM_STANDING,
+};
+
 /** What an owner grants; the sum of both parts stays within the bounds. */
 enum token_part {
 	/** This host must not grant: another host may do so. */
@@ -40,13 +53,17 @@
 	const char *key;
 	/** The owners are hosts of its region; empty for all hosts. */
 	const char *domain;
+	enum token_claim_kind kind;
 	struct token_limit limit;
 	/** Repeated in the grant. */
 	uint32_t sequence;
 	uint32_t wanted;
+	/** Of a cache: tokens that it has passed on since its last claim. */
+	uint32_t spent;
 	/** Tokens of an earlier grant that will not be used. */
 	uint32_t returned;
-	/** Ticket of that grant. */
+	/** Ticket of an earlier grant, of which returned and spent tokens are.
+	 */
 	uint64_t returned_ticket;
 };
 
@@ -59,7 +76,9 @@
 	uint64_t ticket;
 	/** The owner has no more tokens: time until the next claim. */
 	int64_t retry_us;
-	/** The host does not own the key. */
+	/** For the cache of the claiming host. */
+	bool is_standing;
+	/** The host does not own the key, or its cache has too few tokens. */
 	bool is_elsewhere;
 };
 
--- a/net/host_frame.c
+++ b/net/host_frame.c
@@ -14,8 +14,8 @@
 /* Number of fields of a claim and of a grant in their lists. */
 #define RATE_CLAIM_FIELDS 7
 #define RATE_GRANT_FIELDS 8
-#define TOKEN_CLAIM_FIELDS 10
-#define TOKEN_GRANT_FIELDS 6
+#define TOKEN_CLAIM_FIELDS 12
+#define TOKEN_GRANT_FIELDS 7
 
 static int handle_write(void *ctx, const char *data, size_t len)
 {
@@ -245,14 +245,17 @@
 
 		pack_text(&pk, c->key);
 		pack_text(&pk, c->domain);
+		msgpack_pack_uint32(&pk, c->kind);
 		pack_rate(&pk, c->limit.rate_per_s);
 		pack_rate(&pk, c->limit.burst);
 		pack_flag(&pk, c->limit.is_cold_leaf);
 		msgpack_pack_uint64(&pk, c->limit.version);
 		msgpack_pack_uint32(&pk, c->sequence);
 		msgpack_pack_uint32(&pk, c->wanted);
+		msgpack_pack_uint32(&pk, c->spent);
 		msgpack_pack_uint32(&pk, c->returned);
-		msgpack_pack_uint64(&pk, c->returned ? c->returned_ticket : 0);
+		msgpack_pack_uint64(
+			&pk, c->returned || c->spent ? c->returned_ticket : 0);
 	}
 	return out;
 }
@@ -272,6 +275,7 @@
 		msgpack_pack_uint32(&pk, g->tokens);
 		msgpack_pack_uint64(&pk, g->tokens ? g->ticket : 0);
 		msgpack_pack_uint64(&pk, (uint64_t)MAX(g->retry_us, 0));
+		pack_flag(&pk, g->is_standing);
 		pack_flag(&pk, g->is_elsewhere);
 	}
 	return out;
@@ -524,12 +528,16 @@
 		struct token_claim c = { .key = read_text(&items) };
 
 		c.domain = read_text(&items);
+		c.kind = (enum token_claim_kind)read_count(&items);
+		if (c.kind > TOKEN_CLAIM_STANDING)
+			items.is_broken = true;
 		c.limit.rate_per_s = read_rate(&items);
 		c.limit.burst = read_rate(&items);
 		c.limit.is_cold_leaf = read_flag(&items);
 		c.limit.version = read_number(&items);
 		c.sequence = read_count(&items);
 		c.wanted = read_count(&items);
+		c.spent = read_count(&items);
 		c.returned = read_count(&items);
 		c.returned_ticket = read_number(&items);
 		if (!items.is_broken)
@@ -552,6 +560,7 @@
 		g.tokens = read_count(&items);
 		g.ticket = read_number(&items);
 		g.retry_us = read_duration(&items);
+		g.is_standing = read_flag(&items);
 		g.is_elsewhere = read_flag(&items);
 		if (!items.is_broken)
 			g_array_append_val(r->frame->token_grants, g);
--- a/nutmegpickd/route_quotas.c
+++ b/nutmegpickd/route_quotas.c
@@ -164,6 +164,7 @@
 		token_exchange_claim(s->tokens, claims);
 		g_array_free(claims, TRUE);
 	}
+	token_exchange_fill_cache(s->tokens);
 	token_exchange_deliver_own(s->tokens);
 }
 
--- a/nutmegpickd/route_service.c
+++ b/nutmegpickd/route_service.c
@@ -188,6 +188,7 @@
 
 	next = MIN(next, route_next_forward_check(s));
 	next = MIN(next, quota_next_timer(s->quota));
+	next = MIN(next, token_exchange_next_timer(s->tokens));
 	next = MIN(next, s->next_feed_us);
 	if (leaf_client_get_counts(s->client).open)
 		next = MIN(next, s->next_sweep_us);
--- a/router/rates.c
+++ b/router/rates.c
@@ -295,6 +295,8 @@
 	if (!token_lease_take_claim(&leaf->cold, leaf->cold_wanted,
 				    lease_now(r), out))
 		return false;
+	/* Hosts of other regions may call a cold leaf a little later. */
+	out->kind = TOKEN_CLAIM_USE;
 	leaf->cold_wanted = 0;
 	out->key = g_strconcat(COLD_KEY_PREFIX, leaf->entry.id, NULL);
 	return true;
--- a/router/token_exchange.c
+++ b/router/token_exchange.c
@@ -10,6 +10,8 @@
 #define PROBE_INTERVAL_US (250 * US_PER_MS)
 /* A host that does not own a key is asked for it again after this time. */
 #define ELSEWHERE_US (500 * US_PER_MS)
+/* The same for a cache with too few tokens, which claims some meanwhile. */
+#define CACHE_EMPTY_US (50 * US_PER_MS)
 /* Keys whose owners are kept; the table is emptied beyond that. */
 #define OWNERS_MAX 16384
 /*
@@ -20,6 +22,10 @@
 
 struct key_owners {
 	struct rate_owners hosts;
+	/** The host of this region that has a cache, unless an owner is here. */
+	struct known_host *cache;
+	/** The cache has too few tokens. */
+	int64_t avoid_cache_until_us;
 	/** The first owner has answered that it may not grant. */
 	int64_t avoid_first_until_us;
 };
@@ -33,6 +39,8 @@
 	struct token_exchange_options options;
 	/** Tokens of the keys that this host owns. */
 	struct token_pool *pool;
+	/** Tokens of other owners, for the hosts of this region. */
+	struct token_cache *cache;
 	/** Of struct token_grant; their keys are copies. */
 	GArray *own_grants;
 	/** Of struct key_owners by key, for one generation of the directory. */
@@ -57,6 +65,11 @@
 	return host_directory_is_self(x->options.directory, h);
 }
 
+static struct lease_time lease_now(const struct token_exchange *x)
+{
+	return (struct lease_time){ now_us(x), clock_boot(&x->options.clock) };
+}
+
 static void join_anew(struct token_exchange *x, int64_t now, const char *reason)
 {
 	/* A host that has not joined yet does not repeat it in the log. */
@@ -95,7 +108,7 @@
 void token_exchange_advance(struct token_exchange *x)
 {
 	const struct host_directory *d = x->options.directory;
-	struct lease_time now = { now_us(x), clock_boot(&x->options.clock) };
+	struct lease_time now = lease_now(x);
 
 	note_gone_hosts(x, now.monotonic_us);
 	if (!g_hash_table_contains(d->hosts, d->self))
@@ -148,6 +161,18 @@
 		token_exchange_note_contact(x, now);
 }
 
+/* Returns the host of this region whose cache has tokens of a key, or NULL. */
+static struct known_host *find_cache(struct token_exchange *x, const char *key,
+				     const struct known_host *owner)
+{
+	struct host_directory *d = x->options.directory;
+	const struct known_host *self = g_hash_table_lookup(d->hosts, d->self);
+
+	if (!self || !owner || owner->distance != LEAF_OTHER_REGION)
+		return NULL;
+	return host_directory_rate_owners(d, key, self->record.domain).first;
+}
+
 static struct key_owners *get_owners(struct token_exchange *x,
 				     const struct token_claim *c)
 {
@@ -163,6 +188,7 @@
 		return known;
 	known = g_new0(struct key_owners, 1);
 	known->hosts = host_directory_rate_owners(d, c->key, c->domain);
+	known->cache = find_cache(x, c->key, known->hosts.first);
 	g_hash_table_insert(x->owners, g_strdup(c->key), known);
 	return known;
 }
@@ -223,6 +249,10 @@
 	if (x->options.ops->update_limit)
 		x->options.ops->update_limit(x->options.ctx, c->key,
 					     &claim.limit);
+	if (claim.kind == TOKEN_CLAIM_CACHED) {
+		token_cache_claim(x->cache, &claim, lease_now(x), &g);
+		return g;
+	}
 	part = own_part(x, &claim, &since);
 	token_pool_claim(x->pool, &claim, part, since, now_us(x), &g);
 	return g;
@@ -293,7 +323,25 @@
 	g_array_free(data, TRUE);
 }
 
-void token_exchange_claim(struct token_exchange *x, const GArray *claims)
+/* Returns the host to which a claim goes; a cached one may go to the owner. */
+static struct known_host *choose_host(struct token_exchange *x,
+				      struct token_claim *c)
+{
+	const struct key_owners *o = get_owners(x, c);
+	int64_t now = now_us(x);
+
+	if (c->kind != TOKEN_CLAIM_CACHED)
+		return choose_owner(x, c);
+	if (o->cache && now >= o->avoid_cache_until_us &&
+	    (is_self(x, o->cache) || !is_silent(o->cache, now)))
+		return o->cache;
+	if (o->cache && !is_self(x, o->cache) && is_silent(o->cache, now))
+		probe_owner(x, o->cache);
+	c->kind = TOKEN_CLAIM_USE;
+	return choose_owner(x, c);
+}
+
+static void send_all_claims(struct token_exchange *x, const GArray *claims)
 {
 	GHashTable *by_host =
 		g_hash_table_new_full(NULL, NULL, NULL, handle_free_claims);
@@ -301,14 +349,16 @@
 	gpointer host;
 	gpointer list;
 
-	token_exchange_advance(x);
 	for (guint i = 0; i < claims->len; i++) {
-		const struct token_claim *c =
+		struct token_claim *c =
 			&g_array_index(claims, struct token_claim, i);
-		struct known_host *h = x->options.is_alone ? NULL
-							   : choose_owner(x, c);
+		struct known_host *h = NULL;
 		GArray *of_host;
 
+		if (!x->options.is_alone)
+			h = choose_host(x, c);
+		else if (c->kind == TOKEN_CLAIM_CACHED)
+			c->kind = TOKEN_CLAIM_USE;
 		if (!h || is_self(x, h)) {
 			queue_own_grant(x, c);
 			continue;
@@ -326,6 +376,27 @@
 	g_hash_table_destroy(by_host);
 }
 
+void token_exchange_claim(struct token_exchange *x, const GArray *claims)
+{
+	token_exchange_advance(x);
+	send_all_claims(x, claims);
+}
+
+void token_exchange_fill_cache(struct token_exchange *x)
+{
+	GArray *claims = token_cache_take_claims(x->cache, lease_now(x));
+
+	if (!claims)
+		return;
+	send_all_claims(x, claims);
+	g_array_free(claims, TRUE);
+}
+
+int64_t token_exchange_next_timer(const struct token_exchange *x)
+{
+	return token_cache_next_claim(x->cache);
+}
+
 GArray *token_exchange_answer(struct token_exchange *x, const GArray *claims)
 {
 	GArray *grants = g_array_new(FALSE, FALSE, sizeof(struct token_grant));
@@ -350,10 +421,16 @@
 	struct key_owners *o = NULL;
 	int64_t now = now_us(x);
 
+	if (g.is_standing) {
+		token_cache_apply_grant(x->cache, &g, lease_now(x));
+		return;
+	}
 	if (x->owners_generation == x->options.directory->generation)
 		o = g_hash_table_lookup(x->owners, g.key);
-	if (g.is_elsewhere && o && from && from == o->hosts.first &&
-	    o->hosts.second && now >= o->avoid_first_until_us) {
+	if (g.is_elsewhere && o && from && from == o->cache && !g.retry_us)
+		o->avoid_cache_until_us = now + CACHE_EMPTY_US;
+	else if (g.is_elsewhere && o && from && from == o->hosts.first &&
+		 o->hosts.second && now >= o->avoid_first_until_us) {
 		o->avoid_first_until_us = now + ELSEWHERE_US;
 		g.retry_us = 0;
 	}
@@ -411,6 +488,7 @@
 void token_exchange_sweep(struct token_exchange *x)
 {
 	token_pool_sweep(x->pool, now_us(x));
+	token_cache_sweep(x->cache, lease_now(x));
 	if (g_hash_table_size(x->owners) > OWNERS_MAX)
 		g_hash_table_remove_all(x->owners);
 }
@@ -422,6 +500,7 @@
 
 	x->options = *options;
 	x->pool = token_pool_create(options->seed);
+	x->cache = token_cache_create();
 	x->owners =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	x->own_grants = g_array_new(FALSE, FALSE, sizeof(struct token_grant));
@@ -436,6 +515,7 @@
 void token_exchange_free(struct token_exchange *x)
 {
 	token_pool_free(x->pool);
+	token_cache_free(x->cache);
 	g_hash_table_destroy(x->owners);
 	free_own_grants(x->own_grants);
 	g_array_free(x->gone, TRUE);
--- a/router/token_lease.c
+++ b/router/token_lease.c
@@ -203,6 +203,9 @@
 		return false;
 	drop_used_lots(l, now);
 	return_tokens(l, per_s, out);
+	/* A few tokens for requests that wait may come from a cache. */
+	if (waiting && is_rare(l, now) && !out->returned)
+		out->kind = TOKEN_CLAIM_CACHED;
 	out->sequence = ++l->sequence;
 	l->claimed = now;
 	l->is_open = true;
--- a/router/token_pool.c
+++ b/router/token_pool.c
@@ -26,8 +26,8 @@
 
 static const struct part_limits quota_limits[] = {
 	[TOKEN_PART_NONE] = { 0, 0, 0, 0 },
-	[TOKEN_PART_SECOND] = { 0.04, 0.03, 0.05, 4 },
-	[TOKEN_PART_ALL] = { 0.98, 0.05, 1, 14 },
+	[TOKEN_PART_SECOND] = { 0.04, 0.01, 0.05, 4 },
+	[TOKEN_PART_ALL] = { 0.98, 0.07, 1, 14 },
 };
 
 static const struct part_limits cold_limits[] = {
@@ -40,6 +40,14 @@
 #define SLOT_US (25 * US_PER_MS)
 /* Slots of which tokens may still be in use, the current one included. */
 #define SLOTS ((int)(TOKEN_VALID_US / SLOT_US) + 1)
+/* The same for tokens in caches. */
+#define STANDING_SLOT_US (5 * US_PER_S)
+#define STANDING_SLOTS ((int)(TOKEN_STANDING_US / STANDING_SLOT_US) + 1)
+/* Parts of a bucket's size that one claim of a cache, and all caches, get. */
+#define STANDING_CLAIM_PART 0.17
+#define STANDING_PART 0.35
+/* Time until the next claim of a cache that got no tokens. */
+#define STANDING_RETRY_US (1 * US_PER_S)
 #define UNMET_HALF_LIFE_US (500 * US_PER_MS)
 /* Bounds of the time until the next claim of a host that got too little. */
 #define RETRY_FLOOR_US (20 * US_PER_MS)
@@ -66,6 +74,9 @@
 	/** Tokens granted by slot, at the slot's number modulo SLOTS. */
 	uint32_t granted[SLOTS];
 	int64_t slot;
+	/** Tokens in caches, in the same way. */
+	uint32_t standing[STANDING_SLOTS];
+	int64_t standing_slot;
 	/** Claims that got too little and what they wanted, decaying. */
 	double unmet_claims;
 	double unmet_wanted;
@@ -133,16 +144,47 @@
 		b->granted[++b->slot % SLOTS] = 0;
 }
 
-/* Returns the tokens that hosts may still use. */
+static void clear_old_standing(struct token_bucket *b, int64_t now)
+{
+	int64_t slot = now / STANDING_SLOT_US;
+
+	if (slot - b->standing_slot >= STANDING_SLOTS)
+		b->standing_slot = slot - STANDING_SLOTS;
+	while (b->standing_slot < slot)
+		b->standing[++b->standing_slot % STANDING_SLOTS] = 0;
+}
+
+static uint32_t count_standing(const struct token_bucket *b)
+{
+	uint32_t sum = 0;
+
+	for (int i = 0; i < STANDING_SLOTS; i++)
+		sum += b->standing[i];
+	return sum;
+}
+
+/* Returns the tokens that hosts and caches may still use. */
 static double outstanding(const struct token_bucket *b)
 {
-	double sum = 0;
+	double sum = count_standing(b);
 
 	for (int i = 0; i < SLOTS; i++)
 		sum += b->granted[i];
 	return sum;
 }
 
+/* Returns whether caches may still use tokens of an owner before this one. */
+static bool is_new_owner(const struct token_bucket *b, int64_t now)
+{
+	return b->part == TOKEN_PART_ALL &&
+	       now - b->since_us < TOKEN_STANDING_US + STANDING_SLOT_US;
+}
+
+static double current_size(const struct token_bucket *b, int64_t now)
+{
+	return bucket_size(b) * (is_new_owner(b, now) ? 1 - STANDING_PART : 1);
+}
+
 /*
  * Adds the tokens that have become available. Those in use count as if they
  * were in the bucket, so that a return of many tokens cannot exceed its size.
@@ -150,10 +192,11 @@
 static void refill(struct token_bucket *b, int64_t now)
 {
 	double rate = bucket_rate(b);
-	double most = bucket_size(b) +
-		      rate * (double)TOKEN_VALID_US / US_PER_S - outstanding(b);
+	double size = current_size(b, now);
+	double most = size + rate * (double)TOKEN_VALID_US / US_PER_S -
+		      outstanding(b);
 
-	most = MIN(most, bucket_size(b));
+	most = MIN(most, size);
 	if (now > b->tokens_at_us && b->tokens < most)
 		b->tokens =
 			MIN(b->tokens + rate * (double)(now - b->tokens_at_us) /
@@ -200,16 +243,25 @@
 	b->tokens = MIN(b->tokens, bucket_size(b));
 }
 
-static void take_back(const struct token_pool *p, struct token_bucket *b,
-		      const struct token_claim *claim)
+/* Returns the time since the grant of which a claim returns tokens. */
+static int64_t ticket_age(const struct token_bucket *b,
+			  const struct token_claim *claim)
 {
 	int64_t slot = (int64_t)(claim->returned_ticket & UINT32_MAX);
 	int64_t age = (b->slot & UINT32_MAX) - slot;
+
+	return age < 0 ? INT64_MAX : age * SLOT_US;
+}
+
+static void take_back(const struct token_pool *p, struct token_bucket *b,
+		      const struct token_claim *claim)
+{
+	int64_t age = ticket_age(b, claim) / SLOT_US;
 	uint32_t *granted;
 	uint32_t count;
 
 	/* Tokens of another process or that have lapsed are lost. */
-	if (claim->returned_ticket >> 32 != p->seed || age < 0 || age >= SLOTS)
+	if (claim->returned_ticket >> 32 != p->seed || age >= SLOTS)
 		return;
 	granted = &b->granted[(b->slot - age) % SLOTS];
 	count = MIN(claim->returned, *granted);
@@ -217,6 +269,52 @@
 	b->tokens += count;
 }
 
+/*
+ * Takes tokens out of those in caches, the earliest granted first. It does not
+ * matter which cache held them: tokens that were granted later count longer.
+ */
+static uint32_t take_standing(struct token_bucket *b, uint32_t count)
+{
+	uint32_t taken = 0;
+
+	for (int i = 1; i <= STANDING_SLOTS; i++) {
+		uint32_t *n =
+			&b->standing[(b->standing_slot + i) % STANDING_SLOTS];
+		uint32_t part = MIN(*n, count - taken);
+
+		*n -= part;
+		taken += part;
+	}
+	return taken;
+}
+
+/* Notes what a cache has done with its tokens, and grants it some more. */
+static void fill_cache(const struct token_pool *p, struct token_bucket *b,
+		       const struct token_claim *claim, int64_t now,
+		       struct token_grant *out)
+{
+	double most = bucket_size(b) * STANDING_PART;
+	double held;
+
+	out->retry_us = STANDING_RETRY_US;
+	/* A report of tokens that have lapsed would count those of others. */
+	if (claim->returned_ticket >> 32 == p->seed &&
+	    ticket_age(b, claim) < TOKEN_STANDING_US) {
+		b->granted[b->slot % SLOTS] += take_standing(b, claim->spent);
+		b->tokens += take_standing(b, claim->returned);
+	}
+	held = count_standing(b);
+	if (b->part != TOKEN_PART_ALL || held >= most || is_new_owner(b, now))
+		return;
+	most = MIN(most - held, bucket_size(b) * STANDING_CLAIM_PART);
+	/* Requests that are there come before those that may come. */
+	out->tokens = (uint32_t)MIN(MIN(most, b->tokens / 4), claim->wanted);
+	b->tokens -= out->tokens;
+	b->standing[b->standing_slot % STANDING_SLOTS] += out->tokens;
+	if (out->tokens)
+		out->retry_us = 0;
+}
+
 static void decay_unmet(struct token_bucket *b, int64_t now)
 {
 	double factor = exp2(-(double)(now - b->unmet_at_us) /
@@ -234,7 +332,7 @@
 }
 
 /* Returns the time after which a host that gets too little claims again. */
-static int64_t retry_time(struct token_bucket *b, double fair)
+static int64_t retry_time(struct token_bucket *b, double fair, int64_t now)
 {
 	double retry = (double)RETRY_MIN_US / CLAMP(fair, 1e-3, 1);
 	double rate = bucket_rate(b);
@@ -243,8 +341,8 @@
 	if (rate <= 0)
 		return RETRY_MAX_US;
 	hosts = sum_to_rate(b->unmet_claims) * (double)b->retry_us / US_PER_S;
-	retry = MIN(retry, RETRY_SIZE * MAX(hosts, 1) * bucket_size(b) / rate *
-				   US_PER_S);
+	retry = MIN(retry, RETRY_SIZE * MAX(hosts, 1) * current_size(b, now) /
+				   rate * US_PER_S);
 	return (int64_t)CLAMP(retry, (double)RETRY_FLOOR_US,
 			      (double)RETRY_MAX_US);
 }
@@ -266,7 +364,7 @@
 		b->unmet_claims += 1;
 		fair = bucket_rate(b) * wanted / sum_to_rate(b->unmet_wanted) *
 		       (1 + b->tokens / MAX(bucket_size(b), 1));
-		b->retry_us = retry_time(b, fair);
+		b->retry_us = retry_time(b, fair, now);
 		out->retry_us = b->retry_us;
 		out->tokens = (uint32_t)MIN(ceil(fair), b->tokens);
 	}
@@ -282,6 +380,7 @@
 	*out = (struct token_grant){
 		.key = claim->key,
 		.sequence = claim->sequence,
+		.is_standing = claim->kind == TOKEN_CLAIM_STANDING,
 		.is_elsewhere = part == TOKEN_PART_NONE,
 		.retry_us = part == TOKEN_PART_NONE ? RETRY_ELSEWHERE_US : 0,
 	};
@@ -289,15 +388,21 @@
 		return;
 	b = get_bucket(p, claim, part, since_us);
 	clear_old_slots(b, now_us);
+	clear_old_standing(b, now_us);
 	set_part(b, part, since_us);
-	take_back(p, b, claim);
-	refill(b, now_us);
 	set_limit(b, &claim->limit);
 	b->claimed_at_us = now_us;
-	allot(b, claim->wanted, now_us, out);
-	b->granted[b->slot % SLOTS] += out->tokens;
 	out->ticket = (uint64_t)p->seed << 32 |
 		      (uint64_t)(b->slot & UINT32_MAX);
+	if (claim->kind == TOKEN_CLAIM_STANDING) {
+		refill(b, now_us);
+		fill_cache(p, b, claim, now_us, out);
+		return;
+	}
+	take_back(p, b, claim);
+	refill(b, now_us);
+	allot(b, claim->wanted, now_us, out);
+	b->granted[b->slot % SLOTS] += out->tokens;
 }
 
 static bool is_forgettable(struct token_bucket *b, int64_t now)
@@ -306,7 +411,7 @@
 
 	/* A new bucket is filled from since_us. */
 	return now - b->claimed_at_us >= MAX((double)FORGET_US, full_us) &&
-	       (double)(now - b->since_us) >= full_us;
+	       (double)(now - b->since_us) >= full_us && !count_standing(b);
 }
 
 void token_pool_sweep(struct token_pool *p, int64_t now_us)
--- a/test/unit/test_quota_schedules.c
+++ b/test/unit/test_quota_schedules.c
@@ -95,6 +95,13 @@
 	}
 }
 
+/* Lets caches of all regions fill. */
+static void settle(struct quota_sim *s, double rate)
+{
+	quota_sim_set_rates(s, 0, 0.6 * rate / s->count);
+	quota_sim_run(s, 75 * US_PER_S);
+}
+
 /*
  * Guards against requests of an organisation beyond the bound of its quota
  * while hosts, their links and the store fail.
@@ -115,6 +122,9 @@
 		struct quota_sim *s = quota_sim_create(hosts, hosts - seed % 3,
 						       1, rate, burst, seed);
 
+		/* Caches hold tokens of an owner that grants for a minute. */
+		if (seed % 3 == 0)
+			settle(s, rate);
 		s->event_delay_us = EVENT_DELAY_US;
 		for (int i = 0; i < FAULTS; i++) {
 			change_load(s, rate);
@@ -175,6 +185,8 @@
 			uint32_t i = seed % 4;
 			uint32_t most;
 
+			if (seed % 2)
+				settle(s, 200);
 			s->event_delay_us = EVENT_DELAY_US;
 			quota_sim_set_rates(s, 0, 400);
 			quota_sim_run(s, 2 * US_PER_S);
@@ -246,6 +258,31 @@
 	}
 }
 
+/*
+ * Guards against refusals of rare requests with a short latency goal: those of
+ * hosts in other regions than the owner cannot wait for its answer.
+ */
+static void test_short_goal(void)
+{
+	struct quota_sim *s = quota_sim_create(9, 9, 8, 4, 4, 1);
+	uint64_t refused = 0;
+	uint64_t asked = 0;
+
+	s->goal_us = 120 * US_PER_MS;
+	for (uint32_t o = 0; o < 8; o++)
+		quota_sim_set_rates(s, o, 2.5 / 9);
+	quota_sim_run(s, 80 * US_PER_S);
+	quota_sim_clear_counts(s);
+	quota_sim_run(s, 300 * US_PER_S);
+	for (uint32_t o = 0; o < 8; o++) {
+		refused += s->refused[o];
+		asked += s->asked[o];
+	}
+	CU_ASSERT_TRUE(asked > 8 * 2.5 * 250);
+	CU_ASSERT_TRUE(refused * 1000 <= asked);
+	quota_sim_destroy(s);
+}
+
 /*
  * Guards against quotas that are not used while hosts fail: 0.8 of all quotas
  * is used while one host after the other is killed and started again.
@@ -317,6 +354,7 @@
 	{ "owner returns", test_owner_returns },
 	{ "use", test_use },
 	{ "below quota", test_below_quota },
+	{ "short goal", test_short_goal },
 	{ "use with faults", test_use_with_faults },
 	{ "idle", test_idle },
 	{ "lowered", test_lowered },
