--- a/include/nutmegpickd/route_internal.h
+++ b/include/nutmegpickd/route_internal.h
@@ -143,6 +143,8 @@
 	GArray *pending_results;
 	struct rate_exchange *rates;
 	struct quota *quota;
+	/** What the metrics have counted. */
+	struct quota_counts quota_counts;
 	struct token_exchange *tokens;
 	GRand *random;
 	bool is_draining;
@@ -214,6 +216,8 @@
 /** Answers the claims of tokens of another host. */
 void route_answer_token_claims(struct route_service *s, link_id link,
 			       const GArray *claims);
+/** Adds the latest decisions to the metrics. */
+void route_report_quotas(struct route_service *s);
 /** Sends the claims that are due and ends waits. */
 void route_advance_quotas(struct route_service *s);
 /** Tells the owner of rates when this host last heard from the store. */
--- a/nutmegpickd/route_quotas.c
+++ b/nutmegpickd/route_quotas.c
@@ -1,3 +1,4 @@
+#include "common/counter.h"
 #include "common/errors.h"
 #include "common/events.h"
 #include "nutmegpickd/route_internal.h"
@@ -168,6 +169,40 @@
 	token_exchange_deliver_own(s->tokens);
 }
 
+static struct counter admitted_counter = {
+	.name = "nutmegpick_quota_requests_total",
+	.help = "Requests of organisations with a quota.",
+	.label = "decision=\"admitted\"",
+};
+static struct counter refused_counter = {
+	.name = "nutmegpick_quota_requests_total",
+	.help = "Requests of organisations with a quota.",
+	.label = "decision=\"refused\"",
+};
+static struct counter returned_counter = {
+	.name = "nutmegpick_quota_returned_total",
+	.help = "Charges of requests that were refused and did not run.",
+};
+
+void route_report_quotas(struct route_service *s)
+{
+	struct quota_counts now = quota_counts(s->quota);
+	const struct quota_counts *last = &s->quota_counts;
+
+	/* Hosts without quotas have no such metrics. */
+	if (!now.admitted && !now.refused)
+		return;
+	if (!last->admitted && !last->refused) {
+		counter_register(&admitted_counter);
+		counter_register(&refused_counter);
+		counter_register(&returned_counter);
+	}
+	counter_add(&admitted_counter, now.admitted - last->admitted);
+	counter_add(&refused_counter, now.refused - last->refused);
+	counter_add(&returned_counter, now.given_back - last->given_back);
+	s->quota_counts = now;
+}
+
 void route_note_token_contact(struct route_service *s)
 {
 	int64_t news = MAX(registry_thread_news_us(s->registry),
--- a/nutmegpickd/route_service.c
+++ b/nutmegpickd/route_service.c
@@ -241,6 +241,7 @@
 		s->next_callers_check_us = now + CALLERS_CHECK_US;
 		check_callers(s);
 		report_routes(s, now);
+		route_report_quotas(s);
 	}
 	if (s->transport) {
 		route_check_forwards(s);
