--- a/nutmegpickd/route_service.c
+++ b/nutmegpickd/route_service.c
@@ -224,6 +224,7 @@
 
 	next = MIN(next, route_next_forward_check(s));
 	next = MIN(next, quota_next_timer(s->quota));
+	next = MIN(next, token_exchange_next_timer(s->tokens));
 	next = MIN(next, s->next_feed_us);
 	if (leaf_client_get_counts(s->client).open)
 		next = MIN(next, s->next_sweep_us);
@@ -279,6 +280,7 @@
 		s->next_callers_check_us = now + CALLERS_CHECK_US;
 		check_callers(s);
 		report_routes(s, now);
+		route_report_quotas(s);
 	}
 	if (s->transport) {
 		route_check_forwards(s);
