quotas: keep tokens at the hosts of the callers, and links to the owners open

Each host now holds tokens for the requests of the last half second of demand, one at least, valid for 6 s and renewed while they are asked for.

--- a/include/router/directory.h
+++ b/include/router/directory.h
@@ -34,6 +34,8 @@
 	int64_t rates_missed_us;
 	/** First claim of tokens that the host has not answered, or 0. */
 	int64_t tokens_asked_us;
+	/** Last claim that was sent to the host. */
+	int64_t tokens_sent_us;
 	/** Last empty claim, sent to find out whether the host answers. */
 	int64_t tokens_probed_us;
 	bool is_token_silence_logged;
@@ -48,6 +50,7 @@
 /** Host whose record was removed. */
 struct gone_host {
 	uint64_t name_hash;
+	uint32_t capacity;
 	/** Region of the host; borrowed from the names of regions or domains. */
 	const char *region;
 };
@@ -150,6 +153,12 @@
 			       const struct known_host *h, const char *key,
 			       const char *domain);
 
+/**
+ * Returns the other hosts with the most capacity, which own the keys without a
+ * region; none if there are more than most. Free the array.
+ */
+GPtrArray *host_directory_strongest(struct host_directory *d, guint most);
+
 /** Notes that a gathering host was busy: more hosts gather for a while. */
 void host_directory_note_busy(struct host_directory *d, int64_t now_us);
 
--- a/include/router/token_exchange.h
+++ b/include/router/token_exchange.h
@@ -89,6 +89,14 @@
 void token_exchange_handle_grants(struct token_exchange *x, const char *address,
 				  const GArray *grants);
 
+/**
+ * Opens the links to the owners of quotas and keeps them open: a claim over a
+ * new link takes three times as long, which the first requests of an
+ * organisation at a host would wait for. To be called each second while there
+ * are quotas.
+ */
+void token_exchange_keep_links(struct token_exchange *x);
+
 /** Claims tokens for the cache of this host, as far as they are due. */
 void token_exchange_fill_cache(struct token_exchange *x);
 
--- a/include/router/token_pool.h
+++ b/include/router/token_pool.h
@@ -17,8 +17,11 @@
 /** Time for which a token may be used after it was claimed. */
 #define TOKEN_VALID_US (300 * US_PER_MS)
 
-/** The same for the few tokens that a host keeps for its region. */
-#define TOKEN_STANDING_US (60 * US_PER_S)
+/**
+ * The same for the few tokens that a host keeps for requests that may come. An
+ * owner leaves room for the tokens of an earlier one for so long.
+ */
+#define TOKEN_STANDING_US (6 * US_PER_S)
 
 enum token_claim_kind {
 	/** For requests of the claiming host. */
--- a/nutmegpickd/route_quotas.c
+++ b/nutmegpickd/route_quotas.c
@@ -189,6 +189,8 @@
 	struct quota_counts now = quota_counts(s->quota);
 	const struct quota_counts *last = &s->quota_counts;
 
+	if (s->transport && router_has_quotas(s->router))
+		token_exchange_keep_links(s->tokens);
 	/* Hosts without quotas have no such metrics. */
 	if (!now.admitted && !now.refused)
 		return;
--- a/router/directory.c
+++ b/router/directory.c
@@ -100,7 +100,8 @@
 
 	if (!h)
 		return;
-	gone = (struct gone_host){ h->name_hash, lasting_region(d, h) };
+	gone = (struct gone_host){ h->name_hash, h->record.capacity,
+				   lasting_region(d, h) };
 	if (d->gone->len < GONE_MAX)
 		g_array_append_val(d->gone, gone);
 	g_hash_table_remove(d->hosts, name);
@@ -382,20 +383,29 @@
 /* Order of a host among those that may divide a rate. */
 struct rate_rank {
 	bool is_remote;
+	/** Keys without a region have the strongest hosts as owners. */
+	uint32_t weakness;
 	uint64_t hash;
 };
 
 static bool is_rank_before(const struct rate_rank *a, const struct rate_rank *b)
 {
-	return a->is_remote != b->is_remote ? b->is_remote : a->hash < b->hash;
+	if (a->is_remote != b->is_remote)
+		return b->is_remote;
+	return a->weakness != b->weakness ? a->weakness < b->weakness
+					  : a->hash < b->hash;
 }
 
-static struct rate_rank rank_of(uint64_t name_hash, const char *region,
-				const char *key, const char *key_region)
+static struct rate_rank rank_of(uint64_t name_hash, uint32_t capacity,
+				const char *region, uint64_t key_hash,
+				const char *key_region)
 {
+	bool is_regional = *key_region != '\0';
+
 	return (struct rate_rank){
-		.is_remote = strcmp(region, key_region) != 0,
-		.hash = hash_pair(name_hash, hash_string(key, 0)),
+		.is_remote = is_regional && strcmp(region, key_region) != 0,
+		.weakness = is_regional ? 0 : UINT32_MAX - capacity,
+		.hash = hash_pair(name_hash, key_hash),
 	};
 }
 
@@ -405,14 +415,38 @@
 			       const char *domain)
 {
 	const char *region = region_of_domain(d, domain);
-	struct rate_rank a =
-		rank_of(gone->name_hash, gone->region, key, region);
-	struct rate_rank b =
-		rank_of(h->name_hash, region_of(d, h), key, region);
+	uint64_t key_hash = hash_string(key, 0);
+	struct rate_rank a = rank_of(gone->name_hash, gone->capacity,
+				     gone->region, key_hash, region);
+	struct rate_rank b = rank_of(h->name_hash, h->record.capacity,
+				     region_of(d, h), key_hash, region);
 
 	return is_rank_before(&a, &b);
 }
 
+GPtrArray *host_directory_strongest(struct host_directory *d, guint most)
+{
+	GPtrArray *list = g_ptr_array_new();
+	uint32_t capacity = 0;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, d->hosts);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct known_host *h = value;
+
+		if (h->record.capacity > capacity)
+			g_ptr_array_set_size(list, 0);
+		capacity = MAX(capacity, h->record.capacity);
+		if (h->record.capacity == capacity &&
+		    !host_directory_is_self(d, h))
+			g_ptr_array_add(list, h);
+	}
+	if (list->len > most)
+		g_ptr_array_set_size(list, 0);
+	return list;
+}
+
 struct rate_owners host_directory_rate_owners(struct host_directory *d,
 					      const char *key,
 					      const char *domain)
@@ -420,7 +454,7 @@
 	const char *region = region_of_domain(d, domain);
 	uint64_t key_hash = hash_string(key, 0);
 	struct rate_owners owners = { NULL, NULL };
-	struct rate_rank first = { true, UINT64_MAX };
+	struct rate_rank first = { true, UINT32_MAX, UINT64_MAX };
 	struct rate_rank second = first;
 	GHashTableIter iter;
 	gpointer value;
@@ -428,10 +462,9 @@
 	g_hash_table_iter_init(&iter, d->hosts);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct known_host *h = value;
-		struct rate_rank rank = {
-			.is_remote = strcmp(region_of(d, h), region) != 0,
-			.hash = hash_pair(h->name_hash, key_hash),
-		};
+		struct rate_rank rank =
+			rank_of(h->name_hash, h->record.capacity,
+				region_of(d, h), key_hash, region);
 
 		if (!owners.first || is_rank_before(&rank, &first)) {
 			owners.second = owners.first;
--- a/router/quota.c
+++ b/router/quota.c
@@ -9,7 +9,7 @@
 /* Longest wait for the answer to a claim; a round trip may take 24 ms. */
 #define WAIT_MAX_US (60 * US_PER_MS)
 /* The same as a share of the time until the latency goal. */
-#define WAIT_GOAL_SHARE 0.22
+#define WAIT_GOAL_SHARE 0.6
 /* Backoff for callers of refused requests. */
 #define RETRY_AFTER_MIN_US (100 * US_PER_MS)
 #define RETRY_AFTER_SPREAD_US (300 * US_PER_MS)
--- a/router/router.c
+++ b/router/router.c
@@ -98,6 +98,16 @@
 	r->host_count = hosts;
 }
 
+bool router_has_quotas(const struct router *r)
+{
+	for (uint32_t i = 0; r->table && i < r->table->organisation_count;
+	     i++) {
+		if (r->table->organisations[i].rate_per_s > 0)
+			return true;
+	}
+	return false;
+}
+
 static void update_triage(struct router *r)
 {
 	enum triage_mode mode = r->options.triage;
--- a/router/token_cache.c
+++ b/router/token_cache.c
@@ -1,11 +1,19 @@
 #include "router/token_cache.h"
 
+#include <math.h>
 #include <string.h>
 
 #include "engine/heap.h"
 
 /* Most tokens of a key; the owner mostly grants fewer. */
 #define STANDING_MAX 16
+/* Tokens are claimed for the requests that come in this time. */
+#define STANDING_S 0.5
+#define SPENT_HALF_LIFE_US (2 * US_PER_S)
+/* The tokens of a key are renewed for this time after its last request. */
+#define RENEW_US (30 * US_PER_S)
+/* They are renewed when a later grant has this age. */
+#define RENEW_AGE_US (TOKEN_STANDING_US / 2)
 /* Shortest interval between claims for a key, answered or not. */
 #define CLAIM_MIN_US (100 * US_PER_MS)
 
@@ -26,6 +34,9 @@
 	uint32_t sequence;
 	struct lease_time claimed;
 	int64_t dry_until_us;
+	/** Tokens asked for lately, as an exponentially decaying sum. */
+	double asked;
+	int64_t asked_at_us;
 };
 
 struct token_cache {
@@ -132,13 +143,27 @@
 }
 
 static void schedule_claim(struct token_cache *c, struct cached_key *k,
-			   int64_t now)
+			   int64_t at)
 {
-	int64_t at =
-		MAX(k->claimed.monotonic_us + CLAIM_MIN_US, k->dry_until_us);
+	at = MAX(at,
+		 MAX(k->claimed.monotonic_us + CLAIM_MIN_US, k->dry_until_us));
+	if (!k->node.position || at < k->node.key)
+		heap_push(&c->claims, &k->node, at);
+}
 
-	if (!k->node.position)
-		heap_push(&c->claims, &k->node, MAX(at, now));
+static double decayed_asked(const struct cached_key *k, int64_t now)
+{
+	return k->asked * exp2(-(double)(now - k->asked_at_us) /
+			       (double)SPENT_HALF_LIFE_US);
+}
+
+/* Returns how many tokens to hold for the requests that may come. */
+static uint32_t wanted_tokens(const struct cached_key *k, int64_t now)
+{
+	double per_s = decayed_asked(k, now) * M_LN2 /
+		       ((double)SPENT_HALF_LIFE_US / US_PER_S);
+
+	return (uint32_t)CLAMP(ceil(per_s * STANDING_S), 1, STANDING_MAX);
 }
 
 void token_cache_claim(struct token_cache *c, const struct token_claim *claim,
@@ -149,6 +174,8 @@
 
 	update_limit(k, &claim->limit);
 	drop_lapsed(k, now);
+	k->asked = decayed_asked(k, now.monotonic_us) + claim->wanted;
+	k->asked_at_us = now.monotonic_us;
 	*out = (struct token_grant){
 		.key = claim->key,
 		.sequence = claim->sequence,
@@ -180,7 +207,7 @@
 		.kind = TOKEN_CLAIM_STANDING,
 		.limit = k->limit,
 		.sequence = ++k->sequence,
-		.wanted = STANDING_MAX,
+		.wanted = wanted_tokens(k, now.monotonic_us),
 		.spent = k->spent,
 		.returned = k->returned,
 		.returned_ticket = k->report_ticket,
@@ -201,6 +228,8 @@
 		struct token_claim claim;
 
 		heap_remove(&c->claims, top);
+		if (now.monotonic_us - k->asked_at_us > RENEW_US)
+			continue;
 		drop_lapsed(k, now);
 		take_claim(k, now, &claim);
 		if (!claims)
@@ -231,6 +260,8 @@
 	/* An answer that comes twice is not used twice. */
 	k->sequence++;
 	k->dry_until_us = now.monotonic_us + g->retry_us;
+	/* A renewal is due before the tokens of this grant lapse. */
+	schedule_claim(c, k, k->claimed.monotonic_us + RENEW_AGE_US);
 	if (!g->tokens)
 		return;
 	drop_other_owner(k, g->ticket);
--- a/router/token_exchange.c
+++ b/router/token_exchange.c
@@ -12,6 +12,10 @@
 #define ELSEWHERE_US (500 * US_PER_MS)
 /* The same for a cache with too few tokens, which claims some meanwhile. */
 #define CACHE_EMPTY_US (50 * US_PER_MS)
+/* Links without claims are used at this interval; they close after 60 s. */
+#define LINK_INTERVAL_US (20 * US_PER_S)
+/* In larger fleets the links to owners open when they are first used. */
+#define LINKED_OWNERS_MAX 24
 /* Keys whose owners are kept; the table is emptied beyond that. */
 #define OWNERS_MAX 16384
 /*
@@ -161,16 +165,20 @@
 		token_exchange_note_contact(x, now);
 }
 
-/* Returns the host of this region whose cache has tokens of a key, or NULL. */
-static struct known_host *find_cache(struct token_exchange *x, const char *key,
+/*
+ * Returns the host whose cache has tokens of a key, or NULL: this one for a
+ * quota, since callers mostly stay with a host. The rate of a cold leaf is too
+ * low for tokens that nobody uses.
+ */
+static struct known_host *find_cache(struct token_exchange *x,
+				     const struct token_claim *c,
 				     const struct known_host *owner)
 {
 	struct host_directory *d = x->options.directory;
-	const struct known_host *self = g_hash_table_lookup(d->hosts, d->self);
 
-	if (!self || !owner || owner->distance != LEAF_OTHER_REGION)
+	if (c->limit.is_cold_leaf || !owner || is_self(x, owner))
 		return NULL;
-	return host_directory_rate_owners(d, key, self->record.domain).first;
+	return g_hash_table_lookup(d->hosts, d->self);
 }
 
 static struct key_owners *get_owners(struct token_exchange *x,
@@ -188,7 +196,7 @@
 		return known;
 	known = g_new0(struct key_owners, 1);
 	known->hosts = host_directory_rate_owners(d, c->key, c->domain);
-	known->cache = find_cache(x, c->key, known->hosts.first);
+	known->cache = find_cache(x, c, known->hosts.first);
 	g_hash_table_insert(x->owners, g_strdup(c->key), known);
 	return known;
 }
@@ -275,8 +283,9 @@
 static void send_claims(struct token_exchange *x, struct known_host *h,
 			const GArray *claims)
 {
+	h->tokens_sent_us = now_us(x);
 	if (!h->tokens_asked_us)
-		h->tokens_asked_us = now_us(x);
+		h->tokens_asked_us = h->tokens_sent_us;
 	x->options.ops->send_claims(x->options.ctx, h->record.address, claims);
 }
 
@@ -294,6 +303,22 @@
 	g_array_free(claims, TRUE);
 }
 
+void token_exchange_keep_links(struct token_exchange *x)
+{
+	GPtrArray *owners = host_directory_strongest(x->options.directory,
+						     LINKED_OWNERS_MAX);
+	int64_t now = now_us(x);
+
+	for (guint i = 0; i < owners->len; i++) {
+		struct known_host *h = owners->pdata[i];
+
+		if (!h->tokens_sent_us ||
+		    now - h->tokens_sent_us >= LINK_INTERVAL_US)
+			probe_owner(x, h);
+	}
+	g_ptr_array_free(owners, TRUE);
+}
+
 /* Returns the host from which to claim, or NULL if none is known. */
 static struct known_host *choose_owner(struct token_exchange *x,
 				       const struct token_claim *c)
--- a/router/token_pool.c
+++ b/router/token_pool.c
@@ -41,11 +41,11 @@
 /* Slots of which tokens may still be in use, the current one included. */
 #define SLOTS ((int)(TOKEN_VALID_US / SLOT_US) + 1)
 /* The same for tokens in caches. */
-#define STANDING_SLOT_US (5 * US_PER_S)
+#define STANDING_SLOT_US (500 * US_PER_MS)
 #define STANDING_SLOTS ((int)(TOKEN_STANDING_US / STANDING_SLOT_US) + 1)
 /* Parts of a bucket's size that one claim of a cache, and all caches, get. */
 #define STANDING_CLAIM_PART 0.17
-#define STANDING_PART 0.35
+#define STANDING_PART 0.7
 /* Time until the next claim of a cache that got no tokens. */
 #define STANDING_RETRY_US (1 * US_PER_S)
 #define UNMET_HALF_LIFE_US (500 * US_PER_MS)
@@ -308,7 +308,8 @@
 		return;
 	most = MIN(most - held, bucket_size(b) * STANDING_CLAIM_PART);
 	/* Requests that are there come before those that may come. */
-	out->tokens = (uint32_t)MIN(MIN(most, b->tokens / 4), claim->wanted);
+	out->tokens = (uint32_t)MIN(MIN(most, ceil(b->tokens / 4)),
+				    MIN(claim->wanted, b->tokens));
 	b->tokens -= out->tokens;
 	b->standing[b->standing_slot % STANDING_SLOTS] += out->tokens;
 	if (out->tokens)
