quotas: grant early if all hosts have the same records; mind a lost store

A host that starts had to wait 7 s before it granted tokens, also when all hosts started together. It now asks the others for a hash of their host records and grants as soon as all have the same.

It now asks hosts of other failure domains whether the store is away for them too.

--- a/include/net/host_frame.h
+++ b/include/net/host_frame.h
@@ -8,7 +8,7 @@
 #include <glib.h>
 
 #include "router/rate_shares.h"
-#include "router/token_pool.h"
+#include "router/token_exchange.h"
 #include "store/mirror.h"
 
 /** Types of the frames between hosts that serve the platform's routes. */
@@ -35,6 +35,8 @@
 	HOST_TOKEN_CLAIMS = 91,
 	/** Answers claims of tokens. */
 	HOST_TOKEN_GRANTS = 92,
+	/** States which host records the sender has. */
+	HOST_TOKEN_VIEW = 93,
 };
 
 #define HOST_PROTOCOL 2
@@ -107,6 +109,8 @@
 	GArray *token_claims;
 	/** Set for HOST_TOKEN_GRANTS, of struct token_grant. */
 	GArray *token_grants;
+	/** Set for HOST_TOKEN_VIEW. */
+	struct token_view token_view;
 	/** Memory of the strings, bodies and arrays of the other fields. */
 	GPtrArray *allocations;
 	/** Headers of the request; the strings are in allocations. */
@@ -129,6 +133,7 @@
 /** claims is of struct token_claim, grants of struct token_grant. */
 GByteArray *host_frame_token_claims(const GArray *claims);
 GByteArray *host_frame_token_grants(const GArray *grants);
+GByteArray *host_frame_token_view(const struct token_view *view);
 
 /** Decodes a frame. Returns 0, or -ERR_FRAME with out already cleared. */
 int host_frame_decode(const void *data, size_t len, struct host_frame *out);
--- a/include/router/token_exchange.h
+++ b/include/router/token_exchange.h
@@ -13,29 +13,52 @@
  * all of a rate.
  *
  * A host grants all if it is the first host by hash in its own mirror of the
- * host records, and has been in contact with the store or with other failure
- * domains for TOKEN_JOIN_US without a break, and no host before it has left
- * within that time. A host that has lost contact grants nothing.
+ * host records, and has heard of the store for TOKEN_JOIN_US without a break,
+ * and no host before it has left within that time. It need not wait if every
+ * host of its mirror states that it has the same one, and has seen no host
+ * leave within TOKEN_JOIN_US: then no host with an older mirror grants.
+ *
+ * A host that has not heard of the store grants nothing, unless hosts of other
+ * failure domains have not heard of it either: then the records do not change.
  *
  * Claims of single tokens go to a host of the claiming host's own region, which
  * has a few tokens of each key that was asked for lately.
  */
 struct token_exchange;
 
-/** A host without contact for this time grants nothing. */
-#define TOKEN_CONTACT_US (3 * US_PER_S)
+/**
+ * A host without contact for this time grants nothing. Hosts that watch the
+ * store hear of it each 2.1 s at least. When it is away for all, this leaves
+ * time to learn it from other hosts.
+ */
+#define TOKEN_CONTACT_US (5 * US_PER_S)
 /**
  * Time from the start of a host, or from the record of an earlier owner being
  * gone, until this host grants. It exceeds the time within which a host that
  * grants learns of a change of the records: a watch of 2.1 s, TOKEN_CONTACT_US
  * and TOKEN_PAUSE_US.
  */
-#define TOKEN_JOIN_US (7 * US_PER_S)
+#define TOKEN_JOIN_US (9 * US_PER_S)
 /** A host that was paused for longer has lost contact meanwhile. */
 #define TOKEN_PAUSE_US (1500 * US_PER_MS)
 
+/** Statement of a host about its mirror of the host records. */
+struct token_view {
+	/** Hash of the names and addresses of the hosts. */
+	uint64_t hash;
+	/** A host has left the mirror within TOKEN_JOIN_US. */
+	bool has_gone;
+	/** The host has heard of the store lately. */
+	bool has_store;
+	/** Answers the statement of another host. */
+	bool is_answer;
+};
+
 /** Operations of the adapter. They must not call the exchange. */
 struct token_exchange_ops {
+	/** Sends the statement of this host to another one. */
+	void (*send_view)(void *ctx, const char *address,
+			  const struct token_view *view);
 	/** Sends claims, of struct token_claim, to another host. */
 	void (*send_claims)(void *ctx, const char *address,
 			    const GArray *claims);
@@ -70,11 +93,8 @@
  */
 void token_exchange_advance(struct token_exchange *x);
 
-/** Notes that this host was in contact with the store or other domains. */
-void token_exchange_note_contact(struct token_exchange *x, int64_t at_us);
-
-/** Notes a frame of another host; one of another domain shows contact. */
-void token_exchange_note_frame(struct token_exchange *x, const char *address);
+/** Notes that this host heard of the store, itself or through its feed. */
+void token_exchange_note_store(struct token_exchange *x, int64_t at_us);
 
 /** Sends claims, of struct token_claim, to the owners. */
 void token_exchange_claim(struct token_exchange *x, const GArray *claims);
@@ -98,6 +118,13 @@
 /** Delivers the answers to claims that this host owed to itself. */
 void token_exchange_deliver_own(struct token_exchange *x);
 
+/** Handles the statement of another host. */
+void token_exchange_handle_view(struct token_exchange *x, const char *address,
+				const struct token_view *view);
+
+/** This host stops: it grants nothing any more. */
+void token_exchange_stop(struct token_exchange *x);
+
 /** Handles the end of a link. */
 void token_exchange_note_closed(struct token_exchange *x, const char *address,
 				bool is_undelivered);
--- a/net/host_frame.c
+++ b/net/host_frame.c
@@ -281,6 +281,18 @@
 	return out;
 }
 
+GByteArray *host_frame_token_view(const struct token_view *view)
+{
+	msgpack_packer pk;
+	GByteArray *out = begin_frame(&pk, HOST_TOKEN_VIEW, 4);
+
+	msgpack_pack_uint64(&pk, view->hash);
+	pack_flag(&pk, view->has_gone);
+	pack_flag(&pk, view->has_store);
+	pack_flag(&pk, view->is_answer);
+	return out;
+}
+
 /**
  * Reads the fields of an array in order. A field that is missing or of another
  * type sets is_broken and reads as empty.
@@ -615,6 +627,12 @@
 	case HOST_TOKEN_GRANTS:
 		read_token_grants(r);
 		return;
+	case HOST_TOKEN_VIEW:
+		r->frame->token_view.hash = read_number(r);
+		r->frame->token_view.has_gone = read_flag(r);
+		r->frame->token_view.has_store = read_flag(r);
+		r->frame->token_view.is_answer = read_flag(r);
+		return;
 	}
 	r->is_broken = true;
 }
--- a/nutmegpickd/route_hosts.c
+++ b/nutmegpickd/route_hosts.c
@@ -640,7 +640,6 @@
 	struct host_frame *f = e->frame;
 	bool is_kept = false;
 
-	token_exchange_note_frame(s->tokens, e->address);
 	switch (f->type) {
 	case HOST_HELLO:
 		break;
@@ -679,6 +678,10 @@
 	case HOST_TOKEN_CLAIMS:
 		route_answer_token_claims(s, e->link, f->token_claims);
 		break;
+	case HOST_TOKEN_VIEW:
+		token_exchange_handle_view(s->tokens, e->address,
+					   &f->token_view);
+		break;
 	case HOST_TOKEN_GRANTS:
 		token_exchange_handle_grants(s->tokens, e->address,
 					     f->token_grants);
--- a/nutmegpickd/route_quotas.c
+++ b/nutmegpickd/route_quotas.c
@@ -17,6 +17,12 @@
 	route_send_frame(ctx, address, host_frame_token_claims(claims));
 }
 
+static void handle_send_view(void *ctx, const char *address,
+			     const struct token_view *view)
+{
+	route_send_frame(ctx, address, host_frame_token_view(view));
+}
+
 static void handle_deliver_grant(void *ctx, const struct token_grant *grant)
 {
 	struct route_service *s = ctx;
@@ -52,6 +58,7 @@
 }
 
 const struct token_exchange_ops route_token_ops = {
+	.send_view = handle_send_view,
 	.send_claims = handle_send_claims,
 	.deliver_grant = handle_deliver_grant,
 	.update_limit = handle_update_limit,
@@ -209,7 +216,7 @@
 			   feed_news_us(s->feed));
 
 	if (news)
-		token_exchange_note_contact(s->tokens, news);
+		token_exchange_note_store(s->tokens, news);
 	token_exchange_advance(s->tokens);
 }
 
--- a/test/fuzz/targets.c
+++ b/test/fuzz/targets.c
@@ -188,6 +188,8 @@
 		return host_frame_token_claims(f->token_claims);
 	case HOST_TOKEN_GRANTS:
 		return host_frame_token_grants(f->token_grants);
+	case HOST_TOKEN_VIEW:
+		return host_frame_token_view(&f->token_view);
 	}
 	return NULL;
 }
--- a/test/unit/test_quota_schedules.c
+++ b/test/unit/test_quota_schedules.c
@@ -308,6 +308,54 @@
 	quota_sim_destroy(s);
 }
 
+/*
+ * Guards against quotas that are not used while the store is away for all, for
+ * organisations that ask seldom too.
+ */
+static void test_store_away(void)
+{
+	struct quota_sim *s = quota_sim_create(9, 9, 4, 30, 30, 1);
+	uint64_t refused = 0;
+	uint64_t asked = 0;
+
+	for (uint32_t o = 0; o < 4; o++)
+		quota_sim_set_rates(s, o, o ? 0.05 : 5 * 30.0 / 9);
+	quota_sim_run(s, 10 * US_PER_S);
+	s->store_away_until_us = s->now_us + 100 * US_PER_S;
+	quota_sim_run(s, 10 * US_PER_S);
+	quota_sim_clear_counts(s);
+	quota_sim_run(s, 80 * US_PER_S);
+	CU_ASSERT_TRUE(s->admitted[0]->len >= 0.9 * 30 * 80);
+	for (uint32_t o = 1; o < 4; o++) {
+		refused += s->refused[o];
+		asked += s->asked[o];
+	}
+	CU_ASSERT_TRUE(asked > 50);
+	CU_ASSERT_TRUE(refused * 50 <= asked);
+	quota_sim_destroy(s);
+}
+
+/*
+ * Guards against a start of all hosts, or of one, after which their quotas are
+ * not used for long.
+ */
+static void test_start(void)
+{
+	struct quota_sim *s = quota_sim_create(9, 9, 1, 30, 30, 1);
+
+	quota_sim_set_rates(s, 0, 5 * 30.0 / 9);
+	for (uint32_t i = 0; i < 9; i++)
+		quota_sim_kill_host(s, i);
+	quota_sim_run(s, 20 * US_PER_S);
+	for (uint32_t i = 0; i < 9; i++)
+		quota_sim_start_host(s, i);
+	quota_sim_run(s, 2 * US_PER_S);
+	quota_sim_clear_counts(s);
+	quota_sim_run(s, 4 * US_PER_S);
+	CU_ASSERT_TRUE(s->admitted[0]->len >= 0.9 * 30 * 4);
+	quota_sim_destroy(s);
+}
+
 /* Guards against messages for organisations that are not asking. */
 static void test_idle(void)
 {
@@ -356,6 +404,8 @@
 	{ "below quota", test_below_quota },
 	{ "short goal", test_short_goal },
 	{ "use with faults", test_use_with_faults },
+	{ "store away", test_store_away },
+	{ "start", test_start },
 	{ "idle", test_idle },
 	{ "lowered", test_lowered },
 	CU_TEST_INFO_NULL,
