router: keep the statistics of an organisation while requests hold them

A table without an organisation freed its statistics, while requests that waited for a leaf still pointed to them. Where such a request may run on, because the new table has no organisations or gives its key to another one, its first call wrote to freed memory. Requests now hold references.

--- a/include/router/internal.h
+++ b/include/router/internal.h
@@ -50,8 +50,12 @@
 	uint64_t split_position;
 };
 
-/** What is known of an organisation by its name. */
+/**
+ * What is known of an organisation by its name. It is dropped when a table
+ * without the organisation is put in force. Requests hold references.
+ */
 struct organisation_stats {
+	int refs;
 	struct triage_class class;
 	struct triage_demand demand;
 };
@@ -190,7 +194,7 @@
 	uint64_t regions;
 	uint64_t regions_version;
 	struct route_stats *stats;
-	/** Of the organisation, or NULL; owned by the router. */
+	/** Of the organisation at the arrival of the request, or NULL. */
 	struct organisation_stats *organisation_stats;
 	struct triage_value value;
 	struct triage_refusal refusal;
@@ -502,6 +506,8 @@
 bool waiting_has_rival(const struct route_part *p);
 /** Drops organisations that are not in the table in force. */
 void waiting_apply_table(struct router *r);
+/** Takes a pointer to struct organisation_stats, or NULL. */
+void organisation_stats_unref(gpointer stats);
 
 /* part.c */
 /**
--- a/router/request.c
+++ b/router/request.c
@@ -150,6 +150,7 @@
 	batch_clear_all(r, q);
 	g_free(q->parts);
 	route_stats_unref(q->stats);
+	organisation_stats_unref(q->organisation_stats);
 	g_free(q->claimed_organisation);
 	route_table_unref(q->identity_table);
 	route_table_unref(q->table);
--- a/router/router.c
+++ b/router/router.c
@@ -65,8 +65,8 @@
 	id_table_init(&r->requests, sizeof(struct route_request));
 	id_table_init(&r->calls, sizeof(struct leaf_call));
 	r->waiting_pools = g_ptr_array_new();
-	r->organisations =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	r->organisations = g_hash_table_new_full(
+		g_str_hash, g_str_equal, g_free, organisation_stats_unref);
 	r->limited_leaves = g_ptr_array_new();
 	r->cold_leaves = g_ptr_array_new();
 	r->next_claims_us = INT64_MAX;
--- a/router/waiting.c
+++ b/router/waiting.c
@@ -48,18 +48,30 @@
 	return triage_end_of(&limits, &work, router_now(r));
 }
 
+void organisation_stats_unref(gpointer stats)
+{
+	struct organisation_stats *s = stats;
+
+	if (s && !--s->refs)
+		g_free(s);
+}
+
+/* Returns a reference to the statistics of an organisation, or NULL. */
 static struct organisation_stats *
-find_organisation(struct router *r, const struct organisation *organisation)
+ref_organisation(struct router *r, const struct organisation *organisation)
 {
 	struct organisation_stats *s;
 
 	if (!organisation)
 		return NULL;
 	s = g_hash_table_lookup(r->organisations, organisation->name);
-	if (s)
-		return s;
-	s = g_new0(struct organisation_stats, 1);
-	g_hash_table_insert(r->organisations, g_strdup(organisation->name), s);
+	if (!s) {
+		s = g_new0(struct organisation_stats, 1);
+		s->refs = 1;
+		g_hash_table_insert(r->organisations,
+				    g_strdup(organisation->name), s);
+	}
+	s->refs++;
 	return s;
 }
 
@@ -80,7 +92,7 @@
 	/* The host that sent a batch has counted its request. */
 	if (q->is_partial)
 		return;
-	q->organisation_stats = find_organisation(r, q->organisation);
+	q->organisation_stats = ref_organisation(r, q->organisation);
 	v->is_neglected =
 		triage_class_note_offered(&q->stats->class, &r->class, now);
 	if (!q->organisation_stats)
--- a/test/unit/main.c
+++ b/test/unit/main.c
@@ -45,6 +45,7 @@
 	{ "start hold", NULL, NULL, NULL, NULL, start_hold_tests },
 	{ "triage", NULL, NULL, NULL, NULL, triage_tests },
 	{ "triage load", NULL, NULL, NULL, NULL, triage_load_tests },
+	{ "waiting", NULL, NULL, NULL, NULL, waiting_tests },
 	{ "router feed", NULL, NULL, NULL, NULL, router_feed_tests },
 	{ "upstream", NULL, NULL, NULL, NULL, upstream_tests },
 	{ "peer", NULL, NULL, NULL, NULL, peer_tests },
--- a/test/unit/suites.h
+++ b/test/unit/suites.h
@@ -47,6 +47,7 @@
 extern CU_TestInfo triage_tests[];
 extern CU_TestInfo triage_load_tests[];
 extern CU_TestInfo upstream_tests[];
+extern CU_TestInfo waiting_tests[];
 extern CU_TestInfo peer_tests[];
 extern CU_TestInfo store_change_tests[];
 extern CU_TestInfo store_etcd_tests[];
--- /dev/null
+++ b/test/unit/test_waiting.c
@@ -0,0 +1,63 @@
+#include "suites.h"
+
+#include "fake_router.h"
+#include "router/internal.h"
+
+#define RECORD "0123456789abcdef"
+
+/* Puts a table in force with one organisation, without keys. */
+static void apply_organisation(struct fake_router *f, const char *name)
+{
+	struct route_table *t =
+		fake_router_create_table(1, router_version(f->router) + 1);
+	char message[128];
+
+	route_table_add_organisations(t, 1);
+	t->organisations[0].name = g_strdup(name);
+	g_assert(!route_table_seal(t, message, sizeof(message)));
+	CU_ASSERT_EQUAL(router_apply_table(f->router, t), 0);
+}
+
+static uint64_t start_for(struct fake_router *f, const char *organisation)
+{
+	struct router_request in = {
+		.id = "r",
+		.host = "example",
+		.path = "/get/x",
+		.organisation = organisation,
+	};
+
+	return router_start(f->router, &in);
+}
+
+/*
+ * Guards against a write to freed memory when a request of an organisation
+ * starts that is gone from the table since the request began to wait.
+ */
+static void test_removed_organisation(void)
+{
+	struct fake_router *f = fake_router_create(1);
+	const struct route_request *q;
+	uint32_t calls;
+	uint64_t id;
+
+	apply_organisation(f, "acme");
+	do {
+		calls = f->call_count;
+		id = start_for(f, "acme");
+	} while (f->call_count > calls);
+	q = id_table_find(&f->router->requests, id);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(q);
+	router_apply_table(f->router, fake_router_create_table(1, 9));
+	fake_router_end_call(f, 0, CALL_ANSWERED, 200, RECORD);
+	CU_ASSERT_EQUAL(f->call_count, calls + 1);
+	CU_ASSERT_EQUAL(q->organisation_stats->class.started, calls + 1);
+	fake_router_answer_all(f);
+	CU_ASSERT_EQUAL(f->answer_count, calls + 1);
+	fake_router_destroy(f);
+}
+
+CU_TestInfo waiting_tests[] = {
+	{ "removed organisation", test_removed_organisation },
+	CU_TEST_INFO_NULL,
+};
