router: leave parts that cannot be answered in time out of batches

A part that is refused because of the queue at its leaf keeps the leaf that was planned for it. If the gather can do without the part, it still joined a batch of another host, whose leaves worked for a part that this host had given up. Before triage such parts had no planned leaf.

--- a/router/batch.c
+++ b/router/batch.c
@@ -15,7 +15,7 @@
 /* Returns whether a part is to be sent in a batch; see struct leaf_access. */
 static bool is_planned_remotely(const struct route_part *p)
 {
-	return p->planned_leaf && !p->batch &&
+	return p->planned_leaf && !p->is_infeasible && !p->batch &&
 	       p->planned_leaf->distance == LEAF_SAME_REGION &&
 	       !route_leaf_is_cold(p->planned_leaf, p->request->start_us);
 }
--- a/test/unit/test_waiting.c
+++ b/test/unit/test_waiting.c
@@ -5,6 +5,11 @@
 
 #define RECORD "0123456789abcdef"
 
+static struct route_leaf *find_leaf(struct fake_router *f, const char *id)
+{
+	return g_hash_table_lookup(router_leaves(f->router)->leaves, id);
+}
+
 /* Puts a table in force with one organisation, without keys. */
 static void apply_organisation(struct fake_router *f, const char *name)
 {
@@ -57,7 +62,35 @@
 	fake_router_destroy(f);
 }
 
+/*
+ * Guards against a part that cannot be answered in time and yet joins a batch
+ * of another host, whose leaves then work in vain.
+ */
+static void test_infeasible_in_batch(void)
+{
+	struct fake_router *f = fake_router_create(8);
+	struct route_leaf *leaf;
+	char id[16];
+
+	f->has_other_host = true;
+	for (int i = 0; i < 5; i++) {
+		g_snprintf(id, sizeof(id), "s%d-a", i);
+		leaf_set_remove(router_leaves(f->router), id, 0,
+				f->time.now_us);
+	}
+	for (int i = 0; i < 2; i++) {
+		leaf = find_leaf(f, i ? "s0-b" : "s0-c");
+		leaf->other_host_calls = i ? 100 : 200;
+		leaf->reported_at_us = f->time.now_us;
+	}
+	fake_router_start_request(f, "/search/x", 0);
+	CU_ASSERT_EQUAL(f->batch_shard_count, 4);
+	CU_ASSERT_EQUAL(f->call_count, 3);
+	fake_router_destroy(f);
+}
+
 CU_TestInfo waiting_tests[] = {
 	{ "removed organisation", test_removed_organisation },
+	{ "infeasible in batch", test_infeasible_in_batch },
 	CU_TEST_INFO_NULL,
 };
