--- a/test/unit/test_waiting.c
+++ b/test/unit/test_waiting.c
@@ -89,8 +89,31 @@
 	fake_router_destroy(f);
 }
 
+/*
+ * Guards against status 503, "not run", for a request that another host may
+ * have run before it was repeated here.
+ */
+static void test_refused_repeat(void)
+{
+	struct fake_router *f = fake_router_create(1);
+	struct router_request in = {
+		.id = "r",
+		.host = "example",
+		.path = "/get/x",
+		.is_repeat = true,
+	};
+
+	leaf_set_remove(router_leaves(f->router), "s0-a", 0, f->time.now_us);
+	leaf_set_remove(router_leaves(f->router), "s0-b", 0, f->time.now_us);
+	leaf_set_remove(router_leaves(f->router), "s0-c", 0, f->time.now_us);
+	CU_ASSERT_EQUAL(router_start(f->router, &in), 0);
+	CU_ASSERT_EQUAL(f->answers[0].status, 502);
+	fake_router_destroy(f);
+}
+
 CU_TestInfo waiting_tests[] = {
 	{ "removed organisation", test_removed_organisation },
 	{ "infeasible in batch", test_infeasible_in_batch },
+	{ "refused repeat", test_refused_repeat },
 	CU_TEST_INFO_NULL,
 };
