router: call free leaves although the deadline is near

Requests with less than 10 ms until the deadline were refused, apart from four a second, also if a leaf was free and its work was short or not known yet. Where the leaf has no queue, only an estimate of the work that exceeds the time left refuses a request now.

--- a/router/part.c
+++ b/router/part.c
@@ -353,11 +353,25 @@
 	       leaf_queued_calls(choice->leaf, router_now(r)) <= 0;
 }
 
-static bool is_feasible(struct router *r, struct route_part *p,
-			const struct leaf_choice *choice)
+/*
+ * Returns whether a call to a free leaf starts although it is expected to end
+ * after the deadline. Without a queue at the leaf, only an estimate of the work
+ * excludes it.
+ */
+static bool may_be_too_late(struct router *r, const struct route_part *p,
+			    const struct route_leaf *leaf)
 {
 	struct route_request *q = p->request;
+	int64_t now = router_now(r);
 
+	return (leaf_queued_calls(leaf, now) <= 0 &&
+		now + work_estimate_low(&q->stats->work) <= q->deadline_us) ||
+	       work_estimate_may_try(&q->stats->work, now);
+}
+
+static bool is_feasible(struct router *r, struct route_part *p,
+			const struct leaf_choice *choice)
+{
 	if (!choice->leaf && !choice->usable_count)
 		return false;
 	switch (end_of_choice(r, p, choice)) {
@@ -368,8 +382,7 @@
 		return !p->is_crowded;
 	case TRIAGE_TOO_LATE:
 		p->is_crowded = true;
-		return choice->leaf &&
-		       work_estimate_may_try(&q->stats->work, router_now(r));
+		return choice->leaf && may_be_too_late(r, p, choice->leaf);
 	case TRIAGE_STOPPED:
 		break;
 	}
--- a/test/unit/test_waiting.c
+++ b/test/unit/test_waiting.c
@@ -111,9 +111,27 @@
 	fake_router_destroy(f);
 }
 
+/*
+ * Guards against refusals without load because of a deadline that is shorter
+ * than the time that a call is assumed to need at least.
+ */
+static void test_short_deadline(void)
+{
+	struct fake_router *f = fake_router_create(1);
+
+	for (uint32_t i = 0; i < 3; i++) {
+		fake_router_start_request(f, "/get/x", 12 * US_PER_MS);
+		CU_ASSERT_EQUAL(f->call_count, i + 1);
+	}
+	fake_router_answer_all(f);
+	CU_ASSERT_EQUAL(f->answers[2].status, 200);
+	fake_router_destroy(f);
+}
+
 CU_TestInfo waiting_tests[] = {
 	{ "removed organisation", test_removed_organisation },
 	{ "infeasible in batch", test_infeasible_in_batch },
 	{ "refused repeat", test_refused_repeat },
+	{ "short deadline", test_short_deadline },
 	CU_TEST_INFO_NULL,
 };
