router: try gathers as a whole when the estimate excludes them

Permission to start a request in order to learn was asked for each part, and is given once in 250 ms: one part of a gather got it, the others were left out, and the coverage was not reached. Once the estimate of a gather exceeded the deadline, no call corrected it, and the route was refused for ever. The permission now holds for all parts of the request.

--- a/include/router/internal.h
+++ b/include/router/internal.h
@@ -197,6 +197,8 @@
 	/** Of the organisation at the arrival of the request, or NULL. */
 	struct organisation_stats *organisation_stats;
 	struct triage_value value;
+	/** Starts although its estimated work excludes it. */
+	bool is_trial;
 	struct triage_refusal refusal;
 	/** Next review while parts wait and no call was sent. */
 	struct router_timer review_timer;
--- a/router/part.c
+++ b/router/part.c
@@ -364,9 +364,13 @@
 	struct route_request *q = p->request;
 	int64_t now = router_now(r);
 
-	return (leaf_queued_calls(leaf, now) <= 0 &&
-		now + work_estimate_low(&q->stats->work) <= q->deadline_us) ||
-	       work_estimate_may_try(&q->stats->work, now);
+	if (leaf_queued_calls(leaf, now) <= 0 &&
+	    now + work_estimate_low(&q->stats->work) <= q->deadline_us)
+		return true;
+	/* A trial of some parts only would be refused as a whole. */
+	q->is_trial = q->is_trial ||
+		      work_estimate_may_try(&q->stats->work, now);
+	return q->is_trial;
 }
 
 static bool is_feasible(struct router *r, struct route_part *p,
--- a/test/unit/test_waiting.c
+++ b/test/unit/test_waiting.c
@@ -10,6 +10,11 @@
 	return g_hash_table_lookup(router_leaves(f->router)->leaves, id);
 }
 
+static const struct fake_answer *last_answer(const struct fake_router *f)
+{
+	return &f->answers[(f->answer_count - 1) % FAKE_ANSWERS_MAX];
+}
+
 /* Puts a table in force with one organisation, without keys. */
 static void apply_organisation(struct fake_router *f, const char *name)
 {
@@ -128,10 +133,46 @@
 	fake_router_destroy(f);
 }
 
+/* Teaches that the calls of a route take longer than its timeout. */
+static void learn_long_work(struct fake_router *f, const char *path)
+{
+	const struct route *route = router_match(f->router, "example", path);
+	struct route_stats *s = route_stats_get(f->router, route);
+
+	for (int i = 0; i < 40; i++) {
+		latency_add(&s->call_work, 2 * route->timeout_us);
+		work_estimate_add(&s->work, 2 * route->timeout_us,
+				  f->time.now_us);
+	}
+}
+
+/*
+ * Guards against a gather that is refused for ever: all of its parts are
+ * expected to end after the deadline, and no call corrects the estimate.
+ */
+static void test_trial_of_gather(void)
+{
+	struct fake_router *f = fake_router_create(4);
+	uint32_t calls;
+
+	learn_long_work(f, "/search/x");
+	calls = f->call_count;
+	for (int i = 0; i < 40; i++) {
+		fake_router_start_request(f, "/search/x", 0);
+		fake_router_advance(f, 10 * US_PER_MS);
+		fake_router_answer_all(f);
+	}
+	/* Four a second are tried until the work is known again. */
+	CU_ASSERT_TRUE(f->call_count - calls >= 2 * 4);
+	CU_ASSERT_EQUAL(last_answer(f)->status, 200);
+	fake_router_destroy(f);
+}
+
 CU_TestInfo waiting_tests[] = {
 	{ "removed organisation", test_removed_organisation },
 	{ "infeasible in batch", test_infeasible_in_batch },
 	{ "refused repeat", test_refused_repeat },
 	{ "short deadline", test_short_deadline },
+	{ "trial of gather", test_trial_of_gather },
 	CU_TEST_INFO_NULL,
 };
