router: do not count short deadlines as lack of capacity

Requests whose work alone takes longer than their deadline were counted as refused for lack of capacity. Less urgent requests to the same upstream then gave way to them and were refused although its leaves were free. Such refusals have the reason "deadline" now, and do not count in the shares of the priorities.

--- a/include/router/internal.h
+++ b/include/router/internal.h
@@ -160,6 +160,8 @@
 	int64_t work_us;
 	int64_t left_us;
 	uint32_t waiting_count;
+	/** A leaf was free: the refusal shows no lack of capacity. */
+	bool is_leaf_free;
 };
 
 /** Request in flight. */
@@ -576,6 +578,9 @@
 void request_note_figures(struct router *r, struct route_request *q,
 			  const struct route_part *p, int64_t wait_us,
 			  int64_t work_us);
+/** Notes those of a part whose work alone takes longer than the deadline. */
+void request_note_excess_work(struct router *r, struct route_request *q,
+			      const struct route_part *p, int64_t work_us);
 /** Counts the ended parts; ends the request if its outcome is certain. */
 void request_handle_part_end(struct router *r, struct route_request *q);
 
--- a/router/part.c
+++ b/router/part.c
@@ -385,7 +385,7 @@
 		p->is_crowded = !may_be_late(r, p, choice);
 		return !p->is_crowded;
 	case TRIAGE_TOO_LATE:
-		p->is_crowded = true;
+		p->is_crowded = !choice->leaf;
 		return choice->leaf && may_be_too_late(r, p, choice->leaf);
 	case TRIAGE_STOPPED:
 		break;
@@ -407,6 +407,8 @@
 	if (p->is_crowded)
 		request_note_figures(r, p->request, p, choice.wait_us,
 				     choice.expected_us);
+	else if (choice.leaf && !p->request->refusal.reason)
+		request_note_excess_work(r, p->request, p, choice.expected_us);
 	leaf_access_log_none(r, p);
 	return false;
 }
--- a/router/request.c
+++ b/router/request.c
@@ -214,7 +214,8 @@
 static void note_refusal(struct router *r, const struct route_request *q)
 {
 	counter_add(&refusals[q->refusal.reason], 1);
-	request_note_class(r, q, false);
+	if (!q->refusal.is_leaf_free)
+		request_note_class(r, q, false);
 }
 
 /* Answers a failed request, with status 503 only if no leaf may have run it. */
@@ -261,6 +262,14 @@
 	};
 }
 
+void request_note_excess_work(struct router *r, struct route_request *q,
+			      const struct route_part *p, int64_t work_us)
+{
+	request_note_figures(r, q, p, 0, work_us);
+	q->refusal.reason = TRIAGE_DEADLINE_MISSED;
+	q->refusal.is_leaf_free = true;
+}
+
 static const struct route_part *find_waiting_part(const struct route_request *q)
 {
 	for (uint32_t i = 0; i < q->part_count; i++) {
--- a/test/unit/test_waiting.c
+++ b/test/unit/test_waiting.c
@@ -168,11 +168,36 @@
 	fake_router_destroy(f);
 }
 
+/*
+ * Guards against less urgent requests that are refused although leaves are
+ * free, because the deadlines of more urgent ones are too short for their work.
+ */
+static void test_work_beyond_deadline(void)
+{
+	struct fake_router *f = fake_router_create(1);
+	struct route_table *t = fake_router_create_table(1, 2);
+
+	t->routes[2].priority = 1;
+	router_apply_table(f->router, t);
+	learn_long_work(f, "/get/x");
+	for (int i = 0; i < 40; i++)
+		fake_router_start_request(f, "/get/x", 0);
+	for (int i = 0; i < 6; i++) {
+		uint32_t calls = f->call_count;
+
+		CU_ASSERT_NOT_EQUAL(fake_router_start_request(f, "/put/x", 0),
+				    0);
+		CU_ASSERT_EQUAL(f->call_count, calls + 1);
+	}
+	fake_router_destroy(f);
+}
+
 CU_TestInfo waiting_tests[] = {
 	{ "removed organisation", test_removed_organisation },
 	{ "infeasible in batch", test_infeasible_in_batch },
 	{ "refused repeat", test_refused_repeat },
 	{ "short deadline", test_short_deadline },
 	{ "trial of gather", test_trial_of_gather },
+	{ "work beyond deadline", test_work_beyond_deadline },
 	CU_TEST_INFO_NULL,
 };
