router: check the callers of all requests that wait

Since the queue is ordered, only the request at its front was checked again after a key was revoked. One further back stayed in the queue, took part in the estimates of the others, and ended with 503 instead of 401. The review of a request, at least every 50 ms, checks its caller too.

--- a/router/waiting.c
+++ b/router/waiting.c
@@ -492,6 +492,20 @@
 				  &q->parts[i].entry);
 }
 
+/* Ends the parts that wait, and the request if its outcome is certain. */
+static void fail_waiting_parts(struct router *r, struct route_request *q)
+{
+	for (uint32_t i = 0; i < q->part_count; i++) {
+		struct route_part *p = &q->parts[i];
+
+		if (p->phase != PART_WAITING)
+			continue;
+		waiting_remove(r, p);
+		p->phase = PART_FAILED;
+	}
+	request_handle_part_end(r, q);
+}
+
 static void handle_review(struct router *r, struct router_timer *t)
 {
 	struct route_request *q =
@@ -499,6 +513,10 @@
 
 	if (!has_waiting_parts(q))
 		return;
+	if (!recheck_caller(r, q)) {
+		fail_waiting_parts(r, q);
+		return;
+	}
 	if (router_now(r) > latest_start(q)) {
 		if (!review_late(r, q))
 			return;
--- a/test/unit/test_waiting.c
+++ b/test/unit/test_waiting.c
@@ -1,5 +1,6 @@
 #include "suites.h"
 
+#include "common/errors.h"
 #include "fake_router.h"
 #include "router/internal.h"
 
@@ -192,6 +193,34 @@
 	fake_router_destroy(f);
 }
 
+/*
+ * Guards against a request with a revoked key that stays in the queue while
+ * others wait before it.
+ */
+static void test_revoked_behind_others(void)
+{
+	struct fake_router *f = fake_router_create(1);
+	struct route_table *t = fake_router_create_table(1, 2);
+	char message[128];
+
+	route_table_add_organisations(t, 2);
+	t->organisations[0].name = g_strdup("acme");
+	t->organisations[1].name = g_strdup("bolt");
+	g_assert(!route_table_seal(t, message, sizeof(message)));
+	router_apply_table(f->router, t);
+	for (uint32_t calls = UINT32_MAX; calls != f->call_count;) {
+		calls = f->call_count;
+		start_for(f, "acme");
+	}
+	CU_ASSERT_NOT_EQUAL(start_for(f, "bolt"), 0);
+	apply_organisation(f, "acme");
+	fake_router_advance(f, 55 * US_PER_MS);
+	CU_ASSERT_EQUAL_FATAL(f->answer_count, 1);
+	CU_ASSERT_EQUAL(f->answers[0].status, 401);
+	CU_ASSERT_EQUAL(f->answers[0].code, -ERR_ROUTE_KEY_REVOKED);
+	fake_router_destroy(f);
+}
+
 CU_TestInfo waiting_tests[] = {
 	{ "removed organisation", test_removed_organisation },
 	{ "infeasible in batch", test_infeasible_in_batch },
@@ -199,5 +228,6 @@
 	{ "short deadline", test_short_deadline },
 	{ "trial of gather", test_trial_of_gather },
 	{ "work beyond deadline", test_work_beyond_deadline },
+	{ "revoked behind others", test_revoked_behind_others },
 	CU_TEST_INFO_NULL,
 };
