router: end requests that cannot end before the stop, wherever they wait

Only the request at the front of a queue was compared with the stop of the host. A late request behind others that can still be answered stayed until the host was gone, with no time to go elsewhere; before the queue was ordered, all waiting requests were compared. The review of a request does this now, for the deadline as well.

--- a/router/waiting.c
+++ b/router/waiting.c
@@ -506,6 +506,14 @@
 	request_handle_part_end(r, q);
 }
 
+/* Returns whether work that starts now ends after the deadline or the stop. */
+static bool cannot_end(struct router *r, const struct route_request *q)
+{
+	enum triage_end end = request_end_of(r, q, 0, request_typical_work(q));
+
+	return end == TRIAGE_TOO_LATE || end == TRIAGE_STOPPED;
+}
+
 static void handle_review(struct router *r, struct router_timer *t)
 {
 	struct route_request *q =
@@ -517,6 +525,13 @@
 		fail_waiting_parts(r, q);
 		return;
 	}
+	if (cannot_end(r, q)) {
+		if (q->value.is_begun || q->is_partial)
+			fail_waiting_parts(r, q);
+		else
+			request_refuse(r, q, TRIAGE_DEADLINE_MISSED);
+		return;
+	}
 	if (router_now(r) > latest_start(q)) {
 		if (!review_late(r, q))
 			return;
--- a/test/unit/test_waiting.c
+++ b/test/unit/test_waiting.c
@@ -16,6 +16,30 @@
 	return &f->answers[(f->answer_count - 1) % FAKE_ANSWERS_MAX];
 }
 
+/* Starts requests until one waits for a leaf, and returns its id. */
+static uint64_t fill_leaves(struct fake_router *f, const char *path)
+{
+	uint32_t calls;
+	uint64_t id;
+
+	do {
+		calls = f->call_count;
+		id = fake_router_start_request(f, path, 0);
+		CU_ASSERT_NOT_EQUAL_FATAL(id, 0);
+	} while (f->call_count > calls);
+	return id;
+}
+
+/* Sends requests whose calls take the given time. */
+static void learn(struct fake_router *f, const char *path, int64_t duration_us)
+{
+	for (int i = 0; i < 40; i++) {
+		fake_router_start_request(f, path, 0);
+		fake_router_advance(f, duration_us);
+		fake_router_answer_all(f);
+	}
+}
+
 /* Puts a table in force with one organisation, without keys. */
 static void apply_organisation(struct fake_router *f, const char *name)
 {
@@ -221,6 +245,30 @@
 	fake_router_destroy(f);
 }
 
+/*
+ * Guards against a request that stays in the queue until a host that stops is
+ * gone, because others wait before it which can still be answered.
+ */
+static void test_stop_behind_others(void)
+{
+	struct fake_router *f = fake_router_create(1);
+	uint32_t answers;
+
+	learn(f, "/put/x", 400 * US_PER_MS);
+	learn(f, "/get/x", 20 * US_PER_MS);
+	fill_leaves(f, "/put/x");
+	CU_ASSERT_NOT_EQUAL(fake_router_start_request(f, "/get/x", 0), 0);
+	answers = f->answer_count;
+	router_stop_at(f->router, f->time.now_us + 500 * US_PER_MS);
+	fake_router_advance(f, 150 * US_PER_MS);
+	CU_ASSERT_EQUAL(f->answer_count, answers + 1);
+	CU_ASSERT_EQUAL(last_answer(f)->status, 503);
+	CU_ASSERT_EQUAL(last_answer(f)->code, -ERR_ROUTE_STOPPING);
+	CU_ASSERT_PTR_NOT_EQUAL(last_answer(f)->user,
+				GUINT_TO_POINTER(f->request_count));
+	fake_router_destroy(f);
+}
+
 CU_TestInfo waiting_tests[] = {
 	{ "removed organisation", test_removed_organisation },
 	{ "infeasible in batch", test_infeasible_in_batch },
@@ -229,5 +277,6 @@
 	{ "trial of gather", test_trial_of_gather },
 	{ "work beyond deadline", test_work_beyond_deadline },
 	{ "revoked behind others", test_revoked_behind_others },
+	{ "stop behind others", test_stop_behind_others },
 	CU_TEST_INFO_NULL,
 };
