router: keep the drain of a pool when a batch asks for it

A part that may use only some of the leaves, such as one of a batch, sees only their capacity. It replaced the work that starts in each microsecond, which serves all requests of the pool: until the next unlimited part asked for a leaf, waits looked up to three times as long, and reviews refused requests that had room. Such a part sets the figure now only if no other part has done so within a second.

--- a/include/router/internal.h
+++ b/include/router/internal.h
@@ -480,6 +480,11 @@
 void waiting_add(struct router *r, struct route_part *p);
 void waiting_remove(struct router *r, struct route_part *p);
 bool waiting_is_empty(const struct router *r);
+/** Returns whether a part may not be sent to all leaves of its pool. */
+bool waiting_is_restricted(const struct route_part *p);
+/** Notes the work that starts in each microsecond, as far as a part sees it. */
+void waiting_note_drain(struct router *r, const struct route_part *p,
+			double work_per_us);
 /** Returns the work that starts before a part which is not in the queue. */
 int64_t waiting_work_before(const struct route_part *p);
 /** Returns the remaining wait of a part in the queue. */
--- a/include/router/leaf_set.h
+++ b/include/router/leaf_set.h
@@ -141,6 +141,8 @@
 	guint waiting_position;
 	/** Work of waiting parts that starts in each microsecond. */
 	double drain;
+	/** When a part that may be sent to all leaves told so. */
+	int64_t drain_at_us;
 	/** Requests that were started or refused for lack of capacity. */
 	struct triage_class classes[TRIAGE_PRIORITIES];
 	/** Work of a call of any route. */
--- a/router/choice.c
+++ b/router/choice.c
@@ -225,8 +225,8 @@
 }
 
 /* Fills in the wait for the first of the leaves that were passed over. */
-static void set_wait(struct leaf_choice *choice, const struct route_part *part,
-		     const struct passed_over *o)
+static void set_wait(struct router *r, struct leaf_choice *choice,
+		     const struct route_part *part, const struct passed_over *o)
 {
 	double own = (double)request_typical_work(part->request);
 	double turn = 1 + (double)waiting_work_before(part) / own;
@@ -244,10 +244,10 @@
 	    (o->limited_wait_us == INT64_MAX || busy <= limited)) {
 		choice->wait_us = (int64_t)busy;
 		choice->expected_us = (int64_t)o->least_busy_us;
-		part->pool->drain = own * turn / busy;
+		waiting_note_drain(r, part, own * turn / busy);
 		return;
 	}
-	part->pool->drain = own * turn / MAX(limited, 1);
+	waiting_note_drain(r, part, own * turn / MAX(limited, 1));
 	choice->wait_us = (int64_t)MIN(limited, (double)INT64_MAX / 4);
 	choice->expected_us = (int64_t)o->limited_us;
 }
@@ -301,7 +301,7 @@
 		choice.expected_us = (int64_t)expected;
 	}
 	if (!choice.leaf)
-		set_wait(&choice, part, &over);
+		set_wait(r, &choice, part, &over);
 	return choice;
 }
 
--- a/router/waiting.c
+++ b/router/waiting.c
@@ -18,6 +18,11 @@
  * be sent to all leaves.
  */
 #define FRONT_MAX 8
+/*
+ * Time for which the drain of a pool is not replaced by that of a part which
+ * may not be sent to all leaves: such a part sees some of the capacity only.
+ */
+#define DRAIN_VALID_US US_PER_S
 
 int64_t request_typical_work(const struct route_request *q)
 {
@@ -195,6 +200,26 @@
 			 p->pool->drain * waiting_slowdown(r, p));
 }
 
+bool waiting_is_restricted(const struct route_part *p)
+{
+	const struct route_request *q = p->request;
+
+	return q->is_partial || q->route->regions ||
+	       (q->organisation && q->organisation->regions);
+}
+
+void waiting_note_drain(struct router *r, const struct route_part *p,
+			double work_per_us)
+{
+	int64_t now = router_now(r);
+
+	if (!waiting_is_restricted(p))
+		p->pool->drain_at_us = now;
+	else if (now - p->pool->drain_at_us < DRAIN_VALID_US)
+		return;
+	p->pool->drain = work_per_us;
+}
+
 static void note_waiting_pool(struct router *r, struct upstream_pool *pool)
 {
 	guint last = r->waiting_pools->len;
@@ -599,14 +624,6 @@
 	}
 }
 
-static bool is_restricted(const struct route_part *p)
-{
-	const struct route_request *q = p->request;
-
-	return q->is_partial || q->route->regions ||
-	       (q->organisation && q->organisation->regions);
-}
-
 void waiting_start_pool(struct router *r, struct upstream_pool *pool)
 {
 	uint32_t at = 0;
@@ -620,7 +637,7 @@
 		p = part_of_entry(e);
 		switch (part_try_first(r, p)) {
 		case PART_BLOCKED:
-			if (!is_restricted(p))
+			if (!waiting_is_restricted(p))
 				return;
 			at++;
 			break;
--- a/test/unit/test_waiting.c
+++ b/test/unit/test_waiting.c
@@ -6,6 +6,11 @@
 
 #define RECORD "0123456789abcdef"
 
+static struct upstream_pool *get_pool(struct fake_router *f, const char *name)
+{
+	return leaf_set_get_pool(router_leaves(f->router), name);
+}
+
 static struct route_leaf *find_leaf(struct fake_router *f, const char *id)
 {
 	return g_hash_table_lookup(router_leaves(f->router)->leaves, id);
@@ -269,6 +274,32 @@
 	fake_router_destroy(f);
 }
 
+/*
+ * Guards against the part of a batch, which may use the leaves of one failure
+ * domain only, that makes all waits at the upstream look longer.
+ */
+static void test_drain_with_batch(void)
+{
+	static const char *const shards[] = { "s0" };
+	struct fake_router *f = fake_router_create(1);
+	struct router_request in = {
+		.id = "b",
+		.host = "example",
+		.path = "/search/x",
+		.goal_us = 100 * US_PER_MS,
+		.shards = shards,
+		.shard_count = 1,
+	};
+	double drain;
+
+	fill_leaves(f, "/get/x");
+	drain = get_pool(f, "s0")->drain;
+	CU_ASSERT_TRUE(drain > 0);
+	router_start(f->router, &in);
+	CU_ASSERT_TRUE(get_pool(f, "s0")->drain >= 0.9 * drain);
+	fake_router_destroy(f);
+}
+
 CU_TestInfo waiting_tests[] = {
 	{ "removed organisation", test_removed_organisation },
 	{ "infeasible in batch", test_infeasible_in_batch },
@@ -278,5 +309,6 @@
 	{ "work beyond deadline", test_work_beyond_deadline },
 	{ "revoked behind others", test_revoked_behind_others },
 	{ "stop behind others", test_stop_behind_others },
+	{ "drain with batch", test_drain_with_batch },
 	CU_TEST_INFO_NULL,
 };
