router: count first calls for the budget when they are sent

Parts were counted when they joined the queue, also those that were refused there: under overload, when many are, the budget of extra calls grew with requests for which no leaf was called. It is meant to be a share of the first calls.

--- a/router/part.c
+++ b/router/part.c
@@ -137,6 +137,9 @@
 	struct leaf_call *c = id_table_take(&r->calls);
 	struct router_call call;
 
+	/* The first calls of a batch are counted by the host that sent it. */
+	if (!p->sent_count && !q->is_repeat && !q->is_partial)
+		extra_calls_note_first(&p->pool->extra, now);
 	c->part = p;
 	c->stats = route_stats_ref(q->stats);
 	c->leaf = route_leaf_ref(leaf);
@@ -447,10 +450,7 @@
 		p->phase = PART_FAILED;
 		return;
 	}
-	/* The first calls of a batch are counted by the host that sent it. */
-	if (!q->is_repeat && !q->is_partial) {
-		extra_calls_note_first(&p->pool->extra, now);
-	} else if (q->is_repeat) {
+	if (q->is_repeat) {
 		/* A leaf may have run a call of another host. */
 		p->run_count = 1;
 		if (p->run_count >= q->route->max_attempts ||
@@ -461,6 +461,7 @@
 		}
 	}
 	if (p->batch) {
+		extra_calls_note_first(&p->pool->extra, now);
 		p->phase = PART_RUNNING;
 		arm_hedge(r, p, now + BATCH_MARGIN_US);
 	} else if (p->planned_leaf &&
--- a/test/unit/test_waiting.c
+++ b/test/unit/test_waiting.c
@@ -300,6 +300,23 @@
 	fake_router_destroy(f);
 }
 
+/*
+ * Guards against extra calls in proportion to requests that were refused in the
+ * queue: no call was sent for them.
+ */
+static void test_budget_without_refused(void)
+{
+	struct fake_router *f = fake_router_create(1);
+
+	fill_leaves(f, "/get/x");
+	fake_router_start_request(f, "/get/x", 0);
+	fake_router_start_request(f, "/get/x", 0);
+	CU_ASSERT_EQUAL(get_pool(f, "s0")->extra.first_sum, f->call_count);
+	fake_router_end_call(f, 0, CALL_ANSWERED, 200, RECORD);
+	CU_ASSERT_EQUAL(get_pool(f, "s0")->extra.first_sum, f->call_count);
+	fake_router_destroy(f);
+}
+
 CU_TestInfo waiting_tests[] = {
 	{ "removed organisation", test_removed_organisation },
 	{ "infeasible in batch", test_infeasible_in_batch },
@@ -310,5 +327,6 @@
 	{ "revoked behind others", test_revoked_behind_others },
 	{ "stop behind others", test_stop_behind_others },
 	{ "drain with batch", test_drain_with_batch },
+	{ "budget without refused", test_budget_without_refused },
 	CU_TEST_INFO_NULL,
 };
