router: cut waits that are too long for the type of times

Where leaves name limits that permit next to nothing, the product of a wait and its factors exceeded the range of int64_t. The conversion is undefined; on x86-64 the result is negative, so the wait counted as none and the request was queued instead of refused.

--- a/include/router/internal.h
+++ b/include/router/internal.h
@@ -9,6 +9,8 @@
 #include "router/router.h"
 #include "router/triage.h"
 
+/** Longer waits are cut to this, so that sums of times do not overflow. */
+#define WAIT_MAX_US (INT64_MAX / 4)
 /** Maximum number of calls in flight for one part. */
 #define PART_CALLS_MAX 3
 /** Maximum number of batches of one request; other hosts answer them. */
--- a/router/choice.c
+++ b/router/choice.c
@@ -248,7 +248,7 @@
 		return;
 	}
 	waiting_note_drain(r, part, own * turn / MAX(limited, 1));
-	choice->wait_us = (int64_t)MIN(limited, (double)INT64_MAX / 4);
+	choice->wait_us = (int64_t)MIN(limited, (double)WAIT_MAX_US);
 	choice->expected_us = (int64_t)o->limited_us;
 }
 
--- a/router/part.c
+++ b/router/part.c
@@ -206,7 +206,8 @@
 	double wait =
 		WAIT_MARGIN * waiting_slowdown(r, p) * (double)choice->wait_us;
 
-	return request_end_of(r, p->request, (int64_t)wait,
+	return request_end_of(r, p->request,
+			      (int64_t)MIN(wait, (double)WAIT_MAX_US),
 			      choice->expected_us);
 }
 
--- a/router/waiting.c
+++ b/router/waiting.c
@@ -193,11 +193,13 @@
 int64_t waiting_time(const struct router *r, const struct route_part *p)
 {
 	int64_t own = request_typical_work(p->request);
+	double wait;
 
 	if (p->pool->drain <= 0)
 		return 0;
-	return (int64_t)((double)(waiting_work_before(p) + own) /
-			 p->pool->drain * waiting_slowdown(r, p));
+	wait = (double)(waiting_work_before(p) + own) / p->pool->drain *
+	       waiting_slowdown(r, p);
+	return (int64_t)MIN(wait, (double)WAIT_MAX_US);
 }
 
 bool waiting_is_restricted(const struct route_part *p)
--- a/test/unit/test_waiting.c
+++ b/test/unit/test_waiting.c
@@ -317,6 +317,23 @@
 	fake_router_destroy(f);
 }
 
+/*
+ * Guards against a wait that is too long for the type of times and then counts
+ * as none: the leaves name limits that permit next to nothing.
+ */
+static void test_endless_wait(void)
+{
+	struct fake_router *f = fake_router_create(1);
+	struct upstream_pool *pool = get_pool(f, "s0");
+	const struct route_request *q;
+
+	q = id_table_find(&f->router->requests, fill_leaves(f, "/get/x"));
+	pool->drain = 1e-19;
+	triage_queue_note_taken(&pool->waiting, 0, US_PER_S, f->time.now_us);
+	CU_ASSERT_TRUE(waiting_time(f->router, &q->parts[0]) > US_PER_S);
+	fake_router_destroy(f);
+}
+
 CU_TestInfo waiting_tests[] = {
 	{ "removed organisation", test_removed_organisation },
 	{ "infeasible in batch", test_infeasible_in_batch },
@@ -328,5 +345,6 @@
 	{ "stop behind others", test_stop_behind_others },
 	{ "drain with batch", test_drain_with_batch },
 	{ "budget without refused", test_budget_without_refused },
+	{ "endless wait", test_endless_wait },
 	CU_TEST_INFO_NULL,
 };
