triage: do not take the first requests of an organisation for excess

Once a host had seen requests for 10 s, an organisation without any history had no allowance: its first request ranked as excess, and counted as a tenth of usual demand. Where an organisation sends a host one request in some minutes, as the small ones of a skewed distribution do, most of its requests ranked with those of an organisation that sends far too many. The allowance begins with the four requests to which it accumulates later.

--- a/router/triage.c
+++ b/router/triage.c
@@ -57,8 +57,9 @@
 #define EXCESS_FACTOR 1.5
 /* Share of the excess that counts as usual demand. */
 #define EXCESS_WEIGHT 0.1
-/* Time for which the allowed work accumulates. */
+/* Time and requests for which the allowed work accumulates. */
 #define ALLOWED_TIME_US (2 * US_PER_S)
+#define ALLOWED_REQUESTS 4
 /* No history is long enough to tell what is usual. */
 #define USUAL_MIN_US (10 * US_PER_S)
 
@@ -271,6 +272,7 @@
 	double others_usual;
 	double allowed;
 	double growth = 1;
+	bool is_first = !d->first_at_us;
 	bool is_excess = false;
 
 	decay_demand(d, now_us);
@@ -285,8 +287,11 @@
 		EXCESS_FACTOR * growth *
 		rate_of(d->usual, USUAL_HALF_LIFE_US, all->first_at_us, now_us);
 	d->allowed += allowed * (double)age;
-	d->allowed =
-		MIN(d->allowed, allowed * (double)ALLOWED_TIME_US + 4 * work);
+	d->allowed = MIN(d->allowed, allowed * (double)ALLOWED_TIME_US +
+					     ALLOWED_REQUESTS * work);
+	/* Nothing tells yet what is usual. */
+	if (is_first)
+		d->allowed = ALLOWED_REQUESTS * work;
 	if (now_us - all->first_at_us > USUAL_MIN_US)
 		is_excess = d->allowed < work;
 	if (!is_excess)
--- a/test/unit/test_triage.c
+++ b/test/unit/test_triage.c
@@ -208,6 +208,26 @@
 		CU_ASSERT_EQUAL(excess[i], 0);
 }
 
+/*
+ * Guards against an organisation of few requests whose first ones count as
+ * excess, like those of an organisation that sends far too many.
+ */
+static void test_rare_demand(void)
+{
+	struct triage_demand all = { 0 };
+	struct triage_demand often = { 0 };
+	struct triage_demand rare = { 0 };
+	uint32_t excess = 0;
+
+	for (int64_t ms = 1; ms < 900000; ms += 10) {
+		triage_demand_note(&often, &all, 1000, ms * US_PER_MS);
+		if (ms % 100000 == 30001)
+			excess += triage_demand_note(&rare, &all, 1000,
+						     ms * US_PER_MS);
+	}
+	CU_ASSERT_EQUAL(excess, 0);
+}
+
 CU_TestInfo triage_tests[] = {
 	{ "order", test_order },
 	{ "random changes", test_random_changes },
@@ -216,5 +236,6 @@
 	{ "neglected", test_neglected },
 	{ "gives way", test_gives_way },
 	{ "demand", test_demand },
+	{ "rare demand", test_rare_demand },
 	CU_TEST_INFO_NULL,
 };
