router: refuse no request for one that cannot be answered anyway

A gather without room refused up to four requests for each of its parts, also if other parts could not be answered in any case, and went on after a part had got no room. The requests were lost and the gather was refused all the same. It stops now as soon as the parts without room exceed what its coverage allows.

--- a/router/request.c
+++ b/router/request.c
@@ -559,11 +559,41 @@
 	return gather_can_reach_coverage(q) && may_leave_out(q);
 }
 
-/* Plans a part for which there was no room again, after others were refused. */
-static bool make_room(struct router *r, struct route_part *p)
+/* Returns whether the refusal of other requests may give room to a part. */
+static bool may_make_room(const struct route_part *p)
 {
-	return p->is_infeasible && p->is_crowded && !p->planned_leaf &&
-	       waiting_displace(r, p) && part_plan(r, p);
+	return p->is_infeasible && p->is_crowded && !p->planned_leaf;
+}
+
+static bool can_lose(const struct route_request *q, uint32_t parts)
+{
+	return !parts || (q->route->shape == ROUTE_GATHER &&
+			  gather_reaches_coverage(q, q->part_count - parts));
+}
+
+/*
+ * Refuses other requests and plans parts again for which there was no room, as
+ * long as enough of them may get it.
+ */
+static void make_room(struct router *r, struct route_request *q)
+{
+	uint32_t lost = 0;
+
+	for (uint32_t i = 0; i < q->part_count; i++)
+		lost += q->parts[i].is_infeasible &&
+			!may_make_room(&q->parts[i]);
+	for (uint32_t i = 0; i < q->part_count && !can_be_answered(q); i++) {
+		struct route_part *p = &q->parts[i];
+
+		if (!can_lose(q, lost))
+			return;
+		if (!may_make_room(p))
+			continue;
+		if (waiting_displace(r, p) && part_plan(r, p))
+			q->failed_count--;
+		else
+			lost++;
+	}
 }
 
 /*
@@ -576,10 +606,7 @@
 		if (!part_plan(r, &q->parts[i]))
 			q->failed_count++;
 	}
-	for (uint32_t i = 0; i < q->part_count && !can_be_answered(q); i++) {
-		if (make_room(r, &q->parts[i]))
-			q->failed_count--;
-	}
+	make_room(r, q);
 	return can_be_answered(q);
 }
 
--- a/test/unit/test_waiting.c
+++ b/test/unit/test_waiting.c
@@ -274,6 +274,36 @@
 	fake_router_destroy(f);
 }
 
+/*
+ * Guards against requests that are refused to make room for a gather which
+ * cannot be answered, because other shards have no leaf.
+ */
+static void test_displaced_in_vain(void)
+{
+	struct fake_router *f = fake_router_create(4);
+	struct route_table *t = fake_router_create_table(4, 2);
+	struct route *large = &t->routes[1];
+	char id[16];
+
+	large->shape = ROUTE_GATHER;
+	large->goal_us = 900 * US_PER_MS;
+	large->target_count = 2;
+	large->targets[0].upstream = 2;
+	large->targets[1].upstream = 3;
+	router_apply_table(f->router, t);
+	for (int i = 0; i < 6; i++) {
+		g_snprintf(id, sizeof(id), "s%d-%c", i / 3, 'a' + i % 3);
+		leaf_set_remove(router_leaves(f->router), id, 0,
+				f->time.now_us);
+	}
+	while (fake_router_start_request(f, "/get/x", 0))
+		;
+	CU_ASSERT_EQUAL(f->answer_count, 1);
+	CU_ASSERT_EQUAL(fake_router_start_request(f, "/search/x", 0), 0);
+	CU_ASSERT_EQUAL(f->answer_count, 2);
+	fake_router_destroy(f);
+}
+
 /*
  * Guards against the part of a batch, which may use the leaves of one failure
  * domain only, that makes all waits at the upstream look longer.
@@ -343,6 +373,7 @@
 	{ "work beyond deadline", test_work_beyond_deadline },
 	{ "revoked behind others", test_revoked_behind_others },
 	{ "stop behind others", test_stop_behind_others },
+	{ "displaced in vain", test_displaced_in_vain },
 	{ "drain with batch", test_drain_with_batch },
 	{ "budget without refused", test_budget_without_refused },
 	{ "endless wait", test_endless_wait },
