--- a/include/router/internal.h
+++ b/include/router/internal.h
@@ -9,6 +9,8 @@
 #include "router/router.h"
 #include "router/triage.h"
 
+/** Longer waits are cut to this, so that sums of times do not overflow. */
+#define WAIT_MAX_US (INT64_MAX / 4)
 /** Maximum number of calls in flight for one part. */
 #define PART_CALLS_MAX 3
 /** Maximum number of batches of one request; other hosts answer them. */
@@ -50,8 +52,12 @@
 	uint64_t split_position;
 };
 
-/** What is known of an organisation by its name. */
+/**
+ * What is known of an organisation by its name. It is dropped when a table
+ * without the organisation is put in force. Requests hold references.
+ */
 struct organisation_stats {
+	int refs;
 	struct triage_class class;
 	struct triage_demand demand;
 };
@@ -156,6 +162,8 @@
 	int64_t work_us;
 	int64_t left_us;
 	uint32_t waiting_count;
+	/** A leaf was free: the refusal shows no lack of capacity. */
+	bool is_leaf_free;
 };
 
 /** Request in flight. */
@@ -191,9 +199,11 @@
 	uint64_t regions_version;
 	const struct organisation *regions_organisation;
 	struct route_stats *stats;
-	/** Of the organisation, or NULL; owned by the router. */
+	/** Of the organisation at the arrival of the request, or NULL. */
 	struct organisation_stats *organisation_stats;
 	struct triage_value value;
+	/** Starts although its estimated work excludes it. */
+	bool is_trial;
 	struct triage_refusal refusal;
 	/** Next review while parts wait and no call was sent. */
 	struct router_timer review_timer;
@@ -475,6 +485,11 @@
 void waiting_add(struct router *r, struct route_part *p);
 void waiting_remove(struct router *r, struct route_part *p);
 bool waiting_is_empty(const struct router *r);
+/** Returns whether a part may not be sent to all leaves of its pool. */
+bool waiting_is_restricted(const struct route_part *p);
+/** Notes the work that starts in each microsecond, as far as a part sees it. */
+void waiting_note_drain(struct router *r, const struct route_part *p,
+			double work_per_us);
 /** Returns the work that starts before a part which is not in the queue. */
 int64_t waiting_work_before(const struct route_part *p);
 /** Returns the remaining wait of a part in the queue. */
@@ -505,6 +520,8 @@
 bool waiting_has_rival(const struct router *r, const struct route_part *p);
 /** Drops organisations that are not in the table in force. */
 void waiting_apply_table(struct router *r);
+/** Takes a pointer to struct organisation_stats, or NULL. */
+void organisation_stats_unref(gpointer stats);
 
 /* part.c */
 /**
@@ -571,6 +588,9 @@
 void request_note_figures(struct router *r, struct route_request *q,
 			  const struct route_part *p, int64_t wait_us,
 			  int64_t work_us);
+/** Notes those of a part whose work alone takes longer than the deadline. */
+void request_note_excess_work(struct router *r, struct route_request *q,
+			      const struct route_part *p, int64_t work_us);
 /** Counts the ended parts; ends the request if its outcome is certain. */
 void request_handle_part_end(struct router *r, struct route_request *q);
 
--- a/router/choice.c
+++ b/router/choice.c
@@ -235,7 +235,7 @@
 }
 
 /* Fills in the wait for the first of the leaves that were passed over. */
-static void set_wait(const struct router *r, struct leaf_choice *choice,
+static void set_wait(struct router *r, struct leaf_choice *choice,
 		     const struct route_part *part, const struct passed_over *o)
 {
 	double own = (double)request_typical_work(part->request);
@@ -254,11 +254,11 @@
 	    (o->limited_wait_us == INT64_MAX || busy <= limited)) {
 		choice->wait_us = (int64_t)busy;
 		choice->expected_us = (int64_t)o->least_busy_us;
-		part->pool->drain = own * turn / busy;
+		waiting_note_drain(r, part, own * turn / busy);
 		return;
 	}
-	part->pool->drain = own * turn / MAX(limited, 1);
-	choice->wait_us = (int64_t)MIN(limited, (double)INT64_MAX / 4);
+	waiting_note_drain(r, part, own * turn / MAX(limited, 1));
+	choice->wait_us = (int64_t)MIN(limited, (double)WAIT_MAX_US);
 	choice->expected_us = (int64_t)o->limited_us;
 }
 
--- a/router/part.c
+++ b/router/part.c
@@ -137,6 +137,9 @@
 	struct leaf_call *c = id_table_take(&r->calls);
 	struct router_call call;
 
+	/* The first calls of a batch are counted by the host that sent it. */
+	if (!p->sent_count && !q->is_repeat && !q->is_partial)
+		extra_calls_note_first(&p->pool->extra, now);
 	c->part = p;
 	c->stats = route_stats_ref(q->stats);
 	c->leaf = route_leaf_ref(leaf);
@@ -214,7 +217,8 @@
 	double wait =
 		WAIT_MARGIN * waiting_slowdown(r, p) * (double)choice->wait_us;
 
-	return request_end_of(r, p->request, (int64_t)wait,
+	return request_end_of(r, p->request,
+			      (int64_t)MIN(wait, (double)WAIT_MAX_US),
 			      choice->expected_us);
 }
 
@@ -378,15 +382,34 @@
 	return MIN(until, stop_last_answer(r));
 }
 
-static bool is_feasible(struct router *r, struct route_part *p,
-			const struct leaf_choice *choice)
+/*
+ * Returns whether a call to a free leaf starts although it is expected to end
+ * after the deadline. Without a queue at the leaf, only an estimate of the work
+ * excludes it.
+ */
+static bool may_be_too_late(struct router *r, const struct route_part *p,
+			    const struct route_leaf *leaf)
 {
 	struct route_request *q = p->request;
+	int64_t now = router_now(r);
+
+	if (leaf_queued_calls(leaf, now) <= 0 &&
+	    now + work_estimate_low(&q->stats->work) <= q->deadline_us)
+		return true;
+	/* A trial of some parts only would be refused as a whole. */
+	q->is_trial = q->is_trial ||
+		      work_estimate_may_try(&q->stats->work, now);
+	return q->is_trial;
+}
 
+static bool is_feasible(struct router *r, struct route_part *p,
+			const struct leaf_choice *choice)
+{
 	if (!choice->leaf && !choice->usable_count)
 		return false;
 	if (!r->has_triage)
-		return choice->leaf || ends_until(r, choice, plan_until(r, q));
+		return choice->leaf ||
+		       ends_until(r, choice, plan_until(r, p->request));
 	switch (end_of_choice(r, p, choice)) {
 	case TRIAGE_IN_GOAL:
 		return true;
@@ -394,9 +417,8 @@
 		p->is_crowded = !may_be_late(r, p, choice);
 		return !p->is_crowded;
 	case TRIAGE_TOO_LATE:
-		p->is_crowded = true;
-		return choice->leaf &&
-		       work_estimate_may_try(&q->stats->work, router_now(r));
+		p->is_crowded = !choice->leaf;
+		return choice->leaf && may_be_too_late(r, p, choice->leaf);
 	case TRIAGE_STOPPED:
 		break;
 	}
@@ -417,6 +439,8 @@
 	if (p->is_crowded)
 		request_note_figures(r, p->request, p, choice.wait_us,
 				     choice.expected_us);
+	else if (choice.leaf && !p->request->refusal.reason)
+		request_note_excess_work(r, p->request, p, choice.expected_us);
 	leaf_access_log_none(r, p);
 	return false;
 }
@@ -457,10 +481,7 @@
 		p->phase = PART_FAILED;
 		return;
 	}
-	/* The first calls of a batch are counted by the host that sent it. */
-	if (!q->is_repeat && !q->is_partial) {
-		extra_calls_note_first(&p->pool->extra, now);
-	} else if (q->is_repeat) {
+	if (q->is_repeat) {
 		/* A leaf may have run a call of another host. */
 		p->run_count = 1;
 		if (p->run_count >= q->route->max_attempts ||
@@ -471,6 +492,7 @@
 		}
 	}
 	if (p->batch) {
+		extra_calls_note_first(&p->pool->extra, now);
 		p->phase = PART_RUNNING;
 		arm_hedge(r, p, now + BATCH_MARGIN_US);
 	} else if (p->planned_leaf &&
--- a/router/request.c
+++ b/router/request.c
@@ -150,6 +150,7 @@
 	batch_clear_all(r, q);
 	g_free(q->parts);
 	route_stats_unref(q->stats);
+	organisation_stats_unref(q->organisation_stats);
 	g_free(q->claimed_organisation);
 	route_table_unref(q->identity_table);
 	route_table_unref(q->table);
@@ -166,6 +167,9 @@
 
 static bool may_have_run(const struct route_request *q)
 {
+	/* Leaves of another host may have, also if no part was started here. */
+	if (q->is_repeat)
+		return true;
 	for (uint32_t i = 0; i < q->part_count; i++) {
 		if (q->parts[i].run_count)
 			return true;
@@ -210,7 +214,8 @@
 static void note_refusal(struct router *r, const struct route_request *q)
 {
 	counter_add(&refusals[q->refusal.reason], 1);
-	request_note_class(r, q, false);
+	if (!q->refusal.is_leaf_free)
+		request_note_class(r, q, false);
 }
 
 /* Answers a failed request, with status 503 only if no leaf may have run it. */
@@ -257,6 +262,14 @@
 	};
 }
 
+void request_note_excess_work(struct router *r, struct route_request *q,
+			      const struct route_part *p, int64_t work_us)
+{
+	request_note_figures(r, q, p, 0, work_us);
+	q->refusal.reason = TRIAGE_DEADLINE_MISSED;
+	q->refusal.is_leaf_free = true;
+}
+
 static const struct route_part *find_waiting_part(const struct route_request *q)
 {
 	for (uint32_t i = 0; i < q->part_count; i++) {
@@ -547,11 +560,41 @@
 	return gather_can_reach_coverage(q) && may_leave_out(r, q);
 }
 
-/* Plans a part for which there was no room again, after others were refused. */
-static bool make_room(struct router *r, struct route_part *p)
+/* Returns whether the refusal of other requests may give room to a part. */
+static bool may_make_room(const struct route_part *p)
+{
+	return p->is_infeasible && p->is_crowded && !p->planned_leaf;
+}
+
+static bool can_lose(const struct route_request *q, uint32_t parts)
 {
-	return p->is_infeasible && p->is_crowded && !p->planned_leaf &&
-	       waiting_displace(r, p) && part_plan(r, p);
+	return !parts || (q->route->shape == ROUTE_GATHER &&
+			  gather_reaches_coverage(q, q->part_count - parts));
+}
+
+/*
+ * Refuses other requests and plans parts again for which there was no room, as
+ * long as enough of them may get it.
+ */
+static void make_room(struct router *r, struct route_request *q)
+{
+	uint32_t lost = 0;
+
+	for (uint32_t i = 0; i < q->part_count; i++)
+		lost += q->parts[i].is_infeasible &&
+			!may_make_room(&q->parts[i]);
+	for (uint32_t i = 0; i < q->part_count && !can_be_answered(r, q); i++) {
+		struct route_part *p = &q->parts[i];
+
+		if (!can_lose(q, lost))
+			return;
+		if (!may_make_room(p))
+			continue;
+		if (waiting_displace(r, p) && part_plan(r, p))
+			q->failed_count--;
+		else
+			lost++;
+	}
 }
 
 /*
@@ -564,10 +607,7 @@
 		if (!part_plan(r, &q->parts[i]))
 			q->failed_count++;
 	}
-	for (uint32_t i = 0; i < q->part_count && !can_be_answered(r, q); i++) {
-		if (make_room(r, &q->parts[i]))
-			q->failed_count--;
-	}
+	make_room(r, q);
 	return can_be_answered(r, q);
 }
 
--- a/router/token_cache.c
+++ b/router/token_cache.c
@@ -11,7 +11,7 @@
 #define STANDING_S 0.5
 #define SPENT_HALF_LIFE_US (2 * US_PER_S)
 /* The tokens of a key are renewed for this time after its last request. */
-#define RENEW_US (30 * US_PER_S)
+#define RENEW_US (10 * US_PER_S)
 /* They are renewed when a later grant has this age. */
 #define RENEW_AGE_US (TOKEN_STANDING_US / 2)
 /* Shortest interval between claims for a key, answered or not. */
--- a/router/token_pool.c
+++ b/router/token_pool.c
@@ -45,7 +45,7 @@
 #define STANDING_SLOTS ((int)(TOKEN_STANDING_US / STANDING_SLOT_US) + 1)
 /* Parts of a bucket's size that one claim of a cache, and all caches, get. */
 #define STANDING_CLAIM_PART 0.17
-#define STANDING_PART 0.7
+#define STANDING_PART 0.5
 /* Time until the next claim of a cache that got no tokens. */
 #define STANDING_RETRY_US (1 * US_PER_S)
 #define UNMET_HALF_LIFE_US (500 * US_PER_MS)
--- a/router/waiting.c
+++ b/router/waiting.c
@@ -18,6 +18,11 @@
  * be sent to all leaves.
  */
 #define FRONT_MAX 8
+/*
+ * Time for which the drain of a pool is not replaced by that of a part which
+ * may not be sent to all leaves: such a part sees some of the capacity only.
+ */
+#define DRAIN_VALID_US US_PER_S
 
 int64_t request_typical_work(const struct route_request *q)
 {
@@ -51,18 +56,30 @@
 	return triage_end_of(&limits, &work, router_now(r));
 }
 
+void organisation_stats_unref(gpointer stats)
+{
+	struct organisation_stats *s = stats;
+
+	if (s && !--s->refs)
+		g_free(s);
+}
+
+/* Returns a reference to the statistics of an organisation, or NULL. */
 static struct organisation_stats *
-find_organisation(struct router *r, const struct organisation *organisation)
+ref_organisation(struct router *r, const struct organisation *organisation)
 {
 	struct organisation_stats *s;
 
 	if (!organisation)
 		return NULL;
 	s = g_hash_table_lookup(r->organisations, organisation->name);
-	if (s)
-		return s;
-	s = g_new0(struct organisation_stats, 1);
-	g_hash_table_insert(r->organisations, g_strdup(organisation->name), s);
+	if (!s) {
+		s = g_new0(struct organisation_stats, 1);
+		s->refs = 1;
+		g_hash_table_insert(r->organisations,
+				    g_strdup(organisation->name), s);
+	}
+	s->refs++;
 	return s;
 }
 
@@ -85,7 +102,7 @@
 	/* The host that sent a batch has counted its request. */
 	if (q->is_partial)
 		return;
-	q->organisation_stats = find_organisation(r, q->organisation);
+	q->organisation_stats = ref_organisation(r, q->organisation);
 	v->is_neglected =
 		triage_class_note_offered(&q->stats->class, &r->class, now);
 	if (!q->organisation_stats)
@@ -182,11 +199,33 @@
 int64_t waiting_time(const struct router *r, const struct route_part *p)
 {
 	int64_t own = request_typical_work(p->request);
+	double wait;
 
 	if (p->pool->drain <= 0)
 		return 0;
-	return (int64_t)((double)(waiting_work_before(p) + own) /
-			 p->pool->drain * waiting_slowdown(r, p));
+	wait = (double)(waiting_work_before(p) + own) / p->pool->drain *
+	       waiting_slowdown(r, p);
+	return (int64_t)MIN(wait, (double)WAIT_MAX_US);
+}
+
+bool waiting_is_restricted(const struct route_part *p)
+{
+	const struct route_request *q = p->request;
+
+	return q->is_partial || q->route->regions ||
+	       (q->organisation && q->organisation->regions);
+}
+
+void waiting_note_drain(struct router *r, const struct route_part *p,
+			double work_per_us)
+{
+	int64_t now = router_now(r);
+
+	if (!waiting_is_restricted(p))
+		p->pool->drain_at_us = now;
+	else if (now - p->pool->drain_at_us < DRAIN_VALID_US)
+		return;
+	p->pool->drain = work_per_us;
 }
 
 static void note_waiting_pool(struct router *r, struct upstream_pool *pool)
@@ -495,6 +534,28 @@
 				  &q->parts[i].entry);
 }
 
+/* Ends the parts that wait, and the request if its outcome is certain. */
+static void fail_waiting_parts(struct router *r, struct route_request *q)
+{
+	for (uint32_t i = 0; i < q->part_count; i++) {
+		struct route_part *p = &q->parts[i];
+
+		if (p->phase != PART_WAITING)
+			continue;
+		waiting_remove(r, p);
+		p->phase = PART_FAILED;
+	}
+	request_handle_part_end(r, q);
+}
+
+/* Returns whether work that starts now ends after the deadline or the stop. */
+static bool cannot_end(struct router *r, const struct route_request *q)
+{
+	enum triage_end end = request_end_of(r, q, 0, request_typical_work(q));
+
+	return end == TRIAGE_TOO_LATE || end == TRIAGE_STOPPED;
+}
+
 static void handle_review(struct router *r, struct router_timer *t)
 {
 	struct route_request *q =
@@ -502,6 +563,17 @@
 
 	if (!has_waiting_parts(q))
 		return;
+	if (!recheck_caller(r, q)) {
+		fail_waiting_parts(r, q);
+		return;
+	}
+	if (cannot_end(r, q)) {
+		if (q->value.is_begun || q->is_partial)
+			fail_waiting_parts(r, q);
+		else
+			request_refuse(r, q, TRIAGE_DEADLINE_MISSED);
+		return;
+	}
 	if (router_now(r) > latest_start(q)) {
 		if (!review_late(r, q))
 			return;
@@ -569,14 +641,6 @@
 	}
 }
 
-static bool is_restricted(const struct route_part *p)
-{
-	const struct route_request *q = p->request;
-
-	return q->is_partial || q->route->regions ||
-	       (q->organisation && q->organisation->regions);
-}
-
 void waiting_start_pool(struct router *r, struct upstream_pool *pool)
 {
 	uint32_t at = 0;
@@ -590,7 +654,7 @@
 		p = part_of_entry(e);
 		switch (part_try_first(r, p)) {
 		case PART_BLOCKED:
-			if (!is_restricted(p))
+			if (!waiting_is_restricted(p))
 				return;
 			at++;
 			break;
