quotas: return a token to the organisation it was taken from

A request kept only the organisation by which its caller was last checked. If a new table revoked its key, or named no organisations any more, while it waited for a token or after a busy gatherer, there was none when the token was returned, and the process ended with a segmentation fault. If the key had moved to another organisation, the token was returned to that one or lost. The request now keeps the name by which the quota was asked.

--- a/include/nutmegpickd/route_internal.h
+++ b/include/nutmegpickd/route_internal.h
@@ -89,6 +89,11 @@
 	char *organisation;
 	/** The request waits for a token of the organisation's quota. */
 	bool is_quota_waiting;
+	/**
+	 * Organisation by which the quota was asked. A newer table may have
+	 * given the key to another one since.
+	 */
+	char *charged_organisation;
 	/** Of the token that the request has taken; 0 if it needed none. */
 	uint64_t quota_ticket;
 	/** The request waits until this host has its first routes. */
--- a/nutmegpickd/route_callers.c
+++ b/nutmegpickd/route_callers.c
@@ -205,6 +205,7 @@
 		host_frame_clear(q->frame);
 	g_free(q->frame);
 	g_free(q->organisation);
+	g_free(q->charged_organisation);
 	g_free(q);
 }
 
--- a/nutmegpickd/route_quotas.c
+++ b/nutmegpickd/route_quotas.c
@@ -118,6 +118,8 @@
 	in.left_us = route->timeout_us - elapsed;
 	if (q->wait_us > 0)
 		in.left_us = MIN(in.left_us, q->wait_us - elapsed);
+	g_free(q->charged_organisation);
+	q->charged_organisation = g_strdup(q->organisation);
 	switch (quota_ask(s->quota, &in, lease_now(s), &q->quota_ticket,
 			  &retry_after_us)) {
 	case QUOTA_ADMITTED:
@@ -135,15 +137,15 @@
 void route_cancel_quota(struct route_service *s, struct caller_request *q)
 {
 	if (q->is_quota_waiting)
-		quota_cancel(s->quota, q->organisation, q);
+		quota_cancel(s->quota, q->charged_organisation, q);
 	q->is_quota_waiting = false;
 }
 
 void route_return_quota(struct route_service *s, struct caller_request *q)
 {
 	if (q->quota_ticket)
-		quota_give_back(s->quota, q->organisation, q->quota_ticket,
-				lease_now(s));
+		quota_give_back(s->quota, q->charged_organisation,
+				q->quota_ticket, lease_now(s));
 	q->quota_ticket = 0;
 }
 
--- a/test/unit/main.c
+++ b/test/unit/main.c
@@ -37,6 +37,7 @@
 	{ "rate limit", NULL, NULL, NULL, NULL, rate_limit_tests },
 	{ "rate shares", NULL, NULL, NULL, NULL, rate_shares_tests },
 	{ "replies", NULL, NULL, NULL, NULL, reply_tests },
+	{ "route callers", NULL, NULL, NULL, NULL, route_caller_tests },
 	{ "route split", NULL, NULL, NULL, NULL, route_split_tests },
 	{ "route stats", NULL, NULL, NULL, NULL, route_stats_tests },
 	{ "router", NULL, NULL, NULL, NULL, router_tests },
--- a/test/unit/suites.h
+++ b/test/unit/suites.h
@@ -37,6 +37,7 @@
 extern CU_TestInfo rate_limit_tests[];
 extern CU_TestInfo rate_shares_tests[];
 extern CU_TestInfo reply_tests[];
+extern CU_TestInfo route_caller_tests[];
 extern CU_TestInfo route_split_tests[];
 extern CU_TestInfo route_stats_tests[];
 extern CU_TestInfo router_tests[];
