hosts: release held requests whatever the first of them displace

A held request that starts may displace a waiting one of another caller, which is then answered and freed. If that was the next in the list of requests, the loop over the held requests read it after it was freed, and held requests after it started only with the next round. The loop now takes down the held requests first, none of which can be displaced.

--- a/nutmegpickd/route_callers.c
+++ b/nutmegpickd/route_callers.c
@@ -379,20 +379,26 @@
 
 void route_release_held(struct route_service *s)
 {
-	GList *next;
+	GPtrArray *held;
 
 	if (!s->held_count || is_hold_open(s))
 		return;
-	for (GList *i = s->requests.head; i; i = next) {
+	/* A request that starts may displace others, but none that is held. */
+	held = g_ptr_array_sized_new(s->held_count);
+	for (GList *i = s->requests.head; i; i = i->next) {
 		struct caller_request *q = i->data;
 
-		next = i->next;
-		if (!q->is_held)
-			continue;
+		if (q->is_held)
+			g_ptr_array_add(held, q);
+	}
+	for (guint i = 0; i < held->len; i++) {
+		struct caller_request *q = held->pdata[i];
+
 		q->is_held = false;
 		s->held_count--;
 		start_request(s, q);
 	}
+	g_ptr_array_free(held, TRUE);
 }
 
 void route_start_remote(struct route_service *s, link_id link,
--- a/test/unit/test_route_callers.c
+++ b/test/unit/test_route_callers.c
@@ -276,7 +276,54 @@
 	}
 }
 
+static struct caller_request *request_at(struct fixture *f, guint at)
+{
+	return g_queue_peek_nth(&f->s.requests, at);
+}
+
+static void add_leaf(struct fixture *f)
+{
+	struct leaf_entry e = {
+		.id = g_strdup("s0-a"),
+		.service = g_strdup("s0"),
+		.domain = g_strdup("a"),
+		.slots = 4,
+		.sequence = 1,
+	};
+
+	leaf_set_put(router_leaves(f->s.router), &e, f->time.now_us);
+	router_leaves_changed(f->s.router);
+}
+
+/*
+ * Guards against a request that is used after it is freed: one that was held
+ * starts and displaces the next request of the list.
+ */
+static void test_held(void)
+{
+	struct fixture *f = create_fixture();
+	struct caller_request *q;
+
+	for (int i = 0; i < 3; i++)
+		start_request(f, i == 1 ? "/get/x" : "/none/x");
+	CU_ASSERT_EQUAL_FATAL(f->s.held_count, 3);
+	apply(f, CONFIGURATION("1", ""));
+	add_leaf(f);
+	q = request_at(f, 1);
+	q->is_held = false;
+	f->s.held_count--;
+	route_run_locally(&f->s, q, false);
+	CU_ASSERT_EQUAL(f->call_count, 1);
+	f->displaced = q;
+	route_release_held(&f->s);
+	CU_ASSERT_EQUAL(f->answer_count, 2);
+	CU_ASSERT_EQUAL(f->statuses[1], 404);
+	CU_ASSERT_EQUAL(f->s.held_count, 0);
+	destroy_fixture(f);
+}
+
 CU_TestInfo route_caller_tests[] = {
 	{ "charge", test_charge },
+	{ "held", test_held },
 	CU_TEST_INFO_NULL,
 };
