organisations: keep the key of a request of another host that waits

Before a configuration names organisations, a forwarded request carries the headers of its caller. When the first organisations came in force while it waited for a leaf, the gathering host answered 401 for a missing key, although the key was there and valid. The host now reads it on arrival.

--- a/nutmegpickd/route_callers.c
+++ b/nutmegpickd/route_callers.c
@@ -252,6 +252,7 @@
 	int64_t elapsed = clock_now(&s->clock) - q->start_us;
 	struct router_request in = {
 		.user = q,
+		.credentials = q->credentials,
 		.is_repeat = is_repeat,
 		.gatherers = is_repeat ? 0 : q->gatherers,
 	};
@@ -277,7 +278,6 @@
 		id = http_exchange_header(q->exchange, PLATFORM_REQUEST_ID);
 		in.host = http_exchange_header(q->exchange, "Host");
 		in.path = http_exchange_target(q->exchange);
-		in.credentials = q->credentials;
 		route = router_match(s->router, in.host, in.path);
 		if (route)
 			in.goal_us =
@@ -410,6 +410,11 @@
 	q->remote_id = frame->request.id;
 	q->frame = frame;
 	q->wait_us = frame->request.wait_us;
+	/*
+	 * The other host passes the key on if its table names no organisations.
+	 * The next table here may, while the request waits.
+	 */
+	q->credentials = platform_read_credentials(frame->request.headers);
 	route_run_locally(s, q, false);
 }
 
--- a/test/unit/test_route_callers.c
+++ b/test/unit/test_route_callers.c
@@ -322,8 +322,67 @@
 	destroy_fixture(f);
 }
 
+/* Starts a request of another host whose table names no organisations. */
+static void start_remote(struct fixture *f)
+{
+	struct http_header key = { "Authorization", "Bearer " KEY };
+	GArray *headers = g_array_new(FALSE, TRUE, sizeof(key));
+	struct gather_request g = {
+		.request_id = "r",
+		.version = 1,
+		.wait_us = 1500 * US_PER_MS,
+		.goal_left_us = 278 * US_PER_MS,
+		.method = "GET",
+		.host = "example",
+		.target = "/get/x",
+		.headers = headers,
+	};
+	struct host_frame *frame = g_new0(struct host_frame, 1);
+	GByteArray *data;
+
+	g_array_append_val(headers, key);
+	data = host_frame_gather(&g);
+	g_assert(!host_frame_decode(data->data, data->len, frame));
+	g_byte_array_free(data, TRUE);
+	g_array_free(headers, TRUE);
+	route_start_remote(&f->s, 1, frame);
+}
+
+/*
+ * Guards against 401 for a request of another host that waits when the first
+ * organisations come in force: its key is one of theirs.
+ */
+static void test_remote(void)
+{
+	struct fixture *f = create_fixture();
+	struct router_result result = { .outcome = CALL_ANSWERED,
+					.stamp = "stamp" };
+	uint32_t calls;
+
+	apply(f, CONFIGURATION("1", ""));
+	add_leaf(f);
+	do {
+		calls = f->call_count;
+		start_remote(f);
+	} while (f->call_count > calls);
+	CU_ASSERT_EQUAL(f->answer_count, 0);
+	apply(f, CONFIGURATION("2", ACME));
+	result.call_id = f->calls[0];
+	result.reply = leaf_reply_create();
+	result.reply->status = 200;
+	router_call_result(f->s.router, &result);
+	leaf_reply_unref(result.reply);
+	CU_ASSERT_EQUAL(f->answer_count, 1);
+	CU_ASSERT_EQUAL(f->statuses[0], 200);
+	CU_ASSERT_EQUAL(f->call_count, calls + 1);
+	CU_ASSERT_STRING_EQUAL(f->organisation, "acme");
+	route_cancel_link_requests(&f->s, 1);
+	destroy_fixture(f);
+}
+
 CU_TestInfo route_caller_tests[] = {
 	{ "charge", test_charge },
 	{ "held", test_held },
+	{ "remote", test_remote },
 	CU_TEST_INFO_NULL,
 };
