--- a/test/unit/test_identity.c
+++ b/test/unit/test_identity.c
@@ -9,6 +9,7 @@
 #include "net/http_header.h"
 #include "platform/headers.h"
 #include "platform/routes.h"
+#include "router/internal.h"
 #include "router/key_index.h"
 
 #define KEY_A "k3y-0f-acme-7f1c"
@@ -358,6 +359,43 @@
 		run_waiting_case(&waiting_cases[i]);
 }
 
+/*
+ * Guards against figures of an organisation that are used after a new table has
+ * freed them: its key has moved to another organisation, or needs none.
+ */
+static void test_figures(void)
+{
+	static const char *const tables[] = {
+		CONFIGURATION("3", TENANTS(TENANT("bolt", "\"" KEY_A "\""))),
+		CONFIGURATION("3", NO_TENANTS),
+		CONFIGURATION("3", TWO_TENANTS),
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(tables); i++) {
+		struct fake_router *f = fake_router_create(1);
+		const struct route_request *q;
+		uint32_t calls;
+
+		apply(f, BEFORE);
+		do {
+			calls = f->call_count;
+			q = id_table_find(&f->router->requests,
+					  start(f, "/get/", bearer(KEY_A),
+						NULL));
+		} while (f->call_count > calls);
+		CU_ASSERT_PTR_NOT_NULL_FATAL(q);
+		CU_ASSERT_PTR_NOT_NULL(q->organisation_stats);
+		apply(f, tables[i]);
+		fake_router_end_call(f, 0, CALL_ANSWERED, 200, NULL);
+		CU_ASSERT_EQUAL(f->call_count, calls + 1);
+		CU_ASSERT_PTR_EQUAL(
+			q->organisation_stats,
+			g_hash_table_lookup(f->router->organisations, "acme"));
+		fake_router_answer_all(f);
+		fake_router_destroy(f);
+	}
+}
+
 /* Guards against a retry or a hedge with a key that was revoked. */
 static void test_extra_calls(void)
 {
@@ -468,6 +506,7 @@
 	{ "configurations", test_configurations },
 	{ "arrival", test_arrival },
 	{ "waiting", test_waiting },
+	{ "figures", test_figures },
 	{ "extra calls", test_extra_calls },
 	{ "repeat", test_repeat },
 	{ "call head", test_call_head },
