router: answer 502 to a repeat that is refused

A request taken back from a host that did not confirm it may have run there. If no leaf could answer it here, or the host stopped, it was refused with 503, which guarantees that it has not run, and its token was returned to the quota although leaves may have run it.

--- a/router/request.c
+++ b/router/request.c
@@ -166,6 +166,9 @@
 
 static bool may_have_run(const struct route_request *q)
 {
+	/* Another host may have run it before it was taken back. */
+	if (q->is_repeat)
+		return true;
 	for (uint32_t i = 0; i < q->part_count; i++) {
 		if (q->parts[i].run_count)
 			return true;
--- a/test/unit/test_router.c
+++ b/test/unit/test_router.c
@@ -275,6 +275,32 @@
 	fake_router_destroy(f);
 }
 
+/*
+ * Guards against 503 for a request that another host may have run: the status
+ * states that nothing has.
+ */
+static void test_refused_repeat(void)
+{
+	struct fake_router *f = fake_router_create(2);
+	struct router_request in = {
+		.id = "r1",
+		.host = "example",
+		.path = "/search/x",
+		.is_repeat = true,
+	};
+
+	leaf_set_remove(router_leaves(f->router), "s1-a", 0, f->time.now_us);
+	leaf_set_remove(router_leaves(f->router), "s1-b", 0, f->time.now_us);
+	leaf_set_remove(router_leaves(f->router), "s1-c", 0, f->time.now_us);
+	CU_ASSERT_EQUAL(router_start(f->router, &in), 0);
+	CU_ASSERT_EQUAL(f->call_count, 0);
+	CU_ASSERT_EQUAL(f->answers[0].status, 502);
+	router_stop_at(f->router, f->time.now_us + 1);
+	CU_ASSERT_EQUAL(router_start(f->router, &in), 0);
+	CU_ASSERT_EQUAL(f->answers[1].status, 502);
+	fake_router_destroy(f);
+}
+
 /*
  * Guards against wasted calls: if all leaves of a shard are down or full, the
  * minimum coverage cannot be reached, and the other shards must not be called.
@@ -675,6 +701,7 @@
 	{ "version", test_version },
 	{ "caller left", test_caller_left },
 	{ "repeat", test_repeat },
+	{ "refused repeat", test_refused_repeat },
 	{ "hopeless", test_hopeless },
 	{ "shard down", test_shard_down },
 	{ "retry after", test_retry_after },
