places: end or move retries that are taken back from evacuated leaves

A call that is taken back before it is sent left its leaf among the tried ones, and a part with only tried leaves left counted as waiting for a free one. After a retry was taken back, or when an evacuation ended soon, such a part waited until its deadline. The leaf is now no longer a tried one, and a part without leaves that it may still try fails at once.

--- a/router/part.c
+++ b/router/part.c
@@ -322,7 +322,8 @@
 	if (!recheck_caller(r, q))
 		return give_up_waiting(r, p, TRIAGE_NOT_REFUSED);
 	choice = leaf_choose(r, p);
-	if (!choice.leaf && choice.usable_count)
+	/* A retry that was moved may have tried all leaves that are left. */
+	if (!choice.leaf && choice.is_busy)
 		return PART_BLOCKED;
 	if (!choice.leaf) {
 		leaf_access_log_none(r, p);
@@ -457,14 +458,30 @@
 	}
 }
 
+/*
+ * Lets a leaf that did not run a call be chosen again: it may have room before
+ * the goal of the gather, or its evacuation may end.
+ */
+static void remove_tried(struct route_part *p, const struct route_leaf *leaf)
+{
+	for (uint32_t i = 0; i < p->tried_count; i++) {
+		if (p->tried[i] != leaf)
+			continue;
+		p->tried[i] = p->tried[--p->tried_count];
+		return;
+	}
+}
+
 bool part_move_call(struct router *r, struct leaf_call *c)
 {
 	struct route_part *p = c->part;
 
 	if (!r->options.ops->withdraw_call(r->options.ctx, c->id))
 		return false;
-	if (p)
+	if (p) {
 		unlink_call(p, c);
+		remove_tried(p, c->leaf);
+	}
 	release_call(r, c);
 	if (!p)
 		return true;
@@ -532,20 +549,6 @@
 	return route->is_idempotent || !p->run_count;
 }
 
-/*
- * Lets a leaf that refused a call be chosen again: it may have room before the
- * goal of the gather.
- */
-static void remove_tried(struct route_part *p, const struct route_leaf *leaf)
-{
-	for (uint32_t i = 0; i < p->tried_count; i++) {
-		if (p->tried[i] != leaf)
-			continue;
-		p->tried[i] = p->tried[--p->tried_count];
-		return;
-	}
-}
-
 /* Returns whether a status states that the request was not run. */
 static bool is_not_run_status(unsigned int status)
 {
--- a/test/unit/test_places.c
+++ b/test/unit/test_places.c
@@ -233,6 +233,40 @@
 	fake_router_destroy(f);
 }
 
+/*
+ * Guards against a moved call whose part waits until its deadline because it
+ * counts the leaf that was not reached, or one that failed, as free.
+ */
+static void test_moved_retries(void)
+{
+	struct fake_router *f = fake_router_create(1);
+
+	fake_router_start_request(f, "/get/x", 0);
+	fake_router_end_call(f, 0, CALL_BROKEN, 0, NULL);
+	CU_ASSERT_EQUAL_FATAL(f->call_count, 2);
+	CU_ASSERT_STRING_EQUAL(f->calls[1].leaf_id, "s0-b");
+	router_set_evacuated(f->router, "c", true);
+	f->has_unsent_calls = true;
+	router_set_evacuated(f->router, "b", true);
+	CU_ASSERT_EQUAL(f->answer_count, 1);
+	CU_ASSERT_EQUAL(f->answers[0].status, 502);
+	fake_router_destroy(f);
+	f = fake_router_create(1);
+	f->has_unsent_calls = true;
+	router_set_evacuated(f->router, "c", true);
+	fake_router_start_request(f, "/put/x", 0);
+	for (int i = 0; i < 2; i++) {
+		router_set_evacuated(f->router, "a", true);
+		router_set_evacuated(f->router, "a", false);
+		router_set_evacuated(f->router, "b", true);
+		router_set_evacuated(f->router, "b", false);
+	}
+	CU_ASSERT_EQUAL(f->answer_count, 0);
+	CU_ASSERT_EQUAL(f->call_count, 5);
+	CU_ASSERT_STRING_EQUAL(f->calls[4].leaf_id, "s0-a");
+	fake_router_destroy(f);
+}
+
 /* Guards against a call that a leaf has begun to read and that is repeated. */
 static void test_begun_calls(void)
 {
@@ -576,6 +610,7 @@
 	{ "shard counts", test_shard_counts },
 	{ "evacuation", test_evacuation },
 	{ "moved calls", test_moved_calls },
+	{ "moved retries", test_moved_retries },
 	{ "begun calls", test_begun_calls },
 	{ "shard left out", test_shard_left_out },
 	{ "received batch", test_received_batch },
