--- a/nutmegpickd/route_callers.c
+++ b/nutmegpickd/route_callers.c
@@ -205,6 +205,7 @@
 		host_frame_clear(q->frame);
 	g_free(q->frame);
 	g_free(q->organisation);
+	g_free(q->charged_organisation);
 	g_free(q);
 }
 
@@ -251,6 +252,7 @@
 	int64_t elapsed = clock_now(&s->clock) - q->start_us;
 	struct router_request in = {
 		.user = q,
+		.credentials = q->credentials,
 		.is_repeat = is_repeat,
 		.gatherers = is_repeat ? 0 : q->gatherers,
 	};
@@ -276,7 +278,6 @@
 		id = http_exchange_header(q->exchange, PLATFORM_REQUEST_ID);
 		in.host = http_exchange_header(q->exchange, "Host");
 		in.path = http_exchange_target(q->exchange);
-		in.credentials = q->credentials;
 		route = router_match(s->router, in.host, in.path);
 		if (route)
 			in.goal_us =
@@ -378,20 +379,26 @@
 
 void route_release_held(struct route_service *s)
 {
-	GList *next;
+	GPtrArray *held;
 
 	if (!s->held_count || is_hold_open(s))
 		return;
-	for (GList *i = s->requests.head; i; i = next) {
+	/* A request that starts may displace others, but none that is held. */
+	held = g_ptr_array_sized_new(s->held_count);
+	for (GList *i = s->requests.head; i; i = i->next) {
 		struct caller_request *q = i->data;
 
-		next = i->next;
-		if (!q->is_held)
-			continue;
+		if (q->is_held)
+			g_ptr_array_add(held, q);
+	}
+	for (guint i = 0; i < held->len; i++) {
+		struct caller_request *q = held->pdata[i];
+
 		q->is_held = false;
 		s->held_count--;
 		start_request(s, q);
 	}
+	g_ptr_array_free(held, TRUE);
 }
 
 void route_start_remote(struct route_service *s, link_id link,
@@ -403,6 +410,11 @@
 	q->remote_id = frame->request.id;
 	q->frame = frame;
 	q->wait_us = frame->request.wait_us;
+	/*
+	 * The other host passes the key on if its table names no organisations.
+	 * The next table here may, while the request waits.
+	 */
+	q->credentials = platform_read_credentials(frame->request.headers);
 	route_run_locally(s, q, false);
 }
 
