--- a/router/recheck.c
+++ b/router/recheck.c
@@ -58,16 +58,6 @@
 		  (long long)((router_now(r) - q->start_us) / US_PER_MS));
 }
 
-/* A new table frees the figures of the organisations that it does not name. */
-static void update_organisation_stats(const struct router *r,
-				      struct route_request *q)
-{
-	q->organisation_stats =
-		q->organisation ? g_hash_table_lookup(r->organisations,
-						      q->organisation->name)
-				: NULL;
-}
-
 bool recheck_caller(struct router *r, struct route_request *q)
 {
 	struct identity who;
@@ -82,7 +72,6 @@
 	}
 	q->denied_code = 0;
 	q->organisation = who.organisation;
-	update_organisation_stats(r, q);
 	route_table_ref(r->table);
 	route_table_unref(q->identity_table);
 	q->identity_table = r->table;
