--- a/include/nutmegpickd/route_internal.h
+++ b/include/nutmegpickd/route_internal.h
@@ -146,6 +146,9 @@
 	/** What the metrics have counted. */
 	struct quota_counts quota_counts;
 	struct token_exchange *tokens;
+	/** Whether the table of a version has rates of tokens. */
+	bool has_quotas;
+	uint64_t quotas_version;
 	GRand *random;
 	bool is_draining;
 	/** Every request is answered by this time; INT64_MAX before a stop. */
--- a/include/router/router.h
+++ b/include/router/router.h
@@ -285,6 +285,9 @@
 const struct organisation *router_find_organisation(const struct router *r,
 						    const char *name);
 
+/** Returns whether the table in force limits organisations or cold leaves. */
+bool router_has_quotas(const struct router *r);
+
 /**
  * Returns the number of shards of a gathered route that have a usable leaf, by
  * failure domain. Valid until the next call.
--- a/include/router/token_exchange.h
+++ b/include/router/token_exchange.h
@@ -93,6 +93,12 @@
  */
 void token_exchange_advance(struct token_exchange *x);
 
+/**
+ * Lets this host grant as soon as it may, before it gets the first claim. Only
+ * for hosts with rates in their configuration.
+ */
+void token_exchange_prepare(struct token_exchange *x);
+
 /** Notes that this host heard of the store, itself or through its feed. */
 void token_exchange_note_store(struct token_exchange *x, int64_t at_us);
 
--- a/router/router.c
+++ b/router/router.c
@@ -145,6 +145,21 @@
 	return r->table ? route_table_find_organisation(r->table, name) : NULL;
 }
 
+bool router_has_quotas(const struct router *r)
+{
+	const struct route_table *t = r->table;
+
+	for (uint32_t i = 0; t && i < t->organisation_count; i++) {
+		if (t->organisations[i].rate_per_s > 0)
+			return true;
+	}
+	for (uint32_t i = 0; t && i < t->upstream_count; i++) {
+		if (t->upstreams[i].warm_up_per_s > 0)
+			return true;
+	}
+	return false;
+}
+
 static void count_domains(GHashTable *counts, struct upstream_pool *pool,
 			  int64_t now)
 {
--- a/router/token_exchange.c
+++ b/router/token_exchange.c
@@ -318,6 +318,15 @@
 	x->advanced = now;
 }
 
+void token_exchange_prepare(struct token_exchange *x)
+{
+	const struct host_directory *d = x->options.directory;
+
+	if (!has_joined(x, now_us(x)) &&
+	    g_hash_table_contains(d->hosts, d->self))
+		ask_views(x);
+}
+
 static void note_contact(struct token_exchange *x, int64_t at_us)
 {
 	if (at_us - x->contact_us > TOKEN_CONTACT_US)
