--- a/router/token_exchange.c
+++ b/router/token_exchange.c
@@ -99,8 +99,8 @@
 
 static void join_anew(struct token_exchange *x, int64_t now, const char *reason)
 {
-	/* A host that has not joined yet does not repeat it in the log. */
-	if (now - x->joined_us >= TOKEN_JOIN_US)
+	/* Of no interest before it has joined, or if it has granted nothing. */
+	if (now - x->joined_us >= TOKEN_JOIN_US && token_pool_count(x->pool))
 		event_log(EV_TOKEN_OWNER_JOINS,
 			  "host=%s reason=%s contact_ms=%lld",
 			  x->options.directory->self, reason,
