--- a/include/router/router.h
+++ b/include/router/router.h
@@ -347,6 +347,9 @@
 const struct organisation *router_find_organisation(const struct router *r,
 						    const char *name);
 
+/** Returns whether the table in force limits organisations or cold leaves. */
+bool router_has_quotas(const struct router *r);
+
 /**
  * Returns who sends a request, and whether it may run, by the table in force.
  * Every request that is started is checked; this is for requests that another
--- a/router/token_exchange.c
+++ b/router/token_exchange.c
@@ -103,8 +103,8 @@
 
 static void join_anew(struct token_exchange *x, int64_t now, const char *reason)
 {
-	/* A host that has not joined yet does not repeat it in the log. */
-	if (now - x->joined_us >= TOKEN_JOIN_US)
+	/* Of no interest before it has joined, or if it has granted nothing. */
+	if (now - x->joined_us >= TOKEN_JOIN_US && token_pool_count(x->pool))
 		event_log(EV_TOKEN_OWNER_JOINS,
 			  "host=%s reason=%s contact_ms=%lld",
 			  x->options.directory->self, reason,
@@ -322,6 +322,15 @@
 	x->advanced = now;
 }
 
+void token_exchange_prepare(struct token_exchange *x)
+{
+	const struct host_directory *d = x->options.directory;
+
+	if (!has_joined(x, now_us(x)) &&
+	    g_hash_table_contains(d->hosts, d->self))
+		ask_views(x);
+}
+
 static void note_contact(struct token_exchange *x, int64_t at_us)
 {
 	if (at_us - x->contact_us > TOKEN_CONTACT_US)
