--- a/test/unit/test_identity.c
+++ b/test/unit/test_identity.c
@@ -376,6 +376,7 @@
 		const struct route_request *q;
 		uint32_t calls;
 
+		router_set_triage(f->router, TRIAGE_ALWAYS);
 		apply(f, BEFORE);
 		do {
 			calls = f->call_count;
