--- a/include/router/router.h
+++ b/include/router/router.h
@@ -408,9 +408,6 @@
 /** Returns the time until the latency goal of a request that arrives now. */
 int64_t router_goal_left(const struct route *route);
 
-/** Returns whether an organisation of the table in force has a quota. */
-bool router_has_quotas(const struct router *r);
-
 /** Changes options.triage. */
 void router_set_triage(struct router *r, enum triage_mode mode);
 
--- a/router/router.c
+++ b/router/router.c
@@ -100,9 +100,14 @@
 
 bool router_has_quotas(const struct router *r)
 {
-	for (uint32_t i = 0; r->table && i < r->table->organisation_count;
-	     i++) {
-		if (r->table->organisations[i].rate_per_s > 0)
+	const struct route_table *t = r->table;
+
+	for (uint32_t i = 0; t && i < t->organisation_count; i++) {
+		if (t->organisations[i].rate_per_s > 0)
+			return true;
+	}
+	for (uint32_t i = 0; t && i < t->upstream_count; i++) {
+		if (t->upstreams[i].warm_up_per_s > 0)
 			return true;
 	}
 	return false;
@@ -231,6 +236,129 @@
 	return r->table ? route_table_find_organisation(r->table, name) : NULL;
 }
 
+static void update_triage(struct router *r)
+{
+	enum triage_mode mode = r->options.triage;
+
+	r->has_triage = mode == TRIAGE_ALWAYS ||
+			(mode == TRIAGE_WITH_ORGANISATIONS &&
+			 router_has_organisations(r));
+}
+
+void router_set_triage(struct router *r, enum triage_mode mode)
+{
+	r->options.triage = mode;
+	update_triage(r);
+}
+
+void router_set_extra_calls(struct router *r, uint32_t extra_calls)
+{
+	r->options.extra_calls = extra_calls;
+}
+
+double router_extra_allowance(const struct router *r,
+			      const struct route_request *q)
+{
+	double all = r->options.extra_calls;
+
+	/* The number of hosts is unknown and may be large. */
+	if (!r->host_count)
+		return EXTRA_UNKNOWN_HOSTS;
+	if (q->route->shape != ROUTE_GATHER || q->gatherers >= r->host_count)
+		return MIN(all * EXTRA_USED_SHARE / r->host_count,
+			   EXTRA_HOST_MAX);
+	if (!q->gatherers)
+		return MIN(all * EXTRA_OTHERS_SHARE / r->host_count,
+			   EXTRA_HOST_MAX);
+	return MIN(all * EXTRA_GATHERERS_SHARE / q->gatherers,
+		   EXTRA_GATHERER_MAX);
+}
+
+static void log_table(const struct router *r, const struct route_table *t)
+{
+	char counts[64] = "";
+
+	if (t->has_organisations)
+		g_snprintf(counts, sizeof(counts), " organisations=%u keys=%u",
+			   t->organisation_count, key_index_count(t->keys));
+	event_log(EV_ROUTES_IN_FORCE,
+		  "version=%llu previous=%llu routes=%u upstreams=%u%s",
+		  (unsigned long long)t->version,
+		  (unsigned long long)router_version(r), t->route_count,
+		  t->upstream_count, counts);
+}
+
+int router_apply_table(struct router *r, struct route_table *t)
+{
+	if (r->table && t->version <= r->table->version) {
+		route_table_unref(t);
+		return -ERR_ROUTE_VERSION;
+	}
+	log_table(r, t);
+	route_table_unref(r->table);
+	r->table = t;
+	for (uint32_t i = 0; i < t->upstream_count; i++) {
+		struct upstream_pool *pool =
+			leaf_set_get_pool(&r->leaves, t->upstreams[i].name);
+
+		pool->warm_up_per_s = t->upstreams[i].warm_up_per_s;
+		pool->warm_up_version = t->version;
+	}
+	r->identity_epoch++;
+	update_triage(r);
+	route_stats_apply_table(r);
+	waiting_apply_table(r);
+	return 0;
+}
+
+const struct route *router_match(const struct router *r, const char *host,
+				 const char *path)
+{
+	return r->table ? route_table_match(r->table, host, path) : NULL;
+}
+
+struct identity identify_caller(const struct router *r,
+				const struct router_request *request,
+				const struct route *route)
+{
+	struct identity_claim claim = {
+		.credentials = request->credentials,
+		.organisation = request->organisation,
+		.are_keys_stale = r->are_keys_stale,
+	};
+
+	return identity_check(r->table, route, &claim);
+}
+
+struct identity router_identify(const struct router *r,
+				const struct router_request *request)
+{
+	const struct route *route = NULL;
+
+	if (router_has_organisations(r))
+		route = router_match(r, request->host, request->path);
+	return identify_caller(r, request, route);
+}
+
+void router_set_keys_stale(struct router *r, bool are_stale)
+{
+	if (r->are_keys_stale == are_stale)
+		return;
+	r->are_keys_stale = are_stale;
+	r->identity_epoch++;
+}
+
+bool router_has_organisations(const struct router *r)
+{
+	return r->table && r->table->has_organisations;
+}
+
+const struct organisation *router_find_organisation(const struct router *r,
+						    const char *name)
+{
+	return r->table ? route_table_find_organisation(r->table, name) : NULL;
+}
+
 bool router_has_quotas(const struct router *r)
 {
 	const struct route_table *t = r->table;
