--- a/bench/quota_model.c
+++ b/bench/quota_model.c
@@ -49,7 +49,7 @@
 struct model_host {
 	double tokens;
 	int64_t tokens_at_us;
-	double rate_per_s;
+	double max_per_s;
 	uint32_t asked;
 	struct shared_rate share;
 	struct token_lease lease;
@@ -83,10 +83,10 @@
 
 static bool take_saved(const struct model *m, struct model_host *h, int64_t now)
 {
-	h->tokens = MIN(h->tokens + h->rate_per_s *
-					    (double)(now - h->tokens_at_us) /
-					    US_PER_S,
-			host_burst(m));
+	h->tokens =
+		MIN(h->tokens + h->max_per_s * (double)(now - h->tokens_at_us) /
+					US_PER_S,
+		    host_burst(m));
 	h->tokens_at_us = now;
 	if (h->tokens < 1)
 		return false;
@@ -108,9 +108,9 @@
 		struct model_host *h = &m->hosts[i];
 
 		/* Half is divided equally, for hosts without requests yet. */
-		h->rate_per_s = m->rate / 2 / m->host_count;
-		h->rate_per_s += sum > 0 ? m->rate / 2 * h->asked / sum
-					 : m->rate / 2 / m->host_count;
+		h->max_per_s = m->rate / 2 / m->host_count;
+		h->max_per_s += sum > 0 ? m->rate / 2 * h->asked / sum
+					: m->rate / 2 / m->host_count;
 		h->asked = 0;
 	}
 	m->messages += m->host_count;
@@ -144,7 +144,7 @@
 	struct lease_time t = { now, now };
 	struct token_claim claim = {
 		.key = "o",
-		.limit = { .rate_per_s = m->rate, .burst = m->burst },
+		.limit = { .max_per_s = m->rate, .burst = m->burst },
 	};
 	struct token_grant g;
 	uint64_t ticket;
@@ -193,7 +193,7 @@
 		.pool = token_pool_create(1),
 	};
 	for (uint32_t i = 0; i < hosts; i++) {
-		m->hosts[i].rate_per_s = m->rate / hosts;
+		m->hosts[i].max_per_s = m->rate / hosts;
 		m->hosts[i].tokens = host_burst(m);
 		m->hosts[i].tokens_at_us = 100 * US_PER_S;
 		token_lease_init(&m->hosts[i].lease);
@@ -407,7 +407,7 @@
 	for (uint32_t i = 0; i < COST_KEYS; i++) {
 		struct organisation o = {
 			.name = names[i],
-			.rate_per_s = 1000,
+			.max_per_s = 1000,
 			.burst = 1000,
 		};
 		struct quota_request in = {
--- a/include/router/table.h
+++ b/include/router/table.h
@@ -28,7 +28,7 @@
 	bool has_priority;
 	uint32_t priority;
 	/** Quota of all hosts together; no limit if both are 0. */
-	double rate_per_s;
+	double max_per_s;
 	double burst;
 	/** Regions in which its requests may be served; NULL for all. */
 	char **regions;
--- a/include/router/token_pool.h
+++ b/include/router/token_pool.h
@@ -43,7 +43,7 @@
 
 /** Bounds on the requests of all hosts together that a rate permits. */
 struct token_limit {
-	double rate_per_s;
+	double max_per_s;
 	double burst;
 	/** Bound on the cold calls of a leaf rather than on a quota. */
 	bool is_cold_leaf;
--- a/net/host_frame.c
+++ b/net/host_frame.c
@@ -247,7 +247,7 @@
 		pack_text(&pk, c->key);
 		pack_text(&pk, c->domain);
 		msgpack_pack_uint32(&pk, c->kind);
-		pack_rate(&pk, c->limit.rate_per_s);
+		pack_rate(&pk, c->limit.max_per_s);
 		pack_rate(&pk, c->limit.burst);
 		pack_flag(&pk, c->limit.is_cold_leaf);
 		msgpack_pack_uint64(&pk, c->limit.version);
@@ -544,7 +544,7 @@
 		c.kind = (enum token_claim_kind)read_count(&items);
 		if (c.kind > TOKEN_CLAIM_STANDING)
 			items.is_broken = true;
-		c.limit.rate_per_s = read_rate(&items);
+		c.limit.max_per_s = read_rate(&items);
 		c.limit.burst = read_rate(&items);
 		c.limit.is_cold_leaf = read_flag(&items);
 		c.limit.version = read_number(&items);
--- a/nutmegpickd/route_quotas.c
+++ b/nutmegpickd/route_quotas.c
@@ -48,10 +48,10 @@
 	if (!name || version <= limit->version)
 		return;
 	o = router_find_organisation(s->router, name);
-	if (o && o->rate_per_s <= 0)
+	if (o && o->max_per_s <= 0)
 		return;
 	*limit = (struct token_limit){
-		.rate_per_s = o ? o->rate_per_s : 0,
+		.max_per_s = o ? o->max_per_s : 0,
 		.burst = o ? o->burst : 0,
 		.version = version,
 	};
--- a/router/quota.c
+++ b/router/quota.c
@@ -109,7 +109,7 @@
 	}
 	if (in->version >= e->limit.version)
 		e->limit = (struct token_limit){
-			.rate_per_s = o->rate_per_s,
+			.max_per_s = o->max_per_s,
 			.burst = o->burst,
 			.version = in->version,
 		};
@@ -156,7 +156,7 @@
 	event_log(EV_QUOTA_EXCEEDED,
 		  "organisation=%s refused=%u rate=%.3f burst=%.3f "
 		  "admitted_lately=%.1f wanted=%.3f version=%llu",
-		  e->name, e->unreported, e->limit.rate_per_s, e->limit.burst,
+		  e->name, e->unreported, e->limit.max_per_s, e->limit.burst,
 		  e->admitted, token_lease_wanted(&e->lease, now),
 		  (unsigned long long)e->limit.version);
 	e->unreported = 0;
@@ -216,7 +216,7 @@
 	bool is_taken;
 
 	*ticket = 0;
-	if (!o || o->rate_per_s <= 0)
+	if (!o || o->max_per_s <= 0)
 		return QUOTA_ADMITTED;
 	e = get_entry(q, in, now.monotonic_us);
 	/* Earlier requests come first. */
--- a/router/rates.c
+++ b/router/rates.c
@@ -288,7 +288,7 @@
 {
 	*out = (struct token_claim){
 		.domain = leaf->entry.domain,
-		.limit = { .rate_per_s = leaf->pool->warm_up_per_s,
+		.limit = { .max_per_s = leaf->pool->warm_up_per_s,
 			   .is_cold_leaf = true,
 			   .version = leaf->pool->warm_up_version },
 	};
--- a/router/router.c
+++ b/router/router.c
@@ -226,7 +226,7 @@
 	const struct route_table *t = r->table;
 
 	for (uint32_t i = 0; t && i < t->organisation_count; i++) {
-		if (t->organisations[i].rate_per_s > 0)
+		if (t->organisations[i].max_per_s > 0)
 			return true;
 	}
 	for (uint32_t i = 0; t && i < t->upstream_count; i++) {
--- a/router/table.c
+++ b/router/table.c
@@ -141,7 +141,7 @@
 	/* The name becomes the value of a header. */
 	if (has_control_character(o->name))
 		return "has a name with control characters";
-	if (!(o->rate_per_s >= 0 && isfinite(o->rate_per_s)) ||
+	if (!(o->max_per_s >= 0 && isfinite(o->max_per_s)) ||
 	    !(o->burst >= 0 && isfinite(o->burst)))
 		return "has a rate or burst that is not 0 or more";
 	return NULL;
--- a/router/token_cache.c
+++ b/router/token_cache.c
@@ -115,7 +115,7 @@
 {
 	if (limit->version <= k->limit.version)
 		return;
-	if (limit->rate_per_s != k->limit.rate_per_s ||
+	if (limit->max_per_s != k->limit.max_per_s ||
 	    limit->burst != k->limit.burst) {
 		give_up(k, &k->lots[0]);
 		give_up(k, &k->lots[1]);
--- a/router/token_pool.c
+++ b/router/token_pool.c
@@ -123,14 +123,14 @@
 
 static double bucket_rate(const struct token_bucket *b)
 {
-	return b->limit.rate_per_s * part_limits(b)->rate;
+	return b->limit.max_per_s * part_limits(b)->rate;
 }
 
 static double bucket_size(const struct token_bucket *b)
 {
 	const struct part_limits *l = part_limits(b);
 
-	return b->limit.rate_per_s * l->rate_s + b->limit.burst * l->burst +
+	return b->limit.max_per_s * l->rate_s + b->limit.burst * l->burst +
 	       l->tokens;
 }
 
--- a/test/unit/quota_sim.c
+++ b/test/unit/quota_sim.c
@@ -128,7 +128,7 @@
 	if (h->version + 1 <= limit->version)
 		return;
 	o = &h->sim->organisations[h->version][key[strlen("q:o")] - '0'];
-	*limit = (struct token_limit){ .rate_per_s = o->rate_per_s,
+	*limit = (struct token_limit){ .max_per_s = o->max_per_s,
 				       .burst = o->burst,
 				       .version = h->version + 1 };
 }
@@ -478,7 +478,7 @@
 		for (int v = 0; v < 2; v++)
 			s->organisations[v][o] = (struct organisation){
 				.name = g_strdup_printf("o%u", o),
-				.rate_per_s = rate,
+				.max_per_s = rate,
 				.burst = burst,
 			};
 	}
--- a/test/unit/test_quota.c
+++ b/test/unit/test_quota.c
@@ -49,7 +49,7 @@
 	f->now = (struct lease_time){ START_US, 2 * START_US };
 	f->organisation = (struct organisation){
 		.name = "acme",
-		.rate_per_s = 10,
+		.max_per_s = 10,
 		.burst = 5,
 	};
 	f->quota = quota_create(&options);
@@ -111,7 +111,7 @@
 	CU_ASSERT_EQUAL(quota_ask(f.quota, &in, f.now, &f.ticket,
 				  &f.retry_after_us),
 			QUOTA_ADMITTED);
-	f.organisation.rate_per_s = 0;
+	f.organisation.max_per_s = 0;
 	CU_ASSERT_EQUAL(ask(&f, GOAL_US), QUOTA_ADMITTED);
 	CU_ASSERT_PTR_NULL(quota_advance(f.quota, f.now));
 	CU_ASSERT_EQUAL(quota_next_timer(f.quota), INT64_MAX);
@@ -273,7 +273,7 @@
 	return (struct token_claim){
 		.key = "q:acme",
 		.domain = "",
-		.limit = { .rate_per_s = 100, .burst = 50, .version = 1 },
+		.limit = { .max_per_s = 100, .burst = 50, .version = 1 },
 		.wanted = wanted,
 	};
 }
@@ -490,12 +490,12 @@
 static double usage_bound(const struct token_limit *l, bool is_single)
 {
 	if (l->is_cold_leaf)
-		return is_single ? 0.98 * 1.3 * l->rate_per_s +
-					   0.12 * l->rate_per_s + 4
-				 : 1.5 * l->rate_per_s + 5;
-	return is_single ? 0.98 * 5.3 * l->rate_per_s + 0.07 * l->rate_per_s +
+		return is_single ? 0.98 * 1.3 * l->max_per_s +
+					   0.12 * l->max_per_s + 4
+				 : 1.5 * l->max_per_s + 5;
+	return is_single ? 0.98 * 5.3 * l->max_per_s + 0.07 * l->max_per_s +
 				   l->burst + 14
-			 : (5 * l->rate_per_s + l->burst) * 1.1 + 20;
+			 : (5 * l->max_per_s + l->burst) * 1.1 + 20;
 }
 
 /*
@@ -509,7 +509,7 @@
 
 	for (guint32 seed = 1; seed <= 60; seed++) {
 		struct token_limit limit = {
-			.rate_per_s = rates[seed % G_N_ELEMENTS(rates)],
+			.max_per_s = rates[seed % G_N_ELEMENTS(rates)],
 			.burst = seed % 3 * 40,
 			.is_cold_leaf = seed % 2,
 			.version = 1,
@@ -546,7 +546,7 @@
 	struct token_grant g;
 
 	claim.limit.version = version;
-	claim.limit.rate_per_s = rate;
+	claim.limit.max_per_s = rate;
 	token_cache_claim(c, &claim, now, &g);
 	return g;
 }
@@ -660,7 +660,7 @@
 	claim = g_array_index(f.token_claims, struct token_claim, 0);
 	CU_ASSERT_STRING_EQUAL(claim.key, "q:acme");
 	CU_ASSERT_STRING_EQUAL(claim.domain, "");
-	CU_ASSERT_DOUBLE_EQUAL(claim.limit.rate_per_s, 100, 0);
+	CU_ASSERT_DOUBLE_EQUAL(claim.limit.max_per_s, 100, 0);
 	CU_ASSERT_DOUBLE_EQUAL(claim.limit.burst, 50, 0);
 	CU_ASSERT_EQUAL(claim.limit.version, 1);
 	CU_ASSERT_EQUAL(claim.sequence, 70000);
--- a/test/unit/test_quota_schedules.c
+++ b/test/unit/test_quota_schedules.c
@@ -381,7 +381,7 @@
 	for (guint32 seed = 1; seed <= 20; seed++) {
 		struct quota_sim *s = quota_sim_create(7, 7, 1, 100, 20, seed);
 
-		s->organisations[1][0].rate_per_s = 20;
+		s->organisations[1][0].max_per_s = 20;
 		quota_sim_set_rates(s, 0, 60);
 		quota_sim_run(s, 8 * US_PER_S);
 		for (uint32_t i = 0; i < s->count; i++)
