--- a/include/router/token_cache.h
+++ b/include/router/token_cache.h
@@ -6,10 +6,10 @@
 #include "router/token_lease.h"
 
 /**
- * A few tokens of keys that other regions own, for the hosts of this region.
- * They answer claims of single tokens within the latency of the region. They
- * are valid for TOKEN_STANDING_US; the owner counts them until they are used or
- * have lapsed. A key that is not asked for is not claimed again.
+ * A few tokens of the quotas that this host was asked for lately, so that most
+ * requests need not wait for the owner. They are valid for TOKEN_STANDING_US and
+ * renewed before that; the owner counts them until they are used or have
+ * lapsed. A key that is not asked for is not claimed again.
  */
 struct token_cache;
 
@@ -17,8 +17,8 @@
 void token_cache_free(struct token_cache *c);
 
 /**
- * Answers a claim of a host of this region. If there are too few tokens, the
- * grant tells to claim from the owner.
+ * Answers a claim of this host. If there are too few tokens, the grant tells to
+ * claim from the owner.
  */
 void token_cache_claim(struct token_cache *c, const struct token_claim *claim,
 		       struct lease_time now, struct token_grant *out);
--- a/include/router/token_exchange.h
+++ b/include/router/token_exchange.h
@@ -21,8 +21,7 @@
  * A host that has not heard of the store grants nothing, unless hosts of other
  * failure domains have not heard of it either: then the records do not change.
  *
- * Claims of single tokens go to a host of the claiming host's own region, which
- * has a few tokens of each key that was asked for lately.
+ * Claims of single tokens of a quota are first answered by this host's own cache.
  */
 struct token_exchange;
 
--- a/include/router/token_pool.h
+++ b/include/router/token_pool.h
@@ -10,7 +10,7 @@
  * Tokens of rates that all hosts share, at the host that owns them. Each rate
  * has a token bucket. A grant takes tokens out of the bucket; the host that
  * claimed them may use them for TOKEN_VALID_US, counted from its claim. Caches
- * of other regions hold a few tokens for TOKEN_STANDING_US.
+ * of hosts hold a few tokens for TOKEN_STANDING_US.
  */
 struct token_pool;
 
--- a/router/token_exchange.c
+++ b/router/token_exchange.c
@@ -39,7 +39,7 @@
 
 struct key_owners {
 	struct rate_owners hosts;
-	/** The host of this region that has a cache, unless an owner is here. */
+	/** This host, if its cache has tokens of the key; or NULL. */
 	struct known_host *cache;
 	/** The cache has too few tokens. */
 	int64_t avoid_cache_until_us;
@@ -56,7 +56,7 @@
 	struct token_exchange_options options;
 	/** Tokens of the keys that this host owns. */
 	struct token_pool *pool;
-	/** Tokens of other owners, for the hosts of this region. */
+	/** Tokens of other owners, for requests that may come. */
 	struct token_cache *cache;
 	/** Of struct token_grant; their keys are copies. */
 	GArray *own_grants;
