--- a/include/router/token_exchange.h
+++ b/include/router/token_exchange.h
@@ -21,7 +21,8 @@
  * A host that has not heard of the store grants nothing, unless hosts of other
  * failure domains have not heard of it either: then the records do not change.
  *
- * Claims of single tokens of a quota are first answered by this host's own cache.
+ * Claims of single tokens of a quota are first answered by this host's own
+ * cache.
  */
 struct token_exchange;
 
