explain-route: show where a request would go and why

A running host answers on the port of its metrics. The question is decided by the functions that decide on requests, on a copy of the state that they may change: router_start(), part_plan(), quota_ask() and route_forward_request() are split for this into a decision and what follows from it. Real decisions do not change.

--- a/include/nutmegpick/commands.h
+++ b/include/nutmegpick/commands.h
@@ -1,18 +1,22 @@
 #ifndef NUTMEGPICK_COMMANDS_H
 #define NUTMEGPICK_COMMANDS_H
 
-/** Exit statuses of the commands that use the store. */
+/** Exit statuses of the commands that use the store or ask a host. */
 enum command_status {
 	/** Accepted, shown, or no difference. */
 	STATUS_OK = 0,
-	/** Publish refused, differences found, or nothing published. */
+	/** Refused, differences found, or nothing published. */
 	STATUS_REFUSED = 1,
 	/** Outcome of a publish unknown. */
 	STATUS_UNKNOWN = 2,
-	/** The store does not answer, or it holds a damaged set. */
+	/** The store or host does not answer, or its answer is not usable. */
 	STATUS_STORE = 3,
 	/** The set at PATH has faults. */
 	STATUS_FAULTS = 4,
+	/** The host that was asked has no configuration. */
+	STATUS_UNREADY = 5,
+	/** The host that was asked is stopping. */
+	STATUS_STOPPING = 6,
 };
 
 /** Subcommand; run() returns the exit status of the process. */
@@ -46,6 +50,9 @@
 /** nutmegpick explain ID FILE...: prints the log lines of a request. */
 int command_explain(int argc, char **argv);
 
+/** nutmegpick explain-route HOST PATH: asks a host where a request goes. */
+int command_explain_route(int argc, char **argv);
+
 /** nutmegpick replay TRACE: runs a trace and checks its expected outcomes. */
 int command_replay(int argc, char **argv);
 
--- a/include/nutmegpickd/route_internal.h
+++ b/include/nutmegpickd/route_internal.h
@@ -21,6 +21,8 @@
 
 enum route_event_type {
 	ROUTE_EVENT_REQUEST,
+	/** Question to explain where a request would go. */
+	ROUTE_EVENT_QUESTION,
 	ROUTE_EVENT_CHANGES,
 	ROUTE_EVENT_STORE,
 	ROUTE_EVENT_FRAME,
@@ -237,6 +239,10 @@
 bool route_charge_quota(struct route_service *s, struct caller_request *q);
 /** Lets a request that waits for its quota wait no longer. */
 void route_cancel_quota(struct route_service *s, struct caller_request *q);
+/** Returns how the quota would decide on a request; changes nothing. */
+struct quota_view route_look_quota(const struct route_service *s,
+				   const struct route *route,
+				   const char *organisation);
 /** Returns the charge of a request that was refused and did not run. */
 void route_return_quota(struct route_service *s, struct caller_request *q);
 /** Answers the claims of tokens of another host. */
@@ -249,6 +255,20 @@
 /** Tells the owner of rates when this host last heard from the store. */
 void route_note_token_contact(struct route_service *s);
 
+/* route_explain.c */
+/** Path of questions on the server of the metrics. */
+#define ROUTE_EXPLAIN_PATH "/explain-route"
+/** Answers a question, on the router thread. */
+void route_answer_question(struct route_service *s, struct http_exchange *x);
+/**
+ * Returns the explanation that the query of a target asks for, as JSON, and the
+ * status of the answer; changes nothing. Free with free().
+ */
+char *route_explain(struct route_service *s, const char *target,
+		    unsigned int *status);
+/** Returns whether new requests are held until this host has routes. */
+bool route_is_hold_open(const struct route_service *s);
+
 /* route_hosts.c */
 extern const struct feed_ops route_feed_ops;
 /** Starts the links to other hosts. Returns 0 or a negative result code. */
@@ -258,6 +278,32 @@
  * if this host gathers itself.
  */
 bool route_forward_request(struct route_service *s, struct caller_request *q);
+/** Whether another host may gather for a route, or why not. */
+enum forward_reason {
+	FORWARD_ALLOWED,
+	/** The route has one upstream, or this host has no links. */
+	FORWARD_NOT_GATHERED,
+	FORWARD_STOPPING,
+	/** The region of this host is not allowed. */
+	FORWARD_REGION,
+	/** This host is one of those that gather. */
+	FORWARD_GATHERS_ITSELF,
+	/** The way to the other host takes too long. */
+	FORWARD_NO_TIME,
+};
+struct forward_view {
+	enum forward_reason reason;
+	/** Of struct known_host: those that may gather; NULL if not listed. */
+	GPtrArray *hosts;
+};
+/**
+ * Returns whether a new request would be forwarded. The copy of the router is
+ * that of an explanation; nothing else changes.
+ */
+struct forward_view route_look_forward(struct route_service *s,
+				       struct router *copy,
+				       const struct route *route,
+				       const char *organisation);
 /** Lets the forwarded requests end when this host stops, at the latest. */
 void route_limit_forwards(struct route_service *s);
 /** Sends a cancel for a forwarded request; its result is not needed. */
--- a/include/router/directory.h
+++ b/include/router/directory.h
@@ -122,6 +122,14 @@
 						  GRand *random, int64_t now_us,
 						  bool *is_gatherer);
 
+/**
+ * Returns the hosts of which the function above chooses one, of struct
+ * known_host; empty if this host gathers itself. Free the array.
+ */
+GPtrArray *host_directory_list_gatherers(struct host_directory *d,
+					 GHashTable *shard_counts,
+					 int64_t now_us, bool *is_gatherer);
+
 /** Returns the number of hosts that gather, in all regions together. */
 uint32_t host_directory_count_gatherers(struct host_directory *d,
 					int64_t now_us);
--- a/include/router/internal.h
+++ b/include/router/internal.h
@@ -375,7 +375,7 @@
 bool stop_may_start(const struct router *r, struct route_stats *s,
 		    const struct route *route);
 /** Lets a request end when the host stops, at the latest. */
-void stop_limit_request(struct router *r, struct route_request *q);
+void stop_limit_request(const struct router *r, struct route_request *q);
 
 /* choice.c */
 /** Best leaf for a call, with the time it is expected to take. */
@@ -393,6 +393,19 @@
 };
 
 struct leaf_choice leaf_choose(struct router *r, const struct route_part *part);
+
+/** Figures by which leaf_choose() compares a leaf with others. */
+struct leaf_estimate {
+	/** Time that a call is expected to take. */
+	int64_t expected_us;
+	int64_t cost_us;
+	/** The part keeps out of the queue there for more urgent calls. */
+	bool is_left_free;
+};
+
+struct leaf_estimate leaf_estimate(struct router *r,
+				   const struct route_part *part,
+				   struct route_leaf *leaf);
 /**
  * Returns the time that work is expected to take at a leaf now, as a factor on
  * the usual time.
@@ -439,6 +452,11 @@
 /** Counts a call to a leaf. */
 void rates_note_call(struct router *r, struct route_leaf *leaf,
 		     uint32_t priority, bool is_extra);
+/**
+ * Prepares a copy of a leaf: a cold one that is not listed yet gets the state
+ * of a listed one, so that no check lists or logs it.
+ */
+void rates_prepare_copy(const struct router *r, struct route_leaf *copy);
 /** Notes the rate limit in the result of a call. */
 void rates_note_result(struct router *r, const struct leaf_call *c,
 		       const struct router_result *result);
@@ -508,6 +526,8 @@
  * any was refused.
  */
 bool waiting_displace(struct router *r, const struct route_part *p);
+/** Returns whether waiting_displace() would refuse a request. */
+bool waiting_may_displace(struct router *r, const struct route_part *p);
 /** Refuses requests that lost their place to others. */
 void waiting_shed(struct router *r, struct upstream_pool *pool);
 /** Tries to send the first calls of the parts that wait for a pool. */
@@ -524,6 +544,11 @@
 void organisation_stats_unref(gpointer stats);
 
 /* part.c */
+/**
+ * Chooses the leaf of the first call and fills in the decision on the part,
+ * without noting the wanted call or logging the decision.
+ */
+struct leaf_choice part_decide(struct router *r, struct route_part *p);
 /**
  * Chooses the leaf of the first call. Returns false if no leaf can answer the
  * part in time.
@@ -576,6 +601,42 @@
 void batch_clear_all(struct router *r, struct route_request *q);
 
 /* request.c */
+/** Route and caller of a request that arrives, or why it is refused. */
+struct request_admission {
+	const struct route *route;
+	struct identity who;
+	/** Status and result code of the refusal; code is 0 without one. */
+	unsigned int status;
+	int code;
+};
+
+struct request_admission request_admit(const struct router *r,
+				       const struct router_request *in);
+/**
+ * Fills in what is known of a request at its arrival. The request takes over no
+ * reference.
+ */
+void request_init(const struct router *r, struct route_request *q,
+		  const struct router_request *in,
+		  const struct request_admission *admission);
+/** Adds the parts of a request; picks the target of a split. */
+void request_add_parts(struct router *r, struct route_request *q,
+		       const struct router_request *in);
+/**
+ * Returns the result code with which a request is refused before its parts are
+ * planned, or 0. Sets the reason if it is refused for lack of capacity.
+ */
+int request_check_arrival(struct router *r, struct route_request *q);
+/** Returns the result code of a refusal for lack of time or capacity. */
+int request_late_code(const struct router *r);
+/**
+ * Returns whether the refusal of other requests may give room to a part that
+ * has none.
+ */
+bool request_may_make_room(const struct route_part *p);
+/** Returns whether enough parts are feasible for an answer. */
+bool request_can_be_answered(const struct router *r,
+			     const struct route_request *q);
 /** Arms the timer of a request for its goal or its deadline. */
 void request_arm_timer(struct router *r, struct route_request *q);
 /**
--- a/include/router/quota.h
+++ b/include/router/quota.h
@@ -59,6 +59,26 @@
 			      struct lease_time now, uint64_t *ticket,
 			      int64_t *retry_after_us);
 
+/** What quota_ask() would decide, and the figures behind it. */
+struct quota_view {
+	enum quota_decision decision;
+	/** Tokens that this host holds. */
+	uint32_t tokens;
+	/** Requests that wait for a token. */
+	uint32_t waiting;
+	/** Requests a second that were made of late at this host. */
+	double wanted_per_s;
+	/** Time for which the owner of the quota has no token. */
+	int64_t dry_us;
+	/** Time that a request may wait for a token. */
+	int64_t longest_wait_us;
+};
+
+/** Returns what quota_ask() would decide, and changes nothing. */
+struct quota_view quota_look(const struct quota *q,
+			     const struct quota_request *in,
+			     struct lease_time now);
+
 /** Forgets a waiting request. */
 void quota_cancel(struct quota *q, const char *organisation, const void *user);
 
--- a/include/router/token_lease.h
+++ b/include/router/token_lease.h
@@ -56,6 +56,9 @@
 /** Returns whether a token can be taken. */
 bool token_lease_has_token(const struct token_lease *l, struct lease_time now);
 
+/** Returns the number of tokens that can be taken. */
+uint32_t token_lease_count(const struct token_lease *l, struct lease_time now);
+
 /** Notes that a token is wanted, whether it is there or not. */
 void token_lease_note_wanted(struct token_lease *l, struct lease_time now);
 
--- a/nutmegpick/main.c
+++ b/nutmegpick/main.c
@@ -13,6 +13,8 @@
 	{ "history", "list published versions", command_history },
 	{ "status", "print what is in force", command_status },
 	{ "explain", "print what logs say of a request", command_explain },
+	{ "explain-route", "ask a host where a request would go",
+	  command_explain_route },
 	{ "replay", "check a trace of requests", command_replay },
 };
 
@@ -20,7 +22,7 @@
 {
 	fprintf(out, "Usage: nutmegpick COMMAND [OPTION...]\n\nCommands:\n");
 	for (size_t i = 0; i < sizeof(commands) / sizeof(commands[0]); i++)
-		fprintf(out, "  %-10s %s\n", commands[i].name,
+		fprintf(out, "  %-13s %s\n", commands[i].name,
 			commands[i].summary);
 	fprintf(out, "\n'nutmegpick COMMAND --help' lists the options.\n");
 }
--- a/nutmegpickd/route_callers.c
+++ b/nutmegpickd/route_callers.c
@@ -351,7 +351,7 @@
 	       http_exchange_is_caller_gone(x);
 }
 
-static bool is_hold_open(const struct route_service *s)
+bool route_is_hold_open(const struct route_service *s)
 {
 	return start_hold_is_open(&s->hold, router_version(s->router),
 				  clock_now(&s->clock));
@@ -369,7 +369,7 @@
 	q->wait_us = platform_parse_deadline(
 		http_exchange_header(x, PLATFORM_REQUEST_DEADLINE));
 	q->credentials = platform_read_credentials(http_exchange_headers(x));
-	if (!is_hold_open(s)) {
+	if (!route_is_hold_open(s)) {
 		start_request(s, q);
 		return;
 	}
@@ -381,7 +381,7 @@
 {
 	GPtrArray *held;
 
-	if (!s->held_count || is_hold_open(s))
+	if (!s->held_count || route_is_hold_open(s))
 		return;
 	/* A request that starts may displace others, but none that is held. */
 	held = g_ptr_array_sized_new(s->held_count);
--- a/nutmegpickd/route_hosts.c
+++ b/nutmegpickd/route_hosts.c
@@ -194,21 +194,61 @@
 	return h->distance == LEAF_SAME_DOMAIN ? HOP_DOMAIN_US : HOP_REGION_US;
 }
 
-static bool has_time_to_forward(struct route_service *s,
-				const struct caller_request *q,
-				const struct known_host *h,
-				const struct route *route)
+/* Returns whether a request of which some time has passed may go to a host. */
+static bool has_time_to_forward(struct router *r, const struct known_host *h,
+				const struct route *route, int64_t wait_us,
+				int64_t elapsed_us)
 {
-	int64_t elapsed = clock_now(&s->clock) - q->start_us;
-	int64_t wait = q->wait_us > 0 ? MIN(q->wait_us, route->timeout_us)
-				      : route->timeout_us;
+	int64_t wait = wait_us > 0 ? MIN(wait_us, route->timeout_us)
+				   : route->timeout_us;
 	struct router_way way = {
-		.goal_us = router_goal_left(route) - elapsed,
-		.wait_us = wait - elapsed,
+		.goal_us = router_goal_left(route) - elapsed_us,
+		.wait_us = wait - elapsed_us,
 		.way_us = hop_time(h),
 	};
 
-	return router_may_forward(s->router, route, &way);
+	return router_may_forward(r, route, &way);
+}
+
+/* Returns why no other host may gather for a route, or FORWARD_ALLOWED. */
+static enum forward_reason check_forward(const struct route_service *s,
+					 struct router *r,
+					 const struct route *route,
+					 const char *organisation)
+{
+	if (!s->transport || !route || route->shape != ROUTE_GATHER)
+		return FORWARD_NOT_GATHERED;
+	if (!router_may_start(r, route))
+		return FORWARD_STOPPING;
+	if (!router_region_allows(r, route, organisation))
+		return FORWARD_REGION;
+	return FORWARD_ALLOWED;
+}
+
+struct forward_view route_look_forward(struct route_service *s,
+				       struct router *copy,
+				       const struct route *route,
+				       const char *organisation)
+{
+	struct forward_view v = {
+		.reason = check_forward(s, copy, route, organisation),
+	};
+	bool is_gatherer;
+
+	if (v.reason != FORWARD_ALLOWED)
+		return v;
+	v.hosts = host_directory_list_gatherers(
+		&s->directory, router_shard_counts(copy, route),
+		clock_now(&s->clock), &is_gatherer);
+	if (!v.hosts->len)
+		v.reason = FORWARD_GATHERS_ITSELF;
+	for (guint i = v.hosts->len; i-- > 0;) {
+		if (!has_time_to_forward(copy, v.hosts->pdata[i], route, 0, 0))
+			g_ptr_array_remove_index(v.hosts, i);
+	}
+	if (v.reason == FORWARD_ALLOWED && !v.hosts->len)
+		v.reason = FORWARD_NO_TIME;
+	return v;
 }
 
 static void send_request_to_gatherer(struct route_service *s,
@@ -249,19 +289,23 @@
 	const char *id = http_exchange_header(q->exchange, PLATFORM_REQUEST_ID);
 	const struct route *route = router_match(
 		s->router, host, http_exchange_target(q->exchange));
+	enum forward_reason reason =
+		check_forward(s, s->router, route, q->organisation);
 	struct known_host *h;
 
-	if (!s->transport || !id || !route || route->shape != ROUTE_GATHER ||
-	    !router_may_start(s->router, route))
+	if (!id)
 		return false;
-	if (!router_region_allows(s->router, route, q->organisation)) {
+	if (reason == FORWARD_REGION) {
 		event_log(EV_FORWARD_BARRED, "request=%s route=%s version=%llu",
 			  id, route->name,
 			  (unsigned long long)router_version(s->router));
 		return false;
 	}
+	if (reason != FORWARD_ALLOWED)
+		return false;
 	h = choose_gatherer(s, q, route);
-	if (!h || !has_time_to_forward(s, q, h, route))
+	if (!h || !has_time_to_forward(s->router, h, route, q->wait_us,
+				       clock_now(&s->clock) - q->start_us))
 		return false;
 	q->wait_us = q->wait_us > 0 ? MIN(q->wait_us, route->timeout_us)
 				    : route->timeout_us;
--- a/nutmegpickd/route_quotas.c
+++ b/nutmegpickd/route_quotas.c
@@ -106,26 +106,49 @@
 	.refuse = handle_refuse,
 };
 
+/* Describes a request of which some time has passed to the quotas. */
+static struct quota_request
+describe_request(const struct route_service *s, const struct route *route,
+		 const char *organisation, int64_t wait_us, int64_t elapsed_us)
+{
+	struct quota_request in = {
+		.organisation =
+			router_find_organisation(s->router, organisation),
+		.version = router_version(s->router),
+		.goal_us = router_goal_left(route) - elapsed_us,
+		.left_us = route->timeout_us - elapsed_us,
+	};
+
+	if (wait_us > 0)
+		in.left_us = MIN(in.left_us, wait_us - elapsed_us);
+	return in;
+}
+
+struct quota_view route_look_quota(const struct route_service *s,
+				   const struct route *route,
+				   const char *organisation)
+{
+	struct quota_request in =
+		describe_request(s, route, organisation, 0, 0);
+
+	return quota_look(s->quota, &in, lease_now(s));
+}
+
 bool route_charge_quota(struct route_service *s, struct caller_request *q)
 {
 	int64_t elapsed = clock_now(&s->clock) - q->start_us;
 	const struct route *route = router_match(
 		s->router, http_exchange_header(q->exchange, "Host"),
 		http_exchange_target(q->exchange));
-	struct quota_request in = {
-		.user = q,
-		.organisation =
-			router_find_organisation(s->router, q->organisation),
-		.version = router_version(s->router),
-	};
+	struct quota_request in;
 	int64_t retry_after_us = 0;
 
-	if (!in.organisation || !route)
+	if (!route)
+		return true;
+	in = describe_request(s, route, q->organisation, q->wait_us, elapsed);
+	in.user = q;
+	if (!in.organisation)
 		return true;
-	in.goal_us = router_goal_left(route) - elapsed;
-	in.left_us = route->timeout_us - elapsed;
-	if (q->wait_us > 0)
-		in.left_us = MIN(in.left_us, q->wait_us - elapsed);
 	g_free(q->charged_organisation);
 	q->charged_organisation = g_strdup(q->organisation);
 	switch (quota_ask(s->quota, &in, lease_now(s), &q->quota_ticket,
--- a/nutmegpickd/route_service.c
+++ b/nutmegpickd/route_service.c
@@ -137,6 +137,9 @@
 	case ROUTE_EVENT_REQUEST:
 		route_start_request(s, e->exchange);
 		return;
+	case ROUTE_EVENT_QUESTION:
+		route_answer_question(s, e->exchange);
+		return;
 	case ROUTE_EVENT_CHANGES:
 		process_changes(s, e->changes);
 		return;
@@ -373,8 +376,15 @@
 
 static void handle_metrics(void *ctx, struct http_exchange *x)
 {
-	char *text = route_metrics_render();
+	char *text;
 
+	if (!strcmp(http_exchange_path(x), ROUTE_EXPLAIN_PATH)) {
+		route_service_send_event(
+			ctx, (struct route_event){ .type = ROUTE_EVENT_QUESTION,
+						   .exchange = x });
+		return;
+	}
+	text = route_metrics_render();
 	http_exchange_reply(x, 200, "text/plain; version=0.0.4", text,
 			    strlen(text));
 	g_free(text);
--- a/router/choice.c
+++ b/router/choice.c
@@ -315,6 +315,23 @@
 	return choice;
 }
 
+struct leaf_estimate leaf_estimate(struct router *r,
+				   const struct route_part *part,
+				   struct route_leaf *leaf)
+{
+	struct route_stats *stats = part->request->stats;
+	double typical = (double)route_stats_typical_duration(
+		stats, part->request->route);
+	int64_t now = router_now(r);
+	double expected = expected_us(leaf, stats, typical, now);
+
+	return (struct leaf_estimate){
+		.expected_us = (int64_t)expected,
+		.cost_us = (int64_t)cost_us(leaf, expected, now),
+		.is_left_free = leaves_room(r, part, leaf, now),
+	};
+}
+
 void leaf_note_wanted(struct router *r, const struct route_part *part,
 		      const struct leaf_choice *choice)
 {
--- a/router/directory.c
+++ b/router/directory.c
@@ -508,14 +508,12 @@
 	return sum;
 }
 
-struct known_host *host_directory_choose_gatherer(struct host_directory *d,
-						  GHashTable *shard_counts,
-						  GRand *random, int64_t now_us,
-						  bool *is_gatherer)
+GPtrArray *host_directory_list_gatherers(struct host_directory *d,
+					 GHashTable *shard_counts,
+					 int64_t now_us, bool *is_gatherer)
 {
 	GArray *list = list_gather_candidates(d, shard_counts, now_us);
-	struct known_host *chosen = NULL;
-	double total = 0;
+	GPtrArray *hosts = g_ptr_array_new();
 
 	*is_gatherer = is_region_small(d);
 	for (guint i = 0; i < list->len; i++) {
@@ -524,14 +522,33 @@
 
 		if (host_directory_is_self(d, h)) {
 			*is_gatherer = true;
-			chosen = NULL;
+			g_ptr_array_set_size(hosts, 0);
 			break;
 		}
+		g_ptr_array_add(hosts, h);
+	}
+	g_array_free(list, TRUE);
+	return hosts;
+}
+
+struct known_host *host_directory_choose_gatherer(struct host_directory *d,
+						  GHashTable *shard_counts,
+						  GRand *random, int64_t now_us,
+						  bool *is_gatherer)
+{
+	GPtrArray *list = host_directory_list_gatherers(d, shard_counts, now_us,
+							is_gatherer);
+	struct known_host *chosen = NULL;
+	double total = 0;
+
+	for (guint i = 0; i < list->len; i++) {
+		struct known_host *h = list->pdata[i];
+
 		/* Weighted reservoir sampling; the weight is the capacity. */
 		total += h->record.capacity + 1;
 		if (g_rand_double(random) * total < h->record.capacity + 1)
 			chosen = h;
 	}
-	g_array_free(list, TRUE);
+	g_ptr_array_free(list, TRUE);
 	return chosen;
 }
--- a/router/part.c
+++ b/router/part.c
@@ -426,24 +426,32 @@
 	return choice->leaf != NULL;
 }
 
-bool part_plan(struct router *r, struct route_part *p)
+struct leaf_choice part_decide(struct router *r, struct route_part *p)
 {
 	struct leaf_choice choice = leaf_choose(r, p);
 
-	leaf_note_wanted(r, p, &choice);
-	p->is_planned = true;
 	p->planned_leaf = choice.leaf;
 	p->is_crowded = false;
 	p->is_infeasible = !is_feasible(r, p, &choice);
 	if (!p->is_infeasible)
-		return true;
+		return choice;
 	if (p->is_crowded)
 		request_note_figures(r, p->request, p, choice.wait_us,
 				     choice.expected_us);
 	else if (choice.leaf && !p->request->refusal.reason)
 		request_note_excess_work(r, p->request, p, choice.expected_us);
-	leaf_access_log_none(r, p);
-	return false;
+	return choice;
+}
+
+bool part_plan(struct router *r, struct route_part *p)
+{
+	struct leaf_choice choice = part_decide(r, p);
+
+	leaf_note_wanted(r, p, &choice);
+	p->is_planned = true;
+	if (p->is_infeasible)
+		leaf_access_log_none(r, p);
+	return !p->is_infeasible;
 }
 
 static bool is_in_open_batch(const struct route_part *p)
--- a/router/quota.c
+++ b/router/quota.c
@@ -193,52 +193,92 @@
 	q->counts.admitted++;
 }
 
+/* Returns how long a request may wait for a token. */
+static int64_t longest_wait(const struct quota_request *in)
+{
+	int64_t wait = MIN((int64_t)(WAIT_GOAL_SHARE * (double)in->goal_us),
+			   WAIT_MAX_US);
+
+	return MAX(wait, 0);
+}
+
 static void add_waiter(struct quota_entry *e, const struct quota_request *in,
 		       int64_t now)
 {
 	struct quota_waiter *w = g_new0(struct quota_waiter, 1);
-	int64_t wait = MIN((int64_t)(WAIT_GOAL_SHARE * (double)in->goal_us),
-			   WAIT_MAX_US);
 
 	w->user = in->user;
-	w->until_us = now + MAX(wait, 0);
+	w->until_us = now + longest_wait(in);
 	w->left_us = in->left_us;
 	e->wait_until_us = MIN(e->wait_until_us, w->until_us);
 	g_queue_push_tail(&e->waiters, w);
 }
 
+/* Earlier requests come first, so one behind them takes no token. */
+static enum quota_decision decide(const struct quota_entry *e,
+				  struct lease_time now)
+{
+	if (!e->waiters.length && token_lease_has_token(&e->lease, now))
+		return QUOTA_ADMITTED;
+	return token_lease_is_dry(&e->lease, now.monotonic_us) ? QUOTA_EXCEEDED
+							       : QUOTA_WAITS;
+}
+
+struct quota_view quota_look(const struct quota *q,
+			     const struct quota_request *in,
+			     struct lease_time now)
+{
+	const struct organisation *o = in->organisation;
+	struct quota_view v = { .decision = QUOTA_ADMITTED };
+	const struct quota_entry *e;
+
+	if (!o || o->max_per_s <= 0)
+		return v;
+	e = g_hash_table_lookup(q->entries, o->name);
+	v.longest_wait_us = longest_wait(in);
+	v.decision = QUOTA_WAITS;
+	if (!e)
+		return v;
+	v.decision = decide(e, now);
+	v.tokens = token_lease_count(&e->lease, now);
+	v.waiting = e->waiters.length;
+	v.wanted_per_s = token_lease_wanted(&e->lease, now.monotonic_us);
+	v.dry_us = MAX(e->lease.dry_until_us - now.monotonic_us, 0);
+	return v;
+}
+
 enum quota_decision quota_ask(struct quota *q, const struct quota_request *in,
 			      struct lease_time now, uint64_t *ticket,
 			      int64_t *retry_after_us)
 {
 	const struct organisation *o = in->organisation;
+	enum quota_decision decision;
 	struct quota_entry *e;
-	bool is_taken;
 
 	*ticket = 0;
 	if (!o || o->max_per_s <= 0)
 		return QUOTA_ADMITTED;
 	e = get_entry(q, in, now.monotonic_us);
-	/* Earlier requests come first. */
-	if (e->waiters.length) {
+	decision = decide(e, now);
+	if (e->waiters.length)
 		token_lease_note_wanted(&e->lease, now);
-		is_taken = false;
-	} else {
-		is_taken = token_lease_take(&e->lease, now, ticket);
-	}
+	else
+		token_lease_take(&e->lease, now, ticket);
 	arm_timer(q, e);
-	if (is_taken) {
+	switch (decision) {
+	case QUOTA_ADMITTED:
 		note_admitted(q, e, now.monotonic_us);
-		return QUOTA_ADMITTED;
-	}
-	if (token_lease_is_dry(&e->lease, now.monotonic_us)) {
+		break;
+	case QUOTA_EXCEEDED:
 		*retry_after_us =
 			note_refused(q, e, in->left_us, now.monotonic_us);
-		return QUOTA_EXCEEDED;
+		break;
+	case QUOTA_WAITS:
+		add_waiter(e, in, now.monotonic_us);
+		arm_timer(q, e);
+		break;
 	}
-	add_waiter(e, in, now.monotonic_us);
-	arm_timer(q, e);
-	return QUOTA_WAITS;
+	return decision;
 }
 
 void quota_cancel(struct quota *q, const char *organisation, const void *user)
--- a/router/rates.c
+++ b/router/rates.c
@@ -69,13 +69,24 @@
 	       r->options.ops->claim_tokens;
 }
 
-static void add_cold_leaf(struct router *r, struct route_leaf *leaf)
+static void begin_cold(struct route_leaf *leaf)
 {
-	if (leaf->is_listed_cold)
-		return;
 	leaf->is_listed_cold = true;
 	leaf->cold_wanted = 0;
 	token_lease_init(&leaf->cold);
+}
+
+void rates_prepare_copy(const struct router *r, struct route_leaf *copy)
+{
+	if (is_cold(r, copy) && !copy->is_listed_cold)
+		begin_cold(copy);
+}
+
+static void add_cold_leaf(struct router *r, struct route_leaf *leaf)
+{
+	if (leaf->is_listed_cold)
+		return;
+	begin_cold(leaf);
 	g_ptr_array_add(r->cold_leaves, route_leaf_ref(leaf));
 	event_log(
 		EV_LEAF_COLD_LIMITED,
--- a/router/request.c
+++ b/router/request.c
@@ -279,8 +279,8 @@
 	return NULL;
 }
 
-void request_refuse(struct router *r, struct route_request *q,
-		    enum triage_reason reason)
+static void note_waiting_figures(struct router *r, struct route_request *q,
+				 enum triage_reason reason)
 {
 	const struct route_part *p = find_waiting_part(q);
 
@@ -288,9 +288,18 @@
 		request_note_figures(r, q, p, waiting_time(r, p),
 				     request_typical_work(q));
 	q->refusal.reason = reason;
-	finish_failed_request(r, q,
-			      router_is_stopping(r) ? -ERR_ROUTE_STOPPING
-						    : -ERR_ROUTE_LATE);
+}
+
+int request_late_code(const struct router *r)
+{
+	return router_is_stopping(r) ? -ERR_ROUTE_STOPPING : -ERR_ROUTE_LATE;
+}
+
+void request_refuse(struct router *r, struct route_request *q,
+		    enum triage_reason reason)
+{
+	note_waiting_figures(r, q, reason);
+	finish_failed_request(r, q, request_late_code(r));
 }
 
 static void finish_gathered(struct router *r, struct route_request *q)
@@ -429,8 +438,8 @@
 	return !in->shards;
 }
 
-static void add_parts(struct router *r, struct route_request *q,
-		      const struct router_request *in)
+void request_add_parts(struct router *r, struct route_request *q,
+		       const struct router_request *in)
 {
 	const struct route *route = q->route;
 	uint32_t first = 0;
@@ -468,12 +477,12 @@
 	return MAX(route->goal_us - GOAL_MARGIN_US, route->goal_us / 2);
 }
 
-static struct route_request *create_request(struct router *r,
-					    const struct router_request *in,
-					    const struct route *route,
-					    const struct organisation *o)
+void request_init(const struct router *r, struct route_request *q,
+		  const struct router_request *in,
+		  const struct request_admission *admission)
 {
-	struct route_request *q = id_table_take(&r->requests);
+	const struct route *route = admission->route;
+	const struct organisation *o = admission->who.organisation;
 	int64_t now = router_now(r);
 	int64_t wait = route->timeout_us;
 	uint64_t id = q->id;
@@ -481,15 +490,13 @@
 	memset(q, 0, sizeof(*q));
 	q->id = id;
 	g_strlcpy(q->request_id, in->id, sizeof(q->request_id));
-	q->table = route_table_ref(r->table);
+	q->table = r->table;
 	q->route = route;
 	q->credentials = in->credentials;
-	q->claimed_organisation = g_strdup(in->organisation);
-	q->identity_table = route_table_ref(r->table);
+	q->identity_table = r->table;
 	q->identity_epoch = r->identity_epoch;
 	q->organisation = o;
 	q->priority = o && o->has_priority ? o->priority : route->priority;
-	q->stats = route_stats_ref(route_stats_get(r, route));
 	q->user = in->user;
 	q->start_us = now;
 	if (in->wait_us > 0)
@@ -503,6 +510,19 @@
 	q->gatherers = in->gatherers;
 	q->hedge_min_us = in->hedge_min_us;
 	q->is_partial = in->shards != NULL;
+}
+
+static struct route_request *
+create_request(struct router *r, const struct router_request *in,
+	       const struct request_admission *admission)
+{
+	struct route_request *q = id_table_take(&r->requests);
+
+	request_init(r, q, in, admission);
+	route_table_ref(q->table);
+	route_table_ref(q->identity_table);
+	q->claimed_organisation = g_strdup(in->organisation);
+	q->stats = route_stats_ref(route_stats_get(r, q->route));
 	return q;
 }
 
@@ -522,15 +542,6 @@
 	return 0;
 }
 
-/* Another host may have run a repeat before its key was revoked. */
-static uint64_t refuse_caller(struct router *r, const struct router_request *in,
-			      enum identity_verdict verdict)
-{
-	return refuse_request(r, in,
-			      in->is_repeat ? 502 : identity_status(verdict),
-			      identity_code(verdict));
-}
-
 /*
  * Returns whether parts without room are left out. If requests of the same rank
  * wait for many shards, the capacity is better used for those that all shards
@@ -550,8 +561,8 @@
 	return !crowded || waiting <= BUSY_SHARE_MAX * q->part_count;
 }
 
-static bool can_be_answered(const struct router *r,
-			    const struct route_request *q)
+bool request_can_be_answered(const struct router *r,
+			     const struct route_request *q)
 {
 	if (q->is_partial)
 		return true;
@@ -560,8 +571,7 @@
 	return gather_can_reach_coverage(q) && may_leave_out(r, q);
 }
 
-/* Returns whether the refusal of other requests may give room to a part. */
-static bool may_make_room(const struct route_part *p)
+bool request_may_make_room(const struct route_part *p)
 {
 	return p->is_infeasible && p->is_crowded && !p->planned_leaf;
 }
@@ -582,13 +592,14 @@
 
 	for (uint32_t i = 0; i < q->part_count; i++)
 		lost += q->parts[i].is_infeasible &&
-			!may_make_room(&q->parts[i]);
-	for (uint32_t i = 0; i < q->part_count && !can_be_answered(r, q); i++) {
+			!request_may_make_room(&q->parts[i]);
+	for (uint32_t i = 0;
+	     i < q->part_count && !request_can_be_answered(r, q); i++) {
 		struct route_part *p = &q->parts[i];
 
 		if (!can_lose(q, lost))
 			return;
-		if (!may_make_room(p))
+		if (!request_may_make_room(p))
 			continue;
 		if (waiting_displace(r, p) && part_plan(r, p))
 			q->failed_count--;
@@ -608,43 +619,63 @@
 			q->failed_count++;
 	}
 	make_room(r, q);
-	return can_be_answered(r, q);
+	return request_can_be_answered(r, q);
+}
+
+struct request_admission request_admit(const struct router *r,
+				       const struct router_request *in)
+{
+	struct request_admission a = { 0 };
+
+	if (!r->table) {
+		a.status = 503;
+		a.code = -ERR_ROUTE_UNREADY;
+		return a;
+	}
+	a.route = route_table_match(r->table, in->host, in->path);
+	if (!a.route) {
+		a.status = 404;
+		a.code = -ERR_ROUTE_NONE;
+		return a;
+	}
+	a.who = identify_caller(r, in, a.route);
+	a.code = identity_code(a.who.verdict);
+	/* Another host may have run a repeat before its key was revoked. */
+	if (a.code)
+		a.status = in->is_repeat ? 502 : identity_status(a.who.verdict);
+	return a;
+}
+
+int request_check_arrival(struct router *r, struct route_request *q)
+{
+	/* A batch of another host ends with the results that it has. */
+	if (!q->is_partial && !stop_may_start(r, q->stats, q->route))
+		return -ERR_ROUTE_STOPPING;
+	if (!request_gives_way(r, q))
+		return 0;
+	note_waiting_figures(r, q, TRIAGE_GAVE_WAY);
+	return request_late_code(r);
 }
 
 uint64_t router_start(struct router *r, const struct router_request *in)
 {
-	const struct route *route;
-	struct identity who;
+	struct request_admission admission = request_admit(r, in);
 	struct route_request *q;
 	uint64_t id;
+	int code;
 
-	if (!r->table)
-		return refuse_request(r, in, 503, -ERR_ROUTE_UNREADY);
-	route = route_table_match(r->table, in->host, in->path);
-	if (!route)
-		return refuse_request(r, in, 404, -ERR_ROUTE_NONE);
-	who = identify_caller(r, in, route);
-	if (who.verdict != IDENTITY_ACCEPTED)
-		return refuse_caller(r, in, who.verdict);
-	q = create_request(r, in, route, who.organisation);
+	if (admission.code)
+		return refuse_request(r, in, admission.status, admission.code);
+	q = create_request(r, in, &admission);
 	id = q->id;
-	add_parts(r, q, in);
+	request_add_parts(r, q, in);
 	request_arm_timer(r, q);
 	request_classify(r, q);
-	/* A batch of another host ends with the results that it has. */
-	if (!q->is_partial && !stop_may_start(r, q->stats, route)) {
-		finish_failed_request(r, q, -ERR_ROUTE_STOPPING);
-		return 0;
-	}
-	if (request_gives_way(r, q)) {
-		request_refuse(r, q, TRIAGE_GAVE_WAY);
-		return 0;
-	}
-	if (!plan_parts(r, q)) {
-		finish_failed_request(r, q,
-				      router_is_stopping(r)
-					      ? -ERR_ROUTE_STOPPING
-					      : -ERR_ROUTE_LATE);
+	code = request_check_arrival(r, q);
+	if (!code && !plan_parts(r, q))
+		code = request_late_code(r);
+	if (code) {
+		finish_failed_request(r, q, code);
 		return 0;
 	}
 	q->is_updating_parts = true;
--- a/router/stop.c
+++ b/router/stop.c
@@ -46,7 +46,7 @@
 	return triage_end_of(&limits, &work, router_now(r)) != TRIAGE_STOPPED;
 }
 
-void stop_limit_request(struct router *r, struct route_request *q)
+void stop_limit_request(const struct router *r, struct route_request *q)
 {
 	if (q->deadline_us <= r->stop_us)
 		return;
--- a/router/token_lease.c
+++ b/router/token_lease.c
@@ -69,7 +69,7 @@
 	return false;
 }
 
-static uint32_t count_tokens(const struct token_lease *l, struct lease_time now)
+uint32_t token_lease_count(const struct token_lease *l, struct lease_time now)
 {
 	uint32_t sum = 0;
 
@@ -115,7 +115,7 @@
 	last = l->lot_count ? &l->lots[l->lot_count - 1] : NULL;
 	left = last ? last->until.monotonic_us - now.monotonic_us : 0;
 	if (left < CLAIM_AHEAD_US ||
-	    count_tokens(l, now) < per_s * CLAIM_AHEAD_US / US_PER_S)
+	    token_lease_count(l, now) < per_s * CLAIM_AHEAD_US / US_PER_S)
 		schedule_claim(l, now.monotonic_us);
 }
 
--- a/router/waiting.c
+++ b/router/waiting.c
@@ -599,21 +599,38 @@
 	return e ? part_of_entry(e) : NULL;
 }
 
-bool waiting_displace(struct router *r, const struct route_part *p)
+/*
+ * Returns the part whose request is refused next to make room for another part,
+ * or NULL if that part has room or no refusal makes any.
+ */
+static struct route_part *find_displaced(struct router *r,
+					 const struct route_part *p)
 {
 	const struct route_request *q = p->request;
-	int64_t work = request_typical_work(q);
+	struct route_part *v = part_of_refusal(p->pool);
+
+	/* The refusal of a lower rank makes no room. */
+	if (!v || v->request == q || v->entry.rank > rank_of(q) ||
+	    !triage_is_cheaper(&v->entry, rank_of(q), request_whole_work(q)) ||
+	    request_end_of(r, q, waiting_time(r, p), request_typical_work(q)) ==
+		    TRIAGE_IN_GOAL)
+		return NULL;
+	return v;
+}
+
+bool waiting_may_displace(struct router *r, const struct route_part *p)
+{
+	return find_displaced(r, p) != NULL;
+}
+
+bool waiting_displace(struct router *r, const struct route_part *p)
+{
 	uint32_t count = 0;
 
-	while (count < DISPLACED_MAX &&
-	       request_end_of(r, q, waiting_time(r, p), work) !=
-		       TRIAGE_IN_GOAL) {
-		struct route_part *v = part_of_refusal(p->pool);
+	while (count < DISPLACED_MAX) {
+		struct route_part *v = find_displaced(r, p);
 
-		/* The refusal of a lower rank makes no room. */
-		if (!v || v->request == q || v->entry.rank > rank_of(q) ||
-		    !triage_is_cheaper(&v->entry, rank_of(q),
-				       request_whole_work(q)))
+		if (!v)
 			break;
 		request_refuse(r, v->request, TRIAGE_DISPLACED);
 		count++;
--- a/test/unit/main.c
+++ b/test/unit/main.c
@@ -14,6 +14,7 @@
 	{ "engine keys", NULL, NULL, NULL, NULL, engine_keys_tests },
 	{ "engine replicas", NULL, NULL, NULL, NULL, engine_replicas_tests },
 	{ "engine snapshot", NULL, NULL, NULL, NULL, engine_snapshot_tests },
+	{ "explain", NULL, NULL, NULL, NULL, explain_tests },
 	{ "forward", NULL, NULL, NULL, NULL, forward_tests },
 	{ "fleet frame", NULL, NULL, NULL, NULL, fleet_frame_tests },
 	{ "fleet membership", NULL, NULL, NULL, NULL, fleet_membership_tests },
--- a/test/unit/suites.h
+++ b/test/unit/suites.h
@@ -14,6 +14,7 @@
 extern CU_TestInfo engine_keys_tests[];
 extern CU_TestInfo engine_replicas_tests[];
 extern CU_TestInfo engine_snapshot_tests[];
+extern CU_TestInfo explain_tests[];
 extern CU_TestInfo forward_tests[];
 extern CU_TestInfo fleet_config_tests[];
 extern CU_TestInfo fleet_fault_tests[];
--- a/test/unit/test_route_callers.c
+++ b/test/unit/test_route_callers.c
@@ -63,6 +63,14 @@
 	return false;
 }
 
+struct forward_view route_look_forward(struct route_service *s,
+				       struct router *copy,
+				       const struct route *route,
+				       const char *organisation)
+{
+	return (struct forward_view){ .reason = FORWARD_NOT_GATHERED };
+}
+
 void route_cancel_forward(struct route_service *s, struct caller_request *q)
 {
 }
