router: scale the hedge delay by the work factor of the leaf

A call to a leaf whose machine was slow for the moment was hedged as soon as one to a usual leaf, although its duration was expected. The time after which a call is late is now multiplied by the fourth load figure of the leaf that was called, up to the moment from which a hedge can still meet the goal. Figures of 100 or less, malformed ones and leaves without the figure keep the delay.

With the factor left out of arm_hedge() it fails for 150 and 200.

--- a/include/router/internal.h
+++ b/include/router/internal.h
@@ -355,10 +355,13 @@
 /**
  * Returns the delay before a hedge is sent: at least the duration above which a
  * call is late, and otherwise as long as the hedge can still be answered within
- * the latency goal, which is left_us away.
+ * the latency goal, which is left_us away. A leaf with a work factor above 1 is
+ * given more time, up to the last moment at which a hedge that is not late can
+ * still meet the goal; a factor of 1 or less changes nothing.
  */
 int64_t route_stats_hedge_delay(struct route_stats *s,
-				const struct route *route, int64_t left_us);
+				const struct route *route, int64_t left_us,
+				double work_factor);
 
 /*
  * stop.c: what a host that stops does with requests.
--- a/router/batch.c
+++ b/router/batch.c
@@ -73,7 +73,7 @@
 			const char *domain, uint32_t count)
 {
 	int64_t after = route_stats_hedge_delay(q->stats, q->route,
-						q->goal_at_us - q->start_us);
+						q->goal_at_us - q->start_us, 1);
 	struct part_batch *b = g_new0(struct part_batch, 1);
 	const char **shards = g_new0(const char *, count);
 	struct router_batch out = {
--- a/router/part.c
+++ b/router/part.c
@@ -110,11 +110,12 @@
 	       p->call_count < PART_CALLS_MAX;
 }
 
-static void arm_hedge(struct router *r, struct route_part *p, int64_t now)
+static void arm_hedge(struct router *r, struct route_part *p,
+		      double work_factor, int64_t now)
 {
 	const struct route_request *q = p->request;
-	int64_t after = route_stats_hedge_delay(q->stats, q->route,
-						q->goal_at_us - now);
+	int64_t after = route_stats_hedge_delay(
+		q->stats, q->route, q->goal_at_us - now, work_factor);
 
 	router_timer_arm(r, &p->timer, now + MAX(after, q->hedge_min_us),
 			 handle_late_call);
@@ -158,7 +159,7 @@
 	p->phase = PART_RUNNING;
 	request_note_begun(r, q);
 	if (may_hedge(p))
-		arm_hedge(r, p, now);
+		arm_hedge(r, p, leaf_work_factor(leaf, now), now);
 	call = (struct router_call){
 		.id = c->id,
 		.leaf = leaf,
@@ -495,7 +496,8 @@
 	if (p->batch) {
 		extra_calls_note_first(&p->pool->extra, now);
 		p->phase = PART_RUNNING;
-		arm_hedge(r, p, now + BATCH_MARGIN_US);
+		/* The other host chooses the leaf. */
+		arm_hedge(r, p, 1, now + BATCH_MARGIN_US);
 	} else if (p->planned_leaf &&
 		   leaf_access_check(r, p, p->planned_leaf, now).reason ==
 			   ACCESS_ALLOWED) {
--- a/router/stats.c
+++ b/router/stats.c
@@ -143,10 +143,12 @@
 }
 
 int64_t route_stats_hedge_delay(struct route_stats *s,
-				const struct route *route, int64_t left_us)
+				const struct route *route, int64_t left_us,
+				double work_factor)
 {
 	int64_t late = route_stats_late_threshold(s, route);
 	int64_t latest = left_us - (int64_t)(SECOND_CALL_FACTOR * (double)late);
+	int64_t scaled = (int64_t)((double)late * MAX(work_factor, 1));
 
-	return MAX(late, latest);
+	return MAX(MAX(late, latest), MIN(scaled, left_us - late));
 }
--- a/test/unit/test_load_figures.c
+++ b/test/unit/test_load_figures.c
@@ -144,10 +144,89 @@
 	CU_ASSERT_EQUAL(leaf_work_factor(&leaf, 0), 1);
 }
 
+/* Duration of the calls that the route has learned. */
+#define LEARNED_US (84 * US_PER_MS)
+/* Leaves enough time for a hedge after the double delay. */
+#define HEDGE_GOAL_US (312 * US_PER_MS)
+
+/* Figures of the last reply before a hedge, and the delay of the hedge. */
+struct hedge_case {
+	const char *text;
+	/** Factor on the delay without a fourth figure. */
+	double factor;
+};
+
+static const struct hedge_case hedge_cases[] = {
+	{ "1,0,4,100", 1 },	{ "1,0,4,150", 1.5 }, { "1,0,4,200", 2 },
+	{ "1,0,4,50", 1 },	{ "1,0,4,200%", 1 },  { "1,0,4,-200", 1 },
+	{ "1,0,4,nan,200", 1 }, { "1,0,4,0", 1 },
+};
+
+/* Returns the time until the hedge of a call to a leaf that told the figures. */
+static int64_t measure_hedge(const char *text)
+{
+	struct fake_router *f = fake_router_create(1);
+	uint32_t before;
+	int64_t start;
+
+	leaf_set_remove(router_leaves(f->router), "s0-b", 0, 0);
+	leaf_set_remove(router_leaves(f->router), "s0-c", 0, 0);
+	f->router->table->routes[1].goal_us = HEDGE_GOAL_US;
+	f->load = (struct leaf_load){ .is_known = true };
+	for (int i = 0; i < 100; i++)
+		run_request(f, LEARNED_US);
+	f->load = read_header(200, "Nutmegpick-Server-Load", text).load;
+	run_request(f, LEARNED_US);
+	before = f->call_count;
+	start = f->time.now_us;
+	fake_router_start_request(f, "/get/x", 0);
+	fake_router_put_leaf(f, "s0-b", "s0", "b", false, 2);
+	while (f->call_count < before + 2 &&
+	       f->time.now_us < start + HEDGE_GOAL_US)
+		fake_router_advance(f, US_PER_MS);
+	start = f->time.now_us - start;
+	fake_router_destroy(f);
+	return start;
+}
+
+/*
+ * Guards against hedges of calls that are only as late as the leaf's machine is
+ * slow, and against a changed delay where leaves tell no usable factor.
+ */
+static void test_hedge_delay(void)
+{
+	int64_t usual = measure_hedge("1,0,4");
+
+	CU_ASSERT(usual >= LEARNED_US);
+	for (size_t i = 0; i < G_N_ELEMENTS(hedge_cases); i++) {
+		const struct hedge_case *c = &hedge_cases[i];
+
+		CU_ASSERT_DOUBLE_EQUAL((double)measure_hedge(c->text),
+				       c->factor * (double)usual, US_PER_MS);
+	}
+}
+
+/* Guards against hedges on slow leaves that come too late for the goal. */
+static void test_hedge_limit(void)
+{
+	struct fake_router *f = fake_router_create(1);
+	const struct route *route = &f->router->table->routes[1];
+	struct route_stats *s = route_stats_get(f->router, route);
+	int64_t late = route_stats_late_threshold(s, route);
+	int64_t left = 4 * late;
+
+	CU_ASSERT_EQUAL(route_stats_hedge_delay(s, route, left, 20), 3 * late);
+	/* Without enough time the delay is the same as without a factor. */
+	CU_ASSERT_EQUAL(route_stats_hedge_delay(s, route, late, 20), late);
+	fake_router_destroy(f);
+}
+
 CU_TestInfo load_figure_tests[] = {
 	{ "load header", test_load_header },
 	{ "warm-up header", test_warm_up_header },
 	{ "choice", test_choice },
 	{ "decay", test_decay },
+	{ "hedge delay", test_hedge_delay },
+	{ "hedge limit", test_hedge_limit },
 	CU_TEST_INFO_NULL,
 };
