bench: build the configuration with keys under test/

key_cost.c contained field names that the platform defines. They occur only in platform/ and in tests, so the text is built by test/bench/key_configuration.c.

--- a/bench/key_cost.c
+++ b/bench/key_cost.c
@@ -9,15 +9,14 @@
 
 #include <glib.h>
 
+#include "bench/key_configuration.h"
 #include "net/http_header.h"
 #include "platform/headers.h"
 #include "platform/routes.h"
 #include "router/identity.h"
 
 #define CHECKS 2000000
-#define KEYS_PER_ORGANISATION 2
 #define HEADERS 8
-#define SAMPLE_KEY "nk_000000000000000000000000abcde"
 
 static double cpu_now_us(void)
 {
@@ -27,39 +26,6 @@
 	return (double)t.tv_sec * 1e6 + (double)t.tv_nsec / 1e3;
 }
 
-/* Writes a key of 32 characters. */
-static void write_key(char *out, size_t size, uint32_t number)
-{
-	g_snprintf(out, size, "nk_%08x%08x%08xabcde", number * 2654435761u,
-		   number, number * 40503u);
-}
-
-static char *build_configuration(uint32_t keys)
-{
-	GString *s = g_string_new(
-		"{\"version\":1,\"services\":[{\"name\":\"s\"}],\"routes\":["
-		"{\"name\":\"r\",\"host\":\"h\",\"prefix\":\"/\",\"kind\":"
-		"\"safe\",\"timeout_ms\":500,\"service\":\"s\"}],"
-		"\"tenants\":[");
-	char key[64];
-
-	for (uint32_t i = 0; i < keys; i++) {
-		bool is_first = i % KEYS_PER_ORGANISATION == 0;
-		bool is_last = (i + 1) % KEYS_PER_ORGANISATION == 0 ||
-			       i + 1 == keys;
-
-		write_key(key, sizeof(key), i);
-		if (is_first)
-			g_string_append_printf(
-				s, "%s{\"name\":\"o%u\",\"api_keys\":[",
-				i ? "," : "", i);
-		g_string_append_printf(s, "%s\"%s\"%s", is_first ? "" : ",",
-				       key, is_last ? "]}" : "");
-	}
-	g_string_append(s, "]}");
-	return g_string_free(s, FALSE);
-}
-
 static GArray *create_headers(char *credentials)
 {
 	GArray *headers = g_array_new(FALSE, TRUE, sizeof(struct http_header));
@@ -82,15 +48,15 @@
  */
 static double measure_checks(const struct route_table *t, uint32_t keys)
 {
-	char credentials[] = "Bearer " SAMPLE_KEY;
+	char credentials[sizeof("Bearer ") - 1 + KEY_SIZE] = "Bearer ";
 	char *key = credentials + strlen("Bearer ");
-	char(*texts)[sizeof(SAMPLE_KEY)] = g_malloc(keys * sizeof(*texts));
+	char(*texts)[KEY_SIZE] = g_malloc(keys * sizeof(*texts));
 	GArray *headers = create_headers(credentials);
 	uint32_t accepted = 0;
 	double us;
 
 	for (uint32_t i = 0; i < keys; i++)
-		write_key(texts[i], sizeof(*texts), i);
+		key_write(texts[i], i);
 	us = cpu_now_us();
 	for (uint32_t i = 0; i < CHECKS; i++) {
 		struct identity_claim claim = { 0 };
@@ -111,7 +77,7 @@
 
 static void measure(uint32_t keys)
 {
-	char *text = build_configuration(keys);
+	char *text = key_configuration_build(keys);
 	struct route_table *t = NULL;
 	char message[256];
 	double us = cpu_now_us();
