--- a/test/unit/fake_load.c
+++ b/test/unit/fake_load.c
@@ -5,8 +5,11 @@
 #include <string.h>
 
 #include "common/clock.h"
+#include "common/errors.h"
 #include "common/events.h"
+#include "router/quota.h"
 #include "router/router.h"
+#include "router/token_exchange.h"
 
 #define HOSTS_MAX 8
 #define SLOTS 4
@@ -15,7 +18,7 @@
 #define TICK_US 500
 /* Long enough to learn what organisations usually ask for. */
 #define WARM_UP_US (30 * US_PER_S)
-#define RUN_US (42 * US_PER_S)
+#define RUN_US (WARM_UP_US + LOAD_SECONDS * US_PER_S)
 /* Worth of a late answer. */
 #define LATE_WORTH 0.15
 #define WORK_SPREAD 0.25
@@ -31,8 +34,15 @@
 	double done_us;
 	bool is_repeat;
 	bool is_refused;
+	/** The caller has sent another request in its place. */
+	bool is_repeated;
+	bool has_unknown_key;
 	double worth;
 	int64_t end_us;
+	unsigned int status;
+	int code;
+	/** Of the token that it took; 0 if it took none. */
+	uint64_t ticket;
 };
 
 struct load_call {
@@ -52,6 +62,10 @@
 	struct load_run *run;
 	struct router *router;
 	uint32_t number;
+	/** NULL without quotas. */
+	struct quota *quota;
+	struct token_exchange *tokens;
+	struct host_directory directory;
 };
 
 struct load_run {
@@ -68,11 +82,24 @@
 	GQueue refused;
 	double capacity;
 	uint32_t started;
+	uint32_t routed;
+	uint32_t outside;
 };
 
 static const double base_work_us[] = { 28000, 9200 };
+static const double base_rates[] = { 240, 180 };
 static const int64_t goals_us[] = { 400 * US_PER_MS, 120 * US_PER_MS };
 
+double load_usual_share(void)
+{
+	double work = base_work_us[0] * base_rates[0] +
+		      base_work_us[1] * base_rates[1];
+
+	/* The mean of a log-normal distribution exceeds its median. */
+	work *= exp(WORK_SPREAD * WORK_SPREAD / 2);
+	return work / (3.0 * SLOTS * US_PER_S);
+}
+
 static bool is_changed(const struct load_run *run, int64_t at_us)
 {
 	return at_us >= WARM_UP_US &&
@@ -128,6 +155,9 @@
 		      US_PER_S;
 		q.at_us = q.first_at_us = (int64_t)at;
 		q.work_us = draw_work(run, route, q.at_us);
+		q.has_unknown_key = p->unknown_keys > 0 &&
+				    g_rand_double(run->random) <
+					    p->unknown_keys;
 		add_request(run, &q);
 	}
 }
@@ -140,6 +170,9 @@
 		&h->run->leaves[g_ascii_strtoull(id, NULL, 10)];
 	struct load_call *c = g_new0(struct load_call, 1);
 
+	if (h->run->pattern->is_regional &&
+	    !g_strcmp0(call->organisation, "o0"))
+		h->run->outside += call->leaf->entry.domain[0] != 'a';
 	c->request = call->user;
 	c->host = h->number;
 	c->id = call->id;
@@ -184,7 +217,7 @@
 	return false;
 }
 
-static void repeat(struct load_run *run, const struct load_request *q,
+static void repeat(struct load_run *run, struct load_request *q,
 		   int64_t after_us)
 {
 	struct load_request next = *q;
@@ -193,13 +226,36 @@
 	next.is_repeat = true;
 	next.is_refused = false;
 	next.done_us = 0;
+	next.ticket = 0;
 	next.at_us = run->time.now_us +
 		     (run->pattern->is_impatient ? US_PER_MS : after_us);
 	if (after_us > (q->at_us + timeout - run->time.now_us) / 3)
 		return;
+	q->is_repeated = true;
 	add_request(run, &next);
 }
 
+static struct lease_time lease_now(const struct load_run *run)
+{
+	return (struct lease_time){ run->time.now_us, run->time.now_us };
+}
+
+static void end_request(struct load_run *run, struct load_request *q,
+			unsigned int status, int code, int64_t retry_after_us)
+{
+	q->end_us = run->time.now_us;
+	q->status = status;
+	q->code = code;
+	q->is_refused = status == 503 || status == 429;
+	if (q->is_refused && !q->is_repeat)
+		repeat(run, q, retry_after_us);
+}
+
+static void write_name(char *out, size_t size, uint32_t organisation)
+{
+	g_snprintf(out, size, "o%u", organisation);
+}
+
 static void handle_answer(void *ctx, void *user, const struct router_answer *a)
 {
 	struct load_host *h = ctx;
@@ -207,15 +263,18 @@
 	struct load_request *q = user;
 	double share = (double)a->stamp_count / LOAD_SHARDS;
 
-	q->end_us = run->time.now_us;
-	q->is_refused = a->status == 503;
+	end_request(run, q, a->status, a->code, a->retry_after_us);
+	if (q->ticket && q->is_refused) {
+		char name[8];
+
+		write_name(name, sizeof(name), q->organisation);
+		quota_give_back(h->quota, name, q->ticket, lease_now(run));
+	}
 	if (a->status == 200)
 		q->worth = share * share *
 			   (q->end_us - q->first_at_us <= goals_us[q->route]
 				    ? 1
 				    : LATE_WORTH);
-	if (q->is_refused && !q->is_repeat)
-		repeat(run, q, a->retry_after_us);
 }
 
 static void handle_free_endpoint(void *ctx, struct route_leaf *leaf)
@@ -230,6 +289,32 @@
 	.free_endpoint = handle_free_endpoint,
 };
 
+/* Returns the part of the usual load that an organisation sends. */
+static double organisation_share(const struct load_pattern *p, uint32_t i)
+{
+	double sum = 0;
+
+	if (!p->organisation)
+		return 1;
+	for (uint32_t k = 0; k < LOAD_ORGANISATIONS; k++)
+		sum += pow(k + 1, -p->skew);
+	return pow(i + 1, -p->skew) / sum;
+}
+
+static void fill_organisation(struct route_table *t, uint32_t i,
+			      const struct load_pattern *p)
+{
+	struct organisation *o = &t->organisations[i];
+	double usual =
+		organisation_share(p, i) * (base_rates[0] + base_rates[1]);
+
+	o->name = g_strdup_printf("o%u", i);
+	o->max_per_s = o->burst = p->quota * usual;
+	if (p->is_regional && !i)
+		o->regions = g_strsplit("north", ",", -1);
+	route_table_add_key(t, i, o->name);
+}
+
 static struct route_table *create_table(const struct load_pattern *p)
 {
 	static const char *const names[] = { "large", "small" };
@@ -244,7 +329,7 @@
 	if (p->organisation)
 		route_table_add_organisations(t, LOAD_ORGANISATIONS);
 	for (uint32_t i = 0; i < t->organisation_count; i++)
-		t->organisations[i].name = g_strdup_printf("o%u", i);
+		fill_organisation(t, i, p);
 	for (uint32_t i = 0; i < 2; i++) {
 		struct route *r = &t->routes[i];
 
@@ -284,9 +369,137 @@
 	leaf_set_put(router_leaves(h->router), &e, h->run->time.now_us);
 }
 
+static struct router_request describe_request(const struct load_run *run,
+					      struct load_request *q)
+{
+	struct router_request in = {
+		.host = "example",
+		.path = q->route ? "/small/x" : "/large/x",
+		.user = q,
+	};
+	char key[8] = "removed";
+
+	if (!run->pattern->organisation)
+		return in;
+	if (!q->has_unknown_key)
+		write_name(key, sizeof(key), q->organisation);
+	in.credentials.kind = CREDENTIALS_KEY;
+	in.credentials.key = key_digest_create(key, strlen(key));
+	return in;
+}
+
+static int64_t goal_left(const struct load_host *h,
+			 const struct load_request *q)
+{
+	return router_goal_left(router_match(
+		h->router, "example", q->route ? "/small/x" : "/large/x"));
+}
+
+static void start_charged(struct load_host *h, struct load_request *q)
+{
+	struct router_request in = describe_request(h->run, q);
+	int64_t waited = h->run->time.now_us - q->at_us;
+
+	/* The wait for a token counts. */
+	if (h->quota)
+		in.goal_us = MAX(goal_left(h, q) - waited, 1);
+	g_snprintf(in.id, sizeof(in.id), "r%u", ++h->run->routed);
+	router_start(h->router, &in);
+}
+
+static void handle_admit(void *ctx, void *user, uint64_t ticket)
+{
+	struct load_request *q = user;
+
+	q->ticket = ticket;
+	start_charged(ctx, q);
+}
+
+static void handle_refuse(void *ctx, void *user, int64_t retry_after_us)
+{
+	struct load_host *h = ctx;
+
+	end_request(h->run, user, 429, -ERR_ROUTE_QUOTA, retry_after_us);
+}
+
+static const struct quota_ops quota_ops = {
+	.admit = handle_admit,
+	.refuse = handle_refuse,
+};
+
+static void handle_deliver_grant(void *ctx, const struct token_grant *g)
+{
+	struct load_host *h = ctx;
+
+	quota_handle_grant(h->quota, g, lease_now(h->run));
+}
+
+static const struct token_exchange_ops token_ops = {
+	.deliver_grant = handle_deliver_grant,
+};
+
+/* The host owns all quotas: the exchange between hosts is not simulated. */
+static void create_quotas(struct load_host *h, uint32_t seed)
+{
+	struct quota_options options = { .seed = seed,
+					 .ops = &quota_ops,
+					 .ctx = h };
+	struct token_exchange_options exchange_options = {
+		.clock = clock_virtual(&h->run->time),
+		.directory = &h->directory,
+		.seed = seed,
+		.is_alone = true,
+		.ops = &token_ops,
+		.ctx = h,
+	};
+	struct host_record self = {
+		.name = g_strdup("h"),
+		.address = g_strdup("10.0.0.1:7000"),
+		.domain = g_strdup("a"),
+	};
+
+	host_directory_init(&h->directory, "h", router_leaves(h->router));
+	host_directory_put(&h->directory, &self);
+	h->quota = quota_create(&options);
+	h->tokens = token_exchange_create(&exchange_options);
+}
+
+static void advance_quotas(struct load_host *h)
+{
+	GArray *claims;
+
+	if (!h->quota)
+		return;
+	token_exchange_note_store(h->tokens, h->run->time.now_us);
+	token_exchange_advance(h->tokens);
+	claims = quota_advance(h->quota, lease_now(h->run));
+	if (claims) {
+		token_exchange_claim(h->tokens, claims);
+		g_array_free(claims, TRUE);
+	}
+	token_exchange_fill_cache(h->tokens);
+	token_exchange_deliver_own(h->tokens);
+}
+
+static void destroy_host(struct load_host *h)
+{
+	if (h->quota) {
+		quota_free(h->quota);
+		token_exchange_free(h->tokens);
+		host_directory_clear(&h->directory);
+	}
+	router_destroy(h->router);
+}
+
 static void create_hosts(struct load_run *run, uint64_t seed)
 {
-	static char *const regions[] = { "a=r", "b=r", "c=r", NULL };
+	static const enum triage_mode modes[] = {
+		[LOAD_MODE_ALWAYS] = TRIAGE_ALWAYS,
+		[LOAD_MODE_ORGANISATIONS] = TRIAGE_WITH_ORGANISATIONS,
+		[LOAD_MODE_NEVER] = TRIAGE_NEVER,
+	};
+	static char *const one_region[] = { "a=r", "b=r", "c=r", NULL };
+	static char *const regions[] = { "a=north", "b=south", "c=west", NULL };
 	static const char *const domains[] = { "a", "b", "c" };
 
 	for (uint32_t i = 0; i < run->host_count; i++) {
@@ -295,9 +508,10 @@
 			.clock = clock_virtual(&run->time),
 			.seed = seed + i,
 			.domain = domains[i % 3],
-			.domains = regions,
+			.domains = run->pattern->is_regional ? regions
+							     : one_region,
 			.extra_calls = 400,
-			.triage = TRIAGE_ALWAYS,
+			.triage = modes[run->pattern->mode],
 			.ops = &ops,
 			.ctx = h,
 		};
@@ -309,6 +523,8 @@
 		router_apply_table(h->router, create_table(run->pattern));
 		for (uint32_t k = 0; k < LEAVES; k++)
 			put_leaf(h, k);
+		if (run->pattern->quota > 0)
+			create_quotas(h, (uint32_t)seed);
 	}
 }
 
@@ -354,20 +570,42 @@
 	}
 }
 
-static void start_request(struct load_run *run, struct load_request *q)
+/* Takes a token for a request; returns whether it may start now. */
+static bool charge_request(struct load_host *h, struct load_request *q,
+			   const struct organisation *o)
 {
-	char organisation[8];
-	struct router_request in = {
-		.host = "example",
-		.path = q->route ? "/small/x" : "/large/x",
+	const struct load_run *run = h->run;
+	int64_t retry_after_us = 0;
+	struct quota_request in = {
 		.user = q,
+		.organisation = o,
+		.version = router_version(h->router),
+		.goal_us = goal_left(h, q),
+		.left_us = q->route ? 2 * US_PER_S : 4 * US_PER_S,
 	};
 
-	g_snprintf(in.id, sizeof(in.id), "r%u", ++run->started);
-	g_snprintf(organisation, sizeof(organisation), "o%u", q->organisation);
-	if (run->pattern->organisation)
-		in.organisation = organisation;
-	router_start(run->hosts[run->started % run->host_count].router, &in);
+	switch (quota_ask(h->quota, &in, lease_now(run), &q->ticket,
+			  &retry_after_us)) {
+	case QUOTA_ADMITTED:
+		return true;
+	case QUOTA_EXCEEDED:
+		end_request(h->run, q, 429, -ERR_ROUTE_QUOTA, retry_after_us);
+		return false;
+	case QUOTA_WAITS:
+		return false;
+	}
+	return false;
+}
+
+static void start_request(struct load_run *run, struct load_request *q)
+{
+	struct load_host *h = &run->hosts[++run->started % run->host_count];
+	struct router_request in = describe_request(run, q);
+	struct identity identity = router_identify(h->router, &in);
+
+	if (!h->quota || !identity.organisation ||
+	    charge_request(h, q, identity.organisation))
+		start_charged(h, q);
 }
 
 static void lose_leaves(struct load_run *run)
@@ -410,6 +648,7 @@
 		start_request(run, q);
 	}
 	for (uint32_t i = 0; i < run->host_count; i++) {
+		advance_quotas(&run->hosts[i]);
 		if (router_next_timer(run->hosts[i].router) <= run->time.now_us)
 			router_advance(run->hosts[i].router);
 	}
@@ -489,6 +728,22 @@
 	out->offered_at_end += q->first_at_us >= (WARM_UP_US + RUN_US) / 2;
 }
 
+static void report_outcome(const struct load_pattern *p,
+			   const struct load_request *q)
+{
+	struct load_outcome o = {
+		.route = q->route,
+		.organisation = q->organisation,
+		.status = q->status,
+		.code = q->code,
+		.is_in_goal = q->worth > LATE_WORTH,
+		.worth = q->worth,
+	};
+
+	if (p->handle_outcome && !q->is_repeated)
+		p->handle_outcome(p->ctx, &o);
+}
+
 static void handle_event(void *ctx, enum event_id id, const char *fields)
 {
 }
@@ -496,7 +751,6 @@
 void load_run(const struct load_pattern *pattern, uint32_t hosts, uint64_t seed,
 	      struct load_figures *out)
 {
-	static const double rates[] = { 240, 180 };
 	struct load_run run = {
 		.pattern = pattern,
 		.host_count = hosts,
@@ -510,7 +764,9 @@
 	event_set_sink(handle_event, NULL);
 	create_hosts(&run, seed);
 	for (uint32_t i = 0; i < 2 * orgs; i++)
-		add_arrivals(&run, i % 2, i / 2, rates[i % 2] / orgs);
+		add_arrivals(&run, i % 2, i / 2,
+			     base_rates[i % 2] *
+				     organisation_share(pattern, i / 2));
 	for (; run.time.now_us < RUN_US + 5 * US_PER_S;
 	     run.time.now_us += TICK_US) {
 		if (run.time.now_us == WARM_UP_US)
@@ -521,12 +777,15 @@
 	for (guint i = 0; i < run.requests->len; i++) {
 		const struct load_request *q = run.requests->pdata[i];
 
-		if (q->first_at_us >= WARM_UP_US)
-			count_request(q, out);
+		if (q->first_at_us < WARM_UP_US)
+			continue;
+		count_request(q, out);
+		report_outcome(pattern, q);
 	}
+	out->outside = run.outside;
 	out->oracle = oracle_worth(&run);
 	for (uint32_t i = 0; i < hosts; i++)
-		router_destroy(run.hosts[i].router);
+		destroy_host(&run.hosts[i]);
 	event_set_sink(NULL, NULL);
 	g_sequence_free(run.arrivals);
 	g_ptr_array_free(run.requests, TRUE);
--- a/test/unit/fake_load.h
+++ b/test/unit/fake_load.h
@@ -6,6 +6,27 @@
 
 #define LOAD_SHARDS 6
 #define LOAD_ORGANISATIONS 10
+/** Time from the end of the warm-up to the last request. */
+#define LOAD_SECONDS 12
+
+/** triage.mode of the hosts. */
+enum load_mode {
+	LOAD_MODE_ALWAYS,
+	LOAD_MODE_ORGANISATIONS,
+	LOAD_MODE_NEVER,
+};
+
+/** What a caller got in the end, after its repeats. */
+struct load_outcome {
+	uint32_t route;
+	uint32_t organisation;
+	unsigned int status;
+	/** Result code of a refusal or failure, or 0. */
+	int code;
+	bool is_in_goal;
+	/** Between 0 and 1. */
+	double worth;
+};
 
 /** How a pattern changes from start_us to end_us, after a warm-up. */
 struct load_pattern {
@@ -26,6 +47,18 @@
 	bool is_short;
 	/** The priorities of the routes are equal. */
 	bool is_flat;
+	enum load_mode mode;
+	/** Organisation n sends in proportion to 1/n to this power. */
+	double skew;
+	/** Share of the requests whose key is of no organisation. */
+	double unknown_keys;
+	/** Quota as a factor on the usual rate, for one host; 0: none. */
+	double quota;
+	/** The first organisation may use one of three regions. */
+	bool is_regional;
+	/** Called for each caller whose first request follows the warm-up. */
+	void (*handle_outcome)(void *ctx, const struct load_outcome *o);
+	void *ctx;
 };
 
 struct load_figures {
@@ -49,11 +82,16 @@
 	/** Work of the leaves, and the part that was of no use. */
 	double work_us;
 	double wasted_us;
+	/** Calls outside of the regions of an organisation. */
+	uint32_t outside;
 	/** The same for the second half of the run. */
 	uint32_t offered_at_end;
 	uint32_t in_goal_at_end;
 };
 
+/** Returns the load before the change as a share of the capacity. */
+double load_usual_share(void);
+
 /**
  * Runs several hosts that share the leaves of LOAD_SHARDS shards: three leaves
  * of four slots each, with a queue of 24. The two routes gather all shards.
