--- a/bench/triage-plot.jq
+++ b/bench/triage-plot.jq
@@ -25,7 +25,7 @@
 text(60; 24; 13; "Worth of the answers a second, by triage.mode:"),
 (["never", "organisations", "always"] | to_entries[] |
  "<g fill=\"\(.value | color)\">\(text(380 + 110 * .key; 24; 13; .value))</g>"),
-((["plain", "organisations", "regions", "quotas"] | to_entries[]) as $c |
- map(select(.case == $c.value)) | select(length > 0) |
+((map(.case) | unique | to_entries[]) as $c |
+ map(select(.case == $c.value)) |
  panel(60 + 420 * ($c.key % 2); 60 + 290 * ($c.key / 2 | floor); $c.value; $most)),
 "</svg>"
--- a/test/unit/test_triage_load.c
+++ b/test/unit/test_triage_load.c
@@ -174,6 +174,30 @@
 	CU_ASSERT_TRUE(f.in_goal_at_end >= 0.98 * f.offered_at_end);
 }
 
+/* Guards against calls outside of the allowed regions when these are full. */
+static void test_regions(void)
+{
+	static const struct load_pattern p = {
+		.name = "regions",
+		.large = 2,
+		.small = 2,
+		.organisation = 1,
+		.work = 1,
+		.large_work = 1,
+		.skew = 1.2,
+		.is_regional = true,
+	};
+	struct load_figures f;
+
+	for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+		load_run(&p, HOSTS, seed, &f);
+		print_figures(&p, &f);
+		CU_ASSERT_EQUAL(f.outside, 0);
+		CU_ASSERT_EQUAL(f.unanswered, 0);
+		CU_ASSERT_TRUE(f.in_goal_by_organisation[0] > 0);
+	}
+}
+
 CU_TestInfo triage_load_tests[] = {
 	{ "quiet", test_quiet },
 	{ "doubled", test_doubled },
@@ -185,5 +209,6 @@
 	{ "impatient", test_impatient },
 	{ "burst", test_burst },
 	{ "tenfold", test_tenfold },
+	{ "regions", test_regions },
 	CU_TEST_INFO_NULL,
 };
