triage: order and admission where capacity is short

Causes of the missed goals, from traces of the load patterns:

A class goes first only while it is started less often than its floor; both shares have a half-life of 1 s. * The margin on the expected wait also applied to the best rank, which nothing can overtake; its room went to lower ranks. * The rate at which a queue drains came from the work of the asking part alone and was too low by 1.4 for short calls. * Parts that a gather can do without were left out on arrival although most of them start in time. * The class of work of a route changed between two requests. * Calls longer than the shortest goal of their upstream took all slots. They now leave half of them free while more urgent requests arrive, need room for their likely longest work, and count as long as soon as one of them is overdue. * Callers repeated requests after their goal although most requests of the route were refused.

Only in force where triage.mode says so.

--- a/include/router/internal.h
+++ b/include/router/internal.h
@@ -35,6 +35,9 @@
 	/** The same without the wait in the queues of the leaves. */
 	struct latency call_work;
 	struct work_estimate work;
+	/** Class of the work, if a request was classified before. */
+	uint32_t weight;
+	bool has_weight;
 	struct triage_class class;
 	/** Not used. */
 	int64_t longest_wait_us;
@@ -494,6 +497,12 @@
 int64_t waiting_work_before(const struct route_part *p);
 /** Returns the remaining wait of a part in the queue. */
 int64_t waiting_time(const struct router *r, const struct route_part *p);
+/**
+ * Returns whether a call takes longer than the shortest goal of the upstream,
+ * while more urgent requests arrive: once such calls occupy all slots, requests
+ * with that goal miss it.
+ */
+bool waiting_is_long(const struct router *r, const struct route_part *p);
 /** Returns the factor on a wait for the more urgent parts that will arrive. */
 double waiting_slowdown(const struct router *r, const struct route_part *p);
 /** Notes that a part is started or queued for its first call. */
--- a/include/router/triage.h
+++ b/include/router/triage.h
@@ -35,6 +35,8 @@
 int64_t work_estimate_typical(const struct work_estimate *e);
 /** Returns the arithmetic mean, from which waits follow. */
 int64_t work_estimate_average(const struct work_estimate *e);
+/** Returns the work that a call is unlikely to exceed. */
+int64_t work_estimate_high(const struct work_estimate *e);
 /** Returns the work that the slowest of several calls is expected to take. */
 int64_t work_estimate_slowest(const struct work_estimate *e, uint32_t calls);
 /**
@@ -132,6 +134,9 @@
 void triage_class_note_started(struct triage_class *c, bool was_first,
 			       int64_t now_us);
 
+/** Returns whether most of the latest requests of a class were refused. */
+bool triage_class_is_scarce(const struct triage_class *c);
+
 /** Priorities beyond this number are treated alike. */
 #define TRIAGE_PRIORITIES 5
 
@@ -192,6 +197,12 @@
 
 /** Returns the class of the work of a call, compared with a typical one. */
 uint32_t triage_weight(int64_t work_us, int64_t typical_us);
+/**
+ * Returns the class of the work, which stays the previous one close to a bound:
+ * requests of one route that change classes pass each other.
+ */
+uint32_t triage_weight_after(uint32_t previous, int64_t work_us,
+			     int64_t typical_us);
 uint32_t triage_rank(const struct triage_value *v);
 
 /** Entry of a queue, embedded in its owner. */
--- a/router/choice.c
+++ b/router/choice.c
@@ -56,6 +56,8 @@
  */
 #define QUEUE_GOAL_SHARE 0.15
 #define URGENT_SLOWDOWN 1.05
+/* Share of the slots of a leaf that calls longer than this goal may occupy. */
+#define LONG_SHARE 0.5
 /* A leaf that refused a call as full gets no calls for this time. */
 #define FULL_PAUSE_US (40 * US_PER_MS)
 /* Duration assumed for a call without a reply, as a factor on its age. */
@@ -120,11 +122,33 @@
 					       WORK_FACTOR_HALF_LIFE_US);
 }
 
+/*
+ * Returns the duration that a call of a route which still runs at a leaf lets
+ * expect. Without it, a route whose work has changed tenfold fills all slots
+ * before the first of its calls ends.
+ */
+static double overdue_us(const struct router *r, const struct route_leaf *leaf,
+			 const struct route_stats *route, int64_t now)
+{
+	if (!r->has_triage)
+		return 0;
+	for (const GList *l = leaf->calls.head; l; l = l->next) {
+		const struct leaf_call *c = l->data;
+		int64_t age = now - c->start_us;
+
+		if (age <= leaf->pool->shortest_goal_us)
+			return 0;
+		if (c->stats == route)
+			return LATE_FACTOR * (double)age;
+	}
+	return 0;
+}
+
 /*
  * Returns the expected duration of a call, with the wait for a slot and up to
  * 30 % more as the slots fill up.
  */
-static double expected_us(struct route_leaf *leaf,
+static double expected_us(const struct router *r, struct route_leaf *leaf,
 			  const struct route_stats *route, double typical,
 			  int64_t now)
 {
@@ -137,6 +161,7 @@
 	if (d)
 		work += (d->mean_us - typical) *
 			decay(now - d->at_us, DURATION_HALF_LIFE_US);
+	work = MAX(work, overdue_us(r, leaf, route, now));
 	if (now < leaf->cold_until_us)
 		work *= WARM_UP_COST;
 	work *= leaf_work_factor(leaf, now);
@@ -166,13 +191,16 @@
 {
 	const struct upstream_pool *pool = leaf->pool;
 	double slots = MAX(leaf->entry.slots, 1);
-	double queued = estimated_load(leaf, now) + 1 - slots;
-	double wait =
-		queued * (double)work_estimate_typical(&pool->work) / slots;
+	double load = estimated_load(leaf, now);
+	double wait = (load + 1 - slots) *
+		      (double)work_estimate_typical(&pool->work) / slots;
+	double allowed = QUEUE_GOAL_SHARE * (double)pool->shortest_goal_us;
 
-	return r->has_triage &&
-	       wait > QUEUE_GOAL_SHARE * (double)pool->shortest_goal_us &&
-	       waiting_slowdown(r, p) > URGENT_SLOWDOWN;
+	if (!r->has_triage)
+		return false;
+	if (waiting_is_long(r, p) && load + 1 > MAX(LONG_SHARE * slots, 1))
+		return true;
+	return wait > allowed && waiting_slowdown(r, p) > URGENT_SLOWDOWN;
 }
 
 /* What leaf_choose() learns of the leaves that it passes over. */
@@ -234,6 +262,20 @@
 	return 1 + (double)waiting_work_before(p) / own;
 }
 
+/*
+ * Returns the work that the leaves that were passed over start in each
+ * microsecond. Their slots hold calls of all routes: with the work of a short
+ * part alone, its wait at the leaf makes the rate appear too low.
+ */
+static double work_rate(const struct route_part *p, const struct passed_over *o,
+			double own)
+{
+	double work = MAX(own, (double)work_estimate_average(&p->pool->work));
+
+	return MAX(o->capacity, CAPACITY_MIN) * work /
+	       (work + MAX(o->least_busy_us - own, 0));
+}
+
 /* Fills in the wait for the first of the leaves that were passed over. */
 static void set_wait(struct router *r, struct leaf_choice *choice,
 		     const struct route_part *part, const struct passed_over *o)
@@ -243,6 +285,8 @@
 	double busy = o->least_busy_us * turn / MAX(o->capacity, CAPACITY_MIN);
 	double limited = (double)o->limited_wait_us;
 
+	if (r->has_triage && o->least_busy_us < INFINITY)
+		busy = own * turn / work_rate(part, o, own);
 	if (o->limited_per_s > 0)
 		limited = MAX(limited, turn / o->limited_per_s * US_PER_S);
 	limited = MIN(limited, (double)o->limited_end_us);
@@ -282,7 +326,7 @@
 
 		if (leaf_access_is_barred(a.reason))
 			continue;
-		expected = expected_us(leaf, stats, typical, now);
+		expected = expected_us(r, leaf, stats, typical, now);
 		if (!a.has_room) {
 			if (a.reason != ACCESS_TRIED &&
 			    note_limited(r, part, &over, leaf, expected,
@@ -336,7 +380,7 @@
 		a = leaf_access_check(r, part, leaf, now);
 		if (leaf_access_is_barred(a.reason) || a.may_join_batch)
 			continue;
-		expected = expected_us(leaf, stats, typical, now);
+		expected = expected_us(r, leaf, stats, typical, now);
 		if (cost_us(leaf, expected, now) <= choice->cost)
 			leaf_access_note_wanted(r, part, leaf);
 	}
--- a/router/part.c
+++ b/router/part.c
@@ -17,10 +17,12 @@
 #define RETRY_REFUSED_MAX 4
 
 /*
- * Factor on the expected wait of a part that arrives: more urgent requests may
- * arrive while it waits, and a gather waits for the slowest of its parts.
+ * Factor on the expected wait of a part that arrives, if entries of better
+ * ranks take capacity: more of them may arrive while it waits. A margin for the
+ * best rank refuses its requests, and their room goes to lower ranks.
  */
 #define WAIT_MARGIN 2.0
+#define MARGIN_SLOWDOWN 1.05
 
 static const char *outcome_name(enum call_outcome outcome)
 {
@@ -214,12 +216,17 @@
 				     const struct route_part *p,
 				     const struct leaf_choice *choice)
 {
-	double wait =
-		WAIT_MARGIN * waiting_slowdown(r, p) * (double)choice->wait_us;
+	double slowdown = waiting_slowdown(r, p);
+	double wait = slowdown * (double)choice->wait_us;
+	int64_t work = choice->expected_us;
 
+	if (slowdown >= MARGIN_SLOWDOWN)
+		wait *= WAIT_MARGIN;
+	/* A long call that ends late has kept more urgent ones from a slot. */
+	if (r->has_triage && waiting_is_long(r, p))
+		work = MAX(work, work_estimate_high(&p->request->stats->work));
 	return request_end_of(r, p->request,
-			      (int64_t)MIN(wait, (double)WAIT_MAX_US),
-			      choice->expected_us);
+			      (int64_t)MIN(wait, (double)WAIT_MAX_US), work);
 }
 
 /*
@@ -356,6 +363,15 @@
 	return PART_STARTED;
 }
 
+/* Returns whether a request is admitted only so that the estimate can follow. */
+static bool is_trial(struct router *r, struct route_request *q)
+{
+	/* A trial of some parts only would be refused as a whole. */
+	q->is_trial = q->is_trial ||
+		      work_estimate_may_try(&q->stats->work, router_now(r));
+	return q->is_trial;
+}
+
 /*
  * Returns whether a part that no free leaf is expected to answer within the
  * goal starts nevertheless.
@@ -363,9 +379,11 @@
 static bool may_be_late(struct router *r, const struct route_part *p,
 			const struct leaf_choice *choice)
 {
-	const struct route_request *q = p->request;
+	struct route_request *q = p->request;
 	int64_t end = router_now(r) + choice->wait_us + choice->expected_us;
 
+	if (q->value.is_late && !q->is_partial && waiting_is_long(r, p))
+		return choice->leaf && is_trial(r, q);
 	if (!choice->leaf)
 		return q->value.is_late && !q->is_partial &&
 		       end <= q->plan_until_us;
@@ -394,13 +412,9 @@
 	struct route_request *q = p->request;
 	int64_t now = router_now(r);
 
-	if (leaf_queued_calls(leaf, now) <= 0 &&
-	    now + work_estimate_low(&q->stats->work) <= q->deadline_us)
-		return true;
-	/* A trial of some parts only would be refused as a whole. */
-	q->is_trial = q->is_trial ||
-		      work_estimate_may_try(&q->stats->work, now);
-	return q->is_trial;
+	return (leaf_queued_calls(leaf, now) <= 0 &&
+		now + work_estimate_low(&q->stats->work) <= q->deadline_us) ||
+	       is_trial(r, q);
 }
 
 static bool is_feasible(struct router *r, struct route_part *p,
--- a/router/request.c
+++ b/router/request.c
@@ -61,6 +61,21 @@
 	return MAX(RETRY_AFTER_MIN_US, (int64_t)(share * longest));
 }
 
+/*
+ * Returns the backoff if most requests of the route are refused and a
+ * repetition would be late: half to all of the time to the deadline, which is
+ * more than callers accept. Late repetitions would be refused again, or take
+ * the capacity of requests that can still meet their goals.
+ */
+static int64_t retry_after_shortage(struct router *r,
+				    const struct route_request *q)
+{
+	double left = (double)(q->deadline_us - router_now(r));
+
+	return MAX(RETRY_AFTER_MIN_US,
+		   (int64_t)(g_rand_double_range(r->random, 0.5, 1) * left));
+}
+
 /*
  * Returns the backoff after a refusal for lack of capacity. The goal of the
  * caller counts from its first attempt: the repetition comes while it can still
@@ -76,7 +91,9 @@
 	/* A wait beyond the goal shows that there will be no room by then. */
 	if (left < RETRY_AFTER_CROWD_MIN_US ||
 	    q->refusal.wait_us > q->refusal.left_us)
-		return retry_after_outage(r, q);
+		return triage_class_is_scarce(&q->stats->class)
+			       ? retry_after_shortage(r, q)
+			       : retry_after_outage(r, q);
 	return (int64_t)(share * (double)left);
 }
 
@@ -597,6 +614,24 @@
 	}
 }
 
+/*
+ * Lets parts wait that the coverage can do without: the review leaves them out
+ * if they do not start in time, and most of them do.
+ */
+static void keep_crowded_parts(struct router *r, struct route_request *q)
+{
+	if (!r->has_triage || q->is_partial || q->route->shape != ROUTE_GATHER)
+		return;
+	for (uint32_t i = 0; i < q->part_count; i++) {
+		struct route_part *p = &q->parts[i];
+
+		if (!may_make_room(p))
+			continue;
+		p->is_infeasible = false;
+		q->failed_count--;
+	}
+}
+
 /*
  * Returns whether a request can be answered, before any leaf is called. If one
  * shard is overloaded, the work of the other shards would be wasted.
@@ -608,7 +643,10 @@
 			q->failed_count++;
 	}
 	make_room(r, q);
-	return can_be_answered(r, q);
+	if (!can_be_answered(r, q))
+		return false;
+	keep_crowded_parts(r, q);
+	return true;
 }
 
 uint64_t router_start(struct router *r, const struct router_request *in)
--- a/router/triage.c
+++ b/router/triage.c
@@ -21,6 +21,8 @@
  * of each further doubling, is expected.
  */
 #define SLOWEST_STEP 0.5
+/* Mean absolute deviations above the mean that few calls exceed. */
+#define HIGH_SPREADS 2
 /* Calls ahead may be longer than the call itself by this factor. */
 #define SHORTEST_FACTOR 3
 #define TRIAL_INTERVAL_US (250 * US_PER_MS)
@@ -35,9 +37,14 @@
 #define CLASS_HALF_LIFE_US (5 * US_PER_S)
 /*
  * Share of the success of all requests that each class reaches. Less than a
- * quarter is not permitted; repetitions by callers raise what they see.
+ * quarter is not permitted, and some started requests end without success.
  */
-#define CLASS_FLOOR 0.25
+#define CLASS_FLOOR 0.3
+/*
+ * Half-life of the shares that are compared with the floor. With 5 s, the share
+ * of all requests before an overload counts for most of its first 10 s.
+ */
+#define FLOOR_HALF_LIFE_US US_PER_S
 #define CREDIT_MAX 2.0
 /*
  * Requests of a more urgent class that must be known to give way to it, and the
@@ -46,6 +53,8 @@
  */
 #define CLASS_KNOWN_MIN 5.0
 #define CLASS_TOLERANCE 0.02
+/* Share of started requests below which repetitions are mostly refused. */
+#define SCARCE_SHARE 0.5
 
 /* Half-life of the work that each rank takes, and its largest share. */
 #define TAKEN_HALF_LIFE_US (500 * US_PER_MS)
@@ -68,6 +77,8 @@
 #define LATE_RANK (TRIAGE_RANKS - 1)
 /* Work that is this much above or below that of a typical call. */
 #define WEIGHT_FACTOR 1.5
+/* Factor beyond a bound at which the class of the work of a route changes. */
+#define WEIGHT_HYSTERESIS 1.25
 /*
  * An entry that has waited for this time goes before newer entries of the next
  * better rank.
@@ -125,6 +136,11 @@
 	return e->count < WORK_SAMPLES_MIN ? 0 : (int64_t)e->average_us;
 }
 
+int64_t work_estimate_high(const struct work_estimate *e)
+{
+	return estimate_at(e, HIGH_SPREADS);
+}
+
 int64_t work_estimate_slowest(const struct work_estimate *e, uint32_t calls)
 {
 	return estimate_at(e, SLOWEST_STEP * log2(MAX(calls, 1)));
@@ -188,26 +204,39 @@
 	       MIN((int64_t)(HOLD_GOAL_SHARE * (double)goal_us), HOLD_MAX_US);
 }
 
-static void decay_class(struct triage_class *c, int64_t now_us)
+static void decay_class(struct triage_class *c, int64_t half_life_us,
+			int64_t now_us)
 {
-	double factor = decay(now_us - c->at_us, CLASS_HALF_LIFE_US);
+	double factor = decay(now_us - c->at_us, half_life_us);
 
 	c->offered *= factor;
 	c->started *= factor;
 	c->at_us = now_us;
 }
 
+/* Returns whether the class is started as often as the floor requires. */
+static bool reaches_floor(const struct triage_class *c,
+			  const struct triage_class *all)
+{
+	return c->started * all->offered >=
+	       CLASS_FLOOR * all->started * c->offered;
+}
+
 bool triage_class_note_offered(struct triage_class *c, struct triage_class *all,
 			       int64_t now_us)
 {
-	decay_class(c, now_us);
-	decay_class(all, now_us);
+	bool is_served;
+
+	decay_class(c, FLOOR_HALF_LIFE_US, now_us);
+	decay_class(all, FLOOR_HALF_LIFE_US, now_us);
 	if (all->offered >= 1)
 		c->credit += CLASS_FLOOR * MIN(all->started / all->offered, 1);
 	c->credit = MIN(c->credit, CREDIT_MAX);
+	/* Credit also gathers in the gaps between starts at random times. */
+	is_served = c->offered > 0 && reaches_floor(c, all);
 	c->offered++;
 	all->offered++;
-	if (c->credit < 1)
+	if (is_served || c->credit < 1)
 		return false;
 	/* Also spent if the request is refused, so that few go first. */
 	c->credit--;
@@ -217,16 +246,22 @@
 void triage_class_note_started(struct triage_class *c, bool was_first,
 			       int64_t now_us)
 {
-	decay_class(c, now_us);
+	decay_class(c, FLOOR_HALF_LIFE_US, now_us);
 	c->started++;
 	if (!was_first)
 		c->credit = MAX(c->credit - 1, 0);
 }
 
+bool triage_class_is_scarce(const struct triage_class *c)
+{
+	return c->offered >= CLASS_KNOWN_MIN &&
+	       c->started < SCARCE_SHARE * c->offered;
+}
+
 void triage_class_note_end(struct triage_class *c, bool is_started,
 			   int64_t now_us)
 {
-	decay_class(c, now_us);
+	decay_class(c, CLASS_HALF_LIFE_US, now_us);
 	c->offered++;
 	c->started += is_started;
 }
@@ -324,6 +359,19 @@
 	return work < typical * WEIGHT_FACTOR ? 1 : 2;
 }
 
+uint32_t triage_weight_after(uint32_t previous, int64_t work_us,
+			     int64_t typical_us)
+{
+	double work = (double)work_us;
+
+	if (triage_weight((int64_t)(work * WEIGHT_HYSTERESIS), typical_us) ==
+		    previous ||
+	    triage_weight((int64_t)(work / WEIGHT_HYSTERESIS), typical_us) ==
+		    previous)
+		return previous;
+	return triage_weight(work_us, typical_us);
+}
+
 uint32_t triage_rank(const struct triage_value *v)
 {
 	uint32_t rank =
--- a/router/waiting.c
+++ b/router/waiting.c
@@ -11,6 +11,8 @@
 #define NEARLY_DONE_SHARE 0.25
 /* Share of the goal before their latest start in which such requests go first. */
 #define LAST_CHANCE_SHARE 0.5
+/* Least slowdown by more urgent requests at which long calls give way. */
+#define URGENT_SLOWDOWN 1.01
 /* Requests that are refused at most to make room for one. */
 #define DISPLACED_MAX 4
 /*
@@ -83,6 +85,19 @@
 	return s;
 }
 
+static uint32_t weigh_request(const struct route_request *q)
+{
+	struct route_stats *s = q->stats;
+	int64_t work = request_typical_work(q);
+	int64_t typical = work_estimate_typical(&q->parts[0].pool->work);
+
+	s->weight = s->has_weight
+			    ? triage_weight_after(s->weight, work, typical)
+			    : triage_weight(work, typical);
+	s->has_weight = true;
+	return s->weight;
+}
+
 void request_classify(struct router *r, struct route_request *q)
 {
 	int64_t now = router_now(r);
@@ -93,9 +108,7 @@
 		return;
 	v->priority = q->priority;
 	if (q->part_count)
-		v->weight = triage_weight(
-			request_typical_work(q),
-			work_estimate_typical(&q->parts[0].pool->work));
+		v->weight = weigh_request(q);
 	v->is_late = request_end_of(r, q, 0,
 				    work_estimate_typical(&q->stats->work)) ==
 		     TRIAGE_LATE;
@@ -190,6 +203,20 @@
 	return triage_queue_work_before(&p->pool->waiting, rank_of(p->request));
 }
 
+bool waiting_is_long(const struct router *r, const struct route_part *p)
+{
+	const struct route_request *q = p->request;
+	const struct upstream_pool *pool = p->pool;
+	uint32_t first =
+		MIN(q->priority, TRIAGE_PRIORITIES - 1) * TRIAGE_WEIGHTS;
+
+	/* A neglected request goes first, but its calls are as long. */
+	return q->route->goal_us > pool->shortest_goal_us &&
+	       request_typical_work(q) > pool->shortest_goal_us &&
+	       triage_queue_slowdown(&pool->waiting, first, pool->drain,
+				     router_now(r)) > URGENT_SLOWDOWN;
+}
+
 double waiting_slowdown(const struct router *r, const struct route_part *p)
 {
 	return triage_queue_slowdown(&p->pool->waiting, rank_of(p->request),
--- a/test/unit/fake_load.c
+++ b/test/unit/fake_load.c
@@ -415,20 +415,42 @@
 	}
 }
 
-static gint compare_for_oracle(gconstpointer a, gconstpointer b)
+/* Order in which an oracle gives capacity to the requests of a second. */
+struct oracle {
+	const struct load_pattern *pattern;
+	/** Knows the mean work of each route only, not that of a request. */
+	bool is_blind;
+};
+
+static double known_work(const struct oracle *o, const struct load_request *q)
 {
-	const struct load_request *const *x = a;
-	const struct load_request *const *y = b;
+	return o->is_blind ? base_work_us[q->route] : q->work_us;
+}
 
-	return (*x)->work_us < (*y)->work_us ? -1
-					     : (*x)->work_us > (*y)->work_us;
+/*
+ * The organisation that sends too much goes after all others: it must displace
+ * its own requests first. Where the others fit into the capacity, as here, no
+ * schedule that respects this serves more requests: all of the others, and
+ * those of the first organisation that need the least work.
+ */
+static gint compare_for_oracle(gconstpointer a, gconstpointer b, gpointer ctx)
+{
+	const struct load_request *x = *(const struct load_request *const *)a;
+	const struct load_request *y = *(const struct load_request *const *)b;
+	const struct oracle *o = ctx;
+
+	if (o->pattern->organisation && !x->organisation != !y->organisation)
+		return !x->organisation ? 1 : -1;
+	if (known_work(o, x) != known_work(o, y))
+		return known_work(o, x) < known_work(o, y) ? -1 : 1;
+	return compare_arrivals(x, y, NULL);
 }
 
 /*
  * Worth of an oracle that fills the capacity of each second with the requests
- * of the least work; no scheduler can do better.
+ * of the least work; no scheduler with its knowledge can do better.
  */
-static double oracle_worth(const struct load_run *run)
+static double oracle_worth(const struct load_run *run, struct oracle *o)
 {
 	GPtrArray *sorted = g_ptr_array_new();
 	double worth = 0;
@@ -446,7 +468,7 @@
 			    q->at_us < from + US_PER_S)
 				g_ptr_array_add(sorted, q);
 		}
-		g_ptr_array_sort(sorted, compare_for_oracle);
+		g_ptr_array_sort_with_data(sorted, compare_for_oracle, o);
 		for (guint i = 0; i < sorted->len && left > 0; i++) {
 			const struct load_request *q = sorted->pdata[i];
 
@@ -524,7 +546,8 @@
 		if (q->first_at_us >= WARM_UP_US)
 			count_request(q, out);
 	}
-	out->oracle = oracle_worth(&run);
+	out->oracle = oracle_worth(&run, &(struct oracle){ pattern, false });
+	out->bound = oracle_worth(&run, &(struct oracle){ pattern, true });
 	for (uint32_t i = 0; i < hosts; i++)
 		router_destroy(run.hosts[i].router);
 	event_set_sink(NULL, NULL);
--- a/test/unit/fake_load.h
+++ b/test/unit/fake_load.h
@@ -33,6 +33,11 @@
 	/** Worth of all answers, and that of the oracle. */
 	double worth;
 	double oracle;
+	/**
+	 * Worth of the oracle if it does not know the work of single requests,
+	 * which no scheduler learns before it has called leaves for them.
+	 */
+	double bound;
 	/** By route: requests, and those that were answered within the goal. */
 	uint32_t offered_by_route[2];
 	uint32_t in_goal_by_route[2];
--- a/test/unit/test_triage.c
+++ b/test/unit/test_triage.c
@@ -158,6 +158,42 @@
 	CU_ASSERT_TRUE(first <= 4000 / 6);
 }
 
+/*
+ * Guards against requests that go before more urgent ones although their class
+ * is served above its floor: its starts come in groups, with gaps between them.
+ */
+static void test_served(void)
+{
+	struct triage_class all = { 0 };
+	struct triage_class c = { 0 };
+
+	for (int i = 0; i < 400; i++) {
+		int64_t now = i * 5 * US_PER_MS;
+
+		CU_ASSERT_FALSE(triage_class_note_offered(&c, &all, now));
+		triage_class_note_started(&all, false, now);
+		for (int k = 0; k < 8 && i % 16 == 0; k++)
+			triage_class_note_started(&c, false, now);
+	}
+	CU_ASSERT_FALSE(triage_class_is_scarce(&all));
+	CU_ASSERT_TRUE(triage_class_is_scarce(&c));
+}
+
+/*
+ * Guards against a route that changes its class of work from one request to the
+ * next, so that its requests pass each other.
+ */
+static void test_weight(void)
+{
+	CU_ASSERT_EQUAL(triage_weight(100, 149), 1);
+	CU_ASSERT_EQUAL(triage_weight(100, 151), 0);
+	CU_ASSERT_EQUAL(triage_weight_after(1, 100, 151), 1);
+	CU_ASSERT_EQUAL(triage_weight_after(0, 100, 149), 0);
+	CU_ASSERT_EQUAL(triage_weight_after(1, 100, 190), 0);
+	CU_ASSERT_EQUAL(triage_weight_after(0, 100, 119), 1);
+	CU_ASSERT_EQUAL(triage_weight_after(0, 400, 100), 2);
+}
+
 /* Guards against a route that succeeds more often than a more urgent one. */
 static void test_gives_way(void)
 {
@@ -234,6 +270,8 @@
 	{ "work", test_work },
 	{ "end", test_end },
 	{ "neglected", test_neglected },
+	{ "served", test_served },
+	{ "weight", test_weight },
 	{ "gives way", test_gives_way },
 	{ "demand", test_demand },
 	{ "rare demand", test_rare_demand },
--- a/test/unit/test_triage_load.c
+++ b/test/unit/test_triage_load.c
@@ -24,9 +24,9 @@
 			  const struct load_figures *f)
 {
 	fprintf(stderr,
-		"load %s: worth=%.3f large=%.3f small=%.3f late=%u refused=%u "
+		"load %s: worth=%.3f bound=%.3f large=%.3f small=%.3f late=%u refused=%u "
 		"soon=%u held=%u failed=%u wasted=%.3f end=%.3f\n",
-		p->name, f->worth / f->oracle,
+		p->name, f->worth / f->oracle, f->bound / f->oracle,
 		(double)f->in_goal_by_route[0] / f->offered_by_route[0],
 		(double)f->in_goal_by_route[1] / f->offered_by_route[1],
 		f->late, f->refused, f->refused_soon, f->refused_held,
--- a/test/unit/test_waiting.c
+++ b/test/unit/test_waiting.c
@@ -374,6 +374,50 @@
 	fake_router_destroy(f);
 }
 
+/*
+ * Guards against less urgent calls of a route whose work has grown tenfold that
+ * occupy all slots, before the first of them has ended and after it.
+ */
+static void test_long_calls(void)
+{
+	struct fake_router *f = create_router(1);
+	struct route_table *t = fake_router_create_table(1, 2);
+	uint32_t calls;
+
+	t->routes[2].priority = 1;
+	t->routes[2].goal_us = US_PER_S;
+	router_apply_table(f->router, t);
+	learn(f, "/put/x", 400 * US_PER_MS);
+	learn(f, "/get/x", 20 * US_PER_MS);
+	get_pool(f, "s0")->drain = 3;
+	calls = f->call_count;
+	for (int i = 0; i < 40; i++)
+		fake_router_start_request(f, "/put/x", 0);
+	/* Half of the four slots of each of three leaves. */
+	CU_ASSERT_EQUAL(f->call_count - calls, 3 * 2);
+	CU_ASSERT_NOT_EQUAL(fake_router_start_request(f, "/get/x", 0), 0);
+	CU_ASSERT_EQUAL(f->call_count - calls, 3 * 2 + 1);
+	fake_router_destroy(f);
+}
+
+/*
+ * Guards against callers that are told to repeat a request after its goal while
+ * most requests of the route are refused.
+ */
+static void test_hopeless_repeat(void)
+{
+	struct fake_router *f = create_router(1);
+	int64_t timeout = 1500 * US_PER_MS;
+
+	learn(f, "/get/x", 270 * US_PER_MS);
+	for (int i = 0; i < 100; i++)
+		fake_router_start_request(f, "/get/x", 0);
+	CU_ASSERT_EQUAL(last_answer(f)->status, 503);
+	CU_ASSERT_TRUE(last_answer(f)->retry_after_us > timeout / 3);
+	CU_ASSERT_TRUE(last_answer(f)->retry_after_us <= timeout);
+	fake_router_destroy(f);
+}
+
 CU_TestInfo waiting_tests[] = {
 	{ "removed organisation", test_removed_organisation },
 	{ "infeasible in batch", test_infeasible_in_batch },
@@ -387,5 +431,7 @@
 	{ "drain with batch", test_drain_with_batch },
 	{ "budget without refused", test_budget_without_refused },
 	{ "endless wait", test_endless_wait },
+	{ "long calls", test_long_calls },
+	{ "hopeless repeat", test_hopeless_repeat },
 	CU_TEST_INFO_NULL,
 };
