triage: neglected late requests, needless refusals, hidden entries

* A class that is started too rarely goes first also if its requests are late.
* Requests are refused in favour of another one only if this lets enough of its parts start in time, by the same measure as its admission.
* When a leaf becomes free, entries that have the same limits as a blocked one (regions, failure domain, long calls) are passed over, so entries behind them start.
Without triage the first eight entries are tried as before.

The tests "late neglected", "displaced for late" and "hidden by blocked" fail without these changes.

--- a/include/router/internal.h
+++ b/include/router/internal.h
@@ -512,11 +512,13 @@
  * otherwise notes the figures.
  */
 bool waiting_has_room(struct router *r, struct route_request *q);
+/** Returns whether waiting_displace() would let a part start in time. */
+bool waiting_may_displace(struct router *r, struct route_part *p);
 /**
- * Refuses requests that matter less than one that has no room. Returns whether
- * any was refused.
+ * Refuses waiting requests that matter less than that of a part, if this lets
+ * the part start in time. Returns whether it does; may refuse none.
  */
-bool waiting_displace(struct router *r, const struct route_part *p);
+bool waiting_displace(struct router *r, struct route_part *p);
 /** Refuses requests that lost their place to others. */
 void waiting_shed(struct router *r, struct upstream_pool *pool);
 /** Tries to send the first calls of the parts that wait for a pool. */
@@ -533,6 +535,12 @@
 void organisation_stats_unref(gpointer stats);
 
 /* part.c */
+/**
+ * Returns whether a part that arrives can be answered within the goal once
+ * freed_us of the work before it is gone.
+ */
+bool part_fits_without(struct router *r, struct route_part *p,
+		       int64_t freed_us);
 /**
  * Chooses the leaf of the first call. Returns false if no leaf can answer the
  * part in time.
--- a/include/router/leaf_access.h
+++ b/include/router/leaf_access.h
@@ -87,6 +87,10 @@
 uint64_t leaf_access_regions(const struct router *r, const struct route *route,
 			     const struct organisation *organisation);
 
+/** Returns the regions that the table in force allows a part. */
+uint64_t leaf_access_part_regions(const struct router *r,
+				  const struct route_part *p);
+
 /**
  * Returns the calls a second to a leaf that its shared rates grant this host,
  * for calls of all priorities or only those of the part; INFINITY if the leaf
--- a/include/router/triage.h
+++ b/include/router/triage.h
@@ -245,6 +245,8 @@
 		      const struct triage_request *r);
 /** Exempts an entry from refusals. */
 void triage_queue_keep(struct triage_queue *q, struct triage_entry *e);
+/** Ends the exemption of an entry that was queued without one. */
+void triage_queue_release(struct triage_queue *q, struct triage_entry *e);
 void triage_queue_remove(struct triage_queue *q, struct triage_entry *e);
 /** Returns the entry that starts next, or NULL. */
 struct triage_entry *triage_queue_first(const struct triage_queue *q);
--- a/router/leaf_access.c
+++ b/router/leaf_access.c
@@ -123,6 +123,12 @@
 	return q->regions;
 }
 
+uint64_t leaf_access_part_regions(const struct router *r,
+				  const struct route_part *p)
+{
+	return request_regions(r, p->request);
+}
+
 enum leaf_access_reason leaf_access_check_place(const struct route_leaf *leaf,
 						uint64_t regions,
 						int64_t now_us)
--- a/router/part.c
+++ b/router/part.c
@@ -440,6 +440,21 @@
 	return choice->leaf != NULL;
 }
 
+bool part_fits_without(struct router *r, struct route_part *p, int64_t freed_us)
+{
+	struct leaf_choice choice = leaf_choose(r, p);
+	double drain = p->pool->drain;
+
+	if (choice.leaf)
+		return true;
+	if (!choice.is_busy)
+		return false;
+	if (drain > 0)
+		choice.wait_us = (int64_t)MAX(
+			(double)choice.wait_us - (double)freed_us / drain, 0);
+	return end_of_choice(r, p, &choice) == TRIAGE_IN_GOAL;
+}
+
 bool part_plan(struct router *r, struct route_part *p)
 {
 	struct leaf_choice choice = leaf_choose(r, p);
--- a/router/request.c
+++ b/router/request.c
@@ -589,6 +589,23 @@
 			  gather_reaches_coverage(q, q->part_count - parts));
 }
 
+/*
+ * Returns whether the refusal of other requests gives room to enough parts: no
+ * request is refused for one that ends refused all the same.
+ */
+static bool may_get_room(struct router *r, struct route_request *q,
+			 uint32_t lost)
+{
+	uint32_t crowded = 0;
+
+	for (uint32_t i = 0; i < q->part_count; i++) {
+		struct route_part *p = &q->parts[i];
+
+		crowded += may_make_room(p) && !waiting_may_displace(r, p);
+	}
+	return can_lose(q, lost + crowded) && (!crowded || may_leave_out(r, q));
+}
+
 /*
  * Refuses other requests and plans parts again for which there was no room, as
  * long as enough of them may get it.
@@ -600,6 +617,8 @@
 	for (uint32_t i = 0; i < q->part_count; i++)
 		lost += q->parts[i].is_infeasible &&
 			!may_make_room(&q->parts[i]);
+	if (can_be_answered(r, q) || !may_get_room(r, q, lost))
+		return;
 	for (uint32_t i = 0; i < q->part_count && !can_be_answered(r, q); i++) {
 		struct route_part *p = &q->parts[i];
 
--- a/router/triage.c
+++ b/router/triage.c
@@ -381,10 +381,10 @@
 	/* Little capacity is needed for the worth of a whole request. */
 	if (v->is_nearly_done)
 		return 0;
-	if (v->is_late)
-		return LATE_RANK;
 	if (v->is_neglected)
 		return v->is_excess ? rank : 0;
+	if (v->is_late)
+		return LATE_RANK;
 	return v->is_excess ? USUAL_RANKS + rank : rank;
 }
 
@@ -439,6 +439,12 @@
 	heap_remove(&q->refusal, &e->refusal);
 }
 
+void triage_queue_release(struct triage_queue *q, struct triage_entry *e)
+{
+	if (e->order.position)
+		heap_push(&q->refusal, &e->refusal, e->refusal.key);
+}
+
 void triage_queue_remove(struct triage_queue *q, struct triage_entry *e)
 {
 	if (!e->order.position)
--- a/router/waiting.c
+++ b/router/waiting.c
@@ -16,10 +16,15 @@
 /* Requests that are refused at most to make room for one. */
 #define DISPLACED_MAX 4
 /*
- * Parts at the front of a queue that are tried at most if some of them may not
- * be sent to all leaves.
+ * Parts at the front of a queue that are tried at most without triage, if some
+ * of them may not be sent to all leaves.
  */
 #define FRONT_MAX 8
+/*
+ * Different limits on the leaves of waiting parts that are tried at most when a
+ * leaf becomes free. Beyond that only parts without limits are.
+ */
+#define BLOCKED_MAX 8
 /*
  * Time for which the drain of a pool is not replaced by that of a part which
  * may not be sent to all leaves: such a part sees some of the capacity only.
@@ -626,26 +631,64 @@
 	return e ? part_of_entry(e) : NULL;
 }
 
-bool waiting_displace(struct router *r, const struct route_part *p)
+/* Returns whether the refusal of an entry may make room for a part. */
+static bool may_displace(const struct route_part *victim,
+			 const struct route_part *p)
 {
 	const struct route_request *q = p->request;
-	int64_t work = request_typical_work(q);
-	uint32_t count = 0;
 
-	while (count < DISPLACED_MAX &&
-	       request_end_of(r, q, waiting_time(r, p), work) !=
-		       TRIAGE_IN_GOAL) {
+	/* The refusal of a lower rank makes no room. */
+	return victim && victim->request != q &&
+	       victim->entry.rank <= rank_of(q) &&
+	       triage_is_cheaper(&victim->entry, rank_of(q),
+				 request_whole_work(q));
+}
+
+/*
+ * Finds the entries whose refusal lets a part start in time. Returns false if
+ * no permitted number of them is enough; none is needed if count is 0.
+ */
+static bool find_victims(struct router *r, struct route_part *p,
+			 struct route_part **victims, uint32_t *count)
+{
+	struct triage_queue *queue = &p->pool->waiting;
+	bool is_enough = part_fits_without(r, p, 0);
+	int64_t freed = 0;
+
+	*count = 0;
+	while (!is_enough && *count < DISPLACED_MAX) {
 		struct route_part *v = part_of_refusal(p->pool);
 
-		/* The refusal of a lower rank makes no room. */
-		if (!v || v->request == q || v->entry.rank > rank_of(q) ||
-		    !triage_is_cheaper(&v->entry, rank_of(q),
-				       request_whole_work(q)))
+		if (!may_displace(v, p))
 			break;
-		request_refuse(r, v->request, TRIAGE_DISPLACED);
-		count++;
+		triage_queue_keep(queue, &v->entry);
+		victims[(*count)++] = v;
+		freed += v->entry.work_us;
+		is_enough = part_fits_without(r, p, freed);
 	}
-	return count > 0;
+	for (uint32_t i = 0; i < *count; i++)
+		triage_queue_release(queue, &victims[i]->entry);
+	return is_enough;
+}
+
+bool waiting_may_displace(struct router *r, struct route_part *p)
+{
+	struct route_part *victims[DISPLACED_MAX];
+	uint32_t count;
+
+	return find_victims(r, p, victims, &count);
+}
+
+bool waiting_displace(struct router *r, struct route_part *p)
+{
+	struct route_part *victims[DISPLACED_MAX];
+	uint32_t count;
+
+	if (!find_victims(r, p, victims, &count))
+		return false;
+	for (uint32_t i = 0; i < count; i++)
+		request_refuse(r, victims[i]->request, TRIAGE_DISPLACED);
+	return true;
 }
 
 void waiting_shed(struct router *r, struct upstream_pool *pool)
@@ -668,7 +711,8 @@
 	}
 }
 
-void waiting_start_pool(struct router *r, struct upstream_pool *pool)
+/* Starts parts in the order of their arrival, without triage. */
+static void start_in_order(struct router *r, struct upstream_pool *pool)
 {
 	uint32_t at = 0;
 
@@ -697,6 +741,93 @@
 	}
 }
 
+/* Limits on the leaves of a part: parts with the same are blocked alike. */
+struct part_limits {
+	uint64_t regions;
+	bool is_partial;
+	bool is_long;
+};
+
+static struct part_limits limits_of(struct router *r,
+				    const struct route_part *p)
+{
+	return (struct part_limits){
+		.regions = leaf_access_part_regions(r, p),
+		.is_partial = p->request->is_partial,
+		.is_long = waiting_is_long(r, p),
+	};
+}
+
+static bool has_limits(const struct part_limits *l)
+{
+	return l->regions != REGIONS_ALL || l->is_partial || l->is_long;
+}
+
+static bool is_blocked(struct router *r, const struct route_part *p,
+		       const struct part_limits *blocked, uint32_t count)
+{
+	struct part_limits l = limits_of(r, p);
+
+	for (uint32_t i = 0; i < count; i++) {
+		if (l.regions == blocked[i].regions &&
+		    l.is_partial == blocked[i].is_partial &&
+		    l.is_long == blocked[i].is_long)
+			return true;
+	}
+	return count == BLOCKED_MAX && has_limits(&l);
+}
+
+/* Returns the first waiting part whose limits are not known to block it. */
+static struct route_part *first_unblocked(struct router *r,
+					  struct upstream_pool *pool,
+					  const struct part_limits *blocked,
+					  uint32_t count)
+{
+	struct triage_entry *first = triage_queue_first(&pool->waiting);
+
+	/* Without blocked parts there is no need to look at all entries. */
+	for (uint32_t i = 0; count && i < triage_queue_count(&pool->waiting);
+	     i++) {
+		struct triage_entry *e = triage_queue_at(&pool->waiting, i);
+
+		if (!i)
+			first = NULL;
+		if ((!first || e->order.key < first->order.key) &&
+		    !is_blocked(r, part_of_entry(e), blocked, count))
+			first = e;
+	}
+	return first ? part_of_entry(first) : NULL;
+}
+
+void waiting_start_pool(struct router *r, struct upstream_pool *pool)
+{
+	struct part_limits blocked[BLOCKED_MAX];
+	struct part_limits limits;
+	uint32_t count = 0;
+	struct route_part *p;
+
+	if (!r->has_triage) {
+		start_in_order(r, pool);
+		return;
+	}
+	while ((p = first_unblocked(r, pool, blocked, count))) {
+		switch (part_try_first(r, p)) {
+		case PART_BLOCKED:
+			limits = limits_of(r, p);
+			if (!has_limits(&limits))
+				return;
+			blocked[count++] = limits;
+			break;
+		case PART_HOPELESS:
+			request_handle_part_end(r, p->request);
+			break;
+		case PART_STARTED:
+		case PART_REFUSED:
+			break;
+		}
+	}
+}
+
 void waiting_start_all(struct router *r)
 {
 	/* The end of a request may take several pools out of the list. */
--- a/test/unit/test_triage.c
+++ b/test/unit/test_triage.c
@@ -194,6 +194,16 @@
 	CU_ASSERT_EQUAL(triage_weight_after(0, 400, 100), 2);
 }
 
+/* Guards against a route without a floor because its requests are late. */
+static void test_late_neglected(void)
+{
+	struct triage_value v = { .priority = 1, .is_late = true };
+
+	CU_ASSERT_EQUAL(triage_rank(&v), TRIAGE_RANKS - 1);
+	v.is_neglected = true;
+	CU_ASSERT_EQUAL(triage_rank(&v), 0);
+}
+
 /* Guards against a route that succeeds more often than a more urgent one. */
 static void test_gives_way(void)
 {
@@ -272,6 +282,7 @@
 	{ "neglected", test_neglected },
 	{ "served", test_served },
 	{ "weight", test_weight },
+	{ "late neglected", test_late_neglected },
 	{ "gives way", test_gives_way },
 	{ "demand", test_demand },
 	{ "rare demand", test_rare_demand },
--- a/test/unit/test_waiting.c
+++ b/test/unit/test_waiting.c
@@ -1,5 +1,7 @@
 #include "suites.h"
 
+#include <string.h>
+
 #include "common/errors.h"
 #include "fake_router.h"
 #include "router/internal.h"
@@ -418,6 +420,76 @@
 	fake_router_destroy(f);
 }
 
+/*
+ * Guards against requests that are refused for one which cannot be answered in
+ * time all the same.
+ */
+static void test_displaced_for_late(void)
+{
+	struct fake_router *f = create_router(1);
+	struct route_request *q;
+	uint32_t waiting;
+
+	learn(f, "/get/x", 25 * US_PER_MS);
+	learn(f, "/search/x", 20 * US_PER_MS);
+	f->answer_count = 0;
+	fill_leaves(f, "/get/x");
+	for (int i = 0; i < 6; i++)
+		fake_router_start_request(f, "/get/x", 0);
+	q = id_table_find(&f->router->requests,
+			  fake_router_start_request(f, "/search/x", 0));
+	CU_ASSERT_PTR_NOT_NULL_FATAL(q);
+	waiting = triage_queue_count(&get_pool(f, "s0")->waiting);
+	CU_ASSERT_TRUE(waiting >= 8);
+	CU_ASSERT_TRUE(waiting_displace(f->router, &q->parts[0]));
+	q->goal_at_us = f->time.now_us;
+	CU_ASSERT_FALSE(waiting_displace(f->router, &q->parts[0]));
+	CU_ASSERT_EQUAL(triage_queue_count(&get_pool(f, "s0")->waiting),
+			waiting);
+	/* The queue is as before. */
+	CU_ASSERT_EQUAL(get_pool(f, "s0")->waiting.refusal.count, waiting);
+	fake_router_destroy(f);
+}
+
+/*
+ * Guards against a request that does not start although a leaf is free, because
+ * parts for the leaves of another failure domain wait before it.
+ */
+static void test_hidden_by_blocked(void)
+{
+	static const char *const shards[] = { "s0" };
+	struct fake_router *f = create_router(1);
+	struct router_request in = {
+		.id = "b",
+		.host = "example",
+		.path = "/search/x",
+		.goal_us = 150 * US_PER_MS,
+		.shards = shards,
+		.shard_count = 1,
+	};
+	uint32_t calls;
+	uint32_t at = 0;
+
+	learn(f, "/search/x", 5 * US_PER_MS);
+	learn(f, "/get/x", 5 * US_PER_MS);
+	calls = f->call_count;
+	router_cancel(f->router, fill_leaves(f, "/get/x"));
+	for (int i = 0; i < 12; i++)
+		CU_ASSERT_NOT_EQUAL(router_start(f->router, &in), 0);
+	CU_ASSERT_NOT_EQUAL(fake_router_start_request(f, "/get/x", 0), 0);
+	CU_ASSERT_EQUAL(triage_queue_count(&get_pool(f, "s0")->waiting), 13);
+	for (uint32_t i = calls; i < f->call_count; i++) {
+		if (!strcmp(f->calls[i].leaf->entry.id, "s0-b"))
+			at = i;
+	}
+	CU_ASSERT_TRUE_FATAL(at > 0);
+	calls = f->call_count;
+	fake_router_end_call(f, at, CALL_ANSWERED, 200, RECORD);
+	CU_ASSERT_EQUAL(f->call_count, calls + 1);
+	CU_ASSERT_EQUAL(triage_queue_count(&get_pool(f, "s0")->waiting), 12);
+	fake_router_destroy(f);
+}
+
 CU_TestInfo waiting_tests[] = {
 	{ "removed organisation", test_removed_organisation },
 	{ "infeasible in batch", test_infeasible_in_batch },
@@ -432,6 +504,8 @@
 	{ "budget without refused", test_budget_without_refused },
 	{ "endless wait", test_endless_wait },
 	{ "long calls", test_long_calls },
+	{ "displaced for late", test_displaced_for_late },
+	{ "hidden by blocked", test_hidden_by_blocked },
 	{ "hopeless repeat", test_hopeless_repeat },
 	CU_TEST_INFO_NULL,
 };
