triage: hand back forwarded requests that find no capacity

A host that refuses a forwarded request on arrival for lack of capacity answers "not run" (status 0, code of the refusal) instead of 503. The sender tries one other gathering host, or gathers itself, while the request can meet its goal; otherwise, and after a second refusal, the caller gets 503 with the backoff of the refusal. Refusals out of the queue and batches are as before. An older sender gathers itself. Only where triage is in force on both hosts.

Covered by unit tests of the decisions and of the frame; the path through the daemon was not run.

--- a/include/nutmegpickd/route_internal.h
+++ b/include/nutmegpickd/route_internal.h
@@ -61,6 +61,8 @@
 	bool is_accepted;
 	/** One host has already refused the request as overloaded. */
 	bool was_busy;
+	/** One host has handed the request back: it had no capacity in time. */
+	bool was_handed_back;
 };
 
 /** Request of a caller or of another host, from its arrival to its answer. */
--- a/include/router/router.h
+++ b/include/router/router.h
@@ -333,6 +333,19 @@
 bool router_may_forward(struct router *r, const struct route *route,
 			const struct router_way *way);
 
+/**
+ * Returns whether a request of another host that was refused on arrival is
+ * handed back to that host as not run, because capacity is short here.
+ */
+bool router_hands_back(const struct router *r, const struct router_answer *a);
+
+/**
+ * Returns whether a request that another host has handed back can still end
+ * within its goal elsewhere; otherwise its caller gets the refusal.
+ */
+bool router_may_retry_forward(struct router *r, const struct route *route,
+			      const struct router_way *way);
+
 /**
  * Puts a newer table in force and takes over the reference. Requests in flight
  * keep the table with which they began. Returns 0 or -ERR_ROUTE_VERSION.
--- a/nutmegpickd/route_hosts.c
+++ b/nutmegpickd/route_hosts.c
@@ -194,19 +194,27 @@
 	return h->distance == LEAF_SAME_DOMAIN ? HOP_DOMAIN_US : HOP_REGION_US;
 }
 
-static bool has_time_to_forward(struct route_service *s,
-				const struct caller_request *q,
-				const struct known_host *h,
-				const struct route *route)
+static struct router_way find_way(const struct route_service *s,
+				  const struct caller_request *q,
+				  const struct route *route, int64_t way_us)
 {
 	int64_t elapsed = clock_now(&s->clock) - q->start_us;
 	int64_t wait = q->wait_us > 0 ? MIN(q->wait_us, route->timeout_us)
 				      : route->timeout_us;
-	struct router_way way = {
+
+	return (struct router_way){
 		.goal_us = router_goal_left(route) - elapsed,
 		.wait_us = wait - elapsed,
-		.way_us = hop_time(h),
+		.way_us = way_us,
 	};
+}
+
+static bool has_time_to_forward(struct route_service *s,
+				const struct caller_request *q,
+				const struct known_host *h,
+				const struct route *route)
+{
+	struct router_way way = find_way(s, q, route, hop_time(h));
 
 	return router_may_forward(s->router, route, &way);
 }
@@ -261,13 +269,16 @@
 		return false;
 	}
 	h = choose_gatherer(s, q, route);
-	if (!h || !has_time_to_forward(s, q, h, route))
+	if (!h || !has_time_to_forward(s, q, h, route) ||
+	    (q->forward.was_handed_back &&
+	     !strcmp(h->record.address, q->forward.address)))
 		return false;
 	q->wait_us = q->wait_us > 0 ? MIN(q->wait_us, route->timeout_us)
 				    : route->timeout_us;
 	limit_wait(s, q);
 	q->forward.id = ++s->last_forward_id;
 	q->forward.sent_us = clock_now(&s->clock);
+	q->forward.is_accepted = false;
 	g_strlcpy(q->forward.address, h->record.address,
 		  sizeof(q->forward.address));
 	g_hash_table_insert(s->forwards, &q->forward.id, q);
@@ -537,7 +548,7 @@
 			       struct caller_request *q)
 {
 	host_directory_note_busy(&s->directory, clock_now(&s->clock));
-	if (q->forward.was_busy) {
+	if (q->forward.was_busy || q->forward.was_handed_back) {
 		run_forward_locally(s, q, "busy", false);
 		return;
 	}
@@ -550,6 +561,44 @@
 		route_run_locally(s, q, false);
 }
 
+/*
+ * Tries one other host after a refusal for lack of capacity, or runs locally,
+ * while the request can meet its goal. Otherwise, and after a second refusal,
+ * its caller gets the answer: nothing has run.
+ */
+static void retry_handed_back(struct route_service *s, struct caller_request *q,
+			      const struct gather_result *g)
+{
+	const char *id = http_exchange_header(q->exchange, PLATFORM_REQUEST_ID);
+	const struct route *route = router_match(
+		s->router, http_exchange_header(q->exchange, "Host"),
+		http_exchange_target(q->exchange));
+	struct router_way way = { 0 };
+	struct router_answer a = {
+		.status = 503,
+		.code = g->code,
+		.retry_after_us = g->retry_after_us,
+	};
+	bool may_retry;
+
+	if (route)
+		way = find_way(s, q, route, 0);
+	may_retry = route && !q->forward.was_handed_back &&
+		    router_may_retry_forward(s->router, route, &way);
+	event_log(EV_FORWARD_HANDED_BACK,
+		  "request=%s address=%s retry=%d left_ms=%lld", id,
+		  q->forward.address, may_retry,
+		  (long long)(way.goal_us / US_PER_MS));
+	end_forward(s, q);
+	if (!may_retry) {
+		route_answer(s, q, &a);
+		return;
+	}
+	q->forward.was_handed_back = true;
+	if (!route_identify_caller(s, q) || !route_forward_request(s, q))
+		route_run_locally(s, q, false);
+}
+
 static void handle_result_from_gatherer(struct route_service *s,
 					const struct gather_result *g)
 {
@@ -575,6 +624,10 @@
 		retry_busy_forward(s, q);
 		return;
 	}
+	if (g->code == -ERR_ROUTE_LATE && !g->status) {
+		retry_handed_back(s, q, g);
+		return;
+	}
 	if (!g->status) {
 		run_forward_locally(s, q, "refused", false);
 		return;
@@ -621,6 +674,12 @@
 		g.shards = a->shards;
 		g.shard_count = a->shards ? a->stamp_count : 0;
 		g.is_more = is_more;
+	} else if (!q->id && router_hands_back(s->router, a)) {
+		/* Refused on arrival: id is set once the request waits. */
+		event_log(EV_GATHER_HANDED_BACK, "request=%s retry_ms=%lld",
+			  q->frame->request.request_id,
+			  (long long)(a->retry_after_us / US_PER_MS));
+		g.status = 0;
 	}
 	route_reply_frame(s, q->link, host_frame_gather_result(&g));
 }
--- a/router/waiting.c
+++ b/router/waiting.c
@@ -1,5 +1,6 @@
 #include "router/internal.h"
 
+#include "common/errors.h"
 #include "common/events.h"
 
 /* Interval at which a request that waits is reviewed. */
@@ -847,11 +848,11 @@
 	return r->has_triage && first && first->rank <= triage_rank(&value);
 }
 
-bool router_may_forward(struct router *r, const struct route *route,
-			const struct router_way *way)
+static enum triage_end end_of_way(struct router *r, const struct route *route,
+				  const struct router_way *way)
 {
-	int64_t now = router_now(r);
 	struct route_stats *s = route_stats_get(r, route);
+	int64_t now = router_now(r);
 	struct triage_limits limits = {
 		.goal_at_us = now + way->goal_us,
 		.deadline_us = now + way->wait_us,
@@ -862,16 +863,35 @@
 		.work_us = work_estimate_typical(&s->work),
 		.least_us = work_estimate_low(&s->work),
 	};
+
+	if (router_is_stopping(r))
+		work.stop_work_us = stop_expected_duration(s, route);
+	return triage_end_of(&limits, &work, now);
+}
+
+bool router_may_forward(struct router *r, const struct route *route,
+			const struct router_way *way)
+{
+	struct router_way none = *way;
 	enum triage_end end;
 
 	if (!r->has_triage)
 		return true;
-	if (router_is_stopping(r))
-		work.stop_work_us = stop_expected_duration(s, route);
-	end = triage_end_of(&limits, &work, now);
+	end = end_of_way(r, route, way);
 	if (end != TRIAGE_LATE)
 		return end == TRIAGE_IN_GOAL;
 	/* Without the way the request may still meet its goal. */
-	work.wait_us = 0;
-	return triage_end_of(&limits, &work, now) == TRIAGE_LATE;
+	none.way_us = 0;
+	return end_of_way(r, route, &none) == TRIAGE_LATE;
+}
+
+bool router_hands_back(const struct router *r, const struct router_answer *a)
+{
+	return r->has_triage && a->status == 503 && a->code == -ERR_ROUTE_LATE;
+}
+
+bool router_may_retry_forward(struct router *r, const struct route *route,
+			      const struct router_way *way)
+{
+	return r->has_triage && end_of_way(r, route, way) == TRIAGE_IN_GOAL;
 }
--- a/test/unit/test_host_frame.c
+++ b/test/unit/test_host_frame.c
@@ -92,6 +92,24 @@
 	host_frame_clear(&f);
 }
 
+/* Guards against a caller that loses the backoff of a request handed back. */
+static void test_handed_back(void)
+{
+	struct gather_result r = {
+		.id = 9,
+		.code = -ERR_ROUTE_LATE,
+		.retry_after_us = 70000,
+	};
+	struct host_frame f;
+
+	CU_ASSERT_EQUAL_FATAL(decode_frame(host_frame_gather_result(&r), &f),
+			      0);
+	CU_ASSERT_EQUAL(f.result.status, 0);
+	CU_ASSERT_EQUAL(f.result.code, -ERR_ROUTE_LATE);
+	CU_ASSERT_EQUAL(f.result.retry_after_us, 70000);
+	host_frame_clear(&f);
+}
+
 /* Guards against store changes, deletions included, lost between hosts. */
 static void test_changes(void)
 {
@@ -211,7 +229,11 @@
 }
 
 CU_TestInfo host_frame_tests[] = {
-	{ "gather", test_gather },   { "gathered", test_gathered },
-	{ "changes", test_changes }, { "rates", test_rates },
-	{ "broken", test_broken },   CU_TEST_INFO_NULL,
+	{ "gather", test_gather },
+	{ "gathered", test_gathered },
+	{ "handed back", test_handed_back },
+	{ "changes", test_changes },
+	{ "rates", test_rates },
+	{ "broken", test_broken },
+	CU_TEST_INFO_NULL,
 };
--- a/test/unit/test_waiting.c
+++ b/test/unit/test_waiting.c
@@ -490,6 +490,39 @@
 	fake_router_destroy(f);
 }
 
+/*
+ * Guards against a request of another host that is handed back after something
+ * has run, without triage, or when it can no longer meet its goal.
+ */
+static void test_hand_back(void)
+{
+	struct fake_router *f = create_router(1);
+	const struct route *route =
+		router_match(f->router, "example", "/search/x");
+	struct router_answer a = { .status = 503, .code = -ERR_ROUTE_LATE };
+	struct router_way way = {
+		.goal_us = 100 * US_PER_MS,
+		.wait_us = US_PER_S,
+	};
+
+	learn(f, "/search/x", 60 * US_PER_MS);
+	CU_ASSERT_TRUE(router_hands_back(f->router, &a));
+	CU_ASSERT_TRUE(router_may_retry_forward(f->router, route, &way));
+	way.goal_us = 40 * US_PER_MS;
+	CU_ASSERT_FALSE(router_may_retry_forward(f->router, route, &way));
+	way.goal_us = 100 * US_PER_MS;
+	a.status = 502;
+	CU_ASSERT_FALSE(router_hands_back(f->router, &a));
+	a.status = 503;
+	a.code = -ERR_ROUTE_STOPPING;
+	CU_ASSERT_FALSE(router_hands_back(f->router, &a));
+	a.code = -ERR_ROUTE_LATE;
+	router_set_triage(f->router, TRIAGE_NEVER);
+	CU_ASSERT_FALSE(router_hands_back(f->router, &a));
+	CU_ASSERT_FALSE(router_may_retry_forward(f->router, route, &way));
+	fake_router_destroy(f);
+}
+
 CU_TestInfo waiting_tests[] = {
 	{ "removed organisation", test_removed_organisation },
 	{ "infeasible in batch", test_infeasible_in_batch },
@@ -504,6 +537,7 @@
 	{ "budget without refused", test_budget_without_refused },
 	{ "endless wait", test_endless_wait },
 	{ "long calls", test_long_calls },
+	{ "hand back", test_hand_back },
 	{ "displaced for late", test_displaced_for_late },
 	{ "hidden by blocked", test_hidden_by_blocked },
 	{ "hopeless repeat", test_hopeless_repeat },
