triage: class of work among requests of the same priority

Calls of other priorities do not tell which of two requests goes first, but their share of the calls changed the class of a route with the load: requests of one route were queued in two ranks and passed each other.

--- a/include/router/leaf_set.h
+++ b/include/router/leaf_set.h
@@ -147,6 +147,8 @@
 	struct triage_class classes[TRIAGE_PRIORITIES];
 	/** Work of a call of any route. */
 	struct work_estimate work;
+	/** The same by the priority of the request. */
+	struct work_estimate priority_work[TRIAGE_PRIORITIES];
 	/** Shortest latency goal of the routes to the pool; 0 if none. */
 	int64_t shortest_goal_us;
 	/** Connections that a leaf accepts from all hosts together. */
--- a/router/part.c
+++ b/router/part.c
@@ -610,6 +610,11 @@
 		return;
 	work_estimate_add(&c->stats->work, c->work_us, now);
 	work_estimate_add(&pool->work, c->work_us, now);
+	if (c->part)
+		work_estimate_add(
+			&pool->priority_work[MIN(c->part->request->priority,
+						 TRIAGE_PRIORITIES - 1)],
+			c->work_us, now);
 }
 
 static void accept_reply(struct router *r, struct route_part *p,
--- a/router/waiting.c
+++ b/router/waiting.c
@@ -91,11 +91,18 @@
 	return s;
 }
 
+/*
+ * Returns the class of the work of a request among those of its priority. Calls
+ * of other priorities say nothing about the order, and their number changes
+ * with the load.
+ */
 static uint32_t weigh_request(const struct route_request *q)
 {
+	const struct upstream_pool *pool = q->parts[0].pool;
+	uint32_t priority = MIN(q->priority, TRIAGE_PRIORITIES - 1);
 	struct route_stats *s = q->stats;
 	int64_t work = request_typical_work(q);
-	int64_t typical = work_estimate_typical(&q->parts[0].pool->work);
+	int64_t typical = work_estimate_typical(&pool->priority_work[priority]);
 
 	s->weight = s->has_weight
 			    ? triage_weight_after(s->weight, work, typical)
