triage: late hedges of long calls, overdue calls

A hedge of a long call that ends after the goal took the slots of other requests. A call tells of longer work once it has lasted for half of the shortest goal; with the whole goal, twice as many requests were sent to the slow leaves before the first reply.

--- a/router/choice.c
+++ b/router/choice.c
@@ -60,6 +60,8 @@
 #define LONG_SHARE 0.5
 /* A leaf that refused a call as full gets no calls for this time. */
 #define FULL_PAUSE_US (40 * US_PER_MS)
+/* Share of the shortest goal after which a call tells of longer work. */
+#define OVERDUE_GOAL_SHARE 0.5
 /* Duration assumed for a call without a reply, as a factor on its age. */
 #define LATE_FACTOR 2
 #define EJECT_FAILURES 3
@@ -130,16 +132,18 @@
 static double overdue_us(const struct router *r, const struct route_leaf *leaf,
 			 const struct route_stats *route, int64_t now)
 {
+	double shortest = (double)leaf->pool->shortest_goal_us;
+
 	if (!r->has_triage)
 		return 0;
 	for (const GList *l = leaf->calls.head; l; l = l->next) {
 		const struct leaf_call *c = l->data;
-		int64_t age = now - c->start_us;
+		double age = (double)(now - c->start_us);
 
-		if (age <= leaf->pool->shortest_goal_us)
+		if (age <= OVERDUE_GOAL_SHARE * shortest)
 			return 0;
 		if (c->stats == route)
-			return LATE_FACTOR * (double)age;
+			return LATE_FACTOR * age;
 	}
 	return 0;
 }
--- a/router/part.c
+++ b/router/part.c
@@ -229,6 +229,21 @@
 			      (int64_t)MIN(wait, (double)WAIT_MAX_US), work);
 }
 
+/*
+ * Returns whether a hedge would take a long time from more urgent requests and
+ * still end after the goal.
+ */
+static bool is_late_hedge(struct router *r, const struct route_part *p,
+			  enum extra_cause cause)
+{
+	const struct route_request *q = p->request;
+
+	return r->has_triage && cause == EXTRA_CAUSE_LATE &&
+	       waiting_is_long(r, p) &&
+	       request_end_of(r, q, 0, request_typical_work(q)) !=
+		       TRIAGE_IN_GOAL;
+}
+
 /*
  * Sends an extra call. The budget is checked for budget_cause, unless
  * is_uncharged exempts the call; log_cause is the cause in the log.
@@ -243,7 +258,8 @@
 
 	if (!is_extra_useful(r, q) || !recheck_caller(r, q))
 		return EXTRA_NO_LEAF;
-	if (!is_uncharged && waiting_has_rival(r, p))
+	if ((!is_uncharged && waiting_has_rival(r, p)) ||
+	    is_late_hedge(r, p, budget_cause))
 		return EXTRA_GIVES_WAY;
 	choice = leaf_choose(r, p);
 	if (!choice.leaf && !r->has_triage)
--- a/test/unit/test_waiting.c
+++ b/test/unit/test_waiting.c
@@ -378,7 +378,7 @@
 
 /*
  * Guards against less urgent calls of a route whose work has grown tenfold that
- * occupy all slots, before the first of them has ended and after it.
+ * occupy all slots.
  */
 static void test_long_calls(void)
 {
@@ -420,6 +420,23 @@
 	fake_router_destroy(f);
 }
 
+/*
+ * Guards against requests that wait behind calls which have become ten times as
+ * long, because none of these calls has ended yet.
+ */
+static void test_overdue(void)
+{
+	struct fake_router *f = create_router(1);
+
+	learn(f, "/get/x", 20 * US_PER_MS);
+	fill_leaves(f, "/get/x");
+	CU_ASSERT_NOT_EQUAL(fake_router_start_request(f, "/get/x", 0), 0);
+	fake_router_advance(f, 160 * US_PER_MS);
+	CU_ASSERT_EQUAL(fake_router_start_request(f, "/get/x", 0), 0);
+	CU_ASSERT_EQUAL(last_answer(f)->status, 503);
+	fake_router_destroy(f);
+}
+
 /*
  * Guards against requests that are refused for one which cannot be answered in
  * time all the same.
@@ -537,6 +554,7 @@
 	{ "budget without refused", test_budget_without_refused },
 	{ "endless wait", test_endless_wait },
 	{ "long calls", test_long_calls },
+	{ "overdue", test_overdue },
 	{ "hand back", test_hand_back },
 	{ "displaced for late", test_displaced_for_late },
 	{ "hidden by blocked", test_hidden_by_blocked },
