--- a/engine/heap.c
+++ b/engine/heap.c
@@ -81,6 +81,34 @@
 	return h->count ? h->entries[0].node : NULL;
 }
 
+uint32_t heap_list(const struct heap *h, struct heap_node **out, uint32_t max)
+{
+	/* Positions of the entries whose parents are listed. */
+	uint32_t next[HEAP_LIST_MAX + 1] = { 1 };
+	uint32_t next_count = h->count ? 1 : 0;
+	uint32_t count = 0;
+
+	max = MIN(max, HEAP_LIST_MAX);
+	while (next_count && count < max) {
+		uint32_t best = 0;
+		uint32_t child;
+
+		for (uint32_t i = 1; i < next_count; i++) {
+			if (is_before(&h->entries[next[i] - 1],
+				      &h->entries[next[best] - 1]))
+				best = i;
+		}
+		child = 2 * next[best];
+		out[count++] = h->entries[next[best] - 1].node;
+		next[best] = next[--next_count];
+		if (child <= h->count)
+			next[next_count++] = child;
+		if (child < h->count)
+			next[next_count++] = child + 1;
+	}
+	return count;
+}
+
 void heap_clear(struct heap *h)
 {
 	g_free(h->entries);
--- /dev/null
+++ b/ev.c
@@ -0,0 +1,1 @@
+#include "test/unit/fake_load.c"
--- a/include/engine/heap.h
+++ b/include/engine/heap.h
@@ -23,6 +23,8 @@
 	struct heap_node *node;
 };
 
+#define HEAP_LIST_MAX 16
+
 /** Binary heap with the smallest key at the top. */
 struct heap {
 	struct heap_entry *entries;
@@ -40,6 +42,12 @@
 /** Returns the node with the smallest key, or NULL. */
 struct heap_node *heap_top(const struct heap *h);
 
+/**
+ * Fills in the nodes with the smallest keys, in their order, at most max of
+ * them and at most HEAP_LIST_MAX. Returns their number.
+ */
+uint32_t heap_list(const struct heap *h, struct heap_node **out, uint32_t max);
+
 /** Frees the heap's array; the nodes belong to their owners. */
 void heap_clear(struct heap *h);
 
--- a/include/router/internal.h
+++ b/include/router/internal.h
@@ -35,6 +35,9 @@
 	/** The same without the wait in the queues of the leaves. */
 	struct latency call_work;
 	struct work_estimate work;
+	/** Class of the work, if a request was classified before. */
+	uint32_t weight;
+	bool has_weight;
 	struct triage_class class;
 	/** Not used. */
 	int64_t longest_wait_us;
@@ -515,6 +518,12 @@
 int64_t waiting_work_before(const struct route_part *p);
 /** Returns the remaining wait of a part in the queue. */
 int64_t waiting_time(const struct router *r, const struct route_part *p);
+/**
+ * Returns whether a call takes longer than the shortest goal of the upstream,
+ * while more urgent requests arrive: once such calls occupy all slots, requests
+ * with that goal miss it.
+ */
+bool waiting_is_long(const struct router *r, const struct route_part *p);
 /** Returns the factor on a wait for the more urgent parts that will arrive. */
 double waiting_slowdown(const struct router *r, const struct route_part *p);
 /** Notes that a part is started or queued for its first call. */
@@ -524,13 +533,13 @@
  * otherwise notes the figures.
  */
 bool waiting_has_room(struct router *r, struct route_request *q);
+/** Returns whether waiting_displace() would let a part start in time. */
+bool waiting_may_displace(struct router *r, struct route_part *p);
 /**
- * Refuses requests that matter less than one that has no room. Returns whether
- * any was refused.
+ * Refuses waiting requests that matter less than that of a part, if this lets
+ * the part start in time. Returns whether it does; may refuse none.
  */
-bool waiting_displace(struct router *r, const struct route_part *p);
-/** Returns whether waiting_displace() would refuse a request. */
-bool waiting_may_displace(struct router *r, const struct route_part *p);
+bool waiting_displace(struct router *r, struct route_part *p);
 /** Refuses requests that lost their place to others. */
 void waiting_shed(struct router *r, struct upstream_pool *pool);
 /** Tries to send the first calls of the parts that wait for a pool. */
@@ -552,6 +561,12 @@
  * without noting the wanted call or logging the decision.
  */
 struct leaf_choice part_decide(struct router *r, struct route_part *p);
+/**
+ * Returns whether a part that arrives can be answered within the goal once
+ * freed_us of the work before it is gone.
+ */
+bool part_fits_without(struct router *r, struct route_part *p,
+		       int64_t freed_us);
 /**
  * Chooses the leaf of the first call. Returns false if no leaf can answer the
  * part in time.
--- a/include/router/triage.h
+++ b/include/router/triage.h
@@ -35,6 +35,8 @@
 int64_t work_estimate_typical(const struct work_estimate *e);
 /** Returns the arithmetic mean, from which waits follow. */
 int64_t work_estimate_average(const struct work_estimate *e);
+/** Returns the work that a call is unlikely to exceed. */
+int64_t work_estimate_high(const struct work_estimate *e);
 /** Returns the work that the slowest of several calls is expected to take. */
 int64_t work_estimate_slowest(const struct work_estimate *e, uint32_t calls);
 /**
@@ -132,6 +134,9 @@
 void triage_class_note_started(struct triage_class *c, bool was_first,
 			       int64_t now_us);
 
+/** Returns whether most of the latest requests of a class were refused. */
+bool triage_class_is_scarce(const struct triage_class *c);
+
 /** Priorities beyond this number are treated alike. */
 #define TRIAGE_PRIORITIES 5
 
@@ -192,6 +197,12 @@
 
 /** Returns the class of the work of a call, compared with a typical one. */
 uint32_t triage_weight(int64_t work_us, int64_t typical_us);
+/**
+ * Returns the class of the work, which stays the previous one close to a bound:
+ * requests of one route that change classes pass each other.
+ */
+uint32_t triage_weight_after(uint32_t previous, int64_t work_us,
+			     int64_t typical_us);
 uint32_t triage_rank(const struct triage_value *v);
 
 /** Entry of a queue, embedded in its owner. */
@@ -239,6 +250,12 @@
 struct triage_entry *triage_queue_first(const struct triage_queue *q);
 /** Returns the entry that is refused next, or NULL if none may be. */
 struct triage_entry *triage_queue_cheapest(const struct triage_queue *q);
+/**
+ * Fills in the entries whose refusal costs least, the cheapest first, at most
+ * max of them. Returns their number.
+ */
+uint32_t triage_queue_list_cheapest(const struct triage_queue *q,
+				    struct triage_entry **out, uint32_t max);
 /** Returns the work of the entries that start before a new one of a rank. */
 int64_t triage_queue_work_before(const struct triage_queue *q, uint32_t rank);
 /** Notes work of a rank that is started or queued. */
--- a/router/part.c
+++ b/router/part.c
@@ -17,10 +17,15 @@
 #define RETRY_REFUSED_MAX 4
 
 /*
- * Factor on the expected wait of a part that arrives: more urgent requests may
- * arrive while it waits, and a gather waits for the slowest of its parts.
+ * Factors on the expected wait of a part that arrives: a gather waits for the
+ * slowest of its parts, and if entries of better ranks take capacity, more of
+ * them may arrive meanwhile. A factor of 2 for the best rank refuses requests
+ * whose room goes to lower ranks; with 1, eight hosts in a flood waste 3% of
+ * the work.
  */
 #define WAIT_MARGIN 2.0
+#define FIRST_MARGIN 1.3
+#define MARGIN_SLOWDOWN 1.05
 
 static const char *outcome_name(enum call_outcome outcome)
 {
@@ -215,12 +220,31 @@
 				     const struct route_part *p,
 				     const struct leaf_choice *choice)
 {
-	double wait =
-		WAIT_MARGIN * waiting_slowdown(r, p) * (double)choice->wait_us;
+	double slowdown = waiting_slowdown(r, p);
+	double wait = slowdown * (double)choice->wait_us;
+	int64_t work = choice->expected_us;
 
+	wait *= slowdown >= MARGIN_SLOWDOWN ? WAIT_MARGIN : FIRST_MARGIN;
+	/* A long call that ends late has kept more urgent ones from a slot. */
+	if (r->has_triage && waiting_is_long(r, p))
+		work = MAX(work, work_estimate_high(&p->request->stats->work));
 	return request_end_of(r, p->request,
-			      (int64_t)MIN(wait, (double)WAIT_MAX_US),
-			      choice->expected_us);
+			      (int64_t)MIN(wait, (double)WAIT_MAX_US), work);
+}
+
+/*
+ * Returns whether a hedge would take a long time from more urgent requests and
+ * still end after the goal.
+ */
+static bool is_late_hedge(struct router *r, const struct route_part *p,
+			  enum extra_cause cause)
+{
+	const struct route_request *q = p->request;
+
+	return r->has_triage && cause == EXTRA_CAUSE_LATE &&
+	       waiting_is_long(r, p) &&
+	       request_end_of(r, q, 0, request_typical_work(q)) !=
+		       TRIAGE_IN_GOAL;
 }
 
 /*
@@ -237,7 +261,8 @@
 
 	if (!is_extra_useful(r, q) || !recheck_caller(r, q))
 		return EXTRA_NO_LEAF;
-	if (!is_uncharged && waiting_has_rival(r, p))
+	if ((!is_uncharged && waiting_has_rival(r, p)) ||
+	    is_late_hedge(r, p, budget_cause))
 		return EXTRA_GIVES_WAY;
 	choice = leaf_choose(r, p);
 	if (!choice.leaf && !r->has_triage)
@@ -357,6 +382,15 @@
 	return PART_STARTED;
 }
 
+/* Returns whether a request is admitted only so that the estimate can follow. */
+static bool is_trial(struct router *r, struct route_request *q)
+{
+	/* A trial of some parts only would be refused as a whole. */
+	q->is_trial = q->is_trial ||
+		      work_estimate_may_try(&q->stats->work, router_now(r));
+	return q->is_trial;
+}
+
 /*
  * Returns whether a part that no free leaf is expected to answer within the
  * goal starts nevertheless.
@@ -364,9 +398,11 @@
 static bool may_be_late(struct router *r, const struct route_part *p,
 			const struct leaf_choice *choice)
 {
-	const struct route_request *q = p->request;
+	struct route_request *q = p->request;
 	int64_t end = router_now(r) + choice->wait_us + choice->expected_us;
 
+	if (q->value.is_late && !q->is_partial && waiting_is_long(r, p))
+		return choice->leaf && is_trial(r, q);
 	if (!choice->leaf)
 		return q->value.is_late && !q->is_partial &&
 		       end <= q->plan_until_us;
@@ -395,13 +431,9 @@
 	struct route_request *q = p->request;
 	int64_t now = router_now(r);
 
-	if (leaf_queued_calls(leaf, now) <= 0 &&
-	    now + work_estimate_low(&q->stats->work) <= q->deadline_us)
-		return true;
-	/* A trial of some parts only would be refused as a whole. */
-	q->is_trial = q->is_trial ||
-		      work_estimate_may_try(&q->stats->work, now);
-	return q->is_trial;
+	return (leaf_queued_calls(leaf, now) <= 0 &&
+		now + work_estimate_low(&q->stats->work) <= q->deadline_us) ||
+	       is_trial(r, q);
 }
 
 static bool is_feasible(struct router *r, struct route_part *p,
@@ -427,6 +459,21 @@
 	return choice->leaf != NULL;
 }
 
+bool part_fits_without(struct router *r, struct route_part *p, int64_t freed_us)
+{
+	struct leaf_choice choice = leaf_choose(r, p);
+	double drain = p->pool->drain;
+
+	if (choice.leaf)
+		return true;
+	if (!choice.is_busy)
+		return false;
+	if (drain > 0)
+		choice.wait_us = (int64_t)MAX(
+			(double)choice.wait_us - (double)freed_us / drain, 0);
+	return end_of_choice(r, p, &choice) == TRIAGE_IN_GOAL;
+}
+
 struct leaf_choice part_decide(struct router *r, struct route_part *p)
 {
 	struct leaf_choice choice = leaf_choose(r, p);
@@ -591,6 +638,11 @@
 		return;
 	work_estimate_add(&c->stats->work, c->work_us, now);
 	work_estimate_add(&pool->work, c->work_us, now);
+	if (c->part)
+		work_estimate_add(
+			&pool->priority_work[MIN(c->part->request->priority,
+						 TRIAGE_PRIORITIES - 1)],
+			c->work_us, now);
 }
 
 static void accept_reply(struct router *r, struct route_part *p,
--- a/router/waiting.c
+++ b/router/waiting.c
@@ -1,5 +1,6 @@
 #include "router/internal.h"
 
+#include "common/errors.h"
 #include "common/events.h"
 
 /* Interval at which a request that waits is reviewed. */
@@ -11,13 +12,20 @@
 #define NEARLY_DONE_SHARE 0.25
 /* Share of the goal before their latest start in which such requests go first. */
 #define LAST_CHANCE_SHARE 0.5
+/* Least slowdown by more urgent requests at which long calls give way. */
+#define URGENT_SLOWDOWN 1.01
 /* Requests that are refused at most to make room for one. */
 #define DISPLACED_MAX 4
 /*
- * Parts at the front of a queue that are tried at most if some of them may not
- * be sent to all leaves.
+ * Parts at the front of a queue that are tried at most without triage, if some
+ * of them may not be sent to all leaves.
  */
 #define FRONT_MAX 8
+/*
+ * Different limits on the leaves of waiting parts that are tried at most when a
+ * leaf becomes free. Beyond that only parts without limits are.
+ */
+#define BLOCKED_MAX 8
 /*
  * Time for which the drain of a pool is not replaced by that of a part which
  * may not be sent to all leaves: such a part sees some of the capacity only.
@@ -83,6 +91,26 @@
 	return s;
 }
 
+/*
+ * Returns the class of the work of a request among those of its priority. Calls
+ * of other priorities say nothing about the order, and their number changes
+ * with the load.
+ */
+static uint32_t weigh_request(const struct route_request *q)
+{
+	const struct upstream_pool *pool = q->parts[0].pool;
+	uint32_t priority = MIN(q->priority, TRIAGE_PRIORITIES - 1);
+	struct route_stats *s = q->stats;
+	int64_t work = request_typical_work(q);
+	int64_t typical = work_estimate_typical(&pool->priority_work[priority]);
+
+	s->weight = s->has_weight
+			    ? triage_weight_after(s->weight, work, typical)
+			    : triage_weight(work, typical);
+	s->has_weight = true;
+	return s->weight;
+}
+
 void request_classify(struct router *r, struct route_request *q)
 {
 	int64_t now = router_now(r);
@@ -93,9 +121,7 @@
 		return;
 	v->priority = q->priority;
 	if (q->part_count)
-		v->weight = triage_weight(
-			request_typical_work(q),
-			work_estimate_typical(&q->parts[0].pool->work));
+		v->weight = weigh_request(q);
 	v->is_late = request_end_of(r, q, 0,
 				    work_estimate_typical(&q->stats->work)) ==
 		     TRIAGE_LATE;
@@ -190,6 +216,20 @@
 	return triage_queue_work_before(&p->pool->waiting, rank_of(p->request));
 }
 
+bool waiting_is_long(const struct router *r, const struct route_part *p)
+{
+	const struct route_request *q = p->request;
+	const struct upstream_pool *pool = p->pool;
+	uint32_t first =
+		MIN(q->priority, TRIAGE_PRIORITIES - 1) * TRIAGE_WEIGHTS;
+
+	/* A neglected request goes first, but its calls are as long. */
+	return q->route->goal_us > pool->shortest_goal_us &&
+	       request_typical_work(q) > pool->shortest_goal_us &&
+	       triage_queue_slowdown(&pool->waiting, first, pool->drain,
+				     router_now(r)) > URGENT_SLOWDOWN;
+}
+
 double waiting_slowdown(const struct router *r, const struct route_part *p)
 {
 	return triage_queue_slowdown(&p->pool->waiting, rank_of(p->request),
@@ -599,43 +639,63 @@
 	return e ? part_of_entry(e) : NULL;
 }
 
-/*
- * Returns the part whose request is refused next to make room for another part,
- * or NULL if that part has room or no refusal makes any.
- */
-static struct route_part *find_displaced(struct router *r,
-					 const struct route_part *p)
+/* Returns whether the refusal of an entry may make room for a part. */
+static bool may_displace(const struct route_part *victim,
+			 const struct route_part *p)
 {
 	const struct route_request *q = p->request;
-	struct route_part *v = part_of_refusal(p->pool);
 
 	/* The refusal of a lower rank makes no room. */
-	if (!v || v->request == q || v->entry.rank > rank_of(q) ||
-	    !triage_is_cheaper(&v->entry, rank_of(q), request_whole_work(q)) ||
-	    request_end_of(r, q, waiting_time(r, p), request_typical_work(q)) ==
-		    TRIAGE_IN_GOAL)
-		return NULL;
-	return v;
+	return victim->request != q &&
+	       victim->entry.rank <= rank_of(q) &&
+	       triage_is_cheaper(&victim->entry, rank_of(q),
+				 request_whole_work(q));
 }
 
-bool waiting_may_displace(struct router *r, const struct route_part *p)
+/*
+ * Finds the entries whose refusal lets a part start in time. Returns false if
+ * no permitted number of them is enough; none is needed if count is 0.
+ */
+static bool find_victims(struct router *r, struct route_part *p,
+			 struct route_part **victims, uint32_t *count)
 {
-	return find_displaced(r, p) != NULL;
+	struct triage_entry *entries[DISPLACED_MAX];
+	uint32_t listed = triage_queue_list_cheapest(&p->pool->waiting, entries,
+						     DISPLACED_MAX);
+	bool is_enough = part_fits_without(r, p, 0);
+	int64_t freed = 0;
+
+	*count = 0;
+	while (!is_enough && *count < listed) {
+		struct route_part *v = part_of_entry(entries[*count]);
+
+		if (!may_displace(v, p))
+			break;
+		victims[(*count)++] = v;
+		freed += v->entry.work_us;
+		is_enough = part_fits_without(r, p, freed);
+	}
+	return is_enough;
 }
 
-bool waiting_displace(struct router *r, const struct route_part *p)
+bool waiting_may_displace(struct router *r, struct route_part *p)
 {
-	uint32_t count = 0;
+	struct route_part *victims[DISPLACED_MAX];
+	uint32_t count;
 
-	while (count < DISPLACED_MAX) {
-		struct route_part *v = find_displaced(r, p);
+	return find_victims(r, p, victims, &count);
+}
 
-		if (!v)
-			break;
-		request_refuse(r, v->request, TRIAGE_DISPLACED);
-		count++;
-	}
-	return count > 0;
+bool waiting_displace(struct router *r, struct route_part *p)
+{
+	struct route_part *victims[DISPLACED_MAX];
+	uint32_t count;
+
+	if (!find_victims(r, p, victims, &count))
+		return false;
+	for (uint32_t i = 0; i < count; i++)
+		request_refuse(r, victims[i]->request, TRIAGE_DISPLACED);
+	return true;
 }
 
 void waiting_shed(struct router *r, struct upstream_pool *pool)
@@ -658,7 +718,8 @@
 	}
 }
 
-void waiting_start_pool(struct router *r, struct upstream_pool *pool)
+/* Starts parts in the order of their arrival, without triage. */
+static void start_in_order(struct router *r, struct upstream_pool *pool)
 {
 	uint32_t at = 0;
 
@@ -687,6 +748,93 @@
 	}
 }
 
+/* Limits on the leaves of a part: parts with the same are blocked alike. */
+struct part_limits {
+	uint64_t regions;
+	bool is_partial;
+	bool is_long;
+};
+
+static struct part_limits limits_of(struct router *r,
+				    const struct route_part *p)
+{
+	return (struct part_limits){
+		.regions = leaf_access_part_regions(r, p),
+		.is_partial = p->request->is_partial,
+		.is_long = waiting_is_long(r, p),
+	};
+}
+
+static bool has_limits(const struct part_limits *l)
+{
+	return l->regions != REGIONS_ALL || l->is_partial || l->is_long;
+}
+
+static bool is_blocked(struct router *r, const struct route_part *p,
+		       const struct part_limits *blocked, uint32_t count)
+{
+	struct part_limits l = limits_of(r, p);
+
+	for (uint32_t i = 0; i < count; i++) {
+		if (l.regions == blocked[i].regions &&
+		    l.is_partial == blocked[i].is_partial &&
+		    l.is_long == blocked[i].is_long)
+			return true;
+	}
+	return count == BLOCKED_MAX && has_limits(&l);
+}
+
+/* Returns the first waiting part whose limits are not known to block it. */
+static struct route_part *first_unblocked(struct router *r,
+					  struct upstream_pool *pool,
+					  const struct part_limits *blocked,
+					  uint32_t count)
+{
+	struct triage_entry *first = triage_queue_first(&pool->waiting);
+
+	/* Without blocked parts there is no need to look at all entries. */
+	for (uint32_t i = 0; count && i < triage_queue_count(&pool->waiting);
+	     i++) {
+		struct triage_entry *e = triage_queue_at(&pool->waiting, i);
+
+		if (!i)
+			first = NULL;
+		if ((!first || e->order.key < first->order.key) &&
+		    !is_blocked(r, part_of_entry(e), blocked, count))
+			first = e;
+	}
+	return first ? part_of_entry(first) : NULL;
+}
+
+void waiting_start_pool(struct router *r, struct upstream_pool *pool)
+{
+	struct part_limits blocked[BLOCKED_MAX];
+	struct part_limits limits;
+	uint32_t count = 0;
+	struct route_part *p;
+
+	if (!r->has_triage) {
+		start_in_order(r, pool);
+		return;
+	}
+	while ((p = first_unblocked(r, pool, blocked, count))) {
+		switch (part_try_first(r, p)) {
+		case PART_BLOCKED:
+			limits = limits_of(r, p);
+			if (!has_limits(&limits))
+				return;
+			blocked[count++] = limits;
+			break;
+		case PART_HOPELESS:
+			request_handle_part_end(r, p->request);
+			break;
+		case PART_STARTED:
+		case PART_REFUSED:
+			break;
+		}
+	}
+}
+
 void waiting_start_all(struct router *r)
 {
 	/* The end of a request may take several pools out of the list. */
@@ -706,11 +854,11 @@
 	return r->has_triage && first && first->rank <= triage_rank(&value);
 }
 
-bool router_may_forward(struct router *r, const struct route *route,
-			const struct router_way *way)
+static enum triage_end end_of_way(struct router *r, const struct route *route,
+				  const struct router_way *way)
 {
-	int64_t now = router_now(r);
 	struct route_stats *s = route_stats_get(r, route);
+	int64_t now = router_now(r);
 	struct triage_limits limits = {
 		.goal_at_us = now + way->goal_us,
 		.deadline_us = now + way->wait_us,
@@ -721,16 +869,35 @@
 		.work_us = work_estimate_typical(&s->work),
 		.least_us = work_estimate_low(&s->work),
 	};
+
+	if (router_is_stopping(r))
+		work.stop_work_us = stop_expected_duration(s, route);
+	return triage_end_of(&limits, &work, now);
+}
+
+bool router_may_forward(struct router *r, const struct route *route,
+			const struct router_way *way)
+{
+	struct router_way none = *way;
 	enum triage_end end;
 
 	if (!r->has_triage)
 		return true;
-	if (router_is_stopping(r))
-		work.stop_work_us = stop_expected_duration(s, route);
-	end = triage_end_of(&limits, &work, now);
+	end = end_of_way(r, route, way);
 	if (end != TRIAGE_LATE)
 		return end == TRIAGE_IN_GOAL;
 	/* Without the way the request may still meet its goal. */
-	work.wait_us = 0;
-	return triage_end_of(&limits, &work, now) == TRIAGE_LATE;
+	none.way_us = 0;
+	return end_of_way(r, route, &none) == TRIAGE_LATE;
+}
+
+bool router_hands_back(const struct router *r, const struct router_answer *a)
+{
+	return r->has_triage && a->status == 503 && a->code == -ERR_ROUTE_LATE;
+}
+
+bool router_may_retry_forward(struct router *r, const struct route *route,
+			      const struct router_way *way)
+{
+	return r->has_triage && end_of_way(r, route, way) == TRIAGE_IN_GOAL;
 }
--- a/test/unit/test_waiting.c
+++ b/test/unit/test_waiting.c
@@ -1,5 +1,7 @@
 #include "suites.h"
 
+#include <string.h>
+
 #include "common/errors.h"
 #include "fake_router.h"
 #include "router/internal.h"
@@ -374,6 +376,170 @@
 	fake_router_destroy(f);
 }
 
+/*
+ * Guards against less urgent calls of a route whose work has grown tenfold that
+ * occupy all slots.
+ */
+static void test_long_calls(void)
+{
+	struct fake_router *f = create_router(1);
+	struct route_table *t = fake_router_create_table(1, 2);
+	uint32_t calls;
+
+	t->routes[2].priority = 1;
+	t->routes[2].goal_us = US_PER_S;
+	router_apply_table(f->router, t);
+	learn(f, "/put/x", 400 * US_PER_MS);
+	learn(f, "/get/x", 20 * US_PER_MS);
+	get_pool(f, "s0")->drain = 3;
+	calls = f->call_count;
+	for (int i = 0; i < 40; i++)
+		fake_router_start_request(f, "/put/x", 0);
+	/* Half of the four slots of each of three leaves. */
+	CU_ASSERT_EQUAL(f->call_count - calls, 3 * 2);
+	CU_ASSERT_NOT_EQUAL(fake_router_start_request(f, "/get/x", 0), 0);
+	CU_ASSERT_EQUAL(f->call_count - calls, 3 * 2 + 1);
+	fake_router_destroy(f);
+}
+
+/*
+ * Guards against callers that are told to repeat a request after its goal while
+ * most requests of the route are refused.
+ */
+static void test_hopeless_repeat(void)
+{
+	struct fake_router *f = create_router(1);
+	int64_t timeout = 1500 * US_PER_MS;
+
+	learn(f, "/get/x", 270 * US_PER_MS);
+	for (int i = 0; i < 100; i++)
+		fake_router_start_request(f, "/get/x", 0);
+	CU_ASSERT_EQUAL(last_answer(f)->status, 503);
+	CU_ASSERT_TRUE(last_answer(f)->retry_after_us > timeout / 3);
+	CU_ASSERT_TRUE(last_answer(f)->retry_after_us <= timeout);
+	fake_router_destroy(f);
+}
+
+/*
+ * Guards against requests that wait behind calls which have become ten times as
+ * long, because none of these calls has ended yet.
+ */
+static void test_overdue(void)
+{
+	struct fake_router *f = create_router(1);
+
+	learn(f, "/get/x", 20 * US_PER_MS);
+	fill_leaves(f, "/get/x");
+	CU_ASSERT_NOT_EQUAL(fake_router_start_request(f, "/get/x", 0), 0);
+	fake_router_advance(f, 160 * US_PER_MS);
+	CU_ASSERT_EQUAL(fake_router_start_request(f, "/get/x", 0), 0);
+	CU_ASSERT_EQUAL(last_answer(f)->status, 503);
+	fake_router_destroy(f);
+}
+
+/*
+ * Guards against requests that are refused for one which cannot be answered in
+ * time all the same.
+ */
+static void test_displaced_for_late(void)
+{
+	struct fake_router *f = create_router(1);
+	struct route_request *q;
+	uint32_t waiting;
+
+	learn(f, "/get/x", 25 * US_PER_MS);
+	learn(f, "/search/x", 20 * US_PER_MS);
+	f->answer_count = 0;
+	fill_leaves(f, "/get/x");
+	for (int i = 0; i < 6; i++)
+		fake_router_start_request(f, "/get/x", 0);
+	q = id_table_find(&f->router->requests,
+			  fake_router_start_request(f, "/search/x", 0));
+	CU_ASSERT_PTR_NOT_NULL_FATAL(q);
+	waiting = triage_queue_count(&get_pool(f, "s0")->waiting);
+	CU_ASSERT_TRUE(waiting >= 8);
+	CU_ASSERT_TRUE(waiting_displace(f->router, &q->parts[0]));
+	q->goal_at_us = f->time.now_us;
+	CU_ASSERT_FALSE(waiting_displace(f->router, &q->parts[0]));
+	CU_ASSERT_EQUAL(triage_queue_count(&get_pool(f, "s0")->waiting),
+			waiting);
+	/* The queue is as before. */
+	CU_ASSERT_EQUAL(get_pool(f, "s0")->waiting.refusal.count, waiting);
+	fake_router_destroy(f);
+}
+
+/*
+ * Guards against a request that does not start although a leaf is free, because
+ * parts for the leaves of another failure domain wait before it.
+ */
+static void test_hidden_by_blocked(void)
+{
+	static const char *const shards[] = { "s0" };
+	struct fake_router *f = create_router(1);
+	struct router_request in = {
+		.id = "b",
+		.host = "example",
+		.path = "/search/x",
+		.goal_us = 150 * US_PER_MS,
+		.shards = shards,
+		.shard_count = 1,
+	};
+	uint32_t calls;
+	uint32_t at = 0;
+
+	learn(f, "/search/x", 5 * US_PER_MS);
+	learn(f, "/get/x", 5 * US_PER_MS);
+	calls = f->call_count;
+	router_cancel(f->router, fill_leaves(f, "/get/x"));
+	for (int i = 0; i < 12; i++)
+		CU_ASSERT_NOT_EQUAL(router_start(f->router, &in), 0);
+	CU_ASSERT_NOT_EQUAL(fake_router_start_request(f, "/get/x", 0), 0);
+	CU_ASSERT_EQUAL(triage_queue_count(&get_pool(f, "s0")->waiting), 13);
+	for (uint32_t i = calls; i < f->call_count; i++) {
+		if (!strcmp(f->calls[i].leaf->entry.id, "s0-b"))
+			at = i;
+	}
+	CU_ASSERT_TRUE_FATAL(at > 0);
+	calls = f->call_count;
+	fake_router_end_call(f, at, CALL_ANSWERED, 200, RECORD);
+	CU_ASSERT_EQUAL(f->call_count, calls + 1);
+	CU_ASSERT_EQUAL(triage_queue_count(&get_pool(f, "s0")->waiting), 12);
+	fake_router_destroy(f);
+}
+
+/*
+ * Guards against a request of another host that is handed back after something
+ * has run, without triage, or when it can no longer meet its goal.
+ */
+static void test_hand_back(void)
+{
+	struct fake_router *f = create_router(1);
+	const struct route *route =
+		router_match(f->router, "example", "/search/x");
+	struct router_answer a = { .status = 503, .code = -ERR_ROUTE_LATE };
+	struct router_way way = {
+		.goal_us = 100 * US_PER_MS,
+		.wait_us = US_PER_S,
+	};
+
+	learn(f, "/search/x", 60 * US_PER_MS);
+	CU_ASSERT_TRUE(router_hands_back(f->router, &a));
+	CU_ASSERT_TRUE(router_may_retry_forward(f->router, route, &way));
+	way.goal_us = 40 * US_PER_MS;
+	CU_ASSERT_FALSE(router_may_retry_forward(f->router, route, &way));
+	way.goal_us = 100 * US_PER_MS;
+	a.status = 502;
+	CU_ASSERT_FALSE(router_hands_back(f->router, &a));
+	a.status = 503;
+	a.code = -ERR_ROUTE_STOPPING;
+	CU_ASSERT_FALSE(router_hands_back(f->router, &a));
+	a.code = -ERR_ROUTE_LATE;
+	router_set_triage(f->router, TRIAGE_NEVER);
+	CU_ASSERT_FALSE(router_hands_back(f->router, &a));
+	CU_ASSERT_FALSE(router_may_retry_forward(f->router, route, &way));
+	fake_router_destroy(f);
+}
+
 CU_TestInfo waiting_tests[] = {
 	{ "removed organisation", test_removed_organisation },
 	{ "infeasible in batch", test_infeasible_in_batch },
@@ -387,5 +553,11 @@
 	{ "drain with batch", test_drain_with_batch },
 	{ "budget without refused", test_budget_without_refused },
 	{ "endless wait", test_endless_wait },
+	{ "long calls", test_long_calls },
+	{ "overdue", test_overdue },
+	{ "hand back", test_hand_back },
+	{ "displaced for late", test_displaced_for_late },
+	{ "hidden by blocked", test_hidden_by_blocked },
+	{ "hopeless repeat", test_hopeless_repeat },
 	CU_TEST_INFO_NULL,
 };
