--- a/include/router/token_exchange.h
+++ b/include/router/token_exchange.h
@@ -5,55 +5,18 @@
 
 #include "router/directory.h"
 #include "router/token_cache.h"
+#include "router/token_owner.h"
 
 /**
  * Claims and grants of tokens between hosts. Claims go to the first owner of a
  * key, and to the second one while the first is silent. As an owner this host
- * answers claims, and decides what it may grant: at no time do two hosts grant
- * all of a rate.
- *
- * A host grants all if it is the first host by hash in its own mirror of the
- * host records, and has heard of the store for TOKEN_JOIN_US without a break,
- * and no host before it has left within that time. It need not wait if every
- * host of its mirror states that it has the same one, and has seen no host
- * leave within TOKEN_JOIN_US: then no host with an older mirror grants.
- *
- * A host that has not heard of the store grants nothing, unless hosts of other
- * failure domains have not heard of it either: then the records do not change.
+ * answers claims with what struct token_owner permits.
  *
  * Claims of single tokens of a quota are first answered by this host's own
  * cache.
  */
 struct token_exchange;
 
-/**
- * A host without contact for this time grants nothing. Hosts that watch the
- * store hear of it each 2.1 s at least. When it is away for all, this leaves
- * time to learn it from other hosts.
- */
-#define TOKEN_CONTACT_US (5 * US_PER_S)
-/**
- * Time from the start of a host, or from the record of an earlier owner being
- * gone, until this host grants. It exceeds the time within which a host that
- * grants learns of a change of the records: a watch of 2.1 s, TOKEN_CONTACT_US
- * and TOKEN_PAUSE_US.
- */
-#define TOKEN_JOIN_US (9 * US_PER_S)
-/** A host that was paused for longer has lost contact meanwhile. */
-#define TOKEN_PAUSE_US (1500 * US_PER_MS)
-
-/** Statement of a host about its mirror of the host records. */
-struct token_view {
-	/** Hash of the names and addresses of the hosts. */
-	uint64_t hash;
-	/** A host has left the mirror within TOKEN_JOIN_US. */
-	bool has_gone;
-	/** The host has heard of the store lately. */
-	bool has_store;
-	/** Answers the statement of another host. */
-	bool is_answer;
-};
-
 /** Operations of the adapter. They must not call the exchange. */
 struct token_exchange_ops {
 	/** Sends the statement of this host to another one. */
@@ -89,18 +52,12 @@
 
 /**
  * Notes the changes of the host records and pauses of this process. To be
- * called at least every TOKEN_PAUSE_US, before claims are handled.
+ * called at least every TOKEN_PAUSE_US.
  */
 void token_exchange_advance(struct token_exchange *x);
 
-/**
- * Lets this host grant as soon as it may, before it gets the first claim. Only
- * for hosts with rates in their configuration.
- */
-void token_exchange_prepare(struct token_exchange *x);
-
-/** Notes that this host heard of the store, itself or through its feed. */
-void token_exchange_note_store(struct token_exchange *x, int64_t at_us);
+/** Returns the part that decides what this host may grant. */
+struct token_owner *token_exchange_owner(struct token_exchange *x);
 
 /** Sends claims, of struct token_claim, to the owners. */
 void token_exchange_claim(struct token_exchange *x, const GArray *claims);
@@ -132,13 +89,6 @@
 /** Delivers the answers to claims that this host owed to itself. */
 void token_exchange_deliver_own(struct token_exchange *x);
 
-/** Handles the statement of another host. */
-void token_exchange_handle_view(struct token_exchange *x, const char *address,
-				const struct token_view *view);
-
-/** This host stops: it grants nothing any more. */
-void token_exchange_stop(struct token_exchange *x);
-
 /** Handles the end of a link. */
 void token_exchange_note_closed(struct token_exchange *x, const char *address,
 				bool is_undelivered);
--- /dev/null
+++ b/include/router/token_owner.h
@@ -0,0 +1,101 @@
+#ifndef ROUTER_TOKEN_OWNER_H
+#define ROUTER_TOKEN_OWNER_H
+
+#include <glib.h>
+
+#include "router/directory.h"
+#include "router/token_lease.h"
+#include "router/token_pool.h"
+
+/**
+ * Decides what this host may grant of the rates that all hosts share, and since
+ * when. At no time do two hosts grant all of a rate.
+ *
+ * A host grants all if it is the first host by hash in its own mirror of the
+ * host records, and has heard of the store for TOKEN_JOIN_US without a break,
+ * and no host before it has left within that time. It need not wait if every
+ * host of its mirror states that it has the same one, and has seen no host
+ * leave within TOKEN_JOIN_US: then no host with an older mirror grants.
+ *
+ * A host that has not heard of the store grants nothing, unless hosts of other
+ * failure domains have not heard of it either: then the records do not change.
+ */
+struct token_owner;
+
+/**
+ * A host without contact for this time grants nothing. Hosts that watch the
+ * store hear of it each 2.1 s at least. When it is away for all, this leaves
+ * time to learn it from other hosts.
+ */
+#define TOKEN_CONTACT_US (5 * US_PER_S)
+/**
+ * Time from the start of a host, or from the record of an earlier owner being
+ * gone, until this host grants. It exceeds the time within which a host that
+ * grants learns of a change of the records: a watch of 2.1 s, TOKEN_CONTACT_US
+ * and TOKEN_PAUSE_US.
+ */
+#define TOKEN_JOIN_US (9 * US_PER_S)
+/** A host that was paused for longer has lost contact meanwhile. */
+#define TOKEN_PAUSE_US (1500 * US_PER_MS)
+
+/** Statement of a host about its mirror of the host records. */
+struct token_view {
+	/** Hash of the names and addresses of the hosts. */
+	uint64_t hash;
+	/** A host has left the mirror within TOKEN_JOIN_US. */
+	bool has_gone;
+	/** The host has heard of the store lately. */
+	bool has_store;
+	/** Answers the statement of another host. */
+	bool is_answer;
+};
+
+struct token_owner_options {
+	struct np_clock clock;
+	struct host_directory *directory;
+	/**
+	 * Sends the statement of this host to another one; NULL if there are no
+	 * links. It must not call the owner.
+	 */
+	void (*send_view)(void *ctx, const char *address,
+			  const struct token_view *view);
+	void *ctx;
+};
+
+struct token_owner *
+token_owner_create(const struct token_owner_options *options);
+void token_owner_free(struct token_owner *o);
+
+/**
+ * Notes the changes of the host records and pauses of this process. To be
+ * called at least every TOKEN_PAUSE_US, before claims are handled. has_granted
+ * says whether this host holds buckets of keys.
+ */
+void token_owner_advance(struct token_owner *o, bool has_granted);
+
+/**
+ * Lets this host grant as soon as it may, before it gets the first claim. Only
+ * for hosts with rates in their configuration.
+ */
+void token_owner_prepare(struct token_owner *o);
+
+/** Notes that this host heard of the store, itself or through its feed. */
+void token_owner_note_store(struct token_owner *o, int64_t at_us);
+
+/** Handles the statement of another host. */
+void token_owner_handle_view(struct token_owner *o, const char *address,
+			     const struct token_view *view);
+
+/** This host stops: it grants nothing any more. */
+void token_owner_stop(struct token_owner *o);
+
+/**
+ * Returns what this host may grant of the key of a claim, and since when. The
+ * owners are those of the key by the directory; they may be any hosts of it.
+ */
+enum token_part token_owner_part(struct token_owner *o,
+				 const struct token_claim *c,
+				 const struct rate_owners *owners,
+				 int64_t *since_us);
+
+#endif
--- a/nutmegpickd/route_hosts.c
+++ b/nutmegpickd/route_hosts.c
@@ -737,8 +737,8 @@
 		route_answer_token_claims(s, e->link, f->token_claims);
 		break;
 	case HOST_TOKEN_VIEW:
-		token_exchange_handle_view(s->tokens, e->address,
-					   &f->token_view);
+		token_owner_handle_view(token_exchange_owner(s->tokens),
+					e->address, &f->token_view);
 		break;
 	case HOST_TOKEN_GRANTS:
 		token_exchange_handle_grants(s->tokens, e->address,
--- a/nutmegpickd/route_quotas.c
+++ b/nutmegpickd/route_quotas.c
@@ -220,14 +220,14 @@
 			   feed_news_us(s->feed));
 
 	if (news)
-		token_exchange_note_store(s->tokens, news);
+		token_owner_note_store(token_exchange_owner(s->tokens), news);
 	token_exchange_advance(s->tokens);
 	if (s->quotas_version != router_version(s->router)) {
 		s->quotas_version = router_version(s->router);
 		s->has_quotas = router_has_quotas(s->router);
 	}
 	if (s->has_quotas)
-		token_exchange_prepare(s->tokens);
+		token_owner_prepare(token_exchange_owner(s->tokens));
 }
 
 void route_create_quotas(struct route_service *s)
--- a/nutmegpickd/route_service.c
+++ b/nutmegpickd/route_service.c
@@ -159,7 +159,7 @@
 		s->is_draining = true;
 		s->stop_us = e->stop_us;
 		start_hold_note_stop(&s->hold);
-		token_exchange_stop(s->tokens);
+		token_owner_stop(token_exchange_owner(s->tokens));
 		router_stop_at(s->router, e->stop_us);
 		route_limit_forwards(s);
 		return;
--- a/router/token_exchange.c
+++ b/router/token_exchange.c
@@ -3,7 +3,6 @@
 #include <string.h>
 
 #include "common/events.h"
-#include "common/hash.h"
 
 /* A host that has not answered a claim for this time counts as silent. */
 #define SILENT_US (400 * US_PER_MS)
@@ -19,23 +18,6 @@
 #define LINKED_OWNERS_MAX 24
 /* Keys whose owners are kept; the table is emptied beyond that. */
 #define OWNERS_MAX 16384
-/* A host that has not heard of the store for this time asks others about it. */
-#define STORE_NEWS_US (2200 * US_PER_MS)
-#define WITNESS_INTERVAL_US (250 * US_PER_MS)
-#define WITNESSES 3
-/* If one of the hosts that are asked has the store, the others do not count. */
-#define STORE_ELSEWHERE_US (300 * US_PER_MS)
-/*
- * Interval at which hosts are asked for their views, and the most hosts: each
- * needs a link.
- */
-#define VIEWS_INTERVAL_US (250 * US_PER_MS)
-#define VIEWS_HOSTS_MAX 256
-/*
- * Hosts that are gone are kept for this time: a bucket that is created later
- * was not filled before they had gone.
- */
-#define GONE_KEPT_US (60 * US_PER_S)
 
 struct key_owners {
 	struct rate_owners hosts;
@@ -47,11 +29,6 @@
 	int64_t avoid_first_until_us;
 };
 
-struct dated_host {
-	struct gone_host host;
-	int64_t at_us;
-};
-
 struct token_exchange {
 	struct token_exchange_options options;
 	/** Tokens of the keys that this host owns. */
@@ -63,27 +40,8 @@
 	/** Of struct key_owners by key, for one generation of the directory. */
 	GHashTable *owners;
 	uint64_t owners_generation;
-	/** Of struct dated_host, the earliest first. */
-	GArray *gone;
-	/** This host has had contact and its record since then. */
-	int64_t joined_us;
-	int64_t contact_us;
-	/** Last sign of the store, and that another host has it. */
-	int64_t store_us;
-	int64_t store_elsewhere_us;
-	int64_t witnesses_asked_us;
-	uint32_t witness_start;
-	/** All hosts had the same records at that time; 0 if not yet. */
-	int64_t confirmed_us;
-	/** Hash of the records, for one generation of the directory. */
-	uint64_t view_hash;
-	uint64_t view_generation;
-	/** Addresses of the hosts that have stated the same hash. */
-	GHashTable *agreeing;
-	int64_t views_asked_us;
-	bool is_stopping;
-	/** Last call of token_exchange_advance(). */
-	struct lease_time advanced;
+	/** Decides what this host may grant. */
+	struct token_owner *owner;
 };
 
 static int64_t now_us(const struct token_exchange *x)
@@ -101,280 +59,14 @@
 	return (struct lease_time){ now_us(x), clock_boot(&x->options.clock) };
 }
 
-static void join_anew(struct token_exchange *x, int64_t now, const char *reason)
-{
-	/* Of no interest before it has joined, or if it has granted nothing. */
-	if (now - x->joined_us >= TOKEN_JOIN_US && token_pool_count(x->pool))
-		event_log(EV_TOKEN_OWNER_JOINS,
-			  "host=%s reason=%s contact_ms=%lld",
-			  x->options.directory->self, reason,
-			  (long long)((now - x->contact_us) / US_PER_MS));
-	x->joined_us = now;
-	x->confirmed_us = 0;
-	g_hash_table_remove_all(x->agreeing);
-}
-
-static bool has_store(const struct token_exchange *x, int64_t now)
-{
-	return now - x->store_us <= STORE_NEWS_US;
-}
-
-/* Returns whether a host has left the records within TOKEN_JOIN_US. */
-static bool has_gone(const struct token_exchange *x, int64_t now)
-{
-	const struct dated_host *last;
-
-	if (!x->gone->len)
-		return false;
-	last = &g_array_index(x->gone, struct dated_host, x->gone->len - 1);
-	return now - last->at_us < TOKEN_JOIN_US;
-}
-
-/* Computes the hash of the records; their order does not matter. */
-static void update_view(struct token_exchange *x)
-{
-	struct host_directory *d = x->options.directory;
-	GHashTableIter iter;
-	gpointer value;
-
-	if (x->view_generation == d->generation)
-		return;
-	x->view_generation = d->generation;
-	x->view_hash = 0;
-	g_hash_table_remove_all(x->agreeing);
-	g_hash_table_iter_init(&iter, d->hosts);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const struct known_host *h = value;
-
-		x->view_hash += hash_pair(h->name_hash,
-					  hash_string(h->record.address, 0));
-	}
-}
-
-static void send_view(struct token_exchange *x, const char *address,
-		      bool is_answer)
-{
-	struct token_view view = { .hash = x->view_hash,
-				   .has_gone = has_gone(x, now_us(x)),
-				   .has_store = has_store(x, now_us(x)),
-				   .is_answer = is_answer };
-
-	x->options.ops->send_view(x->options.ctx, address, &view);
-}
-
-/* Asks the other hosts for their views, so that this one need not wait. */
-static void ask_views(struct token_exchange *x)
-{
-	struct host_directory *d = x->options.directory;
-	int64_t now = now_us(x);
-	GHashTableIter iter;
-	gpointer value;
-
-	if (!x->options.ops->send_view || x->confirmed_us ||
-	    now - x->views_asked_us < VIEWS_INTERVAL_US ||
-	    g_hash_table_size(d->hosts) > VIEWS_HOSTS_MAX || has_gone(x, now))
-		return;
-	x->views_asked_us = now;
-	update_view(x);
-	g_hash_table_iter_init(&iter, d->hosts);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const struct known_host *h = value;
-
-		if (!is_self(x, h) &&
-		    !g_hash_table_contains(x->agreeing, h->record.address))
-			send_view(x, h->record.address, false);
-	}
-}
-
-/* Notes whether a host has the same records; all must have stated it. */
-static void note_view(struct token_exchange *x, const char *address,
-		      const struct token_view *view)
-{
-	struct host_directory *d = x->options.directory;
-	int64_t now = now_us(x);
-
-	if (view->hash != x->view_hash || view->has_gone || has_gone(x, now) ||
-	    !host_directory_find(d, address) || x->confirmed_us ||
-	    !g_hash_table_contains(d->hosts, d->self))
-		return;
-	g_hash_table_add(x->agreeing, g_strdup(address));
-	if (g_hash_table_size(x->agreeing) + 1 < g_hash_table_size(d->hosts))
-		return;
-	x->confirmed_us = now;
-	event_log(EV_TOKEN_OWNER_JOINED, "host=%s hosts=%u after_ms=%lld",
-		  d->self, g_hash_table_size(d->hosts),
-		  (long long)((now - x->joined_us) / US_PER_MS));
-}
-
-void token_exchange_stop(struct token_exchange *x)
-{
-	x->is_stopping = true;
-}
-
-static void note_gone_hosts(struct token_exchange *x, int64_t now)
-{
-	GArray *gone;
-	guint old = 0;
-
-	while (old < x->gone->len &&
-	       now - g_array_index(x->gone, struct dated_host, old).at_us >=
-		       GONE_KEPT_US)
-		old++;
-	if (old)
-		g_array_remove_range(x->gone, 0, old);
-	if (!x->options.directory->gone->len)
-		return;
-	gone = host_directory_take_gone(x->options.directory);
-	for (guint i = 0; i < gone->len; i++) {
-		struct dated_host d = {
-			g_array_index(gone, struct gone_host, i), now
-		};
-
-		g_array_append_val(x->gone, d);
-	}
-	g_array_free(gone, TRUE);
-}
-
-/* Returns a host whose state tells whether the store is away for all. */
-static bool is_witness(const struct token_exchange *x,
-		       const struct known_host *self,
-		       const struct known_host *h, bool has_other_domain)
-{
-	return !is_self(x, h) &&
-	       (!has_other_domain ||
-		strcmp(h->record.domain, self->record.domain) != 0);
-}
-
-static bool has_other_domain(const struct token_exchange *x,
-			     const struct known_host *self)
-{
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, x->options.directory->hosts);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		if (is_witness(x, self, value, true))
-			return true;
-	}
-	return false;
-}
-
-/* Asks some hosts of other failure domains whether the store is away for all. */
-static void ask_witnesses(struct token_exchange *x)
-{
-	struct host_directory *d = x->options.directory;
-	const struct known_host *self = g_hash_table_lookup(d->hosts, d->self);
-	uint32_t skipped = 0;
-	uint32_t left = WITNESSES;
-	GHashTableIter iter;
-	gpointer value;
-	bool is_far;
-
-	x->witnesses_asked_us = now_us(x);
-	if (!self)
-		return;
-	update_view(x);
-	is_far = has_other_domain(x, self);
-	/* Others each time, since some may not run any more. */
-	x->witness_start = (x->witness_start + WITNESSES) %
-			   MAX(g_hash_table_size(d->hosts), 1);
-	for (int round = 0; round < 2 && left; round++) {
-		g_hash_table_iter_init(&iter, d->hosts);
-		while (left && g_hash_table_iter_next(&iter, NULL, &value)) {
-			const struct known_host *h = value;
-
-			if (!round && skipped++ < x->witness_start)
-				continue;
-			if (!is_witness(x, self, h, is_far))
-				continue;
-			send_view(x, h->record.address, false);
-			left--;
-		}
-	}
-}
-
-static bool has_joined(const struct token_exchange *x, int64_t now)
-{
-	return x->confirmed_us || now - x->joined_us >= TOKEN_JOIN_US;
-}
-
 void token_exchange_advance(struct token_exchange *x)
 {
-	const struct host_directory *d = x->options.directory;
-	struct lease_time now = lease_now(x);
-
-	note_gone_hosts(x, now.monotonic_us);
-	if (!g_hash_table_contains(d->hosts, d->self))
-		join_anew(x, now.monotonic_us, "no_record");
-	else if (now.boot_us - x->advanced.boot_us > TOKEN_PAUSE_US)
-		join_anew(x, now.monotonic_us, "paused");
-	else if (now.monotonic_us - x->contact_us > TOKEN_CONTACT_US)
-		join_anew(x, now.monotonic_us, "no_contact");
-	else if (!has_joined(x, now.monotonic_us) &&
-		 now.monotonic_us - x->store_us > TOKEN_CONTACT_US)
-		/* Its own record may not have reached the other hosts. */
-		join_anew(x, now.monotonic_us, "no_store");
-	if (token_pool_count(x->pool) && has_joined(x, now.monotonic_us) &&
-	    x->options.ops->send_view &&
-	    now.monotonic_us - x->store_us > STORE_NEWS_US &&
-	    now.monotonic_us - x->witnesses_asked_us > WITNESS_INTERVAL_US)
-		ask_witnesses(x);
-	x->advanced = now;
+	token_owner_advance(x->owner, token_pool_count(x->pool) > 0);
 }
 
-void token_exchange_prepare(struct token_exchange *x)
+struct token_owner *token_exchange_owner(struct token_exchange *x)
 {
-	const struct host_directory *d = x->options.directory;
-
-	if (!has_joined(x, now_us(x)) &&
-	    g_hash_table_contains(d->hosts, d->self))
-		ask_views(x);
-}
-
-static void note_contact(struct token_exchange *x, int64_t at_us)
-{
-	if (at_us - x->contact_us > TOKEN_CONTACT_US)
-		join_anew(x, at_us, "no_contact");
-	x->contact_us = MAX(x->contact_us, at_us);
-}
-
-void token_exchange_note_store(struct token_exchange *x, int64_t at_us)
-{
-	note_contact(x, at_us);
-	x->store_us = MAX(x->store_us, at_us);
-}
-
-/*
- * While the store is away for all, the records do not change. If another host
- * has the store, this one's records may be old.
- */
-static void note_witness(struct token_exchange *x, const char *address,
-			 const struct token_view *view)
-{
-	struct host_directory *d = x->options.directory;
-	const struct known_host *self = g_hash_table_lookup(d->hosts, d->self);
-	const struct known_host *h = host_directory_find(d, address);
-	int64_t now = now_us(x);
-
-	if (has_store(x, now) || !self || !h)
-		return;
-	if (view->has_store)
-		x->store_elsewhere_us = now;
-	else if (now - x->store_elsewhere_us > STORE_ELSEWHERE_US &&
-		 is_witness(x, self, h, has_other_domain(x, self)))
-		note_contact(x, now);
-}
-
-void token_exchange_handle_view(struct token_exchange *x, const char *address,
-				const struct token_view *view)
-{
-	token_exchange_advance(x);
-	update_view(x);
-	note_witness(x, address, view);
-	if (view->is_answer)
-		note_view(x, address, view);
-	else
-		send_view(x, address, true);
+	return x->owner;
 }
 
 /*
@@ -413,53 +105,14 @@
 	return known;
 }
 
-/* Returns the time from which no host before this one can grant any more. */
-static int64_t charge_time(const struct token_exchange *x,
-			   const struct token_claim *c,
-			   const struct known_host *self)
-{
-	int64_t from = x->joined_us + TOKEN_JOIN_US;
-
-	if (x->confirmed_us)
-		from = MIN(from, x->confirmed_us);
-	for (guint i = 0; i < x->gone->len; i++) {
-		const struct dated_host *d =
-			&g_array_index(x->gone, struct dated_host, i);
-
-		if (host_directory_was_before(x->options.directory, &d->host,
-					      self, c->key, c->domain))
-			from = MAX(from, d->at_us + TOKEN_JOIN_US);
-	}
-	return from;
-}
-
 /* Returns what this host may grant, and since when. */
 static enum token_part own_part(struct token_exchange *x,
 				const struct token_claim *c, int64_t *since)
 {
-	const struct key_owners *owners;
-	const struct known_host *first;
-	const struct known_host *second;
-	int64_t now = now_us(x);
-
-	*since = x->joined_us;
+	*since = 0;
 	if (x->options.is_alone)
 		return TOKEN_PART_ALL;
-	owners = get_owners(x, c);
-	first = owners->hosts.first;
-	second = owners->hosts.second;
-	if (now - x->contact_us > TOKEN_CONTACT_US || !first || x->is_stopping)
-		return TOKEN_PART_NONE;
-	if (is_self(x, first)) {
-		*since = charge_time(x, c, first);
-		if (now < *since)
-			ask_views(x);
-		return now >= *since ? TOKEN_PART_ALL : TOKEN_PART_NONE;
-	}
-	if (!second || !is_self(x, second))
-		return TOKEN_PART_NONE;
-	*since = charge_time(x, c, second);
-	return now >= *since ? TOKEN_PART_SECOND : TOKEN_PART_NONE;
+	return token_owner_part(x->owner, c, &get_owners(x, c)->hosts, since);
 }
 
 static struct token_grant answer_claim(struct token_exchange *x,
@@ -738,6 +391,12 @@
 token_exchange_create(const struct token_exchange_options *options)
 {
 	struct token_exchange *x = g_new0(struct token_exchange, 1);
+	struct token_owner_options owner_options = {
+		.clock = options->clock,
+		.directory = options->directory,
+		.send_view = options->ops->send_view,
+		.ctx = options->ctx,
+	};
 
 	x->options = *options;
 	x->pool = token_pool_create(options->seed);
@@ -745,16 +404,7 @@
 	x->owners =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	x->own_grants = g_array_new(FALSE, FALSE, sizeof(struct token_grant));
-	x->gone = g_array_new(FALSE, FALSE, sizeof(struct dated_host));
-	x->agreeing =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-	x->view_generation = UINT64_MAX;
-	x->joined_us = now_us(x);
-	x->contact_us = x->joined_us;
-	x->store_us = x->joined_us;
-	x->store_elsewhere_us = x->joined_us - STORE_ELSEWHERE_US;
-	x->advanced = (struct lease_time){ x->joined_us,
-					   clock_boot(&options->clock) };
+	x->owner = token_owner_create(&owner_options);
 	return x;
 }
 
@@ -764,7 +414,6 @@
 	token_cache_free(x->cache);
 	g_hash_table_destroy(x->owners);
 	free_own_grants(x->own_grants);
-	g_array_free(x->gone, TRUE);
-	g_hash_table_destroy(x->agreeing);
+	token_owner_free(x->owner);
 	g_free(x);
 }
--- a/test/unit/quota_sim.c
+++ b/test/unit/quota_sim.c
@@ -248,7 +248,7 @@
 	h->stop_at_us = s->now_us + STOP_US;
 	/* A host that is not told of its stop may learn from the records. */
 	if (g_rand_boolean(s->random))
-		token_exchange_stop(h->exchange);
+		token_owner_stop(token_exchange_owner(h->exchange));
 }
 
 void quota_sim_freeze_host(struct quota_sim *s, uint32_t i, int64_t us,
@@ -311,7 +311,8 @@
 	}
 	if (s->now_us >= h->next_news_us) {
 		h->next_news_us = s->now_us + NEWS_US;
-		token_exchange_note_store(h->exchange, h->time.now_us);
+		token_owner_note_store(token_exchange_owner(h->exchange),
+				       h->time.now_us);
 	}
 }
 
@@ -351,7 +352,8 @@
 	GArray *grants;
 
 	if (f->is_view) {
-		token_exchange_handle_view(h->exchange, from, &f->view);
+		token_owner_handle_view(token_exchange_owner(h->exchange), from,
+					&f->view);
 	} else if (f->is_grants) {
 		token_exchange_handle_grants(h->exchange, from, f->items);
 	} else {
