quotas: stop granting before the record is withdrawn

The record was withdrawn by the thread that stops the host, while the router thread could still answer claims with tokens. The router thread now withdraws it after it has stopped to grant, so that another host may grant once the record is gone.

--- a/nutmegpickd/route_service.c
+++ b/nutmegpickd/route_service.c
@@ -159,7 +159,9 @@
 		s->is_draining = true;
 		s->stop_us = e->stop_us;
 		start_hold_note_stop(&s->hold);
+		/* The next host grants when the record is gone. */
 		token_owner_stop(token_exchange_owner(s->tokens));
+		registry_thread_withdraw(s->registry);
 		router_stop_at(s->router, e->stop_us);
 		route_limit_forwards(s);
 		return;
@@ -559,7 +561,6 @@
 	route_service_send_event(
 		s, (struct route_event){ .type = ROUTE_EVENT_DRAIN,
 					 .stop_us = stop_us });
-	registry_thread_withdraw(s->registry);
 	http_server_drain(s->server);
 	g_usleep((gulong)s->settings.drain_delay_us);
 	/*
--- a/test/unit/main.c
+++ b/test/unit/main.c
@@ -44,6 +44,7 @@
 	{ "router schedules", NULL, NULL, NULL, NULL, router_schedule_tests },
 	{ "router stop", NULL, NULL, NULL, NULL, router_stop_tests },
 	{ "start hold", NULL, NULL, NULL, NULL, start_hold_tests },
+	{ "token owner", NULL, NULL, NULL, NULL, token_owner_tests },
 	{ "triage", NULL, NULL, NULL, NULL, triage_tests },
 	{ "triage load", NULL, NULL, NULL, NULL, triage_load_tests },
 	{ "waiting", NULL, NULL, NULL, NULL, waiting_tests },
--- a/test/unit/suites.h
+++ b/test/unit/suites.h
@@ -45,6 +45,7 @@
 extern CU_TestInfo router_schedule_tests[];
 extern CU_TestInfo router_stop_tests[];
 extern CU_TestInfo start_hold_tests[];
+extern CU_TestInfo token_owner_tests[];
 extern CU_TestInfo triage_tests[];
 extern CU_TestInfo triage_load_tests[];
 extern CU_TestInfo upstream_tests[];
