quotas: the next host grants when the record of an owner has expired

A host that comes next by hash waited 9 s after the record of an owner had gone, since that owner might still have granted with an older mirror. An owner now grants for 14 s only after the start of the last renewal of its record; the lease is 15 s from the arrival of that call. So the next host grants as soon as the record is gone from its mirror.

While the store is lost for all, records expire and owners go on.

The schedules check at each step that no two hosts grant all of a rate.

--- a/include/nutmegpickd/registry_thread.h
+++ b/include/nutmegpickd/registry_thread.h
@@ -7,6 +7,7 @@
 #include "common/clock.h"
 #include "router/directory.h"
 #include "router/feed.h"
+#include "router/token_lease.h"
 #include "store/mirror.h"
 
 /**
@@ -15,6 +16,14 @@
  */
 struct registry_thread;
 
+/** Lease on the record of this host. */
+struct registry_lease {
+	/** 0 if there is none. */
+	uint64_t id;
+	/** Start of the last call that granted or renewed it. */
+	struct lease_time started;
+};
+
 struct registry_thread_options {
 	struct np_clock clock;
 	/** IP number and port of the store. */
@@ -56,4 +65,7 @@
  */
 int64_t registry_thread_news_us(const struct registry_thread *t);
 
+/** Returns the lease on this host's record. May be called from any thread. */
+struct registry_lease registry_thread_lease(struct registry_thread *t);
+
 #endif
--- a/include/nutmegpickd/route_internal.h
+++ b/include/nutmegpickd/route_internal.h
@@ -165,6 +165,8 @@
 	struct token_exchange *tokens;
 	/** Whether the table of a version has rates of tokens. */
 	bool has_quotas;
+	/** This host followed another one when the store was last checked. */
+	bool was_following;
 	uint64_t quotas_version;
 	GRand *random;
 	bool is_draining;
--- a/include/router/token_exchange.h
+++ b/include/router/token_exchange.h
@@ -42,6 +42,8 @@
 	uint32_t seed;
 	/** This host has no links: it owns all keys. */
 	bool is_alone;
+	/** As in struct token_owner_options. */
+	bool is_leased;
 	const struct token_exchange_ops *ops;
 	void *ctx;
 };
--- a/include/router/token_owner.h
+++ b/include/router/token_owner.h
@@ -12,13 +12,18 @@
  * when. At no time do two hosts grant all of a rate.
  *
  * A host grants all if it is the first host by hash in its own mirror of the
- * host records, and has heard of the store for TOKEN_JOIN_US without a break,
- * and no host before it has left within that time. It need not wait if every
- * host of its mirror states that it has the same one, and has seen no host
- * leave within TOKEN_JOIN_US: then no host with an older mirror grants.
+ * host records, and has heard of the store for TOKEN_JOIN_US without a break.
+ * It need not wait if every host of its mirror states that it has the same one,
+ * and has seen no host leave within TOKEN_JOIN_US: then no host with an older
+ * mirror grants.
+ *
+ * A host grants only while its record cannot have expired. So the next host may
+ * grant as soon as the record is gone. It waits for TOKEN_JOIN_US if it had no
+ * contact with the store within the last 15 s.
  *
  * A host that has not heard of the store grants nothing, unless hosts of other
- * failure domains have not heard of it either: then the records do not change.
+ * failure domains have not heard of it either: then the records do not change,
+ * and they may expire while their hosts go on.
  */
 struct token_owner;
 
@@ -38,6 +43,14 @@
 /** A host that was paused for longer has lost contact meanwhile. */
 #define TOKEN_PAUSE_US (1500 * US_PER_MS)
 
+/** Shortest time for which the store keeps a record that is not renewed. */
+#define TOKEN_STORE_LEASE_US (15 * US_PER_S)
+/**
+ * A host grants for this time after the start of the last renewal of its
+ * record, so that it has stopped when the record expires.
+ */
+#define TOKEN_LEASE_US (14 * US_PER_S)
+
 /** Statement of a host about its mirror of the host records. */
 struct token_view {
 	/** Hash of the names and addresses of the hosts. */
@@ -46,13 +59,24 @@
 	bool has_gone;
 	/** The host has heard of the store lately. */
 	bool has_store;
+	/** Time since it last has. */
+	int64_t store_age_us;
+	/** Time for which it had contact with the store without a break. */
+	int64_t store_steady_us;
 	/** Answers the statement of another host. */
 	bool is_answer;
+	/** When the other host asked, by its clock. */
+	int64_t asked_us;
 };
 
 struct token_owner_options {
 	struct np_clock clock;
 	struct host_directory *directory;
+	/**
+	 * The renewals of the record's lease are reported; if not, this host
+	 * waits for TOKEN_JOIN_US after another one has left.
+	 */
+	bool is_leased;
 	/**
 	 * Sends the statement of this host to another one; NULL if there are no
 	 * links. It must not call the owner.
@@ -82,6 +106,16 @@
 /** Notes that this host heard of the store, itself or through its feed. */
 void token_owner_note_store(struct token_owner *o, int64_t at_us);
 
+/** Notes that a call to the store has failed, or the store is lost. */
+void token_owner_note_store_lost(struct token_owner *o);
+
+/**
+ * Notes that the store has renewed, or granted, the lease on this host's
+ * record, with the time at which the call was started.
+ */
+void token_owner_note_renewal(struct token_owner *o, uint64_t lease,
+			      const struct lease_time *started);
+
 /** Handles the statement of another host. */
 void token_owner_handle_view(struct token_owner *o, const char *address,
 			     const struct token_view *view);
--- a/net/host_frame.c
+++ b/net/host_frame.c
@@ -285,12 +285,15 @@
 GByteArray *host_frame_token_view(const struct token_view *view)
 {
 	msgpack_packer pk;
-	GByteArray *out = begin_frame(&pk, HOST_TOKEN_VIEW, 4);
+	GByteArray *out = begin_frame(&pk, HOST_TOKEN_VIEW, 7);
 
 	msgpack_pack_uint64(&pk, view->hash);
 	pack_flag(&pk, view->has_gone);
 	pack_flag(&pk, view->has_store);
 	pack_flag(&pk, view->is_answer);
+	msgpack_pack_uint64(&pk, (uint64_t)MAX(view->store_age_us, 0));
+	msgpack_pack_uint64(&pk, (uint64_t)MAX(view->store_steady_us, 0));
+	msgpack_pack_uint64(&pk, (uint64_t)MAX(view->asked_us, 0));
 	return out;
 }
 
@@ -327,6 +330,14 @@
 	return o ? o->via.u64 : 0;
 }
 
+/* Times are limited so that sums of them do not overflow. */
+static int64_t read_time(struct reader *r)
+{
+	uint64_t us = read_number(r);
+
+	return (int64_t)MIN(us, (uint64_t)INT64_MAX / 4);
+}
+
 static int64_t read_duration(struct reader *r)
 {
 	uint64_t us = read_number(r);
@@ -633,6 +644,9 @@
 		r->frame->token_view.has_gone = read_flag(r);
 		r->frame->token_view.has_store = read_flag(r);
 		r->frame->token_view.is_answer = read_flag(r);
+		r->frame->token_view.store_age_us = read_time(r);
+		r->frame->token_view.store_steady_us = read_time(r);
+		r->frame->token_view.asked_us = read_time(r);
 		return;
 	}
 	r->is_broken = true;
--- a/nutmegpickd/registry_thread.c
+++ b/nutmegpickd/registry_thread.c
@@ -34,6 +34,11 @@
 /* The record of a host that stops without withdrawing it expires after this. */
 #define LEASE_MS 15000
 #define RENEW_US (5 * US_PER_S)
+/*
+ * Interval of renewals that fail. An owner of quotas grants for 14 s after the
+ * last one that did not.
+ */
+#define RENEW_RETRY_US (2 * US_PER_S)
 /* Longest wait until the lease on this host's record is checked again. */
 #define IDLE_US (1 * US_PER_S)
 /* Hosts that start together spread their first publications over this time. */
@@ -80,6 +85,7 @@
 	int64_t next_rare_watch_us;
 	bool is_withdrawn;
 	bool is_stopping;
+	struct registry_lease renewed;
 	/** When the store last answered a list or watch; read by any thread. */
 	int64_t news_us;
 };
@@ -415,8 +421,21 @@
 			  t->options.self.name, (unsigned long long)lease);
 }
 
+static struct lease_time lease_now(const struct registry_thread *t)
+{
+	return (struct lease_time){ now_us(t), clock_boot(&t->options.clock) };
+}
+
+static void note_lease(struct registry_thread *t, struct lease_time started)
+{
+	pthread_mutex_lock(&t->lock);
+	t->renewed = (struct registry_lease){ t->lease, started };
+	pthread_mutex_unlock(&t->lock);
+}
+
 static void publish_host_record(struct registry_thread *t)
 {
+	struct lease_time started = lease_now(t);
 	long status = perform_call(t, platform_store_grant_lease(LEASE_MS),
 				   "POST", CALL_TIMEOUT_MS);
 
@@ -429,17 +448,25 @@
 		t, platform_store_publish_host(&t->options.self, t->lease),
 		"POST", CALL_TIMEOUT_MS);
 	t->is_published = status == 200;
+	if (t->is_published)
+		note_lease(t, started);
 }
 
 /* Renews the lease on this host's record, or publishes the record. */
 static void renew_host_record(struct registry_thread *t)
 {
+	struct lease_time started = lease_now(t);
+
 	t->next_renewal_us = now_us(t) + RENEW_US;
 	if (t->is_published) {
 		long status = perform_call(t,
 					   platform_store_renew_lease(t->lease),
 					   "POST", CALL_TIMEOUT_MS);
 
+		if (status == 200)
+			note_lease(t, started);
+		else
+			t->next_renewal_us = now_us(t) + RENEW_RETRY_US;
 		if (status != 404)
 			return;
 		t->is_published = false;
@@ -582,6 +609,16 @@
 	g_free(t);
 }
 
+struct registry_lease registry_thread_lease(struct registry_thread *t)
+{
+	struct registry_lease lease;
+
+	pthread_mutex_lock(&t->lock);
+	lease = t->renewed;
+	pthread_mutex_unlock(&t->lock);
+	return lease;
+}
+
 int64_t registry_thread_news_us(const struct registry_thread *t)
 {
 	return __atomic_load_n(&t->news_us, __ATOMIC_RELAXED);
--- a/nutmegpickd/route_quotas.c
+++ b/nutmegpickd/route_quotas.c
@@ -214,11 +214,33 @@
 	s->quota_counts = now;
 }
 
+/* Tells what the registry thread did for this host's record. */
+static void note_lease(struct route_service *s)
+{
+	struct registry_lease lease = registry_thread_lease(s->registry);
+
+	if (lease.id)
+		token_owner_note_renewal(token_exchange_owner(s->tokens),
+					 lease.id, &lease.started);
+}
+
+/* A feed that is lost may not have noticed that the store was away. */
+static void check_feed(struct route_service *s)
+{
+	bool is_following = feed_is_following(s->feed);
+
+	if (s->was_following && !is_following)
+		token_owner_note_store_lost(token_exchange_owner(s->tokens));
+	s->was_following = is_following;
+}
+
 void route_note_token_contact(struct route_service *s)
 {
 	int64_t news = MAX(registry_thread_news_us(s->registry),
 			   feed_news_us(s->feed));
 
+	check_feed(s);
+	note_lease(s);
 	if (news)
 		token_owner_note_store(token_exchange_owner(s->tokens), news);
 	token_exchange_advance(s->tokens);
@@ -242,6 +264,7 @@
 		.directory = &s->directory,
 		.seed = g_rand_int(s->random),
 		.is_alone = !s->settings.listen_peer,
+		.is_leased = true,
 		.ops = &route_token_ops,
 		.ctx = s,
 	};
--- a/nutmegpickd/route_service.c
+++ b/nutmegpickd/route_service.c
@@ -95,6 +95,8 @@
 		s->catalog.store_back_at_us = clock_now(&s->clock);
 	else
 		start_hold_note_lost(&s->hold);
+	if (!is_up)
+		token_owner_note_store_lost(token_exchange_owner(s->tokens));
 	feed_note_store(s->feed, is_up);
 }
 
--- a/router/token_exchange.c
+++ b/router/token_exchange.c
@@ -394,6 +394,7 @@
 	struct token_owner_options owner_options = {
 		.clock = options->clock,
 		.directory = options->directory,
+		.is_leased = options->is_leased,
 		.send_view = options->ops->send_view,
 		.ctx = options->ctx,
 	};
--- a/router/token_owner.c
+++ b/router/token_owner.c
@@ -4,13 +4,23 @@
 
 #include "common/events.h"
 #include "common/hash.h"
+#include "router/store_witness.h"
 
 /* A host that has not heard of the store for this time asks others about it. */
 #define STORE_NEWS_US (2200 * US_PER_MS)
 #define WITNESS_INTERVAL_US (250 * US_PER_MS)
-#define WITNESSES 3
-/* If one of the hosts that are asked has the store, the others do not count. */
-#define STORE_ELSEWHERE_US (300 * US_PER_MS)
+/*
+ * Hosts agree that the store is lost if none has heard of it for this time. As
+ * a watch takes 2.1 s, it was away for all for 3.1 s then, so that each host
+ * has noticed a failed call.
+ */
+#define STORE_LOST_US (5200 * US_PER_MS)
+/* Time for which a host with an old lease goes on after it knew of that. */
+#define STORE_LOST_KEPT_US (2 * US_PER_S)
+/* Answers that take longer do not count. */
+#define ANSWER_MAX_US (1 * US_PER_S)
+/* Longer gaps between news of the store are breaks of the contact. */
+#define STEADY_GAP_US (4 * US_PER_S)
 /*
  * Interval at which hosts are asked for their views, and the most hosts: each
  * needs a link.
@@ -26,6 +36,10 @@
 struct dated_host {
 	struct gone_host host;
 	int64_t at_us;
+	/** This host had contact for a lease until then, without a break. */
+	bool is_steady;
+	/** From when the next host may grant; INT64_MAX if not known yet. */
+	int64_t free_us;
 };
 
 struct token_owner {
@@ -37,13 +51,22 @@
 	/** This host has had contact and its record since then. */
 	int64_t joined_us;
 	int64_t contact_us;
-	/** Last sign of the store, and that another host has it. */
+	/** Last sign of the store; since when there was no break; 0 if none. */
 	int64_t store_us;
-	int64_t store_elsewhere_us;
+	int64_t steady_us;
+	/** The lease on the record, and the start of its last renewal. */
+	uint64_t lease;
+	struct lease_time renewed;
+	struct store_witness *witness;
 	int64_t witnesses_asked_us;
-	uint32_t witness_start;
+	/** Last time at which the hosts agreed that the store is lost. */
+	int64_t store_lost_us;
 	/** All hosts had the same records at that time; 0 if not yet. */
 	int64_t confirmed_us;
+	/** This host had waited by then, and others had the store; or 0. */
+	int64_t proven_us;
+	/** Rates are used, so that this host is to grant as soon as it may. */
+	bool is_wanted;
 	/** Hash of the records, for one generation of the directory. */
 	uint64_t view_hash;
 	uint64_t view_generation;
@@ -70,16 +93,32 @@
 	return (struct lease_time){ now_us(o), clock_boot(&o->options.clock) };
 }
 
+/* Returns from when this host may grant, as far as it has waited itself. */
+static int64_t join_time(const struct token_owner *o)
+{
+	if (o->confirmed_us)
+		return o->confirmed_us;
+	if (!o->options.is_leased)
+		return o->joined_us + TOKEN_JOIN_US;
+	return o->proven_us ? o->proven_us : INT64_MAX;
+}
+
+static bool has_joined(const struct token_owner *o, int64_t now)
+{
+	return now >= join_time(o);
+}
+
 static void join_anew(struct token_owner *o, int64_t now, const char *reason)
 {
 	/* Of no interest before it has joined, or if it has granted nothing. */
-	if (now - o->joined_us >= TOKEN_JOIN_US && o->has_granted)
+	if (has_joined(o, now) && o->has_granted)
 		event_log(EV_TOKEN_OWNER_JOINS,
 			  "host=%s reason=%s contact_ms=%lld",
 			  o->options.directory->self, reason,
 			  (long long)((now - o->contact_us) / US_PER_MS));
 	o->joined_us = now;
 	o->confirmed_us = 0;
+	o->proven_us = 0;
 	g_hash_table_remove_all(o->agreeing);
 }
 
@@ -120,13 +159,26 @@
 	}
 }
 
+/* Returns for how long this host has had contact with the store. */
+static int64_t steady_time(const struct token_owner *o)
+{
+	if (!o->steady_us || !has_store(o, now_us(o)))
+		return 0;
+	return o->store_us - o->steady_us;
+}
+
+/* question is the statement that this one answers, or NULL. */
 static void send_view(struct token_owner *o, const char *address,
-		      bool is_answer)
+		      const struct token_view *question)
 {
 	struct token_view view = { .hash = o->view_hash,
 				   .has_gone = has_gone(o, now_us(o)),
 				   .has_store = has_store(o, now_us(o)),
-				   .is_answer = is_answer };
+				   .store_age_us = now_us(o) - o->store_us,
+				   .store_steady_us = steady_time(o),
+				   .is_answer = question != NULL,
+				   .asked_us = question ? question->asked_us
+							: now_us(o) };
 
 	o->options.send_view(o->options.ctx, address, &view);
 }
@@ -151,7 +203,7 @@
 
 		if (!is_self(o, h) &&
 		    !g_hash_table_contains(o->agreeing, h->record.address))
-			send_view(o, h->record.address, false);
+			send_view(o, h->record.address, NULL);
 	}
 }
 
@@ -163,6 +215,7 @@
 	int64_t now = now_us(o);
 
 	if (view->hash != o->view_hash || view->has_gone || has_gone(o, now) ||
+	    !view->has_store || !has_store(o, now) ||
 	    !host_directory_find(d, address) || o->confirmed_us ||
 	    !g_hash_table_contains(d->hosts, d->self))
 		return;
@@ -196,7 +249,12 @@
 	gone = host_directory_take_gone(o->options.directory);
 	for (guint i = 0; i < gone->len; i++) {
 		struct dated_host d = {
-			g_array_index(gone, struct gone_host, i), now
+			.host = g_array_index(gone, struct gone_host, i),
+			.at_us = now,
+			.is_steady = o->steady_us &&
+				     now - o->steady_us >= TOKEN_STORE_LEASE_US,
+			.free_us = o->options.is_leased ? INT64_MAX
+							: now + TOKEN_JOIN_US,
 		};
 
 		g_array_append_val(o->gone, d);
@@ -204,67 +262,118 @@
 	g_array_free(gone, TRUE);
 }
 
-/* Returns a host whose state tells whether the store is away for all. */
-static bool is_witness(const struct token_owner *o,
-		       const struct known_host *self,
-		       const struct known_host *h, bool has_other_domain)
+/* Asks some hosts of all failure domains whether the store is away for all. */
+static void ask_witnesses(struct token_owner *o)
+{
+	GPtrArray *hosts = store_witness_choose(o->witness, now_us(o));
+
+	o->witnesses_asked_us = now_us(o);
+	update_view(o);
+	for (guint i = 0; i < hosts->len; i++) {
+		const struct known_host *h = hosts->pdata[i];
+
+		send_view(o, h->record.address, NULL);
+	}
+	g_ptr_array_free(hosts, TRUE);
+}
+
+/* News that came during the pause may hide that the store was away. */
+static void note_pause(struct token_owner *o, int64_t now)
 {
-	return !is_self(o, h) &&
-	       (!has_other_domain ||
-		strcmp(h->record.domain, self->record.domain) != 0);
+	o->steady_us = 0;
+	join_anew(o, now, "paused");
 }
 
-static bool has_other_domain(const struct token_owner *o,
-			     const struct known_host *self)
+/* Returns the number of hosts that have left lately and not returned. */
+static guint count_gone(const struct token_owner *o)
 {
+	GHashTable *names = g_hash_table_new(g_int64_hash, g_int64_equal);
+	guint count;
 	GHashTableIter iter;
 	gpointer value;
 
+	for (guint i = 0; i < o->gone->len; i++) {
+		struct dated_host *d =
+			&g_array_index(o->gone, struct dated_host, i);
+
+		g_hash_table_add(names, &d->host.name_hash);
+	}
 	g_hash_table_iter_init(&iter, o->options.directory->hosts);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		if (is_witness(o, self, value, true))
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		g_hash_table_remove(names,
+				    &((struct known_host *)value)->name_hash);
+	count = g_hash_table_size(names);
+	g_hash_table_destroy(names);
+	return count;
+}
+
+static bool is_proof_due(const struct token_owner *o, int64_t now)
+{
+	if (!o->options.is_leased)
+		return false;
+	if (!has_joined(o, now) && now - o->joined_us >= TOKEN_JOIN_US)
+		return true;
+	for (guint i = 0; i < o->gone->len; i++) {
+		const struct dated_host *d =
+			&g_array_index(o->gone, struct dated_host, i);
+
+		if (d->free_us == INT64_MAX &&
+		    (d->is_steady || now - d->at_us >= TOKEN_JOIN_US))
 			return true;
 	}
 	return false;
 }
 
-/* Asks some hosts of other failure domains whether the store is away for all. */
-static void ask_witnesses(struct token_owner *o)
+/*
+ * An owner goes on without the store if most hosts do not have it. So this host
+ * waits until at least half of them had it since before that owner's record
+ * expired, or during its own wait.
+ */
+static void check_proof(struct token_owner *o, int64_t now)
 {
-	struct host_directory *d = o->options.directory;
-	const struct known_host *self = g_hash_table_lookup(d->hosts, d->self);
-	uint32_t skipped = 0;
-	uint32_t left = WITNESSES;
-	GHashTableIter iter;
-	gpointer value;
-	bool is_far;
+	guint gone;
+	bool is_lease_steady;
 
-	o->witnesses_asked_us = now_us(o);
-	if (!self)
+	if (!is_proof_due(o, now))
 		return;
-	update_view(o);
-	is_far = has_other_domain(o, self);
-	/* Others each time, since some may not run any more. */
-	o->witness_start = (o->witness_start + WITNESSES) %
-			   MAX(g_hash_table_size(d->hosts), 1);
-	for (int round = 0; round < 2 && left; round++) {
-		g_hash_table_iter_init(&iter, d->hosts);
-		while (left && g_hash_table_iter_next(&iter, NULL, &value)) {
-			const struct known_host *h = value;
-
-			if (!round && skipped++ < o->witness_start)
-				continue;
-			if (!is_witness(o, self, h, is_far))
-				continue;
-			send_view(o, h->record.address, false);
-			left--;
-		}
+	gone = count_gone(o);
+	if (!store_witness_is_steady(o->witness, TOKEN_JOIN_US, gone, now))
+		return;
+	is_lease_steady = store_witness_is_steady(
+		o->witness, TOKEN_STORE_LEASE_US, gone, now);
+	if (!o->proven_us && now - o->joined_us >= TOKEN_JOIN_US)
+		o->proven_us = now;
+	for (guint i = 0; i < o->gone->len; i++) {
+		struct dated_host *d =
+			&g_array_index(o->gone, struct dated_host, i);
+
+		if (d->free_us == INT64_MAX &&
+		    (now - d->at_us >= TOKEN_JOIN_US ||
+		     (d->is_steady && is_lease_steady)))
+			d->free_us = now;
 	}
 }
 
-static bool has_joined(const struct token_owner *o, int64_t now)
+/*
+ * Returns whether this host's record cannot have expired, or no other host
+ * grants at once if it has, since the store was lost for all.
+ */
+static bool has_lease(const struct token_owner *o, const struct lease_time *now)
 {
-	return o->confirmed_us || now - o->joined_us >= TOKEN_JOIN_US;
+	if (!o->options.is_leased)
+		return true;
+	if (!o->lease)
+		return false;
+	return (now->monotonic_us - o->renewed.monotonic_us < TOKEN_LEASE_US &&
+		now->boot_us - o->renewed.boot_us < TOKEN_LEASE_US) ||
+	       now->monotonic_us - o->store_lost_us < STORE_LOST_KEPT_US;
+}
+
+static bool needs_witnesses(const struct token_owner *o, int64_t now)
+{
+	if (has_store(o, now))
+		return (o->has_granted || o->is_wanted) && is_proof_due(o, now);
+	return o->has_granted && has_joined(o, now);
 }
 
 void token_owner_advance(struct token_owner *o, bool has_granted)
@@ -277,16 +386,17 @@
 	if (!g_hash_table_contains(d->hosts, d->self))
 		join_anew(o, now.monotonic_us, "no_record");
 	else if (now.boot_us - o->advanced.boot_us > TOKEN_PAUSE_US)
-		join_anew(o, now.monotonic_us, "paused");
+		note_pause(o, now.monotonic_us);
 	else if (now.monotonic_us - o->contact_us > TOKEN_CONTACT_US)
 		join_anew(o, now.monotonic_us, "no_contact");
+	else if (!has_lease(o, &now))
+		join_anew(o, now.monotonic_us, "no_lease");
 	else if (!has_joined(o, now.monotonic_us) &&
 		 now.monotonic_us - o->store_us > TOKEN_CONTACT_US)
 		/* Its own record may not have reached the other hosts. */
 		join_anew(o, now.monotonic_us, "no_store");
-	if (o->has_granted && has_joined(o, now.monotonic_us) &&
-	    o->options.send_view &&
-	    now.monotonic_us - o->store_us > STORE_NEWS_US &&
+	check_proof(o, now.monotonic_us);
+	if (o->options.send_view && needs_witnesses(o, now.monotonic_us) &&
 	    now.monotonic_us - o->witnesses_asked_us > WITNESS_INTERVAL_US)
 		ask_witnesses(o);
 	o->advanced = now;
@@ -296,6 +406,7 @@
 {
 	const struct host_directory *d = o->options.directory;
 
+	o->is_wanted = true;
 	if (!has_joined(o, now_us(o)) &&
 	    g_hash_table_contains(d->hosts, d->self))
 		ask_views(o);
@@ -311,9 +422,26 @@
 void token_owner_note_store(struct token_owner *o, int64_t at_us)
 {
 	note_contact(o, at_us);
+	if (!o->steady_us || at_us - o->store_us > STEADY_GAP_US)
+		o->steady_us = at_us;
 	o->store_us = MAX(o->store_us, at_us);
 }
 
+void token_owner_note_store_lost(struct token_owner *o)
+{
+	o->steady_us = 0;
+}
+
+void token_owner_note_renewal(struct token_owner *o, uint64_t lease,
+			      const struct lease_time *started)
+{
+	/* Its record may have been gone in between. */
+	if (o->lease && lease != o->lease)
+		join_anew(o, now_us(o), "new_lease");
+	o->lease = lease;
+	o->renewed = *started;
+}
+
 /*
  * While the store is away for all, the records do not change. If another host
  * has the store, this one's records may be old.
@@ -321,18 +449,28 @@
 static void note_witness(struct token_owner *o, const char *address,
 			 const struct token_view *view)
 {
-	struct host_directory *d = o->options.directory;
-	const struct known_host *self = g_hash_table_lookup(d->hosts, d->self);
-	const struct known_host *h = host_directory_find(d, address);
+	const struct known_host *h =
+		host_directory_find(o->options.directory, address);
 	int64_t now = now_us(o);
 
-	if (has_store(o, now) || !self || !h)
+	struct store_contact contact = { view->store_age_us,
+					 view->store_steady_us };
+	guint gone;
+
+	if (!h)
+		return;
+	store_witness_note(o->witness, h, &contact, now);
+	check_proof(o, now);
+	if (has_store(o, now))
 		return;
-	if (view->has_store)
-		o->store_elsewhere_us = now;
-	else if (now - o->store_elsewhere_us > STORE_ELSEWHERE_US &&
-		 is_witness(o, self, h, has_other_domain(o, self)))
+	gone = count_gone(o);
+	if (store_witness_agree(o->witness, o->store_us, STORE_NEWS_US, gone,
+				now))
 		note_contact(o, now);
+	if (now - o->store_us >= STORE_LOST_US &&
+	    store_witness_agree(o->witness, o->store_us, STORE_LOST_US, gone,
+				now))
+		o->store_lost_us = now;
 }
 
 void token_owner_handle_view(struct token_owner *o, const char *address,
@@ -340,11 +478,15 @@
 {
 	token_owner_advance(o, o->has_granted);
 	update_view(o);
+	if (!view->is_answer) {
+		send_view(o, address, view);
+		return;
+	}
+	/* The host may have heard of the store or of a change since then. */
+	if (now_us(o) - view->asked_us > ANSWER_MAX_US)
+		return;
 	note_witness(o, address, view);
-	if (view->is_answer)
-		note_view(o, address, view);
-	else
-		send_view(o, address, true);
+	note_view(o, address, view);
 }
 
 /* Returns the time from which no host before this one can grant any more. */
@@ -352,17 +494,15 @@
 			   const struct token_claim *c,
 			   const struct known_host *self)
 {
-	int64_t from = o->joined_us + TOKEN_JOIN_US;
+	int64_t from = join_time(o);
 
-	if (o->confirmed_us)
-		from = MIN(from, o->confirmed_us);
 	for (guint i = 0; i < o->gone->len; i++) {
 		const struct dated_host *d =
 			&g_array_index(o->gone, struct dated_host, i);
 
 		if (host_directory_was_before(o->options.directory, &d->host,
 					      self, c->key, c->domain))
-			from = MAX(from, d->at_us + TOKEN_JOIN_US);
+			from = MAX(from, d->free_us);
 	}
 	return from;
 }
@@ -379,6 +519,7 @@
 	*since = o->joined_us;
 	if (now - o->contact_us > TOKEN_CONTACT_US || !first || o->is_stopping)
 		return TOKEN_PART_NONE;
+	o->is_wanted = true;
 	if (is_self(o, first)) {
 		*since = charge_time(o, c, first);
 		if (now < *since)
@@ -404,7 +545,8 @@
 	o->joined_us = now_us(o);
 	o->contact_us = o->joined_us;
 	o->store_us = o->joined_us;
-	o->store_elsewhere_us = o->joined_us - STORE_ELSEWHERE_US;
+	o->store_lost_us = INT64_MIN / 2;
+	o->witness = store_witness_create(options->directory);
 	o->advanced = (struct lease_time){ o->joined_us,
 					   clock_boot(&options->clock) };
 	return o;
@@ -412,6 +554,7 @@
 
 void token_owner_free(struct token_owner *o)
 {
+	store_witness_free(o->witness);
 	g_array_free(o->gone, TRUE);
 	g_hash_table_destroy(o->agreeing);
 	g_free(o);
--- a/test/unit/quota_sim.h
+++ b/test/unit/quota_sim.h
@@ -43,6 +43,9 @@
 	/** The record in the store. */
 	bool has_record;
 	int64_t lease_until_us;
+	uint64_t lease;
+	/** The process has published its record. */
+	bool is_published;
 	int64_t next_renewal_us;
 	/** When a process that has withdrawn its record ends; 0 if it goes on. */
 	int64_t stop_at_us;
@@ -59,6 +62,12 @@
 	struct qsim_host hosts[QSIM_HOSTS_MAX];
 	struct organisation organisations[2][QSIM_ORGANISATIONS_MAX];
 	int64_t store_away_until_us;
+	/** While it is away, the store keeps the leases or lets them expire. */
+	bool is_keeping_leases;
+	/** Hosts, by bit, that are cut off from the others until then. */
+	uint32_t island;
+	int64_t island_until_us;
+	bool has_island_store;
 	/** Between hosts of a region and of two regions, one way. */
 	int64_t link_us;
 	int64_t far_link_us;
@@ -69,6 +78,10 @@
 	/** Of struct sim_frame. */
 	GQueue frames;
 	int lost_link[2];
+	/** Parts of the frames that are lost, sent twice and delayed by 5 s. */
+	double lost_part;
+	double repeated_part;
+	double delayed_part;
 	/** Times of the requests that were admitted, by organisation. */
 	GArray *admitted[QSIM_ORGANISATIONS_MAX];
 	uint64_t asked[QSIM_ORGANISATIONS_MAX];
@@ -76,7 +89,16 @@
 	/** Frames sent, and the claims in them. */
 	uint64_t frame_count;
 	uint64_t claim_count;
+	/** Checks at each step that one host at most grants all of a rate. */
+	bool is_checking_owners;
+	/** First time at which two hosts granted all of o0; 0 if none. */
+	int64_t overlap_us;
+	int64_t overlap_sum_us;
+	uint32_t overlap_hosts[2];
+	/** Time in which a host granted all of it. */
+	int64_t owned_us;
 	uint32_t seed;
+	uint64_t last_lease;
 	GRand *random;
 };
 
--- a/test/unit/test_quota_schedules.c
+++ b/test/unit/test_quota_schedules.c
@@ -397,6 +397,237 @@
 	}
 }
 
+/* Kinds of faults of the schedules of owners; each is also tested alone. */
+enum owner_fault {
+	FAULT_STOP,
+	FAULT_RESTART,
+	FAULT_EXPIRE,
+	FAULT_FREEZE,
+	FAULT_SUSPEND,
+	FAULT_CUT_STORE,
+	FAULT_CUT_HOSTS,
+	FAULT_ISLAND,
+	FAULT_ISLAND_WITH_STORE,
+	FAULT_STORE_AWAY,
+	FAULT_STORE_AWAY_LEASES,
+	FAULT_JOIN,
+	FAULT_COUNT,
+};
+
+/* Some of the domains, or a host; the others are at least a quarter. */
+static uint32_t random_island(struct quota_sim *s)
+{
+	uint32_t domain = (uint32_t)g_rand_int_range(s->random, 0, 3);
+	uint32_t island = 0;
+
+	if (g_rand_boolean(s->random))
+		return 1U << g_rand_int_range(s->random, 0, (gint32)s->count);
+	for (uint32_t i = 0; i < s->count; i++) {
+		if (i % 3 == domain)
+			island |= 1U << i;
+	}
+	return g_rand_boolean(s->random) ? island
+					 : ((1U << s->count) - 1) & ~island;
+}
+
+static void start_if_down(struct quota_sim *s, uint32_t i)
+{
+	if (!s->hosts[i].is_running)
+		quota_sim_start_host(s, i);
+}
+
+static void inject_owner_fault(struct quota_sim *s, enum owner_fault fault)
+{
+	uint32_t i = (uint32_t)g_rand_int_range(s->random, 0, (gint32)s->count);
+	struct qsim_host *h = &s->hosts[i];
+	int64_t us = random_ms(s, 200, 32000);
+
+	switch (fault) {
+	case FAULT_STOP:
+		quota_sim_stop_host(s, i);
+		quota_sim_run(s, random_ms(s, 6100, 9000));
+		start_if_down(s, i);
+		return;
+	case FAULT_RESTART:
+		quota_sim_kill_host(s, i);
+		quota_sim_run(s, random_ms(s, 0, 14000));
+		start_if_down(s, i);
+		return;
+	case FAULT_EXPIRE:
+		quota_sim_kill_host(s, i);
+		quota_sim_run(s, random_ms(s, 10000, 32000));
+		start_if_down(s, i);
+		return;
+	case FAULT_FREEZE:
+	case FAULT_SUSPEND:
+		quota_sim_freeze_host(s, i, us, fault == FAULT_SUSPEND);
+		return;
+	case FAULT_CUT_STORE:
+		h->cut_from_store_until_us = s->now_us + us;
+		return;
+	case FAULT_CUT_HOSTS:
+		h->cut_from_hosts_until_us = s->now_us + us;
+		return;
+	case FAULT_ISLAND:
+	case FAULT_ISLAND_WITH_STORE:
+		s->island = random_island(s);
+		s->island_until_us = s->now_us + us;
+		s->has_island_store = fault == FAULT_ISLAND_WITH_STORE;
+		return;
+	case FAULT_STORE_AWAY:
+	case FAULT_STORE_AWAY_LEASES:
+		s->store_away_until_us = s->now_us + us;
+		s->is_keeping_leases = fault == FAULT_STORE_AWAY_LEASES;
+		return;
+	case FAULT_JOIN:
+	case FAULT_COUNT:
+		start_if_down(s, i);
+		return;
+	}
+}
+
+static void check_schedule(const struct quota_sim *s, double rate, double burst,
+			   guint32 seed, const char *kind)
+{
+	uint32_t most = quota_sim_most_in_window(s, 0);
+
+	if (s->overlap_us || most > bound(rate, burst))
+		printf("\n%s, seed %u: %u hosts, rate %g, %u of %g, two owners "
+		       "for %lld ms: h%u and h%u\n",
+		       kind, seed, s->count, rate, most, bound(rate, burst),
+		       (long long)(s->overlap_sum_us / US_PER_MS),
+		       s->overlap_hosts[0], s->overlap_hosts[1]);
+	CU_ASSERT_EQUAL(s->overlap_us, 0);
+	CU_ASSERT_TRUE(most <= bound(rate, burst));
+}
+
+/* The number of seeds of a long run is read from the environment. */
+static guint32 seed_count(guint32 usual)
+{
+	const char *text = g_getenv("QUOTA_SEEDS");
+
+	return text ? (guint32)g_ascii_strtoull(text, NULL, 10) : usual;
+}
+
+static void run_owner_schedule(guint32 seed, enum owner_fault only)
+{
+	double rate = seed % 2 ? 200 : 30;
+	uint32_t hosts = 3 + seed % (QSIM_HOSTS_MAX - 3);
+	struct quota_sim *s =
+		quota_sim_create(hosts, hosts - seed % 3, 1, rate, 0, seed);
+	char kind[16] = "all faults";
+
+	if (only != FAULT_COUNT)
+		g_snprintf(kind, sizeof(kind), "fault %d", only);
+	s->event_delay_us = EVENT_DELAY_US;
+	s->is_checking_owners = true;
+	if (seed % 4 == 0) {
+		s->lost_part = 0.1;
+		s->repeated_part = 0.1;
+		s->delayed_part = 0.1;
+	}
+	quota_sim_set_rates(s, 0, 4 * rate / s->count);
+	for (int i = 0; i < FAULTS; i++) {
+		enum owner_fault fault = only;
+
+		if (only == FAULT_COUNT)
+			fault = (enum owner_fault)g_rand_int_range(s->random, 0,
+								   FAULT_COUNT);
+		quota_sim_run(s, random_ms(s, 200, 12000));
+		inject_owner_fault(s, fault);
+	}
+	quota_sim_run(s, LOST_US);
+	check_schedule(s, rate, 0, seed, kind);
+	quota_sim_destroy(s);
+}
+
+/*
+ * Guards against two hosts that grant all of a quota, at any moment, while
+ * hosts stop, restart, expire, join and are cut off, each fault alone.
+ */
+static void test_owner_faults(void)
+{
+	for (guint32 seed = 1; seed <= seed_count(4); seed++) {
+		for (int fault = 0; fault < FAULT_COUNT; fault++)
+			run_owner_schedule(seed, (enum owner_fault)fault);
+	}
+}
+
+/* The same with faults of all kinds that overlap. */
+static void test_owner_schedules(void)
+{
+	for (guint32 seed = 1; seed <= seed_count(60); seed++)
+		run_owner_schedule(seed, FAULT_COUNT);
+}
+
+/* Changes of single hosts, one host after the other. */
+static void change_hosts(struct quota_sim *s, enum owner_fault fault,
+			 int64_t step_us)
+{
+	for (uint32_t i = 0; i < s->count; i++) {
+		switch (fault) {
+		case FAULT_STOP:
+			quota_sim_stop_host(s, i);
+			break;
+		case FAULT_RESTART:
+		case FAULT_EXPIRE:
+			quota_sim_kill_host(s, i);
+			break;
+		case FAULT_FREEZE:
+			quota_sim_freeze_host(s, i, step_us, false);
+			break;
+		default:
+			s->hosts[i].cut_from_store_until_us =
+				s->now_us + step_us;
+			s->hosts[i].cut_from_hosts_until_us =
+				s->now_us + step_us;
+		}
+		quota_sim_run(s, step_us);
+		start_if_down(s, i);
+		quota_sim_run(s, 40 * US_PER_S - step_us);
+	}
+}
+
+/*
+ * Guards against quotas that are not used while single hosts stop in order, are
+ * restarted, fail for longer than their lease, stand still and are cut off.
+ */
+static void test_use_with_changes(void)
+{
+	static const struct {
+		enum owner_fault fault;
+		int64_t us;
+	} changes[] = {
+		{ FAULT_STOP, 8 * US_PER_S },
+		{ FAULT_RESTART, 3 * US_PER_S },
+		{ FAULT_EXPIRE, 25 * US_PER_S },
+		{ FAULT_FREEZE, 6 * US_PER_S },
+		{ FAULT_CUT_HOSTS, 8 * US_PER_S },
+	};
+
+	for (size_t k = 0; k < G_N_ELEMENTS(changes); k++) {
+		struct quota_sim *s =
+			quota_sim_create(9, 9, 4, 30, 0, (guint32)k + 1);
+		double least = 1;
+
+		s->is_checking_owners = true;
+
+		for (uint32_t o = 0; o < 4; o++)
+			quota_sim_set_rates(s, o, 5 * 30.0 / 9);
+		quota_sim_run(s, 5 * US_PER_S);
+		quota_sim_clear_counts(s);
+		change_hosts(s, changes[k].fault, changes[k].us);
+		for (uint32_t o = 0; o < 4; o++)
+			least = MIN(least, s->admitted[o]->len / (30 * 360.0));
+		if (g_getenv("QUOTA_USE"))
+			printf("\nuse, fault %d: %.3f, no owner for %.1f s\n",
+			       changes[k].fault, least,
+			       360 - (double)s->owned_us / US_PER_S);
+		CU_ASSERT_TRUE(least >= 0.8);
+		quota_sim_destroy(s);
+	}
+}
+
 CU_TestInfo quota_schedule_tests[] = {
 	{ "bound", test_bound },
 	{ "owner returns", test_owner_returns },
@@ -408,5 +639,8 @@
 	{ "start", test_start },
 	{ "idle", test_idle },
 	{ "lowered", test_lowered },
+	{ "use with changes", test_use_with_changes },
+	{ "owner faults", test_owner_faults },
+	{ "owner schedules", test_owner_schedules },
 	CU_TEST_INFO_NULL,
 };
--- a/test/unit/test_route_callers.c
+++ b/test/unit/test_route_callers.c
@@ -91,6 +91,11 @@
 {
 }
 
+struct registry_lease registry_thread_lease(struct registry_thread *t)
+{
+	return (struct registry_lease){ 0 };
+}
+
 int64_t registry_thread_news_us(const struct registry_thread *t)
 {
 	return 0;
