quotas: an owner resumes after a break in which its record did not expire

An owner that lost the store for 5 s, or stood still for 1.5 s, waited 9 s as if it had just started. It now goes on when the same lease has been renewed by a call that began after the break, and its mirror has a revision that the store had after it. It begins anew if the break took longer than a lease: a host that is before it could have come, granted and gone meanwhile.

Records now hold the lease under which they were written, and so do the statements; a host counts only its own record as its own.

--- a/include/nutmegpickd/registry_thread.h
+++ b/include/nutmegpickd/registry_thread.h
@@ -65,6 +65,19 @@
  */
 int64_t registry_thread_news_us(const struct registry_thread *t);
 
+/** Store revision that was current after a time. */
+struct registry_check {
+	/** 0 if there was no check. */
+	uint64_t revision;
+	int64_t started_us;
+};
+
+/** Renews the record of this host at once and reads the store's revision. */
+void registry_thread_request_check(struct registry_thread *t);
+
+/** Returns the last such revision. May be called from any thread. */
+struct registry_check registry_thread_last_check(struct registry_thread *t);
+
 /** Returns the lease on this host's record. May be called from any thread. */
 struct registry_lease registry_thread_lease(struct registry_thread *t);
 
--- a/include/nutmegpickd/route_internal.h
+++ b/include/nutmegpickd/route_internal.h
@@ -167,6 +167,8 @@
 	bool has_quotas;
 	/** This host followed another one when the store was last checked. */
 	bool was_following;
+	/** Last check of the record after a break of this host's grants. */
+	int64_t checked_us;
 	uint64_t quotas_version;
 	GRand *random;
 	bool is_draining;
--- a/include/router/directory.h
+++ b/include/router/directory.h
@@ -16,6 +16,8 @@
 	char *domain;
 	/** Processor time that the host may use, in thousandths of a core. */
 	uint32_t capacity;
+	/** Lease under which the record was written; 0 if not known. */
+	uint64_t lease;
 };
 
 /** Host of the fleet, with its state as seen by this host. */
--- a/include/router/token_owner.h
+++ b/include/router/token_owner.h
@@ -21,6 +21,10 @@
  * grant as soon as the record is gone. It waits for TOKEN_JOIN_US if it had no
  * contact with the store within the last 15 s.
  *
+ * A host that grants nothing for a while, since it was paused or without
+ * contact, goes on if the same lease has been renewed after that, its mirror is
+ * up to date, and this took less than a lease.
+ *
  * A host that has not heard of the store grants nothing, unless hosts of other
  * failure domains have not heard of it either: then the records do not change,
  * and they may expire while their hosts go on.
@@ -53,7 +57,7 @@
 
 /** Statement of a host about its mirror of the host records. */
 struct token_view {
-	/** Hash of the names and addresses of the hosts. */
+	/** Hash of the names, addresses and leases of the hosts. */
 	uint64_t hash;
 	/** A host has left the mirror within TOKEN_JOIN_US. */
 	bool has_gone;
@@ -116,6 +120,15 @@
 void token_owner_note_renewal(struct token_owner *o, uint64_t lease,
 			      const struct lease_time *started);
 
+/** Notes that the mirror has all changes of the store made before a time. */
+void token_owner_note_mirror(struct token_owner *o, int64_t at_us);
+
+/**
+ * Returns whether this host grants nothing until its record has been renewed
+ * and its mirror is known to be up to date.
+ */
+bool token_owner_needs_check(const struct token_owner *o);
+
 /** Handles the statement of another host. */
 void token_owner_handle_view(struct token_owner *o, const char *address,
 			     const struct token_view *view);
--- a/nutmegpickd/registry_thread.c
+++ b/nutmegpickd/registry_thread.c
@@ -86,6 +86,8 @@
 	bool is_withdrawn;
 	bool is_stopping;
 	struct registry_lease renewed;
+	bool is_check_requested;
+	struct registry_check check;
 	/** When the store last answered a list or watch; read by any thread. */
 	int64_t news_us;
 };
@@ -474,14 +476,52 @@
 	publish_host_record(t);
 }
 
+/* Reads the record of this host for the revision of the store. */
+static void read_current_revision(struct registry_thread *t)
+{
+	char *key =
+		g_strconcat(PLATFORM_HOST_PREFIX, t->options.self.name, NULL);
+	int64_t started_us = now_us(t);
+	long status = perform_call(t, platform_store_list(key, NULL), "GET",
+				   CALL_TIMEOUT_MS);
+	struct store_changes *page;
+	bool has_more;
+
+	g_free(key);
+	if (decode_page(t, status, "check", &page, &has_more))
+		return;
+	pthread_mutex_lock(&t->lock);
+	t->check = (struct registry_check){ page->to, started_us };
+	pthread_mutex_unlock(&t->lock);
+	store_changes_free(page);
+}
+
+static bool take_check_request(struct registry_thread *t)
+{
+	bool is_requested;
+
+	pthread_mutex_lock(&t->lock);
+	is_requested = t->is_check_requested;
+	t->is_check_requested = false;
+	pthread_mutex_unlock(&t->lock);
+	return is_requested;
+}
+
 static void keep_host_record(struct registry_thread *t)
 {
+	bool is_check;
+
 	if (!t->options.self.address || !t->is_listed)
 		return;
-	if (read_flag(t, &t->is_withdrawn))
+	if (read_flag(t, &t->is_withdrawn)) {
 		withdraw_host_record(t);
-	else if (now_us(t) >= t->next_renewal_us)
+		return;
+	}
+	is_check = take_check_request(t);
+	if (is_check || now_us(t) >= t->next_renewal_us)
 		renew_host_record(t);
+	if (is_check)
+		read_current_revision(t);
 }
 
 /*
@@ -609,6 +649,24 @@
 	g_free(t);
 }
 
+void registry_thread_request_check(struct registry_thread *t)
+{
+	pthread_mutex_lock(&t->lock);
+	t->is_check_requested = true;
+	pthread_cond_signal(&t->changed);
+	pthread_mutex_unlock(&t->lock);
+}
+
+struct registry_check registry_thread_last_check(struct registry_thread *t)
+{
+	struct registry_check check;
+
+	pthread_mutex_lock(&t->lock);
+	check = t->check;
+	pthread_mutex_unlock(&t->lock);
+	return check;
+}
+
 struct registry_lease registry_thread_lease(struct registry_thread *t)
 {
 	struct registry_lease lease;
--- a/nutmegpickd/route_quotas.c
+++ b/nutmegpickd/route_quotas.c
@@ -5,6 +5,9 @@
 #include "nutmegpickd/route_metrics.h"
 #include "platform/headers.h"
 
+/* Interval of the checks of a host's record after a break of its grants. */
+#define CHECK_INTERVAL_US (1 * US_PER_S)
+
 static struct lease_time lease_now(const struct route_service *s)
 {
 	return (struct lease_time){ clock_now(&s->clock),
@@ -224,6 +227,25 @@
 					 lease.id, &lease.started);
 }
 
+/*
+ * After a break of this host's grants, has its record renewed and learns
+ * whether its mirror is up to date.
+ */
+static void check_break(struct route_service *s)
+{
+	struct token_owner *owner = token_exchange_owner(s->tokens);
+	struct registry_check check = registry_thread_last_check(s->registry);
+	int64_t now = clock_now(&s->clock);
+
+	if (check.revision && check.revision <= s->catalog.mirror.revision)
+		token_owner_note_mirror(owner, check.started_us);
+	if (!token_owner_needs_check(owner) ||
+	    now - s->checked_us < CHECK_INTERVAL_US)
+		return;
+	s->checked_us = now;
+	registry_thread_request_check(s->registry);
+}
+
 /* A feed that is lost may not have noticed that the store was away. */
 static void check_feed(struct route_service *s)
 {
@@ -241,6 +263,7 @@
 
 	check_feed(s);
 	note_lease(s);
+	check_break(s);
 	if (news)
 		token_owner_note_store(token_exchange_owner(s->tokens), news);
 	token_exchange_advance(s->tokens);
--- a/router/directory.c
+++ b/router/directory.c
@@ -70,7 +70,11 @@
 	struct known_host *h = g_hash_table_lookup(d->hosts, r->name);
 
 	if (h && !strcmp(h->record.address, r->address)) {
+		/* A record with another lease may have been gone meanwhile. */
+		if (h->record.lease != r->lease)
+			d->generation++;
 		h->record.capacity = r->capacity;
+		h->record.lease = r->lease;
 		host_record_clear(r);
 		return;
 	}
--- a/router/token_owner.c
+++ b/router/token_owner.c
@@ -57,13 +57,25 @@
 	/** The lease on the record, and the start of its last renewal. */
 	uint64_t lease;
 	struct lease_time renewed;
+	/** The mirror has all changes of the store until then. */
+	int64_t mirror_us;
+	/**
+	 * This host had joined before a pause or a loss of contact, which began
+	 * at a time by CLOCK_BOOTTIME and was last noticed at another one.
+	 */
+	bool is_resumable;
+	int64_t break_boot_us;
+	struct lease_time broken;
 	struct store_witness *witness;
 	int64_t witnesses_asked_us;
 	/** Last time at which the hosts agreed that the store is lost. */
 	int64_t store_lost_us;
 	/** All hosts had the same records at that time; 0 if not yet. */
 	int64_t confirmed_us;
-	/** This host had waited by then, and others had the store; or 0. */
+	/**
+	 * By then this host had waited and others had the store, or it resumed;
+	 * or 0.
+	 */
 	int64_t proven_us;
 	/** Rates are used, so that this host is to grant as soon as it may. */
 	bool is_wanted;
@@ -119,6 +131,7 @@
 	o->joined_us = now;
 	o->confirmed_us = 0;
 	o->proven_us = 0;
+	o->is_resumable = false;
 	g_hash_table_remove_all(o->agreeing);
 }
 
@@ -154,8 +167,10 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct known_host *h = value;
 
-		o->view_hash += hash_pair(h->name_hash,
-					  hash_string(h->record.address, 0));
+		o->view_hash +=
+			hash_pair(hash_pair(h->name_hash,
+					    hash_string(h->record.address, 0)),
+				  h->record.lease);
 	}
 }
 
@@ -183,6 +198,19 @@
 	o->options.send_view(o->options.ctx, address, &view);
 }
 
+/*
+ * Returns whether the mirror has the record that this process has written. The
+ * one of an earlier process, or of an earlier lease, may be gone from the store.
+ */
+static bool has_own_record(const struct token_owner *o)
+{
+	const struct host_directory *d = o->options.directory;
+	const struct known_host *self = g_hash_table_lookup(d->hosts, d->self);
+
+	return self &&
+	       (!o->options.is_leased || self->record.lease == o->lease);
+}
+
 /* Asks the other hosts for their views, so that this one need not wait. */
 static void ask_views(struct token_owner *o)
 {
@@ -217,7 +245,7 @@
 	if (view->hash != o->view_hash || view->has_gone || has_gone(o, now) ||
 	    !view->has_store || !has_store(o, now) ||
 	    !host_directory_find(d, address) || o->confirmed_us ||
-	    !g_hash_table_contains(d->hosts, d->self))
+	    !has_own_record(o))
 		return;
 	g_hash_table_add(o->agreeing, g_strdup(address));
 	if (g_hash_table_size(o->agreeing) + 1 < g_hash_table_size(d->hosts))
@@ -277,11 +305,57 @@
 	g_ptr_array_free(hosts, TRUE);
 }
 
-/* News that came during the pause may hide that the store was away. */
-static void note_pause(struct token_owner *o, int64_t now)
+/* Begins anew after a pause or a loss of contact, but may resume sooner. */
+static void note_break(struct token_owner *o, const struct lease_time *now,
+		       int64_t since_boot_us, const char *reason)
 {
-	o->steady_us = 0;
-	join_anew(o, now, "paused");
+	bool is_resumable = o->is_resumable;
+
+	if (has_joined(o, now->monotonic_us)) {
+		is_resumable = true;
+		o->break_boot_us = since_boot_us;
+	}
+	join_anew(o, now->monotonic_us, reason);
+	o->is_resumable = is_resumable;
+	o->broken = *now;
+}
+
+/* Returns by CLOCK_BOOTTIME the time of the last contact. */
+static int64_t contact_boot(const struct token_owner *o,
+			    const struct lease_time *now)
+{
+	return now->boot_us - (now->monotonic_us - o->contact_us);
+}
+
+/*
+ * Grants again after a break if the same lease has been renewed since: then the
+ * record did not expire, so no other host has taken over. A host that came
+ * before this one meanwhile is in the mirror if that is newer. After a longer
+ * break, such a host may have come, granted and gone.
+ */
+static void check_break(struct token_owner *o, const struct lease_time *now)
+{
+	if (!o->is_resumable || has_joined(o, now->monotonic_us) ||
+	    now->boot_us - o->break_boot_us > TOKEN_STORE_LEASE_US ||
+	    o->renewed.monotonic_us <= o->broken.monotonic_us ||
+	    o->renewed.boot_us <= o->broken.boot_us ||
+	    o->store_us <= o->broken.monotonic_us ||
+	    o->mirror_us <= o->broken.monotonic_us)
+		return;
+	o->is_resumable = false;
+	o->proven_us = now->monotonic_us;
+	if (o->has_granted)
+		event_log(EV_TOKEN_OWNER_RESUMED, "host=%s after_ms=%lld",
+			  o->options.directory->self,
+			  (long long)((now->boot_us - o->break_boot_us) /
+				      US_PER_MS));
+}
+
+bool token_owner_needs_check(const struct token_owner *o)
+{
+	int64_t now = now_us(o);
+
+	return o->is_resumable && !has_joined(o, now) && has_store(o, now);
 }
 
 /* Returns the number of hosts that have left lately and not returned. */
@@ -378,23 +452,29 @@
 
 void token_owner_advance(struct token_owner *o, bool has_granted)
 {
-	const struct host_directory *d = o->options.directory;
 	struct lease_time now = lease_now(o);
 
+	bool is_paused = now.boot_us - o->advanced.boot_us > TOKEN_PAUSE_US;
+
 	o->has_granted = has_granted;
+	/* News that came during the pause may hide that the store was away. */
+	if (is_paused)
+		o->steady_us = 0;
 	note_gone_hosts(o, now.monotonic_us);
-	if (!g_hash_table_contains(d->hosts, d->self))
+	if (!has_own_record(o))
 		join_anew(o, now.monotonic_us, "no_record");
-	else if (now.boot_us - o->advanced.boot_us > TOKEN_PAUSE_US)
-		note_pause(o, now.monotonic_us);
+	else if (is_paused)
+		note_break(o, &now, o->advanced.boot_us, "paused");
 	else if (now.monotonic_us - o->contact_us > TOKEN_CONTACT_US)
-		join_anew(o, now.monotonic_us, "no_contact");
+		note_break(o, &now, contact_boot(o, &now), "no_contact");
 	else if (!has_lease(o, &now))
-		join_anew(o, now.monotonic_us, "no_lease");
+		note_break(o, &now, now.boot_us, "no_lease");
 	else if (!has_joined(o, now.monotonic_us) &&
 		 now.monotonic_us - o->store_us > TOKEN_CONTACT_US)
 		/* Its own record may not have reached the other hosts. */
-		join_anew(o, now.monotonic_us, "no_store");
+		note_break(o, &now, contact_boot(o, &now), "no_store");
+	else
+		check_break(o, &now);
 	check_proof(o, now.monotonic_us);
 	if (o->options.send_view && needs_witnesses(o, now.monotonic_us) &&
 	    now.monotonic_us - o->witnesses_asked_us > WITNESS_INTERVAL_US)
@@ -404,18 +484,17 @@
 
 void token_owner_prepare(struct token_owner *o)
 {
-	const struct host_directory *d = o->options.directory;
-
 	o->is_wanted = true;
-	if (!has_joined(o, now_us(o)) &&
-	    g_hash_table_contains(d->hosts, d->self))
+	if (!has_joined(o, now_us(o)) && has_own_record(o))
 		ask_views(o);
 }
 
 static void note_contact(struct token_owner *o, int64_t at_us)
 {
+	struct lease_time now = lease_now(o);
+
 	if (at_us - o->contact_us > TOKEN_CONTACT_US)
-		join_anew(o, at_us, "no_contact");
+		note_break(o, &now, contact_boot(o, &now), "no_contact");
 	o->contact_us = MAX(o->contact_us, at_us);
 }
 
@@ -432,6 +511,11 @@
 	o->steady_us = 0;
 }
 
+void token_owner_note_mirror(struct token_owner *o, int64_t at_us)
+{
+	o->mirror_us = MAX(o->mirror_us, at_us);
+}
+
 void token_owner_note_renewal(struct token_owner *o, uint64_t lease,
 			      const struct lease_time *started)
 {
--- a/test/unit/quota_sim.c
+++ b/test/unit/quota_sim.c
@@ -10,6 +10,8 @@
 #define RENEWAL_RETRY_US (2 * US_PER_S)
 /* Longest time from the start of a renewal until it reaches the store. */
 #define RENEWAL_MAX_MS 800
+/* Interval of the checks of a host after a break. */
+#define CHECK_US (1 * US_PER_S)
 #define FRAME_DELAY_US (5 * US_PER_S)
 #define SETTLE_US (12 * US_PER_S)
 
@@ -27,7 +29,9 @@
 
 struct record_event {
 	int64_t at_us;
+	int64_t published_us;
 	uint32_t host;
+	uint64_t lease;
 	bool is_present;
 };
 
@@ -44,12 +48,13 @@
 					  10);
 }
 
-static void put_record(struct qsim_host *h, uint32_t other)
+static void put_record(struct qsim_host *h, uint32_t other, uint64_t lease)
 {
 	struct host_record r = {
 		.name = g_strdup_printf("h%u", other),
 		.address = host_address(other),
 		.domain = g_strdup(domains[other % 3]),
+		.lease = lease,
 	};
 
 	host_directory_put(&h->directory, &r);
@@ -205,7 +210,9 @@
 		struct record_event *e = g_new0(struct record_event, 1);
 
 		e->at_us = MAX(h->last_event_us, s->now_us + event_delay(s));
+		e->published_us = s->now_us;
 		e->host = host;
+		e->lease = s->hosts[host].lease;
 		e->is_present = is_present;
 		h->last_event_us = e->at_us;
 		g_queue_push_tail(&h->events, e);
@@ -305,7 +312,7 @@
 	g_queue_clear_full(&h->events, g_free);
 	for (uint32_t i = 0; i < s->count; i++) {
 		if (s->hosts[i].has_record)
-			put_record(h, i);
+			put_record(h, i, s->hosts[i].lease);
 	}
 	h->next_renewal_us = s->now_us;
 }
@@ -318,7 +325,7 @@
 		return;
 	while ((e = g_queue_peek_head(&h->events)) && e->at_us <= s->now_us) {
 		if (e->is_present)
-			put_record(h, e->host);
+			put_record(h, e->host, e->lease);
 		else
 			remove_record(h, e->host);
 		g_free(g_queue_pop_head(&h->events));
@@ -336,15 +343,33 @@
 	started.boot_us -= call_us;
 	h->next_renewal_us = s->now_us + RENEWAL_US;
 	h->lease_until_us = s->now_us + LEASE_US;
-	if (!h->has_record || !h->is_published)
+	if (!h->has_record || !h->is_published) {
 		h->lease = ++s->last_lease;
-	h->is_published = true;
-	if (!h->has_record)
 		publish(s, h->index, true);
+	}
+	h->is_published = true;
 	token_owner_note_renewal(token_exchange_owner(h->exchange), h->lease,
 				 &started);
 }
 
+static bool is_check_due(const struct quota_sim *s, const struct qsim_host *h)
+{
+	return !h->stop_at_us &&
+	       token_owner_needs_check(token_exchange_owner(h->exchange)) &&
+	       s->now_us - (h->next_renewal_us - RENEWAL_US) >= CHECK_US;
+}
+
+/* The mirror has the changes up to the first one that has not arrived. */
+static void note_mirror(struct quota_sim *s, struct qsim_host *h)
+{
+	const struct record_event *e = g_queue_peek_head(&h->events);
+	int64_t age = e ? s->now_us - e->published_us + 1 : 0;
+
+	if (s->now_us >= h->events_from_us)
+		token_owner_note_mirror(token_exchange_owner(h->exchange),
+					h->time.now_us - age);
+}
+
 static void run_store_client(struct quota_sim *s, struct qsim_host *h)
 {
 	if (!reaches_store(s, h)) {
@@ -362,7 +387,8 @@
 		return;
 	}
 	apply_events(s, h);
-	if (s->now_us >= h->next_renewal_us)
+	note_mirror(s, h);
+	if (s->now_us >= h->next_renewal_us || is_check_due(s, h))
 		renew_record(s, h);
 	if (s->now_us >= h->next_news_us) {
 		h->next_news_us = s->now_us + NEWS_US;
--- a/test/unit/test_quota_schedules.c
+++ b/test/unit/test_quota_schedules.c
@@ -501,14 +501,24 @@
 	CU_ASSERT_TRUE(most <= bound(rate, burst));
 }
 
-/* The number of seeds of a long run is read from the environment. */
-static guint32 seed_count(guint32 usual)
+/* The seeds of a long run are read from the environment. */
+static guint32 env_number(const char *name, guint32 usual)
 {
-	const char *text = g_getenv("QUOTA_SEEDS");
+	const char *text = g_getenv(name);
 
 	return text ? (guint32)g_ascii_strtoull(text, NULL, 10) : usual;
 }
 
+static guint32 first_seed(void)
+{
+	return env_number("QUOTA_FIRST_SEED", 1);
+}
+
+static guint32 last_seed(guint32 usual)
+{
+	return first_seed() + env_number("QUOTA_SEEDS", usual) - 1;
+}
+
 static void run_owner_schedule(guint32 seed, enum owner_fault only)
 {
 	double rate = seed % 2 ? 200 : 30;
@@ -547,7 +557,7 @@
  */
 static void test_owner_faults(void)
 {
-	for (guint32 seed = 1; seed <= seed_count(4); seed++) {
+	for (guint32 seed = first_seed(); seed <= last_seed(4); seed++) {
 		for (int fault = 0; fault < FAULT_COUNT; fault++)
 			run_owner_schedule(seed, (enum owner_fault)fault);
 	}
@@ -556,7 +566,7 @@
 /* The same with faults of all kinds that overlap. */
 static void test_owner_schedules(void)
 {
-	for (guint32 seed = 1; seed <= seed_count(60); seed++)
+	for (guint32 seed = first_seed(); seed <= last_seed(60); seed++)
 		run_owner_schedule(seed, FAULT_COUNT);
 }
 
--- a/test/unit/test_route_callers.c
+++ b/test/unit/test_route_callers.c
@@ -91,6 +91,15 @@
 {
 }
 
+void registry_thread_request_check(struct registry_thread *t)
+{
+}
+
+struct registry_check registry_thread_last_check(struct registry_thread *t)
+{
+	return (struct registry_check){ 0 };
+}
+
 struct registry_lease registry_thread_lease(struct registry_thread *t)
 {
 	return (struct registry_lease){ 0 };
--- a/test/unit/test_token_owner.c
+++ b/test/unit/test_token_owner.c
@@ -34,6 +34,7 @@
 		.name = g_strdup(name),
 		.address = g_strdup_printf("10.0.0.%s:7000", name + 1),
 		.domain = g_strdup(name[1] % 2 ? "a" : "b"),
+		.lease = 1,
 	};
 
 	host_directory_put(&f->directory, &r);
@@ -346,6 +347,117 @@
 	tear_down(&f);
 }
 
+/* Lets this host stand still, after which the others have other records. */
+static void pause_host(struct fixture *f, int64_t us)
+{
+	f->time.now_us += us;
+	f->are_others_down = true;
+	CU_ASSERT_EQUAL(part(f), TOKEN_PART_NONE);
+}
+
+/* Guards against a wait after a pause in which the record did not expire. */
+static void test_resume(void)
+{
+	struct fixture f;
+	int64_t since;
+
+	set_up(&f, 0);
+	join(&f);
+	pause_host(&f, 5 * US_PER_S);
+	CU_ASSERT_TRUE(!token_owner_needs_check(f.owner));
+	advance(&f, 2 * STEP_US);
+	CU_ASSERT_TRUE(token_owner_needs_check(f.owner));
+	renew(&f, 1);
+	token_owner_note_mirror(f.owner, f.time.now_us);
+	CU_ASSERT_EQUAL(part_of(&f, &since), TOKEN_PART_ALL);
+	CU_ASSERT_EQUAL(since, f.time.now_us);
+	tear_down(&f);
+}
+
+/* Guards against grants after a pause in which the record had expired. */
+static void test_resume_new_lease(void)
+{
+	struct fixture f;
+
+	set_up(&f, 0);
+	join(&f);
+	pause_host(&f, 5 * US_PER_S);
+	advance(&f, 2 * STEP_US);
+	renew(&f, 2);
+	token_owner_note_mirror(f.owner, f.time.now_us);
+	CU_ASSERT_EQUAL(part(&f), TOKEN_PART_NONE);
+	tear_down(&f);
+}
+
+/* Guards against a renewal that was started before the pause. */
+static void test_resume_old_renewal(void)
+{
+	struct lease_time started;
+	struct fixture f;
+
+	set_up(&f, 0);
+	join(&f);
+	started = (struct lease_time){ f.time.now_us, f.time.now_us };
+	pause_host(&f, 5 * US_PER_S);
+	advance(&f, 2 * STEP_US);
+	token_owner_note_renewal(f.owner, 1, &started);
+	token_owner_note_mirror(f.owner, f.time.now_us);
+	CU_ASSERT_EQUAL(part(&f), TOKEN_PART_NONE);
+	tear_down(&f);
+}
+
+/* Guards against grants beside a host that came during the pause. */
+static void test_resume_old_mirror(void)
+{
+	struct fixture f;
+
+	set_up(&f, 0);
+	join(&f);
+	token_owner_note_mirror(f.owner, f.time.now_us);
+	pause_host(&f, 5 * US_PER_S);
+	advance(&f, 2 * STEP_US);
+	renew(&f, 1);
+	CU_ASSERT_EQUAL(part(&f), TOKEN_PART_NONE);
+	tear_down(&f);
+}
+
+/* Guards against grants beside a host that came and went during the break. */
+static void test_resume_late(void)
+{
+	struct fixture f;
+
+	set_up(&f, 0);
+	join(&f);
+	for (int i = 0; i < 4; i++) {
+		f.time.now_us += 4 * US_PER_S;
+		renew(&f, 1);
+		CU_ASSERT_EQUAL(part(&f), TOKEN_PART_NONE);
+	}
+	f.are_others_down = true;
+	advance(&f, 2 * STEP_US);
+	renew(&f, 1);
+	token_owner_note_mirror(f.owner, f.time.now_us);
+	CU_ASSERT_EQUAL(part(&f), TOKEN_PART_NONE);
+	tear_down(&f);
+}
+
+/*
+ * Guards against agreement on records of which this host's had expired and was
+ * written again: the others may not have seen that yet.
+ */
+static void test_rewritten_record(void)
+{
+	struct fixture f;
+
+	set_up(&f, 0);
+	join(&f);
+	renew(&f, 2);
+	CU_ASSERT_EQUAL(part(&f), TOKEN_PART_NONE);
+	advance(&f, TOKEN_JOIN_US + STEP_US);
+	CU_ASSERT_EQUAL(part(&f), TOKEN_PART_NONE);
+	tear_down(&f);
+}
+
 CU_TestInfo token_owner_tests[] = {
 	{ "stop", test_stop },
 	{ "start", test_start },
@@ -357,5 +469,11 @@
 	{ "expired", test_expired },
 	{ "expired while lost", test_expired_while_lost },
 	{ "expired for others", test_expired_for_others },
+	{ "resume", test_resume },
+	{ "resume with new lease", test_resume_new_lease },
+	{ "resume with old renewal", test_resume_old_renewal },
+	{ "resume with old mirror", test_resume_old_mirror },
+	{ "resume late", test_resume_late },
+	{ "rewritten record", test_rewritten_record },
 	CU_TEST_INFO_NULL,
 };
