quotas: a restarted process takes over the record of the earlier one

A process that starts waited 9 s, or until all hosts agreed on the records, which fleets of more than 256 hosts do not try. A host now marks its record once it has joined (one store write after its start, in fleets that use rates). A process that finds a marked record of its own renews the lease in it: if that succeeds, the record never disappeared, and the process keeps lease and record.

It need not wait for 9 s, but for half of the hosts that it asks to have had the store for 5 s: it does not know which hosts before it have left, and one of them goes on for up to 4 s after the store was lost for most.

New test quota schedules/restart all: with all hosts restarted and no agreement on the records, quotas are granted within 7 s.

--- a/include/nutmegpickd/registry_thread.h
+++ b/include/nutmegpickd/registry_thread.h
@@ -22,6 +22,11 @@
 	uint64_t id;
 	/** Start of the last call that granted or renewed it. */
 	struct lease_time started;
+	/**
+	 * It was taken over from an earlier process of this host, which had
+	 * waited until it might grant.
+	 */
+	bool is_inherited;
 };
 
 struct registry_thread_options {
@@ -65,6 +70,9 @@
  */
 int64_t registry_thread_news_us(const struct registry_thread *t);
 
+/** Marks the record under a lease: this host has waited until it may grant. */
+void registry_thread_mark_joined(struct registry_thread *t, uint64_t lease);
+
 /** Store revision that was current after a time. */
 struct registry_check {
 	/** 0 if there was no check. */
--- a/include/router/directory.h
+++ b/include/router/directory.h
@@ -18,6 +18,8 @@
 	uint32_t capacity;
 	/** Lease under which the record was written; 0 if not known. */
 	uint64_t lease;
+	/** The host has waited until it may grant, under this lease. */
+	bool has_joined;
 };
 
 /** Host of the fleet, with its state as seen by this host. */
--- a/include/router/token_owner.h
+++ b/include/router/token_owner.h
@@ -21,6 +21,9 @@
  * grant as soon as the record is gone. It waits for TOKEN_JOIN_US if it had no
  * contact with the store within the last 15 s.
  *
+ * A process that takes over the record of an earlier one of the same host,
+ * which had joined, need not wait for TOKEN_JOIN_US.
+ *
  * A host that grants nothing for a while, since it was paused or without
  * contact, goes on if the same lease has been renewed after that, its mirror is
  * up to date, and this took less than a lease.
@@ -120,6 +123,16 @@
 void token_owner_note_renewal(struct token_owner *o, uint64_t lease,
 			      const struct lease_time *started);
 
+/**
+ * Notes that a lease, and with it the record, was taken over from an earlier
+ * process of this host, which had joined: this one need not wait. To be called
+ * before the first renewal is reported.
+ */
+void token_owner_note_inherited(struct token_owner *o, uint64_t lease);
+
+/** Returns whether this host may grant and rates are used. */
+bool token_owner_has_joined(const struct token_owner *o);
+
 /** Notes that the mirror has all changes of the store made before a time. */
 void token_owner_note_mirror(struct token_owner *o, int64_t at_us);
 
--- a/nutmegpickd/registry_thread.c
+++ b/nutmegpickd/registry_thread.c
@@ -71,7 +71,12 @@
 	int64_t backoff_us;
 	uint64_t lease;
 	bool is_published;
+	/** Lease of an earlier process of this host, to be taken over; or 0. */
+	uint64_t earlier_lease;
+	bool is_inherited;
 	int64_t next_renewal_us;
+	/** Earliest time at which the mark in the record is written. */
+	int64_t next_mark_us;
 	pthread_t thread;
 	/* Guards the fields below, which other threads set as well. */
 	pthread_mutex_t lock;
@@ -86,6 +91,7 @@
 	bool is_withdrawn;
 	bool is_stopping;
 	struct registry_lease renewed;
+	uint64_t joined_lease;
 	bool is_check_requested;
 	struct registry_check check;
 	/** When the store last answered a list or watch; read by any thread. */
@@ -325,6 +331,30 @@
 	pthread_mutex_unlock(&t->lock);
 }
 
+/* Notes the lease of the record that an earlier process has left. */
+static void find_earlier_lease(struct registry_thread *t,
+			       const struct store_changes *all)
+{
+	char *key =
+		g_strconcat(PLATFORM_HOST_PREFIX, t->options.self.name, NULL);
+
+	for (guint i = 0; i < all->items->len; i++) {
+		const struct store_item *item =
+			&g_array_index(all->items, struct store_item, i);
+		struct host_record r;
+
+		if (strcmp(item->key, key) || !item->value ||
+		    platform_decode_host(t->options.self.name,
+					 (const char *)item->value,
+					 item->value_len, &r))
+			continue;
+		if (r.has_joined)
+			t->earlier_lease = r.lease;
+		host_record_clear(&r);
+	}
+	g_free(key);
+}
+
 static bool list_store(struct registry_thread *t)
 {
 	struct store_changes *all = store_changes_create();
@@ -334,6 +364,9 @@
 		return false;
 	}
 	all->is_complete = true;
+	/* Before that, a record of this host is one of an earlier process. */
+	if (!t->lease && t->options.self.address)
+		find_earlier_lease(t, all);
 	raise_revision(t, all->to);
 	event_log(EV_REGISTRY_LISTED, "revision=%llu items=%u",
 		  (unsigned long long)all->to, all->items->len);
@@ -431,10 +464,43 @@
 static void note_lease(struct registry_thread *t, struct lease_time started)
 {
 	pthread_mutex_lock(&t->lock);
-	t->renewed = (struct registry_lease){ t->lease, started };
+	t->renewed =
+		(struct registry_lease){ t->lease, started, t->is_inherited };
 	pthread_mutex_unlock(&t->lock);
 }
 
+static bool write_host_record(struct registry_thread *t)
+{
+	return perform_call(t,
+			    platform_store_publish_host(&t->options.self,
+							t->lease),
+			    "POST", CALL_TIMEOUT_MS) == 200;
+}
+
+/*
+ * Takes over the record of an earlier process of this host. It has not
+ * disappeared if its lease can still be renewed.
+ */
+static void inherit_host_record(struct registry_thread *t)
+{
+	struct lease_time started = lease_now(t);
+	long status = perform_call(t,
+				   platform_store_renew_lease(t->earlier_lease),
+				   "POST", CALL_TIMEOUT_MS);
+
+	if (status != 200) {
+		t->earlier_lease = 0;
+		return;
+	}
+	t->lease = t->earlier_lease;
+	t->earlier_lease = 0;
+	t->options.self.has_joined = true;
+	t->is_published = write_host_record(t);
+	t->is_inherited = t->is_published;
+	if (t->is_published)
+		note_lease(t, started);
+}
+
 static void publish_host_record(struct registry_thread *t)
 {
 	struct lease_time started = lease_now(t);
@@ -446,14 +512,29 @@
 			(const char *)t->body->data, t->body->len);
 	if (!t->lease)
 		return;
-	status = perform_call(
-		t, platform_store_publish_host(&t->options.self, t->lease),
-		"POST", CALL_TIMEOUT_MS);
-	t->is_published = status == 200;
+	t->is_inherited = false;
+	t->options.self.has_joined = false;
+	t->is_published = write_host_record(t);
 	if (t->is_published)
 		note_lease(t, started);
 }
 
+/* Writes the mark that lets the next process of this host inherit the record. */
+static void mark_host_record(struct registry_thread *t)
+{
+	uint64_t lease;
+
+	pthread_mutex_lock(&t->lock);
+	lease = t->joined_lease;
+	pthread_mutex_unlock(&t->lock);
+	if (!t->is_published || t->options.self.has_joined ||
+	    lease != t->lease || now_us(t) < t->next_mark_us)
+		return;
+	t->next_mark_us = now_us(t) + RENEW_US;
+	t->options.self.has_joined = true;
+	t->options.self.has_joined = write_host_record(t);
+}
+
 /* Renews the lease on this host's record, or publishes the record. */
 static void renew_host_record(struct registry_thread *t)
 {
@@ -473,7 +554,10 @@
 			return;
 		t->is_published = false;
 	}
-	publish_host_record(t);
+	if (t->earlier_lease)
+		inherit_host_record(t);
+	if (!t->is_published)
+		publish_host_record(t);
 }
 
 /* Reads the record of this host for the revision of the store. */
@@ -522,6 +606,7 @@
 		renew_host_record(t);
 	if (is_check)
 		read_current_revision(t);
+	mark_host_record(t);
 }
 
 /*
@@ -649,6 +734,13 @@
 	g_free(t);
 }
 
+void registry_thread_mark_joined(struct registry_thread *t, uint64_t lease)
+{
+	pthread_mutex_lock(&t->lock);
+	t->joined_lease = lease;
+	pthread_mutex_unlock(&t->lock);
+}
+
 void registry_thread_request_check(struct registry_thread *t)
 {
 	pthread_mutex_lock(&t->lock);
--- a/nutmegpickd/route_quotas.c
+++ b/nutmegpickd/route_quotas.c
@@ -220,11 +220,16 @@
 /* Tells what the registry thread did for this host's record. */
 static void note_lease(struct route_service *s)
 {
+	struct token_owner *owner = token_exchange_owner(s->tokens);
 	struct registry_lease lease = registry_thread_lease(s->registry);
 
-	if (lease.id)
-		token_owner_note_renewal(token_exchange_owner(s->tokens),
-					 lease.id, &lease.started);
+	if (!lease.id)
+		return;
+	if (lease.is_inherited)
+		token_owner_note_inherited(owner, lease.id);
+	token_owner_note_renewal(owner, lease.id, &lease.started);
+	if (token_owner_has_joined(owner))
+		registry_thread_mark_joined(s->registry, lease.id);
 }
 
 /*
--- a/router/token_owner.c
+++ b/router/token_owner.c
@@ -17,6 +17,12 @@
 #define STORE_LOST_US (5200 * US_PER_MS)
 /* Time for which a host with an old lease goes on after it knew of that. */
 #define STORE_LOST_KEPT_US (2 * US_PER_S)
+/*
+ * A host that takes over the record of an earlier process does not know which
+ * hosts before it have left. One of them may go on if the store was lost for
+ * most, until 4 s after that.
+ */
+#define INHERIT_STEADY_US (5 * US_PER_S)
 /* Answers that take longer do not count. */
 #define ANSWER_MAX_US (1 * US_PER_S)
 /* Longer gaps between news of the store are breaks of the contact. */
@@ -57,6 +63,8 @@
 	/** The lease on the record, and the start of its last renewal. */
 	uint64_t lease;
 	struct lease_time renewed;
+	/** Lease of an earlier process that had joined; 0 if there is none. */
+	uint64_t inherited_lease;
 	/** The mirror has all changes of the store until then. */
 	int64_t mirror_us;
 	/**
@@ -316,6 +324,7 @@
 		o->break_boot_us = since_boot_us;
 	}
 	join_anew(o, now->monotonic_us, reason);
+	o->inherited_lease = 0;
 	o->is_resumable = is_resumable;
 	o->broken = *now;
 }
@@ -381,11 +390,18 @@
 	return count;
 }
 
+static bool is_inheriting(const struct token_owner *o)
+{
+	return o->inherited_lease && o->lease == o->inherited_lease &&
+	       has_own_record(o);
+}
+
 static bool is_proof_due(const struct token_owner *o, int64_t now)
 {
 	if (!o->options.is_leased)
 		return false;
-	if (!has_joined(o, now) && now - o->joined_us >= TOKEN_JOIN_US)
+	if (!has_joined(o, now) &&
+	    (now - o->joined_us >= TOKEN_JOIN_US || is_inheriting(o)))
 		return true;
 	for (guint i = 0; i < o->gone->len; i++) {
 		const struct dated_host *d =
@@ -411,6 +427,9 @@
 	if (!is_proof_due(o, now))
 		return;
 	gone = count_gone(o);
+	if (!o->proven_us && is_inheriting(o) &&
+	    store_witness_is_steady(o->witness, INHERIT_STEADY_US, gone, now))
+		o->proven_us = now;
 	if (!store_witness_is_steady(o->witness, TOKEN_JOIN_US, gone, now))
 		return;
 	is_lease_steady = store_witness_is_steady(
@@ -511,6 +530,18 @@
 	o->steady_us = 0;
 }
 
+void token_owner_note_inherited(struct token_owner *o, uint64_t lease)
+{
+	/* Later leases are this process's own. */
+	if (!o->lease)
+		o->inherited_lease = lease;
+}
+
+bool token_owner_has_joined(const struct token_owner *o)
+{
+	return o->is_wanted && has_joined(o, now_us(o));
+}
+
 void token_owner_note_mirror(struct token_owner *o, int64_t at_us)
 {
 	o->mirror_us = MAX(o->mirror_us, at_us);
--- a/test/unit/quota_sim.c
+++ b/test/unit/quota_sim.c
@@ -138,6 +138,8 @@
 		       sizeof(struct token_claim));
 	f->is_view = true;
 	f->view = *view;
+	if (h->sim->is_large)
+		f->view.hash += h->index + 1;
 	if (is_drawn(h->sim, h->sim->repeated_part))
 		repeat_frame(h->sim, f);
 	g_array_free(none, TRUE);
@@ -315,6 +317,7 @@
 			put_record(h, i, s->hosts[i].lease);
 	}
 	h->next_renewal_us = s->now_us;
+	h->earlier_lease = h->has_record && h->is_marked ? h->lease : 0;
 }
 
 static void apply_events(struct quota_sim *s, struct qsim_host *h)
@@ -343,8 +346,13 @@
 	started.boot_us -= call_us;
 	h->next_renewal_us = s->now_us + RENEWAL_US;
 	h->lease_until_us = s->now_us + LEASE_US;
-	if (!h->has_record || !h->is_published) {
+	if (!h->is_published && h->has_record && h->earlier_lease == h->lease) {
+		publish(s, h->index, true);
+		token_owner_note_inherited(token_exchange_owner(h->exchange),
+					   h->lease);
+	} else if (!h->has_record || !h->is_published) {
 		h->lease = ++s->last_lease;
+		h->is_marked = false;
 		publish(s, h->index, true);
 	}
 	h->is_published = true;
@@ -388,6 +396,9 @@
 	}
 	apply_events(s, h);
 	note_mirror(s, h);
+	if (h->is_published && h->has_record &&
+	    token_owner_has_joined(token_exchange_owner(h->exchange)))
+		h->is_marked = true;
 	if (s->now_us >= h->next_renewal_us || is_check_due(s, h))
 		renew_record(s, h);
 	if (s->now_us >= h->next_news_us) {
--- a/test/unit/quota_sim.h
+++ b/test/unit/quota_sim.h
@@ -46,6 +46,10 @@
 	uint64_t lease;
 	/** The process has published its record. */
 	bool is_published;
+	/** The record is marked: a process had joined under its lease. */
+	bool is_marked;
+	/** The process found a marked record with this lease; or 0. */
+	uint64_t earlier_lease;
 	int64_t next_renewal_us;
 	/** When a process that has withdrawn its record ends; 0 if it goes on. */
 	int64_t stop_at_us;
@@ -89,6 +93,8 @@
 	/** Frames sent, and the claims in them. */
 	uint64_t frame_count;
 	uint64_t claim_count;
+	/** Hosts never agree on their records, as in fleets of over 256 hosts. */
+	bool is_large;
 	/** Checks at each step that one host at most grants all of a rate. */
 	bool is_checking_owners;
 	/** First time at which two hosts granted all of o0; 0 if none. */
--- a/test/unit/test_quota_schedules.c
+++ b/test/unit/test_quota_schedules.c
@@ -356,6 +356,28 @@
 	quota_sim_destroy(s);
 }
 
+/*
+ * Guards against a restart of all hosts after which their quotas are not used
+ * for long, in a fleet that is too large for an agreement on the records.
+ */
+static void test_restart_all(void)
+{
+	struct quota_sim *s = quota_sim_create(9, 9, 1, 30, 30, 1);
+
+	s->is_large = true;
+	quota_sim_set_rates(s, 0, 5 * 30.0 / 9);
+	for (uint32_t i = 0; i < 9; i++)
+		quota_sim_kill_host(s, i);
+	quota_sim_run(s, 2 * US_PER_S);
+	for (uint32_t i = 0; i < 9; i++)
+		quota_sim_start_host(s, i);
+	quota_sim_run(s, 7 * US_PER_S);
+	quota_sim_clear_counts(s);
+	quota_sim_run(s, 2 * US_PER_S);
+	CU_ASSERT_TRUE(s->admitted[0]->len >= 0.9 * 30 * 2);
+	quota_sim_destroy(s);
+}
+
 /* Guards against messages for organisations that are not asking. */
 static void test_idle(void)
 {
@@ -531,6 +553,7 @@
 		g_snprintf(kind, sizeof(kind), "fault %d", only);
 	s->event_delay_us = EVENT_DELAY_US;
 	s->is_checking_owners = true;
+	s->is_large = seed % 5 < 2;
 	if (seed % 4 == 0) {
 		s->lost_part = 0.1;
 		s->repeated_part = 0.1;
@@ -615,23 +638,26 @@
 		{ FAULT_CUT_HOSTS, 8 * US_PER_S },
 	};
 
-	for (size_t k = 0; k < G_N_ELEMENTS(changes); k++) {
+	for (size_t k = 0; k < 2 * G_N_ELEMENTS(changes); k++) {
+		enum owner_fault fault = changes[k / 2].fault;
 		struct quota_sim *s =
-			quota_sim_create(9, 9, 4, 30, 0, (guint32)k + 1);
+			quota_sim_create(9, 9, 4, 30, 0, (guint32)k / 2 + 1);
 		double least = 1;
 
 		s->is_checking_owners = true;
+		s->is_large = k % 2;
 
 		for (uint32_t o = 0; o < 4; o++)
 			quota_sim_set_rates(s, o, 5 * 30.0 / 9);
 		quota_sim_run(s, 5 * US_PER_S);
 		quota_sim_clear_counts(s);
-		change_hosts(s, changes[k].fault, changes[k].us);
+		change_hosts(s, fault, changes[k / 2].us);
 		for (uint32_t o = 0; o < 4; o++)
 			least = MIN(least, s->admitted[o]->len / (30 * 360.0));
 		if (g_getenv("QUOTA_USE"))
-			printf("\nuse, fault %d: %.3f, no owner for %.1f s\n",
-			       changes[k].fault, least,
+			printf("\nuse, fault %d, large %d: %.3f, no owner for "
+			       "%.1f s\n",
+			       fault, s->is_large, least,
 			       360 - (double)s->owned_us / US_PER_S);
 		CU_ASSERT_TRUE(least >= 0.8);
 		quota_sim_destroy(s);
@@ -647,6 +673,7 @@
 	{ "use with faults", test_use_with_faults },
 	{ "store away", test_store_away },
 	{ "start", test_start },
+	{ "restart all", test_restart_all },
 	{ "idle", test_idle },
 	{ "lowered", test_lowered },
 	{ "use with changes", test_use_with_changes },
--- a/test/unit/test_route_callers.c
+++ b/test/unit/test_route_callers.c
@@ -91,6 +91,10 @@
 {
 }
 
+void registry_thread_mark_joined(struct registry_thread *t, uint64_t lease)
+{
+}
+
 void registry_thread_request_check(struct registry_thread *t)
 {
 }
--- a/test/unit/test_token_owner.c
+++ b/test/unit/test_token_owner.c
@@ -458,6 +458,54 @@
 	tear_down(&f);
 }
 
+/* Guards against a wait of a process that takes over its host's record. */
+static void test_inherited(void)
+{
+	struct fixture f;
+
+	set_up(&f, 0);
+	f.view = (struct token_view){ .has_store = true,
+				      .store_steady_us = 5 * US_PER_S };
+	token_owner_note_inherited(f.owner, 1);
+	renew(&f, 1);
+	advance(&f, 2 * STEP_US);
+	CU_ASSERT_EQUAL(part(&f), TOKEN_PART_ALL);
+	tear_down(&f);
+}
+
+/*
+ * Guards against grants beside an owner before this host that has left and goes
+ * on, since most hosts were without the store.
+ */
+static void test_inherited_early(void)
+{
+	struct fixture f;
+
+	set_up(&f, 0);
+	f.view = (struct token_view){ .has_store = true,
+				      .store_steady_us = 4 * US_PER_S };
+	token_owner_note_inherited(f.owner, 1);
+	renew(&f, 1);
+	advance(&f, 2 * STEP_US);
+	CU_ASSERT_EQUAL(part(&f), TOKEN_PART_NONE);
+	tear_down(&f);
+}
+
+/* Guards against a record that is taken over after it had expired. */
+static void test_not_inherited(void)
+{
+	struct fixture f;
+
+	set_up(&f, 0);
+	f.view = (struct token_view){ .has_store = true,
+				      .store_steady_us = 5 * US_PER_S };
+	token_owner_note_inherited(f.owner, 7);
+	renew(&f, 1);
+	advance(&f, 2 * STEP_US);
+	CU_ASSERT_EQUAL(part(&f), TOKEN_PART_NONE);
+	tear_down(&f);
+}
+
 CU_TestInfo token_owner_tests[] = {
 	{ "stop", test_stop },
 	{ "start", test_start },
@@ -475,5 +523,8 @@
 	{ "resume with old mirror", test_resume_old_mirror },
 	{ "resume late", test_resume_late },
 	{ "rewritten record", test_rewritten_record },
+	{ "inherited", test_inherited },
+	{ "inherited early", test_inherited_early },
+	{ "not inherited", test_not_inherited },
 	CU_TEST_INFO_NULL,
 };
