--- a/test/unit/quota_sim.c
+++ b/test/unit/quota_sim.c
@@ -399,7 +399,8 @@
 	if (h->is_published && h->has_record &&
 	    token_owner_has_joined(token_exchange_owner(h->exchange)))
 		h->is_marked = true;
-	if (s->now_us >= h->next_renewal_us || is_check_due(s, h))
+	if (s->now_us >= h->renewals_fail_until_us &&
+	    (s->now_us >= h->next_renewal_us || is_check_due(s, h)))
 		renew_record(s, h);
 	if (s->now_us >= h->next_news_us) {
 		h->next_news_us = s->now_us + NEWS_US;
--- a/test/unit/quota_sim.h
+++ b/test/unit/quota_sim.h
@@ -35,6 +35,8 @@
 	int64_t frozen_until_us;
 	int64_t cut_from_hosts_until_us;
 	int64_t cut_from_store_until_us;
+	/** The host hears of the store, but does not renew its record. */
+	int64_t renewals_fail_until_us;
 	/** Of struct record_event: changes that have not arrived yet. */
 	GQueue events;
 	int64_t last_event_us;
--- a/test/unit/test_quota_schedules.c
+++ b/test/unit/test_quota_schedules.c
@@ -432,6 +432,8 @@
 	FAULT_ISLAND_WITH_STORE,
 	FAULT_STORE_AWAY,
 	FAULT_STORE_AWAY_LEASES,
+	FAULT_RENEWALS,
+	FAULT_STORE_FOR_FEW,
 	FAULT_JOIN,
 	FAULT_COUNT,
 };
@@ -501,6 +503,16 @@
 		s->store_away_until_us = s->now_us + us;
 		s->is_keeping_leases = fault == FAULT_STORE_AWAY_LEASES;
 		return;
+	case FAULT_RENEWALS:
+		h->renewals_fail_until_us = s->now_us + us;
+		return;
+	case FAULT_STORE_FOR_FEW:
+		for (uint32_t k = 0; k < s->count; k++) {
+			if (g_rand_double(s->random) < 0.7)
+				s->hosts[k].cut_from_store_until_us =
+					s->now_us + us;
+		}
+		return;
 	case FAULT_JOIN:
 	case FAULT_COUNT:
 		start_if_down(s, i);
