quotas: an owner hands keys over to a host that joins before it

A host that comes first by hash made the present owner stop when it saw the record, 9 s before it granted itself, if the hosts could not agree on their records (any host had left within 9 s, or more than 256 hosts). The owner now goes on for 12 s. From 9 s on it hands over each key that the new host asks for (HOST_TOKEN_RELEASE), and does not take it back while that host's record remains. The lease in the question names the record, so that answers to an earlier process do not count; late answers do not count either.

Without the answer the new host waits for 21 s after its record. It may agree with the others on their records only if none of them goes on for a new host. If more than 1 + an eighth of the hosts are new, the owner stops at once as before: claims go to the first two hosts of a key only.

--- a/include/net/host_frame.h
+++ b/include/net/host_frame.h
@@ -37,6 +37,7 @@
 	HOST_TOKEN_GRANTS = 92,
 	/** States which host records the sender has. */
 	HOST_TOKEN_VIEW = 93,
+	HOST_TOKEN_RELEASE = 94,
 };
 
 #define HOST_PROTOCOL 3
@@ -116,6 +117,8 @@
 	GArray *token_grants;
 	/** Set for HOST_TOKEN_VIEW. */
 	struct token_view token_view;
+	/** Set for HOST_TOKEN_RELEASE. */
+	struct token_release token_release;
 	/** Memory of the strings, bodies and arrays of the other fields. */
 	GPtrArray *allocations;
 	/** Headers of the request; the strings are in allocations. */
@@ -139,6 +142,7 @@
 GByteArray *host_frame_token_claims(const GArray *claims);
 GByteArray *host_frame_token_grants(const GArray *grants);
 GByteArray *host_frame_token_view(const struct token_view *view);
+GByteArray *host_frame_token_release(const struct token_release *release);
 
 /** Decodes a frame. Returns 0, or -ERR_FRAME with out already cleared. */
 int host_frame_decode(const void *data, size_t len, struct host_frame *out);
--- a/include/router/token_exchange.h
+++ b/include/router/token_exchange.h
@@ -22,6 +22,9 @@
 	/** Sends the statement of this host to another one. */
 	void (*send_view)(void *ctx, const char *address,
 			  const struct token_view *view);
+	/** Sends a question for a key, or the answer, to another host. */
+	void (*send_release)(void *ctx, const char *address,
+			     const struct token_release *release);
 	/** Sends claims, of struct token_claim, to another host. */
 	void (*send_claims)(void *ctx, const char *address,
 			    const GArray *claims);
--- a/include/router/token_owner.h
+++ b/include/router/token_owner.h
@@ -4,6 +4,7 @@
 #include <glib.h>
 
 #include "router/directory.h"
+#include "router/token_handover.h"
 #include "router/token_lease.h"
 #include "router/token_pool.h"
 
@@ -21,6 +22,10 @@
  * grant as soon as the record is gone. It waits for TOKEN_JOIN_US if it had no
  * contact with the store within the last 15 s.
  *
+ * A host that comes before the present owner takes each key over from it 9 s
+ * after the owner saw its record. Without an answer it waits until the owner
+ * has stopped by itself, which it does after TOKEN_DEFER_US.
+ *
  * A process that takes over the record of an earlier one of the same host,
  * which had joined, need not wait for TOKEN_JOIN_US.
  *
@@ -70,6 +75,8 @@
 	int64_t store_age_us;
 	/** Time for which it had contact with the store without a break. */
 	int64_t store_steady_us;
+	/** The host goes on in place of a new one, see token_handover.h. */
+	bool is_deferring;
 	/** Answers the statement of another host. */
 	bool is_answer;
 	/** When the other host asked, by its clock. */
@@ -90,6 +97,9 @@
 	 */
 	void (*send_view)(void *ctx, const char *address,
 			  const struct token_view *view);
+	/** Sends a question for a key, or the answer, in the same way. */
+	void (*send_release)(void *ctx, const char *address,
+			     const struct token_release *release);
 	void *ctx;
 };
 
@@ -146,6 +156,10 @@
 void token_owner_handle_view(struct token_owner *o, const char *address,
 			     const struct token_view *view);
 
+/** Handles a question for a key, or an answer. */
+void token_owner_handle_release(struct token_owner *o, const char *address,
+				const struct token_release *release);
+
 /** This host stops: it grants nothing any more. */
 void token_owner_stop(struct token_owner *o);
 
--- a/net/host_frame.c
+++ b/net/host_frame.c
@@ -285,11 +285,12 @@
 GByteArray *host_frame_token_view(const struct token_view *view)
 {
 	msgpack_packer pk;
-	GByteArray *out = begin_frame(&pk, HOST_TOKEN_VIEW, 7);
+	GByteArray *out = begin_frame(&pk, HOST_TOKEN_VIEW, 8);
 
 	msgpack_pack_uint64(&pk, view->hash);
 	pack_flag(&pk, view->has_gone);
 	pack_flag(&pk, view->has_store);
+	pack_flag(&pk, view->is_deferring);
 	pack_flag(&pk, view->is_answer);
 	msgpack_pack_uint64(&pk, (uint64_t)MAX(view->store_age_us, 0));
 	msgpack_pack_uint64(&pk, (uint64_t)MAX(view->store_steady_us, 0));
@@ -297,6 +298,18 @@
 	return out;
 }
 
+GByteArray *host_frame_token_release(const struct token_release *release)
+{
+	msgpack_packer pk;
+	GByteArray *out = begin_frame(&pk, HOST_TOKEN_RELEASE, 4);
+
+	pack_text(&pk, release->key);
+	pack_text(&pk, release->domain);
+	msgpack_pack_uint64(&pk, release->lease);
+	pack_flag(&pk, release->is_answer);
+	return out;
+}
+
 /**
  * Reads the fields of an array in order. A field that is missing or of another
  * type sets is_broken and reads as empty.
@@ -643,11 +656,18 @@
 		r->frame->token_view.hash = read_number(r);
 		r->frame->token_view.has_gone = read_flag(r);
 		r->frame->token_view.has_store = read_flag(r);
+		r->frame->token_view.is_deferring = read_flag(r);
 		r->frame->token_view.is_answer = read_flag(r);
 		r->frame->token_view.store_age_us = read_time(r);
 		r->frame->token_view.store_steady_us = read_time(r);
 		r->frame->token_view.asked_us = read_time(r);
 		return;
+	case HOST_TOKEN_RELEASE:
+		r->frame->token_release.key = read_text(r);
+		r->frame->token_release.domain = read_text(r);
+		r->frame->token_release.lease = read_number(r);
+		r->frame->token_release.is_answer = read_flag(r);
+		return;
 	}
 	r->is_broken = true;
 }
--- a/nutmegpickd/route_hosts.c
+++ b/nutmegpickd/route_hosts.c
@@ -740,6 +740,10 @@
 		token_owner_handle_view(token_exchange_owner(s->tokens),
 					e->address, &f->token_view);
 		break;
+	case HOST_TOKEN_RELEASE:
+		token_owner_handle_release(token_exchange_owner(s->tokens),
+					   e->address, &f->token_release);
+		break;
 	case HOST_TOKEN_GRANTS:
 		token_exchange_handle_grants(s->tokens, e->address,
 					     f->token_grants);
--- a/nutmegpickd/route_quotas.c
+++ b/nutmegpickd/route_quotas.c
@@ -26,6 +26,12 @@
 	route_send_frame(ctx, address, host_frame_token_view(view));
 }
 
+static void handle_send_release(void *ctx, const char *address,
+				const struct token_release *release)
+{
+	route_send_frame(ctx, address, host_frame_token_release(release));
+}
+
 static void handle_deliver_grant(void *ctx, const struct token_grant *grant)
 {
 	struct route_service *s = ctx;
@@ -62,6 +68,7 @@
 
 const struct token_exchange_ops route_token_ops = {
 	.send_view = handle_send_view,
+	.send_release = handle_send_release,
 	.send_claims = handle_send_claims,
 	.deliver_grant = handle_deliver_grant,
 	.update_limit = handle_update_limit,
--- a/router/token_exchange.c
+++ b/router/token_exchange.c
@@ -396,6 +396,7 @@
 		.directory = options->directory,
 		.is_leased = options->is_leased,
 		.send_view = options->ops->send_view,
+		.send_release = options->ops->send_release,
 		.ctx = options->ctx,
 	};
 
--- a/router/token_owner.c
+++ b/router/token_owner.c
@@ -74,6 +74,9 @@
 	bool is_resumable;
 	int64_t break_boot_us;
 	struct lease_time broken;
+	struct token_handover *handover;
+	/** When the mirror got this host's record; 0 if it has none. */
+	int64_t record_us;
 	struct store_witness *witness;
 	int64_t witnesses_asked_us;
 	/** Last time at which the hosts agreed that the store is lost. */
@@ -140,6 +143,7 @@
 	o->confirmed_us = 0;
 	o->proven_us = 0;
 	o->is_resumable = false;
+	token_handover_clear(o->handover);
 	g_hash_table_remove_all(o->agreeing);
 }
 
@@ -199,6 +203,8 @@
 				   .has_store = has_store(o, now_us(o)),
 				   .store_age_us = now_us(o) - o->store_us,
 				   .store_steady_us = steady_time(o),
+				   .is_deferring = token_handover_is_deferring(
+					   o->handover, now_us(o)),
 				   .is_answer = question != NULL,
 				   .asked_us = question ? question->asked_us
 							: now_us(o) };
@@ -251,7 +257,7 @@
 	int64_t now = now_us(o);
 
 	if (view->hash != o->view_hash || view->has_gone || has_gone(o, now) ||
-	    !view->has_store || !has_store(o, now) ||
+	    !view->has_store || !has_store(o, now) || view->is_deferring ||
 	    !host_directory_find(d, address) || o->confirmed_us ||
 	    !has_own_record(o))
 		return;
@@ -294,6 +300,7 @@
 		};
 
 		g_array_append_val(o->gone, d);
+		token_handover_note_gone(o->handover, d.host.name_hash);
 	}
 	g_array_free(gone, TRUE);
 }
@@ -396,12 +403,18 @@
 	       has_own_record(o);
 }
 
+/* Returns whether all owners with an older mirror have stopped by themselves. */
+static bool has_waited(const struct token_owner *o, int64_t now)
+{
+	return now - o->joined_us >= TOKEN_JOIN_US && o->record_us &&
+	       now - o->record_us >= TOKEN_JOIN_US + TOKEN_DEFER_US;
+}
+
 static bool is_proof_due(const struct token_owner *o, int64_t now)
 {
 	if (!o->options.is_leased)
 		return false;
-	if (!has_joined(o, now) &&
-	    (now - o->joined_us >= TOKEN_JOIN_US || is_inheriting(o)))
+	if (!has_joined(o, now) && (has_waited(o, now) || is_inheriting(o)))
 		return true;
 	for (guint i = 0; i < o->gone->len; i++) {
 		const struct dated_host *d =
@@ -434,7 +447,7 @@
 		return;
 	is_lease_steady = store_witness_is_steady(
 		o->witness, TOKEN_STORE_LEASE_US, gone, now);
-	if (!o->proven_us && now - o->joined_us >= TOKEN_JOIN_US)
+	if (!o->proven_us && has_waited(o, now))
 		o->proven_us = now;
 	for (guint i = 0; i < o->gone->len; i++) {
 		struct dated_host *d =
@@ -481,6 +494,10 @@
 		o->steady_us = 0;
 	note_gone_hosts(o, now.monotonic_us);
 	if (!has_own_record(o))
+		o->record_us = 0;
+	else if (!o->record_us)
+		o->record_us = now.monotonic_us;
+	if (!o->record_us)
 		join_anew(o, now.monotonic_us, "no_record");
 	else if (is_paused)
 		note_break(o, &now, o->advanced.boot_us, "paused");
@@ -494,6 +511,8 @@
 		note_break(o, &now, contact_boot(o, &now), "no_store");
 	else
 		check_break(o, &now);
+	token_handover_update(o->handover, has_joined(o, now.monotonic_us),
+			      now.monotonic_us);
 	check_proof(o, now.monotonic_us);
 	if (o->options.send_view && needs_witnesses(o, now.monotonic_us) &&
 	    now.monotonic_us - o->witnesses_asked_us > WITNESS_INTERVAL_US)
@@ -604,12 +623,12 @@
 	note_view(o, address, view);
 }
 
-/* Returns the time from which no host before this one can grant any more. */
-static int64_t charge_time(const struct token_owner *o,
-			   const struct token_claim *c,
-			   const struct known_host *self)
+/* Returns the time from which no host that has left can grant any more. */
+static int64_t free_time(const struct token_owner *o,
+			 const struct token_claim *c,
+			 const struct known_host *self)
 {
-	int64_t from = join_time(o);
+	int64_t from = 0;
 
 	for (guint i = 0; i < o->gone->len; i++) {
 		const struct dated_host *d =
@@ -622,6 +641,53 @@
 	return from;
 }
 
+/* Returns the time from which no host before this one can grant any more. */
+static int64_t charge_time(const struct token_owner *o,
+			   const struct token_claim *c,
+			   const struct known_host *self)
+{
+	int64_t from = join_time(o);
+	int64_t taken = token_handover_taken(o->handover, c->key, c->domain);
+
+	if (taken && is_self(o, self))
+		from = MIN(from, taken);
+	return MAX(from, free_time(o, c, self));
+}
+
+/* Asks the owner of a key for it. */
+static void ask_release(struct token_owner *o, const struct token_claim *c,
+			const struct known_host *second)
+{
+	struct token_release question = { .key = c->key,
+					  .domain = c->domain,
+					  .lease = o->lease };
+	int64_t now = now_us(o);
+
+	if (!o->options.send_release || !second || !o->record_us ||
+	    now - o->record_us < TOKEN_JOIN_US ||
+	    !token_handover_ask(o->handover, c->key, c->domain, now))
+		return;
+	o->options.send_release(o->options.ctx, second->record.address,
+				&question);
+}
+
+/* Returns the part of the first host of a key, which is this one. */
+static enum token_part first_part(struct token_owner *o,
+				  const struct token_claim *c,
+				  const struct rate_owners *owners,
+				  int64_t *since)
+{
+	int64_t now = now_us(o);
+
+	*since = charge_time(o, c, owners->first);
+	if (now >= *since)
+		return TOKEN_PART_ALL;
+	ask_views(o);
+	if (!has_joined(o, now))
+		ask_release(o, c, owners->second);
+	return TOKEN_PART_NONE;
+}
+
 enum token_part token_owner_part(struct token_owner *o,
 				 const struct token_claim *c,
 				 const struct rate_owners *owners,
@@ -635,16 +701,52 @@
 	if (now - o->contact_us > TOKEN_CONTACT_US || !first || o->is_stopping)
 		return TOKEN_PART_NONE;
 	o->is_wanted = true;
-	if (is_self(o, first)) {
-		*since = charge_time(o, c, first);
-		if (now < *since)
-			ask_views(o);
-		return now >= *since ? TOKEN_PART_ALL : TOKEN_PART_NONE;
-	}
+	if (is_self(o, first))
+		return first_part(o, c, owners, since);
 	if (!second || !is_self(o, second))
 		return TOKEN_PART_NONE;
 	*since = charge_time(o, c, second);
-	return now >= *since ? TOKEN_PART_SECOND : TOKEN_PART_NONE;
+	if (now < *since)
+		return TOKEN_PART_NONE;
+	return token_handover_defers(o->handover, first, c->key, c->domain,
+				     *since, now)
+		       ? TOKEN_PART_ALL
+		       : TOKEN_PART_SECOND;
+}
+
+/* Hands a key over to a new host that comes before this one. */
+static void release_key(struct token_owner *o, const char *address,
+			const struct token_release *question)
+{
+	struct token_claim c = { .key = question->key,
+				 .domain = question->domain };
+	struct token_release answer = *question;
+	struct rate_owners owners = host_directory_rate_owners(
+		o->options.directory, c.key, c.domain);
+	int64_t now = now_us(o);
+
+	if (!owners.second || !is_self(o, owners.second) ||
+	    strcmp(owners.first->record.address, address) ||
+	    owners.first->record.lease != question->lease ||
+	    !token_handover_release(o->handover, owners.first, c.key, c.domain,
+				    charge_time(o, &c, owners.second),
+				    o->is_stopping, now))
+		return;
+	event_log(EV_TOKEN_OWNER_RELEASED, "key=%s host=%s", c.key,
+		  owners.first->record.name);
+	answer.is_answer = true;
+	o->options.send_release(o->options.ctx, address, &answer);
+}
+
+void token_owner_handle_release(struct token_owner *o, const char *address,
+				const struct token_release *release)
+{
+	token_owner_advance(o, o->has_granted);
+	if (!release->is_answer)
+		release_key(o, address, release);
+	else if (release->lease == o->lease && has_own_record(o))
+		token_handover_take(o->handover, release->key, release->domain,
+				    now_us(o));
 }
 
 struct token_owner *
@@ -662,6 +764,7 @@
 	o->store_us = o->joined_us;
 	o->store_lost_us = INT64_MIN / 2;
 	o->witness = store_witness_create(options->directory);
+	o->handover = token_handover_create(options->directory);
 	o->advanced = (struct lease_time){ o->joined_us,
 					   clock_boot(&options->clock) };
 	return o;
@@ -670,6 +773,7 @@
 void token_owner_free(struct token_owner *o)
 {
 	store_witness_free(o->witness);
+	token_handover_free(o->handover);
 	g_array_free(o->gone, TRUE);
 	g_hash_table_destroy(o->agreeing);
 	g_free(o);
--- a/test/fuzz/targets.c
+++ b/test/fuzz/targets.c
@@ -190,6 +190,8 @@
 		return host_frame_token_grants(f->token_grants);
 	case HOST_TOKEN_VIEW:
 		return host_frame_token_view(&f->token_view);
+	case HOST_TOKEN_RELEASE:
+		return host_frame_token_release(&f->token_release);
 	}
 	return NULL;
 }
--- a/test/unit/test_quota.c
+++ b/test/unit/test_quota.c
@@ -695,6 +695,7 @@
 				      .is_answer = true,
 				      .store_age_us = 5200001,
 				      .store_steady_us = 9000001,
+				      .is_deferring = true,
 				      .asked_us = INT64_MAX / 8 });
 	CU_ASSERT_EQUAL_FATAL(host_frame_decode(frame->data, frame->len, &f),
 			      0);
@@ -705,6 +706,17 @@
 	CU_ASSERT_EQUAL(f.token_view.store_age_us, 5200001);
 	CU_ASSERT_EQUAL(f.token_view.store_steady_us, 9000001);
 	CU_ASSERT_EQUAL(f.token_view.asked_us, INT64_MAX / 8);
+	CU_ASSERT_TRUE(f.token_view.is_deferring);
+	host_frame_clear(&f);
+	g_byte_array_free(frame, TRUE);
+	frame = host_frame_token_release(&(struct token_release){
+		.key = "q:a", .domain = "d", .lease = UINT64_MAX });
+	CU_ASSERT_EQUAL_FATAL(host_frame_decode(frame->data, frame->len, &f),
+			      0);
+	CU_ASSERT_STRING_EQUAL(f.token_release.key, "q:a");
+	CU_ASSERT_STRING_EQUAL(f.token_release.domain, "d");
+	CU_ASSERT_EQUAL(f.token_release.lease, UINT64_MAX);
+	CU_ASSERT_FALSE(f.token_release.is_answer);
 	host_frame_clear(&f);
 	g_byte_array_free(frame, TRUE);
 }
