--- a/router/token_owner.c
+++ b/router/token_owner.c
@@ -410,6 +410,13 @@
 	       now - o->record_us >= TOKEN_JOIN_US + TOKEN_DEFER_US;
 }
 
+/* Returns whether this host has waited for a host that is gone. */
+static bool is_free_due(const struct dated_host *d, int64_t now)
+{
+	return d->free_us == INT64_MAX &&
+	       (d->is_steady || now - d->at_us >= TOKEN_JOIN_US);
+}
+
 static bool is_proof_due(const struct token_owner *o, int64_t now)
 {
 	if (!o->options.is_leased)
@@ -420,22 +427,20 @@
 		const struct dated_host *d =
 			&g_array_index(o->gone, struct dated_host, i);
 
-		if (d->free_us == INT64_MAX &&
-		    (d->is_steady || now - d->at_us >= TOKEN_JOIN_US))
+		if (is_free_due(d, now))
 			return true;
 	}
 	return false;
 }
 
 /*
- * An owner goes on without the store if most hosts do not have it. So this host
- * waits until at least half of them had it since before that owner's record
- * expired, or during its own wait.
+ * An owner goes on without the store if most hosts do not have it, for 4 s
+ * after it last learned that. So this host waits until at least half of them
+ * have had it for longer.
  */
 static void check_proof(struct token_owner *o, int64_t now)
 {
 	guint gone;
-	bool is_lease_steady;
 
 	if (!is_proof_due(o, now))
 		return;
@@ -445,17 +450,13 @@
 		o->proven_us = now;
 	if (!store_witness_is_steady(o->witness, TOKEN_JOIN_US, gone, now))
 		return;
-	is_lease_steady = store_witness_is_steady(
-		o->witness, TOKEN_STORE_LEASE_US, gone, now);
 	if (!o->proven_us && has_waited(o, now))
 		o->proven_us = now;
 	for (guint i = 0; i < o->gone->len; i++) {
 		struct dated_host *d =
 			&g_array_index(o->gone, struct dated_host, i);
 
-		if (d->free_us == INT64_MAX &&
-		    (now - d->at_us >= TOKEN_JOIN_US ||
-		     (d->is_steady && is_lease_steady)))
+		if (is_free_due(d, now))
 			d->free_us = now;
 	}
 }
--- a/test/unit/test_token_owner.c
+++ b/test/unit/test_token_owner.c
@@ -362,12 +362,13 @@
 
 	set_up(&f, 1);
 	join(&f);
-	f.view.store_steady_us = TOKEN_JOIN_US;
+	f.view.store_steady_us = TOKEN_JOIN_US - 1;
 	/* Earlier answers count for 2 s. */
 	advance_renewed(&f, 3 * US_PER_S);
 	remove_first(&f);
 	advance(&f, TOKEN_JOIN_US - STEP_US);
 	CU_ASSERT_EQUAL(part(&f), TOKEN_PART_NONE);
+	f.view.store_steady_us = TOKEN_JOIN_US;
 	advance(&f, 2 * STEP_US);
 	CU_ASSERT_EQUAL(part(&f), TOKEN_PART_ALL);
 	tear_down(&f);
