quotas: hosts that have not answered yet count as silent

A host that had just lost the store asked others and agreed with the first answer, since the other questions were not 300 ms old. With one of three hosts silent an owner so went on for 7.5 s instead of 5 s. Found by the new unit test token owner/missing.

--- a/router/store_witness.c
+++ b/router/store_witness.c
@@ -4,8 +4,6 @@
 
 /* Hosts of each failure domain that are asked at a time. */
 #define ASKED_PER_DOMAIN 2
-/* A host that has not answered after this time counts as missing. */
-#define ANSWER_US (300 * US_PER_MS)
 /* Answers and hosts without an answer count for this time. */
 #define KEPT_US (2 * US_PER_S)
 /* If one of the hosts that are asked has the store, the others wait so long. */
@@ -183,8 +181,7 @@
 static bool is_missing(const struct witness *known, int64_t now)
 {
 	return now - known->asked_us <= KEPT_US &&
-	       known->answered_us < known->unanswered_us &&
-	       now - known->unanswered_us > ANSWER_US;
+	       known->answered_us < known->unanswered_us;
 }
 
 /* Adds the part of the hosts that are gone to those that are missing. */
--- a/test/unit/test_quota_schedules.c
+++ b/test/unit/test_quota_schedules.c
@@ -438,20 +438,25 @@
 	FAULT_COUNT,
 };
 
-/* Some of the domains, or a host; the others are at least a quarter. */
+/* A host, some hosts of all domains, or one or two domains. */
 static uint32_t random_island(struct quota_sim *s)
 {
 	uint32_t domain = (uint32_t)g_rand_int_range(s->random, 0, 3);
+	uint32_t all = (1U << s->count) - 1;
 	uint32_t island = 0;
 
-	if (g_rand_boolean(s->random))
+	switch (g_rand_int_range(s->random, 0, 3)) {
+	case 0:
 		return 1U << g_rand_int_range(s->random, 0, (gint32)s->count);
-	for (uint32_t i = 0; i < s->count; i++) {
-		if (i % 3 == domain)
-			island |= 1U << i;
+	case 1:
+		return g_rand_int(s->random) & all;
+	default:
+		for (uint32_t i = 0; i < s->count; i++) {
+			if (i % 3 == domain)
+				island |= 1U << i;
+		}
+		return g_rand_boolean(s->random) ? island : all & ~island;
 	}
-	return g_rand_boolean(s->random) ? island
-					 : ((1U << s->count) - 1) & ~island;
 }
 
 static void start_if_down(struct quota_sim *s, uint32_t i)
@@ -495,7 +500,7 @@
 	case FAULT_ISLAND:
 	case FAULT_ISLAND_WITH_STORE:
 		s->island = random_island(s);
-		s->island_until_us = s->now_us + us;
+		s->island_until_us = s->now_us + 2 * us;
 		s->has_island_store = fault == FAULT_ISLAND_WITH_STORE;
 		return;
 	case FAULT_STORE_AWAY:
--- a/test/unit/test_token_owner.c
+++ b/test/unit/test_token_owner.c
@@ -1,5 +1,8 @@
 #include "suites.h"
 
+#include <string.h>
+
+#include "router/store_witness.h"
 #include "router/token_owner.h"
 
 #define HOSTS 4
@@ -20,6 +23,8 @@
 	/** What the other hosts state; hosts that are down do not answer. */
 	struct token_view view;
 	bool are_others_down;
+	/** This many of the others do not answer. */
+	guint missing;
 	/** Questions for keys, and answers, that this host has sent. */
 	guint question_count;
 	guint release_count;
@@ -97,7 +102,10 @@
 	for (guint i = 0; i < asked->len && !f->are_others_down; i++) {
 		const struct asked *a = &g_array_index(asked, struct asked, i);
 		struct token_view view = f->view;
+		guint number = (guint)(a->address[strlen("10.0.0.")] - '0');
 
+		if (number < f->missing)
+			continue;
 		view.is_answer = true;
 		if (!view.has_store && f->lost_us)
 			view.store_age_us = f->time.now_us - f->lost_us;
@@ -626,6 +634,126 @@
 	tear_down(&f);
 }
 
+/* Guards against an owner that goes on although some hosts do not answer. */
+static void test_missing(void)
+{
+	struct fixture f;
+
+	set_up(&f, 0);
+	join(&f);
+	lose_store(&f);
+	f.missing = 2;
+	advance(&f, TOKEN_CONTACT_US + STEP_US);
+	CU_ASSERT_EQUAL(part(&f), TOKEN_PART_NONE);
+	tear_down(&f);
+}
+
+/*
+ * Guards against an owner with an old lease that goes on after a short time
+ * without the store, which the next host may not have noticed.
+ */
+static void test_short_loss(void)
+{
+	struct fixture f;
+
+	set_up(&f, 0);
+	join(&f);
+	advance(&f, TOKEN_LEASE_US - 3 * US_PER_S);
+	lose_store(&f);
+	advance(&f, 3 * US_PER_S + STEP_US);
+	CU_ASSERT_EQUAL(part(&f), TOKEN_PART_NONE);
+	tear_down(&f);
+}
+
+/* Guards against a new lease whose record comes at the same time. */
+static void test_new_record(void)
+{
+	struct fixture f;
+	struct known_host *self;
+
+	set_up(&f, 0);
+	join(&f);
+	self = g_hash_table_lookup(f.directory.hosts, f.directory.self);
+	self->record.lease = 2;
+	renew(&f, 2);
+	CU_ASSERT_EQUAL(part(&f), TOKEN_PART_NONE);
+	tear_down(&f);
+}
+
+/* Asks eight hosts, of which the last is alone in its domain. */
+static struct store_witness *ask_witnesses(struct fixture *f,
+					   struct store_contact contact,
+					   bool is_last_missing)
+{
+	struct store_witness *w;
+	struct host_record last = { .name = g_strdup("z"),
+				    .address = g_strdup("10.0.0.9:7000"),
+				    .domain = g_strdup("c") };
+
+	set_up(f, 0);
+	for (int i = HOSTS; i < 2 * HOSTS; i++) {
+		char *name = g_strdup_printf("h%d", i);
+
+		put_host(f, name);
+		g_free(name);
+	}
+	host_directory_put(&f->directory, &last);
+	w = store_witness_create(&f->directory);
+	for (int i = 0; i < 8; i++) {
+		GPtrArray *asked = store_witness_choose(w, f->time.now_us);
+
+		f->time.now_us += 10 * US_PER_MS;
+		for (guint k = 0; k < asked->len; k++) {
+			const struct known_host *h = asked->pdata[k];
+
+			if (!is_last_missing || *h->record.name != 'z')
+				store_witness_note(w, h, &contact,
+						   f->time.now_us);
+		}
+		g_ptr_array_free(asked, TRUE);
+	}
+	f->time.now_us += US_PER_S;
+	return w;
+}
+
+static bool agree(const struct fixture *f, const struct store_witness *w,
+		  int64_t heard_ago_us)
+{
+	return store_witness_agree(w, f->time.now_us - heard_ago_us,
+				   5 * US_PER_S, 0, f->time.now_us);
+}
+
+/* Guards against an agreement without a failure domain that is cut off. */
+static void test_missing_domain(void)
+{
+	struct store_contact contact = { .age_us = 6 * US_PER_S };
+	struct fixture f;
+	struct store_witness *w = ask_witnesses(&f, contact, false);
+
+	CU_ASSERT_TRUE(agree(&f, w, 6 * US_PER_S));
+	store_witness_free(w);
+	tear_down(&f);
+	w = ask_witnesses(&f, contact, true);
+	CU_ASSERT_FALSE(agree(&f, w, 6 * US_PER_S));
+	store_witness_free(w);
+	tear_down(&f);
+}
+
+/*
+ * Guards against an agreement of hosts that lost the store later than this one:
+ * it was cut off from it before.
+ */
+static void test_heard_later(void)
+{
+	struct store_contact contact = { .age_us = 6 * US_PER_S };
+	struct fixture f;
+	struct store_witness *w = ask_witnesses(&f, contact, false);
+
+	CU_ASSERT_FALSE(agree(&f, w, 12 * US_PER_S));
+	store_witness_free(w);
+	tear_down(&f);
+}
+
 CU_TestInfo token_owner_tests[] = {
 	{ "stop", test_stop },
 	{ "start", test_start },
@@ -649,5 +777,10 @@
 	{ "defer", test_defer },
 	{ "release", test_release },
 	{ "take", test_take },
+	{ "missing", test_missing },
+	{ "short loss", test_short_loss },
+	{ "new record", test_new_record },
+	{ "missing domain", test_missing_domain },
+	{ "heard later", test_heard_later },
 	CU_TEST_INFO_NULL,
 };
