--- a/test/unit/test_token_owner.c
+++ b/test/unit/test_token_owner.c
@@ -680,6 +680,115 @@
 	tear_down(&f);
 }
 
+/* Returns the name of a host that is neither this one nor the first. */
+static char *other_host(const struct fixture *f)
+{
+	char *first = ranked_host(0);
+	char *name = NULL;
+
+	for (int i = 0; i < HOSTS && !name; i++) {
+		name = g_strdup_printf("h%d", i);
+		if (!strcmp(name, first) || !strcmp(name, f->directory.self))
+			g_clear_pointer(&name, g_free);
+	}
+	g_free(first);
+	return name;
+}
+
+/* Guards against an owner that goes on beside a host that has just left. */
+static void test_missing_gone(void)
+{
+	struct fixture f;
+	char *name;
+
+	set_up(&f, 0);
+	join(&f);
+	name = other_host(&f);
+	host_directory_remove(&f.directory, name);
+	g_free(name);
+	advance(&f, STEP_US);
+	lose_store(&f);
+	advance(&f, TOKEN_CONTACT_US + STEP_US);
+	CU_ASSERT_EQUAL(part(&f), TOKEN_PART_NONE);
+	tear_down(&f);
+}
+
+/* Guards against answers that were true before the store came back. */
+static void test_old_answers(void)
+{
+	struct token_view view = { .store_age_us = 6 * US_PER_S,
+				   .is_answer = true };
+	struct fixture f;
+
+	set_up(&f, 0);
+	join(&f);
+	lose_store(&f);
+	f.are_others_down = true;
+	advance(&f, TOKEN_CONTACT_US - STEP_US);
+	view.asked_us = f.time.now_us - 2 * US_PER_S;
+	for (int i = 0; i < HOSTS; i++) {
+		char *address = g_strdup_printf("10.0.0.%d:7000", i);
+
+		token_owner_handle_view(f.owner, address, &view);
+		g_free(address);
+	}
+	advance(&f, 2 * STEP_US);
+	CU_ASSERT_EQUAL(part(&f), TOKEN_PART_NONE);
+	tear_down(&f);
+}
+
+static uint64_t stated_hash(struct fixture *f)
+{
+	struct token_view question = { 0 };
+	uint64_t hash;
+
+	token_owner_handle_view(f->owner, "10.0.0.1:7000", &question);
+	hash = g_array_index(f->asked, struct asked, f->asked->len - 1)
+		       .view.hash;
+	g_array_set_size(f->asked, 0);
+	return hash;
+}
+
+/* Guards against agreement with hosts that know an earlier record of a host. */
+static void test_lease_in_view(void)
+{
+	struct host_record r = { .name = g_strdup("h1"),
+				 .address = g_strdup("10.0.0.1:7000"),
+				 .domain = g_strdup("a"),
+				 .lease = 2 };
+	struct fixture f;
+	uint64_t hash;
+
+	set_up(&f, 0);
+	hash = stated_hash(&f);
+	host_directory_put(&f.directory, &r);
+	CU_ASSERT_NOT_EQUAL(stated_hash(&f), hash);
+	tear_down(&f);
+}
+
+/*
+ * Guards against a host that goes on for the first one although it did not
+ * grant before: the first one left and came back, and this one may only grant
+ * after it has seen both.
+ */
+static void test_defer_since(void)
+{
+	char *first = ranked_host(0);
+	struct fixture f;
+
+	set_up(&f, 1);
+	join(&f);
+	/* Earlier answers of others count for 2 s. */
+	advance_renewed(&f, 3 * US_PER_S);
+	remove_first(&f);
+	put_host(&f, first);
+	CU_ASSERT_EQUAL(part(&f), TOKEN_PART_NONE);
+	advance_renewed(&f, 2 * STEP_US);
+	CU_ASSERT_EQUAL(part(&f), TOKEN_PART_SECOND);
+	tear_down(&f);
+	g_free(first);
+}
+
 /* Asks eight hosts, of which the last is alone in its domain. */
 static struct store_witness *ask_witnesses(struct fixture *f,
 					   struct store_contact contact,
@@ -782,5 +891,9 @@
 	{ "new record", test_new_record },
 	{ "missing domain", test_missing_domain },
 	{ "heard later", test_heard_later },
+	{ "missing gone", test_missing_gone },
+	{ "old answers", test_old_answers },
+	{ "lease in view", test_lease_in_view },
+	{ "defer since", test_defer_since },
 	CU_TEST_INFO_NULL,
 };
