--- a/test/unit/test_token_owner.c
+++ b/test/unit/test_token_owner.c
@@ -629,6 +629,9 @@
 	token_owner_handle_release(f.owner, "10.0.0.1:7000", &answer);
 	CU_ASSERT_EQUAL(part(&f), TOKEN_PART_NONE);
 	answer.lease = 1;
+	advance_renewed(&f, 2 * US_PER_S);
+	token_owner_handle_release(f.owner, "10.0.0.1:7000", &answer);
+	CU_ASSERT_EQUAL(part(&f), TOKEN_PART_NONE);
 	token_owner_handle_release(f.owner, "10.0.0.1:7000", &answer);
 	CU_ASSERT_EQUAL(part(&f), TOKEN_PART_ALL);
 	tear_down(&f);
@@ -737,16 +740,33 @@
 	tear_down(&f);
 }
 
-static uint64_t stated_hash(struct fixture *f)
+/* Returns what this host states when it is asked. */
+static struct token_view statement(struct fixture *f)
 {
 	struct token_view question = { 0 };
-	uint64_t hash;
+	struct token_view answer;
 
 	token_owner_handle_view(f->owner, "10.0.0.1:7000", &question);
-	hash = g_array_index(f->asked, struct asked, f->asked->len - 1)
-		       .view.hash;
+	answer = g_array_index(f->asked, struct asked, f->asked->len - 1).view;
 	g_array_set_size(f->asked, 0);
-	return hash;
+	return answer;
+}
+
+/* Guards against agreement with a host that has seen another one leave. */
+static void test_gone_in_view(void)
+{
+	struct fixture f;
+	char *name;
+
+	set_up(&f, 0);
+	CU_ASSERT_FALSE(statement(&f).has_gone);
+	name = other_host(&f);
+	host_directory_remove(&f.directory, name);
+	g_free(name);
+	CU_ASSERT_TRUE(statement(&f).has_gone);
+	advance(&f, TOKEN_JOIN_US);
+	CU_ASSERT_FALSE(statement(&f).has_gone);
+	tear_down(&f);
 }
 
 /* Guards against agreement with hosts that know an earlier record of a host. */
@@ -760,9 +780,9 @@
 	uint64_t hash;
 
 	set_up(&f, 0);
-	hash = stated_hash(&f);
+	hash = statement(&f).hash;
 	host_directory_put(&f.directory, &r);
-	CU_ASSERT_NOT_EQUAL(stated_hash(&f), hash);
+	CU_ASSERT_NOT_EQUAL(statement(&f).hash, hash);
 	tear_down(&f);
 }
 
@@ -893,6 +913,7 @@
 	{ "heard later", test_heard_later },
 	{ "missing gone", test_missing_gone },
 	{ "old answers", test_old_answers },
+	{ "gone in view", test_gone_in_view },
 	{ "lease in view", test_lease_in_view },
 	{ "defer since", test_defer_since },
 	CU_TEST_INFO_NULL,
