--- a/net/host_frame.c
+++ b/net/host_frame.c
@@ -290,8 +290,8 @@
 	msgpack_pack_uint64(&pk, view->hash);
 	pack_flag(&pk, view->has_gone);
 	pack_flag(&pk, view->has_store);
-	pack_flag(&pk, view->is_deferring);
 	pack_flag(&pk, view->is_answer);
+	pack_flag(&pk, view->is_deferring);
 	msgpack_pack_uint64(&pk, (uint64_t)MAX(view->store_age_us, 0));
 	msgpack_pack_uint64(&pk, (uint64_t)MAX(view->store_steady_us, 0));
 	msgpack_pack_uint64(&pk, (uint64_t)MAX(view->asked_us, 0));
@@ -656,8 +656,8 @@
 		r->frame->token_view.hash = read_number(r);
 		r->frame->token_view.has_gone = read_flag(r);
 		r->frame->token_view.has_store = read_flag(r);
-		r->frame->token_view.is_deferring = read_flag(r);
 		r->frame->token_view.is_answer = read_flag(r);
+		r->frame->token_view.is_deferring = read_flag(r);
 		r->frame->token_view.store_age_us = read_time(r);
 		r->frame->token_view.store_steady_us = read_time(r);
 		r->frame->token_view.asked_us = read_time(r);
