--- a/bench/quota_model.c
+++ b/bench/quota_model.c
@@ -144,6 +144,7 @@
 	struct lease_time t = { now, now };
 	struct token_claim claim = {
 		.key = "o",
+		.domain = "",
 		.limit = { .max_per_s = m->rate, .burst = m->burst },
 	};
 	struct token_grant g;
@@ -361,7 +362,9 @@
 		struct token_claim c = {
 			.key = key,
 			.domain = "",
-			.limit = { 1000, 1000, false, 12 },
+			.limit = { .max_per_s = 1000,
+				   .burst = 1000,
+				   .version = 12 },
 			.sequence = 1000,
 			.wanted = 3,
 			.returned = 1,
--- a/include/router/directory.h
+++ b/include/router/directory.h
@@ -45,6 +45,8 @@
 	uint32_t outstanding;
 	/** Orders hosts of equal capacity. */
 	uint64_t name_hash;
+	/** As of host_directory_rate_region(); interned. */
+	const char *rate_region;
 };
 
 /** Host whose record was removed. */
@@ -53,6 +55,7 @@
 	uint32_t capacity;
 	/** Region of the host; borrowed from the names of regions or domains. */
 	const char *region;
+	const char *rate_region;
 };
 
 /**
@@ -68,6 +71,8 @@
 	uint64_t generation;
 	/** Of struct gone_host, until they are taken out; the latest last. */
 	GArray *gone;
+	/** Rate regions that hosts have left, until they are taken out. */
+	GHashTable *left_regions;
 	/**
 	 * Number of hosts in the region that gather, as of gatherers_at_us. It
 	 * grows when a gathering host is busy and decays exponentially.
@@ -135,12 +140,27 @@
 
 /**
  * Returns the owners of a key: the first two hosts by a hash, those of the
- * region of a failure domain before others.
+ * region of a failure domain before others. If domain is empty, or a region as
+ * of host_directory_rate_region(), hosts with more capacity come first.
  */
 struct rate_owners host_directory_rate_owners(struct host_directory *d,
 					      const char *key,
 					      const char *domain);
 
+/**
+ * Returns the region of a failure domain in the form that the keys of rates
+ * have: "=" and its name, which no failure domain has, or "=" if none is
+ * configured. The text is interned.
+ */
+const char *host_directory_rate_region(const struct host_directory *d,
+				       const char *domain);
+
+/** Returns the regions of all hosts in this form; free the array. */
+GPtrArray *host_directory_list_regions(const struct host_directory *d);
+
+/** Returns the regions that hosts have left since the last call; free it. */
+GPtrArray *host_directory_take_left_regions(struct host_directory *d);
+
 /** Returns the hosts removed since the last call; free the array. */
 GArray *host_directory_take_gone(struct host_directory *d);
 
@@ -154,10 +174,11 @@
 			       const char *domain);
 
 /**
- * Returns the other hosts with the most capacity, which own the keys without a
- * region; none if there are more than most. Free the array.
+ * Returns the other hosts with the most capacity of a region, which own its
+ * quotas, in an order that is the same for all hosts. Free the array.
  */
-GPtrArray *host_directory_strongest(struct host_directory *d, guint most);
+GPtrArray *host_directory_strongest(struct host_directory *d,
+				    const char *region);
 
 /** Notes that a gathering host was busy: more hosts gather for a while. */
 void host_directory_note_busy(struct host_directory *d, int64_t now_us);
--- a/include/router/token_lease.h
+++ b/include/router/token_lease.h
@@ -3,8 +3,11 @@
 
 #include "router/token_pool.h"
 
-/** Grants of which tokens may be left at the same time. */
-#define LEASE_LOTS 2
+/**
+ * Grants of which tokens may be left at the same time. Owners of several
+ * regions may grant, and only the one that granted tokens takes them back.
+ */
+#define LEASE_LOTS 4
 
 /**
  * Time by two clocks. A host may be suspended, during which the monotonic clock
--- a/include/router/token_pool.h
+++ b/include/router/token_pool.h
@@ -49,12 +49,18 @@
 	bool is_cold_leaf;
 	/** Version of the configuration that sets the limit. */
 	uint64_t version;
+	/** Regions that divide the limit equally; 0 for one. Not sent. */
+	uint32_t regions;
 };
 
 /** Claim of a host. Pointers are borrowed. */
 struct token_claim {
 	const char *key;
-	/** The owners are hosts of its region; empty for all hosts. */
+	/**
+	 * The owners are hosts of its region; empty for all hosts. Of a quota:
+	 * a region as of host_directory_rate_region(), whose part of the quota
+	 * is claimed.
+	 */
 	const char *domain;
 	enum token_claim_kind kind;
 	struct token_limit limit;
@@ -79,12 +85,29 @@
 	uint64_t ticket;
 	/** The owner has no more tokens: time until the next claim. */
 	int64_t retry_us;
+	/**
+	 * Time in which the next claim, of another owner, will be answered; 0
+	 * if not known. Not sent.
+	 */
+	int64_t next_answer_us;
+	/** The bucket is nearly empty. Not sent. */
+	bool is_low;
 	/** For the cache of the claiming host. */
 	bool is_standing;
 	/** The host does not own the key, or its cache has too few tokens. */
 	bool is_elsewhere;
 };
 
+/** Key of a bucket: each region has one of each quota. */
+struct token_key {
+	const char *key;
+	const char *domain;
+};
+
+/** For tables with keys of struct token_key. */
+unsigned int token_key_hash(const void *key);
+int token_key_equal(const void *a, const void *b);
+
 /** seed distinguishes the tickets of this pool from those of other hosts. */
 struct token_pool *token_pool_create(uint32_t seed);
 void token_pool_free(struct token_pool *p);
--- a/router/directory.c
+++ b/router/directory.c
@@ -31,6 +31,8 @@
 #define GATHERERS_ALL_MAX_HOSTS 4
 /* Removed hosts that are kept until they are taken out. */
 #define GONE_MAX 65536
+/* Before the names of regions in keys; domains are set as "domain=region". */
+#define REGION_MARK "="
 
 void host_record_clear(struct host_record *r)
 {
@@ -54,6 +56,7 @@
 	d->leaves = leaves;
 	d->self = g_strdup(self);
 	d->gone = g_array_new(FALSE, FALSE, sizeof(struct gone_host));
+	d->left_regions = g_hash_table_new(g_str_hash, g_str_equal);
 	d->hosts = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					 handle_free_host);
 }
@@ -62,15 +65,63 @@
 {
 	g_hash_table_destroy(d->hosts);
 	g_array_free(d->gone, TRUE);
+	g_hash_table_destroy(d->left_regions);
 	g_free(d->self);
 }
 
+const char *host_directory_rate_region(const struct host_directory *d,
+				       const char *domain)
+{
+	const char *name = g_hash_table_lookup(d->leaves->regions, domain);
+	char *region = g_strconcat(REGION_MARK, name, NULL);
+	const char *interned = g_intern_string(region);
+
+	g_free(region);
+	return interned;
+}
+
+/* Region names outlive the hosts: those of the set, or interned domains. */
+static const char *lasting_region(const struct host_directory *d,
+				  const struct known_host *h)
+{
+	const char *region =
+		g_hash_table_lookup(d->leaves->regions, h->record.domain);
+
+	return region ? region : g_intern_string(h->record.domain);
+}
+
+static void note_gone(struct host_directory *d, const struct known_host *h)
+{
+	struct gone_host gone = {
+		.name_hash = h->name_hash,
+		.capacity = h->record.capacity,
+		.region = lasting_region(d, h),
+		.rate_region = h->rate_region,
+	};
+
+	if (d->gone->len < GONE_MAX)
+		g_array_append_val(d->gone, gone);
+}
+
+/*
+ * A host with another capacity may own other keys: to hosts that may grant, its
+ * earlier place among the owners is that of a host that has left.
+ */
+static void change_capacity(struct host_directory *d, struct known_host *h,
+			    uint32_t capacity)
+{
+	note_gone(d, h);
+	h->record.capacity = capacity;
+	d->generation++;
+}
+
 void host_directory_put(struct host_directory *d, struct host_record *r)
 {
 	struct known_host *h = g_hash_table_lookup(d->hosts, r->name);
 
 	if (h && !strcmp(h->record.address, r->address)) {
-		h->record.capacity = r->capacity;
+		if (h->record.capacity != r->capacity)
+			change_capacity(d, h, r->capacity);
 		host_record_clear(r);
 		return;
 	}
@@ -79,35 +130,54 @@
 	memset(r, 0, sizeof(*r));
 	h->distance = leaf_set_distance(d->leaves, h->record.domain);
 	h->name_hash = hash_string(h->record.name, 0);
+	h->rate_region = host_directory_rate_region(d, h->record.domain);
 	g_hash_table_replace(d->hosts, h->record.name, h);
 	d->generation++;
 }
 
-/* Region names outlive the hosts: those of the set, or interned domains. */
-static const char *lasting_region(const struct host_directory *d,
-				  const struct known_host *h)
-{
-	const char *region =
-		g_hash_table_lookup(d->leaves->regions, h->record.domain);
-
-	return region ? region : g_intern_string(h->record.domain);
-}
-
 void host_directory_remove(struct host_directory *d, const char *name)
 {
 	const struct known_host *h = g_hash_table_lookup(d->hosts, name);
-	struct gone_host gone;
 
 	if (!h)
 		return;
-	gone = (struct gone_host){ h->name_hash, h->record.capacity,
-				   lasting_region(d, h) };
-	if (d->gone->len < GONE_MAX)
-		g_array_append_val(d->gone, gone);
+	note_gone(d, h);
+	g_hash_table_add(d->left_regions, (gpointer)h->rate_region);
 	g_hash_table_remove(d->hosts, name);
 	d->generation++;
 }
 
+GPtrArray *host_directory_list_regions(const struct host_directory *d)
+{
+	GHashTable *names = g_hash_table_new(NULL, NULL);
+	GPtrArray *list = g_ptr_array_new();
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, d->hosts);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct known_host *h = value;
+
+		if (g_hash_table_add(names, (gpointer)h->rate_region))
+			g_ptr_array_add(list, (gpointer)h->rate_region);
+	}
+	g_hash_table_destroy(names);
+	return list;
+}
+
+GPtrArray *host_directory_take_left_regions(struct host_directory *d)
+{
+	GPtrArray *list = g_ptr_array_new();
+	GHashTableIter iter;
+	gpointer name;
+
+	g_hash_table_iter_init(&iter, d->left_regions);
+	while (g_hash_table_iter_next(&iter, &name, NULL))
+		g_ptr_array_add(list, name);
+	g_hash_table_remove_all(d->left_regions);
+	return list;
+}
+
 GArray *host_directory_take_gone(struct host_directory *d)
 {
 	GArray *gone = d->gone;
@@ -383,11 +453,18 @@
 /* Order of a host among those that may divide a rate. */
 struct rate_rank {
 	bool is_remote;
-	/** Keys without a region have the strongest hosts as owners. */
+	/** Keys of quotas have the strongest hosts as owners. */
 	uint32_t weakness;
 	uint64_t hash;
 };
 
+/** Hosts that come before others as owners of a key. */
+struct rate_home {
+	const char *region;
+	/** The key is one of a region, rather than of a failure domain. */
+	bool is_region;
+};
+
 static bool is_rank_before(const struct rate_rank *a, const struct rate_rank *b)
 {
 	if (a->is_remote != b->is_remote)
@@ -396,35 +473,69 @@
 					  : a->hash < b->hash;
 }
 
-static struct rate_rank rank_of(uint64_t name_hash, uint32_t capacity,
-				const char *region, uint64_t key_hash,
-				const char *key_region)
+static struct rate_home home_of(const struct host_directory *d,
+				const char *domain)
+{
+	bool is_region = g_str_has_prefix(domain, REGION_MARK);
+
+	return (struct rate_home){
+		.region = is_region ? domain : region_of_domain(d, domain),
+		.is_region = is_region,
+	};
+}
+
+static struct rate_rank rank_of(const struct gone_host *h, uint64_t key_hash,
+				const struct rate_home *home)
 {
-	bool is_regional = *key_region != '\0';
+	const char *region = home->is_region ? h->rate_region : h->region;
+	bool is_of_all = *home->region == '\0';
+	bool is_by_capacity = is_of_all || home->is_region;
 
 	return (struct rate_rank){
-		.is_remote = is_regional && strcmp(region, key_region) != 0,
-		.weakness = is_regional ? 0 : UINT32_MAX - capacity,
-		.hash = hash_pair(name_hash, key_hash),
+		.is_remote = !is_of_all && strcmp(region, home->region) != 0,
+		.weakness = is_by_capacity ? UINT32_MAX - h->capacity : 0,
+		.hash = hash_pair(h->name_hash, key_hash),
 	};
 }
 
+static struct rate_rank rank_of_host(const struct host_directory *d,
+				     const struct known_host *h,
+				     uint64_t key_hash,
+				     const struct rate_home *home)
+{
+	struct gone_host host = {
+		.name_hash = h->name_hash,
+		.capacity = h->record.capacity,
+		.region = region_of(d, h),
+		.rate_region = h->rate_region,
+	};
+
+	return rank_of(&host, key_hash, home);
+}
+
 bool host_directory_was_before(const struct host_directory *d,
 			       const struct gone_host *gone,
 			       const struct known_host *h, const char *key,
 			       const char *domain)
 {
-	const char *region = region_of_domain(d, domain);
+	struct rate_home home = home_of(d, domain);
 	uint64_t key_hash = hash_string(key, 0);
-	struct rate_rank a = rank_of(gone->name_hash, gone->capacity,
-				     gone->region, key_hash, region);
-	struct rate_rank b = rank_of(h->name_hash, h->record.capacity,
-				     region_of(d, h), key_hash, region);
+	struct rate_rank a = rank_of(gone, key_hash, &home);
+	struct rate_rank b = rank_of_host(d, h, key_hash, &home);
 
 	return is_rank_before(&a, &b);
 }
 
-GPtrArray *host_directory_strongest(struct host_directory *d, guint most)
+static gint compare_name_hashes(gconstpointer a, gconstpointer b)
+{
+	const struct known_host *x = *(const struct known_host *const *)a;
+	const struct known_host *y = *(const struct known_host *const *)b;
+
+	return x->name_hash < y->name_hash ? -1 : x->name_hash > y->name_hash;
+}
+
+GPtrArray *host_directory_strongest(struct host_directory *d,
+				    const char *region)
 {
 	GPtrArray *list = g_ptr_array_new();
 	uint32_t capacity = 0;
@@ -435,6 +546,8 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct known_host *h = value;
 
+		if (strcmp(h->rate_region, region) != 0)
+			continue;
 		if (h->record.capacity > capacity)
 			g_ptr_array_set_size(list, 0);
 		capacity = MAX(capacity, h->record.capacity);
@@ -442,8 +555,7 @@
 		    !host_directory_is_self(d, h))
 			g_ptr_array_add(list, h);
 	}
-	if (list->len > most)
-		g_ptr_array_set_size(list, 0);
+	g_ptr_array_sort(list, compare_name_hashes);
 	return list;
 }
 
@@ -451,7 +563,7 @@
 					      const char *key,
 					      const char *domain)
 {
-	const char *region = region_of_domain(d, domain);
+	struct rate_home home = home_of(d, domain);
 	uint64_t key_hash = hash_string(key, 0);
 	struct rate_owners owners = { NULL, NULL };
 	struct rate_rank first = { true, UINT32_MAX, UINT64_MAX };
@@ -462,9 +574,7 @@
 	g_hash_table_iter_init(&iter, d->hosts);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct known_host *h = value;
-		struct rate_rank rank =
-			rank_of(h->name_hash, h->record.capacity,
-				region_of(d, h), key_hash, region);
+		struct rate_rank rank = rank_of_host(d, h, key_hash, &home);
 
 		if (!owners.first || is_rank_before(&rank, &first)) {
 			owners.second = owners.first;
--- a/router/quota.c
+++ b/router/quota.c
@@ -292,9 +292,9 @@
 	}
 }
 
-/* Refuses the waiters until now, or all of them. */
-static void refuse_waiters(struct quota *q, struct quota_entry *e, bool is_all,
-			   int64_t now)
+/* Refuses the requests that wait no longer than until a time. */
+static void refuse_waiters(struct quota *q, struct quota_entry *e,
+			   int64_t until, int64_t now)
 {
 	GList *next;
 
@@ -303,7 +303,7 @@
 		struct quota_waiter *w = i->data;
 
 		next = i->next;
-		if (!is_all && now < w->until_us) {
+		if (w->until_us > until) {
 			e->wait_until_us = MIN(e->wait_until_us, w->until_us);
 			continue;
 		}
@@ -323,10 +323,13 @@
 	if (!e || !token_lease_apply_grant(&e->lease, g, now))
 		return;
 	admit_waiters(q, e, now);
-	if (e->waiters.length &&
-	    token_lease_is_dry(&e->lease, now.monotonic_us))
-		refuse_waiters(q, e, true, now.monotonic_us);
+	/* A token that comes after the wait would mostly lapse unused. */
+	if (token_lease_is_dry(&e->lease, now.monotonic_us))
+		refuse_waiters(q, e, INT64_MAX, now.monotonic_us);
 	else if (e->waiters.length)
+		refuse_waiters(q, e, now.monotonic_us + g->next_answer_us,
+			       now.monotonic_us);
+	if (e->waiters.length)
 		token_lease_claim_again(&e->lease, now);
 	arm_timer(q, e);
 }
@@ -369,7 +372,8 @@
 		};
 
 		if (e->waiters.length && now.monotonic_us >= e->wait_until_us)
-			refuse_waiters(q, e, false, now.monotonic_us);
+			refuse_waiters(q, e, now.monotonic_us,
+				       now.monotonic_us);
 		if (token_lease_take_claim(&e->lease, e->waiters.length, now,
 					   &c)) {
 			if (!claims)
--- a/router/token_exchange.c
+++ b/router/token_exchange.c
@@ -11,11 +11,27 @@
 #define PROBE_INTERVAL_US (250 * US_PER_MS)
 /* A host that does not own a key is asked for it again after this time. */
 #define ELSEWHERE_US (500 * US_PER_MS)
-/* The same for a cache with too few tokens, which claims some meanwhile. */
-#define CACHE_EMPTY_US (50 * US_PER_MS)
+/*
+ * Claims go to another region while an owner has not answered for this time: a
+ * round trip to another region over a new link takes 72 ms.
+ */
+#define SLOW_US (100 * US_PER_MS)
+/*
+ * A region that is gone counts for this time: its owners may grant for 9 s, and
+ * the tokens of a host are valid for 6 s, counted in slots of 0.5 s.
+ */
+#define REGION_KEPT_US (TOKEN_JOIN_US + TOKEN_STANDING_US + 500 * US_PER_MS)
+/*
+ * Factor on the time until the next claim from another region that granted
+ * nothing: its own hosts ask it already.
+ */
+/* Most tokens of other regions that an owner adds to a grant. */
+#define LENT_MAX 2
+#define EMPTY_REGION_FACTOR 4
+#define EMPTY_REGION_MAX_US (1 * US_PER_S)
 /* Links without claims are used at this interval; they close after 60 s. */
 #define LINK_INTERVAL_US (20 * US_PER_S)
-/* In larger fleets the links to owners open when they are first used. */
+/* Links beyond this number open when they are first used. */
 #define LINKED_OWNERS_MAX 24
 /* Keys whose owners are kept; the table is emptied beyond that. */
 #define OWNERS_MAX 16384
@@ -37,14 +53,43 @@
  */
 #define GONE_KEPT_US (60 * US_PER_S)
 
+/** Owners of a key in a region, or of the key of a cold leaf. */
 struct key_owners {
+	/** Of the table; its strings belong to the entry. */
+	struct token_key key;
 	struct rate_owners hosts;
-	/** This host, if its cache has tokens of the key; or NULL. */
-	struct known_host *cache;
-	/** The cache has too few tokens. */
-	int64_t avoid_cache_until_us;
 	/** The first owner has answered that it may not grant. */
 	int64_t avoid_first_until_us;
+	/** The first owner has no tokens for this host. */
+	int64_t first_empty_until_us;
+	/** The second owner has no tokens for this host, or may not grant. */
+	int64_t avoid_second_until_us;
+	/** Time that the last answer took. */
+	int64_t answer_us;
+};
+
+/** Owners from which this host claims the tokens of a key. */
+struct key_route {
+	/** Of a quota: this host's region and then the others; domains. */
+	GPtrArray *regions;
+	/** Where the last claim went. */
+	struct key_owners *asked;
+	bool is_second_asked;
+	int64_t asked_at_us;
+	/** Of an owner: the other region whose tokens its cache claims. */
+	guint lender;
+	/** Regions that have had none for it since one had some. */
+	guint empty_lenders;
+};
+
+/** Region that divides the quotas with others. */
+struct token_region {
+	/** Interned. */
+	const char *name;
+	/** Hosts of it are in the mirror. */
+	bool is_present;
+	/** When a host was last seen to leave it; 0 if none was. */
+	int64_t left_us;
 };
 
 struct dated_host {
@@ -60,9 +105,17 @@
 	struct token_cache *cache;
 	/** Of struct token_grant; their keys are copies. */
 	GArray *own_grants;
-	/** Of struct key_owners by key, for one generation of the directory. */
+	/**
+	 * Of struct key_owners by struct token_key, and of struct key_route by
+	 * key, for one generation of the directory.
+	 */
 	GHashTable *owners;
+	GHashTable *routes;
 	uint64_t owners_generation;
+	/** Of struct token_region, for one generation of the directory. */
+	GArray *regions;
+	uint64_t regions_generation;
+	uint32_t region_count;
 	/** Of struct dated_host, the earliest first. */
 	GArray *gone;
 	/** This host has had contact and its record since then. */
@@ -377,42 +430,224 @@
 		send_view(x, address, true);
 }
 
-/*
- * Returns the host whose cache has tokens of a key, or NULL: this one for a
- * quota, since callers mostly stay with a host. The rate of a cold leaf is too
- * low for tokens that nobody uses.
- */
-static struct known_host *find_cache(struct token_exchange *x,
-				     const struct token_claim *c,
-				     const struct known_host *owner)
+static void handle_free_owners(gpointer data)
 {
-	struct host_directory *d = x->options.directory;
+	struct key_owners *o = data;
 
-	if (c->limit.is_cold_leaf || !owner || is_self(x, owner))
-		return NULL;
-	return g_hash_table_lookup(d->hosts, d->self);
+	g_free((char *)o->key.key);
+	g_free((char *)o->key.domain);
+	g_free(o);
+}
+
+static void handle_free_route(gpointer data)
+{
+	struct key_route *r = data;
+
+	g_ptr_array_free(r->regions, TRUE);
+	g_free(r);
+}
+
+static void forget_owners(struct token_exchange *x)
+{
+	g_hash_table_remove_all(x->routes);
+	g_hash_table_remove_all(x->owners);
+}
+
+static void drop_old_owners(struct token_exchange *x)
+{
+	if (x->owners_generation == x->options.directory->generation)
+		return;
+	forget_owners(x);
+	x->owners_generation = x->options.directory->generation;
 }
 
 static struct key_owners *get_owners(struct token_exchange *x,
 				     const struct token_claim *c)
 {
-	struct host_directory *d = x->options.directory;
+	struct token_key key = { c->key, c->domain };
 	struct key_owners *known;
 
-	if (x->owners_generation != d->generation) {
-		g_hash_table_remove_all(x->owners);
-		x->owners_generation = d->generation;
-	}
-	known = g_hash_table_lookup(x->owners, c->key);
+	drop_old_owners(x);
+	known = g_hash_table_lookup(x->owners, &key);
 	if (known)
 		return known;
 	known = g_new0(struct key_owners, 1);
-	known->hosts = host_directory_rate_owners(d, c->key, c->domain);
-	known->cache = find_cache(x, c, known->hosts.first);
-	g_hash_table_insert(x->owners, g_strdup(c->key), known);
+	known->key.key = g_strdup(c->key);
+	known->key.domain = g_strdup(c->domain);
+	known->hosts = host_directory_rate_owners(x->options.directory, c->key,
+						  c->domain);
+	g_hash_table_insert(x->owners, &known->key, known);
 	return known;
 }
 
+static struct token_region *find_region(struct token_exchange *x,
+					const char *name)
+{
+	for (guint i = 0; i < x->regions->len; i++) {
+		struct token_region *r =
+			&g_array_index(x->regions, struct token_region, i);
+
+		if (!strcmp(r->name, name))
+			return r;
+	}
+	return NULL;
+}
+
+static struct token_region *get_region(struct token_exchange *x,
+				       const char *name)
+{
+	struct token_region new = { .name = name };
+	struct token_region *r = find_region(x, name);
+
+	if (r)
+		return r;
+	g_array_append_val(x->regions, new);
+	return find_region(x, name);
+}
+
+/* Notes which regions have hosts, and which had some since the last call. */
+static void update_regions(struct token_exchange *x)
+{
+	struct host_directory *d = x->options.directory;
+	GPtrArray *list;
+
+	if (x->regions_generation == d->generation)
+		return;
+	x->regions_generation = d->generation;
+	for (guint i = 0; i < x->regions->len; i++)
+		g_array_index(x->regions, struct token_region, i).is_present =
+			false;
+	list = host_directory_list_regions(d);
+	for (guint i = 0; i < list->len; i++)
+		get_region(x, list->pdata[i])->is_present = true;
+	g_ptr_array_free(list, TRUE);
+	/* Also one that came and went since: its owners may still grant. */
+	list = host_directory_take_left_regions(d);
+	for (guint i = 0; i < list->len; i++)
+		get_region(x, list->pdata[i])->left_us = now_us(x);
+	g_ptr_array_free(list, TRUE);
+}
+
+/*
+ * Returns the number of regions that divide the quotas. A new region counts at
+ * once, since it begins to grant when all hosts that grant know it. One that is
+ * gone counts until its owners have stopped, which this host knows only if it
+ * had contact for all of that time, and until their tokens have lapsed.
+ */
+static uint32_t count_regions(struct token_exchange *x)
+{
+	int64_t now = now_us(x);
+	uint32_t count = 0;
+
+	if (x->options.is_alone)
+		return 1;
+	update_regions(x);
+	for (guint i = 0; i < x->regions->len;) {
+		const struct token_region *r =
+			&g_array_index(x->regions, struct token_region, i);
+
+		if (!r->is_present &&
+		    now - MAX(r->left_us, x->joined_us) >= REGION_KEPT_US) {
+			g_array_remove_index_fast(x->regions, i);
+			continue;
+		}
+		count++;
+		i++;
+	}
+	if (count != x->region_count)
+		event_log(EV_TOKEN_REGIONS, "host=%s regions=%u before=%u",
+			  x->options.directory->self, count, x->region_count);
+	x->region_count = count;
+	return MAX(count, 1);
+}
+
+struct ordered_region {
+	const char *name;
+	bool is_other;
+	uint64_t hash;
+};
+
+static gint compare_regions(gconstpointer a, gconstpointer b)
+{
+	const struct ordered_region *x = a;
+	const struct ordered_region *y = b;
+
+	if (x->is_other != y->is_other)
+		return x->is_other ? 1 : -1;
+	return x->hash < y->hash ? -1 : x->hash > y->hash;
+}
+
+/* Returns the regions with hosts, of struct ordered_region, in their order. */
+static GArray *order_regions(struct token_exchange *x, uint64_t key_hash)
+{
+	struct host_directory *d = x->options.directory;
+	const char *own = host_directory_rate_region(d, d->leaves->domain);
+	GArray *list = g_array_new(FALSE, FALSE, sizeof(struct ordered_region));
+
+	update_regions(x);
+	for (guint i = 0; i < x->regions->len; i++) {
+		const struct token_region *r =
+			&g_array_index(x->regions, struct token_region, i);
+		struct ordered_region o = {
+			.name = r->name,
+			.is_other = strcmp(r->name, own) != 0,
+			.hash = hash_pair(hash_string(r->name, 0), key_hash),
+		};
+
+		if (r->is_present)
+			g_array_append_val(list, o);
+	}
+	g_array_sort(list, compare_regions);
+	return list;
+}
+
+static struct key_route *get_route(struct token_exchange *x,
+				   const struct token_claim *c)
+{
+	struct key_route *known;
+	GArray *list;
+
+	drop_old_owners(x);
+	known = g_hash_table_lookup(x->routes, c->key);
+	if (known)
+		return known;
+	known = g_new0(struct key_route, 1);
+	known->regions = g_ptr_array_new();
+	g_hash_table_insert(x->routes, g_strdup(c->key), known);
+	if (c->limit.is_cold_leaf) {
+		g_ptr_array_add(known->regions,
+				(gpointer)g_intern_string(c->domain));
+		return known;
+	}
+	list = order_regions(x, hash_string(c->key, 0));
+	for (guint i = 0; i < list->len; i++)
+		g_ptr_array_add(
+			known->regions,
+			(gpointer)g_array_index(list, struct ordered_region, i)
+				.name);
+	g_array_free(list, TRUE);
+	return known;
+}
+
+/*
+ * Returns whether this host's cache has tokens of a key: of quotas, since
+ * callers mostly stay with a host. The rate of a cold leaf is too low for
+ * tokens that nobody uses. The owner itself needs none.
+ */
+static bool has_cache(struct token_exchange *x, const struct token_claim *c)
+{
+	const struct key_route *r;
+	struct token_claim own = *c;
+
+	if (x->options.is_alone || c->limit.is_cold_leaf)
+		return false;
+	r = get_route(x, c);
+	if (!r->regions->len)
+		return false;
+	own.domain = r->regions->pdata[0];
+	return !is_self(x, get_owners(x, &own)->hosts.first);
+}
+
 /* Returns the time from which no host before this one can grant any more. */
 static int64_t charge_time(const struct token_exchange *x,
 			   const struct token_claim *c,
@@ -462,35 +697,95 @@
 	return now >= *since ? TOKEN_PART_SECOND : TOKEN_PART_NONE;
 }
 
+/*
+ * Returns whether a claim may be granted here: the part of a region that has no
+ * hosts any more is not granted, since this host is the first by hash of its
+ * key although the other regions may divide the quota without it.
+ */
+static bool may_answer(struct token_exchange *x, const struct token_claim *c)
+{
+	const struct token_region *r;
+
+	if (x->options.is_alone || c->limit.is_cold_leaf)
+		return true;
+	update_regions(x);
+	r = find_region(x, c->domain);
+	return r && r->is_present;
+}
+
+static void update_limit(struct token_exchange *x, struct token_claim *c)
+{
+	if (x->options.ops->update_limit)
+		x->options.ops->update_limit(x->options.ctx, c->key, &c->limit);
+}
+
+/*
+ * An owner whose bucket is nearly empty holds some tokens of other regions in
+ * its cache: a host that had to claim them itself would wait for two answers.
+ */
+static void add_lent(struct token_exchange *x, const struct token_claim *c,
+		     struct token_grant *g)
+{
+	struct token_claim rest = *c;
+	struct token_grant lent;
+
+	if (!g->is_low || c->wanted > LENT_MAX ||
+	    c->kind == TOKEN_CLAIM_STANDING || c->limit.is_cold_leaf ||
+	    x->options.is_alone || get_route(x, c)->regions->len < 2 ||
+	    !is_self(x, get_owners(x, c)->hosts.first))
+		return;
+	rest.wanted -= MIN(g->tokens, rest.wanted);
+	token_cache_claim(x->cache, &rest, lease_now(x), &lent);
+	if (!lent.tokens)
+		return;
+	g->tokens += lent.tokens;
+	g->retry_us = 0;
+	/* The bucket does not take tokens of another one back. */
+	g->ticket = 0;
+}
+
 static struct token_grant answer_claim(struct token_exchange *x,
 				       const struct token_claim *c)
 {
 	struct token_claim claim = *c;
+	enum token_part part = TOKEN_PART_NONE;
 	struct token_grant g;
-	enum token_part part;
-	int64_t since;
+	int64_t since = 0;
 
-	if (x->options.ops->update_limit)
-		x->options.ops->update_limit(x->options.ctx, c->key,
-					     &claim.limit);
-	if (claim.kind == TOKEN_CLAIM_CACHED) {
-		token_cache_claim(x->cache, &claim, lease_now(x), &g);
-		return g;
-	}
-	part = own_part(x, &claim, &since);
+	update_limit(x, &claim);
+	if (!claim.limit.is_cold_leaf)
+		claim.limit.regions = count_regions(x);
+	if (may_answer(x, &claim))
+		part = own_part(x, &claim, &since);
 	token_pool_claim(x->pool, &claim, part, since, now_us(x), &g);
+	add_lent(x, &claim, &g);
 	return g;
 }
 
-static void queue_own_grant(struct token_exchange *x,
-			    const struct token_claim *c)
+/* Keeps a grant to this host until token_exchange_deliver_own(). */
+static void queue_own_grant(struct token_exchange *x, struct token_grant g)
 {
-	struct token_grant g = answer_claim(x, c);
-
 	g.key = g_strdup(g.key);
 	g_array_append_val(x->own_grants, g);
 }
 
+/* Answers a claim of single tokens; returns whether the cache has them. */
+static bool take_cached(struct token_exchange *x, struct token_claim *c)
+{
+	struct token_claim claim = *c;
+	struct token_grant g;
+
+	c->kind = TOKEN_CLAIM_USE;
+	if (!has_cache(x, &claim))
+		return false;
+	update_limit(x, &claim);
+	token_cache_claim(x->cache, &claim, lease_now(x), &g);
+	if (g.is_elsewhere)
+		return false;
+	queue_own_grant(x, g);
+	return true;
+}
+
 static bool is_silent(const struct known_host *h, int64_t now)
 {
 	return h->tokens_asked_us && now - h->tokens_asked_us >= SILENT_US;
@@ -519,13 +814,14 @@
 	g_array_free(claims, TRUE);
 }
 
-void token_exchange_keep_links(struct token_exchange *x)
+static void keep_links(struct token_exchange *x, const char *region,
+		       guint *left)
 {
-	GPtrArray *owners = host_directory_strongest(x->options.directory,
-						     LINKED_OWNERS_MAX);
+	GPtrArray *owners =
+		host_directory_strongest(x->options.directory, region);
 	int64_t now = now_us(x);
 
-	for (guint i = 0; i < owners->len; i++) {
+	for (guint i = 0; i < owners->len && *left; i++, --*left) {
 		struct known_host *h = owners->pdata[i];
 
 		if (!h->tokens_sent_us ||
@@ -535,11 +831,43 @@
 	g_ptr_array_free(owners, TRUE);
 }
 
-/* Returns the host from which to claim, or NULL if none is known. */
+void token_exchange_keep_links(struct token_exchange *x)
+{
+	GArray *regions = order_regions(x, 0);
+	guint left = LINKED_OWNERS_MAX;
+
+	for (guint i = 0; i < MIN(regions->len, 1); i++)
+		keep_links(
+			x,
+			g_array_index(regions, struct ordered_region, i).name,
+			&left);
+	g_array_free(regions, TRUE);
+}
+
+static bool is_slow(const struct token_exchange *x, const struct known_host *h)
+{
+	return !is_self(x, h) && h->tokens_asked_us &&
+	       now_us(x) - h->tokens_asked_us >= SLOW_US;
+}
+
+static void note_silent(struct token_exchange *x, const char *key,
+			struct known_host *h)
+{
+	int64_t silent_us = now_us(x) - h->tokens_asked_us;
+
+	if (is_silent(h, now_us(x)) && !h->is_token_silence_logged) {
+		event_log(EV_TOKEN_OWNER_LOST, "key=%s host=%s silent_ms=%lld",
+			  key, h->record.name,
+			  (long long)(silent_us / US_PER_MS));
+		h->is_token_silence_logged = true;
+	}
+	probe_owner(x, h);
+}
+
+/* Returns the owner from which to claim in one region, or NULL. */
 static struct known_host *choose_owner(struct token_exchange *x,
-				       const struct token_claim *c)
+				       const struct key_owners *o)
 {
-	const struct key_owners *o = get_owners(x, c);
 	struct known_host *first = o->hosts.first;
 	int64_t now = now_us(x);
 
@@ -549,67 +877,182 @@
 		return o->hosts.second;
 	if (is_self(x, first) || !is_silent(first, now))
 		return first;
-	if (!first->is_token_silence_logged)
-		event_log(EV_TOKEN_OWNER_LOST, "key=%s host=%s silent_ms=%lld",
-			  c->key, first->record.name,
-			  (long long)((now - first->tokens_asked_us) /
-				      US_PER_MS));
-	first->is_token_silence_logged = true;
-	probe_owner(x, first);
+	note_silent(x, o->key.key, first);
 	return o->hosts.second;
 }
 
-static void handle_free_claims(gpointer data)
+static struct key_owners *route_owners(struct token_exchange *x,
+				       const struct key_route *r,
+				       const struct token_claim *c, guint i)
 {
-	g_array_free(data, TRUE);
+	struct token_claim claim = { .key = c->key,
+				     .domain = r->regions->pdata[i] };
+
+	return get_owners(x, &claim);
+}
+
+static struct known_host *ask(const struct token_exchange *x,
+			      struct key_route *r, struct token_claim *c,
+			      struct key_owners *o, struct known_host *h)
+{
+	c->domain = o->key.domain;
+	r->asked = o;
+	r->asked_at_us = now_us(x);
+	r->is_second_asked = h != o->hosts.first;
+	return h;
 }
 
-/* Returns the host to which a claim goes; a cached one may go to the owner. */
+/*
+ * Returns when the first owner, or the second one, of a region can be asked;
+ * INT64_MAX if that depends on an answer that is late.
+ */
+static int64_t first_from(const struct token_exchange *x,
+			  const struct key_owners *o)
+{
+	if (is_slow(x, o->hosts.first))
+		return INT64_MAX;
+	return MAX(o->avoid_first_until_us, o->first_empty_until_us);
+}
+
+static bool is_lost(const struct token_exchange *x, const struct key_owners *o)
+{
+	return is_slow(x, o->hosts.first) ||
+	       now_us(x) < o->avoid_first_until_us;
+}
+
+static int64_t second_from(const struct token_exchange *x,
+			   const struct key_owners *o)
+{
+	const struct known_host *second = o->hosts.second;
+
+	return second && !is_slow(x, second) ? o->avoid_second_until_us
+					     : INT64_MAX;
+}
+
+/*
+ * Returns whether second owners may be asked: while the first owner of a region
+ * does not grant. At other times they would only add messages.
+ */
+static bool uses_seconds(struct token_exchange *x, const struct key_route *r,
+			 const struct token_claim *c)
+{
+	for (guint i = 0; i < r->regions->len; i++) {
+		if (is_lost(x, route_owners(x, r, c, i)))
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Chooses among the owners of all regions: the first owners in the order of the
+ * regions, then the second owners.
+ */
+static struct known_host *choose_region(struct token_exchange *x,
+					struct key_route *r,
+					struct token_claim *c)
+{
+	int64_t now = now_us(x);
+	struct key_owners *o;
+
+	for (guint i = 0; i < r->regions->len; i++) {
+		o = route_owners(x, r, c, i);
+		if (now >= first_from(x, o))
+			return ask(x, r, c, o, o->hosts.first);
+		if (is_slow(x, o->hosts.first))
+			note_silent(x, c->key, o->hosts.first);
+	}
+	for (guint i = 0; i < r->regions->len && uses_seconds(x, r, c); i++) {
+		o = route_owners(x, r, c, i);
+		if (now >= second_from(x, o))
+			return ask(x, r, c, o, o->hosts.second);
+	}
+	o = route_owners(x, r, c, 0);
+	return ask(x, r, c, o, choose_owner(x, o));
+}
+
+/*
+ * Returns the owners that fill this host's cache: those of its region, which
+ * know the tokens that were used, or those of another one if it is the owner.
+ */
+static struct key_owners *choose_lender(struct token_exchange *x,
+					const struct key_route *r,
+					struct token_claim *c)
+{
+	struct key_owners *o = route_owners(x, r, c, 0);
+
+	if (r->regions->len < 2 || !is_self(x, o->hosts.first))
+		return o;
+	c->wanted = MAX(c->wanted, LENT_MAX);
+	return route_owners(x, r, c, 1 + r->lender % (r->regions->len - 1));
+}
+
+/* Returns the host to which a claim goes, or NULL if none is known. */
 static struct known_host *choose_host(struct token_exchange *x,
 				      struct token_claim *c)
 {
-	const struct key_owners *o = get_owners(x, c);
-	int64_t now = now_us(x);
+	struct key_route *r = get_route(x, c);
+	struct key_owners *o;
 
-	if (c->kind != TOKEN_CLAIM_CACHED)
-		return choose_owner(x, c);
-	if (o->cache && now >= o->avoid_cache_until_us &&
-	    (is_self(x, o->cache) || !is_silent(o->cache, now)))
-		return o->cache;
-	if (o->cache && !is_self(x, o->cache) && is_silent(o->cache, now))
-		probe_owner(x, o->cache);
-	c->kind = TOKEN_CLAIM_USE;
-	return choose_owner(x, c);
+	if (!r->regions->len)
+		return NULL;
+	if (c->kind == TOKEN_CLAIM_STANDING) {
+		o = choose_lender(x, r, c);
+		c->domain = o->key.domain;
+		return choose_owner(x, o);
+	}
+	if (r->regions->len > 1)
+		return choose_region(x, r, c);
+	o = route_owners(x, r, c, 0);
+	return ask(x, r, c, o, choose_owner(x, o));
 }
 
-static void send_all_claims(struct token_exchange *x, const GArray *claims)
+static void handle_free_claims(gpointer data)
 {
-	GHashTable *by_host =
-		g_hash_table_new_full(NULL, NULL, NULL, handle_free_claims);
-	GHashTableIter iter;
-	gpointer host;
-	gpointer list;
+	g_array_free(data, TRUE);
+}
 
+static void add_claims(struct token_exchange *x, GHashTable *by_host,
+		       const GArray *claims)
+{
 	for (guint i = 0; i < claims->len; i++) {
-		struct token_claim *c =
-			&g_array_index(claims, struct token_claim, i);
+		struct token_claim c =
+			g_array_index(claims, struct token_claim, i);
 		struct known_host *h = NULL;
 		GArray *of_host;
 
+		if (c.kind == TOKEN_CLAIM_CACHED && take_cached(x, &c))
+			continue;
 		if (!x->options.is_alone)
-			h = choose_host(x, c);
-		else if (c->kind == TOKEN_CLAIM_CACHED)
-			c->kind = TOKEN_CLAIM_USE;
+			h = choose_host(x, &c);
 		if (!h || is_self(x, h)) {
-			queue_own_grant(x, c);
+			queue_own_grant(x, answer_claim(x, &c));
 			continue;
 		}
 		of_host = g_hash_table_lookup(by_host, h);
 		if (!of_host) {
-			of_host = g_array_new(FALSE, FALSE, sizeof(*c));
+			of_host = g_array_new(FALSE, FALSE, sizeof(c));
 			g_hash_table_insert(by_host, h, of_host);
 		}
-		g_array_append_vals(of_host, c, 1);
+		g_array_append_val(of_host, c);
+	}
+}
+
+/* Sends claims, and those of the cache that are due, in one frame a host. */
+static void send_all_claims(struct token_exchange *x, const GArray *claims)
+{
+	GHashTable *by_host =
+		g_hash_table_new_full(NULL, NULL, NULL, handle_free_claims);
+	GHashTableIter iter;
+	GArray *cached;
+	gpointer host;
+	gpointer list;
+
+	if (claims)
+		add_claims(x, by_host, claims);
+	cached = token_cache_take_claims(x->cache, lease_now(x));
+	if (cached) {
+		add_claims(x, by_host, cached);
+		g_array_free(cached, TRUE);
 	}
 	g_hash_table_iter_init(&iter, by_host);
 	while (g_hash_table_iter_next(&iter, &host, &list))
@@ -625,12 +1068,8 @@
 
 void token_exchange_fill_cache(struct token_exchange *x)
 {
-	GArray *claims = token_cache_take_claims(x->cache, lease_now(x));
-
-	if (!claims)
-		return;
-	send_all_claims(x, claims);
-	g_array_free(claims, TRUE);
+	if (token_cache_next_claim(x->cache) <= now_us(x))
+		send_all_claims(x, NULL);
 }
 
 int64_t token_exchange_next_timer(const struct token_exchange *x)
@@ -652,29 +1091,112 @@
 	return grants;
 }
 
+/*
+ * Sets the time until one of the owners of all regions can be asked, and the
+ * time that its answer will take.
+ */
+static void set_retry(struct token_exchange *x, const struct key_route *r,
+		      struct token_grant *g)
+{
+	struct token_claim c = { .key = g->key };
+	bool has_seconds = uses_seconds(x, r, &c);
+	int64_t best = INT64_MAX;
+
+	for (guint i = 0; i < r->regions->len; i++) {
+		const struct key_owners *o = route_owners(x, r, &c, i);
+		int64_t from = first_from(x, o);
+
+		if (has_seconds)
+			from = MIN(from, second_from(x, o));
+		from = MAX(from, now_us(x));
+		if (from >= best)
+			continue;
+		best = from;
+		g->next_answer_us = o->answer_us;
+	}
+	g->retry_us = best == INT64_MAX ? SLOW_US : best - now_us(x);
+}
+
+/*
+ * Notes that an owner has too few tokens or may not grant: the next claim goes
+ * to another region at once, or waits until an owner can be asked.
+ */
+static void note_regions(struct token_exchange *x, struct key_route *r,
+			 struct token_grant *g)
+{
+	struct key_owners *o = r->asked;
+	int64_t wait = g->retry_us;
+	int64_t now = now_us(x);
+
+	o->answer_us = now - r->asked_at_us;
+	if (!g->is_elsewhere && !wait)
+		return;
+	if (!g->tokens && !g->is_elsewhere &&
+	    strcmp(o->key.domain, r->regions->pdata[0]) != 0)
+		wait = MIN(wait * EMPTY_REGION_FACTOR, EMPTY_REGION_MAX_US);
+	if (r->is_second_asked)
+		o->avoid_second_until_us = now + wait;
+	else if (g->is_elsewhere)
+		o->avoid_first_until_us = now + ELSEWHERE_US;
+	else
+		o->first_empty_until_us = now + wait;
+	set_retry(x, r, g);
+}
+
 /*
  * If the first owner may not grant, the next claim goes to the second one at
  * once. If that is this host or may not grant either, it waits.
  */
+static void note_elsewhere(struct token_exchange *x, struct key_owners *o,
+			   const struct known_host *from, struct token_grant *g)
+{
+	int64_t now = now_us(x);
+
+	if (!g->is_elsewhere || from != o->hosts.first || !o->hosts.second ||
+	    now < o->avoid_first_until_us)
+		return;
+	o->avoid_first_until_us = now + ELSEWHERE_US;
+	g->retry_us = 0;
+}
+
+/* If another region has no tokens for the cache, the next one is asked. */
+static void note_lender(struct token_exchange *x, struct key_route *r,
+			struct token_grant *g)
+{
+	struct token_claim c = { .key = g->key };
+
+	if (r->regions->len < 2 ||
+	    !is_self(x, route_owners(x, r, &c, 0)->hosts.first))
+		return;
+	if (g->tokens) {
+		r->empty_lenders = 0;
+		return;
+	}
+	r->lender++;
+	r->empty_lenders++;
+	if (r->empty_lenders % (r->regions->len - 1))
+		g->retry_us = 0;
+}
+
 static void deliver(struct token_exchange *x, const struct known_host *from,
 		    struct token_grant g)
 {
-	struct key_owners *o = NULL;
-	int64_t now = now_us(x);
+	struct key_route *r;
 
+	drop_old_owners(x);
+	r = g_hash_table_lookup(x->routes, g.key);
 	if (g.is_standing) {
+		if (r)
+			note_lender(x, r, &g);
 		token_cache_apply_grant(x->cache, &g, lease_now(x));
 		return;
 	}
-	if (x->owners_generation == x->options.directory->generation)
-		o = g_hash_table_lookup(x->owners, g.key);
-	if (g.is_elsewhere && o && from && from == o->cache && !g.retry_us)
-		o->avoid_cache_until_us = now + CACHE_EMPTY_US;
-	else if (g.is_elsewhere && o && from && from == o->hosts.first &&
-		 o->hosts.second && now >= o->avoid_first_until_us) {
-		o->avoid_first_until_us = now + ELSEWHERE_US;
-		g.retry_us = 0;
-	}
+	if (r && r->asked && from && r->regions->len == 1)
+		note_elsewhere(x, r->asked, from, &g);
+	else if (r && r->asked && from &&
+		 from == (r->is_second_asked ? r->asked->hosts.second
+					     : r->asked->hosts.first))
+		note_regions(x, r, &g);
 	x->options.ops->deliver_grant(x->options.ctx, &g);
 }
 
@@ -731,7 +1253,7 @@
 	token_pool_sweep(x->pool, now_us(x));
 	token_cache_sweep(x->cache, lease_now(x));
 	if (g_hash_table_size(x->owners) > OWNERS_MAX)
-		g_hash_table_remove_all(x->owners);
+		forget_owners(x);
 }
 
 struct token_exchange *
@@ -742,8 +1264,12 @@
 	x->options = *options;
 	x->pool = token_pool_create(options->seed);
 	x->cache = token_cache_create();
-	x->owners =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	x->owners = g_hash_table_new_full(token_key_hash, token_key_equal, NULL,
+					  handle_free_owners);
+	x->routes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					  handle_free_route);
+	x->regions = g_array_new(FALSE, FALSE, sizeof(struct token_region));
+	x->regions_generation = UINT64_MAX;
 	x->own_grants = g_array_new(FALSE, FALSE, sizeof(struct token_grant));
 	x->gone = g_array_new(FALSE, FALSE, sizeof(struct dated_host));
 	x->agreeing =
@@ -762,7 +1288,9 @@
 {
 	token_pool_free(x->pool);
 	token_cache_free(x->cache);
+	g_hash_table_destroy(x->routes);
 	g_hash_table_destroy(x->owners);
+	g_array_free(x->regions, TRUE);
 	free_own_grants(x->own_grants);
 	g_array_free(x->gone, TRUE);
 	g_hash_table_destroy(x->agreeing);
--- a/router/token_pool.c
+++ b/router/token_pool.c
@@ -1,6 +1,7 @@
 #include "router/token_pool.h"
 
 #include <math.h>
+#include <string.h>
 
 #include <glib.h>
 
@@ -12,6 +13,9 @@
  * Quota, 5 s: (0.98 + 0.04) * 5.3 * rate + 0.08 * rate + 1.05 * burst + 18, at
  * most (5 * rate + burst) * 1.1 + 20.
  *
+ * The regions divide the quota: each has an owner of all and a second one, and
+ * its buckets have the rate and the size divided by the number of regions.
+ *
  * Cold leaf, 1 s: (0.98 + 0.04) * 1.3 * rate + 0.14 * rate + 5, at most
  * 1.5 * rate + 5.
  */
@@ -60,11 +64,14 @@
 #define RETRY_MAX_US (1 * US_PER_S)
 /* Time until a host that asked the wrong one claims again. */
 #define RETRY_ELSEWHERE_US (250 * US_PER_MS)
+/* A bucket with fewer tokens is nearly empty. */
+#define LOW_TOKENS 2
 /* A full bucket without claims is forgotten after this time. */
 #define FORGET_US (10 * US_PER_S)
 
 struct token_bucket {
-	char *key;
+	/** Its strings belong to the bucket. */
+	struct token_key key;
 	struct token_limit limit;
 	enum token_part part;
 	int64_t since_us;
@@ -86,7 +93,7 @@
 };
 
 struct token_pool {
-	/** Of struct token_bucket, by key. */
+	/** Of struct token_bucket, by struct token_key. */
 	GHashTable *buckets;
 	uint32_t seed;
 };
@@ -95,17 +102,33 @@
 {
 	struct token_bucket *b = data;
 
-	g_free(b->key);
+	g_free((char *)b->key.key);
+	g_free((char *)b->key.domain);
 	g_free(b);
 }
 
+guint token_key_hash(gconstpointer key)
+{
+	const struct token_key *k = key;
+
+	return g_str_hash(k->key) * 31 + g_str_hash(k->domain);
+}
+
+gboolean token_key_equal(gconstpointer a, gconstpointer b)
+{
+	const struct token_key *x = a;
+	const struct token_key *y = b;
+
+	return !strcmp(x->key, y->key) && !strcmp(x->domain, y->domain);
+}
+
 struct token_pool *token_pool_create(uint32_t seed)
 {
 	struct token_pool *p = g_new0(struct token_pool, 1);
 
 	p->seed = seed;
-	p->buckets = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
-					   handle_free_bucket);
+	p->buckets = g_hash_table_new_full(token_key_hash, token_key_equal,
+					   NULL, handle_free_bucket);
 	return p;
 }
 
@@ -123,15 +146,17 @@
 
 static double bucket_rate(const struct token_bucket *b)
 {
-	return b->limit.max_per_s * part_limits(b)->rate;
+	return b->limit.max_per_s * part_limits(b)->rate /
+	       MAX(b->limit.regions, 1);
 }
 
 static double bucket_size(const struct token_bucket *b)
 {
 	const struct part_limits *l = part_limits(b);
 
-	return b->limit.max_per_s * l->rate_s + b->limit.burst * l->burst +
-	       l->tokens;
+	return (b->limit.max_per_s * l->rate_s + b->limit.burst * l->burst +
+		l->tokens) /
+	       MAX(b->limit.regions, 1);
 }
 
 static void clear_old_slots(struct token_bucket *b, int64_t now)
@@ -186,17 +211,25 @@
 }
 
 /*
- * Adds the tokens that have become available. Those in use count as if they
- * were in the bucket, so that a return of many tokens cannot exceed its size.
+ * Returns the most tokens that may be in the bucket. Those in use count as if
+ * they were there, so that a return of many tokens cannot exceed its size.
  */
-static void refill(struct token_bucket *b, int64_t now)
+static double most_tokens(const struct token_bucket *b, int64_t now)
 {
-	double rate = bucket_rate(b);
 	double size = current_size(b, now);
-	double most = size + rate * (double)TOKEN_VALID_US / US_PER_S -
+	double most = size +
+		      bucket_rate(b) * (double)TOKEN_VALID_US / US_PER_S -
 		      outstanding(b);
 
-	most = MIN(most, size);
+	return CLAMP(most, 0, size);
+}
+
+/* Adds the tokens that have become available. */
+static void refill(struct token_bucket *b, int64_t now)
+{
+	double rate = bucket_rate(b);
+	double most = most_tokens(b, now);
+
 	if (now > b->tokens_at_us && b->tokens < most)
 		b->tokens =
 			MIN(b->tokens + rate * (double)(now - b->tokens_at_us) /
@@ -209,17 +242,23 @@
 				       const struct token_claim *claim,
 				       enum token_part part, int64_t since)
 {
-	struct token_bucket *b = g_hash_table_lookup(p->buckets, claim->key);
+	/* The calls to a cold leaf have one bucket, whatever a claim states. */
+	struct token_key key = {
+		.key = claim->key,
+		.domain = claim->limit.is_cold_leaf ? "" : claim->domain,
+	};
+	struct token_bucket *b = g_hash_table_lookup(p->buckets, &key);
 
 	if (b)
 		return b;
 	b = g_new0(struct token_bucket, 1);
-	b->key = g_strdup(claim->key);
+	b->key.key = g_strdup(key.key);
+	b->key.domain = g_strdup(key.domain);
 	b->limit = claim->limit;
 	b->part = part;
 	b->since_us = since;
 	b->tokens_at_us = since;
-	g_hash_table_insert(p->buckets, b->key, b);
+	g_hash_table_insert(p->buckets, &b->key, b);
 	return b;
 }
 
@@ -235,12 +274,23 @@
 	b->tokens_at_us = MAX(b->tokens_at_us, since);
 }
 
-static void set_limit(struct token_bucket *b, const struct token_limit *limit)
+/*
+ * Applies a newer limit, or another number of regions. Tokens that hosts still
+ * hold under the earlier limit count: with a bucket of the new size beside
+ * them, a window that begins now would exceed the new limit.
+ */
+static void set_limit(struct token_bucket *b, const struct token_limit *limit,
+		      int64_t now)
 {
-	if (limit->version <= b->limit.version)
+	struct token_limit new = limit->version > b->limit.version ? *limit
+								   : b->limit;
+
+	new.regions = limit->regions;
+	if (new.version == b->limit.version &&new.regions == b->limit.regions)
 		return;
-	b->limit = *limit;
-	b->tokens = MIN(b->tokens, bucket_size(b));
+	refill(b, now);
+	b->limit = new;
+	b->tokens = MIN(b->tokens, most_tokens(b, now));
 }
 
 /* Returns the time since the grant of which a claim returns tokens. */
@@ -306,10 +356,12 @@
 	held = count_standing(b);
 	if (b->part != TOKEN_PART_ALL || held >= most || is_new_owner(b, now))
 		return;
-	most = MIN(most - held, bucket_size(b) * STANDING_CLAIM_PART);
+	/* One at least: the part of a region of a small quota is below that. */
+	most = MIN(most - held, MAX(bucket_size(b) * STANDING_CLAIM_PART, 1));
 	/* Requests that are there come before those that may come. */
 	out->tokens = (uint32_t)MIN(MIN(most, ceil(b->tokens / 4)),
-				    MIN(claim->wanted, b->tokens));
+				    MIN(claim->wanted,
+					MAX(b->tokens - LOW_TOKENS, 0)));
 	b->tokens -= out->tokens;
 	b->standing[b->standing_slot % STANDING_SLOTS] += out->tokens;
 	if (out->tokens)
@@ -391,7 +443,7 @@
 	clear_old_slots(b, now_us);
 	clear_old_standing(b, now_us);
 	set_part(b, part, since_us);
-	set_limit(b, &claim->limit);
+	set_limit(b, &claim->limit, now_us);
 	b->claimed_at_us = now_us;
 	out->ticket = (uint64_t)p->seed << 32 |
 		      (uint64_t)(b->slot & UINT32_MAX);
@@ -404,6 +456,7 @@
 	refill(b, now_us);
 	allot(b, claim->wanted, now_us, out);
 	b->granted[b->slot % SLOTS] += out->tokens;
+	out->is_low = b->tokens < LOW_TOKENS;
 }
 
 static bool is_forgettable(struct token_bucket *b, int64_t now)
--- a/test/unit/main.c
+++ b/test/unit/main.c
@@ -33,6 +33,7 @@
 	{ "places", NULL, NULL, NULL, NULL, place_tests },
 	{ "quota", NULL, NULL, NULL, NULL, quota_tests },
 	{ "quota schedules", NULL, NULL, NULL, NULL, quota_schedule_tests },
+	{ "quota regions", NULL, NULL, NULL, NULL, quota_region_tests },
 	{ "rate exchange", NULL, NULL, NULL, NULL, rate_exchange_tests },
 	{ "rate limit", NULL, NULL, NULL, NULL, rate_limit_tests },
 	{ "rate shares", NULL, NULL, NULL, NULL, rate_shares_tests },
--- a/test/unit/quota_sim.c
+++ b/test/unit/quota_sim.c
@@ -27,6 +27,7 @@
 };
 
 static const char *const domains[] = { "a", "b", "c" };
+static char *regions[] = { "a=ra", "b=rb", "c=rc", NULL };
 
 static char *host_address(uint32_t i)
 {
@@ -83,6 +84,12 @@
 
 		*key = g_intern_string(*key);
 	}
+	for (guint i = 0; i < f->items->len && !is_grants; i++) {
+		struct token_claim *c =
+			&g_array_index(f->items, struct token_claim, i);
+
+		c->domain = g_intern_string(c->domain);
+	}
 	s->frame_count++;
 	s->claim_count += is_grants ? 0 : items->len;
 	g_queue_push_tail(&s->frames, f);
@@ -210,7 +217,7 @@
 		s->now_us + g_rand_int_range(s->random, 50, 500) * US_PER_MS;
 	h->frozen_until_us = 0;
 	memset(&h->directory, 0, sizeof(h->directory));
-	leaf_set_init(&h->leaves, name, domains[i % 3], NULL);
+	leaf_set_init(&h->leaves, name, domains[i % 3], regions);
 	host_directory_init(&h->directory, name, &h->leaves);
 	options.clock = clock_virtual(&h->time);
 	h->exchange = token_exchange_create(&options);
--- a/test/unit/suites.h
+++ b/test/unit/suites.h
@@ -32,6 +32,7 @@
 extern CU_TestInfo old_news_tests[];
 extern CU_TestInfo place_tests[];
 extern CU_TestInfo quota_schedule_tests[];
+extern CU_TestInfo quota_region_tests[];
 extern CU_TestInfo quota_tests[];
 extern CU_TestInfo rate_exchange_tests[];
 extern CU_TestInfo rate_limit_tests[];
