quotas: wait at most a quarter of the latency goal

It now waits until a quarter of the goal of the route has passed since its arrival, and at most 60 ms.

--- a/include/router/quota.h
+++ b/include/router/quota.h
@@ -28,8 +28,11 @@
 	const struct organisation *organisation;
 	/** Version of the table of the organisation. */
 	uint64_t version;
-	/** Time until the latency goal, and until the deadline. */
+	/** Latency goal of the route, as measured by the caller. */
 	int64_t goal_us;
+	/** Time since the arrival of the request. */
+	int64_t elapsed_us;
+	/** Time until the deadline. */
 	int64_t left_us;
 };
 
--- a/nutmegpickd/route_quotas.c
+++ b/nutmegpickd/route_quotas.c
@@ -122,7 +122,8 @@
 
 	if (!in.organisation || !route)
 		return true;
-	in.goal_us = router_goal_left(route) - elapsed;
+	in.goal_us = route->goal_us;
+	in.elapsed_us = elapsed;
 	in.left_us = route->timeout_us - elapsed;
 	if (q->wait_us > 0)
 		in.left_us = MIN(in.left_us, q->wait_us - elapsed);
--- a/router/quota.c
+++ b/router/quota.c
@@ -8,8 +8,8 @@
 
 /* Longest wait for the answer to a claim; a round trip may take 24 ms. */
 #define WAIT_MAX_US (60 * US_PER_MS)
-/* The same as a share of the time until the latency goal. */
-#define WAIT_GOAL_SHARE 0.6
+/* The same as a share of the latency goal, counted from the arrival. */
+#define WAIT_GOAL_SHARE 0.25
 /* Backoff for callers of refused requests. */
 #define RETRY_AFTER_MIN_US (100 * US_PER_MS)
 #define RETRY_AFTER_SPREAD_US (300 * US_PER_MS)
@@ -197,11 +197,11 @@
 		       int64_t now)
 {
 	struct quota_waiter *w = g_new0(struct quota_waiter, 1);
-	int64_t wait = MIN((int64_t)(WAIT_GOAL_SHARE * (double)in->goal_us),
-			   WAIT_MAX_US);
+	int64_t wait = (int64_t)(WAIT_GOAL_SHARE * (double)in->goal_us) -
+		       in->elapsed_us;
 
 	w->user = in->user;
-	w->until_us = now + MAX(wait, 0);
+	w->until_us = now + CLAMP(wait, 0, WAIT_MAX_US);
 	w->left_us = in->left_us;
 	e->wait_until_us = MIN(e->wait_until_us, w->until_us);
 	g_queue_push_tail(&e->waiters, w);
