quotas: renew the tokens held at hosts on demand

They were renewed by a timer for 10 s after the last request. Now a request renews them if half of them are used or the last claim is 3 s old. None are claimed if the last two requests for a key were more than 3 s apart: such tokens mostly lapse, and count as in use until then.

"rare messages" fails if tokens are claimed for rare requests.

--- a/include/router/token_cache.h
+++ b/include/router/token_cache.h
@@ -7,9 +7,9 @@
 
 /**
  * A few tokens of the quotas that this host was asked for lately, so that most
- * requests need not wait for the owner. They are valid for TOKEN_STANDING_US
- * and renewed before that; the owner counts them until they are used or have
- * lapsed. A key that is not asked for is not claimed again.
+ * requests need not wait for the owner. They are valid for TOKEN_STANDING_US;
+ * the owner counts them until they are used or have lapsed. Requests renew
+ * them: a key that is not asked for is not claimed again.
  */
 struct token_cache;
 
--- a/router/token_cache.c
+++ b/router/token_cache.c
@@ -10,10 +10,15 @@
 /* Tokens are claimed for the requests that come in this time. */
 #define STANDING_S 0.5
 #define SPENT_HALF_LIFE_US (2 * US_PER_S)
-/* The tokens of a key are renewed for this time after its last request. */
-#define RENEW_US (10 * US_PER_S)
-/* They are renewed when a later grant has this age. */
+/* A request renews the tokens of its key when the last claim has this age. */
 #define RENEW_AGE_US (TOKEN_STANDING_US / 2)
+/*
+ * No tokens are claimed for a key whose last two requests were further apart:
+ * they would mostly lapse, and count as in use until then.
+ */
+#define RARE_US (TOKEN_STANDING_US / 2)
+/* The interval of requests is known for this time after the last one. */
+#define KEPT_US (60 * US_PER_S)
 /* Shortest interval between claims for a key, answered or not. */
 #define CLAIM_MIN_US (100 * US_PER_MS)
 
@@ -170,6 +175,8 @@
 		       struct lease_time now, struct token_grant *out)
 {
 	struct cached_key *k = get_key(c, claim);
+	bool is_rare = k->asked_at_us &&
+		       now.monotonic_us - k->asked_at_us > RARE_US;
 	uint32_t left;
 
 	update_limit(k, &claim->limit);
@@ -188,7 +195,9 @@
 	} else {
 		out->is_elsewhere = true;
 	}
-	if (left <= k->granted / 2)
+	if (!is_rare &&
+	    (left <= k->granted / 2 ||
+	     now.monotonic_us - k->claimed.monotonic_us >= RENEW_AGE_US))
 		schedule_claim(c, k, now.monotonic_us);
 }
 
@@ -228,8 +237,6 @@
 		struct token_claim claim;
 
 		heap_remove(&c->claims, top);
-		if (now.monotonic_us - k->asked_at_us > RENEW_US)
-			continue;
 		drop_lapsed(k, now);
 		take_claim(k, now, &claim);
 		if (!claims)
@@ -260,8 +267,8 @@
 	/* An answer that comes twice is not used twice. */
 	k->sequence++;
 	k->dry_until_us = now.monotonic_us + g->retry_us;
-	/* A renewal is due before the tokens of this grant lapse. */
-	schedule_claim(c, k, k->claimed.monotonic_us + RENEW_AGE_US);
+	if (!g->tokens && !g->retry_us)
+		schedule_claim(c, k, now.monotonic_us);
 	if (!g->tokens)
 		return;
 	drop_other_owner(k, g->ticket);
@@ -291,6 +298,7 @@
 		struct cached_key *k = value;
 
 		if (k->node.position ||
+		    now.monotonic_us - k->asked_at_us < KEPT_US ||
 		    now.monotonic_us - k->claimed.monotonic_us <
 			    TOKEN_STANDING_US)
 			continue;
--- a/test/unit/test_quota_regions.c
+++ b/test/unit/test_quota_regions.c
@@ -384,6 +384,27 @@
 	quota_sim_destroy(s);
 }
 
+/*
+ * Guards against tokens that are held for, and messages of, requests that come
+ * so seldom that the tokens would lapse.
+ */
+static void test_rare_messages(void)
+{
+	struct quota_sim *s = quota_sim_create(HOSTS, HOSTS, 1, 40, 40, 1);
+	uint32_t host = (owner_of(s, 0) + REGIONS) % HOSTS;
+
+	send_at_once(s, host, 1);
+	quota_sim_run(s, 10 * US_PER_S);
+	quota_sim_clear_counts(s);
+	for (int i = 0; i < 5; i++) {
+		send_at_once(s, host, 1);
+		quota_sim_run(s, 10 * US_PER_S);
+	}
+	CU_ASSERT_EQUAL(s->claim_count, 5);
+	CU_ASSERT_EQUAL(s->frame_count, 10);
+	quota_sim_destroy(s);
+}
+
 CU_TestInfo quota_region_tests[] = {
 	{ "one region", test_one_region },
 	{ "lost owner", test_lost_owner },
@@ -394,5 +415,6 @@
 	{ "lowered limit", test_lowered_limit },
 	{ "capacity change", test_capacity_change },
 	{ "first answer", test_first_answer },
+	{ "rare messages", test_rare_messages },
 	CU_TEST_INFO_NULL,
 };
