quotas: links to owners of the own region first

They are now kept to at most 24 owners, those of the host's region first and then those of the others. "links" fails if the other regions are left out.

--- a/include/router/token_exchange.h
+++ b/include/router/token_exchange.h
@@ -12,6 +12,10 @@
  * answers claims, and decides what it may grant: at no time do two hosts grant
  * all of a rate.
  *
+ * The regions divide each quota equally, and each has its own owners. Claims go
+ * to the owners of this host's region, and to those of the other regions if
+ * they are silent, may not grant or have too few tokens.
+ *
  * A host grants all if it is the first host by hash in its own mirror of the
  * host records, and has heard of the store for TOKEN_JOIN_US without a break,
  * and no host before it has left within that time. It need not wait if every
@@ -116,10 +120,10 @@
 				  const GArray *grants);
 
 /**
- * Opens the links to the owners of quotas and keeps them open: a claim over a
- * new link takes three times as long, which the first requests of an
- * organisation at a host would wait for. To be called each second while there
- * are quotas.
+ * Opens links to up to 24 owners of quotas, those of this host's region first,
+ * and keeps them open: a claim over a new link takes three times as long, which
+ * the first requests of an organisation at a host would wait for. To be called
+ * each second while there are quotas.
  */
 void token_exchange_keep_links(struct token_exchange *x);
 
--- a/router/token_exchange.c
+++ b/router/token_exchange.c
@@ -836,7 +836,7 @@
 	GArray *regions = order_regions(x, 0);
 	guint left = LINKED_OWNERS_MAX;
 
-	for (guint i = 0; i < MIN(regions->len, 1); i++)
+	for (guint i = 0; i < regions->len && left; i++)
 		keep_links(
 			x,
 			g_array_index(regions, struct ordered_region, i).name,
--- a/test/unit/test_quota_regions.c
+++ b/test/unit/test_quota_regions.c
@@ -336,6 +336,35 @@
 	leaf_set_clear(&t->leaves);
 }
 
+/*
+ * Guards against links to more than 24 owners, and against links to owners of
+ * other regions while those of the own region have none.
+ */
+static void test_links(void)
+{
+	static const struct {
+		uint32_t hosts;
+		uint32_t links;
+		uint32_t own_links;
+	} cases[] = { { 7, 6, 2 }, { 48, 24, 15 }, { 300, 24, 24 } };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct link_test t;
+
+		link_test_init(&t, cases[i].hosts);
+		token_exchange_keep_links(t.exchange);
+		CU_ASSERT_EQUAL(t.links, cases[i].links);
+		CU_ASSERT_EQUAL(t.own_links, cases[i].own_links);
+		/* Weaker hosts own no quotas. */
+		put_host(&t, cases[i].hosts, 100);
+		t.links = 0;
+		t.time.now_us += 21 * US_PER_S;
+		token_exchange_keep_links(t.exchange);
+		CU_ASSERT_EQUAL(t.links, cases[i].links);
+		link_test_clear(&t);
+	}
+}
+
 /*
  * Guards against two owners of a quota after a host got another capacity: hosts
  * that still have its earlier record consider it the owner.
@@ -413,6 +442,7 @@
 	{ "burst at host", test_burst_at_host },
 	{ "rare", test_rare },
 	{ "lowered limit", test_lowered_limit },
+	{ "links", test_links },
 	{ "capacity change", test_capacity_change },
 	{ "first answer", test_first_answer },
 	{ "rare messages", test_rare_messages },
