quotas: figures of the division among regions

bench/quota_model.c models an owner in each of three regions, the tokens held at hosts and the bytes of the frames.

The owners of up to 32,768 keys and regions are kept, since a key now has up to three.

--- a/bench/quota_model.c
+++ b/bench/quota_model.c
@@ -14,6 +14,7 @@
 #include "net/host_frame.h"
 #include "router/quota.h"
 #include "router/shared_rate.h"
+#include "router/token_cache.h"
 
 #define SKEW 1.2
 /* Quota of an organisation as a factor on its usual rate. */
@@ -28,6 +29,8 @@
 #define TIME_MIN_US (10 * US_PER_S)
 #define SETTLE_US (5 * US_PER_S)
 #define WAIT_MAX_US (60 * US_PER_MS)
+/* Regions of the hosts, each with an owner, which is its first host. */
+#define REGIONS 3
 #define PREDICTION_US (1 * US_PER_S)
 
 enum scheme {
@@ -53,6 +56,9 @@
 	uint32_t asked;
 	struct shared_rate share;
 	struct token_lease lease;
+	struct token_cache *cache;
+	/** Regions with too few tokens are not asked before these times. */
+	int64_t empty_until_us[REGIONS];
 };
 
 struct model {
@@ -64,7 +70,10 @@
 	struct rate_shares *shares;
 	struct token_pool *pool;
 	int64_t next_prediction_us;
+	/** Claims are sent in that many frames, each of which is answered. */
 	uint64_t messages;
+	/** Of claims and grants, without the links. */
+	uint64_t bytes;
 };
 
 /** Results of one organisation. */
@@ -72,6 +81,7 @@
 	uint64_t asked;
 	uint64_t admitted;
 	uint64_t messages;
+	uint64_t bytes;
 	double seconds;
 	uint32_t most;
 };
@@ -139,28 +149,148 @@
 	return true;
 }
 
+static const char *const regions[REGIONS] = { "=region-a", "=region-b",
+					      "=region-c" };
+
+static uint32_t host_index(const struct model *m, const struct model_host *h)
+{
+	return (uint32_t)(h - m->hosts);
+}
+
+static void count_frame(struct model *m, GByteArray *frame)
+{
+	m->bytes += frame->len;
+	g_byte_array_free(frame, TRUE);
+}
+
+/* Answers claims of a host at the owner of a region, as one frame each way. */
+static void ask_region(struct model *m, const struct model_host *h,
+		       uint32_t region, GArray *claims, GArray *grants,
+		       int64_t now)
+{
+	for (guint i = 0; i < claims->len; i++) {
+		struct token_claim *c =
+			&g_array_index(claims, struct token_claim, i);
+		struct token_grant g;
+
+		c->domain = regions[region];
+		c->limit.regions = MIN(REGIONS, m->host_count);
+		token_pool_claim(m->pool, c, TOKEN_PART_ALL, 0, now, &g);
+		g_array_append_val(grants, g);
+	}
+	/* The owner itself sends nothing. */
+	if (host_index(m, h) == region)
+		return;
+	m->messages++;
+	count_frame(m, host_frame_token_claims(claims));
+	count_frame(m, host_frame_token_grants(grants));
+}
+
+/* Claims for the cache of a host, with another claim if there is one. */
+static bool ask_with_cache(struct model *m, struct model_host *h,
+			   uint32_t region, const struct token_claim *claim,
+			   struct lease_time t, struct token_grant *out)
+{
+	bool is_own = host_index(m, h) % REGIONS == region;
+	GArray *claims = is_own && host_index(m, h) != region
+				 ? token_cache_take_claims(h->cache, t)
+				 : NULL;
+	GArray *grants = g_array_new(FALSE, FALSE, sizeof(*out));
+
+	if (!claims)
+		claims = g_array_new(FALSE, FALSE, sizeof(*claim));
+	if (claim)
+		g_array_append_val(claims, *claim);
+	if (claims->len)
+		ask_region(m, h, region, claims, grants, t.monotonic_us);
+	for (guint i = 0; i < grants->len; i++) {
+		struct token_grant *g =
+			&g_array_index(grants, struct token_grant, i);
+
+		if (g->is_standing)
+			token_cache_apply_grant(h->cache, g, t);
+		else
+			*out = *g;
+	}
+	g_array_free(claims, TRUE);
+	g_array_free(grants, TRUE);
+	return claim != NULL;
+}
+
+/* Returns the first region in the order of a host that has tokens for it. */
+static int choose_region(const struct model *m, const struct model_host *h,
+			 int64_t now)
+{
+	for (uint32_t i = 0; i < MIN(REGIONS, m->host_count); i++) {
+		uint32_t region = (host_index(m, h) + i) % REGIONS;
+
+		if (now >= h->empty_until_us[region])
+			return (int)region;
+	}
+	return -1;
+}
+
+/* Claims from one region after the other until one has enough tokens. */
+static void claim_tokens(struct model *m, struct model_host *h,
+			 struct token_claim *claim, struct lease_time t)
+{
+	struct token_grant g = { .retry_us = US_PER_S };
+	int64_t from = INT64_MAX;
+	int region = choose_region(m, h, t.monotonic_us);
+
+	if (region >= 0) {
+		ask_with_cache(m, h, (uint32_t)region, claim, t, &g);
+		if (g.retry_us)
+			h->empty_until_us[region] = t.monotonic_us + g.retry_us;
+	}
+	for (uint32_t i = 0; i < MIN(REGIONS, m->host_count); i++)
+		from = MIN(from, h->empty_until_us[i]);
+	g.sequence = claim->sequence;
+	g.retry_us = g.retry_us ? MAX(from - t.monotonic_us, 0) : 0;
+	token_lease_apply_grant(&h->lease, &g, t);
+	if (g.tokens < claim->wanted && !g.retry_us)
+		token_lease_claim_again(&h->lease, t);
+}
+
 static bool take_token(struct model *m, struct model_host *h, int64_t now)
 {
 	struct lease_time t = { now, now };
 	struct token_claim claim = {
-		.key = "o",
+		.key = "q:organisation-1",
 		.domain = "",
-		.limit = { .max_per_s = m->rate, .burst = m->burst },
+		.limit = { .max_per_s = m->rate,
+			   .burst = m->burst,
+			   .version = 1 },
 	};
+	struct token_claim next = claim;
 	struct token_grant g;
 	uint64_t ticket;
 	bool is_taken = token_lease_take(&h->lease, t, &ticket);
-
-	/* A request waits for the claim that is due soon. */
-	if (!is_taken && h->lease.claim_at_us <= now + WAIT_MAX_US)
-		t.monotonic_us = t.boot_us = MAX(now, h->lease.claim_at_us);
-	if (!token_lease_take_claim(&h->lease, !is_taken, t, &claim))
-		return is_taken;
-	token_pool_claim(m->pool, &claim, TOKEN_PART_ALL, 0, t.monotonic_us,
-			 &g);
-	token_lease_apply_grant(&h->lease, &g, t);
-	m->messages++;
-	return is_taken || token_lease_use(&h->lease, t, &ticket);
+	bool is_owner = host_index(m, h) < REGIONS;
+
+	/* A request waits for the claims that are due soon. */
+	for (int i = 0; i < REGIONS; i++) {
+		if (!is_taken && h->lease.claim_at_us <= now + WAIT_MAX_US)
+			t.monotonic_us = t.boot_us =
+				MAX(t.monotonic_us, h->lease.claim_at_us);
+		claim = next;
+		if (!token_lease_take_claim(&h->lease, !is_taken, t, &claim))
+			break;
+		g.is_elsewhere = true;
+		if (claim.kind == TOKEN_CLAIM_CACHED && !is_owner)
+			token_cache_claim(h->cache, &claim, t, &g);
+		claim.kind = TOKEN_CLAIM_USE;
+		if (g.is_elsewhere)
+			claim_tokens(m, h, &claim, t);
+		else
+			token_lease_apply_grant(&h->lease, &g, t);
+		is_taken = is_taken || token_lease_use(&h->lease, t, &ticket);
+		if (is_taken)
+			break;
+	}
+	if (token_cache_next_claim(h->cache) <= t.monotonic_us)
+		ask_with_cache(m, h, host_index(m, h) % REGIONS, NULL, t, &g);
+	return is_taken;
 }
 
 static bool admit(struct model *m, uint32_t host, int64_t now)
@@ -198,11 +328,14 @@
 		m->hosts[i].tokens = host_burst(m);
 		m->hosts[i].tokens_at_us = 100 * US_PER_S;
 		token_lease_init(&m->hosts[i].lease);
+		m->hosts[i].cache = token_cache_create();
 	}
 }
 
 static void model_clear(struct model *m)
 {
+	for (uint32_t i = 0; i < m->host_count; i++)
+		token_cache_free(m->hosts[i].cache);
 	rate_shares_free(m->shares);
 	token_pool_free(m->pool);
 	g_free(m->hosts);
@@ -248,7 +381,7 @@
 			break;
 		host = (uint32_t)g_rand_int_range(random, 0, (gint32)users);
 		if (now < start + SETTLE_US)
-			m.messages = 0;
+			m.messages = m.bytes = 0;
 		is_admitted = admit(&m, host, now);
 		if (is_admitted)
 			g_array_append_val(times, now);
@@ -258,6 +391,7 @@
 		out.admitted += is_admitted;
 	}
 	out.messages = m.messages;
+	out.bytes = m.bytes;
 	out.most = most_in_window(times);
 	model_clear(&m);
 	g_array_free(times, TRUE);
@@ -277,6 +411,7 @@
 	double refused;
 	double most;
 	double messages;
+	double bytes;
 };
 
 /* Adds a rank that stands for `count` organisations. */
@@ -300,6 +435,7 @@
 		      (double)MAX(below.asked, 1);
 	s->most = MAX(s->most, MAX(all.most, by_few.most) / bound);
 	s->messages += count * (double)below.messages / below.seconds / hosts;
+	s->bytes += count * (double)below.bytes / below.seconds / hosts;
 }
 
 /* Ranks grow by half, and each stands for those up to the next one. */
@@ -361,7 +497,7 @@
 		char *key = key_name(i % COST_KEYS);
 		struct token_claim c = {
 			.key = key,
-			.domain = "",
+			.domain = regions[0],
 			.limit = { .max_per_s = 1000,
 				   .burst = 1000,
 				   .version = 12 },
@@ -481,7 +617,7 @@
 
 	printf("| hosts | organisations | requests/s | division | used, all "
 	       "hosts | used, two hosts | refused below | most/bound | "
-	       "messages/s a host |\n");
+	       "messages/s a host | bytes/s a host, each way |\n");
 	for (size_t i = 0; i < G_N_ELEMENTS(fleets); i++) {
 		for (size_t k = 0; k < G_N_ELEMENTS(counts); k++) {
 			for (int s = 0; s < SCHEME_COUNT; s++) {
@@ -491,11 +627,11 @@
 							     fleets[i].per_s);
 
 				printf("| %u | %u | %.0f | %s | %.3f | %.3f | "
-				       "%.5f | %.2f | %.2f |\n",
+				       "%.5f | %.2f | %.2f | %.0f |\n",
 				       fleets[i].hosts, counts[k],
 				       fleets[i].per_s, scheme_names[s],
 				       r.used_all, r.used_few, r.refused,
-				       r.most, r.messages);
+				       r.most, r.messages, r.bytes);
 				fflush(stdout);
 			}
 		}
--- a/router/token_exchange.c
+++ b/router/token_exchange.c
@@ -34,7 +34,7 @@
 /* Links beyond this number open when they are first used. */
 #define LINKED_OWNERS_MAX 24
 /* Keys whose owners are kept; the table is emptied beyond that. */
-#define OWNERS_MAX 16384
+#define OWNERS_MAX 32768
 /* A host that has not heard of the store for this time asks others about it. */
 #define STORE_NEWS_US (2200 * US_PER_MS)
 #define WITNESS_INTERVAL_US (250 * US_PER_MS)
