quotas: a region that is cut off from all others grants nothing

The hosts of a region that is cut off from the store and from the other regions ask hosts of other failure domains whether the store is away for all. Those of the second failure domain of the region answer that they have none either, so its owners went on after their records had lapsed, while the other regions divided the quota without it. The model of the tests had one failure domain a region and could not show this.

An owner of a quota now needs a sign of the store, or an answer of a host of another region, within 5 s; after a break it waits for 9 s as a new owner does. While it does not hear of the store it asks three such hosts each 250 ms.

The tests now have two failure domains in each region.

--- a/include/router/token_exchange.h
+++ b/include/router/token_exchange.h
@@ -127,7 +127,10 @@
  */
 void token_exchange_keep_links(struct token_exchange *x);
 
-/** Claims tokens for the cache of this host, as far as they are due. */
+/**
+ * Claims tokens for the cache of this host, as far as they are due. To be
+ * called as often as token_exchange_advance().
+ */
 void token_exchange_fill_cache(struct token_exchange *x);
 
 /** Returns the time of the next such claim; INT64_MAX if none is due. */
--- a/router/token_exchange.c
+++ b/router/token_exchange.c
@@ -116,6 +116,15 @@
 	GArray *regions;
 	uint64_t regions_generation;
 	uint32_t region_count;
+	/**
+	 * Last sign of the store or of a host of another region, and the time
+	 * from which there were such signs without a break; 0 from the start.
+	 */
+	int64_t outside_us;
+	int64_t outside_since_us;
+	/** Hosts of other regions were asked then, the next time from here. */
+	int64_t outside_asked_us;
+	uint32_t outside_start;
 	/** Of struct dated_host, the earliest first. */
 	GArray *gone;
 	/** This host has had contact and its record since then. */
@@ -744,6 +753,36 @@
 	g->ticket = 0;
 }
 
+static void note_outside(struct token_exchange *x, int64_t at)
+{
+	if (at - x->outside_us > TOKEN_CONTACT_US)
+		x->outside_since_us = at;
+	x->outside_us = MAX(x->outside_us, at);
+}
+
+/*
+ * Returns what this host may grant of a quota. A region that is cut off from
+ * the store and from all others may not learn that they divide the quota
+ * without it: its hosts only find that none of them has the store.
+ */
+static enum token_part quota_part(struct token_exchange *x,
+				  const struct token_claim *c, int64_t *since)
+{
+	enum token_part part = own_part(x, c, since);
+	int64_t now = now_us(x);
+	int64_t from = 0;
+
+	if (c->limit.is_cold_leaf || c->limit.regions < 2)
+		return part;
+	note_outside(x, x->store_us);
+	if (x->outside_since_us)
+		from = x->outside_since_us + TOKEN_JOIN_US;
+	*since = MAX(*since, from);
+	if (now < from || now - x->outside_us > TOKEN_CONTACT_US)
+		return TOKEN_PART_NONE;
+	return part;
+}
+
 static struct token_grant answer_claim(struct token_exchange *x,
 				       const struct token_claim *c)
 {
@@ -756,7 +795,7 @@
 	if (!claim.limit.is_cold_leaf)
 		claim.limit.regions = count_regions(x);
 	if (may_answer(x, &claim))
-		part = own_part(x, &claim, &since);
+		part = quota_part(x, &claim, &since);
 	token_pool_claim(x->pool, &claim, part, since, now_us(x), &g);
 	add_lent(x, &claim, &g);
 	return g;
@@ -814,6 +853,39 @@
 	g_array_free(claims, TRUE);
 }
 
+/* While this host does not hear of the store, it asks for other regions. */
+static void ask_outside(struct token_exchange *x)
+{
+	struct host_directory *d = x->options.directory;
+	const char *own = host_directory_rate_region(d, d->leaves->domain);
+	int64_t now = now_us(x);
+	uint32_t left = WITNESSES;
+	uint32_t skipped = 0;
+	GHashTableIter iter;
+	gpointer value;
+
+	if (!token_pool_count(x->pool) || now - x->store_us <= STORE_NEWS_US ||
+	    now - x->outside_asked_us < WITNESS_INTERVAL_US)
+		return;
+	x->outside_asked_us = now;
+	/* Others each time, since some may not run any more. */
+	x->outside_start = (x->outside_start + WITNESSES) %
+			   MAX(g_hash_table_size(d->hosts), 1);
+	for (int round = 0; round < 2 && left; round++) {
+		g_hash_table_iter_init(&iter, d->hosts);
+		while (left && g_hash_table_iter_next(&iter, NULL, &value)) {
+			struct known_host *h = value;
+
+			if (!round && skipped++ < x->outside_start)
+				continue;
+			if (!strcmp(h->rate_region, own))
+				continue;
+			probe_owner(x, h);
+			left--;
+		}
+	}
+}
+
 static void keep_links(struct token_exchange *x, const char *region,
 		       guint *left)
 {
@@ -1068,6 +1140,8 @@
 
 void token_exchange_fill_cache(struct token_exchange *x)
 {
+	note_outside(x, x->store_us);
+	ask_outside(x);
 	if (token_cache_next_claim(x->cache) <= now_us(x))
 		send_all_claims(x, NULL);
 }
@@ -1200,6 +1274,14 @@
 	x->options.ops->deliver_grant(x->options.ctx, &g);
 }
 
+static void note_answer(struct token_exchange *x, const struct known_host *h)
+{
+	const struct host_directory *d = x->options.directory;
+
+	if (h->rate_region != host_directory_rate_region(d, d->leaves->domain))
+		note_outside(x, now_us(x));
+}
+
 void token_exchange_handle_grants(struct token_exchange *x, const char *address,
 				  const GArray *grants)
 {
@@ -1209,6 +1291,7 @@
 	if (h) {
 		h->tokens_asked_us = 0;
 		h->is_token_silence_logged = false;
+		note_answer(x, h);
 	}
 	for (guint i = 0; i < grants->len; i++)
 		deliver(x, h, g_array_index(grants, struct token_grant, i));
@@ -1270,6 +1353,7 @@
 					  handle_free_route);
 	x->regions = g_array_new(FALSE, FALSE, sizeof(struct token_region));
 	x->regions_generation = UINT64_MAX;
+	x->outside_us = now_us(x);
 	x->own_grants = g_array_new(FALSE, FALSE, sizeof(struct token_grant));
 	x->gone = g_array_new(FALSE, FALSE, sizeof(struct dated_host));
 	x->agreeing =
--- a/test/unit/quota_sim.c
+++ b/test/unit/quota_sim.c
@@ -26,8 +26,10 @@
 	bool is_present;
 };
 
-static const char *const domains[] = { "a", "b", "c" };
-static char *regions[] = { "a=ra", "b=rb", "c=rc", NULL };
+/* Of two failure domains in each region; host i is in region i % 3. */
+static const char *const domains[] = { "a", "b", "c", "a2", "b2", "c2" };
+static char *regions[] = { "a=ra",  "b=rb",  "c=rc", "a2=ra",
+			   "b2=rb", "c2=rc", NULL };
 
 static char *host_address(uint32_t i)
 {
@@ -45,7 +47,7 @@
 	struct host_record r = {
 		.name = g_strdup_printf("h%u", other),
 		.address = host_address(other),
-		.domain = g_strdup(domains[other % 3]),
+		.domain = g_strdup(domains[other % 6]),
 	};
 
 	host_directory_put(&h->directory, &r);
@@ -217,7 +219,7 @@
 		s->now_us + g_rand_int_range(s->random, 50, 500) * US_PER_MS;
 	h->frozen_until_us = 0;
 	memset(&h->directory, 0, sizeof(h->directory));
-	leaf_set_init(&h->leaves, name, domains[i % 3], regions);
+	leaf_set_init(&h->leaves, name, domains[i % 6], regions);
 	host_directory_init(&h->directory, name, &h->leaves);
 	options.clock = clock_virtual(&h->time);
 	h->exchange = token_exchange_create(&options);
@@ -239,7 +241,10 @@
 
 static bool reaches_store(const struct quota_sim *s, const struct qsim_host *h)
 {
-	return s->now_us >= s->store_away_until_us &&
+	bool is_cut = s->now_us < s->region_cut_until_us &&
+		      (int)h->index % 3 == s->cut_region;
+
+	return !is_cut && s->now_us >= s->store_away_until_us &&
 	       s->now_us >= h->cut_from_store_until_us;
 }
 
@@ -344,7 +349,12 @@
 	int from = (int)f->from;
 	int to = (int)f->to;
 
-	return s->now_us < s->hosts[f->from].cut_from_hosts_until_us ||
+	bool is_far = from % 3 != to % 3;
+	bool is_cut = s->now_us < s->region_cut_until_us &&
+		      (from % 3 == s->cut_region || to % 3 == s->cut_region);
+
+	return (is_far && is_cut) ||
+	       s->now_us < s->hosts[f->from].cut_from_hosts_until_us ||
 	       s->now_us < s->hosts[f->to].cut_from_hosts_until_us ||
 	       !s->hosts[f->to].is_running ||
 	       (s->lost_link[0] == from && s->lost_link[1] == to) ||
--- a/test/unit/quota_sim.h
+++ b/test/unit/quota_sim.h
@@ -7,7 +7,7 @@
 #include "router/token_exchange.h"
 
 /*
- * Hosts in three domains, each a region, that share the quotas of some
+ * Hosts in three regions of two domains each, that share the quotas of some
  * organisations. Each has its own clocks, its own mirror of the host records
  * and its own process, which can be frozen, suspended, killed or cut off. The
  * records are kept by a store with leases, which can be away.
@@ -69,6 +69,9 @@
 	/** Of struct sim_frame. */
 	GQueue frames;
 	int lost_link[2];
+	/** A region that reaches neither the store nor the other regions. */
+	int cut_region;
+	int64_t region_cut_until_us;
 	/** Times of the requests that were admitted, by organisation. */
 	GArray *admitted[QSIM_ORGANISATIONS_MAX];
 	uint64_t asked[QSIM_ORGANISATIONS_MAX];
--- a/test/unit/test_quota_regions.c
+++ b/test/unit/test_quota_regions.c
@@ -171,6 +171,32 @@
 	}
 }
 
+/*
+ * Guards against a region that is cut off from the store and from the others
+ * and grants its part while they divide the quota without it.
+ */
+static void test_cut_region(void)
+{
+	static const int64_t cuts_s[] = { 8, 22, 33, 60 };
+
+	for (guint32 seed = 0; seed < 24; seed++) {
+		struct quota_sim *s = quota_sim_create(
+			HOSTS, HOSTS, 1, 100, seed % 2 ? 200 : 0, seed);
+
+		s->event_delay_us = EVENT_DELAY_US;
+		quota_sim_set_rates(s, 0, 8 * 100.0 / HOSTS);
+		quota_sim_run(s, 5 * US_PER_S);
+		s->cut_region = (int)seed % REGIONS;
+		s->region_cut_until_us =
+			s->now_us +
+			cuts_s[seed % G_N_ELEMENTS(cuts_s)] * US_PER_S;
+		quota_sim_run(s, 80 * US_PER_S);
+		CU_ASSERT_TRUE(quota_sim_most_in_window(s, 0) <=
+			       bound(100, seed % 2 ? 200 : 0));
+		quota_sim_destroy(s);
+	}
+}
+
 /*
  * Guards against a part of the quota that stays unused after a region was lost,
  * and after it came back.
@@ -438,6 +464,7 @@
 	{ "one region", test_one_region },
 	{ "lost owner", test_lost_owner },
 	{ "region changes", test_region_changes },
+	{ "cut region", test_cut_region },
 	{ "use after change", test_use_after_change },
 	{ "burst at host", test_burst_at_host },
 	{ "rare", test_rare },
