--- a/include/nutmegpickd/registry_thread.h
+++ b/include/nutmegpickd/registry_thread.h
@@ -7,6 +7,7 @@
 #include "common/clock.h"
 #include "router/directory.h"
 #include "router/feed.h"
+#include "router/token_lease.h"
 #include "store/mirror.h"
 
 /**
@@ -15,6 +16,19 @@
  */
 struct registry_thread;
 
+/** Lease on the record of this host. */
+struct registry_lease {
+	/** 0 if there is none. */
+	uint64_t id;
+	/** Start of the last call that granted or renewed it. */
+	struct lease_time started;
+	/**
+	 * It was taken over from an earlier process of this host, which had
+	 * waited until it might grant.
+	 */
+	bool is_inherited;
+};
+
 struct registry_thread_options {
 	struct np_clock clock;
 	/** IP number and port of the store. */
@@ -56,4 +70,23 @@
  */
 int64_t registry_thread_news_us(const struct registry_thread *t);
 
+/** Marks the record under a lease: this host has waited until it may grant. */
+void registry_thread_mark_joined(struct registry_thread *t, uint64_t lease);
+
+/** Store revision that was current after a time. */
+struct registry_check {
+	/** 0 if there was no check. */
+	uint64_t revision;
+	int64_t started_us;
+};
+
+/** Renews the record of this host at once and reads the store's revision. */
+void registry_thread_request_check(struct registry_thread *t);
+
+/** Returns the last such revision. May be called from any thread. */
+struct registry_check registry_thread_last_check(struct registry_thread *t);
+
+/** Returns the lease on this host's record. May be called from any thread. */
+struct registry_lease registry_thread_lease(struct registry_thread *t);
+
 #endif
--- a/include/nutmegpickd/route_internal.h
+++ b/include/nutmegpickd/route_internal.h
@@ -169,6 +169,10 @@
 	struct token_exchange *tokens;
 	/** Whether the table of a version has rates of tokens. */
 	bool has_quotas;
+	/** This host followed another one when the store was last checked. */
+	bool was_following;
+	/** Last check of the record after a break of this host's grants. */
+	int64_t checked_us;
 	uint64_t quotas_version;
 	GRand *random;
 	bool is_draining;
--- a/nutmegpickd/route_quotas.c
+++ b/nutmegpickd/route_quotas.c
@@ -5,6 +5,9 @@
 #include "nutmegpickd/route_metrics.h"
 #include "platform/headers.h"
 
+/* Interval of the checks of a host's record after a break of its grants. */
+#define CHECK_INTERVAL_US (1 * US_PER_S)
+
 static struct lease_time lease_now(const struct route_service *s)
 {
 	return (struct lease_time){ clock_now(&s->clock),
@@ -23,6 +26,12 @@
 	route_send_frame(ctx, address, host_frame_token_view(view));
 }
 
+static void handle_send_release(void *ctx, const char *address,
+				const struct token_release *release)
+{
+	route_send_frame(ctx, address, host_frame_token_release(release));
+}
+
 static void handle_deliver_grant(void *ctx, const struct token_grant *grant)
 {
 	struct route_service *s = ctx;
@@ -59,6 +68,7 @@
 
 const struct token_exchange_ops route_token_ops = {
 	.send_view = handle_send_view,
+	.send_release = handle_send_release,
 	.send_claims = handle_send_claims,
 	.deliver_grant = handle_deliver_grant,
 	.update_limit = handle_update_limit,
@@ -115,7 +125,8 @@
 		.organisation =
 			router_find_organisation(s->router, organisation),
 		.version = router_version(s->router),
-		.goal_us = router_goal_left(route) - elapsed_us,
+		.goal_us = route->goal_us,
+		.elapsed_us = elapsed_us,
 		.left_us = route->timeout_us - elapsed_us,
 	};
 
@@ -237,20 +248,67 @@
 	s->quota_counts = now;
 }
 
+/* Tells what the registry thread did for this host's record. */
+static void note_lease(struct route_service *s)
+{
+	struct token_owner *owner = token_exchange_owner(s->tokens);
+	struct registry_lease lease = registry_thread_lease(s->registry);
+
+	if (!lease.id)
+		return;
+	if (lease.is_inherited)
+		token_owner_note_inherited(owner, lease.id);
+	token_owner_note_renewal(owner, lease.id, &lease.started);
+	if (token_owner_has_joined(owner))
+		registry_thread_mark_joined(s->registry, lease.id);
+}
+
+/*
+ * After a break of this host's grants, has its record renewed and learns
+ * whether its mirror is up to date.
+ */
+static void check_break(struct route_service *s)
+{
+	struct token_owner *owner = token_exchange_owner(s->tokens);
+	struct registry_check check = registry_thread_last_check(s->registry);
+	int64_t now = clock_now(&s->clock);
+
+	if (check.revision && check.revision <= s->catalog.mirror.revision)
+		token_owner_note_mirror(owner, check.started_us);
+	if (!token_owner_needs_check(owner) ||
+	    now - s->checked_us < CHECK_INTERVAL_US)
+		return;
+	s->checked_us = now;
+	registry_thread_request_check(s->registry);
+}
+
+/* A feed that is lost may not have noticed that the store was away. */
+static void check_feed(struct route_service *s)
+{
+	bool is_following = feed_is_following(s->feed);
+
+	if (s->was_following && !is_following)
+		token_owner_note_store_lost(token_exchange_owner(s->tokens));
+	s->was_following = is_following;
+}
+
 void route_note_token_contact(struct route_service *s)
 {
 	int64_t news = MAX(registry_thread_news_us(s->registry),
 			   feed_news_us(s->feed));
 
+	check_feed(s);
+	note_lease(s);
+	check_break(s);
 	if (news)
-		token_exchange_note_store(s->tokens, news);
+		token_owner_note_store(token_exchange_owner(s->tokens), news);
 	token_exchange_advance(s->tokens);
 	if (s->quotas_version != router_version(s->router)) {
 		s->quotas_version = router_version(s->router);
 		s->has_quotas = router_has_quotas(s->router);
 	}
 	if (s->has_quotas)
-		token_exchange_prepare(s->tokens);
+		token_owner_prepare(token_exchange_owner(s->tokens));
 }
 
 void route_create_quotas(struct route_service *s)
@@ -265,6 +323,7 @@
 		.directory = &s->directory,
 		.seed = g_rand_int(s->random),
 		.is_alone = !s->settings.listen_peer,
+		.is_leased = true,
 		.ops = &route_token_ops,
 		.ctx = s,
 	};
--- a/nutmegpickd/route_service.c
+++ b/nutmegpickd/route_service.c
@@ -95,6 +95,8 @@
 		s->catalog.store_back_at_us = clock_now(&s->clock);
 	else
 		start_hold_note_lost(&s->hold);
+	if (!is_up)
+		token_owner_note_store_lost(token_exchange_owner(s->tokens));
 	feed_note_store(s->feed, is_up);
 }
 
@@ -162,7 +164,9 @@
 		s->is_draining = true;
 		s->stop_us = e->stop_us;
 		start_hold_note_stop(&s->hold);
-		token_exchange_stop(s->tokens);
+		/* The next host grants when the record is gone. */
+		token_owner_stop(token_exchange_owner(s->tokens));
+		registry_thread_withdraw(s->registry);
 		router_stop_at(s->router, e->stop_us);
 		route_limit_forwards(s);
 		return;
@@ -569,7 +573,6 @@
 	route_service_send_event(
 		s, (struct route_event){ .type = ROUTE_EVENT_DRAIN,
 					 .stop_us = stop_us });
-	registry_thread_withdraw(s->registry);
 	http_server_drain(s->server);
 	g_usleep((gulong)s->settings.drain_delay_us);
 	/*
--- a/router/quota.c
+++ b/router/quota.c
@@ -8,8 +8,8 @@
 
 /* Longest wait for the answer to a claim; a round trip may take 24 ms. */
 #define WAIT_MAX_US (60 * US_PER_MS)
-/* The same as a share of the time until the latency goal. */
-#define WAIT_GOAL_SHARE 0.6
+/* The same as a share of the latency goal, counted from the arrival. */
+#define WAIT_GOAL_SHARE 0.25
 /* Backoff for callers of refused requests. */
 #define RETRY_AFTER_MIN_US (100 * US_PER_MS)
 #define RETRY_AFTER_SPREAD_US (300 * US_PER_MS)
@@ -196,10 +196,10 @@
 /* Returns how long a request may wait for a token. */
 static int64_t longest_wait(const struct quota_request *in)
 {
-	int64_t wait = MIN((int64_t)(WAIT_GOAL_SHARE * (double)in->goal_us),
-			   WAIT_MAX_US);
+	int64_t wait = (int64_t)(WAIT_GOAL_SHARE * (double)in->goal_us) -
+		       in->elapsed_us;
 
-	return MAX(wait, 0);
+	return CLAMP(wait, 0, WAIT_MAX_US);
 }
 
 static void add_waiter(struct quota_entry *e, const struct quota_request *in,
@@ -332,9 +332,9 @@
 	}
 }
 
-/* Refuses the waiters until now, or all of them. */
-static void refuse_waiters(struct quota *q, struct quota_entry *e, bool is_all,
-			   int64_t now)
+/* Refuses the requests that wait no longer than until a time. */
+static void refuse_waiters(struct quota *q, struct quota_entry *e,
+			   int64_t until, int64_t now)
 {
 	GList *next;
 
@@ -343,7 +343,7 @@
 		struct quota_waiter *w = i->data;
 
 		next = i->next;
-		if (!is_all && now < w->until_us) {
+		if (w->until_us > until) {
 			e->wait_until_us = MIN(e->wait_until_us, w->until_us);
 			continue;
 		}
@@ -363,10 +363,13 @@
 	if (!e || !token_lease_apply_grant(&e->lease, g, now))
 		return;
 	admit_waiters(q, e, now);
-	if (e->waiters.length &&
-	    token_lease_is_dry(&e->lease, now.monotonic_us))
-		refuse_waiters(q, e, true, now.monotonic_us);
+	/* A token that comes after the wait would mostly lapse unused. */
+	if (token_lease_is_dry(&e->lease, now.monotonic_us))
+		refuse_waiters(q, e, INT64_MAX, now.monotonic_us);
 	else if (e->waiters.length)
+		refuse_waiters(q, e, now.monotonic_us + g->next_answer_us,
+			       now.monotonic_us);
+	if (e->waiters.length)
 		token_lease_claim_again(&e->lease, now);
 	arm_timer(q, e);
 }
@@ -409,7 +412,8 @@
 		};
 
 		if (e->waiters.length && now.monotonic_us >= e->wait_until_us)
-			refuse_waiters(q, e, false, now.monotonic_us);
+			refuse_waiters(q, e, now.monotonic_us,
+				       now.monotonic_us);
 		if (token_lease_take_claim(&e->lease, e->waiters.length, now,
 					   &c)) {
 			if (!claims)
--- a/router/request.c
+++ b/router/request.c
@@ -611,7 +611,8 @@
 	for (uint32_t i = 0; i < q->part_count; i++) {
 		struct route_part *p = &q->parts[i];
 
-		crowded += request_may_make_room(p) && !waiting_may_displace(r, p);
+		crowded += request_may_make_room(p) &&
+			   !waiting_may_displace(r, p);
 	}
 	return can_lose(q, lost + crowded) && (!crowded || may_leave_out(r, q));
 }
--- a/router/waiting.c
+++ b/router/waiting.c
@@ -646,8 +646,7 @@
 	const struct route_request *q = p->request;
 
 	/* The refusal of a lower rank makes no room. */
-	return victim->request != q &&
-	       victim->entry.rank <= rank_of(q) &&
+	return victim->request != q && victim->entry.rank <= rank_of(q) &&
 	       triage_is_cheaper(&victim->entry, rank_of(q),
 				 request_whole_work(q));
 }
--- a/test/unit/fake_load.c
+++ b/test/unit/fake_load.c
@@ -470,7 +470,8 @@
 
 	if (!h->quota)
 		return;
-	token_exchange_note_store(h->tokens, h->run->time.now_us);
+	token_owner_note_store(token_exchange_owner(h->tokens),
+			       h->run->time.now_us);
 	token_exchange_advance(h->tokens);
 	claims = quota_advance(h->quota, lease_now(h->run));
 	if (claims) {
--- a/test/unit/quota_sim.c
+++ b/test/unit/quota_sim.c
@@ -7,6 +7,12 @@
 #define RENEWAL_US (5 * US_PER_S)
 #define NEWS_US (1 * US_PER_S)
 #define STOP_US (6 * US_PER_S)
+#define RENEWAL_RETRY_US (2 * US_PER_S)
+/* Longest time from the start of a renewal until it reaches the store. */
+#define RENEWAL_MAX_MS 800
+/* Interval of the checks of a host after a break. */
+#define CHECK_US (1 * US_PER_S)
+#define FRAME_DELAY_US (5 * US_PER_S)
 #define SETTLE_US (12 * US_PER_S)
 
 struct sim_frame {
@@ -15,6 +21,9 @@
 	uint32_t to;
 	bool is_grants;
 	bool is_view;
+	bool is_lost;
+	bool is_release;
+	struct token_release release;
 	struct token_view view;
 	/** Of struct token_claim or struct token_grant; keys are interned. */
 	GArray *items;
@@ -22,11 +31,16 @@
 
 struct record_event {
 	int64_t at_us;
+	int64_t published_us;
 	uint32_t host;
+	uint64_t lease;
 	bool is_present;
 };
 
-static const char *const domains[] = { "a", "b", "c" };
+/* Of two failure domains in each region; host i is in region i % 3. */
+static const char *const domains[] = { "a", "b", "c", "a2", "b2", "c2" };
+static char *regions[] = { "a=ra",  "b=rb",  "c=rc", "a2=ra",
+			   "b2=rb", "c2=rc", NULL };
 
 static char *host_address(uint32_t i)
 {
@@ -39,12 +53,13 @@
 					  10);
 }
 
-static void put_record(struct qsim_host *h, uint32_t other)
+static void put_record(struct qsim_host *h, uint32_t other, uint64_t lease)
 {
 	struct host_record r = {
 		.name = g_strdup_printf("h%u", other),
 		.address = host_address(other),
-		.domain = g_strdup(domains[other % 3]),
+		.domain = g_strdup(domains[other % 6]),
+		.lease = lease,
 	};
 
 	host_directory_put(&h->directory, &r);
@@ -64,8 +79,14 @@
 				    h->time.now_us + h->time.boot_offset_us };
 }
 
-static void send_frame(struct quota_sim *s, uint32_t from, uint32_t to,
-		       bool is_grants, const GArray *items, guint size)
+static bool is_drawn(struct quota_sim *s, double part)
+{
+	return part > 0 && g_rand_double(s->random) < part;
+}
+
+static struct sim_frame *send_frame(struct quota_sim *s, uint32_t from,
+				    uint32_t to, bool is_grants,
+				    const GArray *items, guint size)
 {
 	struct sim_frame *f = g_new0(struct sim_frame, 1);
 
@@ -83,9 +104,29 @@
 
 		*key = g_intern_string(*key);
 	}
+	for (guint i = 0; i < f->items->len && !is_grants; i++) {
+		struct token_claim *c =
+			&g_array_index(f->items, struct token_claim, i);
+
+		c->domain = g_intern_string(c->domain);
+	}
 	s->frame_count++;
 	s->claim_count += is_grants ? 0 : items->len;
+	if (is_drawn(s, s->delayed_part))
+		f->at_us += g_rand_int_range(s->random, 0, FRAME_DELAY_US);
+	f->is_lost = is_drawn(s, s->lost_part);
 	g_queue_push_tail(&s->frames, f);
+	return f;
+}
+
+/* Repeats a frame other than claims and grants, which links do not repeat. */
+static void repeat_frame(struct quota_sim *s, const struct sim_frame *f)
+{
+	struct sim_frame *copy = g_memdup2(f, sizeof(*f));
+
+	copy->items = g_array_copy(f->items);
+	copy->at_us += g_rand_int_range(s->random, 0, FRAME_DELAY_US);
+	g_queue_push_tail(&s->frames, copy);
 }
 
 static void handle_send_claims(void *ctx, const char *address,
@@ -104,11 +145,32 @@
 	GArray *none = g_array_new(FALSE, FALSE, sizeof(struct token_claim));
 	struct sim_frame *f;
 
-	send_frame(h->sim, h->index, address_index(address), false, none,
-		   sizeof(struct token_claim));
-	f = g_queue_peek_tail(&h->sim->frames);
+	f = send_frame(h->sim, h->index, address_index(address), false, none,
+		       sizeof(struct token_claim));
 	f->is_view = true;
 	f->view = *view;
+	if (h->sim->is_large)
+		f->view.hash += h->index + 1;
+	if (is_drawn(h->sim, h->sim->repeated_part))
+		repeat_frame(h->sim, f);
+	g_array_free(none, TRUE);
+}
+
+static void handle_send_release(void *ctx, const char *address,
+				const struct token_release *release)
+{
+	struct qsim_host *h = ctx;
+	GArray *none = g_array_new(FALSE, FALSE, sizeof(struct token_claim));
+	struct sim_frame *f;
+
+	f = send_frame(h->sim, h->index, address_index(address), false, none,
+		       sizeof(struct token_claim));
+	f->is_release = true;
+	f->release = *release;
+	f->release.key = g_intern_string(release->key);
+	f->release.domain = g_intern_string(release->domain);
+	if (is_drawn(h->sim, h->sim->repeated_part))
+		repeat_frame(h->sim, f);
 	g_array_free(none, TRUE);
 }
 
@@ -135,6 +197,7 @@
 
 static const struct token_exchange_ops exchange_ops = {
 	.send_view = handle_send_view,
+	.send_release = handle_send_release,
 	.send_claims = handle_send_claims,
 	.deliver_grant = handle_deliver_grant,
 	.update_limit = handle_update_limit,
@@ -179,7 +242,9 @@
 		struct record_event *e = g_new0(struct record_event, 1);
 
 		e->at_us = MAX(h->last_event_us, s->now_us + event_delay(s));
+		e->published_us = s->now_us;
 		e->host = host;
+		e->lease = s->hosts[host].lease;
 		e->is_present = is_present;
 		h->last_event_us = e->at_us;
 		g_queue_push_tail(&h->events, e);
@@ -192,6 +257,7 @@
 	char name[16];
 	struct token_exchange_options options = {
 		.directory = &h->directory,
+		.is_leased = true,
 		.seed = ++s->seed,
 		.ops = &exchange_ops,
 		.ctx = h,
@@ -206,11 +272,12 @@
 	h->is_running = true;
 	h->stop_at_us = 0;
 	h->is_listed = false;
+	h->is_published = false;
 	h->listed_at_us =
 		s->now_us + g_rand_int_range(s->random, 50, 500) * US_PER_MS;
 	h->frozen_until_us = 0;
 	memset(&h->directory, 0, sizeof(h->directory));
-	leaf_set_init(&h->leaves, name, domains[i % 3], NULL);
+	leaf_set_init(&h->leaves, name, domains[i % 6], regions);
 	host_directory_init(&h->directory, name, &h->leaves);
 	options.clock = clock_virtual(&h->time);
 	h->exchange = token_exchange_create(&options);
@@ -230,9 +297,20 @@
 	leaf_set_clear(&h->leaves);
 }
 
+static bool is_on_island(const struct quota_sim *s, uint32_t host)
+{
+	return s->now_us < s->island_until_us && (s->island >> host & 1);
+}
+
 static bool reaches_store(const struct quota_sim *s, const struct qsim_host *h)
 {
-	return s->now_us >= s->store_away_until_us &&
+	bool is_cut = s->now_us < s->region_cut_until_us &&
+		      (int)h->index % 3 == s->cut_region;
+
+	if (s->now_us < s->island_until_us &&
+	    is_on_island(s, h->index) != s->has_island_store)
+		return false;
+	return !is_cut && s->now_us >= s->store_away_until_us &&
 	       s->now_us >= h->cut_from_store_until_us;
 }
 
@@ -242,13 +320,11 @@
 
 	if (!h->is_running || h->stop_at_us)
 		return;
+	token_owner_stop(token_exchange_owner(h->exchange));
 	if (h->has_record && reaches_store(s, h))
 		publish(s, i, false);
 	h->next_renewal_us = INT64_MAX;
 	h->stop_at_us = s->now_us + STOP_US;
-	/* A host that is not told of its stop may learn from the records. */
-	if (g_rand_boolean(s->random))
-		token_exchange_stop(h->exchange);
 }
 
 void quota_sim_freeze_host(struct quota_sim *s, uint32_t i, int64_t us,
@@ -271,9 +347,10 @@
 	g_queue_clear_full(&h->events, g_free);
 	for (uint32_t i = 0; i < s->count; i++) {
 		if (s->hosts[i].has_record)
-			put_record(h, i);
+			put_record(h, i, s->hosts[i].lease);
 	}
 	h->next_renewal_us = s->now_us;
+	h->earlier_lease = h->has_record && h->is_marked ? h->lease : 0;
 }
 
 static void apply_events(struct quota_sim *s, struct qsim_host *h)
@@ -284,17 +361,65 @@
 		return;
 	while ((e = g_queue_peek_head(&h->events)) && e->at_us <= s->now_us) {
 		if (e->is_present)
-			put_record(h, e->host);
+			put_record(h, e->host, e->lease);
 		else
 			remove_record(h, e->host);
 		g_free(g_queue_pop_head(&h->events));
 	}
 }
 
+/* Renews the lease on the record; one that has expired is not renewed. */
+static void renew_record(struct quota_sim *s, struct qsim_host *h)
+{
+	int64_t call_us =
+		g_rand_int_range(s->random, 0, RENEWAL_MAX_MS) * US_PER_MS;
+	struct lease_time started = host_now(h);
+
+	started.monotonic_us -= call_us;
+	started.boot_us -= call_us;
+	h->next_renewal_us = s->now_us + RENEWAL_US;
+	h->lease_until_us = s->now_us + LEASE_US;
+	if (!h->is_published && h->has_record && h->earlier_lease == h->lease) {
+		publish(s, h->index, true);
+		token_owner_note_inherited(token_exchange_owner(h->exchange),
+					   h->lease);
+	} else if (!h->has_record || !h->is_published) {
+		h->lease = ++s->last_lease;
+		h->is_marked = false;
+		publish(s, h->index, true);
+	}
+	h->is_published = true;
+	token_owner_note_renewal(token_exchange_owner(h->exchange), h->lease,
+				 &started);
+}
+
+static bool is_check_due(const struct quota_sim *s, const struct qsim_host *h)
+{
+	return !h->stop_at_us &&
+	       token_owner_needs_check(token_exchange_owner(h->exchange)) &&
+	       s->now_us - (h->next_renewal_us - RENEWAL_US) >= CHECK_US;
+}
+
+/* The mirror has the changes up to the first one that has not arrived. */
+static void note_mirror(struct quota_sim *s, struct qsim_host *h)
+{
+	const struct record_event *e = g_queue_peek_head(&h->events);
+	int64_t age = e ? s->now_us - e->published_us + 1 : 0;
+
+	if (s->now_us >= h->events_from_us)
+		token_owner_note_mirror(token_exchange_owner(h->exchange),
+					h->time.now_us - age);
+}
+
 static void run_store_client(struct quota_sim *s, struct qsim_host *h)
 {
 	if (!reaches_store(s, h)) {
 		h->events_from_us = s->now_us + s->event_delay_us;
+		h->next_renewal_us =
+			MAX(h->next_renewal_us, s->now_us + RENEWAL_RETRY_US);
+		if (s->now_us >= h->next_news_us)
+			token_owner_note_store_lost(
+				token_exchange_owner(h->exchange));
 		return;
 	}
 	if (!h->is_listed) {
@@ -303,22 +428,27 @@
 		return;
 	}
 	apply_events(s, h);
-	if (s->now_us >= h->next_renewal_us) {
-		h->next_renewal_us = s->now_us + RENEWAL_US;
-		h->lease_until_us = s->now_us + LEASE_US;
-		if (!h->has_record)
-			publish(s, h->index, true);
-	}
+	note_mirror(s, h);
+	if (h->is_published && h->has_record &&
+	    token_owner_has_joined(token_exchange_owner(h->exchange)))
+		h->is_marked = true;
+	if (s->now_us >= h->renewals_fail_until_us &&
+	    (s->now_us >= h->next_renewal_us || is_check_due(s, h)))
+		renew_record(s, h);
 	if (s->now_us >= h->next_news_us) {
 		h->next_news_us = s->now_us + NEWS_US;
-		token_exchange_note_store(h->exchange, h->time.now_us);
+		token_owner_note_store(token_exchange_owner(h->exchange),
+				       h->time.now_us);
 	}
 }
 
 static void expire_records(struct quota_sim *s)
 {
-	if (s->now_us < s->store_away_until_us)
+	if (s->now_us < s->store_away_until_us) {
+		for (uint32_t i = 0; i < s->count && s->is_keeping_leases; i++)
+			s->hosts[i].lease_until_us += QSIM_STEP_US;
 		return;
+	}
 	for (uint32_t i = 0; i < s->count; i++) {
 		if (s->hosts[i].has_record &&
 		    s->now_us >= s->hosts[i].lease_until_us)
@@ -337,7 +467,13 @@
 	int from = (int)f->from;
 	int to = (int)f->to;
 
-	return s->now_us < s->hosts[f->from].cut_from_hosts_until_us ||
+	bool is_far = from % 3 != to % 3;
+	bool is_cut = s->now_us < s->region_cut_until_us &&
+		      (from % 3 == s->cut_region || to % 3 == s->cut_region);
+
+	return f->is_lost || (is_far && is_cut) ||
+	       is_on_island(s, f->from) != is_on_island(s, f->to) ||
+	       s->now_us < s->hosts[f->from].cut_from_hosts_until_us ||
 	       s->now_us < s->hosts[f->to].cut_from_hosts_until_us ||
 	       !s->hosts[f->to].is_running ||
 	       (s->lost_link[0] == from && s->lost_link[1] == to) ||
@@ -351,7 +487,11 @@
 	GArray *grants;
 
 	if (f->is_view) {
-		token_exchange_handle_view(h->exchange, from, &f->view);
+		token_owner_handle_view(token_exchange_owner(h->exchange), from,
+					&f->view);
+	} else if (f->is_release) {
+		token_owner_handle_release(token_exchange_owner(h->exchange),
+					   from, &f->release);
 	} else if (f->is_grants) {
 		token_exchange_handle_grants(h->exchange, from, f->items);
 	} else {
@@ -431,6 +571,7 @@
 	for (uint32_t o = 0; o < s->organisation_count; o++)
 		send_requests(s, h, o);
 	token_exchange_advance(h->exchange);
+	token_owner_prepare(token_exchange_owner(h->exchange));
 	claims = quota_advance(h->quota, host_now(h));
 	if (claims) {
 		token_exchange_claim(h->exchange, claims);
@@ -440,6 +581,43 @@
 	token_exchange_deliver_own(h->exchange);
 }
 
+static bool is_owner(struct qsim_host *h)
+{
+	struct token_claim claim = { .key = "q:o0", .domain = "" };
+	struct rate_owners owners =
+		host_directory_rate_owners(&h->directory, claim.key, "");
+	int64_t since;
+
+	return token_owner_part(token_exchange_owner(h->exchange), &claim,
+				&owners, &since) == TOKEN_PART_ALL;
+}
+
+/* Counts the hosts that would grant all of a rate at this moment. */
+static void check_owners(struct quota_sim *s)
+{
+	uint32_t found[2] = { 0, 0 };
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < s->count; i++) {
+		struct qsim_host *h = &s->hosts[i];
+
+		if (!h->is_running || s->now_us < h->frozen_until_us ||
+		    !is_owner(h))
+			continue;
+		found[MIN(count, 1)] = i;
+		count++;
+	}
+	if (count)
+		s->owned_us += QSIM_STEP_US;
+	if (count < 2)
+		return;
+	s->overlap_sum_us += QSIM_STEP_US;
+	if (s->overlap_us)
+		return;
+	s->overlap_us = s->now_us;
+	memcpy(s->overlap_hosts, found, sizeof(found));
+}
+
 void quota_sim_run(struct quota_sim *s, int64_t us)
 {
 	for (int64_t end = s->now_us + us; s->now_us < end;) {
@@ -454,6 +632,8 @@
 			if (h->is_running && s->now_us >= h->frozen_until_us)
 				run_host(s, h);
 		}
+		if (s->is_checking_owners)
+			check_owners(s);
 	}
 }
 
@@ -533,6 +713,7 @@
 	}
 	s->frame_count = 0;
 	s->claim_count = 0;
+	s->owned_us = 0;
 }
 
 uint32_t quota_sim_most_in_window(const struct quota_sim *s, uint32_t o)
--- a/test/unit/test_route_callers.c
+++ b/test/unit/test_route_callers.c
@@ -99,6 +99,24 @@
 {
 }
 
+void registry_thread_mark_joined(struct registry_thread *t, uint64_t lease)
+{
+}
+
+void registry_thread_request_check(struct registry_thread *t)
+{
+}
+
+struct registry_check registry_thread_last_check(struct registry_thread *t)
+{
+	return (struct registry_check){ 0 };
+}
+
+struct registry_lease registry_thread_lease(struct registry_thread *t)
+{
+	return (struct registry_lease){ 0 };
+}
+
 int64_t registry_thread_news_us(const struct registry_thread *t)
 {
 	return 0;
