quotas: replenish the bucket of a new owner once no window has earlier tokens

The bucket of a new owner starts empty, since an earlier one may have granted a full bucket just before.

--- a/router/token_pool.c
+++ b/router/token_pool.c
@@ -64,6 +64,11 @@
 #define RETRY_MAX_US (1 * US_PER_S)
 /* Time until a host that asked the wrong one claims again. */
 #define RETRY_ELSEWHERE_US (250 * US_PER_MS)
+/*
+ * Time from which no window of the bound has requests with tokens of the owner
+ * before this one: until the last of them have lapsed, and a window.
+ */
+#define REPLENISH_US (TOKEN_STANDING_US + STANDING_SLOT_US + 5 * US_PER_S)
 /* A bucket with fewer tokens is nearly empty. */
 #define LOW_TOKENS 2
 /* A full bucket without claims is forgotten after this time. */
@@ -77,6 +82,11 @@
 	int64_t since_us;
 	double tokens;
 	int64_t tokens_at_us;
+	/** Since then the bucket has had its part, or since since_us. */
+	int64_t changed_at_us;
+	/** Tokens granted before the bucket was replenished. */
+	double granted_new;
+	bool is_replenished;
 	int64_t claimed_at_us;
 	/** Tokens granted by slot, at the slot's number modulo SLOTS. */
 	uint32_t granted[SLOTS];
@@ -224,6 +234,21 @@
 	return CLAMP(most, 0, size);
 }
 
+/*
+ * Adds the tokens that a bucket lacks because it was empty when this host began
+ * to grant: with a low rate it would take minutes to get the first one.
+ */
+static void replenish(struct token_bucket *b, int64_t now)
+{
+	if (b->is_replenished || b->part != TOKEN_PART_ALL ||
+	    b->limit.is_cold_leaf ||
+	    now - MAX(b->since_us, b->changed_at_us) < REPLENISH_US)
+		return;
+	b->is_replenished = true;
+	b->tokens = MAX(b->tokens, MIN(bucket_size(b) - b->granted_new,
+				       most_tokens(b, now)));
+}
+
 /* Adds the tokens that have become available. */
 static void refill(struct token_bucket *b, int64_t now)
 {
@@ -236,6 +261,7 @@
 						US_PER_S,
 			    most);
 	b->tokens_at_us = MAX(b->tokens_at_us, now);
+	replenish(b, now);
 }
 
 static struct token_bucket *get_bucket(struct token_pool *p,
@@ -264,7 +290,7 @@
 
 /* A host that was not allowed to grant for a time starts with no tokens. */
 static void set_part(struct token_bucket *b, enum token_part part,
-		     int64_t since)
+		     int64_t since, int64_t now)
 {
 	if (b->part == part && b->since_us >= since)
 		return;
@@ -272,6 +298,9 @@
 	b->since_us = since;
 	b->tokens = 0;
 	b->tokens_at_us = MAX(b->tokens_at_us, since);
+	b->changed_at_us = now;
+	b->granted_new = 0;
+	b->is_replenished = false;
 }
 
 /*
@@ -364,6 +393,7 @@
 				    MIN(claim->wanted,
 					MAX(b->tokens - LOW_TOKENS, 0)));
 	b->tokens -= out->tokens;
+	b->granted_new += out->tokens;
 	b->standing[b->standing_slot % STANDING_SLOTS] += out->tokens;
 	if (out->tokens)
 		out->retry_us = 0;
@@ -423,6 +453,7 @@
 		out->tokens = (uint32_t)MIN(ceil(fair), b->tokens);
 	}
 	b->tokens -= out->tokens;
+	b->granted_new += out->tokens;
 }
 
 void token_pool_claim(struct token_pool *p, const struct token_claim *claim,
@@ -443,7 +474,7 @@
 	b = get_bucket(p, claim, part, since_us);
 	clear_old_slots(b, now_us);
 	clear_old_standing(b, now_us);
-	set_part(b, part, since_us);
+	set_part(b, part, since_us, now_us);
 	set_limit(b, &claim->limit, now_us);
 	b->claimed_at_us = now_us;
 	out->ticket = (uint64_t)p->seed << 32 |
