--- a/test/unit/test_quota.c
+++ b/test/unit/test_quota.c
@@ -278,6 +278,46 @@
 	};
 }
 
+/*
+ * Guards against organisations with a low rate that get no token for a minute
+ * after a host has begun to grant.
+ */
+static void test_pool_replenished(void)
+{
+	struct token_pool *p = token_pool_create(1);
+	struct token_claim c = pool_claim(1);
+	int64_t now = START_US + 11 * US_PER_S;
+	struct token_grant g;
+
+	c.limit.max_per_s = 0.05;
+	c.limit.burst = 0;
+	token_pool_claim(p, &c, TOKEN_PART_ALL, START_US, now, &g);
+	CU_ASSERT_EQUAL(g.tokens, 0);
+	now += US_PER_S;
+	for (int i = 0; i < 14; i++) {
+		token_pool_claim(p, &c, TOKEN_PART_ALL, START_US, now, &g);
+		CU_ASSERT_EQUAL(g.tokens, 1);
+	}
+	token_pool_claim(p, &c, TOKEN_PART_ALL, START_US, now, &g);
+	CU_ASSERT_EQUAL(g.tokens, 0);
+	/* What was granted before is missing. */
+	c.key = "q:other";
+	c.limit.max_per_s = 1;
+	token_pool_claim(p, &c, TOKEN_PART_ALL, START_US,
+			 START_US + 6 * US_PER_S, &g);
+	CU_ASSERT_EQUAL(g.tokens, 1);
+	c.wanted = 13;
+	token_pool_claim(p, &c, TOKEN_PART_ALL, START_US, now, &g);
+	CU_ASSERT_EQUAL(g.tokens, 13);
+	/* A second owner gets none, nor one that is the first from now on. */
+	c.key = "q:third";
+	token_pool_claim(p, &c, TOKEN_PART_SECOND, START_US, now, &g);
+	CU_ASSERT_EQUAL(g.tokens, 0);
+	token_pool_claim(p, &c, TOKEN_PART_ALL, START_US, now, &g);
+	CU_ASSERT_EQUAL(g.tokens, 0);
+	token_pool_free(p);
+}
+
 /* Guards against tokens that a new owner has before it may grant. */
 static void test_pool_starts_empty(void)
 {
@@ -730,6 +770,7 @@
 	{ "refused at once", test_refused_at_once },
 	{ "give back", test_give_back },
 	{ "pool starts empty", test_pool_starts_empty },
+	{ "pool replenished", test_pool_replenished },
 	{ "pool returns", test_pool_returns },
 	{ "pool bound", test_pool_bound },
 	{ "cache", test_cache },
--- a/test/unit/test_triage.c
+++ b/test/unit/test_triage.c
@@ -47,6 +47,31 @@
 	triage_queue_clear(&q);
 }
 
+/*
+ * Guards against a list of the cheapest entries that differs from the order in
+ * which they are refused, also among equal ones.
+ */
+static void test_cheapest(void)
+{
+	struct triage_queue q = { 0 };
+	struct triage_entry e[ENTRIES] = { 0 };
+	struct triage_entry *listed[8];
+	GRand *rand = g_rand_new_with_seed(1);
+	uint32_t count;
+
+	for (int i = 0; i < ENTRIES; i++)
+		add(&q, &e[i], 0, 0, US_PER_S,
+		    g_rand_int_range(rand, 1, 5) * US_PER_MS);
+	count = triage_queue_list_cheapest(&q, listed, G_N_ELEMENTS(listed));
+	CU_ASSERT_EQUAL(count, G_N_ELEMENTS(listed));
+	for (uint32_t i = 0; i < count; i++) {
+		CU_ASSERT_PTR_EQUAL(triage_queue_cheapest(&q), listed[i]);
+		triage_queue_remove(&q, listed[i]);
+	}
+	triage_queue_clear(&q);
+	g_rand_free(rand);
+}
+
 /*
  * Guards against entries that are lost or sums of work that drift, over random
  * additions and removals.
@@ -276,6 +301,7 @@
 
 CU_TestInfo triage_tests[] = {
 	{ "order", test_order },
+	{ "cheapest", test_cheapest },
 	{ "random changes", test_random_changes },
 	{ "work", test_work },
 	{ "end", test_end },
