quotas: a stopping host leaves its record to its next process

A restart changed the owners of the host's rates twice, and each change left them without an owner for seconds; in a rolling restart of 58 hosts 8 to 15 in 100 requests were refused. Where rates are in use, the record now stays until its lease expires, with a mark that no requests are to be sent to the host.

--- a/include/router/directory.h
+++ b/include/router/directory.h
@@ -20,6 +20,8 @@
 	uint64_t lease;
 	/** The host has waited until it may grant, under this lease. */
 	bool has_joined;
+	/** The host stops: no requests are sent to it. */
+	bool is_stopping;
 };
 
 /** Host of the fleet, with its state as seen by this host. */
--- a/nutmegpickd/registry_thread.c
+++ b/nutmegpickd/registry_thread.c
@@ -443,6 +443,23 @@
 	wait_us(t, BATCH_CHANGES_US);
 }
 
+/*
+ * Leaves the record until its lease expires, with a mark that no requests are
+ * to be sent: the next process of this host takes it over and with it the rates
+ * that the host owns. If it were removed, each restart would change their
+ * owners twice.
+ */
+static bool leave_host_record(struct registry_thread *t, uint64_t lease)
+{
+	if (perform_call(t, platform_store_renew_lease(lease), "POST",
+			 CALL_TIMEOUT_MS) != 200)
+		return false;
+	t->options.self.is_stopping = true;
+	return perform_call(
+		       t, platform_store_publish_host(&t->options.self, lease),
+		       "POST", CALL_TIMEOUT_MS) == 200;
+}
+
 static void withdraw_host_record(struct registry_thread *t)
 {
 	uint64_t lease = t->lease;
@@ -450,8 +467,11 @@
 	/* handle_progress() would abort the call while is_published is set. */
 	t->lease = 0;
 	t->is_published = false;
-	if (lease && perform_call(t, platform_store_revoke_lease(lease),
-				  "DELETE", CALL_TIMEOUT_MS) != 200)
+	if (!lease ||
+	    (t->options.self.has_joined && leave_host_record(t, lease)))
+		return;
+	if (perform_call(t, platform_store_revoke_lease(lease), "DELETE",
+			 CALL_TIMEOUT_MS) != 200)
 		event_log(EV_RECORD_LEFT, "host=%s lease=%llu",
 			  t->options.self.name, (unsigned long long)lease);
 }
--- a/nutmegpickd/route_service.c
+++ b/nutmegpickd/route_service.c
@@ -164,7 +164,7 @@
 		s->is_draining = true;
 		s->stop_us = e->stop_us;
 		start_hold_note_stop(&s->hold);
-		/* The next host grants when the record is gone. */
+		/* Before others can learn that this host stops. */
 		token_owner_stop(token_exchange_owner(s->tokens));
 		registry_thread_withdraw(s->registry);
 		router_stop_at(s->router, e->stop_us);
--- a/router/directory.c
+++ b/router/directory.c
@@ -117,23 +117,34 @@
 	d->generation++;
 }
 
+static void update_host(struct host_directory *d, struct known_host *h,
+			const struct host_record *r)
+{
+	if (h->record.capacity != r->capacity)
+		change_capacity(d, h, r->capacity);
+	/* A record with another lease may have been gone meanwhile. */
+	if (h->record.lease != r->lease)
+		d->generation++;
+	h->record.lease = r->lease;
+	if (h->record.is_stopping != r->is_stopping)
+		h->suspect_until_us = r->is_stopping ? INT64_MAX : 0;
+	h->record.is_stopping = r->is_stopping;
+}
+
 void host_directory_put(struct host_directory *d, struct host_record *r)
 {
 	struct known_host *h = g_hash_table_lookup(d->hosts, r->name);
 
 	if (h && !strcmp(h->record.address, r->address)) {
-		if (h->record.capacity != r->capacity)
-			change_capacity(d, h, r->capacity);
-		/* A record with another lease may have been gone meanwhile. */
-		if (h->record.lease != r->lease)
-			d->generation++;
-		h->record.lease = r->lease;
+		update_host(d, h, r);
 		host_record_clear(r);
 		return;
 	}
 	h = g_new0(struct known_host, 1);
 	h->record = *r;
 	memset(r, 0, sizeof(*r));
+	if (h->record.is_stopping)
+		h->suspect_until_us = INT64_MAX;
 	h->distance = leaf_set_distance(d->leaves, h->record.domain);
 	h->name_hash = hash_string(h->record.name, 0);
 	h->rate_region = host_directory_rate_region(d, h->record.domain);
--- a/test/unit/test_directory.c
+++ b/test/unit/test_directory.c
@@ -1,5 +1,7 @@
 #include "suites.h"
 
+#include <string.h>
+
 #include "common/clock.h"
 #include "router/directory.h"
 #include "router/work_share.h"
@@ -128,9 +130,41 @@
 	CU_ASSERT_FALSE(work_share_is_high(&w));
 }
 
+/*
+ * Guards against requests that are sent to a host that stops, and against a
+ * change of the hosts that own rates when it does.
+ */
+static void test_stopping(void)
+{
+	struct host_record r = {
+		.name = g_strdup("h0"),
+		.address = g_strdup("10.0.0.0:7000"),
+		.domain = g_strdup("a"),
+		.capacity = 500,
+		.is_stopping = true,
+	};
+	struct fixture g;
+	uint64_t generation;
+
+	fixture_init(&g, 40);
+	generation = g.directory.generation;
+	host_directory_put(&g.directory, &r);
+	CU_ASSERT_EQUAL(g.directory.generation, generation);
+	for (int i = 0; i < CHOICES; i++) {
+		bool is_gatherer;
+		struct known_host *h = host_directory_choose_gatherer(
+			&g.directory, g.local_leaves, g.random, g.now_us,
+			&is_gatherer);
+
+		CU_ASSERT(!h || strcmp(h->record.name, "h0") != 0);
+	}
+	fixture_clear(&g);
+}
+
 CU_TestInfo directory_tests[] = {
 	{ "few gatherers", test_few_gatherers },
 	{ "spread", test_spread },
+	{ "stopping", test_stopping },
 	{ "work share", test_work_share },
 	CU_TEST_INFO_NULL,
 };
