--- a/ev.c
+++ /dev/null
@@ -1,1 +0,0 @@
-#include "test/unit/fake_load.c"
