--- a/nutmegpickd/registry_thread.c
+++ b/nutmegpickd/registry_thread.c
@@ -35,8 +35,8 @@
 #define LEASE_MS 15000
 #define RENEW_US (5 * US_PER_S)
 /*
- * Interval of renewals that fail. An owner of quotas grants for 14 s after the
- * last one that did not.
+ * The same after a renewal that failed, where the host grants rates: it does so
+ * for 14 s after the last one that did not fail.
  */
 #define RENEW_RETRY_US (2 * US_PER_S)
 /* Longest wait until the lease on this host's record is checked again. */
@@ -568,7 +568,7 @@
 
 		if (status == 200)
 			note_lease(t, started);
-		else
+		else if (t->options.self.has_joined)
 			t->next_renewal_us = now_us(t) + RENEW_RETRY_US;
 		if (status != 404)
 			return;
