--- a/router/token_owner.c
+++ b/router/token_owner.c
@@ -636,10 +636,14 @@
 	note_view(o, address, view);
 }
 
-/* Returns the time from which no host that has left can grant any more. */
+/*
+ * Returns the time from which this host may have a part, as far as it depends
+ * on hosts that have left. An earlier second host learns late that a host
+ * before both has left, and it does not stop before that.
+ */
 static int64_t free_time(const struct token_owner *o,
 			 const struct token_claim *c,
-			 const struct known_host *self)
+			 const struct known_host *self, enum token_part part)
 {
 	int64_t from = 0;
 
@@ -647,9 +651,12 @@
 		const struct dated_host *d =
 			&g_array_index(o->gone, struct dated_host, i);
 
-		if (host_directory_was_before(o->options.directory, &d->host,
-					      self, c->key, c->domain))
-			from = MAX(from, d->free_us);
+		if (!host_directory_was_before(o->options.directory, &d->host,
+					       self, c->key, c->domain))
+			continue;
+		from = MAX(from, part == TOKEN_PART_ALL
+					 ? d->free_us
+					 : d->at_us + TOKEN_JOIN_US);
 	}
 	return from;
 }
@@ -664,29 +671,7 @@
 
 	if (taken && is_self(o, self))
 		from = MIN(from, taken);
-	return MAX(from, free_time(o, c, self));
-}
-
-/*
- * Returns the time from which no other host grants the part of the second one.
- * An earlier second host learns late that a host before both has left, and it
- * does not stop before that.
- */
-static int64_t second_time(const struct token_owner *o,
-			   const struct token_claim *c,
-			   const struct known_host *self)
-{
-	int64_t from = 0;
-
-	for (guint i = 0; i < o->gone->len; i++) {
-		const struct dated_host *d =
-			&g_array_index(o->gone, struct dated_host, i);
-
-		if (host_directory_was_before(o->options.directory, &d->host,
-					      self, c->key, c->domain))
-			from = MAX(from, d->at_us + TOKEN_JOIN_US);
-	}
-	return from;
+	return MAX(from, free_time(o, c, self, TOKEN_PART_ALL));
 }
 
 /* Asks the owner of a key for it. */
@@ -737,7 +722,8 @@
 	if (token_handover_defers(o->handover, owners->first, c->key, c->domain,
 				  *since, now))
 		return TOKEN_PART_ALL;
-	*since = MAX(*since, second_time(o, c, owners->second));
+	*since =
+		MAX(*since, free_time(o, c, owners->second, TOKEN_PART_SECOND));
 	return now >= *since ? TOKEN_PART_SECOND : TOKEN_PART_NONE;
 }
 
