router: bound the limits of blocked parts; explanations see overdue calls

waiting_start_pool() wrote beyond its list of limits when eight different limits were blocked and the attempt to start a part without limits made its call a long one, because the attempt updates the drain of the pool. It now ends there.

overdue_us() compared the statistics of a route by address. An explanation has a copy of them, so it ignored overdue calls and said that a request would start or wait which was refused. It now compares their ids.

--- a/router/choice.c
+++ b/router/choice.c
@@ -142,7 +142,8 @@
 
 		if (age <= OVERDUE_GOAL_SHARE * shortest)
 			return 0;
-		if (c->stats == route)
+		/* An explanation asks with a copy of the statistics. */
+		if (c->stats->id == route->id)
 			return LATE_FACTOR * age;
 	}
 	return 0;
--- a/router/waiting.c
+++ b/router/waiting.c
@@ -820,7 +820,8 @@
 		switch (part_try_first(r, p)) {
 		case PART_BLOCKED:
 			limits = limits_of(r, p);
-			if (!has_limits(&limits))
+			/* The attempt may have made the call a long one. */
+			if (!has_limits(&limits) || count == BLOCKED_MAX)
 				return;
 			blocked[count++] = limits;
 			break;
--- a/test/unit/test_explain.c
+++ b/test/unit/test_explain.c
@@ -674,8 +674,34 @@
 	fixture_clear(&x);
 }
 
+/*
+ * Guards against an explanation that does not see calls which last longer than
+ * expected, and shows as started what is refused because of them.
+ */
+static void test_overdue(void)
+{
+	struct fake_router *f = fake_router_create(1);
+	uint32_t calls;
+
+	router_set_triage(f->router, TRIAGE_ALWAYS);
+	for (int i = 0; i < 40; i++) {
+		fake_router_start_request(f, paths[GET], 0);
+		fake_router_advance(f, 20 * US_PER_MS);
+		fake_router_answer_all(f);
+	}
+	do {
+		calls = f->call_count;
+		fake_router_start_request(f, paths[GET], 0);
+	} while (f->call_count > calls);
+	fake_router_advance(f, 160 * US_PER_MS);
+	check_outcome(f, ROUTE_WOULD_BE_REFUSED);
+	CU_ASSERT_EQUAL(fake_router_start_request(f, paths[GET], 0), 0);
+	fake_router_destroy(f);
+}
+
 CU_TestInfo explain_tests[] = {
 	{ "no change", test_no_change },
+	{ "overdue", test_overdue },
 	{ "no lines", test_no_lines },
 	{ "reasons", test_reasons },
 	{ "gather", test_gather },
--- a/test/unit/test_waiting.c
+++ b/test/unit/test_waiting.c
@@ -507,6 +507,47 @@
 	fake_router_destroy(f);
 }
 
+/*
+ * Guards against more limits than are remembered: the attempt to start a part
+ * without limits may show that its call is a long one.
+ */
+static void test_too_many_limits(void)
+{
+	struct fake_router *f = create_router(1);
+	struct route_table *t = fake_router_create_table(1, 2);
+	struct upstream_pool *pool = get_pool(f, "s0");
+	struct route_request *q;
+
+	t->routes[1].regions = g_strsplit("north,south", ",", -1);
+	t->routes[2].priority = 1;
+	t->routes[2].goal_us = US_PER_S;
+	router_apply_table(f->router, t);
+	learn(f, "/put/x", 400 * US_PER_MS);
+	learn(f, "/get/x", 20 * US_PER_MS);
+	fill_leaves(f, "/get/x");
+	for (int i = 0; i < 7; i++)
+		fake_router_start_request(f, "/get/x", 0);
+	q = id_table_find(&f->router->requests,
+			  fake_router_start_request(f, "/put/x", 0));
+	CU_ASSERT_PTR_NOT_NULL_FATAL(q);
+	CU_ASSERT_EQUAL_FATAL(triage_queue_count(&pool->waiting), 9);
+	for (uint32_t i = 0; i < 9; i++) {
+		struct triage_entry *e = triage_queue_at(&pool->waiting, i);
+		struct route_part *p = HEAP_OWNER(e, struct route_part, entry);
+
+		/* Regions without a leaf tell the limits apart. */
+		if (p->request != q)
+			p->request->regions |= 1ULL << (40 + i);
+	}
+	pool->drain = 1000;
+	pool->drain_at_us = f->time.now_us;
+	CU_ASSERT_FALSE(waiting_is_long(f->router, &q->parts[0]));
+	waiting_start_pool(f->router, pool);
+	CU_ASSERT_TRUE(waiting_is_long(f->router, &q->parts[0]));
+	CU_ASSERT_EQUAL(triage_queue_count(&pool->waiting), 9);
+	fake_router_destroy(f);
+}
+
 /*
  * Guards against a request of another host that is handed back after something
  * has run, without triage, or when it can no longer meet its goal.
@@ -558,6 +599,7 @@
 	{ "hand back", test_hand_back },
 	{ "displaced for late", test_displaced_for_late },
 	{ "hidden by blocked", test_hidden_by_blocked },
+	{ "too many limits", test_too_many_limits },
 	{ "hopeless repeat", test_hopeless_repeat },
 	CU_TEST_INFO_NULL,
 };
