explain: show crowded parts of a gather as waiting

With triage, parts without room wait if the coverage can do without them. The explanation took them as left out and said that the request would start.

--- a/include/router/explain.h
+++ b/include/router/explain.h
@@ -61,7 +61,10 @@
 	const char *upstream;
 	/** Leaf of the first call, or NULL. */
 	const struct route_leaf *leaf;
-	/** No leaf can answer in time; the part is not sent. */
+	/**
+	 * No leaf is expected to answer in time. With triage, a part of a
+	 * gather that only lacks room waits all the same; others are not sent.
+	 */
 	bool is_infeasible;
 	/** Expected wait for a leaf and time of the call. */
 	int64_t wait_us;
--- a/include/router/internal.h
+++ b/include/router/internal.h
@@ -655,6 +655,12 @@
 /** Returns whether enough parts are feasible for an answer. */
 bool request_can_be_answered(const struct router *r,
 			     const struct route_request *q);
+/**
+ * Lets the parts of an admitted gather wait that have no room and that the
+ * coverage can do without; only with triage.
+ */
+void request_keep_crowded_parts(const struct router *r,
+				struct route_request *q);
 /** Arms the timer of a request for its goal or its deadline. */
 void request_arm_timer(struct router *r, struct route_request *q);
 /**
--- a/router/explain.c
+++ b/router/explain.c
@@ -197,13 +197,14 @@
 	}
 }
 
-static enum route_outcome outcome_of(const struct route_explanation *e)
+static enum route_outcome outcome_of(const struct route_explanation *e,
+				     const struct route_request *q)
 {
 	for (guint i = 0; i < e->parts->len; i++) {
 		const struct explained_part *p =
 			&g_array_index(e->parts, struct explained_part, i);
 
-		if (!p->leaf && !p->is_infeasible)
+		if (!p->leaf && !q->parts[i].is_infeasible)
 			return ROUTE_WOULD_WAIT;
 	}
 	return ROUTE_WOULD_START;
@@ -263,7 +264,8 @@
 			    struct route_request *q)
 {
 	if (request_can_be_answered(r, q)) {
-		e->outcome = outcome_of(e);
+		request_keep_crowded_parts(r, q);
+		e->outcome = outcome_of(e, q);
 	} else if (may_displace(r, q)) {
 		e->outcome = ROUTE_WOULD_DISPLACE;
 	} else {
--- a/router/request.c
+++ b/router/request.c
@@ -646,10 +646,10 @@
 }
 
 /*
- * Lets parts wait that the coverage can do without: the review leaves them out
- * if they do not start in time, and most of them do.
+ * The review leaves these parts out if they do not start in time, and most of
+ * them do.
  */
-static void keep_crowded_parts(struct router *r, struct route_request *q)
+void request_keep_crowded_parts(const struct router *r, struct route_request *q)
 {
 	if (!r->has_triage || q->is_partial || q->route->shape != ROUTE_GATHER)
 		return;
@@ -676,7 +676,7 @@
 	make_room(r, q);
 	if (!request_can_be_answered(r, q))
 		return false;
-	keep_crowded_parts(r, q);
+	request_keep_crowded_parts(r, q);
 	return true;
 }
 
--- a/test/unit/test_explain.c
+++ b/test/unit/test_explain.c
@@ -699,7 +699,52 @@
 	fake_router_destroy(f);
 }
 
+/* Returns whether a part of a request that starts waits for a leaf. */
+static bool waits_for_leaf(struct fake_router *f, const char *path)
+{
+	uint64_t id = fake_router_start_request(f, path, 0);
+	const struct route_request *q = id_table_find(&f->router->requests, id);
+	bool is_waiting = false;
+
+	CU_ASSERT_PTR_NOT_NULL_FATAL(q);
+	for (uint32_t i = 0; i < q->part_count; i++)
+		is_waiting = is_waiting || q->parts[i].phase == PART_WAITING;
+	router_cancel(f->router, id);
+	return is_waiting;
+}
+
+/*
+ * Guards against a gather that is shown as started while one of its parts waits
+ * without room in time.
+ */
+static void test_crowded_part(void)
+{
+	struct fake_router *f = fake_router_create(8);
+	bool has_crowded = false;
+
+	router_set_triage(f->router, TRIAGE_ALWAYS);
+	for (int i = 0; i < 40; i++) {
+		fake_router_start_request(f, paths[GET], 0);
+		fake_router_start_request(f, paths[SEARCH], 0);
+		fake_router_advance(f, 60 * US_PER_MS);
+		fake_router_answer_all(f);
+	}
+	for (int i = 0; i < 80; i++) {
+		struct route_explanation *e = ask(f, paths[SEARCH], NULL);
+
+		CU_ASSERT_EQUAL(e->outcome, waits_for_leaf(f, paths[SEARCH])
+						    ? ROUTE_WOULD_WAIT
+						    : ROUTE_WOULD_START);
+		has_crowded = has_crowded || e->infeasible_count;
+		route_explanation_free(e);
+		fake_router_start_request(f, paths[GET], 0);
+	}
+	CU_ASSERT_TRUE(has_crowded);
+	fake_router_destroy(f);
+}
+
 CU_TestInfo explain_tests[] = {
+	{ "crowded part", test_crowded_part },
 	{ "no change", test_no_change },
 	{ "overdue", test_overdue },
 	{ "no lines", test_no_lines },
