--- a/nutmegpickd/route_hosts.c
+++ b/nutmegpickd/route_hosts.c
@@ -194,18 +194,16 @@
 	return h->distance == LEAF_SAME_DOMAIN ? HOP_DOMAIN_US : HOP_REGION_US;
 }
 
-static struct router_way find_way(const struct route_service *s,
-				  const struct caller_request *q,
-				  const struct route *route, int64_t way_us)
+/* Returns the time that is left for a request of which some has passed. */
+static struct router_way time_left(const struct route *route, int64_t wait_us,
+				   int64_t elapsed_us)
 {
-	int64_t elapsed = clock_now(&s->clock) - q->start_us;
-	int64_t wait = q->wait_us > 0 ? MIN(q->wait_us, route->timeout_us)
-				      : route->timeout_us;
+	int64_t wait = wait_us > 0 ? MIN(wait_us, route->timeout_us)
+				   : route->timeout_us;
 
 	return (struct router_way){
-		.goal_us = router_goal_left(route) - elapsed,
-		.wait_us = wait - elapsed,
-		.way_us = way_us,
+		.goal_us = router_goal_left(route) - elapsed_us,
+		.wait_us = wait - elapsed_us,
 	};
 }
 
@@ -214,14 +212,9 @@
 				const struct route *route, int64_t wait_us,
 				int64_t elapsed_us)
 {
-	int64_t wait = wait_us > 0 ? MIN(wait_us, route->timeout_us)
-				   : route->timeout_us;
-	struct router_way way = {
-		.goal_us = router_goal_left(route) - elapsed_us,
-		.wait_us = wait - elapsed_us,
-		.way_us = hop_time(h),
-	};
+	struct router_way way = time_left(route, wait_us, elapsed_us);
 
+	way.way_us = hop_time(h);
 	return router_may_forward(r, route, &way);
 }
 
@@ -634,7 +627,8 @@
 	bool may_retry;
 
 	if (route)
-		way = find_way(s, q, route, 0);
+		way = time_left(route, q->wait_us,
+				clock_now(&s->clock) - q->start_us);
 	may_retry = route && !q->forward.was_handed_back &&
 		    router_may_retry_forward(s->router, route, &way);
 	event_log(EV_FORWARD_HANDED_BACK,
--- a/router/waiting.c
+++ b/router/waiting.c
@@ -878,7 +878,7 @@
 bool router_may_forward(struct router *r, const struct route *route,
 			const struct router_way *way)
 {
-	struct router_way none = *way;
+	struct router_way without_hop = *way;
 	enum triage_end end;
 
 	if (!r->has_triage)
@@ -887,8 +887,8 @@
 	if (end != TRIAGE_LATE)
 		return end == TRIAGE_IN_GOAL;
 	/* Without the way the request may still meet its goal. */
-	none.way_us = 0;
-	return end_of_way(r, route, &none) == TRIAGE_LATE;
+	without_hop.way_us = 0;
+	return end_of_way(r, route, &without_hop) == TRIAGE_LATE;
 }
 
 bool router_hands_back(const struct router *r, const struct router_answer *a)
