quotas: a host that moves or changes its capacity waits as a new one

A process took over the marked record of its predecessor also with another capacity or failure domain. It then owned keys that the predecessor had not owned, and granted them at once, while the owner before went on until its mirror had the new record. It now publishes a new record in that case.

The mirror kept the earlier failure domain of a host whose record changed at the same address, so hosts that started before and after that chose other owners. Such a host is replaced now, and its earlier place counts as that of a host that has left, as after a change of the capacity.

--- a/include/router/directory.h
+++ b/include/router/directory.h
@@ -62,7 +62,10 @@
 	/** Region of the host; borrowed from the names of regions or domains. */
 	const char *region;
 	const char *rate_region;
-	/** It has another capacity, and may grant until it learns of that. */
+	/**
+	 * It has another capacity or failure domain, and may grant until it
+	 * learns of that.
+	 */
 	bool is_running;
 };
 
@@ -95,6 +98,13 @@
 
 void host_record_clear(struct host_record *r);
 
+/**
+ * Returns whether a host has the same place among the owners of keys under both
+ * records.
+ */
+bool host_record_has_same_rank(const struct host_record *a,
+			       const struct host_record *b);
+
 /** Adds or updates a host. Takes over the strings of the record; clears it. */
 void host_directory_put(struct host_directory *d, struct host_record *r);
 void host_directory_remove(struct host_directory *d, const char *name);
--- a/nutmegpickd/registry_thread.c
+++ b/nutmegpickd/registry_thread.c
@@ -331,7 +331,11 @@
 	pthread_mutex_unlock(&t->lock);
 }
 
-/* Notes the lease of the record that an earlier process has left. */
+/*
+ * Notes the lease of the record that an earlier process has left. With another
+ * capacity or failure domain this process owns keys that the earlier one did
+ * not own, so it has to wait as any host that joins.
+ */
 static void find_earlier_lease(struct registry_thread *t,
 			       const struct store_changes *all)
 {
@@ -348,7 +352,8 @@
 					 (const char *)item->value,
 					 item->value_len, &r))
 			continue;
-		if (r.has_joined)
+		if (r.has_joined &&
+		    host_record_has_same_rank(&r, &t->options.self))
 			t->earlier_lease = r.lease;
 		host_record_clear(&r);
 	}
--- a/router/directory.c
+++ b/router/directory.c
@@ -131,15 +131,37 @@
 	h->record.is_stopping = r->is_stopping;
 }
 
+bool host_record_has_same_rank(const struct host_record *a,
+			       const struct host_record *b)
+{
+	return a->capacity == b->capacity && !strcmp(a->domain, b->domain);
+}
+
+/*
+ * Notes that a host has moved to another failure domain or address. In another
+ * domain or with another capacity it owns other keys, as in change_capacity().
+ */
+static void note_moved(struct host_directory *d, const struct known_host *h,
+		       const struct host_record *r)
+{
+	if (host_record_has_same_rank(&h->record, r))
+		return;
+	note_gone(d, h, true);
+	g_hash_table_add(d->left_regions, (gpointer)h->rate_region);
+}
+
 void host_directory_put(struct host_directory *d, struct host_record *r)
 {
 	struct known_host *h = g_hash_table_lookup(d->hosts, r->name);
 
-	if (h && !strcmp(h->record.address, r->address)) {
+	if (h && !strcmp(h->record.address, r->address) &&
+	    !strcmp(h->record.domain, r->domain)) {
 		update_host(d, h, r);
 		host_record_clear(r);
 		return;
 	}
+	if (h)
+		note_moved(d, h, r);
 	h = g_new0(struct known_host, 1);
 	h->record = *r;
 	memset(r, 0, sizeof(*r));
--- a/test/unit/test_directory.c
+++ b/test/unit/test_directory.c
@@ -161,8 +161,93 @@
 	fixture_clear(&g);
 }
 
+static struct host_record moved_record(const char *domain, uint32_t capacity)
+{
+	return (struct host_record){
+		.name = g_strdup("h0"),
+		.address = g_strdup("10.0.0.0:7000"),
+		.domain = g_strdup(domain),
+		.capacity = capacity,
+	};
+}
+
+/*
+ * Guards against a host that restarts in another failure domain at the same
+ * address and stays in its earlier one in the mirrors of the other hosts: hosts
+ * that start later would choose other owners. Its earlier place counts as that
+ * of a host that has left, which the next owner waits for.
+ */
+static void test_moved(void)
+{
+	struct host_record r = moved_record("b", 500);
+	const struct known_host *h;
+	struct fixture g;
+	uint64_t generation;
+	GPtrArray *left;
+
+	fixture_init(&g, 4);
+	generation = g.directory.generation;
+	host_directory_put(&g.directory, &r);
+	h = host_directory_find(&g.directory, "10.0.0.0:7000");
+	CU_ASSERT_STRING_EQUAL(h->record.domain, "b");
+	CU_ASSERT_STRING_EQUAL(h->rate_region,
+			       host_directory_rate_region(&g.directory, "b"));
+	CU_ASSERT(g.directory.generation > generation);
+	CU_ASSERT_EQUAL_FATAL(g.directory.gone->len, 1);
+	CU_ASSERT_STRING_EQUAL(
+		g_array_index(g.directory.gone, struct gone_host, 0).rate_region,
+		host_directory_rate_region(&g.directory, "a"));
+	left = host_directory_take_left_regions(&g.directory);
+	CU_ASSERT_EQUAL(left->len, 1);
+	g_ptr_array_free(left, TRUE);
+	fixture_clear(&g);
+}
+
+/*
+ * Guards against a host that gets another address and capacity at once, where
+ * the next owner would grant a full bucket without a wait.
+ */
+static void test_moved_address(void)
+{
+	struct host_record r = moved_record("a", 120);
+	struct fixture g;
+
+	fixture_init(&g, 4);
+	g_free(r.address);
+	r.address = g_strdup("10.0.0.9:7000");
+	host_directory_put(&g.directory, &r);
+	CU_ASSERT_EQUAL_FATAL(g.directory.gone->len, 1);
+	CU_ASSERT_EQUAL(
+		g_array_index(g.directory.gone, struct gone_host, 0).capacity,
+		500);
+	fixture_clear(&g);
+}
+
+/*
+ * Guards against a process that takes over a record of another capacity or
+ * failure domain: it would grant keys at once that other hosts still grant.
+ */
+static void test_same_rank(void)
+{
+	struct host_record earlier = moved_record("a", 500);
+	struct host_record same = moved_record("a", 500);
+	struct host_record stronger = moved_record("a", 600);
+	struct host_record elsewhere = moved_record("b", 500);
+
+	CU_ASSERT_TRUE(host_record_has_same_rank(&earlier, &same));
+	CU_ASSERT_FALSE(host_record_has_same_rank(&earlier, &stronger));
+	CU_ASSERT_FALSE(host_record_has_same_rank(&earlier, &elsewhere));
+	host_record_clear(&earlier);
+	host_record_clear(&same);
+	host_record_clear(&stronger);
+	host_record_clear(&elsewhere);
+}
+
 CU_TestInfo directory_tests[] = {
 	{ "few gatherers", test_few_gatherers },
+	{ "moved", test_moved },
+	{ "moved address", test_moved_address },
+	{ "same rank", test_same_rank },
 	{ "spread", test_spread },
 	{ "stopping", test_stopping },
 	{ "work share", test_work_share },
