router: keep avoiding a host that stops after a failed request

A request or a feed that failed on a stopping host replaced the mark that no requests are to be sent to it by one of 3 s or 4 s. As the record of such a host now remains for 15 s, requests and followers returned to a process that had ended.

--- a/include/router/directory.h
+++ b/include/router/directory.h
@@ -105,6 +105,12 @@
 bool host_record_has_same_rank(const struct host_record *a,
 			       const struct host_record *b);
 
+/**
+ * Sends no requests to a host that did not respond until a time. A host that
+ * stops is avoided for as long as its record states that.
+ */
+void known_host_avoid(struct known_host *h, int64_t until_us);
+
 /** Adds or updates a host. Takes over the strings of the record; clears it. */
 void host_directory_put(struct host_directory *d, struct host_record *r);
 void host_directory_remove(struct host_directory *d, const char *name);
--- a/nutmegpickd/route_hosts.c
+++ b/nutmegpickd/route_hosts.c
@@ -371,7 +371,7 @@
 	struct known_host *h = host_directory_find(&s->directory, address);
 
 	if (h)
-		h->suspect_until_us = clock_now(&s->clock) + AVOID_US;
+		known_host_avoid(h, clock_now(&s->clock) + AVOID_US);
 }
 
 /* Runs a request on this host after the other host failed or refused it. */
--- a/router/directory.c
+++ b/router/directory.c
@@ -225,6 +225,11 @@
 	return gone;
 }
 
+void known_host_avoid(struct known_host *h, int64_t until_us)
+{
+	h->suspect_until_us = MAX(h->suspect_until_us, until_us);
+}
+
 struct known_host *host_directory_find(struct host_directory *d,
 				       const char *address)
 {
--- a/router/feed.c
+++ b/router/feed.c
@@ -151,7 +151,7 @@
 	struct known_host *h = find_followed(f);
 
 	if (h)
-		h->suspect_until_us = now_us(f) + AVOID_US;
+		known_host_avoid(h, now_us(f) + AVOID_US);
 	f->options.ops->note_feed_lost(f->options.ctx);
 	stop_following(f, reason);
 }
--- a/test/unit/test_directory.c
+++ b/test/unit/test_directory.c
@@ -171,6 +171,30 @@
 	};
 }
 
+/*
+ * Guards against requests to a host that has stopped, when the failure of an
+ * earlier one has been noted and that time has passed: its record remains for
+ * 15 s.
+ */
+static void test_stopping_failed(void)
+{
+	struct host_record r = moved_record("a", 500);
+	struct fixture g;
+
+	r.is_stopping = true;
+	fixture_init(&g, 1);
+	host_directory_put(&g.directory, &r);
+	known_host_avoid(host_directory_find(&g.directory, "10.0.0.0:7000"),
+			 g.now_us + 3 * US_PER_S);
+	CU_ASSERT_PTR_NULL(host_directory_choose_in_domain(
+		&g.directory, "a", g.random, g.now_us + 4 * US_PER_S));
+	r = moved_record("a", 500);
+	host_directory_put(&g.directory, &r);
+	CU_ASSERT_PTR_NOT_NULL(host_directory_choose_in_domain(
+		&g.directory, "a", g.random, g.now_us + 4 * US_PER_S));
+	fixture_clear(&g);
+}
+
 /*
  * Guards against a host that restarts in another failure domain at the same
  * address and stays in its earlier one in the mirrors of the other hosts: hosts
@@ -250,6 +274,7 @@
 	{ "same rank", test_same_rank },
 	{ "spread", test_spread },
 	{ "stopping", test_stopping },
+	{ "stopping failed", test_stopping_failed },
 	{ "work share", test_work_share },
 	CU_TEST_INFO_NULL,
 };
