quotas: keep only witnesses whose answers count

The table of hosts that were asked about the store kept each host for the life of the process. The failure domain of an entry stayed that of the first question, so the answer of a host that had moved could stand for a domain of which no host had answered.

--- a/include/router/store_witness.h
+++ b/include/router/store_witness.h
@@ -48,4 +48,7 @@
 bool store_witness_is_steady(const struct store_witness *w, int64_t steady_us,
 			     guint gone, int64_t now_us);
 
+/** Returns the number of hosts of which questions or answers are kept. */
+guint store_witness_count(const struct store_witness *w);
+
 #endif
--- a/router/store_witness.c
+++ b/router/store_witness.c
@@ -46,8 +46,11 @@
 		g_hash_table_lookup(w->witnesses, &h->name_hash);
 	uint64_t *key;
 
-	if (known)
+	if (known) {
+		/* A host that restarts may be in another one. */
+		known->domain = g_intern_string(h->record.domain);
 		return known;
+	}
 	known = g_new0(struct witness, 1);
 	known->answered_us = INT64_MIN / 2;
 	known->unanswered_us = known->asked_us = INT64_MIN / 2;
@@ -126,6 +129,22 @@
 			     g_memdup2(&h->name_hash, sizeof(h->name_hash)));
 }
 
+/* Answers and questions that do not count any more may be of former hosts. */
+static void drop_old_witnesses(struct store_witness *w, int64_t now)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, w->witnesses);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct witness *known = value;
+
+		if (now - known->asked_us > KEPT_US &&
+		    now - known->answered_us > KEPT_US)
+			g_hash_table_iter_remove(&iter);
+	}
+}
+
 GPtrArray *store_witness_choose(struct store_witness *w, int64_t now_us)
 {
 	GHashTable *domains = list_domains(w);
@@ -133,6 +152,7 @@
 	GHashTableIter iter;
 	gpointer list;
 
+	drop_old_witnesses(w, now_us);
 	g_hash_table_iter_init(&iter, domains);
 	while (g_hash_table_iter_next(&iter, NULL, &list))
 		choose_in_domain(w, list, chosen, now_us);
@@ -250,6 +270,11 @@
 	return steady && steady >= count_missing(w, others, steady, gone);
 }
 
+guint store_witness_count(const struct store_witness *w)
+{
+	return g_hash_table_size(w->witnesses);
+}
+
 struct store_witness *store_witness_create(struct host_directory *d)
 {
 	struct store_witness *w = g_new0(struct store_witness, 1);
--- a/test/unit/test_token_owner.c
+++ b/test/unit/test_token_owner.c
@@ -855,6 +855,56 @@
 				   5 * US_PER_S, 0, f->time.now_us);
 }
 
+/*
+ * Guards against an agreement in which the answer of a host that has moved
+ * counts for its earlier failure domain, of which no host has answered.
+ */
+static void test_moved_witness(void)
+{
+	struct store_contact contact = { .age_us = 6 * US_PER_S };
+	struct fixture f;
+	struct store_witness *w = ask_witnesses(&f, contact, false);
+	struct host_record moved = { .name = g_strdup("z"),
+				     .address = g_strdup("10.0.0.9:7000"),
+				     .domain = g_strdup("b") };
+	struct host_record silent = { .name = g_strdup("y"),
+				      .address = g_strdup("10.0.0.8:7000"),
+				      .domain = g_strdup("c") };
+	const struct known_host *h;
+
+	host_directory_put(&f.directory, &moved);
+	host_directory_put(&f.directory, &silent);
+	h = host_directory_find(&f.directory, "10.0.0.9:7000");
+	store_witness_note(w, h, &contact, f.time.now_us);
+	CU_ASSERT_FALSE(agree(&f, w, 6 * US_PER_S));
+	store_witness_free(w);
+	tear_down(&f);
+}
+
+/* Guards against a table that keeps all hosts that were ever asked. */
+static void test_former_witnesses(void)
+{
+	struct store_contact contact = { .age_us = 6 * US_PER_S };
+	struct fixture f;
+	struct store_witness *w = ask_witnesses(&f, contact, false);
+	GPtrArray *asked;
+
+	CU_ASSERT(store_witness_count(w) > 1);
+	for (int i = 0; i < 2 * HOSTS; i++) {
+		char *name = g_strdup_printf("h%d", i);
+
+		host_directory_remove(&f.directory, name);
+		g_free(name);
+	}
+	f.time.now_us += 3 * US_PER_S;
+	asked = store_witness_choose(w, f.time.now_us);
+	CU_ASSERT_EQUAL(asked->len, 1);
+	CU_ASSERT_EQUAL(store_witness_count(w), 1);
+	g_ptr_array_free(asked, TRUE);
+	store_witness_free(w);
+	tear_down(&f);
+}
+
 /* Guards against an agreement without a failure domain that is cut off. */
 static void test_missing_domain(void)
 {
@@ -903,8 +953,10 @@
 	{ "resume with old mirror", test_resume_old_mirror },
 	{ "resume late", test_resume_late },
 	{ "rewritten record", test_rewritten_record },
+	{ "former witnesses", test_former_witnesses },
 	{ "inherited", test_inherited },
 	{ "inherited early", test_inherited_early },
+	{ "moved witness", test_moved_witness },
 	{ "not inherited", test_not_inherited },
 	{ "defer", test_defer },
 	{ "release", test_release },
