--- a/nutmegpickd/registry_thread.c
+++ b/nutmegpickd/registry_thread.c
@@ -282,13 +282,18 @@
 	    !platform_store_decode_changes((const char *)t->body->data,
 					   t->body->len, page, has_more)) {
 		note_store_returned(t);
-		__atomic_store_n(&t->news_us, now_us(t), __ATOMIC_RELAXED);
 		return 0;
 	}
 	note_store_lost(t, what, status);
 	return -ERR_IO;
 }
 
+/* Only lists and watches bring the mirror up to date. */
+static void note_news(struct registry_thread *t)
+{
+	__atomic_store_n(&t->news_us, now_us(t), __ATOMIC_RELAXED);
+}
+
 /*
  * Reads all pages. They are not one snapshot of the store, so the result has
  * the lowest revision of a page, and the watch repeats the changes after it.
@@ -307,6 +312,7 @@
 		after = NULL;
 		if (decode_page(t, status, "list", &page, &has_more))
 			return -ERR_IO;
+		note_news(t);
 		if (!all->to || page->to < all->to)
 			all->to = page->to;
 		for (guint i = 0; i < page->items->len; i++)
@@ -437,6 +443,7 @@
 		delay_next_watch(t);
 		return;
 	}
+	note_news(t);
 	clear_rare_watch(t);
 	changes->from = revision;
 	raise_revision(t, changes->to);
--- a/router/token_pool.c
+++ b/router/token_pool.c
@@ -493,7 +493,9 @@
 
 static bool is_forgettable(struct token_bucket *b, int64_t now)
 {
-	double full_us = bucket_size(b) / MAX(bucket_rate(b), 1e-6) * US_PER_S;
+	double rate = bucket_rate(b);
+	/* A bucket without a rate is of an organisation that was removed. */
+	double full_us = rate > 0 ? bucket_size(b) / rate * US_PER_S : 0;
 
 	/* A new bucket is filled from since_us. */
 	return now - b->claimed_at_us >= MAX((double)FORGET_US, full_us) &&
