quotas: a fleet that starts as a whole does not wait for owners that go on

Since new hosts take keys over from the present owner, one without its answer waited 21 s after its record. An owner stops at once for many new hosts, so these wait 9 s.

--- a/include/router/token_handover.h
+++ b/include/router/token_handover.h
@@ -33,6 +33,16 @@
 /** Notes that a host has left; before token_handover_update(). */
 void token_handover_note_gone(struct token_handover *h, uint64_t name_hash);
 
+/** Notes that the directory has the whole list of the store. */
+void token_handover_note_listed(struct token_handover *h, int64_t now_us);
+
+/**
+ * Returns when so many hosts had joined beside this one that no owner goes on
+ * for them; 0 if there were fewer. record_us is the time of this host's record.
+ */
+int64_t token_handover_many_arrived(const struct token_handover *h,
+				    int64_t record_us);
+
 /** Notes the hosts that are new; has_joined says whether this one may grant. */
 void token_handover_update(struct token_handover *h, bool has_joined,
 			   int64_t now_us);
--- a/include/router/token_owner.h
+++ b/include/router/token_owner.h
@@ -123,6 +123,9 @@
 /** Notes that this host heard of the store, itself or through its feed. */
 void token_owner_note_store(struct token_owner *o, int64_t at_us);
 
+/** Notes that the mirror has the whole list of the store. */
+void token_owner_note_listed(struct token_owner *o);
+
 /** Notes that a call to the store has failed, or the store is lost. */
 void token_owner_note_store_lost(struct token_owner *o);
 
--- a/nutmegpickd/route_quotas.c
+++ b/nutmegpickd/route_quotas.c
@@ -300,6 +300,8 @@
 	check_feed(s);
 	note_lease(s);
 	check_break(s);
+	if (s->catalog.mirror.revision)
+		token_owner_note_listed(token_exchange_owner(s->tokens));
 	if (news)
 		token_owner_note_store(token_exchange_owner(s->tokens), news);
 	token_exchange_advance(s->tokens);
--- a/router/token_handover.c
+++ b/router/token_handover.c
@@ -12,6 +12,13 @@
  */
 #define NEW_HOSTS_MIN 1
 #define NEW_HOSTS_PART 8
+/*
+ * If so large a part of all hosts joins within this time after the list, all
+ * owners have seen more new hosts at a time than NEW_HOSTS_PART allows, even if
+ * each learns of them up to 8.6 s late.
+ */
+#define ARRIVED_PART 4
+#define ARRIVED_WINDOW_US (3 * US_PER_S)
 /* Interval of the questions for a key; later answers do not count. */
 #define ASK_INTERVAL_US (250 * US_PER_MS)
 #define ANSWER_MAX_US (1 * US_PER_S)
@@ -37,6 +44,11 @@
 	/** Name hashes of the hosts of the directory, as of a generation. */
 	GHashTable *known;
 	uint64_t generation;
+	/** The directory had the list of the store; 0 before. */
+	int64_t listed_us;
+	/** Hosts that have joined since, and when they were many; or 0. */
+	guint arrived;
+	int64_t many_arrived_us;
 	/** Of struct new_host, by name hash. */
 	GHashTable *hosts;
 	/** Of struct asked_key, by name of the key. */
@@ -118,6 +130,28 @@
 		((struct new_host *)value)->is_abandoned = true;
 }
 
+static bool is_arriving(const struct token_handover *h, int64_t now)
+{
+	return h->listed_us && now - h->listed_us < ARRIVED_WINDOW_US;
+}
+
+void token_handover_note_listed(struct token_handover *h, int64_t now_us)
+{
+	if (h->listed_us)
+		return;
+	token_handover_update(h, false, now_us);
+	h->listed_us = now_us;
+}
+
+int64_t token_handover_many_arrived(const struct token_handover *h,
+				    int64_t record_us)
+{
+	if (!h->many_arrived_us ||
+	    record_us - h->listed_us >= ARRIVED_WINDOW_US)
+		return 0;
+	return MAX(h->many_arrived_us, record_us);
+}
+
 void token_handover_update(struct token_handover *h, bool has_joined,
 			   int64_t now_us)
 {
@@ -135,9 +169,17 @@
 		if (g_hash_table_contains(h->known, &host->name_hash))
 			continue;
 		g_hash_table_add(h->known, copy_hash(host->name_hash));
-		if (has_joined && !host_directory_is_self(h->directory, host))
+		if (host_directory_is_self(h->directory, host))
+			continue;
+		h->arrived += is_arriving(h, now_us);
+		if (has_joined)
 			add_new_host(h, host->name_hash, now_us);
 	}
+	if (!h->many_arrived_us && is_arriving(h, now_us) &&
+	    h->arrived >=
+		    NEW_HOSTS_MIN + g_hash_table_size(h->directory->hosts) /
+					    ARRIVED_PART)
+		h->many_arrived_us = now_us;
 	abandon_hosts(h, now_us);
 }
 
--- a/router/token_owner.c
+++ b/router/token_owner.c
@@ -408,8 +408,15 @@
 /* Returns whether all owners with an older mirror have stopped by themselves. */
 static bool has_waited(const struct token_owner *o, int64_t now)
 {
-	return now - o->joined_us >= TOKEN_JOIN_US && o->record_us &&
-	       now - o->record_us >= TOKEN_JOIN_US + TOKEN_DEFER_US;
+	int64_t many;
+
+	if (!o->record_us || now - o->joined_us < TOKEN_JOIN_US)
+		return false;
+	if (now - o->record_us >= TOKEN_JOIN_US + TOKEN_DEFER_US)
+		return true;
+	/* An owner that sees many new hosts does not go on for them. */
+	many = token_handover_many_arrived(o->handover, o->record_us);
+	return many && now - many >= TOKEN_JOIN_US;
 }
 
 /* Returns whether this host has waited for a host that is gone. */
@@ -547,6 +554,11 @@
 	o->store_us = MAX(o->store_us, at_us);
 }
 
+void token_owner_note_listed(struct token_owner *o)
+{
+	token_handover_note_listed(o->handover, now_us(o));
+}
+
 void token_owner_note_store_lost(struct token_owner *o)
 {
 	o->steady_us = 0;
--- a/test/unit/quota_sim.c
+++ b/test/unit/quota_sim.c
@@ -570,6 +570,8 @@
 	run_store_client(s, h);
 	for (uint32_t o = 0; o < s->organisation_count; o++)
 		send_requests(s, h, o);
+	if (h->is_listed)
+		token_owner_note_listed(token_exchange_owner(h->exchange));
 	token_exchange_advance(h->exchange);
 	token_owner_prepare(token_exchange_owner(h->exchange));
 	claims = quota_advance(h->quota, host_now(h));
--- a/test/unit/test_token_owner.c
+++ b/test/unit/test_token_owner.c
@@ -245,6 +245,50 @@
 	tear_down(&f);
 }
 
+/* Puts new hosts that come after the first one by hash. */
+static void put_new_hosts(struct fixture *f, int count)
+{
+	for (int i = HOSTS; count > 0; i++) {
+		char *name = g_strdup_printf("h%d", i);
+		struct rate_owners owners;
+
+		put_host(f, name);
+		owners = host_directory_rate_owners(&f->directory, KEY, "");
+		if (host_directory_is_self(&f->directory, owners.first))
+			count--;
+		else
+			host_directory_remove(&f->directory, name);
+		g_free(name);
+	}
+}
+
+/*
+ * Guards against a start of a whole large fleet that waits for owners that
+ * cannot be there, and against a host that does not wait for them although
+ * few others are new, or came later.
+ */
+static void test_many_join(void)
+{
+	for (int i = 0; i < 3; i++) {
+		int64_t later = i == 2 ? 4 * US_PER_S : 0;
+		struct fixture f;
+
+		set_up(&f, 0);
+		f.view =
+			(struct token_view){ .has_store = true,
+					     .store_steady_us = TOKEN_JOIN_US };
+		token_owner_note_listed(f.owner);
+		advance_renewed(&f, STEP_US + later);
+		put_new_hosts(&f, i == 1 ? 1 : HOSTS);
+		advance_renewed(&f, TOKEN_JOIN_US - 2 * STEP_US);
+		CU_ASSERT_EQUAL(part(&f), TOKEN_PART_NONE);
+		advance_renewed(&f, 4 * STEP_US);
+		CU_ASSERT_EQUAL(part(&f),
+				i == 0 ? TOKEN_PART_ALL : TOKEN_PART_NONE);
+		tear_down(&f);
+	}
+}
+
 /*
  * Guards against grants of a host that joins while most others are without the
  * store: one of them may go on granting.
@@ -939,6 +983,7 @@
 CU_TestInfo token_owner_tests[] = {
 	{ "stop", test_stop },
 	{ "start", test_start },
+	{ "many join", test_many_join },
 	{ "start without others", test_start_without_others },
 	{ "lease", test_lease },
 	{ "suspended lease", test_suspended_lease },
