--- a/test/unit/test_explain.c
+++ b/test/unit/test_explain.c
@@ -707,7 +707,7 @@
 	bool is_waiting = false;
 
 	CU_ASSERT_PTR_NOT_NULL_FATAL(q);
-	for (uint32_t i = 0; i < q->part_count; i++)
+	for (uint32_t i = 0; q && i < q->part_count; i++)
 		is_waiting = is_waiting || q->parts[i].phase == PART_WAITING;
 	router_cancel(f->router, id);
 	return is_waiting;
