--- a/nutmegpick/explain_route.c
+++ b/nutmegpick/explain_route.c
@@ -243,7 +243,7 @@
 		return;
 	printf("quota %s, rate %g/s, burst %g, tokens here %.0f, wanted here "
 	       "%.1f/s, waiting %.0f, none for %.0f ms, longest wait %.0f ms\n",
-	       text_of(quota, "decision"), number_of(quota, "rate_per_s"),
+	       text_of(quota, "decision"), number_of(quota, "max_per_s"),
 	       number_of(quota, "burst"), number_of(quota, "tokens"),
 	       number_of(quota, "wanted_per_s"), number_of(quota, "waiting"),
 	       number_of(quota, "dry_ms"), number_of(quota, "longest_wait_ms"));
--- a/nutmegpickd/route_explain.c
+++ b/nutmegpickd/route_explain.c
@@ -128,7 +128,7 @@
 	if (!o || o->max_per_s <= 0)
 		return json_null();
 	return json_pack("{s:s, s:f, s:f, s:i, s:i, s:f, s:o, s:o}", "decision",
-			 quota_decision_name(a->quota.decision), "rate_per_s",
+			 quota_decision_name(a->quota.decision), "max_per_s",
 			 o->max_per_s, "burst", o->burst, "tokens",
 			 (int)a->quota.tokens, "waiting", (int)a->quota.waiting,
 			 "wanted_per_s", a->quota.wanted_per_s, "dry_ms",
