--- a/review/6/case.py
+++ b/review/6/case.py
@@ -30,7 +30,7 @@
     host = Host("front-1", store, record, folder)
     hosts.append(host)
     await host.start()
-    await host.wait_ready()
+    await host.wait_in_touch()
     cut = refused = answered = n = 0
     for length, totals in SHAPES.items():
         for total in totals:
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -29,7 +29,7 @@
     host = Host("front-1", store, record, folder)
     hosts.append(host)
     await host.start()
-    await host.wait_ready()
+    await host.wait_in_touch()
     count = PARAMETERS if with_trouble() else CALM_PARAMETERS
     query = "&".join(f"p{i}=v" for i in range(count))
 
--- a/review/lib-2/harness.py
+++ b/review/lib-2/harness.py
@@ -22,6 +22,8 @@
 LIMITS = {"max_header_bytes": 16384, "max_body_bytes": 262144,
           "header_timeout_ms": 3000, "idle_timeout_ms": 15000}
 RULE_BROKEN, RULE_HELD, NOT_RUN = 1, 0, 2
+# contact_ms of sites/litaleit.
+CONTACT_S = 5
 
 
 def with_trouble():
@@ -377,6 +379,12 @@
             await asyncio.sleep(0.05)
         return self
 
+    async def wait_in_touch(self):
+        """Waits until the host is ready and in touch: contact_ms, and a bit."""
+        await self.wait_ready()
+        await asyncio.sleep(CONTACT_S + 0.5)
+        return self
+
     def signal(self, number):
         self.record.note(f"{self.name} gets {signal.Signals(number).name}")
         self.process.send_signal(number)
