net: serve every head within max_header_bytes, whatever its shape

Cause, one for both: libmicrohttpd takes the head, an entry for each header, cookie and argument, and the head of the answer out of one block of 32 KiB a connection, whatever the configuration says. What doesn't fit is refused, forgotten or cut, depending on whose turn it is.

Ruled out: a larger block. It is chosen at the start, has to hold some 56 bytes for each two bytes of the worst head, and is cleared and so resident after each request: 2,600 kept connections at 256 KiB are 650 MB (calculated); the smallest host has 112 MB.

Change: the connections of callers are served by net/request_reader.c on http_parser, which already reads replies, and net/http_*.c. A head costs its length; an idle connection holds no buffer; the limit is that of the configuration in force; what exceeds it is refused at once; a request that stops arriving gets 408; long heads and bodies share the account of 32 MiB. libmicrohttpd is not needed any more (docs/decisions/caller-connections.md).

--- a/include/net/http_server.h
+++ b/include/net/http_server.h
@@ -18,20 +18,21 @@
 struct http_server_options {
 	/** IP number and port, such as "127.0.0.1:8080"; port 0 picks one. */
 	const char *address;
+	/** Largest head of a request in bytes; 0 selects 32 KiB. */
+	size_t max_head;
 	/** Largest request body in bytes; 0 selects 1 MB. */
 	size_t max_body;
 	/**
-	 * Most bytes of the bodies of all requests that are read or answered;
-	 * a request beyond it is refused as not run. 0 selects 32 MiB.
+	 * Most memory, in bytes, of the long heads and the bodies of all
+	 * requests that are read or answered; a request beyond it is refused as
+	 * not run. 0 selects 32 MiB.
 	 */
 	size_t max_buffered;
 	/** Most connections at the same time; 0 selects 4096. */
 	unsigned int max_connections;
-	/** Idle time after which a connection is closed; 0 sets no limit. */
-	unsigned int idle_timeout_s;
 	/**
 	 * Called on the server's thread with a whole request. The callee owns
-	 * one reference and ends it with http_exchange_reply().
+	 * the exchange until http_exchange_reply() or http_exchange_drop().
 	 */
 	void (*handle_request)(void *ctx, struct http_exchange *x);
 	void *ctx;
@@ -43,20 +44,21 @@
 
 /** Limits on the size and the duration of callers' requests. */
 struct http_limits {
+	/** Largest head of a request, in bytes; 0 keeps the limit. */
+	size_t max_head;
 	/** Largest request body, in bytes. */
 	size_t max_body;
 	/** Longest time without a request on an open connection. */
 	int64_t idle_us;
-	/** Longest time for the head of a request. */
+	/** Longest time for the head of a request, from its first byte. */
 	int64_t head_us;
 	/** Longest time for the body of a request. */
 	int64_t body_us;
 };
 
 /**
- * Sets the limits; 0 sets no time limit. The head of a request counts as idle
- * time, so both share the limit idle_us + head_us. May be called from any
- * thread.
+ * Sets the limits; 0 sets no time limit. Requests over a limit are refused at
+ * once, and their connections are closed. May be called from any thread.
  */
 void http_server_set_limits(struct http_server *s, const struct http_limits *l);
 
@@ -68,7 +70,10 @@
  */
 void http_server_set_keep_alive(struct http_server *s, int64_t keep_alive_us);
 
-/** Closes connections over their time limits. May be called from any thread. */
+/**
+ * Closes connections that are idle for too long, and refuses requests that
+ * arrive too slowly. May be called from any thread.
+ */
 void http_server_close_expired(struct http_server *s);
 
 /** Returns the port that the server listens on. */
@@ -81,7 +86,7 @@
  * Stops listening and waits until all connections are closed. Requests in
  * flight, and requests that callers send on open connections, are still
  * answered for up to serve_us. Then idle connections are closed and requests
- * whose bodies are not whole are refused as not run; up to flush_us further are
+ * that are not whole are refused as not run; up to flush_us further are
  * left for sending answers. Returns the number of connections left.
  */
 unsigned int http_server_stop(struct http_server *s, int64_t serve_us,
@@ -129,12 +134,12 @@
 void http_exchange_add_header(struct http_exchange *x, const char *name,
 			      const char *value);
 
-/** Closes the connection without a reply and ends the callee's reference. */
+/** Closes the connection without a reply and ends the exchange. */
 void http_exchange_drop(struct http_exchange *x);
 
 /**
- * Sends the reply and ends the callee's reference. The body is copied;
- * content_type may be NULL.
+ * Sends the reply and ends the exchange. The body is copied; content_type may
+ * be NULL.
  */
 void http_exchange_reply(struct http_exchange *x, unsigned int status,
 			 const char *content_type, const char *body,
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -3,29 +3,28 @@
 #include <errno.h>
 #include <fcntl.h>
 #include <linux/filter.h>
-#include <microhttpd.h>
 #include <poll.h>
-#include <pthread.h>
-#include <stdbool.h>
-#include <stdlib.h>
 #include <string.h>
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include <glib.h>
-
 #include "common/address.h"
 #include "common/clock.h"
 #include "common/errors.h"
 #include "common/events.h"
+#include "net/http_internal.h"
 
+#define DEFAULT_MAX_HEAD (32u * 1024)
 #define DEFAULT_MAX_BODY (1024 * 1024)
 #define DEFAULT_MAX_CONNECTIONS 4096
 #define DEFAULT_MAX_BUFFERED (32u * 1024 * 1024)
-/* Backoff of callers whose body found no room; most bodies are short. */
-#define NO_ROOM_RETRY_AFTER_S "1"
-/* Backoff after a refusal that concerns one connection or one host only. */
-#define ELSEWHERE_RETRY_AFTER_S "0"
+#define EVENTS_MAX 64
+/* Time for which input is dropped after a last answer. */
+#define LINGER_US (1 * US_PER_S)
+/* Pause of accepting when descriptors are short. */
+#define ACCEPT_RETRY_US (100 * US_PER_MS)
 /* Interval at which a stop checks for remaining connections and requests. */
 #define STOP_POLL_US 5000
 /* Time in which a handshake that has begun ends: a round trip to callers. */
@@ -42,394 +41,329 @@
  * and callers notice the end of a connection late.
  */
 #define STOP_IDLE_US 1000000
-/* A body that has begun this recently may still come whole at the last moment. */
-#define STOP_BODY_US 100000
+/* A request that has begun this recently may still come whole at the end. */
+#define STOP_READING_US 100000
 
-/* Connection of a caller, from its acceptance to its end. */
-struct http_connection {
-	int fd;
-	bool is_busy;
-	/* The request was read whole and waits for its answer. */
-	bool is_request_read;
-	/* A request has arrived on the connection. */
-	bool is_used;
-	/* The server has shut the socket down, fully or for receiving. */
-	bool is_shut_down;
-	/* The request was refused on the socket before its body was whole. */
-	bool is_refused;
-	/* Time of the accept, or of the last begin or end of a request. */
-	int64_t idle_since_us;
-};
-
-struct http_server {
-	struct MHD_Daemon *daemon;
-	struct http_server_options options;
-	size_t max_body;
-	/* Time limits, guarded by the lock; 0 sets no limit. */
-	int64_t idle_us;
-	int64_t idle_and_head_us;
-	int64_t body_us;
-	/* Idle time for which callers may reuse a connection; 0 tells none. */
-	int64_t keep_alive_us;
-	/* The same within the idle limit, in seconds, as replies tell it. */
-	unsigned int keep_alive_s;
-	/* Longest time that callers were told. */
-	int64_t kept_us;
-	uint16_t port;
-	bool is_draining;
-	/* New requests are refused: the server is being destroyed. */
-	bool is_closed;
-	/* Bytes of the bodies of all requests. */
-	size_t buffered_bytes;
-	/* Requests passed to handle_request() and not answered yet. */
-	unsigned int unanswered_count;
-	/* Guards the connections, which other threads also read. */
-	pthread_mutex_t lock;
-	GHashTable *connections;
-	/* Sockets that a stop has accepted and the library has not taken yet. */
-	GHashTable *queued_fds;
-};
-
-struct http_exchange {
-	int refs;
-	struct http_server *server;
-	struct MHD_Connection *connection;
-	struct http_connection *caller;
-	char *method;
-	char *path;
-	/* Path and query as sent. */
-	char *target;
-	GString *body;
-	/* Of struct http_header, in the order of arrival. */
-	GArray *headers;
-	bool is_too_large;
-	/* The bodies of all requests leave no room for this one. */
-	bool is_without_room;
-	/* Bytes of the body, as counted in the server's total. */
-	size_t buffered_bytes;
-	bool is_submitted;
-	bool is_first;
-	/* Set by the answering thread, read after the connection's resume. */
-	struct MHD_Response *response;
-	GPtrArray *reply_headers;
-	unsigned int status;
-};
-
-static void exchange_unref(struct http_exchange *x)
-{
-	if (__atomic_sub_fetch(&x->refs, 1, __ATOMIC_ACQ_REL) > 0)
-		return;
-	if (x->response)
-		MHD_destroy_response(x->response);
-	__atomic_sub_fetch(&x->server->buffered_bytes, x->buffered_bytes,
-			   __ATOMIC_RELAXED);
-	g_free(x->method);
-	g_free(x->path);
-	g_free(x->target);
-	g_string_free(x->body, TRUE);
-	g_array_free(x->headers, TRUE);
-	g_ptr_array_free(x->reply_headers, TRUE);
-	g_free(x);
+void http_server_wake(struct http_server *s)
+{
+	uint64_t one = 1;
+	ssize_t n = write(s->wake_fd, &one, sizeof(one));
+
+	/* The counter of an eventfd is full only if the thread is awake. */
+	(void)n;
 }
 
-static enum MHD_Result handle_header(void *ctx, enum MHD_ValueKind kind,
-				     const char *key, const char *value)
+static void set_accepting(struct http_server *s, bool is_accepting)
 {
-	struct http_exchange *x = ctx;
-	struct http_header h = { g_strdup(key), g_strdup(value ? value : "") };
+	struct epoll_event e = {
+		.events = is_accepting ? EPOLLIN : 0,
+		.data.ptr = &s->listen_fd,
+	};
 
-	g_array_append_val(x->headers, h);
-	return MHD_YES;
+	s->accept_us = is_accepting ? 0
+				    : g_get_monotonic_time() + ACCEPT_RETRY_US;
+	pthread_mutex_lock(&s->lock);
+	if (s->listen_fd >= 0)
+		epoll_ctl(s->epoll_fd, EPOLL_CTL_MOD, s->listen_fd, &e);
+	pthread_mutex_unlock(&s->lock);
 }
 
-static void handle_clear_header(gpointer data)
+/* Returns a socket, or -1 with errno set. */
+static int accept_connection(struct http_server *s)
 {
-	struct http_header *h = data;
+	int fd = -1;
 
-	g_free(h->name);
-	g_free(h->value);
+	pthread_mutex_lock(&s->lock);
+	if (s->listen_fd < 0)
+		errno = EAGAIN;
+	else if (g_hash_table_size(s->connections) >=
+		 s->options.max_connections)
+		errno = EMFILE;
+	else
+		fd = accept4(s->listen_fd, NULL, NULL,
+			     SOCK_NONBLOCK | SOCK_CLOEXEC);
+	pthread_mutex_unlock(&s->lock);
+	return fd;
 }
 
-static struct http_connection *get_caller(struct MHD_Connection *connection)
+static void accept_connections(struct http_server *s)
 {
-	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
-		connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+	int fd;
 
-	return info ? info->socket_context : NULL;
+	while ((fd = accept_connection(s)) >= 0)
+		http_connection_open(s, fd);
+	if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS ||
+	    errno == ENOMEM)
+		set_accepting(s, false);
 }
 
-static void set_connection_busy(struct http_server *s,
-				struct http_connection *c, bool is_busy)
+/* Takes over the connections that a stop has accepted. */
+static void take_accepted(struct http_server *s)
 {
-	if (!c)
-		return;
+	guint count;
+
+	pthread_mutex_lock(&s->lock);
+	count = s->accepted->len;
+	pthread_mutex_unlock(&s->lock);
+	for (guint i = 0; i < count; i++) {
+		int fd;
+
+		pthread_mutex_lock(&s->lock);
+		fd = g_array_index(s->accepted, int, i);
+		pthread_mutex_unlock(&s->lock);
+		http_connection_open(s, fd);
+	}
+	/* A stop that counts the connections meanwhile must not miss one. */
 	pthread_mutex_lock(&s->lock);
-	c->is_busy = is_busy;
-	c->is_request_read = false;
-	c->idle_since_us = g_get_monotonic_time();
+	g_array_remove_range(s->accepted, 0, count);
 	pthread_mutex_unlock(&s->lock);
 }
 
-/* Returns false if the request was already refused by the stop. */
-static bool mark_request_read(struct http_server *s, struct http_connection *c)
+static void send_answers(struct http_server *s)
 {
-	bool is_refused;
+	GPtrArray *answered;
 
-	if (!c)
-		return true;
 	pthread_mutex_lock(&s->lock);
-	is_refused = c->is_refused;
-	c->is_request_read = !is_refused;
+	answered = s->answered;
+	s->answered = g_ptr_array_new();
 	pthread_mutex_unlock(&s->lock);
-	return !is_refused;
+	for (guint i = 0; i < answered->len; i++) {
+		struct http_exchange *x = answered->pdata[i];
+
+		http_connection_answer(x->caller, x);
+	}
+	g_ptr_array_free(answered, TRUE);
 }
 
-static void handle_connection(void *ctx, struct MHD_Connection *connection,
-			      void **state,
-			      enum MHD_ConnectionNotificationCode code)
+/* Returns connections with a refusal due, or NULL. */
+static GPtrArray *take_refusals(struct http_server *s)
 {
-	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
-		connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-	struct http_server *s = ctx;
-	struct http_connection *c = *state;
+	struct http_connection *c;
+	GPtrArray *due = NULL;
+	GHashTableIter iter;
 
 	pthread_mutex_lock(&s->lock);
-	if (code == MHD_CONNECTION_NOTIFY_STARTED) {
-		c = g_new0(struct http_connection, 1);
-		c->fd = info ? info->connect_fd : -1;
-		c->idle_since_us = g_get_monotonic_time();
-		g_hash_table_add(s->connections, c);
-		g_hash_table_remove(s->queued_fds, GINT_TO_POINTER(c->fd));
-		*state = c;
-	} else if (c) {
-		g_hash_table_remove(s->connections, c);
-		*state = NULL;
+	if (s->has_refusals) {
+		due = g_ptr_array_new();
+		g_hash_table_iter_init(&iter, s->connections);
+		while (g_hash_table_iter_next(&iter, (gpointer *)&c, NULL)) {
+			if (c->is_refusal_due)
+				g_ptr_array_add(due, c);
+			c->is_refusal_due = false;
+		}
+		s->has_refusals = false;
 	}
 	pthread_mutex_unlock(&s->lock);
+	return due;
 }
 
-static struct http_exchange *exchange_create(struct http_server *s,
-					     struct MHD_Connection *connection,
-					     const char *target)
+static bool has_input(const struct http_connection *c)
 {
-	struct http_exchange *x = g_new0(struct http_exchange, 1);
+	struct pollfd p = { .fd = c->fd, .events = POLLIN };
 
-	x->refs = 1;
-	x->server = s;
-	x->connection = connection;
-	x->target = g_strdup(target);
-	x->body = g_string_new(NULL);
-	x->headers = g_array_new(FALSE, TRUE, sizeof(struct http_header));
-	g_array_set_clear_func(x->headers, handle_clear_header);
-	x->reply_headers = g_ptr_array_new_with_free_func(g_free);
-	return x;
+	return poll(&p, 1, 0) > 0;
 }
 
-/* Called first for each request, with the target as sent. */
-static void *handle_target(void *ctx, const char *target,
-			   struct MHD_Connection *connection)
+static void refuse_due_requests(struct http_server *s)
 {
-	return exchange_create(ctx, connection, target);
+	GPtrArray *due = take_refusals(s);
+
+	if (!due)
+		return;
+	for (guint i = 0; i < due->len; i++) {
+		struct http_connection *c = due->pdata[i];
+
+		if (c->phase == HTTP_SENDING && !c->refusal_status)
+			http_connection_close(c);
+		/* After a pause of the process the rest may have arrived. */
+		else if (http_connection_is_reading(c) && !has_input(c))
+			http_connection_refuse(c, c->refusal_status,
+					       c->refusal_code);
+	}
+	g_ptr_array_free(due, TRUE);
 }
 
-static void exchange_begin(struct http_exchange *x, const char *method,
-			   const char *path)
+static void close_lingering(struct http_server *s, int64_t now)
 {
-	x->method = g_strdup(method);
-	x->path = g_strdup(path);
-	x->caller = get_caller(x->connection);
-	set_connection_busy(x->server, x->caller, true);
-	x->is_first = x->caller && !x->caller->is_used;
-	if (x->caller)
-		x->caller->is_used = true;
-	MHD_get_connection_values(x->connection, MHD_HEADER_KIND, handle_header,
-				  x);
+	struct http_connection *c;
+
+	while ((c = g_queue_peek_head(&s->lingering)) &&
+	       now - c->since_us >= LINGER_US)
+		http_connection_close(c);
 }
 
-static bool is_shut_down(const struct http_connection *c)
+static void free_closed(struct http_server *s)
 {
-	return c && __atomic_load_n(&c->is_shut_down, __ATOMIC_RELAXED);
+	bool is_any = s->closed->len > 0;
+
+	for (guint i = 0; i < s->closed->len; i++)
+		http_connection_free(s->closed->pdata[i]);
+	g_ptr_array_set_size(s->closed, 0);
+	if (s->accept_us && (is_any || g_get_monotonic_time() >= s->accept_us))
+		set_accepting(s, true);
 }
 
-/* Tells the caller whether, and for how long, it may reuse its connection. */
-static void add_connection_headers(const struct http_server *s,
-				   const struct http_connection *c,
-				   struct MHD_Response *r)
+/* Returns the time until the next timer in ms, or -1 if there is none. */
+static int next_timer_ms(const struct http_server *s)
 {
-	unsigned int keep_alive_s =
-		__atomic_load_n(&s->keep_alive_s, __ATOMIC_RELAXED);
-	char text[32];
+	const struct http_connection *c =
+		s->lingering.head ? s->lingering.head->data : NULL;
+	int64_t next = INT64_MAX;
+	int64_t now;
 
-	if (__atomic_load_n(&s->is_draining, __ATOMIC_ACQUIRE) ||
-	    is_shut_down(c)) {
-		MHD_add_response_header(r, "Connection", "close");
-		return;
-	}
-	if (!keep_alive_s)
-		return;
-	g_snprintf(text, sizeof(text), "timeout=%u", keep_alive_s);
-	MHD_add_response_header(r, "Keep-Alive", text);
+	if (c)
+		next = c->since_us + LINGER_US;
+	if (s->accept_us)
+		next = MIN(next, s->accept_us);
+	if (next == INT64_MAX)
+		return -1;
+	now = g_get_monotonic_time();
+	return (int)((MAX(next - now, 0) + US_PER_MS - 1) / US_PER_MS);
 }
 
-static char *refusal_body(int code)
+static void handle_wakeup(struct http_server *s)
 {
-	return g_strdup_printf("{\"error\":\"E%d\",\"message\":\"%s\","
-			       "\"run\":\"not_run\"}",
-			       code, error_text(code));
+	uint64_t count;
+	ssize_t n = read(s->wake_fd, &count, sizeof(count));
+
+	(void)n;
+	take_accepted(s);
+	send_answers(s);
+	refuse_due_requests(s);
 }
 
-static enum MHD_Result queue_refusal(const struct http_server *s,
-				     struct MHD_Connection *connection,
-				     unsigned int status, int code)
+static void handle_event(struct http_server *s, const struct epoll_event *e)
 {
-	char *body = refusal_body(code);
-	struct MHD_Response *r = MHD_create_response_from_buffer(
-		strlen(body), body, MHD_RESPMEM_MUST_COPY);
-	enum MHD_Result ret;
-
-	MHD_add_response_header(r, "Content-Type", "application/json");
-	if (status == 503)
-		MHD_add_response_header(r, "Retry-After",
-					code == ERR_NET_NO_ROOM
-						? NO_ROOM_RETRY_AFTER_S
-						: ELSEWHERE_RETRY_AFTER_S);
-	add_connection_headers(s, get_caller(connection), r);
-	ret = MHD_queue_response(connection, status, r);
-	MHD_destroy_response(r);
-	g_free(body);
-	event_log(EV_HTTP_REFUSE, "code=E%d", code);
-	return ret;
+	if (e->data.ptr == &s->wake_fd)
+		handle_wakeup(s);
+	else if (e->data.ptr == &s->listen_fd)
+		accept_connections(s);
+	else
+		http_connection_handle_event(e->data.ptr, e->events);
 }
 
-/* Drops what was read of a body; the rest is read and dropped as well. */
-static void drop_body(struct http_exchange *x)
+static void *run_server(void *ctx)
 {
-	g_string_free(x->body, TRUE);
-	x->body = g_string_new(NULL);
-	__atomic_sub_fetch(&x->server->buffered_bytes, x->buffered_bytes,
-			   __ATOMIC_RELAXED);
-	x->buffered_bytes = 0;
+	struct epoll_event events[EVENTS_MAX];
+	struct http_server *s = ctx;
+	bool is_exiting;
+
+	do {
+		int count;
+
+		is_exiting = __atomic_load_n(&s->is_exiting, __ATOMIC_ACQUIRE);
+		count = epoll_wait(s->epoll_fd, events, EVENTS_MAX,
+				   is_exiting ? 0 : next_timer_ms(s));
+		for (int i = 0; i < count; i++)
+			handle_event(s, &events[i]);
+		if (s->lingering.head)
+			close_lingering(s, g_get_monotonic_time());
+		free_closed(s);
+	} while (!is_exiting);
+	return NULL;
 }
 
-static void append_body(struct http_exchange *x, const char *data, size_t size)
+static int open_listener(const char *address, uint16_t *port)
 {
-	struct http_server *s = x->server;
+	struct sockaddr_in addr;
+	socklen_t len = sizeof(addr);
+	int one = 1;
+	int fd;
 
-	if (x->is_too_large || x->is_without_room)
-		return;
-	if (x->body->len + size >
-	    __atomic_load_n(&s->max_body, __ATOMIC_RELAXED)) {
-		x->is_too_large = true;
-		drop_body(x);
-		return;
-	}
-	x->buffered_bytes += size;
-	if (__atomic_add_fetch(&s->buffered_bytes, size, __ATOMIC_RELAXED) >
-	    s->options.max_buffered) {
-		x->is_without_room = true;
-		drop_body(x);
-		return;
+	if (address_parse(address, &addr))
+		return -ERR_INVAL;
+	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (fd < 0)
+		return -ERR_NET_LISTEN;
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+	/* A new process may start before the last one has ended. */
+	setsockopt(fd, SOL_SOCKET, SO_REUSEPORT, &one, sizeof(one));
+	if (bind(fd, (struct sockaddr *)&addr, sizeof(addr)) ||
+	    listen(fd, SOMAXCONN) ||
+	    getsockname(fd, (struct sockaddr *)&addr, &len)) {
+		close(fd);
+		return -ERR_NET_LISTEN;
 	}
-	g_string_append_len(x->body, data, (gssize)size);
+	*port = ntohs(addr.sin_port);
+	return fd;
 }
 
-static enum MHD_Result submit_request(struct http_server *s,
-				      struct http_exchange *x)
+static int watch_fd(struct http_server *s, int *fd)
 {
-	__atomic_add_fetch(&s->unanswered_count, 1, __ATOMIC_SEQ_CST);
-	if (__atomic_load_n(&s->is_closed, __ATOMIC_SEQ_CST)) {
-		__atomic_sub_fetch(&s->unanswered_count, 1, __ATOMIC_SEQ_CST);
-		return queue_refusal(s, x->connection, 503, ERR_STOPPING);
-	}
-	x->is_submitted = true;
-	x->refs++;
-	MHD_suspend_connection(x->connection);
-	s->options.handle_request(s->options.ctx, x);
-	return MHD_YES;
+	struct epoll_event e = { .events = EPOLLIN, .data.ptr = fd };
+
+	return epoll_ctl(s->epoll_fd, EPOLL_CTL_ADD, *fd, &e);
 }
 
-static enum MHD_Result handle_access(void *ctx,
-				     struct MHD_Connection *connection,
-				     const char *url, const char *method,
-				     const char *version, const char *data,
-				     size_t *size, void **state)
+static void close_fd(int fd)
 {
-	struct http_server *s = ctx;
-	struct http_exchange *x = *state;
-
-	if (!x->method) {
-		exchange_begin(x, method, url);
-		if (!is_shut_down(x->caller))
-			return MHD_YES;
-		mark_request_read(s, x->caller);
-		return queue_refusal(s, connection, 503, ERR_NET_CLOSING);
-	}
-	if (*size) {
-		append_body(x, data, *size);
-		*size = 0;
-		return MHD_YES;
-	}
-	if (x->is_submitted)
-		return MHD_queue_response(connection, x->status, x->response);
-	if (!mark_request_read(s, x->caller))
-		return MHD_NO;
-	if (x->is_without_room)
-		return queue_refusal(s, connection, 503, ERR_NET_NO_ROOM);
-	if (x->is_too_large)
-		return queue_refusal(s, connection, 413, ERR_NET_BODY_SIZE);
-	return submit_request(s, x);
+	if (fd >= 0)
+		close(fd);
 }
 
-static void handle_completed(void *ctx, struct MHD_Connection *connection,
-			     void **state, enum MHD_RequestTerminationCode code)
+static void free_server(struct http_server *s)
 {
-	struct http_exchange *x = *state;
+	for (guint i = 0; i < s->accepted->len; i++)
+		close(g_array_index(s->accepted, int, i));
+	close_fd(s->listen_fd);
+	close_fd(s->wake_fd);
+	close_fd(s->epoll_fd);
+	g_hash_table_destroy(s->connections);
+	g_array_free(s->accepted, TRUE);
+	g_ptr_array_free(s->answered, TRUE);
+	g_ptr_array_free(s->closed, TRUE);
+	pthread_mutex_destroy(&s->lock);
+	g_free(s);
+}
 
-	*state = NULL;
-	if (!x)
-		return;
-	set_connection_busy(ctx, x->caller, false);
-	exchange_unref(x);
+static int start_thread(struct http_server *s)
+{
+	s->epoll_fd = epoll_create1(EPOLL_CLOEXEC);
+	s->wake_fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
+	if (s->epoll_fd < 0 || s->wake_fd < 0 || watch_fd(s, &s->wake_fd) ||
+	    watch_fd(s, &s->listen_fd) ||
+	    pthread_create(&s->thread, NULL, run_server, s))
+		return -ERR_NET_LISTEN;
+	return 0;
+}
+
+static void set_defaults(struct http_server *s)
+{
+	struct http_server_options *o = &s->options;
+
+	if (!o->max_buffered)
+		o->max_buffered = DEFAULT_MAX_BUFFERED;
+	if (!o->max_connections)
+		o->max_connections = DEFAULT_MAX_CONNECTIONS;
+	s->limits.head_max_bytes = o->max_head ? o->max_head : DEFAULT_MAX_HEAD;
+	s->limits.body_max_bytes = o->max_body ? o->max_body : DEFAULT_MAX_BODY;
 }
 
 int http_server_create(struct http_server **out,
 		       const struct http_server_options *options)
 {
-	const unsigned int flags = MHD_USE_EPOLL_INTERNAL_THREAD |
-				   MHD_ALLOW_SUSPEND_RESUME;
-	const union MHD_DaemonInfo *info;
 	struct http_server *s;
-	struct sockaddr_in addr;
+	uint16_t port;
+	int fd = open_listener(options->address, &port);
+	int ret;
 
-	if (address_parse(options->address, &addr))
-		return -ERR_INVAL;
+	if (fd < 0)
+		return fd;
 	s = g_new0(struct http_server, 1);
 	s->options = *options;
-	if (!s->options.max_buffered)
-		s->options.max_buffered = DEFAULT_MAX_BUFFERED;
-	s->max_body = options->max_body ? options->max_body : DEFAULT_MAX_BODY;
+	set_defaults(s);
+	s->listen_fd = fd;
+	s->port = port;
 	pthread_mutex_init(&s->lock, NULL);
-	s->connections = g_hash_table_new_full(NULL, NULL, g_free, NULL);
-	s->queued_fds = g_hash_table_new(NULL, NULL);
-	s->daemon = MHD_start_daemon(
-		flags, 0, NULL, NULL, handle_access, s, MHD_OPTION_SOCK_ADDR,
-		&addr, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u,
-		MHD_OPTION_URI_LOG_CALLBACK, handle_target, s,
-		MHD_OPTION_CONNECTION_TIMEOUT, options->idle_timeout_s,
-		MHD_OPTION_NOTIFY_COMPLETED, handle_completed, s,
-		MHD_OPTION_NOTIFY_CONNECTION, handle_connection, s,
-		MHD_OPTION_CONNECTION_LIMIT,
-		options->max_connections ? options->max_connections
-					 : DEFAULT_MAX_CONNECTIONS,
-		MHD_OPTION_END);
-	if (!s->daemon) {
-		g_hash_table_destroy(s->connections);
-		g_hash_table_destroy(s->queued_fds);
-		g_free(s);
-		return -ERR_NET_LISTEN;
+	s->connections = g_hash_table_new(NULL, NULL);
+	s->accepted = g_array_new(FALSE, FALSE, sizeof(int));
+	s->answered = g_ptr_array_new();
+	s->closed = g_ptr_array_new();
+	ret = start_thread(s);
+	if (ret) {
+		free_server(s);
+		return ret;
 	}
-	info = MHD_get_daemon_info(s->daemon, MHD_DAEMON_INFO_BIND_PORT);
-	s->port = info ? info->port : 0;
 	*out = s;
 	return 0;
 }
@@ -448,42 +382,75 @@
 
 void http_server_set_limits(struct http_server *s, const struct http_limits *l)
 {
-	__atomic_store_n(&s->max_body, l->max_body, __ATOMIC_RELAXED);
+	if (l->max_head)
+		__atomic_store_n(&s->limits.head_max_bytes, l->max_head,
+				 __ATOMIC_RELAXED);
+	__atomic_store_n(&s->limits.body_max_bytes, l->max_body,
+			 __ATOMIC_RELAXED);
 	pthread_mutex_lock(&s->lock);
 	s->idle_us = l->idle_us;
-	s->idle_and_head_us = l->idle_us + l->head_us;
+	s->head_us = l->head_us;
 	s->body_us = l->body_us;
 	apply_keep_alive(s);
 	pthread_mutex_unlock(&s->lock);
 }
 
 /*
- * A slow head of a request counts as idle time, because the library reports a
- * request only when its head is complete.
+ * Shuts down an idle connection and returns true, or returns false if a request
+ * has arrived meanwhile. One that arrives later is refused: the server ends
+ * such a connection when it reads the end of the stream.
  */
-static bool is_expired(const struct http_server *s,
-		       const struct http_connection *c, int64_t now)
+static bool shut_down(struct http_connection *c)
 {
-	int64_t max = c->is_busy ? s->body_us : s->idle_and_head_us;
+	if (has_input(c))
+		return false;
+	__atomic_store_n(&c->is_shut_down, true, __ATOMIC_RELAXED);
+	shutdown(c->fd, SHUT_RD);
+	return true;
+}
 
-	return max && !c->is_shut_down && !c->is_request_read &&
-	       now - c->idle_since_us > max;
+/* The caller holds the lock and wakes the server's thread. */
+static void request_refusal(struct http_connection *c, unsigned int status,
+			    int code)
+{
+	c->is_refusal_due = true;
+	c->refusal_status = status;
+	c->refusal_code = code;
+	c->server->has_refusals = true;
 }
 
-/*
- * Shuts down a connection and returns true, or returns false if a request is
- * being received on one that was idle. One that arrives later is refused: the
- * library ends such a connection when it reads the end of the stream, even if a
- * request waits for its answer.
- */
-static bool shut_down(struct http_connection *c)
+/* Returns the time limit of a connection's phase, or 0. */
+static int64_t phase_limit(const struct http_connection *c)
 {
-	struct pollfd p = { .fd = c->fd, .events = POLLIN };
+	const struct http_server *s = c->server;
+
+	switch (c->phase) {
+	case HTTP_IDLE:
+		return c->is_shut_down ? 0 : s->idle_us;
+	case HTTP_READING_HEAD:
+		return s->head_us;
+	case HTTP_READING_BODY:
+	case HTTP_SENDING:
+		return s->body_us;
+	case HTTP_ANSWERING:
+	case HTTP_LINGERING:
+	case HTTP_CLOSED:
+		break;
+	}
+	return 0;
+}
 
-	if (!c->is_busy && poll(&p, 1, 0) > 0)
+/* Ends a connection that is over its time limit; returns whether it does. */
+static bool end_expired(struct http_connection *c)
+{
+	if (c->phase == HTTP_IDLE)
+		return shut_down(c);
+	if (c->is_refusal_due)
 		return false;
-	__atomic_store_n(&c->is_shut_down, true, __ATOMIC_RELAXED);
-	shutdown(c->fd, c->is_busy ? SHUT_RDWR : SHUT_RD);
+	if (c->phase == HTTP_SENDING)
+		request_refusal(c, 0, 0);
+	else
+		request_refusal(c, 408, ERR_NET_SLOW);
 	return true;
 }
 
@@ -492,18 +459,23 @@
 	int64_t now = g_get_monotonic_time();
 	struct http_connection *c;
 	GHashTableIter iter;
-	uint32_t closed = 0;
+	uint32_t ended = 0;
+	bool has_refusals;
 
 	pthread_mutex_lock(&s->lock);
 	g_hash_table_iter_init(&iter, s->connections);
 	while (g_hash_table_iter_next(&iter, (gpointer *)&c, NULL)) {
-		if (!is_expired(s, c, now))
-			continue;
-		closed += shut_down(c);
+		int64_t max = phase_limit(c);
+
+		if (max && now - c->since_us > max)
+			ended += end_expired(c);
 	}
+	has_refusals = s->has_refusals;
 	pthread_mutex_unlock(&s->lock);
-	if (closed)
-		event_log(EV_HTTP_SLOW, "connections=%u", closed);
+	if (has_refusals)
+		http_server_wake(s);
+	if (ended)
+		event_log(EV_HTTP_SLOW, "connections=%u", ended);
 }
 
 void http_server_set_keep_alive(struct http_server *s, int64_t keep_alive_us)
@@ -524,8 +496,7 @@
 	unsigned int count;
 
 	pthread_mutex_lock(&s->lock);
-	count = g_hash_table_size(s->connections) +
-		g_hash_table_size(s->queued_fds);
+	count = g_hash_table_size(s->connections) + s->accepted->len;
 	pthread_mutex_unlock(&s->lock);
 	return count;
 }
@@ -557,30 +528,31 @@
 	setsockopt(fd, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof(program));
 }
 
-static void set_queued(struct http_server *s, int fd, bool is_queued)
+static void accept_pending(struct http_server *s, int listen_fd)
 {
-	pthread_mutex_lock(&s->lock);
-	if (is_queued)
-		g_hash_table_add(s->queued_fds, GINT_TO_POINTER(fd));
-	else
-		g_hash_table_remove(s->queued_fds, GINT_TO_POINTER(fd));
-	pthread_mutex_unlock(&s->lock);
+	int fd;
+
+	while ((fd = accept4(listen_fd, NULL, NULL,
+			     SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0) {
+		pthread_mutex_lock(&s->lock);
+		g_array_append_val(s->accepted, fd);
+		pthread_mutex_unlock(&s->lock);
+		http_server_wake(s);
+	}
 }
 
-static void accept_queued(struct http_server *s, int fd)
+/* Takes the listening socket from the server's thread; returns it, or -1. */
+static int take_listener(struct http_server *s)
 {
-	struct sockaddr_in addr;
-	socklen_t len = sizeof(addr);
-	int c;
-
-	while ((c = accept4(fd, (struct sockaddr *)&addr, &len,
-			    SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0) {
-		set_queued(s, c, true);
-		if (MHD_add_connection(s->daemon, c, (struct sockaddr *)&addr,
-				       len) != MHD_YES)
-			set_queued(s, c, false);
-		len = sizeof(addr);
-	}
+	int fd;
+
+	pthread_mutex_lock(&s->lock);
+	fd = s->listen_fd;
+	s->listen_fd = -1;
+	if (fd >= 0)
+		epoll_ctl(s->epoll_fd, EPOLL_CTL_DEL, fd, NULL);
+	pthread_mutex_unlock(&s->lock);
+	return fd;
 }
 
 /*
@@ -590,17 +562,16 @@
 static void stop_listening(struct http_server *s)
 {
 	int64_t end = g_get_monotonic_time() + STOP_HANDSHAKE_US;
-	MHD_socket fd = MHD_quiesce_daemon(s->daemon);
+	int fd = take_listener(s);
 
-	if (fd == MHD_INVALID_SOCKET)
+	if (fd < 0)
 		return;
 	refuse_handshakes(fd);
-	fcntl(fd, F_SETFL, fcntl(fd, F_GETFL) | O_NONBLOCK);
 	do {
-		accept_queued(s, fd);
+		accept_pending(s, fd);
 		g_usleep(STOP_POLL_US);
 	} while (g_get_monotonic_time() < end);
-	accept_queued(s, fd);
+	accept_pending(s, fd);
 	close(fd);
 }
 
@@ -613,56 +584,32 @@
 	pthread_mutex_lock(&s->lock);
 	g_hash_table_iter_init(&iter, s->connections);
 	while (g_hash_table_iter_next(&iter, (gpointer *)&c, NULL)) {
-		if (!c->is_busy && !c->is_shut_down &&
-		    now - c->idle_since_us >= idle_us)
+		if (c->phase == HTTP_IDLE && !c->is_shut_down &&
+		    now - c->since_us >= idle_us)
 			shut_down(c);
 	}
 	pthread_mutex_unlock(&s->lock);
 }
 
-/*
- * Answers on the socket, since the library takes no response before a body has
- * ended. The rest of the body is read and dropped: to close with unread bytes
- * would reset the connection and lose the answer.
- */
-static void refuse_on_socket(struct http_connection *c)
-{
-	char *body = refusal_body(ERR_STOPPING);
-	char *text = g_strdup_printf("HTTP/1.1 503 Service Unavailable\r\n"
-				     "Connection: close\r\n"
-				     "Content-Type: application/json\r\n"
-				     "Content-Length: %zu\r\n"
-				     "Retry-After: " ELSEWHERE_RETRY_AFTER_S
-				     "\r\n\r\n%s",
-				     strlen(body), body);
-
-	if (send(c->fd, text, strlen(text), MSG_NOSIGNAL | MSG_DONTWAIT) < 0)
-		event_log(EV_HTTP_REFUSE, "code=E%d error=%s", ERR_STOPPING,
-			  g_strerror(errno));
-	else
-		event_log(EV_HTTP_REFUSE, "code=E%d", ERR_STOPPING);
-	shutdown(c->fd, SHUT_WR);
-	g_free(text);
-	g_free(body);
-}
-
-/* Refuses the requests whose bodies have not been read whole. */
-static void refuse_unread_bodies(struct http_server *s)
+/* Refuses the requests that have not been read whole. */
+static void refuse_unread_requests(struct http_server *s)
 {
 	int64_t now = g_get_monotonic_time();
 	struct http_connection *c;
 	GHashTableIter iter;
+	bool has_refusals;
 
 	pthread_mutex_lock(&s->lock);
 	g_hash_table_iter_init(&iter, s->connections);
 	while (g_hash_table_iter_next(&iter, (gpointer *)&c, NULL)) {
-		if (!c->is_busy || c->is_request_read || c->is_refused ||
-		    now - c->idle_since_us < STOP_BODY_US)
-			continue;
-		c->is_refused = true;
-		refuse_on_socket(c);
+		if (http_connection_is_reading(c) &&
+		    now - c->since_us >= STOP_READING_US)
+			request_refusal(c, 503, ERR_STOPPING);
 	}
+	has_refusals = s->has_refusals;
 	pthread_mutex_unlock(&s->lock);
+	if (has_refusals)
+		http_server_wake(s);
 }
 
 static void wait_for_connections(struct http_server *s, int64_t end_us,
@@ -672,7 +619,7 @@
 	       g_get_monotonic_time() < end_us) {
 		shut_down_idle_connections(s, idle_us);
 		if (is_last)
-			refuse_unread_bodies(s);
+			refuse_unread_requests(s);
 		g_usleep(STOP_POLL_US);
 	}
 }
@@ -699,122 +646,25 @@
 	return http_server_connection_count(s);
 }
 
+static void close_connections(struct http_server *s)
+{
+	GList *connections = g_hash_table_get_keys(s->connections);
+
+	for (GList *i = connections; i; i = i->next)
+		http_connection_close(i->data);
+	g_list_free(connections);
+	free_closed(s);
+}
+
 void http_server_destroy(struct http_server *s, int64_t timeout_us)
 {
 	http_server_stop(s, timeout_us, DESTROY_FLUSH_US);
 	__atomic_store_n(&s->is_closed, true, __ATOMIC_SEQ_CST);
 	while (__atomic_load_n(&s->unanswered_count, __ATOMIC_SEQ_CST))
 		g_usleep(STOP_POLL_US);
-	MHD_stop_daemon(s->daemon);
-	g_hash_table_destroy(s->connections);
-	g_hash_table_destroy(s->queued_fds);
-	pthread_mutex_destroy(&s->lock);
-	g_free(s);
-}
-
-const char *http_exchange_method(const struct http_exchange *x)
-{
-	return x->method;
-}
-
-const char *http_exchange_path(const struct http_exchange *x)
-{
-	return x->path;
-}
-
-void http_exchange_remove_headers(struct http_exchange *x,
-				  bool (*is_removed)(const char *name))
-{
-	for (guint i = x->headers->len; i-- > 0;) {
-		const struct http_header *h =
-			&g_array_index(x->headers, struct http_header, i);
-
-		if (is_removed(h->name))
-			g_array_remove_index(x->headers, i);
-	}
-}
-
-const char *http_exchange_header(const struct http_exchange *x,
-				 const char *name)
-{
-	for (guint i = 0; i < x->headers->len; i++) {
-		const struct http_header *h =
-			&g_array_index(x->headers, struct http_header, i);
-
-		if (!g_ascii_strcasecmp(h->name, name))
-			return h->value;
-	}
-	return NULL;
-}
-
-const char *http_exchange_target(const struct http_exchange *x)
-{
-	return x->target;
-}
-
-const GArray *http_exchange_headers(const struct http_exchange *x)
-{
-	return x->headers;
-}
-
-const char *http_exchange_body(const struct http_exchange *x, size_t *len)
-{
-	*len = x->body->len;
-	return x->body->str;
-}
-
-int http_exchange_is_caller_gone(const struct http_exchange *x)
-{
-	struct pollfd p = { .fd = x->caller ? x->caller->fd : -1 };
-
-	/* After the server's own shutdown, POLLRDHUP is always set. */
-	if (x->caller && !is_shut_down(x->caller))
-		p.events = POLLRDHUP;
-	return poll(&p, 1, 0) > 0 &&
-	       (p.revents & (POLLRDHUP | POLLHUP | POLLERR));
-}
-
-int http_exchange_is_first(const struct http_exchange *x)
-{
-	return x->is_first;
-}
-
-int http_exchange_fd(const struct http_exchange *x)
-{
-	return x->caller ? x->caller->fd : -1;
-}
-
-void http_exchange_add_header(struct http_exchange *x, const char *name,
-			      const char *value)
-{
-	g_ptr_array_add(x->reply_headers, g_strdup(name));
-	g_ptr_array_add(x->reply_headers, g_strdup(value));
-}
-
-void http_exchange_reply(struct http_exchange *x, unsigned int status,
-			 const char *content_type, const char *body, size_t len)
-{
-	struct http_server *s = x->server;
-
-	x->status = status;
-	x->response = MHD_create_response_from_buffer(len, (void *)body,
-						      MHD_RESPMEM_MUST_COPY);
-	if (content_type)
-		MHD_add_response_header(x->response, "Content-Type",
-					content_type);
-	add_connection_headers(s, x->caller, x->response);
-	for (guint i = 0; i < x->reply_headers->len; i += 2)
-		MHD_add_response_header(x->response, x->reply_headers->pdata[i],
-					x->reply_headers->pdata[i + 1]);
-	MHD_resume_connection(x->connection);
-	exchange_unref(x);
-	/* Once the count is 0, the server may be freed. */
-	__atomic_sub_fetch(&s->unanswered_count, 1, __ATOMIC_SEQ_CST);
-}
-
-void http_exchange_drop(struct http_exchange *x)
-{
-	if (x->caller)
-		shutdown(x->caller->fd, SHUT_RDWR);
-	http_exchange_reply(x, 503, "text/plain", "", 0);
+	__atomic_store_n(&s->is_exiting, true, __ATOMIC_RELEASE);
+	http_server_wake(s);
+	pthread_join(s->thread, NULL);
+	close_connections(s);
+	free_server(s);
 }
--- a/nutmegpickd/route_service.c
+++ b/nutmegpickd/route_service.c
@@ -251,6 +251,7 @@
 	/* This thread starts before the server for callers. */
 	if (!l || !__atomic_load_n(&s->is_listening, __ATOMIC_ACQUIRE))
 		return;
+	limits.max_head = l->max_header_bytes;
 	limits.max_body = l->max_body_bytes;
 	limits.idle_us = l->idle_timeout_us;
 	limits.head_us = l->header_timeout_us;
