net: refuse requests whose length is ambiguous

Cause: nothing compared the headers that state the length; the rest of the body was read as the next request.

This refuses what it leaves: codings other than chunked with 501, chunked twice or in HTTP/1.0, and two hosts with 400.

--- a/net/request_reader.c
+++ b/net/request_reader.c
@@ -205,16 +205,33 @@
 	return path ? path : g_strndup(target, len);
 }
 
-static void read_expectation(struct http_request *q)
+/*
+ * Applies the rules on headers that the parser leaves to its user. Returns 0 or
+ * the status of a refusal.
+ */
+static unsigned int check_headers(struct http_request *q)
 {
+	uint32_t hosts = 0;
+	uint32_t codings = 0;
+
 	for (guint i = 0; i < q->headers->len; i++) {
 		const struct http_header *h =
 			&g_array_index(q->headers, struct http_header, i);
 
-		if (!g_ascii_strcasecmp(h->name, "Expect") &&
-		    !g_ascii_strcasecmp(h->value, "100-continue"))
+		if (!g_ascii_strcasecmp(h->name, "Host")) {
+			hosts++;
+		} else if (!g_ascii_strcasecmp(h->name, "Transfer-Encoding")) {
+			if (g_ascii_strcasecmp(h->value, "chunked"))
+				return 501;
+			codings++;
+		} else if (!g_ascii_strcasecmp(h->name, "Expect") &&
+			   !g_ascii_strcasecmp(h->value, "100-continue")) {
 			q->is_continue_expected = true;
+		}
 	}
+	if (codings && q->is_http_1_0)
+		return 400;
+	return hosts > 1 || codings > 1 ? 400 : 0;
 }
 
 static void parse_text(struct request_reader *r, const char *text, size_t len)
@@ -239,6 +256,7 @@
 {
 	struct http_request *q = g_new0(struct http_request, 1);
 	size_t method_len = measure_method(r->head);
+	unsigned int status;
 
 	r->request = q;
 	q->head = r->head;
@@ -263,7 +281,9 @@
 		return refuse(r, 505, ERR_NET_REQUEST);
 	q->is_http_1_0 = r->parser.http_minor == 0;
 	end_texts(q, method_len);
-	read_expectation(q);
+	status = check_headers(q);
+	if (status)
+		return refuse(r, status, ERR_NET_REQUEST);
 	q->method = q->head->str;
 	q->path = decode_path(q->target);
 	q->is_kept = http_should_keep_alive(&r->parser);
--- a/test/unit/test_http_heads.c
+++ b/test/unit/test_http_heads.c
@@ -369,7 +369,42 @@
 	stop(&f);
 }
 
+/*
+ * Guards against a request inside the body of another one that is run, because
+ * the body has two lengths.
+ */
+static void test_request_in_body(void)
+{
+	static const char *const lengths[] = {
+		"Content-Length: 0\r\nContent-Length: 36\r\n\r\n",
+		"Content-Length: 36\r\nContent-Length: 0\r\n\r\n",
+		"Content-Length: 41\r\nTransfer-Encoding: chunked\r\n\r\n"
+		"0\r\n\r\n",
+		"Transfer-Encoding: chunked\r\nContent-Length: 41\r\n\r\n"
+		"0\r\n\r\n",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(lengths); i++) {
+		char *text = g_strconcat(
+			"POST / HTTP/1.1\r\nHost: test\r\n", lengths[i],
+			"GET /inside HTTP/1.1\r\nHost: a\r\n\r\n", NULL);
+		struct fixture f = { 0 };
+		int fd;
+
+		start(&f, HEAD_MAX);
+		fd = open_connection(&f);
+		CU_ASSERT_EQUAL(ask(fd, text, strlen(text)), 400);
+		/* The connection ends, so nothing of it is run later. */
+		CU_ASSERT_EQUAL(read_status(fd), 0);
+		CU_ASSERT_EQUAL(f.handled, 0);
+		close(fd);
+		g_free(text);
+		stop(&f);
+	}
+}
+
 CU_TestInfo http_head_tests[] = {
+	{ "request in body", test_request_in_body },
 	{ "heads within limit", test_heads_within_limit },
 	{ "heads above limit", test_heads_above_limit },
 	{ "long answer heads", test_long_answer_heads },
--- a/test/unit/test_request_reader.c
+++ b/test/unit/test_request_reader.c
@@ -68,6 +68,54 @@
 	}
 }
 
+/*
+ * Guards against a request inside the body of another one that is run, because
+ * two receivers take the length of the body from different headers.
+ */
+static void test_ambiguous_length(void)
+{
+	static const struct stream_case cases[] = {
+		{ HEAD "Content-Length: 0\r\nContent-Length: 3\r\n\r\nabc", 0,
+		  400 },
+		{ HEAD "Content-Length: 3\r\nContent-Length: 3\r\n\r\nabc", 0,
+		  400 },
+		{ HEAD "Content-Length: 3, 3\r\n\r\nabc", 0, 400 },
+		{ HEAD "Content-Length: +3\r\n\r\nabc", 0, 400 },
+		{ HEAD "Content-Length: -1\r\n\r\nabc", 0, 400 },
+		{ HEAD "Content-Length: 0x3\r\n\r\nabc", 0, 400 },
+		{ HEAD "Content-Length:\r\n\r\nabc", 0, 400 },
+		{ HEAD "Content-Length: 18446744073709551619\r\n\r\nabc", 0,
+		  400 },
+		{ HEAD "Content-Length : 3\r\n\r\nabc", 0, 400 },
+		{ HEAD "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n"
+		       "0\r\n\r\n",
+		  0, 400 },
+		{ HEAD "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n"
+		       "0\r\n\r\n",
+		  0, 400 },
+		{ HEAD "Content-Length: 3\r\nTransfer-Encoding:\r\n chunked"
+		       "\r\n\r\n0\r\n\r\n",
+		  0, 400 },
+		{ HEAD "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n", 0,
+		  501 },
+		{ HEAD "Transfer-Encoding: chunked, gzip\r\n\r\n0\r\n\r\n", 0,
+		  501 },
+		{ HEAD "Transfer-Encoding: identity\r\n"
+		       "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		  0, 501 },
+		{ HEAD "Transfer-Encoding: chunked\r\n"
+		       "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		  0, 400 },
+		{ HEAD "Transfer-Encoding : chunked\r\n\r\n0\r\n\r\n", 0, 400 },
+		{ HEAD "Transfer-Encoding: chunked\r\n\r\nx\r\n", 0, 400 },
+		{ HEAD "Transfer-Encoding: chunked\r\n\r\n2\r\nabc\r\n", 0,
+		  400 },
+		{ HEAD "Host: other\r\n\r\n", 0, 400 },
+	};
+
+	check_streams(cases, G_N_ELEMENTS(cases));
+}
+
 /* Guards against refusals of proper requests. */
 static void test_proper_requests(void)
 {
@@ -181,6 +229,7 @@
 }
 
 CU_TestInfo request_reader_tests[] = {
+	{ "ambiguous length", test_ambiguous_length },
 	{ "proper requests", test_proper_requests },
 	{ "over limit", test_over_limit },
 	{ "texts", test_texts },
