net: tell Transfer-Encoding from longer names

Cause: http_parser 2.9.4 notes a transfer coding as soon as a name begins with that word, and forgets a coding named before.

Found by the new fuzz target request, which requires that the call to a leaf is one proper request with the method, target and body of the caller's.

Change: http_coding_correct() sets the parser's state after each name.

--- a/include/net/reply_reader.h
+++ b/include/net/reply_reader.h
@@ -61,6 +61,8 @@
 	bool is_dropping;
 	/** The value of the current header has begun. */
 	bool is_value;
+	/** A transfer coding was named in the head. */
+	bool has_coding;
 	/** The head is complete; trailers are ignored. */
 	bool is_past_head;
 	/** The reply that is being read belongs to an earlier request. */
--- a/include/net/request_reader.h
+++ b/include/net/request_reader.h
@@ -59,6 +59,8 @@
 	size_t scanned;
 	/** Request whose head is complete, or NULL. */
 	struct http_request *request;
+	/** A transfer coding was named. */
+	bool has_coding;
 	bool is_complete;
 	/** HTTP status and result code of REQUEST_REFUSED. */
 	unsigned int status;
--- a/net/reply_reader.c
+++ b/net/reply_reader.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "net/http_coding.h"
+
 /* Memory of a header beside its characters: the entry and two blocks. */
 #define HEADER_OVERHEAD (sizeof(struct http_header) + 2 * 24)
 /* A buffer for the current header that has grown beyond this is replaced. */
@@ -87,6 +89,7 @@
 	r->header_memory = 0;
 	r->is_for_earlier_request = false;
 	r->is_past_head = false;
+	r->has_coding = false;
 	r->is_value = false;
 	g_string_truncate(r->field, 0);
 	g_string_truncate(r->value, 0);
@@ -113,6 +116,9 @@
 
 	if (r->is_past_head)
 		return 0;
+	if (!r->is_value)
+		http_coding_correct(parser, &r->has_coding, r->field->str,
+				    r->field->len);
 	r->is_value = true;
 	g_string_append_len(r->value, at, (gssize)len);
 	return 0;
--- a/net/request_reader.c
+++ b/net/request_reader.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "common/errors.h"
+#include "net/http_coding.h"
 
 /* Replaces the method for the parser, which knows registered methods only. */
 #define PARSED_METHOD "POST"
@@ -81,8 +82,10 @@
 	if (memchr(at, ' ', len))
 		return 1;
 	/* Fields of a trailer are dropped. */
-	if (r->head)
-		g_array_append_val(r->request->headers, h);
+	if (!r->head)
+		return 0;
+	http_coding_correct(parser, &r->has_coding, at, len);
+	g_array_append_val(r->request->headers, h);
 	return 0;
 }
 
--- a/test/fuzz/replay.c
+++ b/test/fuzz/replay.c
@@ -16,6 +16,8 @@
 #define MUTATIONS_MAX 6
 
 static const char *const tokens[] = {
+	"POST /a?b HTTP/1.1\r\n",
+	"Host: a\r\n",
 	"HTTP/1.1 200 OK\r\n",
 	"HTTP/1.1 503 X\r\n",
 	"HTTP/1.1 103 Early Hints\r\n\r\n",
--- a/test/fuzz/targets.c
+++ b/test/fuzz/targets.c
@@ -7,6 +7,7 @@
 #include "common/errors.h"
 #include "net/host_frame.h"
 #include "net/reply_reader.h"
+#include "net/request_reader.h"
 #include "platform/headers.h"
 #include "platform/routes.h"
 #include "platform/store.h"
@@ -159,6 +160,131 @@
 	leaf_reply_unref(bytewise.reply);
 }
 
+static const struct request_limits request_limits = { .head_max_bytes = 2048,
+						      .body_max_bytes = 1024 };
+
+/* Reads one request in pieces; sets used to the bytes up to its end. */
+static struct http_request *read_request(const char *data, size_t len,
+					 size_t piece, size_t *used,
+					 unsigned int *status)
+{
+	enum request_state state = REQUEST_INCOMPLETE;
+	struct http_request *request = NULL;
+	struct request_reader r = { 0 };
+
+	*used = 0;
+	while (state == REQUEST_INCOMPLETE || state == REQUEST_HEAD_READ) {
+		size_t n = MIN(piece, len - *used);
+		size_t taken;
+
+		if (!n && state == REQUEST_INCOMPLETE)
+			break;
+		state = request_reader_feed(&r, &request_limits, data + *used,
+					    n, &taken);
+		require_property(taken <= n, "a reader takes what it gets");
+		*used += taken;
+	}
+	*status = r.status;
+	require_property((state == REQUEST_REFUSED) == (r.status >= 400),
+			 "a refusal has a status");
+	if (state == REQUEST_COMPLETE)
+		request = request_reader_take(&r);
+	request_reader_clear(&r);
+	require_property(!request_reader_memory(&r),
+			 "a cleared reader holds no memory");
+	return request;
+}
+
+/* Returns the texts of a request, one a line. */
+static char *describe_request(const struct http_request *q)
+{
+	GString *out = g_string_new(NULL);
+
+	g_string_append_printf(out, "%s\n%s\n%s\n%d\n%zu\n", q->method,
+			       q->target, q->path, q->is_kept, q->body->len);
+	for (guint i = 0; i < q->headers->len; i++) {
+		const struct http_header *h =
+			&g_array_index(q->headers, struct http_header, i);
+
+		g_string_append_printf(out, "%s: %s\n", h->name, h->value);
+	}
+	return g_string_free(out, FALSE);
+}
+
+/* Checks that the call which a host makes for a request is that request. */
+static void require_one_call(const struct http_request *q)
+{
+	struct route_leaf leaf = { .entry.id = (char *)"leaf" };
+	struct router_call call = { .remaining_us = 1000000, .leaf = &leaf };
+	struct platform_request in = {
+		.method = q->method,
+		.target = q->target,
+		.headers = q->headers,
+		.body_len = q->body->len,
+	};
+	GString *text = g_string_new(NULL);
+	struct request_reader r = { 0 };
+	const struct request_limits limits = { 65536, 65536 };
+	size_t used;
+	size_t rest;
+
+	platform_write_call_head(text, &in, &call);
+	g_string_append_len(text, q->body->str, (gssize)q->body->len);
+	require_property(request_reader_feed(&r, &limits, text->str, text->len,
+					     &used) == REQUEST_HEAD_READ,
+			 "a call is a proper request");
+	require_property(request_reader_feed(&r, &limits, text->str + used,
+					     text->len - used,
+					     &rest) == REQUEST_COMPLETE,
+			 "a call is complete");
+	require_property(used + rest == text->len, "a call is one request");
+	require_property(!strcmp(r.request->method, q->method) &&
+				 !strcmp(r.request->target, q->target) &&
+				 g_string_equal(r.request->body, q->body),
+			 "a call has the method, target and body of its "
+			 "request");
+	request_reader_clear(&r);
+	g_string_free(text, TRUE);
+}
+
+static void run_request(const uint8_t *data, size_t len)
+{
+	const char *text = (const char *)data;
+
+	while (len) {
+		size_t used;
+		size_t bytewise_used;
+		unsigned int status;
+		unsigned int bytewise_status;
+		struct http_request *q =
+			read_request(text, len, len, &used, &status);
+		struct http_request *bytewise = read_request(
+			text, len, 1, &bytewise_used, &bytewise_status);
+		char *described;
+		char *bytewise_described;
+
+		require_property(status == bytewise_status && !q == !bytewise,
+				 "a verdict does not depend on the pieces");
+		if (!q)
+			return;
+		described = describe_request(q);
+		bytewise_described = describe_request(bytewise);
+		require_property(
+			used == bytewise_used &&
+				!strcmp(described, bytewise_described) &&
+				g_string_equal(q->body, bytewise->body),
+			"a request does not depend on the pieces it is read "
+			"in");
+		require_one_call(q);
+		g_free(described);
+		g_free(bytewise_described);
+		http_request_free(q);
+		http_request_free(bytewise);
+		text += used;
+		len -= used;
+	}
+}
+
 static GByteArray *encode_frame(const struct host_frame *f)
 {
 	switch (f->type) {
@@ -291,7 +417,8 @@
 }
 
 const struct fuzz_target fuzz_targets[] = {
-	{ "reply", run_reply },	    { "frame", run_frame },
-	{ "page", run_store_page }, { "routes", run_routes },
-	{ "leaf", run_leaf },	    { NULL, NULL },
+	{ "reply", run_reply },	  { "request", run_request },
+	{ "frame", run_frame },	  { "page", run_store_page },
+	{ "routes", run_routes }, { "leaf", run_leaf },
+	{ NULL, NULL },
 };
--- a/test/unit/test_replies.c
+++ b/test/unit/test_replies.c
@@ -45,6 +45,12 @@
 	{ "200 OK\r\n" ID STAMP "Transfer-Encoding: chunked\r\n\r\n"
 	  "10\r\n0123456789abcdef\r\n0\r\nContent-Encoding: gzip\r\n\r\n",
 	  PASSED },
+	/* Names that begin like that of the transfer coding. */
+	{ "200 OK\r\n" ID STAMP LENGTH "Transfer-Encoding-X: y\r\n" BODY,
+	  PASSED },
+	{ "200 OK\r\n" ID STAMP "Transfer-Encoding: chunked\r\n"
+	  "Transfer-Encodings: y\r\n\r\n10\r\n0123456789abcdef\r\n0\r\n\r\n",
+	  PASSED },
 	/* No stamp, or none to choose from. */
 	{ "200 OK\r\n" ID LENGTH BODY, REPLACED },
 	{ "200 OK\r\n" ID STAMP STAMP LENGTH BODY, REPLACED },
--- a/test/unit/test_request_reader.c
+++ b/test/unit/test_request_reader.c
@@ -134,6 +134,14 @@
 		{ "get-it /x HTTP/1.1\r\nHost: test\r\nUpgrade: h2c\r\n"
 		  "Connection: Upgrade\r\nContent-Length: 1\r\n\r\na",
 		  1, 0, "a" },
+		{ HEAD "Transfer-Encoding-X: y\r\nContent-Length: 1\r\n\r\na",
+		  1, 0, "a" },
+		{ HEAD "Content-Length-X: 9\r\nTransfer-Encodings: z\r\n\r\n",
+		  1, 0 },
+		{ HEAD
+		  "Transfer-Encoding: chunked\r\nTransfer-Encoding-X: y\r\n"
+		  "\r\n1\r\na\r\n0\r\n\r\n",
+		  1, 0, "a" },
 		{ "CONNECT /x HTTP/1.1\r\n\r\n" HEAD "\r\n", 2, 0 },
 		{ "GET / HTTP/1.1\nHost: test\nA:b\n\n", 1, 0 },
 		{ "GET /x HTTP/1.0\r\n\r\n", 1, 0 },
