net: refuse replies of another version than HTTP/1.x

On the same line of such answers one thing was passed on: HTTP/0.9, HTTP/2.0 and HTTP/9.9 with status 200 reached the caller as a success. They are no answers in the protocol that is spoken.

Change: the reply reader breaks on any major version but 1.

Tests: rows of replies; those of the versions failed before (tests single and gather), those of 000 and other statuses guard what holds.

Not changed: a status of more digits with leading zeros, such as 0200, is read as 200 by the parser and reaches the caller as 200.

--- a/net/reply_reader.c
+++ b/net/reply_reader.c
@@ -176,7 +176,9 @@
 	r->reply->status = parser->status_code;
 	echo = leaf_reply_header(r->reply, r->echo_header);
 	r->is_for_earlier_request = is_for_earlier_request(r, echo);
-	if (parser->status_code < 100 || parser->status_code > 599)
+	if (parser->http_major != 1)
+		r->cause = "reply has an unknown version";
+	else if (parser->status_code < 100 || parser->status_code > 599)
 		r->cause = "reply has an invalid status";
 	else if (is_ambiguous_failure(r, echo))
 		r->cause = "failure without a request id";
--- a/test/unit/test_replies.c
+++ b/test/unit/test_replies.c
@@ -99,6 +99,18 @@
 	  REPLACED },
 	{ "101 X\r\n" ID STAMP "Connection: upgrade\r\nUpgrade: x\r\n" BODY,
 	  REPLACED },
+	/* A status of 000 and others that are none. */
+	{ "000 X\r\n" ID STAMP LENGTH BODY, REPLACED },
+	{ "000\r\n" ID STAMP LENGTH BODY, REPLACED },
+	{ "000 X\r\n" ID STAMP NOT_RUN LENGTH BODY, REPLACED },
+	{ "0 X\r\n" ID STAMP LENGTH BODY, REPLACED },
+	{ "000 X\r\n\r\nHTTP/1.1 200 OK\r\n" ID STAMP LENGTH BODY, REPLACED },
+	{ "103 X\r\n\r\nHTTP/1.1 000 X\r\n" ID STAMP LENGTH BODY, REPLACED },
+	{ "-1 X\r\n" ID STAMP LENGTH BODY, REPLACED },
+	{ "1000 X\r\n" ID STAMP LENGTH BODY, REPLACED },
+	{ "999 X\r\n" ID STAMP LENGTH BODY, REPLACED },
+	{ "103 X\r\n\r\nHTTP/2.0 200 OK\r\n" ID STAMP LENGTH BODY, REPLACED },
+	{ "103 X\r\n\r\nHTTP/0.9 200 OK\r\n" ID STAMP LENGTH BODY, REPLACED },
 	{ "099 X\r\n" ID STAMP LENGTH BODY, REPLACED },
 	{ "600 X\r\n" ID STAMP LENGTH BODY, REPLACED },
 	/* Failures that the leaf has signed. */
