net: free the memory of replies that nobody waits for

Report: a leaf sent bytes without end, and the host ran out of memory.

Cause: a call that a gather gives up at its goal goes on for up to a second. What it had read left the account of 32 MiB, but g_byte_array_set_size() keeps the memory of the array.

Change: the array is replaced.

Test: "memory let go" of leaf client failed before.

--- a/net/reply_reader.c
+++ b/net/reply_reader.c
@@ -276,8 +276,11 @@
 void reply_reader_drop_body(struct reply_reader *r)
 {
 	r->is_dropping = true;
-	if (r->reply)
-		g_byte_array_set_size(r->reply->body, 0);
+	if (!r->reply)
+		return;
+	/* Setting the size to 0 would keep the memory of the array. */
+	g_byte_array_free(r->reply->body, TRUE);
+	r->reply->body = g_byte_array_new();
 }
 
 struct leaf_reply *reply_reader_take(struct reply_reader *r)
--- a/test/unit/test_leaf_client.c
+++ b/test/unit/test_leaf_client.c
@@ -397,6 +397,46 @@
 	rig_clear(&g);
 }
 
+/*
+ * Guards against long replies that nobody waits for and that keep their memory:
+ * they are in no account.
+ */
+static void test_memory_let_go(void)
+{
+	const size_t piece = 600 * 1024;
+	char *body = g_malloc0(piece);
+	struct mallinfo2 before;
+	struct mallinfo2 after;
+	struct rig g = { 0 };
+
+	rig_init_limited(&g, PEERS_MAX * piece);
+	for (uint64_t i = 1; i < PEERS_MAX; i++)
+		send_request(&g, i, (int)i - 1);
+	before = mallinfo2();
+	for (int i = 0; i < g.peer_count; i++) {
+		char head[64];
+
+		snprintf(head, sizeof(head),
+			 "HTTP/1.1 200 OK\r\nRequest-Id: r%d\r\n\r\n", i + 1);
+		send_bytes(&g, i, head, strlen(head));
+		send_bytes(&g, i, body, piece);
+	}
+	for (int i = 0; i < 1000; i++)
+		run_client_step(&g);
+	after = mallinfo2();
+	CU_ASSERT(after.uordblks + after.hblkhd >=
+		  before.uordblks + before.hblkhd +
+			  (size_t)g.peer_count * piece);
+	for (uint64_t i = 1; i < PEERS_MAX; i++)
+		CU_ASSERT_FALSE(leaf_client_detach_call(g.client, i));
+	after = mallinfo2();
+	CU_ASSERT(after.uordblks + after.hblkhd <
+		  before.uordblks + before.hblkhd + piece);
+	CU_ASSERT_EQUAL(g.end_count, 0);
+	g_free(body);
+	rig_clear(&g);
+}
+
 /* Sends a request to another leaf; its connection is the last one accepted. */
 static void send_to(struct rig *g, struct leaf_endpoint *e, uint64_t id)
 {
@@ -583,6 +623,7 @@
 	{ "copy while idle", test_copy_while_idle },
 	{ "failure without id", test_failure_without_id },
 	{ "let go", test_detached_call },
+	{ "memory let go", test_memory_let_go },
 	{ "held by all calls", test_buffered_by_all },
 	{ "heads of all calls", test_heads_of_all },
 	{ "memory counted", test_memory_counted },
