route: compare request ids at their full length

What callers saw: with a request id of more than 71 characters, which is a head within the limit like any other, the leaf ran the request, and the caller got 504 at the deadline.

Cause: the router keeps 71 characters of the id for its log, and the calls to leaves were given that one. The leaf repeats the whole id, so its answer counted as one to another request.

Change: calls take the id from the request.

--- a/nutmegpickd/route_callers.c
+++ b/nutmegpickd/route_callers.c
@@ -45,6 +45,14 @@
 	return http_exchange_body(q->exchange, &out->body_len);
 }
 
+/* Returns the id as the caller sent it; the router keeps a shorter one. */
+static const char *get_request_id(const struct caller_request *q)
+{
+	return q->frame
+		       ? q->frame->request.request_id
+		       : http_exchange_header(q->exchange, PLATFORM_REQUEST_ID);
+}
+
 static void handle_start_call(void *ctx, const struct router_call *call)
 {
 	struct route_service *s = ctx;
@@ -59,7 +67,7 @@
 		.head_len = s->call_head->len,
 		.body = body,
 		.body_len = in.body_len,
-		.request_id = call->request_id,
+		.request_id = get_request_id(call->user),
 		.is_head = !strcmp(in.method, "HEAD"),
 		.is_idempotent = call->is_idempotent,
 		.deadline_us = clock_now(&s->clock) + call->remaining_us,
@@ -257,13 +265,12 @@
 		.gatherers = is_repeat ? 0 : q->gatherers,
 	};
 	const struct route *route;
-	const char *id;
+	const char *id = get_request_id(q);
 	uint64_t request_id;
 
 	if (q->frame) {
 		const struct gather_request *g = &q->frame->request;
 
-		id = g->request_id;
 		in.host = g->host;
 		in.path = g->target;
 		in.gatherers = g->gatherers;
@@ -275,7 +282,6 @@
 			in.shard_count = g->shard_count;
 		}
 	} else {
-		id = http_exchange_header(q->exchange, PLATFORM_REQUEST_ID);
 		in.host = http_exchange_header(q->exchange, "Host");
 		in.path = http_exchange_target(q->exchange);
 		route = router_match(s->router, in.host, in.path);
--- a/test/soak/long_heads.py
+++ b/test/soak/long_heads.py
@@ -26,24 +26,29 @@
     "cookies": ("\r\nCookie: ", "c=v; ", ""),
     "headers": ("\r\n", "Name: v\r\n", "Last: v"),
     "one header": ("\r\nLong: ", "v", ""),
+    "request id": ("\r\nNutmegpick-Request-Id: 0-", "i", ""),
 }
 
 
 def build(name, kind, size, request_id):
-    """Returns a request with a head of about a size."""
+    """Returns a request with a head of about a size, and its id."""
     before, part, after = SHAPES[name]
     method = "POST" if kind == "b" else "GET"
     head = (f"Nutmegpick-Request-Deadline: {WAIT_MS}\r\n"
             f"Host: soak.example\r\nContent-Length: 0\r\n\r\n")
-    head = f"Nutmegpick-Request-Id: {request_id}\r\n" + head
+    if name != "request id":
+        head = f"Nutmegpick-Request-Id: {request_id}\r\n" + head
     start = f"{method} /{kind}/x"
     version = " HTTP/1.1"
     room = size - len(head + start + version + before + after) - 2
     fill = part * (room // len(part))
+    if name == "request id":
+        fill = request_id + fill[len(request_id):]
+        request_id = "0-" + fill
     text = before + fill + after
     if name == "arguments":
-        return (start + text + version + "\r\n" + head).encode()
-    return (start + version + text + "\r\n" + head).encode()
+        return (start + text + version + "\r\n" + head).encode(), request_id
+    return (start + version + text + "\r\n" + head).encode(), request_id
 
 
 class LongHeads:
@@ -54,8 +59,7 @@
 
     async def ask(self, name, kind, size):
         self.number += 1
-        request_id = f"0-{self.number:x}-"
-        text = build(name, kind, size, request_id)
+        text, request_id = build(name, kind, size, f"0-{self.number:x}-")
         writer = None
         try:
             reader, writer = await asyncio.open_connection(
