net: bound the incomplete frames of all links

A first frame that never ends kept its link open as long as bytes came.

Change: 32 MiB for the incomplete frames of all links, above which the link with the longest is closed; 4 KiB for the first frame of a peer, and the time for it counts from the accept; a buffer that was large is freed.

Tests: "frames of all" and "long hello" of peer; without the bounds both wait for a close that never comes.

--- a/include/net/transport.h
+++ b/include/net/transport.h
@@ -30,6 +30,11 @@
 	size_t hello_len;
 	/** Largest frame in bytes; 0 selects 2 MB. */
 	size_t max_frame_bytes;
+	/**
+	 * Most bytes of incomplete frames on all links; above that, the link
+	 * with the most is closed. 0 selects 32 MiB.
+	 */
+	size_t max_unread_bytes;
 	/** Most bytes waiting to be sent on a link; 0 selects 8 MB. */
 	size_t max_queue_bytes;
 	/** Most links; above that, the one idle longest is closed. 0: 512. */
--- a/net/transport.c
+++ b/net/transport.c
@@ -18,6 +18,11 @@
 #include "common/ring.h"
 
 #define DEFAULT_MAX_FRAME (2 * 1024 * 1024)
+#define DEFAULT_MAX_UNREAD (32 * 1024 * 1024)
+/* Largest first frame of a peer, which names its versions and address. */
+#define HELLO_MAX 4096
+/* A buffer of incomplete frames that has grown beyond this is replaced. */
+#define BUFFER_KEPT 4096
 #define DEFAULT_MAX_QUEUE (8 * 1024 * 1024)
 #define DEFAULT_MAX_LINKS 512
 #define DEFAULT_IDLE_US (60 * US_PER_S)
@@ -50,8 +55,12 @@
 	bool has_hello;
 	/** EPOLLOUT is polled. */
 	bool wants_write;
+	int64_t opened_us;
 	int64_t last_use_us;
+	/** Bytes of incomplete frames. */
 	GByteArray *in;
+	/** Most bytes that were in the buffer. */
+	guint in_peak;
 	GByteArray *out;
 	/** Bytes of out that are already sent. */
 	size_t out_sent;
@@ -65,6 +74,8 @@
 	int epoll_fd;
 	uint16_t port;
 	link_id last_link;
+	/** Bytes of the incomplete frames of all links. */
+	size_t unread_bytes;
 	/** Owned links, by id. */
 	GHashTable *links;
 	/** Links by address; one for each peer. */
@@ -112,7 +123,8 @@
 	l->was_connected = true;
 	l->in = g_byte_array_new();
 	l->out = g_byte_array_new();
-	l->last_use_us = clock_now(&t->options.clock);
+	l->opened_us = clock_now(&t->options.clock);
+	l->last_use_us = l->opened_us;
 	g_hash_table_insert(t->links, &l->id, l);
 	if (address) {
 		g_strlcpy(l->address, address, sizeof(l->address));
@@ -135,6 +147,7 @@
 		g_hash_table_remove(t->by_address, l->address);
 	g_hash_table_remove(t->links, &l->id);
 	close(l->fd);
+	t->unread_bytes -= l->in->len;
 	g_byte_array_free(l->in, TRUE);
 	g_byte_array_free(l->out, TRUE);
 	g_free(l);
@@ -218,6 +231,12 @@
 	return true;
 }
 
+static size_t max_frame(const struct transport *t, const struct link *l)
+{
+	return l->has_hello ? t->options.max_frame_bytes
+			    : MIN(t->options.max_frame_bytes, HELLO_MAX);
+}
+
 /* Returns false if the peer broke the protocol. */
 static bool parse_frames(struct transport *t, struct link *l)
 {
@@ -229,7 +248,7 @@
 
 		memcpy(&len, start, HEADER_SIZE);
 		len = ntohl(len);
-		if (!len || len > t->options.max_frame_bytes) {
+		if (!len || len > max_frame(t, l)) {
 			event_log(EV_LINK_REFUSE, "code=E%d address=%s",
 				  ERR_FRAME_SIZE, l->address);
 			return false;
@@ -245,22 +264,61 @@
 	return true;
 }
 
+static void shrink_buffer(struct link *l)
+{
+	if (l->in->len || l->in_peak <= BUFFER_KEPT)
+		return;
+	g_byte_array_free(l->in, TRUE);
+	l->in = g_byte_array_new();
+	l->in_peak = 0;
+}
+
 /* Returns false if the link has ended or the peer broke the protocol. */
 static bool read_link(struct transport *t, struct link *l)
 {
-	guint old = l->in->len;
-	ssize_t n;
+	guint8 buffer[READ_SIZE];
+	ssize_t n = recv(l->fd, buffer, sizeof(buffer), 0);
+	size_t held = l->in->len;
+	bool is_valid;
 
-	g_byte_array_set_size(l->in, old + READ_SIZE);
-	n = recv(l->fd, l->in->data + old, READ_SIZE, 0);
-	g_byte_array_set_size(l->in, old + (guint)(n > 0 ? n : 0));
 	if (n < 0 && (errno == EAGAIN || errno == EINTR))
 		return true;
 	if (n <= 0)
 		return false;
 	add_count(&t->counts.bytes_in, (uint64_t)n);
 	l->last_use_us = clock_now(&t->options.clock);
-	return parse_frames(t, l);
+	g_byte_array_append(l->in, buffer, (guint)n);
+	l->in_peak = MAX(l->in_peak, l->in->len);
+	is_valid = parse_frames(t, l);
+	t->unread_bytes += l->in->len - held;
+	shrink_buffer(l);
+	return is_valid;
+}
+
+static struct link *find_largest_unread(const struct transport *t)
+{
+	struct link *largest = NULL;
+	GHashTableIter iter;
+	struct link *l;
+
+	g_hash_table_iter_init(&iter, t->links);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&l)) {
+		if (!largest || l->in->len > largest->in->len)
+			largest = l;
+	}
+	return largest;
+}
+
+/* Closes the links with the longest incomplete frames until the others fit. */
+static void limit_unread_bytes(struct transport *t)
+{
+	while (t->unread_bytes > t->options.max_unread_bytes) {
+		struct link *l = find_largest_unread(t);
+
+		event_log(EV_LINK_REFUSE, "code=E%d address=%s bytes=%u",
+			  ERR_NET_NO_ROOM, l->address, l->in->len);
+		close_link(t, l);
+	}
 }
 
 static bool finish_connect(struct link *l)
@@ -292,6 +350,7 @@
 		is_open = read_link(t, l);
 	if (!is_open)
 		close_link(t, l);
+	limit_unread_bytes(t);
 }
 
 static void accept_links(struct transport *t)
@@ -365,7 +424,7 @@
 	int64_t idle = now - l->last_use_us;
 
 	if (l->is_connecting || !l->has_hello)
-		return idle > t->options.connect_timeout_us;
+		return now - l->opened_us > t->options.connect_timeout_us;
 	return idle > t->options.idle_us;
 }
 
@@ -481,6 +540,8 @@
 	t->options = *options;
 	if (!t->options.max_frame_bytes)
 		t->options.max_frame_bytes = DEFAULT_MAX_FRAME;
+	if (!t->options.max_unread_bytes)
+		t->options.max_unread_bytes = DEFAULT_MAX_UNREAD;
 	if (!t->options.max_queue_bytes)
 		t->options.max_queue_bytes = DEFAULT_MAX_QUEUE;
 	if (!t->options.max_links)
--- a/test/unit/test_peer.c
+++ b/test/unit/test_peer.c
@@ -22,6 +22,9 @@
 	unsigned int closed;
 	unsigned int undelivered;
 	bool is_refusing;
+	/** Limits; 0 selects the default. */
+	size_t max_frame_bytes;
+	size_t max_unread_bytes;
 };
 
 static int handle_hello(void *ctx, const void *data, size_t len,
@@ -68,7 +71,9 @@
 		.clock = clock_system(),
 		.hello = hello,
 		.hello_len = strlen(hello),
-		.max_frame_bytes = 1024,
+		.max_frame_bytes = s->max_frame_bytes ? s->max_frame_bytes
+						      : 1024,
+		.max_unread_bytes = s->max_unread_bytes,
 		/* Long enough that a busy machine causes no timeout. */
 		.connect_timeout_us = 3600 * US_PER_S,
 		.idle_us = 3600 * US_PER_S,
@@ -200,6 +205,64 @@
 	stop_side(&b);
 }
 
+/* Sends a frame, or the start of one that is longer. */
+static void write_frame(int fd, const char *data, size_t len, size_t declared)
+{
+	uint32_t header = htonl((uint32_t)declared);
+
+	CU_ASSERT_EQUAL(write(fd, &header, sizeof(header)), sizeof(header));
+	CU_ASSERT_EQUAL(write(fd, data, len), (ssize_t)len);
+}
+
+#define HALF_FRAME_LINKS 16
+
+/*
+ * Guards against incomplete frames of many hosts that fill the memory together,
+ * and against closing a link without one.
+ */
+static void test_frames_of_all(void)
+{
+	static const char zeros[600];
+	int fds[HALF_FRAME_LINKS];
+	/* Room for eight frames, and for the headers of some others. */
+	struct side b = { .max_unread_bytes = 8 * 604 + 64 };
+	int first;
+
+	start_side(&b, "b");
+	first = connect_raw(&b);
+	write_frame(first, "first", 5, 5);
+	write_frame(first, "x", 1, 1);
+	wait_frames(&b, "x");
+	for (int i = 0; i < HALF_FRAME_LINKS; i++) {
+		fds[i] = connect_raw(&b);
+		write_frame(fds[i], "h", 1, 1);
+		write_frame(fds[i], zeros, sizeof(zeros), 1024);
+	}
+	wait_closed(&b, HALF_FRAME_LINKS - 8);
+	write_frame(first, "y", 1, 1);
+	wait_frames(&b, "xy");
+	CU_ASSERT_EQUAL(b.closed, HALF_FRAME_LINKS - 8);
+	for (int i = 0; i < HALF_FRAME_LINKS; i++)
+		close(fds[i]);
+	close(first);
+	stop_side(&b);
+}
+
+/* Guards against a first frame that is read although no host sends such. */
+static void test_long_hello(void)
+{
+	static const char zeros[64];
+	struct side b = { .max_frame_bytes = 1024 * 1024 };
+	int fd;
+
+	start_side(&b, "b");
+	fd = connect_raw(&b);
+	write_frame(fd, zeros, sizeof(zeros), 8192);
+	wait_closed(&b, 1);
+	close(fd);
+	stop_side(&b);
+}
+
 #define LAST_FRAME_ROUNDS 20
 
 /* Guards against results that a stopping host has queued and does not send. */
@@ -229,5 +292,7 @@
 	{ "refused hello", test_refused_hello },
 	{ "unreachable", test_unreachable },
 	{ "broken lengths", test_broken_lengths },
+	{ "frames of all", test_frames_of_all },
+	{ "long hello", test_long_hello },
 	CU_TEST_INFO_NULL,
 };
