net: let refused callers that send on cost others nothing

Cause: after a refusal the rest of the input was read and dropped until the socket was empty, in one turn. A caller that sends as fast as it is read kept the server's thread for up to a second; so did one that sends empty lines, which had no bound. Input behind a request that is being answered was in no account. Found by reading the new server.

Change: a lingering connection is polled level-triggered and read once a turn; 16 bytes of empty lines at most; that input counts.

Tests: "over limit" of request reader failed before.

--- a/include/net/request_reader.h
+++ b/include/net/request_reader.h
@@ -53,6 +53,8 @@
 
 struct request_reader {
 	http_parser parser;
+	/** Bytes of empty lines before the head. */
+	size_t empty_bytes;
 	/** Head that is being read, or NULL. */
 	GString *head;
 	/** Bytes of the head in which its end is not. */
--- a/net/http_connection.c
+++ b/net/http_connection.c
@@ -65,7 +65,8 @@
 
 static void count_bytes(struct http_connection *c)
 {
-	size_t held = request_reader_memory(&c->reader);
+	size_t held = request_reader_memory(&c->reader) +
+		      (c->input ? c->input->allocated_len : 0);
 
 	held -= MIN(held, UNCOUNTED_HEAD_BYTES);
 	__atomic_add_fetch(&c->server->buffered_bytes, held - c->buffered_bytes,
@@ -73,16 +74,17 @@
 	c->buffered_bytes = held;
 }
 
-static void clear_reader(struct http_connection *c)
+/* Drops what was received of requests. */
+static void clear_input(struct http_connection *c)
 {
 	request_reader_clear(&c->reader);
+	drop_string(&c->input);
 	count_bytes(c);
 }
 
 void http_connection_free(struct http_connection *c)
 {
-	clear_reader(c);
-	drop_string(&c->input);
+	clear_input(c);
 	drop_string(&c->output);
 	g_free(c);
 }
@@ -125,7 +127,11 @@
 
 static void linger(struct http_connection *c)
 {
+	/* Not edge-triggered: one read at a time leaves others their turn. */
+	struct epoll_event e = { .events = EPOLLIN, .data.ptr = c };
+
 	shutdown(c->fd, SHUT_WR);
+	epoll_ctl(c->server->epoll_fd, EPOLL_CTL_MOD, c->fd, &e);
 	set_phase(c, HTTP_LINGERING);
 	join_queue(c, &c->server->lingering);
 }
@@ -140,10 +146,10 @@
 		set_phase(c, HTTP_IDLE);
 		return;
 	}
-	if (c->is_ended || !(c->is_readable || c->input))
-		http_connection_close(c);
-	else
+	if (c->is_readable || c->input)
 		linger(c);
+	else
+		http_connection_close(c);
 }
 
 static void fail_output(struct http_connection *c)
@@ -191,7 +197,7 @@
 {
 	event_log(EV_HTTP_REFUSE, "code=E%d status=%u", code, status);
 	leave_queue(c);
-	clear_reader(c);
+	clear_input(c);
 	c->is_last = true;
 	/* What follows belongs to the refused request. */
 	c->is_readable = true;
@@ -322,8 +328,10 @@
 		data += used;
 		len -= used;
 	}
-	if (len && c->phase != HTTP_CLOSED && c->phase != HTTP_LINGERING)
-		c->input = g_string_new_len(data, (gssize)len);
+	if (!len || c->phase != HTTP_ANSWERING)
+		return;
+	c->input = g_string_new_len(data, (gssize)len);
+	count_bytes(c);
 }
 
 static void parse_kept_input(struct http_connection *c)
@@ -353,15 +361,24 @@
 	/* A short read has emptied the socket, but for the end of input. */
 	if ((size_t)n < sizeof(buffer))
 		c->is_readable = c->is_ended;
-	if (c->phase != HTTP_LINGERING)
-		parse_input(c, buffer, (size_t)n);
+	parse_input(c, buffer, (size_t)n);
+}
+
+/* Reads and drops input of a connection whose last answer is sent. */
+static void drop_bytes(struct http_connection *c)
+{
+	char buffer[READ_BYTES];
+	ssize_t n = recv(c->fd, buffer, sizeof(buffer), 0);
+
+	if (!n || (n < 0 && errno != EAGAIN && errno != EINTR))
+		http_connection_close(c);
 }
 
 static void read_input(struct http_connection *c)
 {
 	while (takes_input(c) && c->input)
 		parse_kept_input(c);
-	while (c->is_readable && (takes_input(c) || c->phase == HTTP_LINGERING))
+	while (c->is_readable && takes_input(c))
 		read_socket(c);
 }
 
@@ -369,6 +386,10 @@
 {
 	if (c->phase == HTTP_CLOSED)
 		return;
+	if (c->phase == HTTP_LINGERING) {
+		drop_bytes(c);
+		return;
+	}
 	if (events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR))
 		c->is_ended = true;
 	if (events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR))
--- a/net/request_reader.c
+++ b/net/request_reader.c
@@ -10,6 +10,8 @@
 /* Room in the parser's own limit for the replaced method. */
 #define PARSER_MARGIN_BYTES 64
 #define HEADERS_RESERVED 16
+/* Most bytes of empty lines before a request. */
+#define EMPTY_LINES_MAX 16
 
 void http_request_free(struct http_request *q)
 {
@@ -330,8 +332,12 @@
 {
 	size_t end;
 
-	if (!r->head)
+	if (!r->head) {
 		*used = count_empty_lines(data, len);
+		r->empty_bytes += *used;
+	}
+	if (r->empty_bytes > EMPTY_LINES_MAX)
+		return refuse(r, 400, ERR_NET_REQUEST);
 	if (*used == len)
 		return REQUEST_INCOMPLETE;
 	*used += append_head(r, data + *used, len - *used, &end);
--- a/test/unit/test_http_heads.c
+++ b/test/unit/test_http_heads.c
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <malloc.h>
+#include <pthread.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -318,6 +319,59 @@
 	stop(&f);
 }
 
+#define FLOOD_US (300 * US_PER_MS)
+
+/* Sends bytes without end, and reads nothing, until the connection ends. */
+static void *run_flood(void *ctx)
+{
+	static const char zeros[64 * 1024];
+	const int *fd = ctx;
+
+	while (send(*fd, zeros, sizeof(zeros), MSG_NOSIGNAL) > 0)
+		;
+	return NULL;
+}
+
+/*
+ * Guards against callers that send without end after a refusal, and that keep
+ * the server from answering others.
+ */
+static void test_flood(void)
+{
+	static const char *const starts[] = {
+		"GET / HTTP/1.1\r\nX: ",
+		"\r\n\r\n\r\n\r\n\r\n\r\n\r\n\r\n\r\n",
+		"POST / HTTP/1.1\r\nContent-Length: 9999999999\r\n\r\n",
+		"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+		"ffffffff\r\n",
+	};
+	pthread_t threads[G_N_ELEMENTS(starts)];
+	int fds[G_N_ELEMENTS(starts)];
+	struct fixture f = { 0 };
+	int64_t end;
+	int fd;
+
+	start(&f, HEAD_MAX);
+	for (size_t i = 0; i < G_N_ELEMENTS(starts); i++) {
+		fds[i] = open_connection(&f);
+		send(fds[i], starts[i], strlen(starts[i]), MSG_NOSIGNAL);
+		pthread_create(&threads[i], NULL, run_flood, &fds[i]);
+	}
+	fd = open_connection(&f);
+	end = g_get_monotonic_time() + FLOOD_US;
+	do {
+		CU_ASSERT_EQUAL(ask(fd, SHORT_REQUEST, strlen(SHORT_REQUEST)),
+				200);
+	} while (g_get_monotonic_time() < end);
+	close(fd);
+	/* The server ends them a second after its refusal. */
+	for (size_t i = 0; i < G_N_ELEMENTS(starts); i++) {
+		pthread_join(threads[i], NULL);
+		close(fds[i]);
+	}
+	stop(&f);
+}
+
 /* Guards against callers that wait for good while their request is too slow. */
 static void test_slow_requests(void)
 {
@@ -410,6 +464,7 @@
 	{ "long answer heads", test_long_answer_heads },
 	{ "kept connection memory", test_kept_connection_memory },
 	{ "heads of all", test_heads_of_all },
+	{ "flood", test_flood },
 	{ "slow requests", test_slow_requests },
 	{ "expected continue", test_expected_continue },
 	CU_TEST_INFO_NULL,
--- a/test/unit/test_request_reader.c
+++ b/test/unit/test_request_reader.c
@@ -166,6 +166,7 @@
 		{ "\x16\x03\x01 x\r\n\r\n", 0, 400 },
 		{ HEAD ": x\r\n\r\n", 0, 400 },
 		{ HEAD "A b: x\r\n\r\n", 0, 400 },
+		{ "\r\n\r\n\r\n\r\n\r\n\r\n\r\n\r\n\r\n", 0, 400 },
 		{ text, 0, 431 },
 	};
 
