soak: callers with long heads, and heads sent in parts

A tenth of the requests get a head of up to 14 KB in one of four shapes; three more callers send heads in two parts, and half of them only the first one, which has to be answered 408 or 503.

--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -23,6 +23,7 @@
 import features
 from feature_organisations import Organisations, Quotas
 from feature_places import REGIONS, ColdLeaves, Evacuations, Regions
+from heads import Heads
 from lives import Life, Load, Lost, find_socket
 from standins import HEALTH_PATH, Leaf, Proxy, Store, read_message
 
@@ -97,6 +98,7 @@
         # Processes that have called leaves, by the ends of the connection.
         self.callers = {}
         self.load = Load(self)
+        self.heads = Heads(self)
         self.verdicts = []
         self.folder = tempfile.TemporaryDirectory()
 
@@ -446,6 +448,7 @@
             call = features.Call(i, kind, request_id)
             for feature in self.features:
                 feature.prepare(call)
+            self.heads.lengthen(call)
             self.calls[request_id] = call
             try:
                 reply = await self.call(i, method, path, request_id, kept, call)
@@ -584,6 +587,7 @@
         tasks = [asyncio.create_task(self.run_caller(n)) for n in range(12)]
         tasks += [asyncio.create_task(self.run_faults()) for _ in range(2)]
         tasks += [asyncio.create_task(self.run_limits()) for _ in range(2)]
+        tasks += [asyncio.create_task(self.heads.run()) for _ in range(3)]
         changes = [asyncio.create_task(feature.run())
                    for feature in self.features]
         changes.append(asyncio.create_task(self.load.watch()))
