net: leave descriptors for the connections to leaves

Cause: the new server retried after 100 ms and took each descriptor that an idle connection to a leaf gave back.

Change: callers take seven eighths of the descriptors at most (getrlimit); where the system refuses earlier, accepting pauses for a second.

--- a/include/net/http_server.h
+++ b/include/net/http_server.h
@@ -28,7 +28,10 @@
 	 * not run. 0 selects 32 MiB.
 	 */
 	size_t max_buffered;
-	/** Most connections at the same time; 0 selects 4096. */
+	/**
+	 * Most connections at the same time; others wait to be accepted. 0
+	 * selects 4096, or seven eighths of the process's descriptors.
+	 */
 	unsigned int max_connections;
 	/**
 	 * Called on the server's thread with a whole request. The callee owns
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -7,6 +7,7 @@
 #include <string.h>
 #include <sys/epoll.h>
 #include <sys/eventfd.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -19,12 +20,14 @@
 #define DEFAULT_MAX_HEAD (32u * 1024)
 #define DEFAULT_MAX_BODY (1024 * 1024)
 #define DEFAULT_MAX_CONNECTIONS 4096
+/* Share of the process's descriptors that connections of callers may take. */
+#define DESCRIPTOR_SHARE 7 / 8
 #define DEFAULT_MAX_BUFFERED (32u * 1024 * 1024)
 #define EVENTS_MAX 64
 /* Time for which input is dropped after a last answer. */
 #define LINGER_US (1 * US_PER_S)
 /* Pause of accepting when descriptors are short. */
-#define ACCEPT_RETRY_US (100 * US_PER_MS)
+#define ACCEPT_RETRY_US (1 * US_PER_S)
 /* Interval at which a stop checks for remaining connections and requests. */
 #define STOP_POLL_US 5000
 /* Time in which a handshake that has begun ends: a round trip to callers. */
@@ -327,6 +330,17 @@
 	return 0;
 }
 
+/* Leaves descriptors for the connections on which requests are passed on. */
+static unsigned int default_max_connections(void)
+{
+	struct rlimit files;
+
+	if (getrlimit(RLIMIT_NOFILE, &files))
+		return DEFAULT_MAX_CONNECTIONS;
+	return (unsigned int)MIN(files.rlim_cur * DESCRIPTOR_SHARE,
+				 DEFAULT_MAX_CONNECTIONS);
+}
+
 static void set_defaults(struct http_server *s)
 {
 	struct http_server_options *o = &s->options;
@@ -334,7 +348,7 @@
 	if (!o->max_buffered)
 		o->max_buffered = DEFAULT_MAX_BUFFERED;
 	if (!o->max_connections)
-		o->max_connections = DEFAULT_MAX_CONNECTIONS;
+		o->max_connections = default_max_connections();
 	s->limits.head_max_bytes = o->max_head ? o->max_head : DEFAULT_MAX_HEAD;
 	s->limits.body_max_bytes = o->max_body ? o->max_body : DEFAULT_MAX_BODY;
 }
