--- a/include/net/http_server.h
+++ b/include/net/http_server.h
@@ -30,7 +30,7 @@
 	size_t max_buffered;
 	/**
 	 * Most connections at the same time; others wait to be accepted. 0
-	 * selects 4096, or seven eighths of the process's descriptors.
+	 * selects 4096, or 87% of the process's descriptors if that is less.
 	 */
 	unsigned int max_connections;
 	/**
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -21,7 +21,7 @@
 #define DEFAULT_MAX_BODY (1024 * 1024)
 #define DEFAULT_MAX_CONNECTIONS 4096
 /* Share of the process's descriptors that connections of callers may take. */
-#define DESCRIPTOR_SHARE 7 / 8
+#define CALLER_DESCRIPTOR_PERCENT 87
 #define DEFAULT_MAX_BUFFERED (32u * 1024 * 1024)
 #define EVENTS_MAX 64
 /* Time for which input is dropped after a last answer. */
@@ -337,7 +337,8 @@
 
 	if (getrlimit(RLIMIT_NOFILE, &files))
 		return DEFAULT_MAX_CONNECTIONS;
-	return (unsigned int)MIN(files.rlim_cur * DESCRIPTOR_SHARE,
+	return (unsigned int)MIN(files.rlim_cur / 100 *
+					 CALLER_DESCRIPTOR_PERCENT,
 				 DEFAULT_MAX_CONNECTIONS);
 }
 
