--- a/review/lib-3/harness.py
+++ b/review/lib-3/harness.py
@@ -28,6 +28,11 @@
 LIMITS = {"max_header_bytes": 16384, "max_body_bytes": 1048576,
           "header_timeout_ms": 10000, "idle_timeout_ms": 60000}
 HEARTBEAT_S = 1.2
+RECOVERY_S = 12
+# Of a page of the store and of a value in it.
+PAGE_ITEMS = 500
+PAGE_BYTES = 1000000
+VALUE_BYTES = 1048576
 CONTACT_S = BOUNDS["contact_ms"] / 1000
 APPLY_S = BOUNDS["config_apply_ms"] / 1000
 SKEW_S = BOUNDS["max_skew_ms"] / 1000
@@ -215,6 +220,19 @@
                 pass
         raise EOFError
 
+    def read_page(self, prefix, after):
+        keys = sorted(k for k in self.items
+                      if k.startswith(prefix) and k > after)
+        page = []
+        size = 0
+        for key in keys[:PAGE_ITEMS]:
+            size += len(self.items[key]["value"]) * 3 // 4
+            if page and size > PAGE_BYTES:
+                break
+            page.append(self.items[key])
+        return {"items": page, "has_more": len(page) < len(keys),
+                "current_rev": self.revision}
+
     def transact(self, body):
         for row in body.get("expected", []):
             item = self.items.get(row["key"])
@@ -259,12 +277,8 @@
         name = url.path.split("/")[2] if url.path.count("/") > 1 else url.path
         self.calls[name] = self.calls.get(name, 0) + 1
         if url.path == "/-/kv-range":
-            keys = sorted(k for k in self.items
-                          if k.startswith(query.get("prefix", ""))
-                          and k > query.get("after", ""))
-            return 200, {"items": [self.items[k] for k in keys[:500]],
-                         "has_more": len(keys) > 500,
-                         "current_rev": self.revision}
+            return 200, self.read_page(query.get("prefix", ""),
+                                       query.get("after", ""))
         if url.path == "/-/kv-key":
             item = self.items.get(query["key"])
             if not item:
