mirror: keep keys whose value is empty

What operators would see: an evacuation that is written with an empty value isn't in force on a host that lists the store, nor on hosts that follow others.

Cause: changes and the mirror copy values with g_memdup2(), which returns NULL for a length of 0, and an item without a value is a tombstone.

Evidence: unit-tests store changes, empty value: failed before (CU_ASSERT_PTR_NOT_NULL of the copied value), passes now. Found by a test of the return of the store; not seen in a run with real processes.

Ruled out: the frames between hosts, which state apart whether there is a value.

--- a/store/mirror.c
+++ b/store/mirror.c
@@ -24,9 +24,14 @@
 
 static struct store_item copy_item(const struct store_item *i)
 {
+	/* An empty value is a value: only tombstones have none. */
+	guchar *value = i->value ? g_malloc0(i->value_len + 1) : NULL;
+
+	if (i->value_len)
+		memcpy(value, i->value, i->value_len);
 	return (struct store_item){
 		.key = g_strdup(i->key),
-		.value = i->value ? g_memdup2(i->value, i->value_len) : NULL,
+		.value = value,
 		.value_len = i->value_len,
 		.revision = i->revision,
 	};
--- a/test/unit/test_store_changes.c
+++ b/test/unit/test_store_changes.c
@@ -176,7 +176,35 @@
 	g_rand_free(rand);
 }
 
+/*
+ * Guards against a key with an empty value that counts as deleted, such as one
+ * that evacuates a failure domain.
+ */
+static void test_empty_value(void)
+{
+	struct store_item item = {
+		.key = "a",
+		.value = (guchar *)"",
+		.revision = 3,
+	};
+	struct store_changes *c = store_changes_create();
+	struct store_mirror m;
+
+	store_mirror_init(&m);
+	c->to = 3;
+	store_changes_add(c, &item);
+	CU_ASSERT_TRUE(store_mirror_apply(&m, c));
+	store_changes_free(c);
+	c = store_mirror_since(&m, 0);
+	CU_ASSERT_EQUAL_FATAL(c->items->len, 1);
+	CU_ASSERT_PTR_NOT_NULL(
+		g_array_index(c->items, struct store_item, 0).value);
+	store_changes_free(c);
+	store_mirror_clear(&m);
+}
+
 CU_TestInfo store_change_tests[] = {
+	{ "empty value", test_empty_value },
 	{ "pieces", test_pieces },
 	{ "superseded", test_superseded },
 	{ "list sent on", test_list_sent_on },
