registry: space out lists after watches that the store refuses

Cause: a list followed 410 at once, and a watch the list. Only calls without a usable reply were spaced out, and each list that succeeded set their wait back.

Change: the first refused watch leads to a list at once, as before. Further ones wait 0.15 s to 1 s, doubling, until the store answers a watch.

--- a/nutmegpickd/registry_thread.c
+++ b/nutmegpickd/registry_thread.c
@@ -69,6 +69,9 @@
 	bool is_listed;
 	bool is_store_lost;
 	int64_t backoff_us;
+	/** Lists since the last watch that the store answered. */
+	uint32_t refused_watches;
+	int64_t relist_backoff_us;
 	uint64_t lease;
 	bool is_published;
 	/** Lease of an earlier process of this host, to be taken over; or 0. */
@@ -233,12 +236,17 @@
 	}
 }
 
-static void back_off(struct registry_thread *t)
+static void wait_backoff(struct registry_thread *t, int64_t *backoff_us)
 {
 	double jitter = g_random_double_range(0.7, 1.3);
 
-	wait_us(t, (int64_t)((double)t->backoff_us * jitter));
-	t->backoff_us = MIN(2 * t->backoff_us, BACKOFF_MAX_US);
+	wait_us(t, (int64_t)((double)*backoff_us * jitter));
+	*backoff_us = MIN(2 * *backoff_us, BACKOFF_MAX_US);
+}
+
+static void back_off(struct registry_thread *t)
+{
+	wait_backoff(t, &t->backoff_us);
 }
 
 static void schedule_rare_watch(struct registry_thread *t, int min_ms,
@@ -412,6 +420,19 @@
 	return MAX(wait, WATCH_WAIT_MIN_US);
 }
 
+/*
+ * Lists the store anew after a watch that it cannot answer. If it refuses the
+ * next watch too, the list has not helped, and further ones are spaced out.
+ */
+static void request_list(struct registry_thread *t)
+{
+	t->is_listed = false;
+	if (!t->refused_watches++)
+		t->relist_backoff_us = BACKOFF_MIN_US;
+	else
+		wait_backoff(t, &t->relist_backoff_us);
+}
+
 static void watch_once(struct registry_thread *t)
 {
 	uint64_t revision = read_revision(t);
@@ -423,7 +444,7 @@
 				   "GET", (long)wait_ms + WATCH_TIMEOUT_MS);
 
 	if (status == 410) {
-		t->is_listed = false;
+		request_list(t);
 		return;
 	}
 	/*
@@ -433,7 +454,7 @@
 	if (t->is_reply_too_long) {
 		event_log(EV_WATCH_TOO_LONG, "revision=%llu bytes=%u",
 			  (unsigned long long)revision, t->body->len);
-		t->is_listed = false;
+		request_list(t);
 		return;
 	}
 	/* A watch that handle_progress() aborted is no failure of the store. */
@@ -445,6 +466,7 @@
 	}
 	note_news(t);
 	clear_rare_watch(t);
+	t->refused_watches = 0;
 	changes->from = revision;
 	raise_revision(t, changes->to);
 	if (!changes->items->len) {
--- a/test/soak/standins.py
+++ b/test/soak/standins.py
@@ -79,6 +79,9 @@
         self.compacted_revision = 0
         self.changed = asyncio.Event()
         self.leases = {}
+        self.refuses_watches = False
+        # Calls by the last part of their path.
+        self.calls = {}
 
     def record_event(self, event):
         self.history.append(event)
@@ -122,7 +125,7 @@
     async def watch(self, prefix, after, wait_ms):
         end = time.monotonic() + wait_ms / 1000
         while True:
-            if after < self.compacted_revision:
+            if self.refuses_watches or after < self.compacted_revision:
                 return 410, {}
             events = [e for e in self.history
                       if e["revision"] > after and e["key"].startswith(prefix)]
@@ -172,6 +175,8 @@
         return 404, {}
 
     async def handle(self, request, writer):
+        name = urlsplit(request.target).path.split("/")[2]
+        self.calls[name] = self.calls.get(name, 0) + 1
         status, body = await self.answer(request)
         write_reply(writer, status, json.dumps(body).encode())
         return True
