--- a/include/net/host_frame.h
+++ b/include/net/host_frame.h
@@ -15,10 +15,10 @@
 enum host_frame_type {
 	/** First frame of each side of a link. */
 	HOST_HELLO = 80,
-	/** Subscribes to the changes of the store after a revision. */
+	/** Subscribes to the changes of the store after a time. */
 	HOST_SUBSCRIBE = 81,
 	HOST_CHANGES = 82,
-	/** Heartbeat with the revision of the store and whether it is up. */
+	/** Heartbeat with the time of the mirror and whether the store is up. */
 	HOST_HEARTBEAT = 83,
 	HOST_UNSUBSCRIBE = 84,
 	/** Asks another host to gather the shards' answers to a request. */
@@ -96,7 +96,7 @@
 	/** Listening address of the sender, in HOST_HELLO. */
 	char *address;
 	/** Set for HOST_SUBSCRIBE and HOST_HEARTBEAT. */
-	uint64_t revision;
+	struct store_time time;
 	/** Set for HOST_HEARTBEAT. */
 	bool is_store_up;
 	/** Set for HOST_CHANGES. */
@@ -127,9 +127,9 @@
 
 /** Encode frames; free the result with g_byte_array_free(). */
 GByteArray *host_frame_hello(const char *address);
-GByteArray *host_frame_subscribe(uint64_t revision);
+GByteArray *host_frame_subscribe(struct store_time time);
 GByteArray *host_frame_unsubscribe(void);
-GByteArray *host_frame_heartbeat(uint64_t revision, bool is_store_up);
+GByteArray *host_frame_heartbeat(struct store_time time, bool is_store_up);
 GByteArray *host_frame_changes(const struct store_changes *c);
 GByteArray *host_frame_gather(const struct gather_request *r);
 GByteArray *host_frame_gather_accepted(uint64_t id);
--- a/include/nutmegpickd/catalog.h
+++ b/include/nutmegpickd/catalog.h
@@ -15,6 +15,10 @@
 	int64_t store_back_at_us;
 	/** When this host lost the feed that it followed, or 0. */
 	int64_t feed_lost_at_us;
+	/** When the last state of the present era was read; 0 if no earlier. */
+	int64_t era_read_at_us;
+	/** Next check of the entries that are held over. */
+	int64_t next_held_check_us;
 };
 
 /**
@@ -24,6 +28,15 @@
  */
 bool catalog_apply(struct catalog *c, struct store_changes *changes);
 
+/**
+ * Takes away what the store lacks since an earlier era, once its writers have
+ * had the time to write it again. Does nothing before catalog_next_timer().
+ */
+void catalog_drop_held(struct catalog *c);
+
+/** Returns when catalog_drop_held() must run next, or INT64_MAX. */
+int64_t catalog_next_timer(const struct catalog *c);
+
 /**
  * Returns whether a key limits the use of the leaves, so that no host may know
  * leaves without it.
--- a/include/nutmegpickd/registry_thread.h
+++ b/include/nutmegpickd/registry_thread.h
@@ -49,11 +49,24 @@
 /**
  * Sets how the thread watches the store. A host that receives the changes from
  * another host does not watch. When it watches again, it continues after the
- * given revision. Before the first call of this function, only a host without
- * an address for links to other hosts watches.
+ * given time. Before the first call of this function, only a host without an
+ * address for links to other hosts watches.
  */
 void registry_thread_set_watch(struct registry_thread *t, enum feed_watch watch,
-			       uint64_t revision);
+			       struct store_time time);
+
+/**
+ * Notes a time of the store that another host has told. In a new era, the
+ * record of this host is written again.
+ */
+void registry_thread_note_time(struct registry_thread *t,
+			       struct store_time time);
+
+/**
+ * Sets the number of hosts. In a new era, they spread the writes of their
+ * records over a time that grows with it.
+ */
+void registry_thread_set_host_count(struct registry_thread *t, uint32_t count);
 
 /** Withdraws the record of this host; the thread continues to watch. */
 void registry_thread_withdraw(struct registry_thread *t);
@@ -73,17 +86,17 @@
 /** Marks the record under a lease: this host has waited until it may grant. */
 void registry_thread_mark_joined(struct registry_thread *t, uint64_t lease);
 
-/** Store revision that was current after a time. */
+/** Time of the store that was current at a time of this host. */
 struct registry_check {
-	/** 0 if there was no check. */
-	uint64_t revision;
+	/** Its revision is 0 if there was no check. */
+	struct store_time time;
 	int64_t started_us;
 };
 
-/** Renews the record of this host at once and reads the store's revision. */
+/** Renews the record of this host at once and reads the store's time. */
 void registry_thread_request_check(struct registry_thread *t);
 
-/** Returns the last such revision. May be called from any thread. */
+/** Returns the last such time. May be called from any thread. */
 struct registry_check registry_thread_last_check(struct registry_thread *t);
 
 /** Returns the lease on this host's record. May be called from any thread. */
--- a/include/platform/store.h
+++ b/include/platform/store.h
@@ -17,6 +17,18 @@
 /** Prefix of the keys under which hosts publish their records. */
 #define PLATFORM_HOST_PREFIX "nutmegpick/hosts/"
 
+/** What a header line of a reply tells about the era of the store. */
+enum store_era_line {
+	/** The line is another header. */
+	STORE_ERA_ABSENT,
+	STORE_ERA_READ,
+	STORE_ERA_UNREADABLE,
+};
+
+/** Reads a header line of a reply, which need not be terminated. */
+enum store_era_line platform_store_read_era(const char *line, size_t len,
+					    uint64_t *era);
+
 /** HTTP request to the store. */
 struct store_call {
 	/** Path and query. */
@@ -46,13 +58,13 @@
 /** Builds a DELETE that revokes a lease; the store deletes its keys. */
 struct store_call platform_store_revoke_lease(uint64_t lease);
 
-/** Builds a POST that writes or replaces a host's record under a lease. */
-struct store_call platform_store_publish_host(const struct host_record *r,
-					      uint64_t lease);
+/** Builds a POST that writes or replaces a host's record under its lease. */
+struct store_call platform_store_publish_host(const struct host_record *r);
 
 /**
  * Decodes the reply to a list or watch request: the items, the revision of the
- * store and whether more pages follow. Returns 0 or -ERR_INVAL.
+ * store and whether more pages follow. The era is 0, as it is not in the body.
+ * Returns 0 or -ERR_INVAL.
  */
 int platform_store_decode_changes(const char *data, size_t len,
 				  struct store_changes **out, bool *has_more);
--- a/include/router/directory.h
+++ b/include/router/directory.h
@@ -18,6 +18,8 @@
 	uint32_t capacity;
 	/** Lease under which the record was written; 0 if not known. */
 	uint64_t lease;
+	/** Era of the store in which the lease was granted; 0 if not known. */
+	uint64_t era;
 	/** The host has waited until it may grant, under this lease. */
 	bool has_joined;
 	/** The host stops: no requests are sent to it. */
--- a/include/router/feed.h
+++ b/include/router/feed.h
@@ -30,18 +30,19 @@
 };
 
 struct feed_ops {
-	/** Asks a host to send all changes after a revision. */
-	void (*subscribe)(void *ctx, const char *address, uint64_t revision);
+	/** Asks a host to send all changes after a time of the store. */
+	void (*subscribe)(void *ctx, const char *address,
+			  struct store_time time);
 	void (*unsubscribe)(void *ctx, const char *address);
 	/** Sends changes to a follower. */
 	void (*send_changes)(void *ctx, const char *address,
 			     const struct store_changes *c);
 	/**
-	 * Sends a heartbeat with the revision of this host's mirror and whether
+	 * Sends a heartbeat with the time of this host's mirror and whether
 	 * the receiver may follow this host.
 	 */
 	void (*send_feed_heartbeat)(void *ctx, const char *address,
-				    uint64_t revision, bool is_store_up);
+				    struct store_time time, bool is_store_up);
 	void (*set_watch)(void *ctx, enum feed_watch watch);
 	/**
 	 * Notes that the store is reached again after a followed host had lost
@@ -82,15 +83,15 @@
 
 /** Handles the request of another host to follow this one. */
 void feed_handle_subscribe(struct feed *f, const char *address,
-			   uint64_t revision);
+			   struct store_time time);
 void feed_handle_unsubscribe(struct feed *f, const char *address);
 
 /**
- * Handles a heartbeat of another host: the revision of its mirror, and whether
- * it watches the store and reaches it.
+ * Handles a heartbeat of another host: the time of its mirror, and whether it
+ * watches the store and reaches it.
  */
 void feed_handle_heartbeat(struct feed *f, const char *address,
-			   uint64_t revision, bool is_store_up);
+			   struct store_time time, bool is_store_up);
 
 /** Notes that changes of another host do not follow on those of the mirror. */
 void feed_handle_gap(struct feed *f, const char *address);
--- a/include/router/leaf_set.h
+++ b/include/router/leaf_set.h
@@ -163,6 +163,11 @@
 struct leaf_set {
 	/** Time for which a leaf that begins to drain is called if need be. */
 	int64_t leaving_grace_us;
+	/**
+	 * The entries that are put come from a copy of the registry: older ones
+	 * than those known are never news.
+	 */
+	bool is_reading_copy;
 	char *host;
 	char *domain;
 	/** Region by failure domain. */
--- a/net/host_frame.c
+++ b/net/host_frame.c
@@ -76,9 +76,18 @@
 	return out;
 }
 
-GByteArray *host_frame_subscribe(uint64_t revision)
+/*
+ * Eras come last in their frames: hosts of earlier releases ignore further
+ * fields, and send none.
+ */
+GByteArray *host_frame_subscribe(struct store_time time)
 {
-	return encode_number_frame(HOST_SUBSCRIBE, revision);
+	msgpack_packer pk;
+	GByteArray *out = begin_frame(&pk, HOST_SUBSCRIBE, 2);
+
+	msgpack_pack_uint64(&pk, time.revision);
+	msgpack_pack_uint64(&pk, time.era);
+	return out;
 }
 
 GByteArray *host_frame_gather_accepted(uint64_t id)
@@ -98,33 +107,36 @@
 	return begin_frame(&pk, HOST_UNSUBSCRIBE, 0);
 }
 
-GByteArray *host_frame_heartbeat(uint64_t revision, bool is_store_up)
+GByteArray *host_frame_heartbeat(struct store_time time, bool is_store_up)
 {
 	msgpack_packer pk;
-	GByteArray *out = begin_frame(&pk, HOST_HEARTBEAT, 2);
+	GByteArray *out = begin_frame(&pk, HOST_HEARTBEAT, 3);
 
-	msgpack_pack_uint64(&pk, revision);
+	msgpack_pack_uint64(&pk, time.revision);
 	pack_flag(&pk, is_store_up);
+	msgpack_pack_uint64(&pk, time.era);
 	return out;
 }
 
 GByteArray *host_frame_changes(const struct store_changes *c)
 {
 	msgpack_packer pk;
-	GByteArray *out = begin_frame(&pk, HOST_CHANGES, 3);
+	GByteArray *out = begin_frame(&pk, HOST_CHANGES, 5);
 
-	msgpack_pack_uint64(&pk, c->from);
-	msgpack_pack_uint64(&pk, c->to);
+	msgpack_pack_uint64(&pk, c->from.revision);
+	msgpack_pack_uint64(&pk, c->to.revision);
 	msgpack_pack_array(&pk, (size_t)c->items->len * 4);
 	for (guint i = 0; i < c->items->len; i++) {
 		const struct store_item *item =
 			&g_array_index(c->items, struct store_item, i);
 
 		pack_text(&pk, item->key);
-		msgpack_pack_uint64(&pk, item->revision);
+		msgpack_pack_uint64(&pk, item->time.revision);
 		pack_flag(&pk, item->value != NULL);
 		pack_bytes(&pk, item->value, item->value_len);
 	}
+	msgpack_pack_uint64(&pk, c->to.era);
+	pack_flag(&pk, c->is_complete);
 	return out;
 }
 
@@ -412,21 +424,32 @@
 	return data;
 }
 
+static bool has_next(const struct reader *r)
+{
+	return r->next < r->fields->size;
+}
+
+/* Reads the era at the end of a frame; earlier releases do not send it. */
+static uint64_t read_era(struct reader *r)
+{
+	return has_next(r) ? read_number(r) : 0;
+}
+
 static void read_changes(struct reader *r)
 {
 	struct store_changes *c = store_changes_create();
 	struct reader items = { .frame = r->frame };
 
 	r->frame->changes = c;
-	c->from = read_number(r);
-	c->to = read_number(r);
+	c->from.revision = read_number(r);
+	c->to.revision = read_number(r);
 	items.fields = read_array(r);
 	while (items.next < items.fields->size && !items.is_broken) {
 		struct store_item item = { .key = read_text(&items) };
 		bool has_value;
 		char *value;
 
-		item.revision = read_number(&items);
+		item.time.revision = read_number(&items);
 		has_value = read_flag(&items);
 		value = read_bytes(&items, &item.value_len);
 		if (has_value)
@@ -436,6 +459,8 @@
 		if (!items.is_broken)
 			store_changes_add(c, &item);
 	}
+	store_changes_set_era(c, read_era(r));
+	c->is_complete = has_next(r) && read_flag(r);
 	r->is_broken = r->is_broken || items.is_broken;
 }
 
@@ -619,14 +644,16 @@
 		read_hello(r);
 		return;
 	case HOST_SUBSCRIBE:
-		r->frame->revision = read_number(r);
+		r->frame->time.revision = read_number(r);
+		r->frame->time.era = read_era(r);
 		return;
 	case HOST_CHANGES:
 		read_changes(r);
 		return;
 	case HOST_HEARTBEAT:
-		r->frame->revision = read_number(r);
+		r->frame->time.revision = read_number(r);
 		r->frame->is_store_up = read_flag(r);
+		r->frame->time.era = read_era(r);
 		return;
 	case HOST_UNSUBSCRIBE:
 		return;
--- a/nutmegpickd/catalog.c
+++ b/nutmegpickd/catalog.c
@@ -27,6 +27,20 @@
  */
 #define FEED_CHANGE_US (1 * US_PER_S)
 
+/*
+ * Time for which entries that a restored store lacks are held over. Leaves
+ * write theirs again within about 2 s. The operator's keys are bound to no
+ * lease; rules do not hold before 4 s after the return in the deployments with
+ * the shortest bounds. Records of hosts outlive a silent host by 15 s, on which
+ * the owners of rates rely, and are written at intervals of 10 ms.
+ */
+#define HELD_LEAF_US RETURN_GRACE_US
+#define HELD_OPERATOR_US (4 * US_PER_S)
+#define HELD_HOST_US (15 * US_PER_S)
+#define HELD_PER_HOST_US (10 * US_PER_MS)
+/* Interval of the check for entries that are held over. */
+#define HELD_CHECK_US (250 * US_PER_MS)
+
 static void apply_routes(struct catalog *c, const struct store_item *i)
 {
 	struct route_table *table;
@@ -39,7 +53,7 @@
 				     &table, message, sizeof(message));
 	if (ret)
 		event_log(EV_ROUTES_REFUSED, "code=E%d revision=%llu reason=%s",
-			  -ret, (unsigned long long)i->revision, message);
+			  -ret, (unsigned long long)i->time.revision, message);
 	else
 		router_apply_table(c->router, table);
 }
@@ -73,7 +87,7 @@
 	}
 	if (i->value)
 		event_log(EV_LEAF_ENTRY_BAD, "leaf=%s revision=%llu", id,
-			  (unsigned long long)i->revision);
+			  (unsigned long long)i->time.revision);
 	leaf_set_remove(leaves, id, removal_grace(c, now), now);
 }
 
@@ -89,7 +103,7 @@
 		host_directory_put(c->directory, &record);
 	else
 		event_log(EV_HOST_RECORD_BAD, "host=%s revision=%llu", name,
-			  (unsigned long long)i->revision);
+			  (unsigned long long)i->time.revision);
 }
 
 /* The value of the key says nothing: the domain is evacuated while it exists. */
@@ -124,28 +138,113 @@
 	return g_str_has_prefix(key, PLATFORM_EVACUATION_PREFIX);
 }
 
+static void apply_item(struct catalog *c, const struct store_item *i)
+{
+	if (g_str_has_prefix(i->key, PLATFORM_LEAF_PREFIX))
+		apply_leaf(c, i);
+	else if (g_str_has_prefix(i->key, PLATFORM_HOST_PREFIX))
+		apply_host(c, i);
+	else if (g_str_has_prefix(i->key, PLATFORM_EVACUATION_PREFIX))
+		apply_evacuation(c, i);
+	else
+		apply_routes(c, i);
+}
+
+static void note_new_era(struct catalog *c, struct store_time previous)
+{
+	const struct store_mirror *m = &c->mirror;
+
+	event_log(EV_STORE_RESTORED,
+		  "era=%llu previous=%llu revision=%llu previous_revision=%llu "
+		  "held=%u",
+		  (unsigned long long)m->now.era,
+		  (unsigned long long)previous.era,
+		  (unsigned long long)m->now.revision,
+		  (unsigned long long)previous.revision, m->held_count);
+	c->store_back_at_us = clock_now(&c->clock);
+	/* What this state lacks may be alive, however old the news are. */
+	c->feed_lost_at_us = 0;
+}
+
 bool catalog_apply(struct catalog *c, struct store_changes *changes)
 {
+	struct leaf_set *leaves = router_leaves(c->router);
+	struct store_time previous = c->mirror.now;
+	bool is_next_part = changes->is_complete && changes->from.revision;
+	bool is_new_era;
+
 	drop_other_keys(changes);
 	if (!store_mirror_apply(&c->mirror, changes))
 		return false;
-	for (guint i = 0; i < changes->items->len; i++) {
-		const struct store_item *item =
-			&g_array_index(changes->items, struct store_item, i);
-
-		if (g_str_has_prefix(item->key, PLATFORM_LEAF_PREFIX))
-			apply_leaf(c, item);
-		else if (g_str_has_prefix(item->key, PLATFORM_HOST_PREFIX))
-			apply_host(c, item);
-		else if (g_str_has_prefix(item->key,
-					  PLATFORM_EVACUATION_PREFIX))
-			apply_evacuation(c, item);
-		else
-			apply_routes(c, item);
-	}
+	is_new_era = previous.revision && c->mirror.now.era != previous.era;
+	if (is_new_era)
+		note_new_era(c, previous);
+	if (is_new_era || is_next_part)
+		c->era_read_at_us = clock_now(&c->clock);
+	leaves->is_reading_copy = is_new_era || is_next_part;
+	for (guint i = 0; i < changes->items->len; i++)
+		apply_item(c, &g_array_index(changes->items, struct store_item,
+					     i));
+	leaves->is_reading_copy = false;
 	router_set_host_count(c->router,
 			      g_hash_table_size(c->directory->hosts));
 	if (changes->items->len)
 		router_leaves_changed(c->router);
 	return true;
 }
+
+static int64_t held_time(const struct catalog *c, const char *key)
+{
+	if (g_str_has_prefix(key, PLATFORM_LEAF_PREFIX))
+		return HELD_LEAF_US;
+	if (g_str_has_prefix(key, PLATFORM_HOST_PREFIX))
+		return HELD_HOST_US + g_hash_table_size(c->directory->hosts) *
+					      HELD_PER_HOST_US;
+	return HELD_OPERATOR_US;
+}
+
+static bool is_held_time_over(void *ctx, const char *key)
+{
+	const struct catalog *c = ctx;
+
+	return clock_now(&c->clock) - c->era_read_at_us >= held_time(c, key);
+}
+
+static void drop_key(struct catalog *c, const char *key)
+{
+	struct store_item gone = { .key = (char *)key, .time = c->mirror.now };
+
+	if (g_str_has_prefix(key, PLATFORM_LEAF_PREFIX))
+		leaf_set_remove(router_leaves(c->router),
+				key + strlen(PLATFORM_LEAF_PREFIX), 0,
+				clock_now(&c->clock));
+	else
+		apply_item(c, &gone);
+}
+
+void catalog_drop_held(struct catalog *c)
+{
+	int64_t now = clock_now(&c->clock);
+	GPtrArray *keys;
+
+	if (now < catalog_next_timer(c))
+		return;
+	c->next_held_check_us = now + HELD_CHECK_US;
+	keys = store_mirror_drop_held(&c->mirror, is_held_time_over, c);
+	for (guint i = 0; i < keys->len; i++)
+		drop_key(c, keys->pdata[i]);
+	if (keys->len) {
+		event_log(EV_STORE_ENTRIES_GONE, "era=%llu gone=%u held=%u",
+			  (unsigned long long)c->mirror.now.era, keys->len,
+			  c->mirror.held_count);
+		router_set_host_count(c->router,
+				      g_hash_table_size(c->directory->hosts));
+		router_leaves_changed(c->router);
+	}
+	g_ptr_array_free(keys, TRUE);
+}
+
+int64_t catalog_next_timer(const struct catalog *c)
+{
+	return c->mirror.held_count ? c->next_held_check_us : INT64_MAX;
+}
--- a/nutmegpickd/registry_thread.c
+++ b/nutmegpickd/registry_thread.c
@@ -6,6 +6,7 @@
 #include <pthread.h>
 #include <string.h>
 
+#include "common/counter.h"
 #include "common/errors.h"
 #include "common/events.h"
 #include "net/reply_head.h"
@@ -21,6 +22,8 @@
 #define WATCH_WAIT_US (1300 * US_PER_MS)
 #define WATCH_TIMEOUT_MS 800
 #define WATCH_WAIT_MIN_US (500 * US_PER_MS)
+/* Wait of the first watch after the store was lost: its reply tells the era. */
+#define WATCH_WAIT_LOST_US (1 * US_PER_MS)
 #define CALL_TIMEOUT_MS 1500
 #define CONNECT_TIMEOUT_MS 800
 /* Backoff after failed calls, which are charged as well. */
@@ -43,6 +46,11 @@
 #define IDLE_US (1 * US_PER_S)
 /* Hosts that start together spread their first publications over this time. */
 #define PUBLISH_SPREAD_US (300 * US_PER_MS)
+/*
+ * Mean interval between the publications of all hosts in a new era. Each takes
+ * two writes, and the smallest stores take 400 a second.
+ */
+#define PUBLISH_INTERVAL_US (10 * US_PER_MS)
 /* A page holds 1 MB of values, which take a third more in base64. */
 #define REPLY_MAX_BYTES (8u * 1024 * 1024)
 #define HEADERS_MAX_BYTES (64u * 1024)
@@ -66,12 +74,24 @@
 	/** The reply exceeded REPLY_MAX_BYTES. */
 	bool is_reply_too_long;
 	struct reply_head head;
+	/** Era that the headers of the current call state. */
+	enum store_era_line era_line;
+	uint64_t header_era;
+	/**
+	 * Era of the last complete reply. One without a readable era counts as
+	 * of the era that is known.
+	 */
+	uint64_t reply_era;
+	/** A reply without a usable era was logged, and none with one since. */
+	bool is_era_fault_logged;
 	bool is_listed;
 	bool is_store_lost;
 	int64_t backoff_us;
 	/** Lists since the last watch that the store answered. */
 	uint32_t refused_watches;
 	int64_t relist_backoff_us;
+	/** Era in which lease and earlier_lease were granted. */
+	uint64_t lease_era;
 	uint64_t lease;
 	bool is_published;
 	/** Lease of an earlier process of this host, to be taken over; or 0. */
@@ -84,7 +104,12 @@
 	/* Guards the fields below, which other threads set as well. */
 	pthread_mutex_t lock;
 	pthread_cond_t changed;
-	uint64_t revision;
+	/**
+	 * Latest time of the store that is known. Its revision is 0 if only the
+	 * era is known; the state of that era has not been read then.
+	 */
+	struct store_time time;
+	uint32_t host_count;
 	enum feed_watch watch;
 	/**
 	 * Earliest time of the next watch under FEED_WATCH_RARELY; 0 once the
@@ -101,6 +126,23 @@
 	int64_t news_us;
 };
 
+static struct counter era_gauge = {
+	.name = "nutmegpick_store_era",
+	.help = "Era of the platform's store.",
+	.is_gauge = 1,
+};
+static struct counter era_fault_counter = {
+	.name = "nutmegpick_store_era_faults_total",
+	.help = "Replies of the platform's store without a usable era.",
+};
+static pthread_once_t era_counters_once = PTHREAD_ONCE_INIT;
+
+static void register_era_counters(void)
+{
+	counter_register(&era_gauge);
+	counter_register(&era_fault_counter);
+}
+
 static bool read_flag(struct registry_thread *t, const bool *flag)
 {
 	bool value;
@@ -132,9 +174,13 @@
 static size_t handle_header(char *data, size_t size, size_t count, void *ctx)
 {
 	struct registry_thread *t = ctx;
+	enum store_era_line line =
+		platform_store_read_era(data, size * count, &t->header_era);
 
 	t->header_bytes += size * count;
 	reply_head_add_line(&t->head, data, size * count);
+	if (line != STORE_ERA_ABSENT)
+		t->era_line = line;
 	return t->header_bytes > HEADERS_MAX_BYTES ? 0 : size * count;
 }
 
@@ -172,6 +218,67 @@
 	return CURL_SOCKOPT_OK;
 }
 
+static struct store_time read_time(struct registry_thread *t)
+{
+	struct store_time time;
+
+	pthread_mutex_lock(&t->lock);
+	time = t->time;
+	pthread_mutex_unlock(&t->lock);
+	return time;
+}
+
+static void raise_time(struct registry_thread *t, struct store_time time)
+{
+	pthread_mutex_lock(&t->lock);
+	t->time = store_time_latest(t->time, time);
+	pthread_mutex_unlock(&t->lock);
+}
+
+static void note_era_fault(struct registry_thread *t, uint64_t known,
+			   const char *fault)
+{
+	pthread_once(&era_counters_once, register_era_counters);
+	counter_add(&era_fault_counter, 1);
+	if (t->is_era_fault_logged)
+		return;
+	t->is_era_fault_logged = true;
+	event_log(EV_STORE_ERA_FAULT, "fault=%s known=%llu", fault,
+		  (unsigned long long)known);
+}
+
+/* Learns of a new era from any reply. */
+static void note_reply_era(struct registry_thread *t)
+{
+	struct store_time known = read_time(t);
+
+	t->reply_era = t->era_line == STORE_ERA_READ ? t->header_era
+						     : known.era;
+	if (t->era_line != STORE_ERA_READ) {
+		if (known.era || t->era_line == STORE_ERA_UNREADABLE)
+			note_era_fault(t, known.era,
+				       t->era_line == STORE_ERA_UNREADABLE
+					       ? "unreadable"
+					       : "missing");
+		return;
+	}
+	if (t->reply_era < known.era) {
+		note_era_fault(t, known.era, "earlier");
+		return;
+	}
+	t->is_era_fault_logged = false;
+	pthread_once(&era_counters_once, register_era_counters);
+	counter_set(&era_gauge, t->reply_era);
+	if (t->reply_era == known.era)
+		return;
+	raise_time(t, (struct store_time){ .era = t->reply_era });
+	if (known.era || known.revision)
+		event_log(EV_STORE_ERA, "era=%llu previous=%llu revision=%llu",
+			  (unsigned long long)t->reply_era,
+			  (unsigned long long)known.era,
+			  (unsigned long long)known.revision);
+}
+
 /* Returns the HTTP status, or 0 if no complete reply was received. */
 static long perform_call(struct registry_thread *t, struct store_call c,
 			 const char *method, long timeout_ms)
@@ -185,6 +292,7 @@
 	t->header_bytes = 0;
 	t->is_reply_too_long = false;
 	t->head = (struct reply_head){ 0 };
+	t->era_line = STORE_ERA_ABSENT;
 	curl_easy_setopt(t->curl, CURLOPT_URL, url);
 	curl_easy_setopt(t->curl, CURLOPT_TIMEOUT_MS, timeout_ms);
 	if (c.body) {
@@ -197,6 +305,8 @@
 	curl_easy_setopt(t->curl, CURLOPT_CUSTOMREQUEST, method);
 	if (curl_easy_perform(t->curl) == CURLE_OK && t->head.is_complete)
 		curl_easy_getinfo(t->curl, CURLINFO_RESPONSE_CODE, &status);
+	if (status)
+		note_reply_era(t);
 	curl_slist_free_all(headers);
 	g_free(url);
 	store_call_clear(&c);
@@ -286,9 +396,13 @@
 static int decode_page(struct registry_thread *t, long status, const char *what,
 		       struct store_changes **page, bool *has_more)
 {
+	/* A reply that was delayed tells nothing about the present era. */
+	if (status && t->reply_era < read_time(t).era)
+		return -ERR_IO;
 	if (status == 200 &&
 	    !platform_store_decode_changes((const char *)t->body->data,
 					   t->body->len, page, has_more)) {
+		store_changes_set_era(*page, t->reply_era);
 		note_store_returned(t);
 		return 0;
 	}
@@ -304,7 +418,8 @@
 
 /*
  * Reads all pages. They are not one snapshot of the store, so the result has
- * the lowest revision of a page, and the watch repeats the changes after it.
+ * the earliest time of a page, and the watch repeats the changes after it.
+ * Pages of different eras are no list of either.
  */
 static int list_pages(struct registry_thread *t, struct store_changes *all)
 {
@@ -321,7 +436,15 @@
 		if (decode_page(t, status, "list", &page, &has_more))
 			return -ERR_IO;
 		note_news(t);
-		if (!all->to || page->to < all->to)
+		if (!all->to.revision) {
+			all->to = page->to;
+			all->from.era = page->to.era;
+		}
+		if (page->to.era != all->to.era) {
+			store_changes_free(page);
+			return -ERR_IO;
+		}
+		if (store_time_is_before(page->to, all->to))
 			all->to = page->to;
 		for (guint i = 0; i < page->items->len; i++)
 			store_changes_add(all,
@@ -338,17 +461,11 @@
 	return 0;
 }
 
-static void raise_revision(struct registry_thread *t, uint64_t revision)
-{
-	pthread_mutex_lock(&t->lock);
-	t->revision = MAX(t->revision, revision);
-	pthread_mutex_unlock(&t->lock);
-}
-
 /*
  * Notes the lease of the record that an earlier process has left. With another
  * capacity or failure domain this process owns keys that the earlier one did
- * not own, so it has to wait as any host that joins.
+ * not own, so it has to wait as any host that joins. So it does if the record
+ * is of an earlier era: others may have taken over in the time that was lost.
  */
 static void find_earlier_lease(struct registry_thread *t,
 			       const struct store_changes *all)
@@ -366,9 +483,11 @@
 					 (const char *)item->value,
 					 item->value_len, &r))
 			continue;
-		if (r.has_joined &&
-		    host_record_has_same_rank(&r, &t->options.self))
+		if (r.has_joined && r.era == all->to.era &&
+		    host_record_has_same_rank(&r, &t->options.self)) {
 			t->earlier_lease = r.lease;
+			t->lease_era = r.era;
+		}
 		host_record_clear(&r);
 	}
 	g_free(key);
@@ -386,9 +505,10 @@
 	/* Before that, a record of this host is one of an earlier process. */
 	if (!t->lease && t->options.self.address)
 		find_earlier_lease(t, all);
-	raise_revision(t, all->to);
-	event_log(EV_REGISTRY_LISTED, "revision=%llu items=%u",
-		  (unsigned long long)all->to, all->items->len);
+	raise_time(t, all->to);
+	event_log(EV_REGISTRY_LISTED, "era=%llu revision=%llu items=%u",
+		  (unsigned long long)all->to.era,
+		  (unsigned long long)all->to.revision, all->items->len);
 	t->options.handle_changes(t->options.ctx, all);
 	return true;
 }
@@ -401,20 +521,12 @@
 	pthread_mutex_unlock(&t->lock);
 }
 
-static uint64_t read_revision(struct registry_thread *t)
-{
-	uint64_t revision;
-
-	pthread_mutex_lock(&t->lock);
-	revision = t->revision;
-	pthread_mutex_unlock(&t->lock);
-	return revision;
-}
-
-static int64_t watch_wait_us(const struct registry_thread *t)
+static int64_t watch_wait_us(const struct registry_thread *t, uint64_t era)
 {
 	int64_t wait = WATCH_WAIT_US;
 
+	if (t->is_store_lost && era)
+		return WATCH_WAIT_LOST_US;
 	if (t->options.self.address)
 		wait = MIN(wait, t->next_renewal_us - now_us(t));
 	return MAX(wait, WATCH_WAIT_MIN_US);
@@ -435,15 +547,23 @@
 
 static void watch_once(struct registry_thread *t)
 {
-	uint64_t revision = read_revision(t);
-	int64_t wait_ms = watch_wait_us(t) / US_PER_MS;
+	struct store_time since = read_time(t);
+	int64_t wait_ms = watch_wait_us(t, since.era) / US_PER_MS;
 	struct store_changes *changes;
 	bool has_more;
-	long status = perform_call(t,
-				   platform_store_watch("", revision, wait_ms),
-				   "GET", (long)wait_ms + WATCH_TIMEOUT_MS);
+	long status;
 
-	if (status == 410) {
+	if (!since.revision) {
+		t->is_listed = false;
+		return;
+	}
+	status = perform_call(t,
+			      platform_store_watch("", since.revision, wait_ms),
+			      "GET", (long)wait_ms + WATCH_TIMEOUT_MS);
+	/* The revision that was asked for is one of another era. */
+	if (status && t->reply_era > since.era)
+		return;
+	if (status == 410 && t->reply_era == since.era) {
 		request_list(t);
 		return;
 	}
@@ -453,7 +573,7 @@
 	 */
 	if (t->is_reply_too_long) {
 		event_log(EV_WATCH_TOO_LONG, "revision=%llu bytes=%u",
-			  (unsigned long long)revision, t->body->len);
+			  (unsigned long long)since.revision, t->body->len);
 		request_list(t);
 		return;
 	}
@@ -467,8 +587,8 @@
 	note_news(t);
 	clear_rare_watch(t);
 	t->refused_watches = 0;
-	changes->from = revision;
-	raise_revision(t, changes->to);
+	changes->from = since;
+	raise_time(t, changes->to);
 	if (!changes->items->len) {
 		store_changes_free(changes);
 		return;
@@ -477,6 +597,18 @@
 	wait_us(t, BATCH_CHANGES_US);
 }
 
+/*
+ * Returns the HTTP status, 0 if there was no complete reply, or 404 if the
+ * lease was granted in another era than that of the reply.
+ */
+static long renew_lease(struct registry_thread *t, uint64_t lease)
+{
+	long status = perform_call(t, platform_store_renew_lease(lease), "POST",
+				   CALL_TIMEOUT_MS);
+
+	return status && t->reply_era != t->lease_era ? 404 : status;
+}
+
 /*
  * Leaves the record until its lease expires, with a mark that no requests are
  * to be sent: the next process of this host takes it over and with it the rates
@@ -485,13 +617,23 @@
  */
 static bool leave_host_record(struct registry_thread *t, uint64_t lease)
 {
-	if (perform_call(t, platform_store_renew_lease(lease), "POST",
-			 CALL_TIMEOUT_MS) != 200)
+	if (renew_lease(t, lease) != 200)
 		return false;
+	t->options.self.lease = lease;
 	t->options.self.is_stopping = true;
-	return perform_call(
-		       t, platform_store_publish_host(&t->options.self, lease),
-		       "POST", CALL_TIMEOUT_MS) == 200;
+	return perform_call(t, platform_store_publish_host(&t->options.self),
+			    "POST", CALL_TIMEOUT_MS) == 200;
+}
+
+/*
+ * Returns whether a lease is still this host's: in a new era its number may be
+ * that of another host's lease.
+ */
+static bool is_lease_own(struct registry_thread *t, uint64_t lease)
+{
+	if (!t->lease_era)
+		return true;
+	return renew_lease(t, lease) == 200;
 }
 
 static void withdraw_host_record(struct registry_thread *t)
@@ -504,7 +646,8 @@
 	if (!lease ||
 	    (t->options.self.has_joined && leave_host_record(t, lease)))
 		return;
-	if (perform_call(t, platform_store_revoke_lease(lease), "DELETE",
+	if (!is_lease_own(t, lease) ||
+	    perform_call(t, platform_store_revoke_lease(lease), "DELETE",
 			 CALL_TIMEOUT_MS) != 200)
 		event_log(EV_RECORD_LEFT, "host=%s lease=%llu",
 			  t->options.self.name, (unsigned long long)lease);
@@ -525,10 +668,11 @@
 
 static bool write_host_record(struct registry_thread *t)
 {
-	return perform_call(t,
-			    platform_store_publish_host(&t->options.self,
-							t->lease),
-			    "POST", CALL_TIMEOUT_MS) == 200;
+	t->options.self.lease = t->lease;
+	t->options.self.era = t->lease_era;
+	return perform_call(t, platform_store_publish_host(&t->options.self),
+			    "POST", CALL_TIMEOUT_MS) == 200 &&
+	       t->reply_era == t->lease_era;
 }
 
 /*
@@ -538,11 +682,8 @@
 static void inherit_host_record(struct registry_thread *t)
 {
 	struct lease_time started = lease_now(t);
-	long status = perform_call(t,
-				   platform_store_renew_lease(t->earlier_lease),
-				   "POST", CALL_TIMEOUT_MS);
 
-	if (status != 200) {
+	if (renew_lease(t, t->earlier_lease) != 200) {
 		t->earlier_lease = 0;
 		return;
 	}
@@ -561,11 +702,13 @@
 	long status = perform_call(t, platform_store_grant_lease(LEASE_MS),
 				   "POST", CALL_TIMEOUT_MS);
 
+	t->lease = 0;
 	if (status == 200)
 		t->lease = platform_store_decode_lease(
 			(const char *)t->body->data, t->body->len);
 	if (!t->lease)
 		return;
+	t->lease_era = t->reply_era;
 	t->is_inherited = false;
 	t->options.self.has_joined = false;
 	t->is_published = write_host_record(t);
@@ -589,6 +732,30 @@
 	t->options.self.has_joined = write_host_record(t);
 }
 
+/*
+ * Gives up a lease of an earlier era. The copy may lack the record, and the
+ * number of the lease may be that of another host's; so the record is written
+ * again under a new one. Returns whether there was such a lease.
+ */
+static bool drop_earlier_lease(struct registry_thread *t)
+{
+	int64_t spread = PUBLISH_SPREAD_US;
+	uint64_t era;
+
+	pthread_mutex_lock(&t->lock);
+	era = t->time.era;
+	spread = MAX(spread, t->host_count * PUBLISH_INTERVAL_US);
+	pthread_mutex_unlock(&t->lock);
+	if (t->lease_era == era || (!t->lease && !t->earlier_lease))
+		return false;
+	t->lease = 0;
+	t->earlier_lease = 0;
+	t->is_published = false;
+	t->next_renewal_us =
+		now_us(t) + (int64_t)g_random_double_range(0, (double)spread);
+	return true;
+}
+
 /* Renews the lease on this host's record, or publishes the record. */
 static void renew_host_record(struct registry_thread *t)
 {
@@ -596,10 +763,10 @@
 
 	t->next_renewal_us = now_us(t) + RENEW_US;
 	if (t->is_published) {
-		long status = perform_call(t,
-					   platform_store_renew_lease(t->lease),
-					   "POST", CALL_TIMEOUT_MS);
+		long status = renew_lease(t, t->lease);
 
+		if (drop_earlier_lease(t))
+			return;
 		if (status == 200)
 			note_lease(t, started);
 		else if (t->options.self.has_joined)
@@ -614,8 +781,8 @@
 		publish_host_record(t);
 }
 
-/* Reads the record of this host for the revision of the store. */
-static void read_current_revision(struct registry_thread *t)
+/* Reads the record of this host for the time of the store. */
+static void read_current_time(struct registry_thread *t)
 {
 	char *key =
 		g_strconcat(PLATFORM_HOST_PREFIX, t->options.self.name, NULL);
@@ -651,6 +818,7 @@
 
 	if (!t->options.self.address || !t->is_listed)
 		return;
+	drop_earlier_lease(t);
 	if (read_flag(t, &t->is_withdrawn)) {
 		withdraw_host_record(t);
 		return;
@@ -659,7 +827,7 @@
 	if (is_check || now_us(t) >= t->next_renewal_us)
 		renew_host_record(t);
 	if (is_check)
-		read_current_revision(t);
+		read_current_time(t);
 	mark_host_record(t);
 }
 
@@ -750,17 +918,33 @@
 }
 
 void registry_thread_set_watch(struct registry_thread *t, enum feed_watch watch,
-			       uint64_t revision)
+			       struct store_time time)
 {
 	pthread_mutex_lock(&t->lock);
 	t->watch = watch;
 	if (watch == FEED_WATCH_RARELY)
 		schedule_rare_watch(t, RARE_FIRST_MIN_MS, RARE_FIRST_MAX_MS);
-	t->revision = MAX(t->revision, revision);
+	t->time = store_time_latest(t->time, time);
+	pthread_cond_signal(&t->changed);
+	pthread_mutex_unlock(&t->lock);
+}
+
+void registry_thread_note_time(struct registry_thread *t,
+			       struct store_time time)
+{
+	pthread_mutex_lock(&t->lock);
+	t->time = store_time_latest(t->time, time);
 	pthread_cond_signal(&t->changed);
 	pthread_mutex_unlock(&t->lock);
 }
 
+void registry_thread_set_host_count(struct registry_thread *t, uint32_t count)
+{
+	pthread_mutex_lock(&t->lock);
+	t->host_count = count;
+	pthread_mutex_unlock(&t->lock);
+}
+
 void registry_thread_withdraw(struct registry_thread *t)
 {
 	pthread_mutex_lock(&t->lock);
--- a/nutmegpickd/route_hosts.c
+++ b/nutmegpickd/route_hosts.c
@@ -45,9 +45,10 @@
  * Callbacks of the feed, which relays the changes of the store between hosts:
  * send frames to other hosts and set the watch at the store.
  */
-static void send_subscribe(void *ctx, const char *address, uint64_t revision)
+static void send_subscribe(void *ctx, const char *address,
+			   struct store_time time)
 {
-	route_send_frame(ctx, address, host_frame_subscribe(revision));
+	route_send_frame(ctx, address, host_frame_subscribe(time));
 }
 
 static void send_unsubscribe(void *ctx, const char *address)
@@ -62,18 +63,16 @@
 }
 
 static void send_feed_heartbeat(void *ctx, const char *address,
-				uint64_t revision, bool is_store_up)
+				struct store_time time, bool is_store_up)
 {
-	route_send_frame(ctx, address,
-			 host_frame_heartbeat(revision, is_store_up));
+	route_send_frame(ctx, address, host_frame_heartbeat(time, is_store_up));
 }
 
 static void set_registry_watch(void *ctx, enum feed_watch watch)
 {
 	struct route_service *s = ctx;
 
-	registry_thread_set_watch(s->registry, watch,
-				  s->catalog.mirror.revision);
+	registry_thread_set_watch(s->registry, watch, s->catalog.mirror.now);
 }
 
 static void note_store_back(void *ctx)
@@ -791,10 +790,12 @@
 				     const char *address,
 				     struct store_changes *c)
 {
-	if (!catalog_apply(&s->catalog, c))
+	if (!catalog_apply(&s->catalog, c)) {
 		feed_handle_gap(s->feed, address);
-	else
+	} else {
+		registry_thread_note_time(s->registry, s->catalog.mirror.now);
 		feed_publish(s->feed, c);
+	}
 	s->news_us = clock_now(&s->clock);
 }
 
@@ -807,7 +808,7 @@
 	case HOST_HELLO:
 		break;
 	case HOST_SUBSCRIBE:
-		feed_handle_subscribe(s->feed, e->address, f->revision);
+		feed_handle_subscribe(s->feed, e->address, f->time);
 		break;
 	case HOST_UNSUBSCRIBE:
 		feed_handle_unsubscribe(s->feed, e->address);
@@ -816,7 +817,7 @@
 		handle_changes_from_feed(s, e->address, f->changes);
 		break;
 	case HOST_HEARTBEAT:
-		feed_handle_heartbeat(s->feed, e->address, f->revision,
+		feed_handle_heartbeat(s->feed, e->address, f->time,
 				      f->is_store_up);
 		break;
 	case HOST_GATHER:
--- a/nutmegpickd/route_quotas.c
+++ b/nutmegpickd/route_quotas.c
@@ -273,7 +273,8 @@
 	struct registry_check check = registry_thread_last_check(s->registry);
 	int64_t now = clock_now(&s->clock);
 
-	if (check.revision && check.revision <= s->catalog.mirror.revision)
+	if (check.time.revision &&
+	    !store_time_is_before(s->catalog.mirror.now, check.time))
 		token_owner_note_mirror(owner, check.started_us);
 	if (!token_owner_needs_check(owner) ||
 	    now - s->checked_us < CHECK_INTERVAL_US)
@@ -300,7 +301,7 @@
 	check_feed(s);
 	note_lease(s);
 	check_break(s);
-	if (s->catalog.mirror.revision)
+	if (s->catalog.mirror.now.revision)
 		token_owner_note_listed(token_exchange_owner(s->tokens));
 	if (news)
 		token_owner_note_store(token_exchange_owner(s->tokens), news);
--- a/nutmegpickd/route_service.c
+++ b/nutmegpickd/route_service.c
@@ -84,7 +84,7 @@
 
 static void process_changes(struct route_service *s, struct store_changes *c)
 {
-	if (catalog_apply(&s->catalog, c) && c->items->len)
+	if (catalog_apply(&s->catalog, c) && (c->items->len || c->is_complete))
 		feed_publish(s->feed, c);
 	store_changes_free(c);
 }
@@ -234,6 +234,7 @@
 	next = MIN(next, quota_next_timer(s->quota));
 	next = MIN(next, token_exchange_next_timer(s->tokens));
 	next = MIN(next, s->next_feed_us);
+	next = MIN(next, catalog_next_timer(&s->catalog));
 	if (leaf_client_get_counts(s->client).open)
 		next = MIN(next, s->next_sweep_us);
 	if (s->requests.length)
@@ -289,12 +290,15 @@
 		s->next_callers_check_us = now + CALLERS_CHECK_US;
 		check_callers(s);
 		report_routes(s, now);
+		registry_thread_set_host_count(
+			s->registry, g_hash_table_size(s->directory.hosts));
 		route_report_quotas(s);
 	}
 	if (s->transport) {
 		route_check_forwards(s);
 		s->next_feed_us = feed_advance(s->feed);
 	}
+	catalog_drop_held(&s->catalog);
 	router_advance(s->router);
 	rate_exchange_deliver_own(s->rates);
 	route_note_token_contact(s);
--- a/router/feed.c
+++ b/router/feed.c
@@ -59,12 +59,11 @@
 	/** Addresses of the hosts that follow this one. */
 	GHashTable *subscribers;
 	/**
-	 * Revision of another feed that the mirror has not reached, the address
-	 * of the last feed with a newer revision than the mirror, and the time
-	 * since which the mirror is behind. Ignored once the mirror has reached
-	 * ahead_revision.
+	 * Time of another host's mirror that this one has not reached, the
+	 * address of the last host with a newer mirror, and the time since
+	 * which this one is behind. Ignored once it has reached ahead.
 	 */
-	uint64_t ahead_revision;
+	struct store_time ahead;
 	char *ahead_address;
 	int64_t ahead_since_us;
 	int64_t next_check_us;
@@ -129,9 +128,10 @@
 
 static void stop_following(struct feed *f, const char *reason)
 {
-	event_log(EV_FEED_LOST, "address=%s reason=%s revision=%llu",
+	event_log(EV_FEED_LOST, "address=%s reason=%s era=%llu revision=%llu",
 		  f->followed, reason,
-		  (unsigned long long)f->options.mirror->revision);
+		  (unsigned long long)f->options.mirror->now.era,
+		  (unsigned long long)f->options.mirror->now.revision);
 	g_clear_pointer(&f->followed, g_free);
 	f->is_following = false;
 	update_watch(f);
@@ -175,7 +175,7 @@
 {
 	f->last_contact_us = now_us(f);
 	f->options.ops->subscribe(f->options.ctx, address,
-				  f->options.mirror->revision);
+				  f->options.mirror->now);
 }
 
 static int64_t max_silence_us(const struct feed *f)
@@ -190,18 +190,23 @@
 	return !f->followed && host_directory_is_feed(f->options.directory);
 }
 
+static bool is_behind(const struct feed *f, struct store_time time)
+{
+	return store_time_is_before(f->options.mirror->now, time);
+}
+
 /*
- * Notes that another feed has a newer revision. The store may accept a watch
- * and never answer it. The watch itself does not show that before its timeout,
- * but another feed has the change by then.
+ * Notes that another host has a newer mirror. The store may accept a watch and
+ * never answer it. The watch itself does not show that before its timeout, but
+ * another host has the change by then.
  */
-static void note_newer_feed(struct feed *f, const char *address,
-			    uint64_t revision)
+static void note_newer_mirror(struct feed *f, const char *address,
+			      struct store_time time)
 {
-	if (revision <= f->options.mirror->revision)
+	if (!is_behind(f, time))
 		return;
-	if (f->ahead_revision <= f->options.mirror->revision) {
-		f->ahead_revision = revision;
+	if (!is_behind(f, f->ahead)) {
+		f->ahead = time;
 		f->ahead_since_us = now_us(f);
 	}
 	g_free(f->ahead_address);
@@ -210,17 +215,19 @@
 
 static void check_lag(struct feed *f)
 {
-	if (f->ahead_revision <= f->options.mirror->revision ||
-	    now_us(f) - f->ahead_since_us < LAG_US)
+	const struct store_time *now = &f->options.mirror->now;
+
+	if (!is_behind(f, f->ahead) || now_us(f) - f->ahead_since_us < LAG_US)
 		return;
-	event_log(EV_FEED_LAGS, "address=%s revision=%llu newer=%llu",
-		  f->ahead_address,
-		  (unsigned long long)f->options.mirror->revision,
-		  (unsigned long long)f->ahead_revision);
+	event_log(EV_FEED_LAGS,
+		  "address=%s era=%llu revision=%llu newer_era=%llu newer=%llu",
+		  f->ahead_address, (unsigned long long)now->era,
+		  (unsigned long long)now->revision,
+		  (unsigned long long)f->ahead.era,
+		  (unsigned long long)f->ahead.revision);
 	f->ahead_since_us = now_us(f);
-	/* The other feed sends the missing changes when it is subscribed to. */
-	f->options.ops->subscribe(f->options.ctx, f->ahead_address,
-				  f->options.mirror->revision);
+	/* The other host sends the missing changes when it is subscribed to. */
+	f->options.ops->subscribe(f->options.ctx, f->ahead_address, *now);
 	f->options.ops->unsubscribe(f->options.ctx, f->ahead_address);
 }
 
@@ -254,9 +261,9 @@
 	 * could follow each other.
 	 */
 	f->options.ops->send_feed_heartbeat(
-		f->options.ctx, address, f->options.mirror->revision,
+		f->options.ctx, address, f->options.mirror->now,
 		f->is_store_up && f->watch == FEED_WATCH_ON &&
-			f->options.mirror->revision);
+			f->options.mirror->now.revision);
 }
 
 static void send_heartbeats(struct feed *f)
@@ -361,18 +368,15 @@
 }
 
 void feed_handle_subscribe(struct feed *f, const char *address,
-			   uint64_t revision)
+			   struct store_time time)
 {
-	struct store_changes *c =
-		store_mirror_since(f->options.mirror, revision);
+	struct store_changes *c = store_mirror_since(f->options.mirror, time);
 
-	if (!c) {
-		f->options.ops->send_feed_heartbeat(f->options.ctx, address, 0,
-						    false);
-		return;
-	}
+	/* The subscriber has learned of an era that this host does not know. */
+	if (is_watching_feed(f) && time.era > f->options.mirror->now.era)
+		note_newer_mirror(f, address, time);
 	g_hash_table_add(f->subscribers, g_strdup(address));
-	if (c->items->len) {
+	if (c->items->len || c->is_complete) {
 		GPtrArray *pieces = split_changes(f, c);
 
 		send_changes(f, address, pieces);
@@ -409,10 +413,13 @@
 }
 
 void feed_handle_heartbeat(struct feed *f, const char *address,
-			   uint64_t revision, bool is_store_up)
+			   struct store_time time, bool is_store_up)
 {
+	/* A host in an earlier era has not reached the store since. */
+	if (time.era < f->options.mirror->now.era)
+		is_store_up = false;
 	if (!is_followed(f, address) && is_watching_feed(f)) {
-		note_newer_feed(f, address, revision);
+		note_newer_mirror(f, address, time);
 		return;
 	}
 	if (!is_followed(f, address) &&
@@ -427,7 +434,7 @@
 	 * The host may have changes that it did not send: those that it got
 	 * from another feed before it began to watch.
 	 */
-	if (revision > f->options.mirror->revision)
+	if (is_behind(f, time))
 		subscribe_to(f, address);
 	if (f->is_following)
 		return;
@@ -436,8 +443,9 @@
 	if (f->is_store_lost)
 		f->options.ops->note_store_back(f->options.ctx);
 	f->is_store_lost = false;
-	event_log(EV_FEED_FOLLOWED, "address=%s revision=%llu", address,
-		  (unsigned long long)f->options.mirror->revision);
+	event_log(EV_FEED_FOLLOWED, "address=%s era=%llu revision=%llu",
+		  address, (unsigned long long)f->options.mirror->now.era,
+		  (unsigned long long)f->options.mirror->now.revision);
 	update_watch(f);
 }
 
--- a/router/leaf_set.c
+++ b/router/leaf_set.c
@@ -148,11 +148,12 @@
 	return e->sequence < known->sequence;
 }
 
-static bool is_late_write(const struct leaf_entry *e,
+static bool is_late_write(const struct leaf_set *s, const struct leaf_entry *e,
 			  const struct route_leaf *leaf, int64_t now_us)
 {
 	return is_older(e, &leaf->entry) &&
-	       now_us - leaf->written_us < LATE_WRITE_MAX_US;
+	       (s->is_reading_copy ||
+		now_us - leaf->written_us < LATE_WRITE_MAX_US);
 }
 
 /*
@@ -332,7 +333,7 @@
 	struct route_leaf *leaf = g_hash_table_lookup(s->leaves, e->id);
 	char *id;
 
-	if (leaf && is_late_write(e, leaf, now_us)) {
+	if (leaf && is_late_write(s, e, leaf, now_us)) {
 		event_log(EV_LEAF_STALE, "leaf=%s seq=%lld known=%lld", e->id,
 			  (long long)e->sequence,
 			  (long long)leaf->entry.sequence);
--- a/test/fuzz/targets.c
+++ b/test/fuzz/targets.c
@@ -291,13 +291,13 @@
 	case HOST_HELLO:
 		return host_frame_hello(f->address);
 	case HOST_SUBSCRIBE:
-		return host_frame_subscribe(f->revision);
+		return host_frame_subscribe(f->time);
 	case HOST_UNSUBSCRIBE:
 		return host_frame_unsubscribe();
 	case HOST_CHANGES:
 		return host_frame_changes(f->changes);
 	case HOST_HEARTBEAT:
-		return host_frame_heartbeat(f->revision, f->is_store_up);
+		return host_frame_heartbeat(f->time, f->is_store_up);
 	case HOST_GATHER:
 		return host_frame_gather(&f->request);
 	case HOST_GATHER_ACCEPTED:
@@ -350,7 +350,9 @@
 {
 	struct store_changes *c;
 	bool has_more;
+	uint64_t era;
 
+	platform_store_read_era((const char *)data, len, &era);
 	platform_store_decode_lease((const char *)data, len);
 	if (platform_store_decode_changes((const char *)data, len, &c,
 					  &has_more))
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -23,6 +23,7 @@
 import features
 from feature_organisations import Organisations, Quotas
 from feature_places import REGIONS, ColdLeaves, Evacuations, Regions
+from feature_returns import Returns
 from heads import Heads
 from lives import Life, Load, Lost, find_socket
 from standins import HEALTH_PATH, Leaf, Proxy, Store, read_message
@@ -42,7 +43,7 @@
 # Features by name, in the order in which they add to a configuration.
 FEATURES = {"organisations": Organisations, "quotas": Quotas,
             "regions": Regions, "evacuations": Evacuations,
-            "cold": ColdLeaves}
+            "cold": ColdLeaves, "returns": Returns}
 # Routes that gather; the others have one upstream.
 GATHER_KINDS = "gn"
 # Longest pause of a caller; its connections stay open meanwhile.
--- a/test/soak/standins.py
+++ b/test/soak/standins.py
@@ -79,10 +79,32 @@
         self.compacted_revision = 0
         self.changed = asyncio.Event()
         self.leases = {}
+        # Stated in all replies, unless it is None.
+        self.era = None
+        self.is_away = False
         self.refuses_watches = False
         # Calls by the last part of their path.
         self.calls = {}
 
+    def copy(self):
+        return (dict(self.items), list(self.history), self.revision,
+                dict(self.leases))
+
+    def leave(self):
+        """Is away until restore(): calls end without a reply."""
+        self.is_away = True
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def restore(self, copy):
+        """Comes back from a copy; its leases run anew."""
+        items, history, self.revision, leases = copy
+        self.items, self.history = dict(items), list(history)
+        self.leases = {k: time.monotonic() + 15 for k in leases}
+        if self.era is not None:
+            self.era += 1
+        self.is_away = False
+
     def record_event(self, event):
         self.history.append(event)
         self.changed.set()
@@ -125,7 +147,8 @@
     async def watch(self, prefix, after, wait_ms):
         end = time.monotonic() + wait_ms / 1000
         while True:
-            if self.refuses_watches or after < self.compacted_revision:
+            if self.refuses_watches or after < self.compacted_revision or \
+                    after > self.revision:
                 return 410, {}
             events = [e for e in self.history
                       if e["revision"] > after and e["key"].startswith(prefix)]
@@ -136,6 +159,8 @@
                 await asyncio.wait_for(self.changed.wait(), min(left, 0.5))
             except asyncio.TimeoutError:
                 self.expire()
+            if self.is_away:
+                return 0, {}
 
     async def answer(self, request):
         url = urlsplit(request.target)
@@ -177,8 +202,13 @@
     async def handle(self, request, writer):
         name = urlsplit(request.target).path.split("/")[2]
         self.calls[name] = self.calls.get(name, 0) + 1
-        status, body = await self.answer(request)
-        write_reply(writer, status, json.dumps(body).encode())
+        if not self.is_away:
+            status, body = await self.answer(request)
+        if self.is_away:
+            writer.transport.abort()
+            return False
+        headers = [] if self.era is None else [("Store-Era", self.era)]
+        write_reply(writer, status, json.dumps(body).encode(), headers)
         return True
 
 
--- a/test/unit/test_host_frame.c
+++ b/test/unit/test_host_frame.c
@@ -113,29 +113,79 @@
 /* Guards against store changes, deletions included, lost between hosts. */
 static void test_changes(void)
 {
-	struct store_item put = { "a", (guchar *)"v\0w", 3, 12 };
-	struct store_item deleted = { "b", NULL, 0, 13 };
+	struct store_item put = { "a", (guchar *)"v\0w", 3, { 0, 12 } };
+	struct store_item deleted = { "b", NULL, 0, { 0, 13 } };
 	struct store_changes *c = store_changes_create();
 	struct host_frame f;
 	struct store_item *items;
 
-	c->from = 11;
-	c->to = 13;
+	c->from.revision = 11;
+	c->to.revision = 13;
+	store_changes_set_era(c, 2);
+	c->is_complete = true;
 	store_changes_add(c, &put);
 	store_changes_add(c, &deleted);
 	CU_ASSERT_EQUAL_FATAL(decode_frame(host_frame_changes(c), &f), 0);
-	CU_ASSERT_EQUAL(f.changes->from, 11);
-	CU_ASSERT_EQUAL(f.changes->to, 13);
+	CU_ASSERT_EQUAL(f.changes->from.revision, 11);
+	CU_ASSERT_EQUAL(f.changes->to.revision, 13);
+	CU_ASSERT_EQUAL(f.changes->from.era, 2);
+	CU_ASSERT_EQUAL(f.changes->to.era, 2);
+	CU_ASSERT_TRUE(f.changes->is_complete);
 	CU_ASSERT_EQUAL_FATAL(f.changes->items->len, 2);
 	items = (struct store_item *)f.changes->items->data;
 	CU_ASSERT_STRING_EQUAL(items[0].key, "a");
 	CU_ASSERT_EQUAL(items[0].value_len, 3);
-	CU_ASSERT_EQUAL(items[0].revision, 12);
+	CU_ASSERT_EQUAL(items[0].time.revision, 12);
+	CU_ASSERT_EQUAL(items[0].time.era, 2);
 	CU_ASSERT_PTR_NULL(items[1].value);
 	host_frame_clear(&f);
 	store_changes_free(c);
 }
 
+/*
+ * Guards against hosts that cannot talk to those of earlier releases, which
+ * state no era.
+ */
+static void test_no_era(void)
+{
+	static const uint8_t subscribe[] = { 0x92, HOST_SUBSCRIBE, 7 };
+	static const uint8_t heartbeat[] = { 0x93, HOST_HEARTBEAT, 9, 0xc3 };
+	static const uint8_t changes[] = { 0x94, HOST_CHANGES, 8, 9, 0x90 };
+	struct host_frame f;
+
+	CU_ASSERT_EQUAL_FATAL(
+		host_frame_decode(subscribe, sizeof(subscribe), &f), 0);
+	CU_ASSERT_EQUAL(f.time.revision, 7);
+	CU_ASSERT_EQUAL(f.time.era, 0);
+	host_frame_clear(&f);
+	CU_ASSERT_EQUAL_FATAL(
+		host_frame_decode(heartbeat, sizeof(heartbeat), &f), 0);
+	CU_ASSERT_EQUAL(f.time.revision, 9);
+	CU_ASSERT_EQUAL(f.time.era, 0);
+	CU_ASSERT_TRUE(f.is_store_up);
+	host_frame_clear(&f);
+	CU_ASSERT_EQUAL_FATAL(host_frame_decode(changes, sizeof(changes), &f),
+			      0);
+	CU_ASSERT_EQUAL(f.changes->to.era, 0);
+	CU_ASSERT_FALSE(f.changes->is_complete);
+	host_frame_clear(&f);
+}
+
+/* Guards against eras that are lost between hosts. */
+static void test_era(void)
+{
+	struct store_time time = { 3, 12 };
+	struct host_frame f;
+
+	CU_ASSERT_EQUAL_FATAL(decode_frame(host_frame_subscribe(time), &f), 0);
+	CU_ASSERT_EQUAL(store_time_compare(f.time, time), 0);
+	host_frame_clear(&f);
+	CU_ASSERT_EQUAL_FATAL(
+		decode_frame(host_frame_heartbeat(time, true), &f), 0);
+	CU_ASSERT_EQUAL(store_time_compare(f.time, time), 0);
+	host_frame_clear(&f);
+}
+
 /* Guards against claims and grants whose fields are lost between hosts. */
 static void test_rates(void)
 {
@@ -229,6 +279,8 @@
 }
 
 CU_TestInfo host_frame_tests[] = {
+	{ "no era", test_no_era },
+	{ "era", test_era },
 	{ "gather", test_gather },
 	{ "gathered", test_gathered },
 	{ "handed back", test_handed_back },
--- a/test/unit/test_odd_entries.c
+++ b/test/unit/test_odd_entries.c
@@ -223,7 +223,7 @@
 	CU_ASSERT_EQUAL_FATAL(platform_store_decode_changes(
 				      page->str, page->len, &c, &has_more),
 			      0);
-	c->from = f->catalog.mirror.revision;
+	c->from = f->catalog.mirror.now;
 	CU_ASSERT_TRUE(catalog_apply(&f->catalog, c));
 	store_changes_free(c);
 	g_string_free(page, TRUE);
--- a/test/unit/test_old_news.c
+++ b/test/unit/test_old_news.c
@@ -26,21 +26,21 @@
 	struct store_changes *c = store_changes_create();
 	struct store_item item = {
 		.key = (char *)PLATFORM_LEAF_PREFIX LEAF,
-		.revision = f->catalog.mirror.revision + 1,
+		.time.revision = f->catalog.mirror.now.revision + 1,
 	};
 	char *text = g_strdup_printf(
 		"{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"a\","
 		"\"version\":\"v1\",\"slots\":4,\"state\":\"%s\","
 		"\"warmup_left_ms\":0,\"sequence\":%d}",
-		state ? state : "", (int)item.revision);
+		state ? state : "", (int)item.time.revision);
 
 	if (state) {
 		item.value = (guchar *)text;
 		item.value_len = strlen(text);
 	}
 	store_changes_add(c, &item);
-	c->from = f->catalog.mirror.revision;
-	c->to = item.revision;
+	c->from = f->catalog.mirror.now;
+	c->to = item.time;
 	CU_ASSERT_TRUE(catalog_apply(&f->catalog, c));
 	store_changes_free(c);
 	g_free(text);
--- a/test/unit/test_places.c
+++ b/test/unit/test_places.c
@@ -316,10 +316,11 @@
 	struct store_item i = { .key = (char *)key,
 				.value = (guchar *)value,
 				.value_len = value ? strlen(value) : 0,
-				.revision = revision };
+				.time.revision = revision };
 
-	changes->from = c->mirror.revision;
-	changes->to = revision;
+	if (!is_complete)
+		changes->from = c->mirror.now;
+	changes->to.revision = revision;
 	changes->is_complete = is_complete;
 	store_changes_add(changes, &i);
 	CU_ASSERT_TRUE(catalog_apply(c, changes));
--- a/test/unit/test_route_callers.c
+++ b/test/unit/test_route_callers.c
@@ -99,6 +99,11 @@
 {
 }
 
+void registry_thread_note_time(struct registry_thread *t,
+			       struct store_time time)
+{
+}
+
 void registry_thread_mark_joined(struct registry_thread *t, uint64_t lease)
 {
 }
--- a/test/unit/test_router_feed.c
+++ b/test/unit/test_router_feed.c
@@ -4,6 +4,9 @@
 
 #include "router/feed.h"
 
+/* Time of a store that does not state its era. */
+#define AT(n) ((struct store_time){ .revision = (n) })
+
 /** Feed of one host; the messages that it sends are recorded. */
 struct fake_feed {
 	struct virtual_clock time;
@@ -29,7 +32,8 @@
 	uint32_t store_back_count;
 };
 
-static void handle_subscribe(void *ctx, const char *address, uint64_t revision)
+static void handle_subscribe(void *ctx, const char *address,
+			     struct store_time time)
 {
 	struct fake_feed *f = ctx;
 
@@ -54,7 +58,7 @@
 }
 
 static void handle_send_heartbeat(void *ctx, const char *address,
-				  uint64_t revision, bool is_store_up)
+				  struct store_time time, bool is_store_up)
 {
 	struct fake_feed *f = ctx;
 
@@ -129,7 +133,7 @@
 	leaf_set_init(&f->leaves, self, "a", (char **)regions);
 	host_directory_init(&f->directory, self, &f->leaves);
 	store_mirror_init(&f->mirror);
-	f->mirror.revision = 10;
+	f->mirror.now.revision = 10;
 	feed_create(&f->feed, &options);
 	add_host(f, "feed", "a", 500);
 	add_host(f, "standby", "a", 400);
@@ -173,7 +177,7 @@
 		CU_ASSERT_FALSE(f->is_watching);
 		advance_feed(f, US_PER_S);
 		CU_ASSERT_TRUE(f->is_watching);
-		feed_handle_heartbeat(f->feed, "feed", 10, true);
+		feed_handle_heartbeat(f->feed, "feed", AT(10), true);
 		CU_ASSERT_FALSE(f->is_watching);
 		destroy_feed(f);
 	}
@@ -192,15 +196,15 @@
 	struct fake_feed *f = create_feed("weak-1");
 
 	feed_advance(f->feed);
-	feed_handle_heartbeat(f->feed, "feed", 10, true);
+	feed_handle_heartbeat(f->feed, "feed", AT(10), true);
 	advance_feed(f, 2 * US_PER_S);
 	CU_ASSERT_TRUE(f->is_watching);
 	CU_ASSERT_STRING_EQUAL(f->subscribed, "standby");
 	/* Changes that come next may be old. */
 	CU_ASSERT_EQUAL(f->feed_lost_count, 1);
-	feed_handle_heartbeat(f->feed, "standby", 10, true);
+	feed_handle_heartbeat(f->feed, "standby", AT(10), true);
 	CU_ASSERT_FALSE(f->is_watching);
-	feed_handle_heartbeat(f->feed, "standby", 10, false);
+	feed_handle_heartbeat(f->feed, "standby", AT(10), false);
 	CU_ASSERT_TRUE(f->is_watching);
 	CU_ASSERT_EQUAL(f->feed_lost_count, 2);
 	destroy_feed(f);
@@ -223,9 +227,9 @@
 	}
 	add_host(f, "tail", "a", 100);
 	advance_feed(f, US_PER_S);
-	feed_handle_heartbeat(f->feed, "feed", 10, true);
+	feed_handle_heartbeat(f->feed, "feed", AT(10), true);
 	CU_ASSERT_EQUAL(f->watch, FEED_WATCH_OFF);
-	feed_handle_heartbeat(f->feed, "feed", 10, false);
+	feed_handle_heartbeat(f->feed, "feed", AT(10), false);
 	CU_ASSERT_EQUAL(f->watch, FEED_WATCH_RARELY);
 	/* A host that has lost the store is not suspect: it can gather. */
 	CU_ASSERT_EQUAL(
@@ -234,12 +238,12 @@
 	/* The other candidates have lost the store too. */
 	for (int i = 0; i < 20; i++) {
 		advance_feed(f, 250 * US_PER_MS);
-		feed_handle_heartbeat(f->feed, f->subscribed, 10, false);
+		feed_handle_heartbeat(f->feed, f->subscribed, AT(10), false);
 	}
 	CU_ASSERT_EQUAL(f->watch, FEED_WATCH_RARELY);
 	CU_ASSERT_EQUAL(f->unsubscribe_count, 0);
 	CU_ASSERT_EQUAL(f->store_back_count, 0);
-	feed_handle_heartbeat(f->feed, "feed", 11, true);
+	feed_handle_heartbeat(f->feed, "feed", AT(11), true);
 	CU_ASSERT_EQUAL(f->watch, FEED_WATCH_OFF);
 	CU_ASSERT_EQUAL(f->store_back_count, 1);
 	destroy_feed(f);
@@ -250,15 +254,15 @@
 {
 	struct fake_feed *f = create_feed("weak-1");
 
-	feed_handle_subscribe(f->feed, "weak-2", 10);
+	feed_handle_subscribe(f->feed, "weak-2", AT(10));
 	CU_ASSERT_EQUAL(f->heartbeats_sent, 0);
 	feed_advance(f->feed);
-	feed_handle_heartbeat(f->feed, "feed", 10, true);
-	feed_handle_heartbeat(f->feed, "feed", 10, false);
+	feed_handle_heartbeat(f->feed, "feed", AT(10), true);
+	feed_handle_heartbeat(f->feed, "feed", AT(10), false);
 	advance_feed(f, US_PER_S);
 	CU_ASSERT_EQUAL(f->watch, FEED_WATCH_ON);
 	f->heartbeats_sent = 0;
-	feed_handle_subscribe(f->feed, "weak-2", 10);
+	feed_handle_subscribe(f->feed, "weak-2", AT(10));
 	CU_ASSERT_EQUAL(f->heartbeats_sent, 1);
 	destroy_feed(f);
 }
@@ -274,18 +278,18 @@
 
 	feed_advance(f->feed);
 	feed_advance(weak->feed);
-	feed_handle_heartbeat(f->feed, "feed", 10, true);
-	feed_handle_heartbeat(weak->feed, "feed", 10, true);
+	feed_handle_heartbeat(f->feed, "feed", AT(10), true);
+	feed_handle_heartbeat(weak->feed, "feed", AT(10), true);
 	advance_feed(f, 1450 * US_PER_MS);
 	advance_feed(weak, 1450 * US_PER_MS);
 	CU_ASSERT_TRUE(f->is_watching);
 	CU_ASSERT_FALSE(weak->is_watching);
-	feed_handle_subscribe(f->feed, "weak-1", 10);
+	feed_handle_subscribe(f->feed, "weak-1", AT(10));
 	CU_ASSERT_EQUAL(f->heartbeats_sent, 1);
 	/* The feed is back: the standby follows it again. */
 	advance_feed(f, 5 * US_PER_S);
 	CU_ASSERT_EQUAL(f->subscribe_count, 2);
-	feed_handle_heartbeat(f->feed, "feed", 10, true);
+	feed_handle_heartbeat(f->feed, "feed", AT(10), true);
 	CU_ASSERT_FALSE(f->is_watching);
 	destroy_feed(f);
 	destroy_feed(weak);
@@ -301,9 +305,9 @@
 	struct fake_feed *f = create_feed("weak-1");
 
 	feed_advance(f->feed);
-	feed_handle_heartbeat(f->feed, "feed", 10, true);
+	feed_handle_heartbeat(f->feed, "feed", AT(10), true);
 	CU_ASSERT_EQUAL(f->subscribe_count, 1);
-	feed_handle_heartbeat(f->feed, "feed", 11, true);
+	feed_handle_heartbeat(f->feed, "feed", AT(11), true);
 	CU_ASSERT_EQUAL(f->subscribe_count, 2);
 	destroy_feed(f);
 }
@@ -318,16 +322,16 @@
 	struct fake_feed *f = create_feed("feed");
 
 	feed_advance(f->feed);
-	feed_handle_heartbeat(f->feed, "far", 10, true);
+	feed_handle_heartbeat(f->feed, "far", AT(10), true);
 	advance_feed(f, US_PER_S);
 	CU_ASSERT_EQUAL(f->subscribe_count, 0);
-	feed_handle_heartbeat(f->feed, "far", 11, true);
+	feed_handle_heartbeat(f->feed, "far", AT(11), true);
 	CU_ASSERT_EQUAL(f->subscribe_count, 0);
 	advance_feed(f, US_PER_S);
 	CU_ASSERT_STRING_EQUAL(f->subscribed, "far");
 	CU_ASSERT_EQUAL(f->subscribe_count, f->unsubscribe_count);
 	CU_ASSERT_TRUE(f->is_watching);
-	f->mirror.revision = 11;
+	f->mirror.now.revision = 11;
 	f->subscribe_count = 0;
 	advance_feed(f, 2 * US_PER_S);
 	CU_ASSERT_EQUAL(f->subscribe_count, 0);
@@ -354,8 +358,8 @@
 	struct fake_feed *f = create_feed("weak-1");
 
 	feed_advance(f->feed);
-	feed_handle_heartbeat(f->feed, "feed", 10, true);
-	feed_handle_subscribe(f->feed, "weak-2", 10);
+	feed_handle_heartbeat(f->feed, "feed", AT(10), true);
+	feed_handle_subscribe(f->feed, "weak-2", AT(10));
 	CU_ASSERT_EQUAL(f->heartbeats_sent, 0);
 	destroy_feed(f);
 }
@@ -368,10 +372,10 @@
 	struct store_item i = { .key = (char *)key,
 				.value = is_deleted ? NULL : (guchar *)"v",
 				.value_len = 1,
-				.revision = revision };
+				.time.revision = revision };
 
-	c->from = from;
-	c->to = to;
+	c->from.revision = from;
+	c->to.revision = to;
 	store_changes_add(c, &i);
 	return c;
 }
@@ -395,14 +399,14 @@
 	c = create_changes(9, 10, "b", 10, false);
 	CU_ASSERT_FALSE(store_mirror_apply(&m, c));
 	store_changes_free(c);
-	c = store_mirror_since(&m, 5);
+	c = store_mirror_since(&m, AT(5));
 	CU_ASSERT_EQUAL(c->items->len, 1);
-	CU_ASSERT_EQUAL(c->to, 8);
+	CU_ASSERT_EQUAL(c->to.revision, 8);
 	store_changes_free(c);
 	c = create_changes(0, 12, "b", 11, false);
 	c->is_complete = true;
 	CU_ASSERT_TRUE(store_mirror_apply(&m, c));
-	CU_ASSERT_EQUAL(m.revision, 12);
+	CU_ASSERT_EQUAL(m.now.revision, 12);
 	store_changes_free(c);
 	store_mirror_clear(&m);
 }
@@ -414,7 +418,7 @@
 		.key = (char *)key,
 		.value = g_malloc0(len),
 		.value_len = len,
-		.revision = revision,
+		.time.revision = revision,
 	};
 
 	store_changes_add(c, &i);
@@ -430,13 +434,13 @@
 	struct fake_feed *f = create_feed("feed");
 	struct store_changes *c = store_changes_create();
 
-	c->from = 10;
-	c->to = 14;
+	c->from.revision = 10;
+	c->to.revision = 14;
 	add_value(c, "leaf", 700 * 1024, 11);
 	add_value(c, "other", 700 * 1024, 12);
 	add_value(c, "no/domain", 2, 13);
 	add_value(c, "no/large", 1024 * 1024, 14);
-	feed_handle_subscribe(f->feed, "weak-1", 10);
+	feed_handle_subscribe(f->feed, "weak-1", AT(10));
 	feed_publish(f->feed, c);
 	CU_ASSERT_EQUAL(f->changes_sent, 3);
 	CU_ASSERT_EQUAL(f->first_items, 2);
--- a/test/unit/test_store_changes.c
+++ b/test/unit/test_store_changes.c
@@ -15,7 +15,7 @@
 	gsize len = (gsize)g_rand_int_range(rand, 0, PIECE_BYTES);
 	struct store_item item = {
 		.key = g_strdup_printf("k%d", key),
-		.revision = revision,
+		.time.revision = revision,
 	};
 
 	if (g_rand_int_range(rand, 0, 4)) {
@@ -38,8 +38,8 @@
 		put(c, g_rand_int_range(rand, 0, KEYS), MAX(revision, from + 1),
 		    rand);
 	}
-	c->from = from;
-	c->to = MAX(revision, from + 1);
+	c->from.revision = from;
+	c->to.revision = MAX(revision, from + 1);
 	return c;
 }
 
@@ -56,8 +56,8 @@
 		const struct store_item *have =
 			g_hash_table_lookup(m->items, want->key);
 
-		if (want->revision <= m->revision &&
-		    (!have || have->revision != want->revision ||
+		if (!store_time_is_before(m->now, want->time) &&
+		    (!have || store_time_compare(have->time, want->time) ||
 		     have->value_len != want->value_len))
 			return false;
 	}
@@ -89,13 +89,13 @@
 		store_mirror_init(&follower);
 		for (int round = 0; round < 8; round++) {
 			struct store_changes *c =
-				draw_changes(rand, whole.revision);
+				draw_changes(rand, whole.now.revision);
 			GPtrArray *pieces;
 			guint sent;
 
 			CU_ASSERT_TRUE(store_mirror_apply(&whole, c));
 			store_changes_free(c);
-			c = store_mirror_since(&whole, follower.revision);
+			c = store_mirror_since(&whole, follower.now);
 			pieces = store_changes_split(c, PIECE_BYTES);
 			sent = (guint)g_rand_int_range(rand, 0,
 						       (gint)pieces->len + 1);
@@ -109,7 +109,7 @@
 				CU_ASSERT_TRUE(is_current(&follower, &whole));
 			}
 			CU_ASSERT(sent < pieces->len ||
-				  follower.revision == whole.revision);
+				  follower.now.revision == whole.now.revision);
 			g_ptr_array_free(pieces, TRUE);
 			store_changes_free(c);
 		}
@@ -132,7 +132,7 @@
 		struct store_mirror m;
 
 		store_mirror_init(&m);
-		m.revision = 7;
+		m.now.revision = 7;
 		CU_ASSERT_TRUE(store_mirror_apply(&m, c));
 		for (guint i = 0; i < c->items->len; i++) {
 			const struct store_item *item =
@@ -141,7 +141,8 @@
 				g_hash_table_lookup(m.items, item->key);
 
 			CU_ASSERT_TRUE(g_hash_table_add(keys, item->key));
-			CU_ASSERT_EQUAL(kept->revision, item->revision);
+			CU_ASSERT_EQUAL(kept->time.revision,
+					item->time.revision);
 		}
 		g_hash_table_destroy(keys);
 		store_changes_free(c);
@@ -162,15 +163,16 @@
 
 	store_mirror_init(&m);
 	put(c, 1, 5, rand);
-	c->to = 5;
+	c->to.revision = 5;
 	c->is_complete = true;
 	CU_ASSERT_TRUE(store_mirror_apply(&m, c));
-	c->to = 9;
+	c->to.revision = 9;
+	c->is_complete = true;
 	put(c, 1, 5, rand);
 	put(c, 2, 8, rand);
 	CU_ASSERT_TRUE(store_mirror_apply(&m, c));
 	CU_ASSERT_EQUAL(c->items->len, 1);
-	CU_ASSERT_EQUAL(c->from, 5);
+	CU_ASSERT_EQUAL(c->from.revision, 5);
 	store_changes_free(c);
 	store_mirror_clear(&m);
 	g_rand_free(rand);
@@ -185,17 +187,17 @@
 	struct store_item item = {
 		.key = "a",
 		.value = (guchar *)"",
-		.revision = 3,
+		.time.revision = 3,
 	};
 	struct store_changes *c = store_changes_create();
 	struct store_mirror m;
 
 	store_mirror_init(&m);
-	c->to = 3;
+	c->to.revision = 3;
 	store_changes_add(c, &item);
 	CU_ASSERT_TRUE(store_mirror_apply(&m, c));
 	store_changes_free(c);
-	c = store_mirror_since(&m, 0);
+	c = store_mirror_since(&m, (struct store_time){ 0 });
 	CU_ASSERT_EQUAL_FATAL(c->items->len, 1);
 	CU_ASSERT_PTR_NOT_NULL(
 		g_array_index(c->items, struct store_item, 0).value);
