registry: follow the store past changes that cannot be read

Cause: a watch that returns only such an entry has no items; watch_once() raised its revision and passed nothing on. The mirror stayed behind, all later changes counted as a gap, and process_changes() dropped them without a line or another list. Between hosts, a feed sent nothing to a follower that lacked a time without items.

Change: changes without items move the mirror on, here and at followers.

Ruled out: an item for each entry that is passed over, as its key cannot be held.

--- a/include/nutmegpickd/registry_thread.h
+++ b/include/nutmegpickd/registry_thread.h
@@ -68,6 +68,9 @@
  */
 void registry_thread_set_host_count(struct registry_thread *t, uint32_t count);
 
+/** Asks the thread to list the store before its next watch. */
+void registry_thread_request_list(struct registry_thread *t);
+
 /** Withdraws the record of this host; the thread continues to watch. */
 void registry_thread_withdraw(struct registry_thread *t);
 
--- a/nutmegpickd/registry_thread.c
+++ b/nutmegpickd/registry_thread.c
@@ -120,6 +120,7 @@
 	bool is_stopping;
 	struct registry_lease renewed;
 	uint64_t joined_lease;
+	bool is_list_requested;
 	bool is_check_requested;
 	struct registry_check check;
 	/** When the store last answered a list or watch; read by any thread. */
@@ -589,7 +590,8 @@
 	t->refused_watches = 0;
 	changes->from = since;
 	raise_time(t, changes->to);
-	if (!changes->items->len) {
+	/* Changes that cannot be read move the mirror on as well. */
+	if (!changes->items->len && !store_time_is_before(since, changes->to)) {
 		store_changes_free(changes);
 		return;
 	}
@@ -801,13 +803,14 @@
 	store_changes_free(page);
 }
 
-static bool take_check_request(struct registry_thread *t)
+/* Returns whether another thread has set the flag, and clears it. */
+static bool take_request(struct registry_thread *t, bool *flag)
 {
 	bool is_requested;
 
 	pthread_mutex_lock(&t->lock);
-	is_requested = t->is_check_requested;
-	t->is_check_requested = false;
+	is_requested = *flag;
+	*flag = false;
 	pthread_mutex_unlock(&t->lock);
 	return is_requested;
 }
@@ -823,7 +826,7 @@
 		withdraw_host_record(t);
 		return;
 	}
-	is_check = take_check_request(t);
+	is_check = take_request(t, &t->is_check_requested);
 	if (is_check || now_us(t) >= t->next_renewal_us)
 		renew_host_record(t);
 	if (is_check)
@@ -861,6 +864,8 @@
 	t->next_renewal_us =
 		now_us(t) + g_random_int_range(0, PUBLISH_SPREAD_US);
 	while (!read_flag(t, &t->is_stopping)) {
+		if (take_request(t, &t->is_list_requested))
+			request_list(t);
 		if (!t->is_listed) {
 			t->is_listed = list_store(t);
 			if (!t->is_listed)
@@ -945,6 +950,14 @@
 	pthread_mutex_unlock(&t->lock);
 }
 
+void registry_thread_request_list(struct registry_thread *t)
+{
+	pthread_mutex_lock(&t->lock);
+	t->is_list_requested = true;
+	pthread_cond_signal(&t->changed);
+	pthread_mutex_unlock(&t->lock);
+}
+
 void registry_thread_withdraw(struct registry_thread *t)
 {
 	pthread_mutex_lock(&t->lock);
--- a/nutmegpickd/route_service.c
+++ b/nutmegpickd/route_service.c
@@ -84,8 +84,15 @@
 
 static void process_changes(struct route_service *s, struct store_changes *c)
 {
-	if (catalog_apply(&s->catalog, c) && (c->items->len || c->is_complete))
+	if (!catalog_apply(&s->catalog, c)) {
+		event_log(EV_STORE_GAP, "era=%llu revision=%llu from=%llu",
+			  (unsigned long long)s->catalog.mirror.now.era,
+			  (unsigned long long)s->catalog.mirror.now.revision,
+			  (unsigned long long)c->from.revision);
+		registry_thread_request_list(s->registry);
+	} else if (c->items->len || store_time_is_before(c->from, c->to)) {
 		feed_publish(s->feed, c);
+	}
 	store_changes_free(c);
 }
 
--- a/router/feed.c
+++ b/router/feed.c
@@ -376,7 +376,8 @@
 	if (is_watching_feed(f) && time.era > f->options.mirror->now.era)
 		note_newer_mirror(f, address, time);
 	g_hash_table_add(f->subscribers, g_strdup(address));
-	if (c->items->len || c->is_complete) {
+	/* Without an item, they still move the follower's mirror on. */
+	if (c->items->len || store_time_is_before(c->from, c->to)) {
 		GPtrArray *pieces = split_changes(f, c);
 
 		send_changes(f, address, pieces);
--- a/test/unit/test_router_feed.c
+++ b/test/unit/test_router_feed.c
@@ -448,7 +448,23 @@
 	destroy_feed(f);
 }
 
+/*
+ * Guards against a follower that stays behind its feed, and asks with each
+ * heartbeat, after changes of which this host uses none.
+ */
+static void test_no_items(void)
+{
+	struct fake_feed *f = create_feed("feed");
+
+	feed_handle_subscribe(f->feed, "weak-1", AT(10));
+	CU_ASSERT_EQUAL(f->changes_sent, 0);
+	feed_handle_subscribe(f->feed, "weak-1", AT(9));
+	CU_ASSERT_EQUAL(f->changes_sent, 1);
+	destroy_feed(f);
+}
+
 CU_TestInfo router_feed_tests[] = {
+	{ "no items", test_no_items },
 	{ "restrictions first", test_restrictions_first },
 	{ "follow", test_follow },
 	{ "feed lost", test_feed_lost },
