registry: list the store past pages that cannot be read

Cause: list_pages() went on behind the last item that it could decode, took a page without one for the last, and what was read so far for the whole list.

Change: the next page begins behind the last key of the page, as bytes. A page that others follow and that names no key fails the list, which is repeated with a wait.

Unit-tests odd entries, next page.

Ruled out: asking again from the last readable key, which returns the same page.

--- a/include/platform/store.h
+++ b/include/platform/store.h
@@ -40,10 +40,11 @@
 void store_call_clear(struct store_call *c);
 
 /**
- * Builds a GET that lists the keys with a prefix. Starts behind the key that
- * after holds, or at the first key if after is NULL.
+ * Builds a GET that lists the keys with a prefix. Starts behind the key whose
+ * bytes after holds, or at the first key if after is NULL or empty.
  */
-struct store_call platform_store_list(const char *prefix, const char *after);
+struct store_call platform_store_list(const char *prefix,
+				      const GByteArray *after);
 
 /** Builds a GET that waits up to wait_ms for changes after a revision. */
 struct store_call platform_store_watch(const char *prefix, uint64_t after,
@@ -62,12 +63,14 @@
 struct store_call platform_store_publish_host(const struct host_record *r);
 
 /**
- * Decodes the reply to a list or watch request: the items, the revision of the
- * store and whether more pages follow. The era is 0, as it is not in the body.
- * Returns 0 or -ERR_INVAL.
+ * Decodes the reply to a list or watch request: the items and the revision of
+ * the store. Items that cannot be read are left out. The era is 0, as it is not
+ * in the body. If more pages follow, next receives the bytes of the last key of
+ * this one, else it is emptied. next may be NULL. Returns 0, or -ERR_INVAL,
+ * also for a page that does not tell where the next one begins.
  */
 int platform_store_decode_changes(const char *data, size_t len,
-				  struct store_changes **out, bool *has_more);
+				  struct store_changes **out, GByteArray *next);
 
 /** Returns the lease of a platform_store_grant_lease() reply; 0 if none. */
 uint64_t platform_store_decode_lease(const char *data, size_t len);
--- a/nutmegpickd/registry_thread.c
+++ b/nutmegpickd/registry_thread.c
@@ -395,14 +395,14 @@
 }
 
 static int decode_page(struct registry_thread *t, long status, const char *what,
-		       struct store_changes **page, bool *has_more)
+		       struct store_changes **page, GByteArray *next)
 {
 	/* A reply that was delayed tells nothing about the present era. */
 	if (status && t->reply_era < read_time(t).era)
 		return -ERR_IO;
 	if (status == 200 &&
 	    !platform_store_decode_changes((const char *)t->body->data,
-					   t->body->len, page, has_more)) {
+					   t->body->len, page, next)) {
 		store_changes_set_era(*page, t->reply_era);
 		note_store_returned(t);
 		return 0;
@@ -417,6 +417,34 @@
 	__atomic_store_n(&t->news_us, now_us(t), __ATOMIC_RELAXED);
 }
 
+/* Reads the page that begins behind a key, and replaces that by its last one. */
+static int list_page(struct registry_thread *t, struct store_changes *all,
+		     GByteArray *next)
+{
+	long status = perform_call(t, platform_store_list("", next), "GET",
+				   CALL_TIMEOUT_MS);
+	struct store_changes *page;
+
+	if (decode_page(t, status, "list", &page, next))
+		return -ERR_IO;
+	note_news(t);
+	if (!all->to.revision) {
+		all->to = page->to;
+		all->from.era = page->to.era;
+	}
+	if (page->to.era != all->to.era) {
+		store_changes_free(page);
+		return -ERR_IO;
+	}
+	if (store_time_is_before(page->to, all->to))
+		all->to = page->to;
+	for (guint i = 0; i < page->items->len; i++)
+		store_changes_add(all, &g_array_index(page->items,
+						      struct store_item, i));
+	store_changes_free(page);
+	return 0;
+}
+
 /*
  * Reads all pages. They are not one snapshot of the store, so the result has
  * the earliest time of a page, and the watch repeats the changes after it.
@@ -424,42 +452,14 @@
  */
 static int list_pages(struct registry_thread *t, struct store_changes *all)
 {
-	bool has_more = true;
-	char *after = NULL;
-
-	while (has_more) {
-		struct store_changes *page;
-		long status = perform_call(t, platform_store_list("", after),
-					   "GET", CALL_TIMEOUT_MS);
-
-		g_free(after);
-		after = NULL;
-		if (decode_page(t, status, "list", &page, &has_more))
-			return -ERR_IO;
-		note_news(t);
-		if (!all->to.revision) {
-			all->to = page->to;
-			all->from.era = page->to.era;
-		}
-		if (page->to.era != all->to.era) {
-			store_changes_free(page);
-			return -ERR_IO;
-		}
-		if (store_time_is_before(page->to, all->to))
-			all->to = page->to;
-		for (guint i = 0; i < page->items->len; i++)
-			store_changes_add(all,
-					  &g_array_index(page->items,
-							 struct store_item, i));
-		has_more = has_more && page->items->len;
-		if (has_more)
-			after = g_strdup(g_array_index(page->items,
-						       struct store_item,
-						       page->items->len - 1)
-						 .key);
-		store_changes_free(page);
-	}
-	return 0;
+	GByteArray *next = g_byte_array_new();
+	int ret;
+
+	do {
+		ret = list_page(t, all, next);
+	} while (!ret && next->len);
+	g_byte_array_free(next, TRUE);
+	return ret;
 }
 
 /*
@@ -551,7 +551,6 @@
 	struct store_time since = read_time(t);
 	int64_t wait_ms = watch_wait_us(t, since.era) / US_PER_MS;
 	struct store_changes *changes;
-	bool has_more;
 	long status;
 
 	if (!since.revision) {
@@ -581,7 +580,7 @@
 	/* A watch that handle_progress() aborted is no failure of the store. */
 	if (!status && handle_progress(t, 0, 0, 0, 0))
 		return;
-	if (decode_page(t, status, "watch", &changes, &has_more)) {
+	if (decode_page(t, status, "watch", &changes, NULL)) {
 		delay_next_watch(t);
 		return;
 	}
@@ -792,10 +791,9 @@
 	long status = perform_call(t, platform_store_list(key, NULL), "GET",
 				   CALL_TIMEOUT_MS);
 	struct store_changes *page;
-	bool has_more;
 
 	g_free(key);
-	if (decode_page(t, status, "check", &page, &has_more))
+	if (decode_page(t, status, "check", &page, NULL))
 		return;
 	pthread_mutex_lock(&t->lock);
 	t->check = (struct registry_check){ page->to, started_us };
--- a/test/fuzz/targets.c
+++ b/test/fuzz/targets.c
@@ -348,14 +348,18 @@
 
 static void run_store_page(const uint8_t *data, size_t len)
 {
+	GByteArray *next = g_byte_array_new();
 	struct store_changes *c;
-	bool has_more;
 	uint64_t era;
+	int ret;
 
 	platform_store_read_era((const char *)data, len, &era);
 	platform_store_decode_lease((const char *)data, len);
-	if (platform_store_decode_changes((const char *)data, len, &c,
-					  &has_more))
+	ret = platform_store_decode_changes((const char *)data, len, &c, next);
+	require_property(ret || next->len <= len,
+			 "a key is no longer than its message");
+	g_byte_array_free(next, TRUE);
+	if (ret)
 		return;
 	for (guint i = 0; i < c->items->len; i++) {
 		const struct store_item *item =
--- a/test/soak/unread_keys.py
+++ b/test/soak/unread_keys.py
@@ -12,6 +12,8 @@
 from soak import Soak
 
 HOSTS = 3
+# Of a page of the store.
+PAGE_ITEMS = 10
 # A version is in force on every host after this time.
 APPLY_S = 3
 
@@ -38,6 +40,16 @@
     await asyncio.sleep(APPLY_S)
     print("after an entry that a watch cannot read:",
           await count_serving(soak), "hosts serve the next version")
+    # Whole pages of a list, before the entries of all leaves.
+    for k in range(3 * PAGE_ITEMS):
+        soak.store.put_bytes(f"servers/a\0{k:02}", b"odd")
+    await asyncio.sleep(1)
+    for i in range(HOSTS):
+        await soak.stop_host(i, signal.SIGKILL)
+        await soak.start_host(i)
+    await asyncio.sleep(2)
+    print("after a restart behind pages that a list cannot read:",
+          await count_serving(soak), "hosts serve")
     for i in range(HOSTS):
         await soak.stop_host(i, signal.SIGTERM)
     print("faults:", soak.failures)
--- a/test/unit/test_odd_entries.c
+++ b/test/unit/test_odd_entries.c
@@ -216,13 +216,12 @@
 static void apply(struct fixture *f, GString *page)
 {
 	struct store_changes *c = NULL;
-	bool has_more;
 
 	g_string_append_printf(page, "],\"current_rev\":%llu}",
 			       (unsigned long long)f->revision);
-	CU_ASSERT_EQUAL_FATAL(platform_store_decode_changes(
-				      page->str, page->len, &c, &has_more),
-			      0);
+	CU_ASSERT_EQUAL_FATAL(
+		platform_store_decode_changes(page->str, page->len, &c, NULL),
+		0);
 	c->from = f->catalog.mirror.now;
 	CU_ASSERT_TRUE(catalog_apply(&f->catalog, c));
 	store_changes_free(c);
@@ -279,6 +278,54 @@
 	teardown(&f);
 }
 
+/*
+ * Guards against a list that ends at a page of which no entry can be read, or
+ * that begins the next page at another key than the last one.
+ */
+static void test_next_page(void)
+{
+	static const struct {
+		const char *page;
+		/** Path of the next call; NULL if there is none. */
+		const char *path;
+		bool is_bad;
+	} rows[] = {
+		{ "{\"items\":[{\"key\":\"a\"},{\"key\":\"b/c d\"}],"
+		  "\"has_more\":true,\"current_rev\":4}",
+		  "/-/kv-range?prefix=&after=b/c%20d", false },
+		{ "{\"items\":[{\"key\":\"a\\u0000b\"}],\"has_more\":true,"
+		  "\"current_rev\":4}",
+		  "/-/kv-range?prefix=&after=a%00b", false },
+		{ "{\"items\":[{\"key\":\"a\"},{\"key\":7},null],"
+		  "\"has_more\":true,\"current_rev\":4}",
+		  "/-/kv-range?prefix=&after=a", false },
+		{ "{\"items\":[{\"key\":\"a\"}],\"has_more\":false,"
+		  "\"current_rev\":4}",
+		  NULL, false },
+		{ "{\"items\":[],\"current_rev\":4}", NULL, false },
+		{ "{\"items\":[],\"has_more\":true,\"current_rev\":4}", NULL,
+		  true },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+		GByteArray *next = g_byte_array_new();
+		struct store_changes *c = NULL;
+		int ret = platform_store_decode_changes(
+			rows[i].page, strlen(rows[i].page), &c, next);
+
+		CU_ASSERT_EQUAL(ret != 0, rows[i].is_bad);
+		CU_ASSERT_EQUAL(next->len != 0, rows[i].path != NULL);
+		if (next->len && rows[i].path) {
+			struct store_call call = platform_store_list("", next);
+
+			CU_ASSERT_STRING_EQUAL(call.path, rows[i].path);
+			store_call_clear(&call);
+		}
+		g_byte_array_free(next, TRUE);
+		store_changes_free(c);
+	}
+}
+
 /*
  * Guards against a leaf that stays unused after another writer has overwritten
  * its entry for a moment.
@@ -387,6 +434,7 @@
 }
 
 CU_TestInfo odd_entry_tests[] = {
+	{ "next page", test_next_page },
 	{ "odd values", test_odd_values },
 	{ "nesting", test_nesting },
 	{ "odd page", test_odd_page },
