http: close answered connections whose last read was full

What operators saw: at a stop, the log counts a connection as cut that is answered; unit-tests http server, body at stop, failed in 3 of 45 runs for this.

Cause: after a read that fills its buffer of 16,384 bytes, is_readable stays set. If the body ended there, end_output() took more input to be there and lingered for up to 1 s.

Change: end_output() asks the socket whether input is left. Connections of refused requests linger as before, by a flag of their own.

Evidence: unit-tests http server, full last read (head alone, then the body in four full reads): failed 5 of 5 before, passed 5 of 5 now, as did body at stop, which failed 1 of these 5 before.

--- a/include/net/http_internal.h
+++ b/include/net/http_internal.h
@@ -42,6 +42,8 @@
 	bool is_shut_down;
 	/** The socket may have input. */
 	bool is_readable;
+	/** What the caller still sends belongs to a request that was refused. */
+	bool is_refused;
 	/** The caller has ended its side, so input ends with the stream. */
 	bool is_ended;
 	/** The connection closes once the output is sent. */
--- a/net/http_connection.c
+++ b/net/http_connection.c
@@ -5,6 +5,7 @@
 #include <netinet/tcp.h>
 #include <string.h>
 #include <sys/epoll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -136,6 +137,17 @@
 	join_queue(c, &c->server->lingering);
 }
 
+/* A read that fills its buffer does not tell whether it has emptied the socket.
+ */
+static bool has_unread_input(const struct http_connection *c)
+{
+	int len = 0;
+
+	if (c->input || c->is_refused)
+		return true;
+	return c->is_readable && !ioctl(c->fd, FIONREAD, &len) && len > 0;
+}
+
 static void end_output(struct http_connection *c)
 {
 	drop_string(&c->output);
@@ -146,7 +158,7 @@
 		set_phase(c, HTTP_IDLE);
 		return;
 	}
-	if (c->is_readable || c->input)
+	if (has_unread_input(c))
 		linger(c);
 	else
 		http_connection_close(c);
@@ -199,8 +211,7 @@
 	leave_queue(c);
 	clear_input(c);
 	c->is_last = true;
-	/* What follows belongs to the refused request. */
-	c->is_readable = true;
+	c->is_refused = true;
 	set_phase(c, HTTP_SENDING);
 	queue_output(c, http_refusal_create(status, code));
 	send_output(c);
--- a/test/unit/test_http_server.c
+++ b/test/unit/test_http_server.c
@@ -472,7 +472,35 @@
 	CU_ASSERT_EQUAL(handled, 1);
 }
 
+/*
+ * Guards against a stop that waits for, and counts, a connection that is
+ * answered: the last read of its body has filled the buffer and emptied the
+ * socket.
+ */
+static void test_full_last_read(void)
+{
+	uint32_t handled = 0;
+	struct http_server_options options = {
+		.address = "127.0.0.1:0",
+		.handle_request = handle_slow_request,
+		.ctx = &handled,
+	};
+	struct http_server *server;
+	struct slow_caller c;
+
+	CU_ASSERT_EQUAL_FATAL(http_server_create(&server, &options), 0);
+	open_caller(&c, http_server_port(server), BODY_BYTES);
+	/* The head is read alone, and the body in full reads. */
+	g_usleep(LOAD_US);
+	send_part(&c, BODY_BYTES);
+	CU_ASSERT_EQUAL(http_server_stop(server, 8 * LOAD_US, 0), 0);
+	CU_ASSERT_EQUAL(finish_caller(&c), 1);
+	CU_ASSERT_EQUAL(handled, 1);
+	http_server_destroy(server, US_PER_S);
+}
+
 CU_TestInfo http_server_tests[] = {
+	{ "full last read", test_full_last_read },
 	{ "kept connections", test_kept_connections },
 	{ "request before close", test_request_before_close },
 	{ "request after close", test_request_after_close },
