feed: send nothing to a host of a later era

A host in an earlier era answered the subscription of a host in a later one with its whole state, which that host ignores. It only notes now whom to ask. Unit-tests store return, feed learns: the assertion on changes that were sent fails without it (one complete state was sent).

Comments say what is held over and why, without the figures' history.

--- a/include/nutmegpickd/catalog.h
+++ b/include/nutmegpickd/catalog.h
@@ -15,7 +15,10 @@
 	int64_t store_back_at_us;
 	/** When this host lost the feed that it followed, or 0. */
 	int64_t feed_lost_at_us;
-	/** When the last state of the present era was read; 0 if no earlier. */
+	/**
+	 * When the last piece of the present era's state was read; 0 if this
+	 * host knew no earlier era.
+	 */
 	int64_t era_read_at_us;
 	/** Next check of the entries that are held over. */
 	int64_t next_held_check_us;
--- a/nutmegpickd/catalog.c
+++ b/nutmegpickd/catalog.c
@@ -28,11 +28,9 @@
 #define FEED_CHANGE_US (1 * US_PER_S)
 
 /*
- * Time for which entries that a restored store lacks are held over. Leaves
- * write theirs again within about 2 s. The operator's keys are bound to no
- * lease; rules do not hold before 4 s after the return in the deployments with
- * the shortest bounds. Records of hosts outlive a silent host by 15 s, on which
- * the owners of rates rely, and are written at intervals of 10 ms.
+ * Time for which entries that a restored store lacks are held over, so that
+ * their writers can write them again. The record of a silent host lasts for
+ * 15 s without a return as well, and the owners of rates rely on that.
  */
 #define HELD_LEAF_US RETURN_GRACE_US
 #define HELD_OPERATOR_US (4 * US_PER_S)
@@ -170,7 +168,7 @@
 {
 	struct leaf_set *leaves = router_leaves(c->router);
 	struct store_time previous = c->mirror.now;
-	bool is_next_part = changes->is_complete && changes->from.revision;
+	bool is_next_piece = changes->is_complete && changes->from.revision;
 	bool is_new_era;
 
 	drop_other_keys(changes);
@@ -179,9 +177,9 @@
 	is_new_era = previous.revision && c->mirror.now.era != previous.era;
 	if (is_new_era)
 		note_new_era(c, previous);
-	if (is_new_era || is_next_part)
+	if (is_new_era || is_next_piece)
 		c->era_read_at_us = clock_now(&c->clock);
-	leaves->is_reading_copy = is_new_era || is_next_part;
+	leaves->is_reading_copy = is_new_era || is_next_piece;
 	for (guint i = 0; i < changes->items->len; i++)
 		apply_item(c, &g_array_index(changes->items, struct store_item,
 					     i));
--- a/router/feed.c
+++ b/router/feed.c
@@ -370,12 +370,17 @@
 void feed_handle_subscribe(struct feed *f, const char *address,
 			   struct store_time time)
 {
-	struct store_changes *c = store_mirror_since(f->options.mirror, time);
+	struct store_changes *c;
 
-	/* The subscriber has learned of an era that this host does not know. */
-	if (is_watching_feed(f) && time.era > f->options.mirror->now.era)
-		note_newer_mirror(f, address, time);
 	g_hash_table_add(f->subscribers, g_strdup(address));
+	/* The subscriber has learned of an era that this host does not know. */
+	if (time.era > f->options.mirror->now.era) {
+		if (is_watching_feed(f))
+			note_newer_mirror(f, address, time);
+		send_feed_heartbeat(f, address);
+		return;
+	}
+	c = store_mirror_since(f->options.mirror, time);
 	/* Without an item, they still move the follower's mirror on. */
 	if (c->items->len || store_time_is_before(c->from, c->to)) {
 		GPtrArray *pieces = split_changes(f, c);
--- a/test/unit/test_store_return.c
+++ b/test/unit/test_store_return.c
@@ -365,6 +365,7 @@
 	struct feed *feed;
 	char subscribed[32];
 	uint32_t subscribe_count;
+	uint32_t changes_sent;
 	bool is_complete_sent;
 };
 
@@ -386,6 +387,7 @@
 {
 	struct fake_feed *f = ctx;
 
+	f->changes_sent++;
 	f->is_complete_sent = c->is_complete;
 }
 
@@ -503,6 +505,8 @@
 
 	feed_handle_subscribe(f->feed, "other", at(2, 6));
 	CU_ASSERT_EQUAL(f->subscribe_count, 0);
+	/* What this host has is of no use to the other one. */
+	CU_ASSERT_EQUAL(f->changes_sent, 0);
 	advance_feed(f, US_PER_S);
 	CU_ASSERT_STRING_EQUAL(f->subscribed, "other");
 	f->mirror.now = at(2, 6);
