catalog: take the state of a new era for old news after a lost feed

What callers could see: a leaf that is leaving is called for up to 1.2 s more, if the host learns of its leaving with the state of a new era, shortly after its feed was lost.

Cause: a new era ended the time in which news count as old, so that what the copy lacks isn't removed at once. Entries that are held over don't pass there any more.

Evidence: unit-tests store return, late state: failed before, passes now.

--- a/nutmegpickd/catalog.c
+++ b/nutmegpickd/catalog.c
@@ -160,8 +160,6 @@
 		  (unsigned long long)m->now.revision,
 		  (unsigned long long)previous.revision, m->held_count);
 	c->store_back_at_us = clock_now(&c->clock);
-	/* What this state lacks may be alive, however old the news are. */
-	c->feed_lost_at_us = 0;
 }
 
 bool catalog_apply(struct catalog *c, struct store_changes *changes)
--- a/test/unit/test_store_return.c
+++ b/test/unit/test_store_return.c
@@ -31,7 +31,7 @@
 	store_changes_add(c, &i);
 }
 
-/* Applies the whole state of an era; each key has its time as its value. */
+/* Applies the whole state of an era, in which all keys are of one revision. */
 static bool apply_list(struct store_mirror *m, struct store_time to,
 		       const char *const *keys, uint64_t revision)
 {
@@ -165,6 +165,95 @@
 	store_mirror_clear(&m);
 }
 
+/* Applies a piece of complete changes that holds one key, or none for NULL. */
+static bool apply_piece(struct store_mirror *m, uint64_t era, uint64_t from,
+			uint64_t to, const char *key, uint64_t revision)
+{
+	struct store_changes *c =
+		store_changes_between(at(era, from), at(era, to));
+	bool is_applied;
+
+	c->is_complete = true;
+	if (key)
+		add_item(c, key, at(era, revision), "v");
+	is_applied = store_mirror_apply(m, c);
+	store_changes_free(c);
+	return is_applied;
+}
+
+/*
+ * Guards against a host that counts as up to date, and keeps what is deleted,
+ * though the pieces that tell of it were lost or are those of an older list.
+ */
+static void test_pieces(void)
+{
+	static const char *const keys[] = { "a", NULL };
+	struct store_mirror m;
+
+	/* The first piece, which lacks the key, was lost. */
+	store_mirror_init(&m);
+	CU_ASSERT_TRUE(apply_list(&m, at(2, 25), keys, 18));
+	CU_ASSERT_FALSE(apply_piece(&m, 2, 20, 37, "b", 30));
+	CU_ASSERT_EQUAL(m.now.revision, 25);
+	store_mirror_clear(&m);
+
+	/* Pieces of two lists; the later one lacks the key. */
+	store_mirror_init(&m);
+	CU_ASSERT_TRUE(apply_list(&m, at(1, 80), keys, 18));
+	CU_ASSERT_TRUE(apply_piece(&m, 2, 0, 60, NULL, 0));
+	CU_ASSERT_TRUE(apply_piece(&m, 2, 60, 65, "a", 63));
+	CU_ASSERT_TRUE(apply_piece(&m, 2, 65, 69, NULL, 0));
+	CU_ASSERT_FALSE(apply_piece(&m, 2, 60, 69, NULL, 0));
+	CU_ASSERT_FALSE(apply_piece(&m, 2, 69, 73, "b", 70));
+	CU_ASSERT_EQUAL(m.now.revision, 69);
+	store_mirror_clear(&m);
+}
+
+/*
+ * Guards against a host that sends no deletions to one of the same era, though
+ * it has read the state of that era in pieces and knows of none in them.
+ */
+static void test_since_pieces(void)
+{
+	static const char *const keys[] = { "a", NULL };
+	struct store_changes *c;
+	struct store_mirror m;
+
+	store_mirror_init(&m);
+	CU_ASSERT_TRUE(apply_list(&m, at(1, 80), keys, 18));
+	CU_ASSERT_TRUE(apply_piece(&m, 2, 0, 30, "b", 20));
+	CU_ASSERT_TRUE(apply_piece(&m, 2, 30, 60, "c", 50));
+	c = store_mirror_since(&m, at(2, 40));
+	CU_ASSERT_TRUE(c->is_complete);
+	CU_ASSERT_EQUAL(c->items->len, 2);
+	store_changes_free(c);
+	c = store_mirror_since(&m, at(2, 60));
+	CU_ASSERT_FALSE(c->is_complete);
+	store_changes_free(c);
+	store_mirror_clear(&m);
+}
+
+/* Guards against a deleted key that late changes bring back. */
+static void test_late_pieces(void)
+{
+	static const char *const keys[] = { "a", NULL };
+	struct store_changes *c;
+	struct store_mirror m;
+
+	store_mirror_init(&m);
+	CU_ASSERT_TRUE(apply_list(&m, at(2, 28), keys, 20));
+	CU_ASSERT_TRUE(apply_piece(&m, 2, 0, 26, NULL, 0));
+	CU_ASSERT_PTR_NULL(find_item(&m, "a"));
+	CU_ASSERT_TRUE(apply_piece(&m, 2, 26, 39, NULL, 0));
+	c = store_changes_between(at(2, 26), at(2, 38));
+	add_item(c, "a", at(2, 34), "v");
+	CU_ASSERT_TRUE(store_mirror_apply(&m, c));
+	CU_ASSERT_EQUAL(c->items->len, 0);
+	store_changes_free(c);
+	CU_ASSERT_PTR_NULL(find_item(&m, "a"));
+	store_mirror_clear(&m);
+}
+
 /** Store that can be restored from a copy. */
 struct model {
 	struct store_time now;
@@ -682,6 +771,26 @@
 	teardown(&f);
 }
 
+/*
+ * Guards against calls to a leaf that has been leaving for a while: the feed of
+ * this host was lost, so the state of the new era may come late.
+ */
+static void test_late_state(void)
+{
+	struct store_changes *c = begin_list(at(1, 48));
+	struct fixture f;
+
+	setup(&f);
+	add_leaf(c, "i-1", "ready", 5, at(1, 40));
+	apply_changes(&f, c);
+	f.catalog.feed_lost_at_us = f.time.now_us;
+	c = begin_list(at(2, 6));
+	add_leaf(c, "i-1", "draining", 6, at(2, 5));
+	apply_changes(&f, c);
+	CU_ASSERT_FALSE(is_leaf_usable(&f, "i-1"));
+	teardown(&f);
+}
+
 /* Guards against eras that are misread, and other headers taken for them. */
 static void test_era_header(void)
 {
@@ -721,12 +830,16 @@
 	{ "lower revisions", test_lower_revisions },
 	{ "late changes", test_late_changes },
 	{ "held", test_held },
+	{ "pieces", test_pieces },
+	{ "since pieces", test_since_pieces },
+	{ "late pieces", test_late_pieces },
 	{ "schedules", test_schedules },
 	{ "follower learns", test_follower_learns },
 	{ "feed in earlier era", test_feed_in_earlier_era },
 	{ "feed learns", test_feed_learns },
 	{ "missing entries", test_missing_entries },
 	{ "older entry", test_older_entry },
+	{ "late state", test_late_state },
 	{ "era header", test_era_header },
 	CU_TEST_INFO_NULL,
 };
