registry: find a way past replies that cannot be read

What callers saw: while the replies to watches are complete for HTTP and no proper JSON, hosts stay on old news; N714 with status 200 is the only line. While those to lists are, hosts that start are never ready.

Cause: such a watch counted as no answer and was repeated from the same revision, such a list was repeated from its first page. Neither reaches anything new.

Change: after such a watch the host lists the store, spaced out as after 410. After such a list of all keys it lists each kind of keys that hosts use on its own, and kinds that can be read come into force although another one cannot. N781 and a counter tell of such replies. The store counts as regained after a whole list or a watch, not after one page, which would reset the waits.

Ruled out: a list without its unreadable part counted as whole, which would remove what the part holds.

--- a/include/nutmegpickd/store_faults.h
+++ b/include/nutmegpickd/store_faults.h
@@ -14,6 +14,8 @@
 	struct np_clock clock;
 	uint64_t entries;
 	int64_t next_entry_line_us;
+	uint64_t replies;
+	int64_t next_reply_line_us;
 };
 
 void store_faults_init(struct store_faults *f, struct np_clock clock);
@@ -25,4 +27,8 @@
 void store_faults_note_entries(struct store_faults *f, const char *call,
 			       uint32_t count, const char *key);
 
+/** Notes a complete reply of which nothing can be used. */
+void store_faults_note_reply(struct store_faults *f, const char *call,
+			     uint64_t revision, size_t bytes);
+
 #endif
--- a/nutmegpickd/registry_thread.c
+++ b/nutmegpickd/registry_thread.c
@@ -30,6 +30,10 @@
 /* Backoff after failed calls, which are charged as well. */
 #define BACKOFF_MIN_US (150 * US_PER_MS)
 #define BACKOFF_MAX_US (1 * US_PER_S)
+/* Longer waits while kinds of keys are listed one by one, in more calls. */
+#define BACKOFF_SPLIT_MAX_US (1500 * US_PER_MS)
+#define BACKOFF_GROWTH 2
+#define BACKOFF_SPLIT_GROWTH 4
 /*
  * Wait after a watch that returned changes. Changes come in groups, and the
  * next call then returns several of them.
@@ -87,6 +91,11 @@
 	bool is_era_fault_logged;
 	struct store_faults faults;
 	bool is_listed;
+	/**
+	 * A list of all keys could not be read, and no watch has been since:
+	 * the kinds of keys that hosts use are listed one by one.
+	 */
+	bool is_list_split;
 	bool is_store_lost;
 	int64_t backoff_us;
 	/** Lists since the last watch that the store answered. */
@@ -354,7 +363,11 @@
 	double jitter = g_random_double_range(0.7, 1.3);
 
 	wait_us(t, (int64_t)((double)*backoff_us * jitter));
-	*backoff_us = MIN(2 * *backoff_us, BACKOFF_MAX_US);
+	if (t->is_list_split)
+		*backoff_us = MIN(BACKOFF_SPLIT_GROWTH * *backoff_us,
+				  BACKOFF_SPLIT_MAX_US);
+	else
+		*backoff_us = MIN(BACKOFF_GROWTH * *backoff_us, BACKOFF_MAX_US);
 }
 
 static void back_off(struct registry_thread *t)
@@ -396,22 +409,29 @@
 	return CLAMP(t->next_rare_watch_us - now_us(t), 0, IDLE_US);
 }
 
+/*
+ * Returns 0, -ERR_INVAL for a reply that cannot be read, or -ERR_IO for none or
+ * one of an earlier era.
+ */
 static int decode_page(struct registry_thread *t, long status, const char *what,
 		       struct store_page *page)
 {
 	/* A reply that was delayed tells nothing about the present era. */
 	if (status && t->reply_era < read_time(t).era)
 		return -ERR_IO;
-	if (status != 200 ||
-	    platform_store_decode_page((const char *)t->body->data,
-				       t->body->len, page)) {
+	if (status != 200) {
 		note_store_lost(t, what, status);
 		return -ERR_IO;
 	}
+	if (platform_store_decode_page((const char *)t->body->data,
+				       t->body->len, page)) {
+		store_faults_note_reply(&t->faults, what, read_time(t).revision,
+					t->body->len);
+		return -ERR_INVAL;
+	}
 	store_faults_note_entries(&t->faults, what, page->unread_count,
 				  page->unread_key);
 	store_changes_set_era(page->changes, t->reply_era);
-	note_store_returned(t);
 	return 0;
 }
 
@@ -435,45 +455,97 @@
 						      struct store_item, i));
 }
 
+static bool is_same_key(const GByteArray *a, const GByteArray *b)
+{
+	return a->len == b->len && !memcmp(a->data, b->data, a->len);
+}
+
 /* Reads the page that begins behind a key, and replaces that by its last one. */
-static int list_page(struct registry_thread *t, struct store_changes *all,
-		     GByteArray *after)
+static int list_page(struct registry_thread *t, const char *prefix,
+		     struct store_changes *all, GByteArray *after)
 {
-	long status = perform_call(t, platform_store_list("", after), "GET",
+	long status = perform_call(t, platform_store_list(prefix, after), "GET",
 				   CALL_TIMEOUT_MS);
 	struct store_page page;
 	int ret = decode_page(t, status, "list", &page);
 
+	if (ret == -ERR_INVAL)
+		note_store_lost(t, "list", status);
 	if (ret)
 		return ret;
-	note_news(t);
-	if (all->to.revision && page.changes->to.era != all->to.era)
+	if (page.next->len && is_same_key(page.next, after)) {
+		/* The store cannot go on behind this key. */
+		store_faults_note_reply(&t->faults, "list",
+					page.changes->to.revision,
+					t->body->len);
+		ret = -ERR_INVAL;
+	} else if (all->to.revision && page.changes->to.era != all->to.era) {
 		ret = -ERR_IO;
-	else
+	} else {
+		note_news(t);
 		add_page(all, page.changes);
-	g_byte_array_set_size(after, 0);
-	g_byte_array_append(after, page.next->data, page.next->len);
+		g_byte_array_set_size(after, 0);
+		g_byte_array_append(after, page.next->data, page.next->len);
+	}
 	store_page_clear(&page);
 	return ret;
 }
 
-/*
- * Reads all pages. They are not one snapshot of the store, so the result has
- * the earliest time of a page, and the watch repeats the changes after it.
- * Pages of different eras are no list of either.
- */
-static int list_pages(struct registry_thread *t, struct store_changes *all)
+static int list_pages(struct registry_thread *t, const char *prefix,
+		      struct store_changes *all)
 {
 	GByteArray *after = g_byte_array_new();
 	int ret;
 
 	do {
-		ret = list_page(t, all, after);
+		ret = list_page(t, prefix, all, after);
 	} while (!ret && after->len);
 	g_byte_array_free(after, TRUE);
 	return ret;
 }
 
+/*
+ * Reads the keys that hosts use, one kind after the other, past a page of one
+ * kind that cannot be read. Returns -ERR_INVAL if there was such a page.
+ */
+static int list_kinds(struct registry_thread *t, struct store_changes *all)
+{
+	static const char *const prefixes[] = {
+		PLATFORM_CONFIG_KEY,
+		PLATFORM_EVACUATION_PREFIX,
+		PLATFORM_HOST_PREFIX,
+		PLATFORM_LEAF_PREFIX,
+	};
+	int result = 0;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(prefixes); i++) {
+		int ret = list_pages(t, prefixes[i], all);
+
+		if (ret == -ERR_IO)
+			return ret;
+		if (ret)
+			result = ret;
+	}
+	return result;
+}
+
+/*
+ * Reads all pages. They are not one snapshot of the store, so the result has
+ * the earliest time of a page, and the watch repeats the changes after it.
+ * Pages of different eras are no list of either. If this fails with -ERR_INVAL,
+ * all has what could be read.
+ */
+static int list_all(struct registry_thread *t, struct store_changes *all)
+{
+	int ret;
+
+	if (t->is_list_split)
+		return list_kinds(t, all);
+	ret = list_pages(t, "", all);
+	t->is_list_split = ret == -ERR_INVAL;
+	return ret;
+}
+
 /*
  * Notes the lease of the record that an earlier process has left. With another
  * capacity or failure domain this process owns keys that the earlier one did
@@ -506,14 +578,37 @@
 	g_free(key);
 }
 
+/*
+ * Passes on a part of a list whose other parts cannot be read. What it lacks is
+ * not deleted, and the time of the store stays.
+ */
+static void apply_part(struct registry_thread *t, struct store_changes *part)
+{
+	struct store_time era = { .era = part->to.era };
+
+	if (!part->items->len || !read_time(t).revision) {
+		store_changes_free(part);
+		return;
+	}
+	part->from = era;
+	part->to = era;
+	t->options.handle_changes(t->options.ctx, part);
+}
+
 static bool list_store(struct registry_thread *t)
 {
 	struct store_changes *all = store_changes_create();
+	int ret = list_all(t, all);
 
-	if (list_pages(t, all)) {
+	if (ret == -ERR_INVAL) {
+		apply_part(t, all);
+		return false;
+	}
+	if (ret) {
 		store_changes_free(all);
 		return false;
 	}
+	note_store_returned(t);
 	all->is_complete = true;
 	/* Before that, a record of this host is one of an earlier process. */
 	if (!t->lease && t->options.self.address)
@@ -582,6 +677,7 @@
 	int64_t wait_ms = watch_wait_us(t, since.era) / US_PER_MS;
 	struct store_page page;
 	long status;
+	int ret;
 
 	if (!since.revision) {
 		t->is_listed = false;
@@ -610,13 +706,21 @@
 	/* A watch that handle_progress() aborted is no failure of the store. */
 	if (!status && handle_progress(t, 0, 0, 0, 0))
 		return;
-	if (decode_page(t, status, "watch", &page)) {
+	ret = decode_page(t, status, "watch", &page);
+	if (ret == -ERR_INVAL) {
+		/* The list tells what follows the changes of this reply. */
+		request_list(t);
+		return;
+	}
+	if (ret) {
 		delay_next_watch(t);
 		return;
 	}
+	note_store_returned(t);
 	note_news(t);
 	clear_rare_watch(t);
 	t->refused_watches = 0;
+	t->is_list_split = false;
 	take_watched(t, since, &page);
 }
 
@@ -817,6 +921,7 @@
 	g_free(key);
 	if (decode_page(t, status, "check", &page))
 		return;
+	note_store_returned(t);
 	pthread_mutex_lock(&t->lock);
 	t->check = (struct registry_check){ page.changes->to, started_us };
 	pthread_mutex_unlock(&t->lock);
--- a/test/soak/standins.py
+++ b/test/soak/standins.py
@@ -85,6 +85,9 @@
         self.refuses_watches = False
         # Called with the text of each reply, returns the bytes that are sent.
         self.encode = str.encode
+        # Returns whether the reply to a call, by its path and its prefix, is
+        # complete for HTTP and cut within its JSON.
+        self.is_cut = lambda path, prefix: False
         # Calls by the last part of their path.
         self.calls = {}
 
@@ -210,7 +213,12 @@
             writer.transport.abort()
             return False
         headers = [] if self.era is None else [("Store-Era", self.era)]
-        write_reply(writer, status, self.encode(json.dumps(body)), headers)
+        text = json.dumps(body)
+        url = urlsplit(request.target)
+        prefix = parse_qs(url.query, keep_blank_values=True).get("prefix")
+        if prefix and self.is_cut(url.path, prefix[0]):
+            text = text[:-2]
+        write_reply(writer, status, self.encode(text), headers)
         return True
 
 
