host frame: leave out items that cannot be read

The next changes were a gap, the follower asked again, and got the same item.

A list of items that is cut still breaks its frame.

Evidence: unit-tests host frame, odd item, with six altered bytes, fails before.

--- a/include/net/host_frame.h
+++ b/include/net/host_frame.h
@@ -101,6 +101,8 @@
 	bool is_store_up;
 	/** Set for HOST_CHANGES. */
 	struct store_changes *changes;
+	/** Items of changes that cannot be read and are left out. */
+	uint32_t unread_count;
 	/** Set for HOST_GATHER. */
 	struct gather_request request;
 	/** Set for HOST_GATHER_RESULT. */
--- a/include/nutmegpickd/route_internal.h
+++ b/include/nutmegpickd/route_internal.h
@@ -11,6 +11,7 @@
 #include "nutmegpickd/catalog.h"
 #include "nutmegpickd/registry_thread.h"
 #include "nutmegpickd/route_service.h"
+#include "nutmegpickd/store_faults.h"
 #include "router/feed.h"
 #include "router/quota.h"
 #include "router/rate_exchange.h"
@@ -132,6 +133,8 @@
 	struct router *router;
 	struct host_directory directory;
 	struct catalog catalog;
+	/** What this thread cannot read of its feed. */
+	struct store_faults faults;
 	struct feed *feed;
 	struct http_server *server;
 	struct http_server *ready_server;
--- a/net/host_frame.c
+++ b/net/host_frame.c
@@ -11,6 +11,8 @@
 #define RATE_SCALE 1000.0
 #define RATE_MAX_PER_S 1e12
 
+/* Number of fields of an item in its list. */
+#define CHANGE_FIELDS 4
 /* Number of fields of a claim and of a grant in their lists. */
 #define RATE_CLAIM_FIELDS 7
 #define RATE_GRANT_FIELDS 8
@@ -125,7 +127,7 @@
 
 	msgpack_pack_uint64(&pk, c->from.revision);
 	msgpack_pack_uint64(&pk, c->to.revision);
-	msgpack_pack_array(&pk, (size_t)c->items->len * 4);
+	msgpack_pack_array(&pk, (size_t)c->items->len * CHANGE_FIELDS);
 	for (guint i = 0; i < c->items->len; i++) {
 		const struct store_item *item =
 			&g_array_index(c->items, struct store_item, i);
@@ -435,33 +437,50 @@
 	return has_next(r) ? read_number(r) : 0;
 }
 
+/* Reads the fields of one item. Returns false if one is not usable. */
+static bool read_item(struct reader *r, struct store_item *out)
+{
+	bool has_value;
+	char *value;
+
+	out->key = read_text(r);
+	out->time.revision = read_number(r);
+	has_value = read_flag(r);
+	value = read_bytes(r, &out->value_len);
+	if (has_value)
+		out->value = (guchar *)value;
+	else if (out->value_len)
+		r->is_broken = true;
+	return !r->is_broken;
+}
+
+/* An item that cannot be read is left out, and the others hold. */
 static void read_changes(struct reader *r)
 {
 	struct store_changes *c = store_changes_create();
-	struct reader items = { .frame = r->frame };
+	const msgpack_object_array *items;
 
 	r->frame->changes = c;
 	c->from.revision = read_number(r);
 	c->to.revision = read_number(r);
-	items.fields = read_array(r);
-	while (items.next < items.fields->size && !items.is_broken) {
-		struct store_item item = { .key = read_text(&items) };
-		bool has_value;
-		char *value;
-
-		item.time.revision = read_number(&items);
-		has_value = read_flag(&items);
-		value = read_bytes(&items, &item.value_len);
-		if (has_value)
-			item.value = (guchar *)value;
-		else if (item.value_len)
-			items.is_broken = true;
-		if (!items.is_broken)
+	items = read_array(r);
+	if (items->size % CHANGE_FIELDS)
+		r->is_broken = true;
+	for (uint32_t at = 0; at + CHANGE_FIELDS <= items->size;
+	     at += CHANGE_FIELDS) {
+		const msgpack_object_array fields = { CHANGE_FIELDS,
+						      items->ptr + at };
+		struct reader item_reader = { .fields = &fields,
+					      .frame = r->frame };
+		struct store_item item = { 0 };
+
+		if (read_item(&item_reader, &item))
 			store_changes_add(c, &item);
+		else
+			r->frame->unread_count++;
 	}
 	store_changes_set_era(c, read_era(r));
 	c->is_complete = has_next(r) && read_flag(r);
-	r->is_broken = r->is_broken || items.is_broken;
 }
 
 static const char *const *read_texts(struct reader *r, uint32_t *count)
--- a/nutmegpickd/route_hosts.c
+++ b/nutmegpickd/route_hosts.c
@@ -788,8 +788,11 @@
  */
 static void handle_changes_from_feed(struct route_service *s,
 				     const char *address,
-				     struct store_changes *c)
+				     const struct host_frame *f)
 {
+	struct store_changes *c = f->changes;
+
+	store_faults_note_entries(&s->faults, "feed", f->unread_count, NULL);
 	if (!catalog_apply(&s->catalog, c)) {
 		feed_handle_gap(s->feed, address);
 	} else {
@@ -814,7 +817,7 @@
 		feed_handle_unsubscribe(s->feed, e->address);
 		break;
 	case HOST_CHANGES:
-		handle_changes_from_feed(s, e->address, f->changes);
+		handle_changes_from_feed(s, e->address, f);
 		break;
 	case HOST_HEARTBEAT:
 		feed_handle_heartbeat(s->feed, e->address, f->time,
--- a/nutmegpickd/route_service.c
+++ b/nutmegpickd/route_service.c
@@ -481,6 +481,7 @@
 		return ret;
 	host_directory_init(&s->directory, s->settings.host_id,
 			    router_leaves(s->router));
+	store_faults_init(&s->faults, s->clock);
 	s->catalog.clock = s->clock;
 	s->catalog.router = s->router;
 	s->catalog.directory = &s->directory;
--- a/test/unit/test_host_frame.c
+++ b/test/unit/test_host_frame.c
@@ -142,6 +142,56 @@
 	store_changes_free(c);
 }
 
+/*
+ * Guards against followers that lose a whole feed with one of its items, and
+ * ask for the same one again for ever.
+ */
+static void test_odd_item(void)
+{
+	static const guint8 key[] = { 0xa1, 'b' };
+	/* Replaces bytes of the item b, which begins with its key. */
+	static const struct {
+		int at;
+		guint8 byte;
+	} changes[] = {
+		{ 1, 0 },    /* a NUL in the key */
+		{ 0, 0xcc }, /* a number for a key */
+		{ 2, 0xc0 }, /* no revision */
+		{ 2, 0xff }, /* a revision below 0 */
+		{ 3, 0xc0 }, /* neither a value nor a deletion */
+		{ 3, 0xc2 }, /* a deletion with a value */
+	};
+	struct store_item items[] = {
+		{ "a", (guchar *)"v", 1, { 0, 12 } },
+		{ "b", (guchar *)"v", 1, { 0, 13 } },
+		{ "c", NULL, 0, { 0, 14 } },
+	};
+	struct store_changes *c = store_changes_create();
+
+	c->to.revision = 14;
+	for (size_t i = 0; i < G_N_ELEMENTS(items); i++)
+		store_changes_add(c, &items[i]);
+	for (size_t i = 0; i < G_N_ELEMENTS(changes); i++) {
+		GByteArray *frame = host_frame_changes(c);
+		guint8 *b = memmem(frame->data, frame->len, key, sizeof(key));
+		struct host_frame f;
+		struct store_item *read;
+
+		b[changes[i].at] = changes[i].byte;
+		CU_ASSERT_EQUAL_FATAL(decode_frame(frame, &f), 0);
+		CU_ASSERT_EQUAL(f.unread_count, 1);
+		CU_ASSERT_EQUAL(f.changes->to.revision, 14);
+		CU_ASSERT_EQUAL_FATAL(f.changes->items->len, 2);
+		read = (struct store_item *)f.changes->items->data;
+		CU_ASSERT_STRING_EQUAL(read[0].key, "a");
+		CU_ASSERT_EQUAL(read[0].time.revision, 12);
+		CU_ASSERT_STRING_EQUAL(read[1].key, "c");
+		CU_ASSERT_PTR_NULL(read[1].value);
+		host_frame_clear(&f);
+	}
+	store_changes_free(c);
+}
+
 /*
  * Guards against hosts that cannot talk to those of earlier releases, which
  * state no era.
@@ -279,13 +329,9 @@
 }
 
 CU_TestInfo host_frame_tests[] = {
-	{ "no era", test_no_era },
-	{ "era", test_era },
-	{ "gather", test_gather },
-	{ "gathered", test_gathered },
-	{ "handed back", test_handed_back },
-	{ "changes", test_changes },
-	{ "rates", test_rates },
-	{ "broken", test_broken },
-	CU_TEST_INFO_NULL,
+	{ "no era", test_no_era },	     { "era", test_era },
+	{ "gather", test_gather },	     { "gathered", test_gathered },
+	{ "handed back", test_handed_back }, { "changes", test_changes },
+	{ "odd item", test_odd_item },	     { "rates", test_rates },
+	{ "broken", test_broken },	     CU_TEST_INFO_NULL,
 };
