registry: count a list that leads to itself as lost

A list that could not be read made the store count as lost, a page that leads to itself did not: followers kept to a host that could not list.

--- a/include/nutmegpickd/store_faults.h
+++ b/include/nutmegpickd/store_faults.h
@@ -12,8 +12,10 @@
  */
 struct store_faults {
 	struct np_clock clock;
+	/** Entries since the last line, and the earliest time of the next. */
 	uint64_t entries;
 	int64_t next_entry_line_us;
+	/** The same for replies. */
 	uint64_t replies;
 	int64_t next_reply_line_us;
 };
--- a/nutmegpickd/registry_thread.c
+++ b/nutmegpickd/registry_thread.c
@@ -89,6 +89,7 @@
 	uint64_t reply_era;
 	/** A reply without a usable era was logged, and none with one since. */
 	bool is_era_fault_logged;
+	/** What this thread cannot read of the store. */
 	struct store_faults faults;
 	bool is_listed;
 	/**
@@ -469,8 +470,6 @@
 	struct store_page page;
 	int ret = decode_page(t, status, "list", &page);
 
-	if (ret == -ERR_INVAL)
-		note_store_lost(t, "list", status);
 	if (ret)
 		return ret;
 	if (page.next->len && is_same_key(page.next, after)) {
@@ -601,6 +600,7 @@
 	int ret = list_all(t, all);
 
 	if (ret == -ERR_INVAL) {
+		note_store_lost(t, "list", 200);
 		apply_part(t, all);
 		return false;
 	}
